Told 'not run' only when every attempt did not run

Cause: a request whose first attempt ran and broke off was retried, the retry was refused, and the caller got the refusal's words. Ruled out: a late run of a refused request at the engine (its count came from the first attempt). Change: the ends of all attempts are kept; one that may have run turns a later refusal into outcome_unknown. Same for plain services. Also: an engine's report names its requests, so a new owner counts those of its predecessor exactly, and a full batch is looked at and queued for again instead of refused.

--- a/crates/tinbay-cli/src/caller/mod.rs
+++ b/crates/tinbay-cli/src/caller/mod.rs
@@ -150,6 +150,7 @@
                     outcome.start_over();
                 }
                 Asked::Broken => {
+                    outcome.maybe_ran = true;
                     avoid = Some(address);
                     if key.is_none() {
                         break;
@@ -273,6 +274,7 @@
         return Asked::Broken;
     };
     let retry_after_ms = body.error.retry_after_ms;
+    outcome.maybe_ran |= !body.error.not_run;
     if body.error.code == ErrorCode::CannotResume {
         return Asked::StartOver;
     }
--- a/crates/tinbay-cli/src/caller/outcome.rs
+++ b/crates/tinbay-cli/src/caller/outcome.rs
@@ -69,6 +69,8 @@
     pub resumes: u32,
     /// Times it asked for the whole answer anew, after the rest of a broken one was gone.
     pub start_overs: u32,
+    /// Whether an ask ended in a way that leaves open whether it ran.
+    pub maybe_ran: bool,
     prompt: String,
     max_tokens: u32,
 }
@@ -96,6 +98,7 @@
             come_backs: 0,
             resumes: 0,
             start_overs: 0,
+            maybe_ran: false,
             prompt: request.prompt.clone(),
             max_tokens: request.max_tokens,
         }
@@ -114,7 +117,8 @@
 
     /// Whether the last word was that nothing ran.
     pub fn is_told_not_run(&self) -> bool {
-        !self.whole && self.failure.as_ref().is_some_and(|failure| failure.not_run)
+        let told = self.failure.as_ref().is_some_and(|failure| failure.not_run);
+        !self.whole && !self.maybe_ran && told
     }
 
     /// Forgets what was received, to ask for the whole answer anew.
--- a/crates/tinbay-core/src/engine/mod.rs
+++ b/crates/tinbay-core/src/engine/mod.rs
@@ -49,8 +49,8 @@
 pub struct EngineContents {
     /// Models in its slots.
     pub loaded: Vec<ModelRef>,
-    /// Models of the requests that run, one entry a request, whoever sent them.
-    pub running: Vec<ModelRef>,
+    /// Models of the requests that run and that this owner did not send, one entry each.
+    pub inherited: Vec<ModelRef>,
 }
 
 /// Something that happened to an engine or its queue.
--- a/crates/tinbay-core/src/engine/owner.rs
+++ b/crates/tinbay-core/src/engine/owner.rs
@@ -138,11 +138,6 @@
         self.slots.is_loaded(model)
     }
 
-    /// Whether requests of earlier owners were still running when last seen.
-    pub fn has_inherited(&self) -> bool {
-        !self.inherited.is_empty()
-    }
-
     /// Whether the owner has learnt what the engine holds.
     pub fn has_learnt(&self) -> bool {
         self.learnt
@@ -372,18 +367,12 @@
         self.learnt = true;
     }
 
-    /// Splits what runs into this owner's requests and those of earlier owners.
+    /// Counts the requests of earlier owners, which hold places and slots as well.
     fn count_inherited(&mut self, contents: &EngineContents) {
         self.inherited.clear();
-        for model in &contents.running {
+        for model in &contents.inherited {
             *self.inherited.entry(model.clone()).or_default() += 1;
         }
-        for run in self.running.values() {
-            if let Some(count) = self.inherited.get_mut(&run.model) {
-                *count = count.saturating_sub(1);
-            }
-        }
-        self.inherited.retain(|_, count| *count > 0);
     }
 
     fn release(&mut self, out: &mut Vec<Command>) {
--- a/crates/tinbay-core/src/retry.rs
+++ b/crates/tinbay-core/src/retry.rs
@@ -71,6 +71,26 @@
     pub deadline_ms: Millis,
 }
 
+/// How the attempts at one request ended so far.
+///
+/// "Not run" may be said of the request only if it holds for every one of them.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct AttemptEnds {
+    maybe_ran: bool,
+}
+
+impl AttemptEnds {
+    /// Notes the end of an attempt.
+    pub fn note(&mut self, end: AttemptEnd) {
+        self.maybe_ran |= end != AttemptEnd::NotRun;
+    }
+
+    /// Whether it is certain that no attempt ran anything.
+    pub fn are_all_not_run(&self) -> bool {
+        !self.maybe_ran
+    }
+}
+
 /// Whether another attempt is allowed, before the budget is asked.
 pub fn may_retry(case: &RetryCase) -> bool {
     if case.now_ms >= case.deadline_ms || case.answer_begun {
--- a/crates/tinbay-node/src/entry/attempts.rs
+++ b/crates/tinbay-node/src/entry/attempts.rs
@@ -5,7 +5,7 @@
 
 use tinbay_core::assemble::{Assembler, Chunk, Taken};
 use tinbay_core::ids::{BoxId, EngineId, ModelRef};
-use tinbay_core::retry::{AttemptEnd, RetryCase, may_retry};
+use tinbay_core::retry::{AttemptEnd, AttemptEnds, RetryCase, may_retry};
 use tinbay_core::units::Millis;
 use tinbay_core::view::BoxRecord;
 use tinbay_http::stream::LineReader;
@@ -170,6 +170,7 @@
     job: Job,
     assembler: Assembler,
     attempt: u32,
+    ends: AttemptEnds,
     stream: Option<AnswerStream>,
     info: Option<RunInfo>,
 }
@@ -184,6 +185,7 @@
             job,
             assembler,
             attempt: 0,
+            ends: AttemptEnds::default(),
             stream: None,
             info: None,
         }
@@ -214,13 +216,14 @@
                 Ok(chunk) => return Ok(chunk),
                 Err(error) => error,
             };
+            self.ends.note(error.end);
             log::debug!(
                 target: part::ENTRY,
                 "{} attempt {} on {engine} ended {:?}: {}",
                 self.job.request_id, self.attempt, error.end, error.failure,
             );
             if !self.may_try_again(&error) {
-                return Err(error.failure);
+                return Err(self.final_failure(error.failure));
             }
         }
     }
@@ -335,6 +338,14 @@
         self.attempt < MAX_ATTEMPTS && may_retry(&case) && self.node.spend_retry(&self.job.class)
     }
 
+    /// A refusal of the last attempt says nothing of an earlier one that may have run.
+    fn final_failure(&self, failure: Failure) -> Failure {
+        if failure.is_not_run() && !self.ends.are_all_not_run() {
+            return Failure::OutcomeUnknown;
+        }
+        failure
+    }
+
     fn note_wait(&self, engine: &EngineId, wait_ms: Millis) {
         let now_ms = self.node.clock.now_ms();
         lock(self.node.router(&self.job.model)).note_wait(engine, wait_ms, now_ms);
--- a/crates/tinbay-node/src/entry/local.rs
+++ b/crates/tinbay-node/src/entry/local.rs
@@ -16,7 +16,7 @@
 use crate::state::Node;
 
 /// How long an engine may take until it answers with the head of a stream.
-const HEAD_WITHIN: Duration = Duration::from_secs(10);
+const HEAD_WITHIN: Duration = Duration::from_secs(5);
 
 /// How long a request waits for this box to take over an engine it should own.
 const TAKEOVER_WITHIN: Duration = Duration::from_millis(1_500);
@@ -75,6 +75,40 @@
     owned: &Arc<OwnedEngine>,
     call: &EngineRequest,
 ) -> Result<AnswerStream, AttemptError> {
+    loop {
+        let error = match queue_and_send(node, job, owned, call).await {
+            Ok(stream) => return Ok(stream),
+            Err(error) => error,
+        };
+        // The engine refused what the queue thought it could take: look, and queue again.
+        let queue_again = error.refusal == Some(EngineRefusal::BatchFull)
+            && node.clock.now_ms() < job.start_by_ms;
+        if !queue_again {
+            return Err(error.attempt);
+        }
+        observe(owned).await;
+    }
+}
+
+/// How a try to run a request failed.
+struct SendError {
+    attempt: AttemptError,
+    /// The engine's words, where it was the engine that refused.
+    refusal: Option<EngineRefusal>,
+}
+
+async fn observe(owned: &Arc<OwnedEngine>) {
+    if let Ok(state) = HttpEngine::new(&owned.spec().address).state().await {
+        owned.observe(&state);
+    }
+}
+
+async fn queue_and_send(
+    node: &Arc<Node>,
+    job: &Job,
+    owned: &Arc<OwnedEngine>,
+    call: &EngineRequest,
+) -> Result<AnswerStream, SendError> {
     let ask = Ask {
         id: node.next_request_id(),
         model: job.model.clone(),
@@ -84,12 +118,17 @@
         arrived_ms: job.arrived_ms,
         start_by_ms: job.start_by_ms,
     };
-    let guard = match owned.submit(ask).await {
+    let guard = match owned.submit(ask, &call.request).await {
         Verdict::Run(guard) => guard,
         Verdict::Refused {
             reason,
             retry_after_ms,
-        } => return Err(AttemptError::not_run(to_failure(reason, retry_after_ms))),
+        } => {
+            return Err(SendError {
+                attempt: AttemptError::not_run(to_failure(reason, retry_after_ms)),
+                refusal: None,
+            });
+        }
     };
     let api = HttpEngine::new(&owned.spec().address);
     match api.complete(owned.order(), call, HEAD_WITHIN).await {
@@ -97,7 +136,13 @@
             let info = run_info(node, owned, job, guard.stall_ms);
             Ok(AnswerStream::new(info, reader, Some(guard)))
         }
-        Err(error) => Err(draw_consequences(node, owned, call, error)),
+        Err(error) => Err(SendError {
+            attempt: draw_consequences(node, owned, call, error),
+            refusal: match error {
+                EngineError::Refused(refusal) => Some(refusal),
+                _ => None,
+            },
+        }),
     }
 }
 
--- a/crates/tinbay-node/src/entry/services.rs
+++ b/crates/tinbay-node/src/entry/services.rs
@@ -9,7 +9,7 @@
 use ntex::web::{HttpRequest, HttpResponse};
 use rand::seq::SliceRandom;
 use tinbay_core::config::ServiceSpec;
-use tinbay_core::retry::{AttemptEnd, RetryCase, may_retry};
+use tinbay_core::retry::{AttemptEnd, AttemptEnds, RetryCase, may_retry};
 use tinbay_http::body::read_body;
 use tinbay_http::client::{await_head, fresh_client, pooled_client};
 use tinbay_wire::headers;
@@ -87,6 +87,7 @@
     let mut addresses = spec.addresses.clone();
     addresses.shuffle(&mut rand::rng());
     let mut last = Failure::BackendFailed { not_run: true };
+    let mut ends = AttemptEnds::default();
     for address in addresses {
         let error = match send(context, spec, &address, rest, body.clone()).await {
             Ok(reply) => return Ok(reply),
@@ -100,12 +101,16 @@
             now_ms: node.clock.now_ms(),
             deadline_ms: context.arrived_ms + spec.timeout_ms,
         };
+        ends.note(error.end);
         last = error.failure;
         if !may_retry(&case) || !node.spend_retry(class) {
             break;
         }
     }
-    Err(last)
+    if ends.are_all_not_run() {
+        return Err(last);
+    }
+    Err(Failure::OutcomeUnknown)
 }
 
 async fn send(
--- a/crates/tinbay-node/src/owners/owned.rs
+++ b/crates/tinbay-node/src/owners/owned.rs
@@ -1,6 +1,6 @@
 //! One owned engine: the scheduler and the requests that wait for it.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex};
 
 use tinbay_core::config::EngineSpec;
@@ -50,6 +50,8 @@
 struct OwnedState {
     scheduler: EngineOwner,
     waiters: HashMap<RequestId, oneshot::Sender<Verdict>>,
+    /// Requests sent to the engine and not yet ended, by their names there.
+    sent: HashMap<RequestId, String>,
     order: Order,
     released: bool,
 }
@@ -64,6 +66,7 @@
 
 impl Drop for RunGuard {
     fn drop(&mut self) {
+        self.engine.forget_name(self.id);
         self.engine.handle(Event::Finished(self.id));
     }
 }
@@ -100,6 +103,7 @@
             state: Mutex::new(OwnedState {
                 scheduler: EngineOwner::new(shape, settings),
                 waiters: HashMap::new(),
+                sent: HashMap::new(),
                 order,
                 released: false,
             }),
@@ -116,8 +120,8 @@
         lock(&self.state).order
     }
 
-    /// Queues a request and waits for its verdict.
-    pub async fn submit(self: &Arc<Self>, ask: Ask) -> Verdict {
+    /// Queues a request and waits for its verdict; `name` is its name at the engine.
+    pub async fn submit(self: &Arc<Self>, ask: Ask, name: &str) -> Verdict {
         let refused = Verdict::Refused {
             reason: Refusal::NotOwner,
             retry_after_ms: 0,
@@ -130,6 +134,7 @@
                 return refused;
             }
             state.waiters.insert(id, sender);
+            state.sent.insert(id, name.to_owned());
         }
         let waiting = WaitGuard { engine: self, id };
         self.handle(Event::Submit(ask));
@@ -179,6 +184,7 @@
                 reason,
                 retry_after_ms,
             } => {
+                state.sent.remove(&id);
                 let verdict = Verdict::Refused {
                     reason,
                     retry_after_ms,
@@ -200,26 +206,45 @@
     fn forget_waiter(self: &Arc<Self>, id: RequestId) {
         let waiter = lock(&self.state).waiters.remove(&id);
         if waiter.is_some() {
+            self.forget_name(id);
             self.handle(Event::Cancel(id));
         }
     }
 
+    fn forget_name(&self, id: RequestId) {
+        lock(&self.state).sent.remove(&id);
+    }
+
     /// Takes in what the engine says it holds, after a takeover or a restart.
     pub fn learn(self: &Arc<Self>, engine_state: &EngineState) {
         lock(&self.state).order.incarnation = engine_state.incarnation;
-        self.handle(Event::Learnt(contents(engine_state)));
+        let contents = self.contents(engine_state);
+        self.handle(Event::Learnt(contents));
     }
 
     /// Compares a report of the engine with what is known.
     pub fn observe(self: &Arc<Self>, engine_state: &EngineState) {
-        let (incarnation, inherited) = {
-            let state = lock(&self.state);
-            (state.order.incarnation, state.scheduler.has_inherited())
-        };
-        if engine_state.incarnation != incarnation {
+        if engine_state.incarnation != self.order().incarnation {
             self.learn(engine_state);
-        } else if inherited {
-            self.handle(Event::Observed(contents(engine_state)));
+            return;
+        }
+        let contents = self.contents(engine_state);
+        self.handle(Event::Observed(contents));
+    }
+
+    /// What the engine holds, and which of its requests this owner did not send.
+    fn contents(&self, engine_state: &EngineState) -> EngineContents {
+        let state = lock(&self.state);
+        let own: HashSet<&str> = state.sent.values().map(String::as_str).collect();
+        let inherited = engine_state
+            .running
+            .iter()
+            .filter(|running| !own.contains(running.request.as_str()))
+            .map(|running| running.model.clone())
+            .collect();
+        EngineContents {
+            loaded: engine_state.loaded.clone(),
+            inherited,
         }
     }
 
@@ -264,10 +289,3 @@
         }
     }
 }
-
-fn contents(state: &EngineState) -> EngineContents {
-    EngineContents {
-        loaded: state.loaded.clone(),
-        running: state.running.clone(),
-    }
-}
--- a/crates/tinbay-standin/src/engine/model.rs
+++ b/crates/tinbay-standin/src/engine/model.rs
@@ -7,7 +7,7 @@
 use tinbay_core::assemble::Chunk;
 use tinbay_core::fence::{FenceGuard, FenceRefusal, Order};
 use tinbay_core::ids::{Incarnation, ModelRef};
-use tinbay_wire::engine::{EngineRefusal, EngineRequest, EngineState};
+use tinbay_wire::engine::{EngineRefusal, EngineRequest, EngineState, RunningRequest};
 
 use super::text::token_text;
 
@@ -168,9 +168,12 @@
         loaded.sort();
         let running = self
             .streams
-            .values()
-            .filter(|stream| !stream.finished)
-            .map(|stream| stream.model.clone())
+            .iter()
+            .filter(|(_, stream)| !stream.finished)
+            .map(|(request, stream)| RunningRequest {
+                request: request.clone(),
+                model: stream.model.clone(),
+            })
             .collect();
         EngineState {
             incarnation: self.incarnation,
--- a/crates/tinbay-wire/src/engine.rs
+++ b/crates/tinbay-wire/src/engine.rs
@@ -42,12 +42,21 @@
     pub incarnation: Incarnation,
     /// Models in its slots.
     pub loaded: Vec<ModelRef>,
-    /// Models of the requests that run.
-    pub running: Vec<ModelRef>,
+    /// The requests that run.
+    pub running: Vec<RunningRequest>,
     /// The highest fence seen; zero for an engine that checks none.
     pub fence: Fence,
 }
 
+/// A request in an engine's batch.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunningRequest {
+    /// Its name, as the box that sent it gave it.
+    pub request: String,
+    /// The model it runs on.
+    pub model: ModelRef,
+}
+
 /// Why an engine did not run a request or carry out an order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
 #[serde(rename_all = "snake_case")]
