--- a/crates/tinbay-cli/src/cli.rs
+++ b/crates/tinbay-cli/src/cli.rs
@@ -150,6 +150,32 @@
                     .help("Stay up and print curl lines to try"),
             ),
         standin_command(),
+        Command::new("experiment")
+            .about("Compare ways of deciding on a workload, on virtual time")
+            .long_about(
+                "Run a workload file against the naive strategies and the core, on virtual time \
+                 with fakes of engines and weight store, and compare. The policy stands beside \
+                 the file with the ending .rhai. The same seeds give the same figures.",
+            )
+            .arg(
+                Arg::new("files")
+                    .value_name("FILE")
+                    .num_args(1..)
+                    .required(true)
+                    .value_hint(ValueHint::FilePath),
+            )
+            .arg(
+                Arg::new("judge")
+                    .long("judge")
+                    .action(ArgAction::SetTrue)
+                    .help("Use the seeds kept aside for judging"),
+            )
+            .arg(
+                Arg::new("skew")
+                    .long("skew")
+                    .value_name("EXPONENT")
+                    .help("Zipf exponent of the popularity in place of the file's"),
+            ),
         Command::new("scenario")
             .about("Run scripted scenarios against real processes")
             .subcommand_required(true)
--- a/crates/tinbay-cli/src/commands/mod.rs
+++ b/crates/tinbay-cli/src/commands/mod.rs
@@ -7,6 +7,7 @@
 mod demo;
 mod diff;
 mod drain;
+mod experiment;
 mod get;
 pub mod load;
 mod locate;
@@ -45,6 +46,7 @@
         Action::Load(load) => load::run(common, load),
         Action::Demo { stay } => demo::run(common, *stay),
         Action::Standin(standin) => standin::run(standin),
+        Action::Experiment(experiment) => experiment::run(common, experiment),
         Action::Scenario { files, seed } => scenario::run(common, files, *seed),
     }
 }
--- a/crates/tinbay-cli/src/error.rs
+++ b/crates/tinbay-cli/src/error.rs
@@ -4,6 +4,7 @@
 
 use tinbay_core::ids::ModelRefError;
 use tinbay_core::policy::PolicyError;
+use tinbay_experiment::WorkloadError;
 use tinbay_http::client::CallError;
 use tinbay_node::error::NodeError;
 use tinbay_wire::error_body::{ErrorCode, ErrorDetail};
@@ -48,6 +49,14 @@
         /// What is wrong.
         source: PolicyError,
     },
+    /// A workload cannot be run.
+    #[error("{path}: {source}")]
+    Workload {
+        /// The file.
+        path: String,
+        /// What is wrong.
+        source: WorkloadError,
+    },
     /// No box could be asked.
     #[error("no box answered: {0}")]
     Unreachable(#[from] CallError),
@@ -98,7 +107,8 @@
             | CliError::File { .. }
             | CliError::ConfigFile { .. }
             | CliError::Model(_)
-            | CliError::Policy { .. } => 2,
+            | CliError::Policy { .. }
+            | CliError::Workload { .. } => 2,
             CliError::Unreachable(_) => 3,
             CliError::Refused(_) => 4,
             CliError::NotInForce { .. }
--- a/crates/tinbay-cli/src/options.rs
+++ b/crates/tinbay-cli/src/options.rs
@@ -94,6 +94,8 @@
     },
     /// Run a stand-in.
     Standin(StandinOptions),
+    /// Compare ways of deciding.
+    Experiment(ExperimentOptions),
     /// Run scenarios.
     Scenario {
         /// The files.
@@ -155,6 +157,17 @@
     pub share: f64,
 }
 
+/// Options of `experiment`.
+#[derive(Debug, Clone)]
+pub struct ExperimentOptions {
+    /// Workload files.
+    pub files: Vec<String>,
+    /// Whether to use the seeds kept aside for judging.
+    pub judge: bool,
+    /// Zipf exponent in place of the file's.
+    pub skew: Option<f64>,
+}
+
 /// Options of `standin`.
 #[derive(Debug, Clone)]
 pub struct StandinOptions {
@@ -229,6 +242,16 @@
             stay: sub.get_flag("stay"),
         },
         "standin" => Action::Standin(read_standin(sub)?),
+        "experiment" => Action::Experiment(ExperimentOptions {
+            files: sub
+                .get_many::<String>("files")
+                .into_iter()
+                .flatten()
+                .cloned()
+                .collect(),
+            judge: sub.get_flag("judge"),
+            skew: optional(sub, "skew", "give a number")?,
+        }),
         "scenario" => read_scenario(sub)?,
         _ => Action::Status,
     })
--- a/crates/tinbay-cli/tests/cli_test.rs
+++ b/crates/tinbay-cli/tests/cli_test.rs
@@ -33,7 +33,7 @@
         &repository_path("examples/dochodok.rhai"),
     ]);
     assert!(good.status.success(), "{}", stderr(&good));
-    let bad = tinbay(&["policy", "check", &repository_path("Cargo.toml")]);
+    let bad = tinbay(&["policy", "check", &repository_path("LICENSE")]);
     assert_eq!(bad.status.code(), Some(2));
     assert!(stderr(&bad).contains("line 1"), "{}", stderr(&bad));
 }
--- /dev/null
+++ b/crates/tinbay-experiment/src/arrivals.rs
@@ -0,0 +1,111 @@
+//! The requests of a workload, worked out from its seed before anything is decided.
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use rand_distr::{Distribution, Exp, Zipf};
+use tinbay_core::ids::ModelRef;
+use tinbay_core::units::Millis;
+
+use crate::workload::{Disturbance, Traffic, Workload};
+
+/// One request of a workload.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    /// When it comes.
+    pub at_ms: Millis,
+    /// Number of its traffic stream.
+    pub traffic: usize,
+    /// Number of its adapter.
+    pub adapter: usize,
+    /// What it names.
+    pub model: ModelRef,
+    /// Number of its organisation.
+    pub organisation: usize,
+}
+
+/// Step of the adapters' numbers at a shift of popularity; any number that shares no factor
+/// with usual adapter counts does.
+const SHIFT_STEP: usize = 1_009;
+
+/// Every request, by time. All strategies get the same ones.
+pub fn work_out(workload: &Workload, seed: u64) -> Vec<Arrival> {
+    let mut arrivals = Vec::new();
+    for (index, traffic) in workload.traffic.iter().enumerate() {
+        let mut rng = StdRng::seed_from_u64(seed ^ (index as u64) << 32);
+        add_stream(workload, index, traffic, &mut rng, &mut arrivals);
+    }
+    arrivals.sort_by_key(|arrival| arrival.at_ms);
+    arrivals
+}
+
+/// Poisson arrivals, thinned from the stream's highest rate.
+fn add_stream(
+    workload: &Workload,
+    index: usize,
+    traffic: &Traffic,
+    rng: &mut StdRng,
+    arrivals: &mut Vec<Arrival>,
+) {
+    let highest = highest_factor(workload, &traffic.class);
+    let count = workload.adapters.count;
+    let (Ok(gaps), Ok(popularity)) = (
+        Exp::new(traffic.rate_per_s * highest),
+        Zipf::new(count as f64, workload.adapters.skew),
+    ) else {
+        return;
+    };
+    let mut at_s = gaps.sample(rng);
+    while at_s < workload.length_s as f64 {
+        let kept = rng.random::<f64>() * highest < factor_at(workload, &traffic.class, at_s);
+        let rank = popularity.sample(rng) as usize;
+        if kept {
+            let adapter = (rank - 1 + shift_at(workload, at_s)) % count;
+            arrivals.push(Arrival {
+                at_ms: (at_s * 1_000.0) as Millis,
+                traffic: index,
+                adapter,
+                model: ModelRef::new(format!("adapter-{adapter}"), "v1"),
+                organisation: adapter % workload.adapters.organisations,
+            });
+        }
+        at_s += gaps.sample(rng);
+    }
+}
+
+fn floods<'a>(
+    workload: &'a Workload,
+    class: &'a str,
+) -> impl Iterator<Item = (u64, u64, f64)> + 'a {
+    workload
+        .disturbance
+        .iter()
+        .filter_map(move |disturbance| match disturbance {
+            Disturbance::Flood {
+                at_s,
+                for_s,
+                class: flooded,
+                factor,
+            } if flooded == class => Some((*at_s, *for_s, *factor)),
+            _ => None,
+        })
+}
+
+fn highest_factor(workload: &Workload, class: &str) -> f64 {
+    floods(workload, class)
+        .map(|(_, _, factor)| factor)
+        .fold(1.0, f64::max)
+}
+
+fn factor_at(workload: &Workload, class: &str, at_s: f64) -> f64 {
+    floods(workload, class)
+        .filter(|(from_s, for_s, _)| (*from_s as f64..(from_s + for_s) as f64).contains(&at_s))
+        .map(|(_, _, factor)| factor)
+        .fold(1.0, f64::max)
+}
+
+fn shift_at(workload: &Workload, now_s: f64) -> usize {
+    let shifts = workload.disturbance.iter().filter(
+        |disturbance| matches!(disturbance, Disturbance::Shift { at_s } if *at_s as f64 <= now_s),
+    );
+    shifts.count() * SHIFT_STEP
+}
--- /dev/null
+++ b/crates/tinbay-experiment/src/bound.rs
@@ -0,0 +1,109 @@
+//! What no strategy can beat, worked out with the future known.
+
+use std::collections::{BTreeMap, HashMap};
+
+use serde::Serialize;
+
+use crate::arrivals;
+use crate::workload::Workload;
+
+/// The bound of one workload and seed.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct Bound {
+    /// 99th percentile of the load stall by urgent class.
+    pub stall_p99_ms: BTreeMap<String, f64>,
+    /// Share of requests that find their adapter loaded, by urgent class.
+    pub hit_share: BTreeMap<String, f64>,
+}
+
+/// Works the bound out.
+///
+/// All slots of a base model count as one cache that only the urgent classes use. Unloads
+/// are chosen with the future known (Belady, "A study of replacement algorithms for a
+/// virtual-storage computer", IBM Systems Journal 1966); loads begin when a request comes,
+/// are never held up by the rate, and take their full-speed time. A request for an adapter
+/// that is not there stalls for one load. No strategy that loads on demand stalls less.
+pub fn work_out(workload: &Workload, seed: u64) -> Bound {
+    let arrivals = arrivals::work_out(workload, seed);
+    let urgent: Vec<(usize, usize)> = arrivals
+        .iter()
+        .filter(|arrival| workload.traffic[arrival.traffic].urgent)
+        .map(|arrival| (arrival.adapter, arrival.traffic))
+        .collect();
+    let mut came: BTreeMap<usize, u64> = BTreeMap::new();
+    let mut missed: BTreeMap<usize, u64> = BTreeMap::new();
+    for base in 0..workload.engines.base_models {
+        let mine: Vec<(usize, usize)> = urgent
+            .iter()
+            .copied()
+            .filter(|(adapter, _)| adapter % workload.engines.base_models == base)
+            .collect();
+        count_misses(&mine, slots_of(workload, base), &mut came, &mut missed);
+    }
+    to_bound(workload, &came, &missed)
+}
+
+fn slots_of(workload: &Workload, base: usize) -> usize {
+    let park = &workload.engines;
+    let engines = (0..park.count).filter(|engine| engine % park.base_models == base);
+    engines.count() * park.slots as usize
+}
+
+fn count_misses(
+    requests: &[(usize, usize)],
+    slots: usize,
+    came: &mut BTreeMap<usize, u64>,
+    missed: &mut BTreeMap<usize, u64>,
+) {
+    let next_use = next_uses(requests);
+    let mut cached: HashMap<usize, usize> = HashMap::new();
+    for (index, (adapter, traffic)) in requests.iter().enumerate() {
+        *came.entry(*traffic).or_default() += 1;
+        if cached.insert(*adapter, next_use[index]).is_some() {
+            continue;
+        }
+        *missed.entry(*traffic).or_default() += 1;
+        if cached.len() > slots {
+            // The one used again latest gives way; it may be the one that just came.
+            let farthest = cached
+                .iter()
+                .max_by_key(|(adapter, next)| (**next, **adapter));
+            if let Some(victim) = farthest.map(|(adapter, _)| *adapter) {
+                cached.remove(&victim);
+            }
+        }
+    }
+}
+
+/// Where each request's adapter is asked for again.
+fn next_uses(requests: &[(usize, usize)]) -> Vec<usize> {
+    let mut next_use = vec![usize::MAX; requests.len()];
+    let mut seen: HashMap<usize, usize> = HashMap::new();
+    for (index, (adapter, _)) in requests.iter().enumerate().rev() {
+        if let Some(next) = seen.insert(*adapter, index) {
+            next_use[index] = next;
+        }
+    }
+    next_use
+}
+
+fn to_bound(
+    workload: &Workload,
+    came: &BTreeMap<usize, u64>,
+    missed: &BTreeMap<usize, u64>,
+) -> Bound {
+    let mut bound = Bound::default();
+    for (traffic, came) in came {
+        let missed = missed.get(traffic).copied().unwrap_or(0);
+        let share = missed as f64 / *came as f64;
+        let stall = if share > 0.01 {
+            workload.weight_store.load_ms as f64
+        } else {
+            0.0
+        };
+        let class = workload.traffic[*traffic].class.clone();
+        bound.stall_p99_ms.insert(class.clone(), stall);
+        bound.hit_share.insert(class, 1.0 - share);
+    }
+    bound
+}
--- /dev/null
+++ b/crates/tinbay-experiment/src/run.rs
@@ -0,0 +1,447 @@
+//! Runs one strategy over one workload and seed, on virtual time.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+
+use tinbay_core::engine::{Ask, Command, EngineContents, EngineShape, Event, Refusal, Scheduler};
+use tinbay_core::ids::{EngineId, ModelRef, RequestId};
+use tinbay_core::loads::{LoadArbiter, LoadWish};
+use tinbay_core::policy::{Policy, PolicyRequest, Treatment};
+use tinbay_core::units::Millis;
+
+use crate::arrivals::{self, Arrival};
+use crate::engines::FakeEngine;
+use crate::measures::{ClassCollector, FAIRNESS_LEAST, Measures};
+use crate::strategy::{EngineLoad, Routing, StrategyKind};
+use crate::weights::FakeWeightStore;
+use crate::workload::{Disturbance, Workload};
+
+/// Time between ticks of the schedulers, as in a box.
+const TICK_MS: Millis = 20;
+
+/// Time of an unload.
+const UNLOAD_MS: Millis = 5;
+
+/// Engines tried for one request.
+const MAX_ATTEMPTS: usize = 4;
+
+/// Something that happens.
+#[derive(Debug, Clone)]
+enum Happening {
+    Arrive(usize),
+    Tick,
+    Grant,
+    Loaded {
+        engine: usize,
+        run: u64,
+        model: ModelRef,
+    },
+    Unloaded {
+        engine: usize,
+        model: ModelRef,
+    },
+    Finished {
+        engine: usize,
+        run: u64,
+        id: RequestId,
+    },
+    Restart {
+        engine: usize,
+    },
+}
+
+/// A request under way.
+struct Request {
+    arrival: usize,
+    treatment: Treatment,
+    engines: Vec<usize>,
+    tried: usize,
+}
+
+struct Experiment<'a> {
+    workload: &'a Workload,
+    kind: StrategyKind,
+    policy: Option<&'a Policy>,
+    arrivals: Vec<Arrival>,
+    now_ms: Millis,
+    heap: BinaryHeap<Reverse<(Millis, u64, usize)>>,
+    happenings: HashMap<usize, Happening>,
+    next: usize,
+    schedulers: Vec<Box<dyn Scheduler>>,
+    engines: Vec<FakeEngine>,
+    running: Vec<HashMap<RequestId, ModelRef>>,
+    routing: Routing,
+    arbiter: LoadArbiter,
+    weights: FakeWeightStore,
+    requests: HashMap<RequestId, Request>,
+    classes: BTreeMap<String, ClassCollector>,
+    organisations: HashMap<usize, (u64, u64)>,
+    unloads_while_serving: u64,
+}
+
+/// Runs a strategy; the same arguments give the same figures.
+pub fn run(workload: &Workload, policy: &Policy, kind: StrategyKind, seed: u64) -> Measures {
+    let mut experiment = Experiment::new(workload, policy, kind, seed);
+    experiment.schedule_all();
+    experiment.run_to_end();
+    experiment.finish()
+}
+
+impl<'a> Experiment<'a> {
+    fn new(workload: &'a Workload, policy: &'a Policy, kind: StrategyKind, seed: u64) -> Self {
+        let park = &workload.engines;
+        let shape = EngineShape {
+            slots: park.slots,
+            batch_limit: park.batch_limit,
+        };
+        let policy = (kind == StrategyKind::CorePolicy).then_some(policy);
+        let classes = workload
+            .traffic
+            .iter()
+            .map(|traffic| (traffic.class.clone(), ClassCollector::new()))
+            .collect();
+        Self {
+            workload,
+            kind,
+            policy,
+            arrivals: arrivals::work_out(workload, seed),
+            now_ms: 0,
+            heap: BinaryHeap::new(),
+            happenings: HashMap::new(),
+            next: 0,
+            schedulers: (0..park.count)
+                .map(|_| kind.scheduler(shape, policy))
+                .collect(),
+            engines: vec![FakeEngine::default(); park.count],
+            running: vec![HashMap::new(); park.count],
+            routing: Routing::new(kind, workload),
+            arbiter: LoadArbiter::new(workload.allowance()),
+            weights: FakeWeightStore::new(workload.weight_store.clone()),
+            requests: HashMap::new(),
+            classes,
+            organisations: HashMap::new(),
+            unloads_while_serving: 0,
+        }
+    }
+
+    fn schedule_all(&mut self) {
+        for engine in 0..self.schedulers.len() {
+            self.give(engine, Event::Learnt(EngineContents::default()));
+        }
+        if let Some(first) = self.arrivals.first() {
+            self.schedule(first.at_ms, Happening::Arrive(0));
+        }
+        self.schedule(TICK_MS, Happening::Tick);
+        for disturbance in &self.workload.disturbance {
+            if let Disturbance::Restart { at_s, engine } = disturbance {
+                self.schedule(at_s * 1_000, Happening::Restart { engine: *engine });
+            }
+        }
+    }
+
+    fn schedule(&mut self, at_ms: Millis, happening: Happening) {
+        self.heap
+            .push(Reverse((at_ms, self.next as u64, self.next)));
+        self.happenings.insert(self.next, happening);
+        self.next += 1;
+    }
+
+    /// Runs until every request has started or been refused, at most as long again.
+    fn run_to_end(&mut self) {
+        let last_ms = 2 * self.workload.length_ms();
+        while let Some(Reverse((at_ms, _, number))) = self.heap.pop() {
+            let Some(happening) = self.happenings.remove(&number) else {
+                continue;
+            };
+            self.now_ms = at_ms;
+            let over = at_ms > self.workload.length_ms() && self.requests.is_empty();
+            if over || at_ms > last_ms {
+                return;
+            }
+            self.happen(happening);
+        }
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        match happening {
+            Happening::Arrive(index) => self.arrive(index),
+            Happening::Tick => self.tick(),
+            Happening::Grant => self.grant(),
+            Happening::Loaded { engine, run, model } => {
+                self.weights.end();
+                if self.engines[engine].run == run {
+                    self.routing.note_loaded(engine, &model);
+                    self.give(engine, Event::Loaded(model));
+                } else {
+                    self.give(engine, Event::LoadFailed(model));
+                }
+            }
+            Happening::Unloaded { engine, model } => {
+                self.routing.note_unloaded(engine, &model);
+                self.give(engine, Event::Unloaded(model));
+            }
+            Happening::Finished { engine, run, id } => {
+                if self.engines[engine].run == run && self.running[engine].remove(&id).is_some() {
+                    self.note_batch(engine);
+                    self.engines[engine].running -= 1;
+                    self.give(engine, Event::Finished(id));
+                }
+            }
+            Happening::Restart { engine } => self.restart(engine),
+        }
+    }
+
+    fn tick(&mut self) {
+        if self.kind.is_core() {
+            for engine in 0..self.schedulers.len() {
+                self.give(engine, Event::Tick);
+            }
+            self.grant();
+        }
+        self.schedule(self.now_ms + TICK_MS, Happening::Tick);
+    }
+
+    fn arrive(&mut self, index: usize) {
+        if let Some(next) = self.arrivals.get(index + 1) {
+            self.schedule(next.at_ms, Happening::Arrive(index + 1));
+        }
+        let arrival = &self.arrivals[index];
+        let treatment = self.treat(arrival);
+        let loads: Vec<EngineLoad> = self
+            .schedulers
+            .iter()
+            .map(|scheduler| EngineLoad {
+                connections: scheduler.queued() + scheduler.running(),
+            })
+            .collect();
+        let engines = self
+            .routing
+            .order(self.now_ms, arrival.adapter, &arrival.model, &loads);
+        let class = &self.workload.traffic[arrival.traffic].class;
+        if let Some(collector) = self.classes.get_mut(class) {
+            collector.note_arrival();
+        }
+        let id = RequestId(index as u64);
+        let request = Request {
+            arrival: index,
+            treatment,
+            engines,
+            tried: 0,
+        };
+        self.requests.insert(id, request);
+        self.try_next(id);
+    }
+
+    fn treat(&self, arrival: &Arrival) -> Treatment {
+        let traffic = &self.workload.traffic[arrival.traffic];
+        let base = Treatment {
+            rank: traffic.rank,
+            urgent: traffic.urgent,
+            max_wait_ms: traffic.max_wait_ms,
+            repeatable: true,
+        };
+        let Some(policy) = self.policy else {
+            return base;
+        };
+        let organisation = arrival.organisation.to_string();
+        let request = PolicyRequest {
+            class: &traffic.class,
+            organisation: &organisation,
+            adapter: arrival.model.adapter(),
+            prompt_bytes: traffic.prompt_bytes,
+            max_tokens: traffic.tokens,
+            base,
+        };
+        policy.classify(&request).unwrap_or(base)
+    }
+
+    /// Submits a request to the next engine in its order.
+    fn try_next(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let engine = request.engines.get(request.tried).copied();
+        request.tried += 1;
+        let Some(engine) = engine.filter(|_| request.tried <= MAX_ATTEMPTS) else {
+            self.refuse(id);
+            return;
+        };
+        let arrival = &self.arrivals[request.arrival];
+        let ask = Ask {
+            id,
+            model: arrival.model.clone(),
+            organisation: arrival.organisation.to_string(),
+            rank: request.treatment.rank,
+            urgent: request.treatment.urgent,
+            arrived_ms: arrival.at_ms,
+            start_by_ms: arrival.at_ms + request.treatment.max_wait_ms,
+        };
+        let rank = ask.rank;
+        self.note_batch(engine);
+        self.give(engine, Event::Submit(ask));
+        let wait_ms = self.schedulers[engine].expected_wait_ms(self.now_ms, rank);
+        self.routing.note_wait(engine, wait_ms, self.now_ms);
+    }
+
+    fn refuse(&mut self, id: RequestId) {
+        let Some(request) = self.requests.remove(&id) else {
+            return;
+        };
+        let arrival = &self.arrivals[request.arrival];
+        let traffic = &self.workload.traffic[arrival.traffic];
+        if let Some(collector) = self.classes.get_mut(&traffic.class) {
+            collector.note_refusal();
+        }
+        if traffic.urgent {
+            self.organisations
+                .entry(arrival.organisation)
+                .or_default()
+                .0 += 1;
+        }
+    }
+
+    fn start(&mut self, engine: usize, id: RequestId, stall_ms: Millis) {
+        let Some(request) = self.requests.remove(&id) else {
+            return;
+        };
+        let arrival = &self.arrivals[request.arrival];
+        let traffic = &self.workload.traffic[arrival.traffic];
+        let wait_ms = self.now_ms - arrival.at_ms;
+        let in_time = wait_ms <= traffic.max_wait_ms;
+        if let Some(collector) = self.classes.get_mut(&traffic.class) {
+            collector.note_start(stall_ms, wait_ms, in_time);
+        }
+        if traffic.urgent {
+            let share = self.organisations.entry(arrival.organisation).or_default();
+            share.0 += 1;
+            share.1 += u64::from(in_time);
+        }
+        self.running[engine].insert(id, arrival.model.clone());
+        let fake = &mut self.engines[engine];
+        fake.running += 1;
+        let takes_ms = fake.run_ms(&self.workload.engines, traffic.tokens);
+        let run = fake.run;
+        self.schedule(
+            self.now_ms + takes_ms,
+            Happening::Finished { engine, run, id },
+        );
+    }
+
+    fn restart(&mut self, engine: usize) {
+        self.note_batch(engine);
+        self.engines[engine].run += 1;
+        self.engines[engine].running = 0;
+        self.routing.note_restarted(engine);
+        let lost = std::mem::take(&mut self.running[engine]);
+        self.give(engine, Event::Learnt(EngineContents::default()));
+        for id in lost.into_keys() {
+            self.give(engine, Event::Finished(id));
+        }
+    }
+
+    fn give(&mut self, engine: usize, event: Event) {
+        let commands = self.schedulers[engine].handle(self.now_ms, event);
+        if !commands.is_empty() {
+            self.note_batch(engine);
+        }
+        for command in commands {
+            self.obey(engine, command);
+        }
+    }
+
+    fn obey(&mut self, engine: usize, command: Command) {
+        match command {
+            Command::AskLoad { model, rank, .. } => self.ask_load(engine, model, rank),
+            Command::EndLoad(model) => self.end_load(engine, &model),
+            Command::Load(model) => {
+                let takes_ms = self.weights.begin(self.now_ms);
+                let run = self.engines[engine].run;
+                let loaded = Happening::Loaded { engine, run, model };
+                self.schedule(self.now_ms + takes_ms, loaded);
+            }
+            Command::Unload(model) => {
+                let serving = self.running[engine]
+                    .values()
+                    .any(|running| *running == model);
+                self.unloads_while_serving += u64::from(serving);
+                self.schedule(
+                    self.now_ms + UNLOAD_MS,
+                    Happening::Unloaded { engine, model },
+                );
+            }
+            Command::Dispatch { id, stall_ms } => self.start(engine, id, stall_ms),
+            Command::Refuse { id, reason, .. } => match reason {
+                Refusal::DeadlinePassed => self.refuse(id),
+                Refusal::Overloaded | Refusal::LoadFailed | Refusal::NotOwner => self.try_next(id),
+            },
+        }
+    }
+
+    /// The naive ways load without asking; the weight store makes them wait.
+    fn ask_load(&mut self, engine: usize, model: ModelRef, rank: u8) {
+        if !self.kind.is_core() {
+            self.give(engine, Event::LoadGranted(model));
+            return;
+        }
+        self.arbiter.ask(LoadWish {
+            rank,
+            since_ms: self.now_ms,
+            engine: engine_id(engine),
+            model,
+        });
+        self.schedule(self.now_ms, Happening::Grant);
+    }
+
+    fn end_load(&mut self, engine: usize, model: &ModelRef) {
+        if self.kind.is_core() {
+            self.arbiter.done(&engine_id(engine), model);
+            self.schedule(self.now_ms, Happening::Grant);
+        }
+    }
+
+    fn grant(&mut self) {
+        for wish in self.arbiter.grant(self.now_ms) {
+            let number = wish.engine.as_str().trim_start_matches("engine-");
+            if let Ok(engine) = number.parse() {
+                self.give(engine, Event::LoadGranted(wish.model));
+            }
+        }
+    }
+
+    fn note_batch(&mut self, engine: usize) {
+        let queued = self.schedulers[engine].queued();
+        let limit = self.workload.engines.batch_limit;
+        self.engines[engine].note(self.now_ms, queued, limit);
+    }
+
+    fn finish(self) -> Measures {
+        let (mut used, mut offered) = (0, 0);
+        for engine in &self.engines {
+            let (engine_used, engine_offered) = engine.use_of_batch();
+            used += engine_used;
+            offered += engine_offered;
+        }
+        let shares = self
+            .organisations
+            .values()
+            .filter(|(came, _)| *came >= FAIRNESS_LEAST);
+        let least = shares
+            .map(|(came, in_time)| *in_time as f64 / *came as f64)
+            .fold(1.0, f64::min);
+        Measures {
+            classes: self
+                .classes
+                .iter()
+                .map(|(class, collector)| (class.clone(), collector.finish()))
+                .collect(),
+            batch_efficiency: used as f64 / (offered as f64).max(1.0),
+            loads: self.weights.loads,
+            unloads_while_serving: self.unloads_while_serving,
+            least_organisation_in_time: least,
+        }
+    }
+}
+
+fn engine_id(engine: usize) -> EngineId {
+    EngineId::new(format!("engine-{engine}"))
+}
--- /dev/null
+++ b/crates/tinbay-experiment/src/weights.rs
@@ -0,0 +1,43 @@
+//! The fake weight store: a rate, and loads that slow down beyond so many at once.
+
+use tinbay_core::units::Millis;
+
+use crate::workload::WeightStorePlan;
+
+/// The fake weight store.
+#[derive(Debug, Clone)]
+pub struct FakeWeightStore {
+    plan: WeightStorePlan,
+    next_start_ms: f64,
+    active: u32,
+    /// Loads begun.
+    pub loads: u64,
+}
+
+impl FakeWeightStore {
+    /// An idle store.
+    pub fn new(plan: WeightStorePlan) -> Self {
+        Self {
+            plan,
+            next_start_ms: 0.0,
+            active: 0,
+            loads: 0,
+        }
+    }
+
+    /// Begins a load; gives the time until it ends. Beyond the rate it waits at the store.
+    pub fn begin(&mut self, now_ms: Millis) -> Millis {
+        let start_ms = self.next_start_ms.max(now_ms as f64);
+        self.next_start_ms = start_ms + 1_000.0 / self.plan.loads_per_s;
+        self.active += 1;
+        self.loads += 1;
+        let crowd = f64::from(self.active) / f64::from(self.plan.at_once);
+        let takes_ms = self.plan.load_ms as f64 * crowd.max(1.0);
+        (start_ms - now_ms as f64 + takes_ms) as Millis
+    }
+
+    /// Ends a load.
+    pub fn end(&mut self) {
+        self.active = self.active.saturating_sub(1);
+    }
+}
