Waiting batch loads no longer hold slots against counter work

Cause: a wish for a load counted as promised while it waited for its permit, so batch wishes behind the rate kept idle slots from counter requests, which then closed busy ones. Ruled out: the weight store's rate (counter work alone needs 3.3 loads a second of 9). Change: only wishes of the same or a better rank count; a permit that finds no slot is given back with its share of the rate.

--- a/crates/tinbay-core/src/engine/mod.rs
+++ b/crates/tinbay-core/src/engine/mod.rs
@@ -97,8 +97,10 @@
         /// Since when it waits.
         since_ms: Millis,
     },
-    /// A permission is given back or a load has ended.
+    /// A permitted load has ended.
     EndLoad(ModelRef),
+    /// A permission is given back unused.
+    ReturnLoad(ModelRef),
     /// Order the engine to load.
     Load(ModelRef),
     /// Order the engine to unload.
--- a/crates/tinbay-core/src/engine/owner.rs
+++ b/crates/tinbay-core/src/engine/owner.rs
@@ -210,11 +210,11 @@
             return;
         }
         let Some(rank) = self.wishes.remove(&model) else {
-            out.push(Command::EndLoad(model));
+            out.push(Command::ReturnLoad(model));
             return;
         };
         if !self.queue.has_waiting(&model) || self.slots.get(&model).is_some() {
-            out.push(Command::EndLoad(model));
+            out.push(Command::ReturnLoad(model));
             return;
         }
         if self.slots.has_free() {
@@ -223,7 +223,7 @@
             return;
         }
         let Some(victim) = self.choose_idle_victim(now_ms, rank) else {
-            out.push(Command::EndLoad(model));
+            out.push(Command::ReturnLoad(model));
             return;
         };
         self.begin_unload(&victim);
@@ -338,7 +338,7 @@
             self.slots.insert(next.clone(), SlotState::Loading, now_ms);
             out.push(Command::Load(next));
         } else {
-            out.push(Command::EndLoad(next));
+            out.push(Command::ReturnLoad(next));
         }
     }
 
@@ -348,7 +348,7 @@
             return;
         }
         if let Some(next) = self.replacing.remove(model) {
-            out.push(Command::EndLoad(next));
+            out.push(Command::ReturnLoad(next));
         }
         if let Some(slot) = self.slots.get_mut(model) {
             slot.state = SlotState::Loaded;
@@ -558,9 +558,10 @@
         ask.rank
     }
 
-    /// Whether one more load than those promised already would find a slot.
+    /// Whether one more load than those promised already would find a slot. Wishes that stand
+    /// behind this one do not count: whoever is granted first takes the slot.
     fn has_room(&self, rank: u8, pressing: bool) -> bool {
-        let promised = self.wishes.len() + self.replacing.len();
+        let promised = self.wishes.values().filter(|asked| **asked <= rank).count();
         let held = self.slots.iter().count();
         let free = (self.shape.slots as usize).saturating_sub(held);
         let idle = self
--- a/crates/tinbay-core/src/loads.rs
+++ b/crates/tinbay-core/src/loads.rs
@@ -81,6 +81,14 @@
         self.waiting.insert(wish);
     }
 
+    /// Takes a permit back that was not used; the rate is given back with it.
+    pub fn give_back(&mut self, engine: &EngineId, model: &ModelRef) {
+        let target = (engine.clone(), model.clone());
+        if self.running.remove(&target).is_some() {
+            self.tokens = (self.tokens + 1.0).min(burst(&self.allowance));
+        }
+    }
+
     /// Takes back a wish that is no longer needed, or ends a load.
     pub fn done(&mut self, engine: &EngineId, model: &ModelRef) {
         let target = (engine.clone(), model.clone());
--- a/crates/tinbay-core/tests/common/mod.rs
+++ b/crates/tinbay-core/tests/common/mod.rs
@@ -157,7 +157,7 @@
     fn obey(&mut self, command: Command) {
         match command {
             Command::AskLoad { model, .. } => self.after(1, Event::LoadGranted(model)),
-            Command::EndLoad(_) => {}
+            Command::EndLoad(_) | Command::ReturnLoad(_) => {}
             Command::Load(model) if self.failing.contains(&model) => {
                 self.after(LOAD_MS, Event::LoadFailed(model));
             }
--- a/crates/tinbay-experiment/src/run.rs
+++ b/crates/tinbay-experiment/src/run.rs
@@ -353,6 +353,10 @@
         match command {
             Command::AskLoad { model, rank, .. } => self.ask_load(engine, model, rank),
             Command::EndLoad(model) => self.end_load(engine, &model),
+            Command::ReturnLoad(model) => {
+                self.arbiter.give_back(&engine_id(engine), &model);
+                self.schedule(self.now_ms, Happening::Grant);
+            }
             Command::Load(model) => {
                 let takes_ms = self.weights.begin(self.now_ms);
                 let run = self.engines[engine].run;
--- a/crates/tinbay-node/src/controllers/answers.rs
+++ b/crates/tinbay-node/src/controllers/answers.rs
@@ -51,8 +51,12 @@
             node.loads.wait_here(node, wish).await;
             Reply::LoadGranted
         }
-        Message::EndLoad { engine, model } => {
-            node.loads.end_here(&engine, &model);
+        Message::EndLoad {
+            engine,
+            model,
+            unused,
+        } => {
+            node.loads.end_here(&engine, &model, unused);
             Reply::Ok
         }
         Message::Succession(succession) => {
--- a/crates/tinbay-node/src/controllers/loads.rs
+++ b/crates/tinbay-node/src/controllers/loads.rs
@@ -57,7 +57,10 @@
         receiver
     }
 
-    fn end(&mut self, engine: &EngineId, model: &ModelRef) {
+    fn end(&mut self, engine: &EngineId, model: &ModelRef, unused: bool) {
+        if unused {
+            self.arbiter.give_back(engine, model);
+        }
         self.arbiter.done(engine, model);
         self.waiting.remove(&(engine.clone(), model.clone()));
     }
@@ -111,25 +114,26 @@
         let _ = granted.await;
     }
 
-    /// Says that a load has ended or is not needed.
-    pub async fn end(&self, node: &Node, engine: &EngineId, model: &ModelRef) {
-        lock(&self.own).end(engine, model);
+    /// Says that a load has ended or was not needed.
+    pub async fn end(&self, node: &Node, engine: &EngineId, model: &ModelRef, unused: bool) {
+        lock(&self.own).end(engine, model, unused);
         match find_arbiter(node) {
             Some(arbiter) if arbiter.id != *node.id() => {
                 let message = Message::EndLoad {
                     engine: engine.clone(),
                     model: model.clone(),
+                    unused,
                 };
                 // A permit whose end is lost runs out by itself.
                 let _ = node.ask_soon(&arbiter.control_address, message).await;
             }
-            _ => self.end_here(engine, model),
+            _ => self.end_here(engine, model, unused),
         }
     }
 
     /// Ends a load of the arbiter that this box is.
-    pub fn end_here(&self, engine: &EngineId, model: &ModelRef) {
-        lock(&self.region).end(engine, model);
+    pub fn end_here(&self, engine: &EngineId, model: &ModelRef, unused: bool) {
+        lock(&self.region).end(engine, model, unused);
     }
 
     /// Without the arbiter a box uses no more than its share.
--- a/crates/tinbay-node/src/owners/orders.rs
+++ b/crates/tinbay-node/src/owners/orders.rs
@@ -36,7 +36,16 @@
             rank,
             since_ms,
         } => ask_load(node, &engine, model, rank, since_ms).await,
-        Command::EndLoad(model) => node.loads.end(node, &engine.spec().name, &model).await,
+        Command::EndLoad(model) => {
+            node.loads
+                .end(node, &engine.spec().name, &model, false)
+                .await;
+        }
+        Command::ReturnLoad(model) => {
+            node.loads
+                .end(node, &engine.spec().name, &model, true)
+                .await;
+        }
         Command::Load(model) => load(node, &engine, model).await,
         Command::Unload(model) => unload(node, &engine, model).await,
         Command::Dispatch { .. } | Command::Refuse { .. } => {}
--- a/crates/tinbay-wire/src/control.rs
+++ b/crates/tinbay-wire/src/control.rs
@@ -37,6 +37,8 @@
         engine: EngineId,
         /// What.
         model: ModelRef,
+        /// Whether the permission was not used.
+        unused: bool,
     },
     /// Names the succession of an engine, so that it holds through an outage.
     Succession(Succession),
