--- a/crates/tinbay-core/src/engine/owner.rs
+++ b/crates/tinbay-core/src/engine/owner.rs
@@ -27,6 +27,10 @@
 /// Rank below that of counter and desk work at which late batch work asks for a load.
 const LATE_RANK: u8 = 1;
 
+/// What a batch request counts beside an urgent one when slots are compared: a batch request
+/// that has to wait for a load stalls nobody.
+const BATCH_DEMAND: f64 = 0.1;
+
 /// How the owner weighs what it wants.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct OwnerSettings {
@@ -168,7 +172,7 @@
             return;
         }
         if let Some(slot) = self.slots.get_mut(&ask.model) {
-            slot.demand.note(now_ms);
+            slot.demand.note(now_ms, demand_weight(ask.urgent));
         }
         let closing = |slot: &Slot| slot.state == SlotState::Closing;
         if ask.urgent && self.slots.get(&ask.model).is_some_and(closing) {
@@ -307,7 +311,7 @@
         slot.state = SlotState::Loaded;
         slot.loaded_ms = now_ms;
         let load_ms = now_ms.saturating_sub(slot.ordered_ms);
-        slot.demand.note(now_ms);
+        slot.demand.note(now_ms, demand_weight(self.queue.has_urgent(model)));
         self.load.add(load_ms);
         self.queue.set_open(model, true);
     }
@@ -638,6 +642,10 @@
     }
 }
 
+fn demand_weight(urgent: bool) -> f64 {
+    if urgent { 1.0 } else { BATCH_DEMAND }
+}
+
 fn refuse(id: RequestId, reason: Refusal, retry_after_ms: Millis) -> Command {
     Command::Refuse {
         id,
