--- a/crates/tinbay-core/src/engine/demand.rs
+++ b/crates/tinbay-core/src/engine/demand.rs
@@ -16,9 +16,9 @@
 }
 
 impl Demand {
-    /// Notes one request of a weight.
-    pub fn note(&mut self, now_ms: Millis, weight: f64) {
-        self.weight = self.at(now_ms) + weight;
+    /// Notes one request.
+    pub fn note(&mut self, now_ms: Millis) {
+        self.weight = self.at(now_ms) + 1.0;
         self.noted_ms = now_ms;
     }
 
--- a/crates/tinbay-core/src/engine/owner.rs
+++ b/crates/tinbay-core/src/engine/owner.rs
@@ -27,15 +27,13 @@
 /// Rank below that of counter and desk work at which late batch work asks for a load.
 const LATE_RANK: u8 = 1;
 
-/// What a batch request counts beside an urgent one when slots are compared: a batch request
-/// that has to wait for a load stalls nobody.
-const BATCH_DEMAND: f64 = 0.1;
-
 /// How the owner weighs what it wants.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct OwnerSettings {
     /// How long batch work waits before it takes a slot from other batch work.
     pub swap_patience_ms: Millis,
+    /// Share of the slots that batch work may hold while urgent work asks for the others.
+    pub batch_slot_share: f64,
     /// Places in the batch kept for urgent work.
     pub urgent_reserve: u32,
     /// Every so many dispatches one goes to batch work that would else be late.
@@ -61,6 +59,7 @@
         let batch_weight = 1.0 - settings.stall_weight;
         Self {
             swap_patience_ms: (batch_weight * LONGEST_PATIENCE_MS) as Millis,
+            batch_slot_share: batch_weight,
             urgent_reserve: 1,
             late_every: 8,
             late_within_ms: 10_000,
@@ -81,11 +80,18 @@
     retry_ms: Millis,
 }
 
+/// A load that was asked for.
+#[derive(Debug, Clone, Copy)]
+struct Wish {
+    rank: u8,
+    urgent: bool,
+}
+
 /// A model that waits for a slot.
 #[derive(Debug)]
 struct WantedLoad {
     model: ModelRef,
-    rank: u8,
+    wish: Wish,
     /// Whether it may take a slot that other batch work uses.
     pressing: bool,
     since_ms: Millis,
@@ -101,7 +107,7 @@
     running: HashMap<RequestId, Running>,
     /// Requests of earlier owners that were running when this one took over.
     inherited: HashMap<ModelRef, u32>,
-    wishes: BTreeMap<ModelRef, u8>,
+    wishes: BTreeMap<ModelRef, Wish>,
     /// Granted loads that wait for their slot to be unloaded, by the model being unloaded.
     replacing: HashMap<ModelRef, ModelRef>,
     failures: HashMap<ModelRef, Failure>,
@@ -172,7 +178,7 @@
             return;
         }
         if let Some(slot) = self.slots.get_mut(&ask.model) {
-            slot.demand.note(now_ms, demand_weight(ask.urgent));
+            slot.note_demand(now_ms, ask.urgent);
         }
         let closing = |slot: &Slot| slot.state == SlotState::Closing;
         if ask.urgent && self.slots.get(&ask.model).is_some_and(closing) {
@@ -213,7 +219,7 @@
         if self.is_under_way(&model) {
             return;
         }
-        let Some(rank) = self.wishes.remove(&model) else {
+        let Some(wish) = self.wishes.remove(&model) else {
             out.push(Command::ReturnLoad(model));
             return;
         };
@@ -226,7 +232,7 @@
             out.push(Command::Load(model));
             return;
         }
-        let Some(victim) = self.choose_idle_victim(now_ms, rank) else {
+        let Some(victim) = self.choose_idle_victim(now_ms, wish) else {
             out.push(Command::ReturnLoad(model));
             return;
         };
@@ -249,21 +255,24 @@
         }
     }
 
-    /// The loaded model that serves nothing and is missed least, for a request of `rank`.
-    fn choose_idle_victim(&self, now_ms: Millis, rank: u8) -> Option<ModelRef> {
+    /// The loaded model that serves nothing and is missed least.
+    fn choose_idle_victim(&self, now_ms: Millis, wish: Wish) -> Option<ModelRef> {
+        let from_batch_only = self.may_take_from_batch_only(now_ms, wish);
         self.slots
             .iter()
             .filter(|(model, slot)| {
-                matches!(slot.state, SlotState::Loaded | SlotState::Closing)
-                    && slot.serving == 0
-                    && !self.inherited.contains_key(model)
+                self.is_idle(model, slot)
+                    && (!from_batch_only || slot.is_held_for_batch(now_ms))
                     && !self.queue.has_urgent(model)
-                    && self.queue.head_rank(model).is_none_or(|head| head >= rank)
+                    && self
+                        .queue
+                        .head_rank(model)
+                        .is_none_or(|head| head >= wish.rank)
             })
             .min_by(|(a, slot_a), (b, slot_b)| {
                 let queued = |m: &ModelRef| self.queue.has_waiting(m);
-                let demand_a = slot_a.demand.at(now_ms);
-                let demand_b = slot_b.demand.at(now_ms);
+                let demand_a = slot_a.demand_at(now_ms);
+                let demand_b = slot_b.demand_at(now_ms);
                 queued(a)
                     .cmp(&queued(b))
                     .then(demand_a.total_cmp(&demand_b))
@@ -272,6 +281,30 @@
             .map(|(model, _)| model.clone())
     }
 
+    fn is_idle(&self, model: &ModelRef, slot: &Slot) -> bool {
+        matches!(slot.state, SlotState::Loaded | SlotState::Closing)
+            && slot.serving == 0
+            && !self.inherited.contains_key(model)
+    }
+
+    /// Whether batch work holds its share of the slots, so that a further batch model must
+    /// take the place of another: between their requests the counter's models are idle too.
+    fn may_take_from_batch_only(&self, now_ms: Millis, wish: Wish) -> bool {
+        if wish.urgent {
+            return false;
+        }
+        let held = self
+            .slots
+            .iter()
+            .filter(|(_, slot)| slot.is_held_for_batch(now_ms));
+        held.count() >= self.batch_slots()
+    }
+
+    fn batch_slots(&self) -> usize {
+        let share = f64::from(self.shape.slots) * self.settings.batch_slot_share;
+        (share.ceil() as usize).max(1)
+    }
+
     /// Closes the least wanted model that runs only work of a rank behind `rank`.
     fn close_one(&mut self, now_ms: Millis, rank: u8) {
         let busy_with_less = |model: &ModelRef| {
@@ -288,9 +321,8 @@
                     .cmp(&slot_b.serving)
                     .then(
                         slot_a
-                            .demand
-                            .at(now_ms)
-                            .total_cmp(&slot_b.demand.at(now_ms)),
+                            .demand_at(now_ms)
+                            .total_cmp(&slot_b.demand_at(now_ms)),
                     )
                     .then(a.cmp(b))
             })
@@ -311,7 +343,7 @@
         slot.state = SlotState::Loaded;
         slot.loaded_ms = now_ms;
         let load_ms = now_ms.saturating_sub(slot.ordered_ms);
-        slot.demand.note(now_ms, demand_weight(self.queue.has_urgent(model)));
+        slot.note_demand(now_ms, self.queue.has_urgent(model));
         self.load.add(load_ms);
         self.queue.set_open(model, true);
     }
@@ -487,20 +519,20 @@
             if self.is_under_way(&want.model) {
                 continue;
             }
-            let asked_rank = self.wishes.get(&want.model).copied();
-            if asked_rank.is_some_and(|rank| rank <= want.rank) {
+            let asked = self.wishes.get(&want.model).copied();
+            if asked.is_some_and(|asked| asked.rank <= want.wish.rank) {
                 continue;
             }
-            if asked_rank.is_none() && !self.has_room(want.rank, want.pressing) {
+            if asked.is_none() && !self.has_room(now_ms, want.wish, want.pressing) {
                 if want.pressing {
-                    unplaced.push(want.rank);
+                    unplaced.push(want.wish.rank);
                 }
                 continue;
             }
-            self.wishes.insert(want.model.clone(), want.rank);
+            self.wishes.insert(want.model.clone(), want.wish);
             out.push(Command::AskLoad {
                 model: want.model,
-                rank: want.rank,
+                rank: want.wish.rank,
                 since_ms: want.since_ms,
             });
         }
@@ -519,7 +551,10 @@
                 let waited_ms = now_ms.saturating_sub(ask.arrived_ms);
                 WantedLoad {
                     model: ask.model.clone(),
-                    rank: self.load_rank(ask, now_ms),
+                    wish: Wish {
+                        rank: self.load_rank(ask, now_ms),
+                        urgent: ask.urgent,
+                    },
                     pressing: ask.urgent || waited_ms >= self.settings.swap_patience_ms,
                     since_ms: ask.arrived_ms,
                 }
@@ -564,18 +599,22 @@
 
     /// Whether one more load than those promised already would find a slot. Wishes that stand
     /// behind this one do not count: whoever is granted first takes the slot.
-    fn has_room(&self, rank: u8, pressing: bool) -> bool {
-        let promised = self.wishes.values().filter(|asked| **asked <= rank).count();
+    fn has_room(&self, now_ms: Millis, wish: Wish, pressing: bool) -> bool {
+        let promised = self
+            .wishes
+            .values()
+            .filter(|asked| asked.rank <= wish.rank)
+            .count();
         let held = self.slots.iter().count();
         let free = (self.shape.slots as usize).saturating_sub(held);
+        let from_batch_only = self.may_take_from_batch_only(now_ms, wish);
         let idle = self
             .slots
             .iter()
             .filter(|(model, slot)| {
-                matches!(slot.state, SlotState::Loaded | SlotState::Closing)
-                    && slot.serving == 0
-                    && !self.inherited.contains_key(model)
-                    && self.yields(model, rank, pressing)
+                self.is_idle(model, slot)
+                    && (!from_batch_only || slot.is_held_for_batch(now_ms))
+                    && self.yields(model, wish.rank, pressing)
             })
             .count();
         promised < free + idle
@@ -642,10 +681,6 @@
     }
 }
 
-fn demand_weight(urgent: bool) -> f64 {
-    if urgent { 1.0 } else { BATCH_DEMAND }
-}
-
 fn refuse(id: RequestId, reason: Refusal, retry_after_ms: Millis) -> Command {
     Command::Refuse {
         id,
--- a/crates/tinbay-core/src/engine/slots.rs
+++ b/crates/tinbay-core/src/engine/slots.rs
@@ -32,8 +32,38 @@
     pub ordered_ms: Millis,
     /// The engine lost the model, by a restart, while it was being unloaded.
     pub lost: bool,
-    /// How much it is asked for.
-    pub demand: Demand,
+    /// How much urgent requests ask for it.
+    pub urgent_demand: Demand,
+    /// How much other requests ask for it.
+    pub batch_demand: Demand,
+}
+
+/// What a batch request counts beside an urgent one when slots are compared: a batch request
+/// that has to wait for a load stalls nobody.
+const BATCH_DEMAND_WEIGHT: f64 = 0.1;
+
+/// Below this urgent demand a slot counts as held for batch work.
+const LEAST_URGENT_DEMAND: f64 = 0.1;
+
+impl Slot {
+    /// Notes a request for the model.
+    pub fn note_demand(&mut self, now_ms: Millis, urgent: bool) {
+        if urgent {
+            self.urgent_demand.note(now_ms);
+        } else {
+            self.batch_demand.note(now_ms);
+        }
+    }
+
+    /// How much it would be missed.
+    pub fn demand_at(&self, now_ms: Millis) -> f64 {
+        self.urgent_demand.at(now_ms) + BATCH_DEMAND_WEIGHT * self.batch_demand.at(now_ms)
+    }
+
+    /// Whether it is held for batch work: no urgent request has asked for it lately.
+    pub fn is_held_for_batch(&self, now_ms: Millis) -> bool {
+        self.urgent_demand.at(now_ms) < LEAST_URGENT_DEMAND
+    }
 }
 
 /// The slots of one engine, by the model they hold.
@@ -81,7 +111,8 @@
             loaded_ms: now_ms,
             ordered_ms: now_ms,
             lost: false,
-            demand: Demand::default(),
+            urgent_demand: Demand::default(),
+            batch_demand: Demand::default(),
         };
         self.held.insert(model, slot);
     }
--- a/crates/tinbay-core/src/route.rs
+++ b/crates/tinbay-core/src/route.rs
@@ -13,8 +13,11 @@
 /// A hint older than this says nothing any more.
 const HINT_LIFE_MS: Millis = 5_000;
 
-/// Waiting this long at the home makes a second engine worth a load of its own.
-const SPREAD_WAIT_MS: Millis = 400;
+/// An urgent request's wait at the home that makes another engine worth a load of its own.
+const URGENT_SPREAD_WAIT_MS: Millis = 1_500;
+
+/// The same for other requests: they can wait, and a copy takes a slot from another adapter.
+const BATCH_SPREAD_WAIT_MS: Millis = 20_000;
 
 /// Rankings of models over the engines of their base model.
 ///
@@ -24,7 +27,7 @@
 pub struct Router {
     generation: u64,
     rankings: HashMap<ModelRef, Arc<[EngineId]>>,
-    hints: HashMap<EngineId, Hint>,
+    hints: HashMap<(EngineId, bool), Hint>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -59,24 +62,29 @@
         ranking
     }
 
-    /// Notes the wait an owner reported with an answer.
-    pub fn note_wait(&mut self, engine: &EngineId, wait_ms: Millis, now_ms: Millis) {
+    /// Notes the wait an owner reported with an answer to an urgent or another request.
+    pub fn note_wait(&mut self, engine: &EngineId, urgent: bool, wait_ms: Millis, now_ms: Millis) {
         let hint = Hint {
             wait_ms,
             noted_ms: now_ms,
         };
-        self.hints.insert(engine.clone(), hint);
+        self.hints.insert((engine.clone(), urgent), hint);
     }
 
     /// The order in which to try the engines of a ranking: the home first, unless its
     /// wait makes the next one better by more than a load is worth.
-    pub fn order(&self, ranking: &[EngineId], now_ms: Millis) -> Vec<EngineId> {
+    pub fn order(&self, ranking: &[EngineId], urgent: bool, now_ms: Millis) -> Vec<EngineId> {
+        let spread_ms = if urgent {
+            URGENT_SPREAD_WAIT_MS
+        } else {
+            BATCH_SPREAD_WAIT_MS
+        };
         let mut order: Vec<(Millis, usize, &EngineId)> = ranking
             .iter()
             .enumerate()
             .map(|(place, engine)| {
-                let wait_ms = self.wait_ms(engine, now_ms);
-                let worth_ms = (place as Millis) * SPREAD_WAIT_MS;
+                let wait_ms = self.wait_ms(engine, urgent, now_ms);
+                let worth_ms = (place as Millis) * spread_ms;
                 (wait_ms + worth_ms, place, engine)
             })
             .collect();
@@ -87,8 +95,8 @@
             .collect()
     }
 
-    fn wait_ms(&self, engine: &EngineId, now_ms: Millis) -> Millis {
-        let Some(hint) = self.hints.get(engine) else {
+    fn wait_ms(&self, engine: &EngineId, urgent: bool, now_ms: Millis) -> Millis {
+        let Some(hint) = self.hints.get(&(engine.clone(), urgent)) else {
             return 0;
         };
         let age_ms = now_ms.saturating_sub(hint.noted_ms);
--- a/crates/tinbay-experiment/src/run.rs
+++ b/crates/tinbay-experiment/src/run.rs
@@ -214,9 +214,13 @@
                 connections: scheduler.queued() + scheduler.running(),
             })
             .collect();
-        let engines = self
-            .routing
-            .order(self.now_ms, arrival.adapter, &arrival.model, &loads);
+        let engines = self.routing.order(
+            self.now_ms,
+            arrival.adapter,
+            &arrival.model,
+            treatment.urgent,
+            &loads,
+        );
         let class = &self.workload.traffic[arrival.traffic].class;
         if let Some(collector) = self.classes.get_mut(class) {
             collector.note_arrival();
@@ -276,11 +280,11 @@
             arrived_ms: arrival.at_ms,
             start_by_ms: arrival.at_ms + request.treatment.max_wait_ms,
         };
-        let rank = ask.rank;
+        let (rank, urgent) = (ask.rank, ask.urgent);
         self.note_batch(engine);
         self.give(engine, Event::Submit(ask));
         let wait_ms = self.schedulers[engine].expected_wait_ms(self.now_ms, rank);
-        self.routing.note_wait(engine, wait_ms, self.now_ms);
+        self.routing.note_wait(engine, urgent, wait_ms, self.now_ms);
     }
 
     fn refuse(&mut self, id: RequestId) {
--- a/crates/tinbay-experiment/src/strategy.rs
+++ b/crates/tinbay-experiment/src/strategy.rs
@@ -109,6 +109,7 @@
         now_ms: Millis,
         adapter: usize,
         model: &ModelRef,
+        urgent: bool,
         loads: &[EngineLoad],
     ) -> Vec<usize> {
         let base = adapter % self.base_models;
@@ -121,7 +122,9 @@
                     .min_by_key(|engine| loads[*engine].connections);
                 best.map_or_else(|| self.by_connections(base, loads), |engine| vec![engine])
             }
-            StrategyKind::Core | StrategyKind::CorePolicy => self.by_ranking(now_ms, base, model),
+            StrategyKind::Core | StrategyKind::CorePolicy => {
+                self.by_ranking(now_ms, base, model, urgent)
+            }
         }
     }
 
@@ -133,7 +136,13 @@
             .collect()
     }
 
-    fn by_ranking(&mut self, now_ms: Millis, base: usize, model: &ModelRef) -> Vec<usize> {
+    fn by_ranking(
+        &mut self,
+        now_ms: Millis,
+        base: usize,
+        model: &ModelRef,
+        urgent: bool,
+    ) -> Vec<usize> {
         let (names, base_models) = (&self.names, self.base_models);
         let ranking: Arc<[EngineId]> = self.router.ranking(model, || {
             let fitting = names.iter().enumerate();
@@ -142,7 +151,7 @@
                 .map(|(_, name)| name.clone())
                 .collect()
         });
-        let order = self.router.order(&ranking, now_ms);
+        let order = self.router.order(&ranking, urgent, now_ms);
         order
             .iter()
             .filter_map(|name| self.numbers.get(name).copied())
@@ -150,8 +159,9 @@
     }
 
     /// Notes the wait an engine's owner told with an answer.
-    pub fn note_wait(&mut self, engine: usize, wait_ms: Millis, now_ms: Millis) {
-        self.router.note_wait(&self.names[engine], wait_ms, now_ms);
+    pub fn note_wait(&mut self, engine: usize, urgent: bool, wait_ms: Millis, now_ms: Millis) {
+        self.router
+            .note_wait(&self.names[engine], urgent, wait_ms, now_ms);
     }
 
     /// Notes that an engine holds a model.
--- a/crates/tinbay-node/src/entry/attempts.rs
+++ b/crates/tinbay-node/src/entry/attempts.rs
@@ -202,7 +202,8 @@
     /// The failure for the caller, when no attempt is left.
     pub async fn first_chunk(&mut self) -> Result<Chunk, Failure> {
         self.node.earn_retry(&self.job.class);
-        let engines = ranked_engines(&self.node, &self.job.model, &self.job.base_model);
+        let job = &self.job;
+        let engines = ranked_engines(&self.node, &job.model, &job.base_model, job.urgent);
         if engines.is_empty() {
             return Err(Failure::NoEngine(self.job.base_model.clone()));
         }
@@ -348,12 +349,18 @@
 
     fn note_wait(&self, engine: &EngineId, wait_ms: Millis) {
         let now_ms = self.node.clock.now_ms();
-        lock(self.node.router(&self.job.model)).note_wait(engine, wait_ms, now_ms);
+        let mut router = lock(self.node.router(&self.job.model));
+        router.note_wait(engine, self.job.urgent, wait_ms, now_ms);
     }
 }
 
 /// The engines to try for a model, best first.
-pub fn ranked_engines(node: &Node, model: &ModelRef, base_model: &str) -> Vec<EngineId> {
+pub fn ranked_engines(
+    node: &Node,
+    model: &ModelRef,
+    base_model: &str,
+    urgent: bool,
+) -> Vec<EngineId> {
     let mut router = lock(node.router(model));
     router.sync(node.config.fleet_generation());
     let ranking = router.ranking(model, || {
@@ -364,7 +371,7 @@
             .map(|spec| spec.name)
             .collect()
     });
-    router.order(&ranking, node.clock.now_ms())
+    router.order(&ranking, urgent, node.clock.now_ms())
 }
 
 /// The box that owns an engine by this box's view.
--- a/crates/tinbay-node/src/entry/locate.rs
+++ b/crates/tinbay-node/src/entry/locate.rs
@@ -63,7 +63,7 @@
         .config
         .adapter(model.adapter())
         .ok_or_else(|| Failure::UnknownAdapter(model.adapter().to_owned()))?;
-    let engines = ranked_engines(node, &model, &adapter.base_model);
+    let engines = ranked_engines(node, &model, &adapter.base_model, true);
     let spec = engines
         .first()
         .and_then(|engine| node.config.engine(engine.as_str()));
