Owners of engines are worked out once a view; idle controllers cost less; slopes measured

Cause: the owner of an engine was ranked over all boxes of its zone for every request: 391 ns at 7 boxes, 148 us at 7,000 (growth exponent 0.9 from 700 to 7,000), against the aim that no decision on the request path grows faster than the logarithm. And two controllers walked the whole list of engines: a box at rest used 2.0% of a core with 7,700 engines. Change: a cache by view version; the lease looks once a fleet change, load grants only when someone waits, policy settings twice a second.

--- a/crates/tinbay-cli/src/scenario/bindings.rs
+++ b/crates/tinbay-cli/src/scenario/bindings.rs
@@ -122,6 +122,10 @@
         shown(&lock(&f).get(name, path).map_err(failed)?)
     });
     let f = Arc::clone(fleet);
+    engine.register_fn("usage", move |name: &str| -> Outcome<Dynamic> {
+        shown(&lock(&f).usage(name).map_err(failed)?)
+    });
+    let f = Arc::clone(fleet);
     engine.register_fn("metric", move |name: &str, metric: &str| -> Outcome<f64> {
         let text = lock(&f).get_text(name, "/metrics").map_err(failed)?;
         Ok(sum_metric(&text, metric))
@@ -168,6 +172,22 @@
         lock(&f).set_up(adapters).map_err(failed)
     });
     let f = Arc::clone(fleet);
+    engine.register_fn(
+        "add_adapters",
+        move |from: i64, count: i64| -> Outcome<i64> {
+            let (from, count) = (from as usize, count as usize);
+            lock(&f).add_adapters(from, count).map_err(failed)
+        },
+    );
+    let f = Arc::clone(fleet);
+    engine.register_fn(
+        "add_distant_engines",
+        move |from: i64, count: i64| -> Outcome<i64> {
+            let (from, count) = (from as usize, count as usize);
+            lock(&f).add_distant_engines(from, count).map_err(failed)
+        },
+    );
+    let f = Arc::clone(fleet);
     engine.register_fn("apply", move |text: &str| -> Outcome<i64> {
         lock(&f).apply(text, None, None).map_err(failed)
     });
--- a/crates/tinbay-cli/src/scenario/fleet.rs
+++ b/crates/tinbay-cli/src/scenario/fleet.rs
@@ -193,6 +193,15 @@
     pub failures: BTreeMap<String, usize>,
 }
 
+/// What a process has used.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub struct Usage {
+    /// Processor time so far.
+    pub cpu_ms: u64,
+    /// Resident memory.
+    pub memory_kib: u64,
+}
+
 struct BoxPlan {
     zone: String,
 }
@@ -436,7 +445,19 @@
     pub fn set_up(&mut self, adapters: usize) -> Result<i64, CliError> {
         let mut text = CLASSES.to_owned();
         text.push_str(&self.config);
-        for index in 0..adapters {
+        self.write_adapters(&mut text, 0, adapters);
+        self.apply(&text, None, None)
+    }
+
+    /// Adds adapters with a version each.
+    pub fn add_adapters(&mut self, from: usize, count: usize) -> Result<i64, CliError> {
+        let mut text = String::new();
+        self.write_adapters(&mut text, from, count);
+        self.apply(&text, None, None)
+    }
+
+    fn write_adapters(&self, text: &mut String, from: usize, count: usize) {
+        for index in from..from + count {
             let _ = write!(
                 text,
                 "[[adapter]]\nname = \"adapter-{index}\"\norganisation = \"organisation-{index}\"\n\
@@ -444,6 +465,19 @@
                  weights = \"store://adapter-{index}/v1\"\n\n"
             );
         }
+    }
+
+    /// Applies engines that exist in the configuration only, in a region without boxes.
+    pub fn add_distant_engines(&mut self, from: usize, count: usize) -> Result<i64, CliError> {
+        let mut text = String::new();
+        for index in from..from + count {
+            let _ = write!(
+                text,
+                "[[engine]]\nname = \"distant-{index}\"\naddress = \"127.0.0.1:1\"\nzone = \"far\"\n\
+                 region = \"far\"\nbase_model = \"base\"\nslots = 8\nbatch_limit = 8\n\
+                 checks_orders = true\n\n"
+            );
+        }
         self.apply(&text, None, None)
     }
 
@@ -614,6 +648,15 @@
         Ok(())
     }
 
+    /// Processor time and memory of a process.
+    pub fn usage(&mut self, name: &str) -> Result<Usage, CliError> {
+        let process = self.process(name)?;
+        Ok(Usage {
+            cpu_ms: process.cpu_ms(),
+            memory_kib: process.memory_kib(),
+        })
+    }
+
     /// Posts to a stand-in.
     pub fn post<B, T>(&mut self, name: &str, path: &str, body: &B) -> Result<T, CliError>
     where
--- a/crates/tinbay-cli/src/scenario/process.rs
+++ b/crates/tinbay-cli/src/scenario/process.rs
@@ -11,6 +11,9 @@
 /// How often a wait for a process looks.
 const POLL: Duration = Duration::from_millis(10);
 
+/// Clock ticks in a second, as Linux shows processor times.
+const TICKS_PER_S: u64 = 100;
+
 /// Log lines kept of each process for a failure's trace.
 const KEPT_LINES: usize = 400;
 
@@ -130,6 +133,28 @@
         None
     }
 
+    /// Processor time used so far, in milliseconds; from `/proc/PID/stat` (proc(5)).
+    pub fn cpu_ms(&self) -> u64 {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id()));
+        let stat = stat.unwrap_or_default();
+        // The program's name stands in parentheses and may hold spaces.
+        let after = stat.rsplit(')').next().unwrap_or_default();
+        let fields: Vec<&str> = after.split_whitespace().collect();
+        let ticks = [11, 12]
+            .iter()
+            .filter_map(|index| fields.get(*index)?.parse::<u64>().ok());
+        ticks.sum::<u64>() * 1_000 / TICKS_PER_S
+    }
+
+    /// Resident memory in kibibytes; from `/proc/PID/status` (proc(5)).
+    pub fn memory_kib(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+        let number = line.and_then(|line| line.split_whitespace().nth(1));
+        number.and_then(|number| number.parse().ok()).unwrap_or(0)
+    }
+
     /// The last log lines.
     pub fn log_lines(&self) -> Vec<String> {
         self.lines
--- a/crates/tinbay-node/src/control/client.rs
+++ b/crates/tinbay-node/src/control/client.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use super::Traffic;
 use tinbay_wire::control::{Envelope, Reply};
 use tokio::sync::{mpsc, oneshot};
 use zeromq::{
@@ -42,18 +43,34 @@
 #[derive(Clone)]
 pub struct ControlClient {
     asks: mpsc::UnboundedSender<Ask>,
+    traffic: Traffic,
 }
 
 /// The part of the client that runs on the control thread.
 pub struct ControlClientTask {
     asks: mpsc::UnboundedReceiver<Ask>,
+    traffic: Traffic,
 }
 
 impl ControlClient {
     /// A client and its task.
     pub fn new() -> (Self, ControlClientTask) {
         let (sender, receiver) = mpsc::unbounded_channel();
-        (Self { asks: sender }, ControlClientTask { asks: receiver })
+        let traffic = Traffic::default();
+        let task = ControlClientTask {
+            asks: receiver,
+            traffic: traffic.clone(),
+        };
+        let client = Self {
+            asks: sender,
+            traffic,
+        };
+        (client, task)
+    }
+
+    /// Counts the bytes of control messages; the server shares it.
+    pub fn traffic(&self) -> &Traffic {
+        &self.traffic
     }
 
     /// Asks the box at a control address.
@@ -97,15 +114,15 @@
                 }
             },
         };
-        start_peer(&mut peers, ask);
+        start_peer(&mut peers, ask, &task.traffic);
     }
 }
 
-fn start_peer(peers: &mut HashMap<String, mpsc::Sender<Ask>>, first: Ask) {
+fn start_peer(peers: &mut HashMap<String, mpsc::Sender<Ask>>, first: Ask, traffic: &Traffic) {
     let (sender, receiver) = mpsc::channel(QUEUE_DEPTH);
     let address = first.address.clone();
     let _ = sender.try_send(first);
-    ntex::rt::spawn(run_peer(address.clone(), receiver));
+    ntex::rt::spawn(run_peer(address.clone(), receiver, traffic.clone()));
     peers.retain(|_, peer| !peer.is_closed());
     peers.insert(address, sender);
 }
@@ -160,7 +177,7 @@
 }
 
 /// Connects to one peer and passes questions and answers until it seems gone.
-async fn run_peer(address: String, mut asks: mpsc::Receiver<Ask>) {
+async fn run_peer(address: String, mut asks: mpsc::Receiver<Ask>, traffic: Traffic) {
     let Some((mut send, mut receive)) = connect(&address).await else {
         asks.close();
         while let Some(ask) = asks.recv().await {
@@ -175,7 +192,7 @@
             ask = asks.recv() => {
                 let Some(ask) = ask else { return };
                 let within = ask.within;
-                let Some(number) = send_ask(&mut send, &mut pending, ask).await else { return };
+                let Some(number) = send_ask(&mut send, &mut pending, ask, &traffic).await else { return };
                 let expired_sender = expired_sender.clone();
                 ntex::rt::spawn(async move {
                     tokio::time::sleep(within).await;
@@ -183,7 +200,10 @@
                 });
             }
             message = receive.recv() => match message {
-                Ok(message) => pending.resolve(&message),
+                Ok(message) => {
+                    traffic.add(message_bytes(&message));
+                    pending.resolve(&message);
+                }
                 Err(_) => return,
             },
             Some(number) = expired.recv() => {
@@ -195,8 +215,17 @@
     }
 }
 
+fn message_bytes(message: &ZmqMessage) -> usize {
+    message.iter().map(|frame| frame.len()).sum()
+}
+
 /// Sends a question; `None` when the connection is gone.
-async fn send_ask(send: &mut DealerSendHalf, pending: &mut Pending, ask: Ask) -> Option<u64> {
+async fn send_ask(
+    send: &mut DealerSendHalf,
+    pending: &mut Pending,
+    ask: Ask,
+    traffic: &Traffic,
+) -> Option<u64> {
     let Ok(body) = postcard::to_stdvec(&ask.envelope) else {
         let _ = ask.answer.send(Err(ControlError::Unreachable));
         return Some(0);
@@ -204,6 +233,7 @@
     let number = pending.add(ask.answer);
     let mut message = ZmqMessage::from(number.to_be_bytes().to_vec());
     message.push_back(body.into());
+    traffic.add(message_bytes(&message));
     send.send(message).await.ok()?;
     Some(number)
 }
--- a/crates/tinbay-node/src/control/server.rs
+++ b/crates/tinbay-node/src/control/server.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use super::Traffic;
 use futures_util::future::LocalBoxFuture;
 use tinbay_wire::control::{Envelope, Reply};
 use zeromq::util::PeerIdentity;
@@ -39,17 +40,20 @@
     }
 
     /// Answers questions until the socket ends.
-    pub async fn run(self, answerer: impl Answer) {
+    pub async fn run(self, answerer: impl Answer, traffic: Traffic) {
         let (send, mut receive) = self.socket.split();
         while let Ok(message) = receive.recv().await {
+            traffic.add(message.iter().map(|frame| frame.len()).sum());
             let Some(question) = Question::decode(message) else {
                 continue;
             };
             let reply = answerer.answer(question.envelope);
             let send = send.clone();
+            let traffic = traffic.clone();
             ntex::rt::spawn(async move {
                 let reply = reply.await;
-                send_reply(send, question.peer, question.number, &reply).await;
+                let sent = send_reply(send, question.peer, question.number, &reply).await;
+                traffic.add(sent);
             });
         }
     }
@@ -76,13 +80,21 @@
     }
 }
 
-async fn send_reply(mut send: RouterSendHalf, peer: PeerIdentity, number: Vec<u8>, reply: &Reply) {
+/// Sends a reply; gives its length.
+async fn send_reply(
+    mut send: RouterSendHalf,
+    peer: PeerIdentity,
+    number: Vec<u8>,
+    reply: &Reply,
+) -> usize {
     let Ok(body) = postcard::to_stdvec(reply) else {
-        return;
+        return 0;
     };
+    let length = body.len();
     let mut message = ZmqMessage::from(body);
     message.push_front(number.into());
     message.push_front(peer.into());
     // A peer that has gone asks again over a new connection.
     let _ = send.send(message).await;
+    length
 }
--- a/crates/tinbay-node/src/controllers/box_lease.rs
+++ b/crates/tinbay-node/src/controllers/box_lease.rs
@@ -47,6 +47,9 @@
 pub struct BoxLeaseController {
     node: Arc<Node>,
     lease: Option<LeaseId>,
+    /// State of the fleet for which it was last looked whether a lease is needed.
+    generation: Option<u64>,
+    needed: bool,
 }
 
 impl BoxLeaseController {
@@ -55,6 +58,8 @@
         Self {
             node: Arc::clone(node),
             lease: None,
+            generation: None,
+            needed: false,
         }
     }
 
@@ -77,11 +82,22 @@
         }
     }
 
-    fn is_needed(&self) -> bool {
+    /// Whether any engine of the region checks no orders; looked up once a fleet change, since
+    /// there may be thousands.
+    fn is_needed(&mut self) -> bool {
+        let generation = self.node.config.fleet_generation();
+        if self.generation != Some(generation) {
+            self.generation = Some(generation);
+            self.needed = self.has_unchecked_engine();
+        }
+        self.needed
+    }
+
+    fn has_unchecked_engine(&self) -> bool {
         let unchecked = |engine: &EngineSpec| {
             !engine.checks_orders && engine.region == self.node.options.region
         };
-        self.lease.is_some() || self.node.config.engines().iter().any(unchecked)
+        self.node.config.engines().iter().any(unchecked)
     }
 
     async fn renew(&self, lease: LeaseId) -> Result<bool, PlatformError> {
--- a/crates/tinbay-node/src/controllers/loads.rs
+++ b/crates/tinbay-node/src/controllers/loads.rs
@@ -111,6 +111,7 @@
     pub async fn wait_here(&self, node: &Node, mut wish: LoadWish) {
         wish.since_ms = node.clock.now_ms();
         let granted = lock(&self.region).ask(wish);
+        self.grant(node);
         let _ = granted.await;
     }
 
@@ -141,10 +142,22 @@
         log::debug!(target: part::LOADS, "no arbiter for {} on {}, own share is used", wish.model, wish.engine);
         wish.since_ms = node.clock.now_ms();
         let granted = lock(&self.own).ask(wish);
+        self.grant(node);
         let _ = granted.await;
     }
 
-    fn grant(&self, node: &Node, allowance: Allowance, boxes: usize) {
+    /// Grants what the allowance permits now; costs next to nothing while nobody waits.
+    fn grant(&self, node: &Node) {
+        let anyone_waits =
+            !lock(&self.region).waiting.is_empty() || !lock(&self.own).waiting.is_empty();
+        if !anyone_waits {
+            return;
+        }
+        let boxes = {
+            let members = read(&node.members);
+            members.view().live(&node.options.region).count()
+        };
+        let allowance = allowance_of(node);
         let now_ms = node.clock.now_ms();
         let mut region = lock(&self.region);
         region.arbiter.set_allowance(allowance);
@@ -196,12 +209,7 @@
     }
 
     fn step(&mut self) -> LocalBoxFuture<'_, ()> {
-        let boxes = {
-            let members = read(&self.node.members);
-            members.view().live(&self.node.options.region).count()
-        };
-        let allowance = allowance_of(&self.node);
-        self.node.loads.grant(&self.node, allowance, boxes);
+        self.node.loads.grant(&self.node);
         async {}.boxed_local()
     }
 }
--- a/crates/tinbay-node/src/controllers/members.rs
+++ b/crates/tinbay-node/src/controllers/members.rs
@@ -1,13 +1,17 @@
 //! The boxes this box knows, and how it passes its view on.
 
 use std::collections::{BTreeMap, HashMap};
+use std::sync::Mutex;
 
-use tinbay_core::ids::{BoxId, ZoneId};
+use tinbay_core::config::EngineSpec;
+use tinbay_core::ids::{BoxId, EngineId, ZoneId};
 use tinbay_core::units::{Millis, Revision};
 use tinbay_core::view::{BoxRecord, View};
 use tinbay_wire::box_list::ListedBox;
 use tinbay_wire::control::{HeardBox, ViewUpdate};
 
+use crate::util::sync::lock;
+
 /// Removals remembered for boxes that catch up; one that is further behind gets the whole view.
 const KEPT_REMOVALS: usize = 4_096;
 
@@ -17,6 +21,14 @@
     at_ms: Millis,
 }
 
+/// The owner of an engine as worked out from one version of the view.
+#[derive(Debug)]
+struct KnownOwner {
+    version: u64,
+    zone: ZoneId,
+    owner: Option<BoxId>,
+}
+
 /// What this box knows of others.
 #[derive(Debug)]
 pub struct Members {
@@ -30,6 +42,8 @@
     heard: HashMap<BoxId, Heard>,
     listed: Vec<ListedBox>,
     joined: bool,
+    /// Ranking the boxes of a zone for each request would grow with the fleet.
+    owners: Mutex<HashMap<EngineId, KnownOwner>>,
 }
 
 impl Members {
@@ -46,6 +60,7 @@
             heard: HashMap::new(),
             listed: Vec::new(),
             joined: false,
+            owners: Mutex::default(),
         };
         members.merge(me);
         members
@@ -61,6 +76,27 @@
         self.version
     }
 
+    /// The box that should own an engine; worked out once a change of the view.
+    pub fn owner_of(&self, spec: &EngineSpec) -> Option<&BoxRecord> {
+        let mut owners = lock(&self.owners);
+        let known = owners.get(&spec.name);
+        let owner = match known.filter(|k| k.version == self.version && k.zone == spec.zone) {
+            Some(known) => known.owner.clone(),
+            None => {
+                let heirs = self.view.succession(&spec.name, &spec.zone, &spec.region);
+                let owner = heirs.first().map(|heir| heir.id.clone());
+                let known = KnownOwner {
+                    version: self.version,
+                    zone: spec.zone.clone(),
+                    owner: owner.clone(),
+                };
+                owners.insert(spec.name.clone(), known);
+                owner
+            }
+        };
+        self.view.get(&owner?)
+    }
+
     /// Whether the box has met the others or found that there are none.
     pub fn has_joined(&self) -> bool {
         self.joined
--- a/crates/tinbay-node/src/controllers/ticker.rs
+++ b/crates/tinbay-node/src/controllers/ticker.rs
@@ -13,10 +13,14 @@
 /// Time between ticks: how late a refusal for a passed deadline may be.
 const PERIOD: Duration = Duration::from_millis(20);
 
+/// Ticks between looks at the policy's settings: half a second.
+const TICKS_PER_SETTINGS: u32 = 25;
+
 /// Ticks every owned engine.
 pub struct TickController {
     node: Arc<Node>,
     settings: OwnerSettings,
+    ticks: u32,
 }
 
 impl TickController {
@@ -25,18 +29,28 @@
         Self {
             node: Arc::clone(node),
             settings: OwnerSettings::default(),
+            ticks: 0,
         }
     }
 
     fn tick(&mut self) {
+        if self.ticks.is_multiple_of(TICKS_PER_SETTINGS) {
+            self.refresh_settings();
+        }
+        self.ticks = self.ticks.wrapping_add(1);
+        for engine in self.node.owners.all() {
+            engine.handle(Event::Tick);
+        }
+    }
+
+    fn refresh_settings(&mut self) {
         let settings = OwnerSettings::from_policy(self.node.policies.settings(&self.node.config));
-        let changed = settings != self.settings;
+        if settings == self.settings {
+            return;
+        }
         self.settings = settings;
         for engine in self.node.owners.all() {
-            if changed {
-                engine.set_settings(settings);
-            }
-            engine.handle(Event::Tick);
+            engine.set_settings(settings);
         }
     }
 }
--- a/crates/tinbay-node/src/entry/attempts.rs
+++ b/crates/tinbay-node/src/entry/attempts.rs
@@ -378,8 +378,5 @@
 fn owner_of(node: &Node, engine: &EngineId) -> Option<BoxRecord> {
     let spec = node.config.engine(engine.as_str())?;
     let members = read(&node.members);
-    let heirs = members
-        .view()
-        .succession(&spec.name, &spec.zone, &spec.region);
-    heirs.first().map(|heir| (*heir).clone())
+    members.owner_of(&spec).cloned()
 }
--- a/crates/tinbay-node/src/entry/health.rs
+++ b/crates/tinbay-node/src/entry/health.rs
@@ -29,6 +29,9 @@
 /// The measures in the text format.
 pub async fn metrics(node: State<Arc<Node>>) -> HttpResponse {
     node.metrics.config_revision.set(node.config.in_force());
+    node.metrics
+        .control_bytes
+        .set(node.control.traffic().total() as i64);
     HttpResponse::Ok()
         .content_type("text/plain; version=0.0.4")
         .body(node.metrics.to_text())
--- a/crates/tinbay-node/src/entry/locate.rs
+++ b/crates/tinbay-node/src/entry/locate.rs
@@ -71,10 +71,7 @@
         return Ok(None);
     };
     let members = read(&node.members);
-    let heirs = members
-        .view()
-        .succession(&spec.name, &spec.zone, &spec.region);
-    Ok(heirs.first().map(|heir| (*heir).clone()))
+    Ok(members.owner_of(&spec).cloned())
 }
 
 /// The owner first, then boxes of this zone in random order, then of the region.
--- a/crates/tinbay-node/src/metrics.rs
+++ b/crates/tinbay-node/src/metrics.rs
@@ -35,6 +35,8 @@
     pub in_progress: IntGauge,
     /// Configuration revision in force.
     pub config_revision: IntGauge,
+    /// Bytes of control messages sent and received.
+    pub control_bytes: IntGauge,
     /// Boxes known.
     pub boxes: IntGauge,
     /// Engines owned.
@@ -109,6 +111,11 @@
                 "tinbay_config_revision",
                 "Configuration revision in force",
             )?,
+            control_bytes: gauge(
+                &registry,
+                "tinbay_control_bytes",
+                "Bytes of control messages sent and received",
+            )?,
             boxes: gauge(&registry, "tinbay_boxes_known", "Boxes known")?,
             engines_owned: gauge(&registry, "tinbay_engines_owned", "Engines owned")?,
             registry,
--- a/crates/tinbay-node/src/node.rs
+++ b/crates/tinbay-node/src/node.rs
@@ -109,7 +109,8 @@
         match build(options, address, control_address) {
             Ok((node, jobs, client_task)) => {
                 ntex::rt::spawn(run_client(client_task));
-                ntex::rt::spawn(control.run(ControlAnswers::new(&node)));
+                let traffic = node.control.traffic().clone();
+                ntex::rt::spawn(control.run(ControlAnswers::new(&node), traffic));
                 ntex::rt::spawn(run_orders(Arc::clone(&node), jobs));
                 start_controllers(&node);
                 let _ = ready.send(Ok((node, control_address)));
