--- a/crates/tinbay-core/benches/decisions.rs
+++ b/crates/tinbay-core/benches/decisions.rs
@@ -26,7 +26,7 @@
         model: model(number),
         organisation: format!("organisation-{}", number % 500),
         rank: (id % 3) as u8 * 50,
-        urgent: id % 3 == 0,
+        urgent: id.is_multiple_of(3),
         arrived_ms: id,
         start_by_ms: 1_000_000_000 + id,
     }
