Heartbeats slow down as a zone grows, so that a keeper's load stays level

Cause: a keeper of a zone of 200 boxes would take 39 KB a second of heartbeats (108 bytes each way both ends counted, from 1,167 B/s a box at 48 boxes), against 11 KB/s for control. Weighed: more keepers (each watches the key-value service), one keeper asked instead of three (slower to find a dead keeper). Change: 0.5 s up to 36 boxes a zone, 3 s at 200; a box is dead after three missed ones. Worked out: 7.2 KB/s. Not measured at 200 boxes a zone.

--- a/crates/tinbay-core/src/view.rs
+++ b/crates/tinbay-core/src/view.rs
@@ -6,6 +6,7 @@
 
 use crate::ids::{BoxId, EngineId, Incarnation, ZoneId};
 use crate::rendezvous;
+use crate::units::Millis;
 
 /// Boxes of a zone that watch the key-value service for the others.
 pub const KEEPERS_PER_ZONE: usize = 3;
@@ -13,6 +14,26 @@
 /// How many boxes stand in line behind the owner of an engine.
 pub const SUCCESSION_LENGTH: usize = 3;
 
+/// Time between heartbeats in a small zone.
+pub const HEARTBEAT_MS: Millis = 500;
+
+/// Boxes of a zone up to which each sends heartbeats at full pace. A heartbeat and its answer
+/// are about 108 bytes, so this many cost a keeper about 7 KB a second.
+const BOXES_AT_FULL_PACE: usize = 36;
+
+/// Heartbeats missed before a box is held to be dead.
+const MISSED_HEARTBEATS: Millis = 3;
+
+/// Time between heartbeats in a zone of `boxes`, so that a keeper's load stays the same.
+pub fn heartbeat_period_ms(boxes: usize) -> Millis {
+    HEARTBEAT_MS * boxes.div_ceil(BOXES_AT_FULL_PACE).max(1) as Millis
+}
+
+/// Silence after which a box is held to be dead, at least `least_ms`.
+pub fn dead_after_ms(boxes: usize, least_ms: Millis) -> Millis {
+    least_ms.max(MISSED_HEARTBEATS * heartbeat_period_ms(boxes))
+}
+
 /// Whether a box takes new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -93,6 +114,11 @@
             .filter(move |b| b.state == BoxState::Live && b.region == region)
     }
 
+    /// How many boxes a zone has.
+    pub fn count_in(&self, zone: &ZoneId) -> usize {
+        self.boxes.values().filter(|b| b.zone == *zone).count()
+    }
+
     /// The boxes that should own `engine`, best first: those of its zone, else of its region.
     pub fn succession(&self, engine: &EngineId, zone: &ZoneId, region: &str) -> Vec<&BoxRecord> {
         let in_zone: Vec<&str> = self
--- a/crates/tinbay-core/tests/view_test.rs
+++ b/crates/tinbay-core/tests/view_test.rs
@@ -3,7 +3,9 @@
 use quickcheck::QuickCheck;
 use tinbay_core::ids::{BoxId, EngineId, ZoneId};
 use tinbay_core::rendezvous;
-use tinbay_core::view::{BoxRecord, BoxState, SUCCESSION_LENGTH, View};
+use tinbay_core::view::{
+    BoxRecord, BoxState, HEARTBEAT_MS, SUCCESSION_LENGTH, View, dead_after_ms, heartbeat_period_ms,
+};
 
 fn record(number: usize, zone: &str, state: BoxState) -> BoxRecord {
     BoxRecord {
@@ -70,6 +72,22 @@
     assert_eq!(view.keepers(&ZoneId::new("a")).len(), 1);
 }
 
+#[test]
+fn heartbeat_period_keeps_a_keeper_level() {
+    assert_eq!(heartbeat_period_ms(0), HEARTBEAT_MS);
+    assert_eq!(heartbeat_period_ms(36), HEARTBEAT_MS);
+    for boxes in [36, 72, 200, 400] {
+        let per_second = boxes as f64 * 1_000.0 / heartbeat_period_ms(boxes) as f64;
+        assert!(
+            per_second <= 72.0,
+            "{boxes} boxes send {per_second} a second"
+        );
+    }
+    assert_eq!(heartbeat_period_ms(200), 3_000);
+    assert_eq!(dead_after_ms(200, 3_000), 9_000);
+    assert_eq!(dead_after_ms(3, 3_000), 3_000);
+}
+
 #[test]
 fn rank_moves_few_on_a_change() {
     // Without one of 20 nodes, only the keys it held move.
--- a/crates/tinbay-node/src/controllers/heartbeat.rs
+++ b/crates/tinbay-node/src/controllers/heartbeat.rs
@@ -13,7 +13,7 @@
 use rand::seq::IndexedRandom;
 use tinbay_core::ids::{BoxId, ZoneId};
 use tinbay_core::units::Millis;
-use tinbay_core::view::BoxRecord;
+use tinbay_core::view::{BoxRecord, dead_after_ms, heartbeat_period_ms};
 use tinbay_wire::control::{Heartbeat, Message, Reply, ViewUpdate};
 
 use super::Controller;
@@ -21,9 +21,6 @@
 use crate::state::Node;
 use crate::util::sync::{read, write};
 
-/// Time between heartbeats.
-const PERIOD: Duration = Duration::from_millis(500);
-
 /// A zone none of whose keepers has answered for this long is held to be cut off.
 const ZONE_SILENT_MS: Millis = 10_000;
 
@@ -92,6 +89,16 @@
         self.node.metrics.boxes.set(known as i64);
     }
 
+    fn zone_boxes(&self) -> usize {
+        read(&self.node.members)
+            .view()
+            .count_in(&self.node.options.zone)
+    }
+
+    fn dead_after_ms(&self) -> Millis {
+        dead_after_ms(self.zone_boxes(), self.node.options.dead_after_ms)
+    }
+
     fn keepers(&self, zone: &ZoneId) -> Vec<BoxRecord> {
         let members = read(&self.node.members);
         members.view().keepers(zone).into_iter().cloned().collect()
@@ -170,7 +177,7 @@
     fn suspect(&mut self, keeper: &BoxRecord) {
         let now_ms = self.node.clock.now_ms();
         let since_ms = *self.answered_ms.entry(keeper.id.clone()).or_insert(now_ms);
-        if now_ms.saturating_sub(since_ms) < self.node.options.dead_after_ms {
+        if now_ms.saturating_sub(since_ms) < self.dead_after_ms() {
             return;
         }
         self.answered_ms.remove(&keeper.id);
@@ -225,6 +232,7 @@
             return;
         };
         let now_ms = self.node.clock.now_ms();
+        let dead_after_ms = self.dead_after_ms();
         let silent: Vec<BoxId> = {
             let members = read(&self.node.members);
             members
@@ -234,7 +242,7 @@
                 .filter(|record| {
                     let heard_ms = members.heard_ms(&record.id).unwrap_or(0);
                     let since_ms = heard_ms.max(keeper_since_ms);
-                    now_ms.saturating_sub(since_ms) >= self.node.options.dead_after_ms
+                    now_ms.saturating_sub(since_ms) >= dead_after_ms
                 })
                 .map(|record| record.id.clone())
                 .collect()
@@ -282,7 +290,7 @@
 
 impl Controller for HeartbeatController {
     fn period(&self) -> Duration {
-        PERIOD
+        Duration::from_millis(heartbeat_period_ms(self.zone_boxes()))
     }
 
     fn step(&mut self) -> LocalBoxFuture<'_, ()> {
--- a/crates/tinbay-node/src/state.rs
+++ b/crates/tinbay-node/src/state.rs
@@ -12,7 +12,7 @@
 use tinbay_core::retry::RetryBudget;
 use tinbay_core::route::Router;
 use tinbay_core::units::{Millis, Revision};
-use tinbay_core::view::{BoxRecord, BoxState};
+use tinbay_core::view::{BoxRecord, BoxState, heartbeat_period_ms};
 use tinbay_wire::control::{Envelope, Message, Reply, Succession};
 use tokio::sync::{Notify, mpsc};
 
@@ -29,8 +29,9 @@
 /// Shards of the routers' rankings and hints.
 const ROUTER_SHARDS: usize = 16;
 
-/// A box that has heard nobody for this long asks before it serves; it may have been frozen.
-const FRESH_FOR_MS: Millis = 3_000;
+/// A box that has heard nobody for at least this long asks before it serves; it may have been
+/// frozen.
+const LEAST_FRESH_MS: Millis = 3_000;
 
 /// Longest wait for newer configuration before a request is answered.
 const CATCH_UP_WITHIN: Duration = Duration::from_secs(1);
@@ -231,15 +232,25 @@
     /// After a silence in which the box may have been frozen, waits to hear from someone.
     /// In an outage of everything it goes on with what it has: nobody can have changed it.
     pub async fn refresh_after_silence(&self) {
-        if self.silent_ms() < FRESH_FOR_MS {
+        if self.silent_ms() < LEAST_FRESH_MS {
+            return;
+        }
+        let fresh_for_ms = self.fresh_for_ms();
+        if self.silent_ms() < fresh_for_ms {
             return;
         }
         self.catch_up.notify_one();
-        self.poll_until(|| self.silent_ms() < FRESH_FOR_MS).await;
+        self.poll_until(|| self.silent_ms() < fresh_for_ms).await;
         let wanted = self.wanted_revision();
         self.poll_until(|| self.config.in_force() >= wanted).await;
     }
 
+    /// Twice the time between heartbeats, which grows with the zone.
+    fn fresh_for_ms(&self) -> Millis {
+        let boxes = read(&self.members).view().count_in(&self.options.zone);
+        LEAST_FRESH_MS.max(2 * heartbeat_period_ms(boxes))
+    }
+
     async fn poll_until(&self, met: impl Fn() -> bool) -> bool {
         let polled = async {
             while !met() {
