--- a/crates/tinbay-cli/src/scenario/bindings.rs
+++ b/crates/tinbay-cli/src/scenario/bindings.rs
@@ -118,6 +118,11 @@
         Ok(())
     });
     let f = Arc::clone(fleet);
+    engine.register_fn("leave_engine", move |name: &str| -> Outcome<()> {
+        let _: Value = lock(&f).post(name, "/control/leave", &()).map_err(failed)?;
+        Ok(())
+    });
+    let f = Arc::clone(fleet);
     engine.register_fn("read", move |name: &str, path: &str| -> Outcome<Dynamic> {
         shown(&lock(&f).get(name, path).map_err(failed)?)
     });
--- a/crates/tinbay-cli/tests/scenarios_test.rs
+++ b/crates/tinbay-cli/tests/scenarios_test.rs
@@ -76,6 +76,11 @@
     assert_kept("leaving");
 }
 
+#[test]
+fn scenario_leaving_engine() {
+    assert_kept("leaving_engine");
+}
+
 #[test]
 fn scenario_planned_stop() {
     assert_kept("planned_stop");
--- a/crates/tinbay-core/src/engine/mod.rs
+++ b/crates/tinbay-core/src/engine/mod.rs
@@ -79,6 +79,8 @@
     Learnt(EngineContents),
     /// The engine reported what it runs; slots stay as the owner knows them.
     Observed(EngineContents),
+    /// The engine says that it is leaving: it ends what it has and takes nothing new.
+    EngineLeaves,
     /// This box is not the owner any more, or is leaving.
     Released,
     /// Time passed.
@@ -135,6 +137,8 @@
     LoadFailed,
     /// This box does not own the engine.
     NotOwner,
+    /// The engine is leaving.
+    EngineLeaves,
 }
 
 /// Decides for one engine.
--- a/crates/tinbay-core/src/engine/owner.rs
+++ b/crates/tinbay-core/src/engine/owner.rs
@@ -116,6 +116,7 @@
     paces: Paces,
     dispatches: u32,
     learnt: bool,
+    leaving: bool,
 }
 
 impl EngineOwner {
@@ -136,6 +137,7 @@
             paces: Paces::default(),
             dispatches: 0,
             learnt: false,
+            leaving: false,
         }
     }
 
@@ -167,6 +169,10 @@
     }
 
     fn submit(&mut self, now_ms: Millis, ask: Ask, out: &mut Vec<Command>) {
+        if self.leaving {
+            out.push(refuse(ask.id, Refusal::EngineLeaves, 0));
+            return;
+        }
         if self.backs_off(&ask.model, now_ms) {
             out.push(refuse(ask.id, Refusal::LoadFailed, LOAD_BACKOFF_MS));
             return;
@@ -430,6 +436,7 @@
         }
         self.count_inherited(contents);
         self.learnt = true;
+        self.leaving = false;
     }
 
     /// Counts the requests of earlier owners, which hold places and slots as well.
@@ -442,9 +449,19 @@
 
     fn release(&mut self, out: &mut Vec<Command>) {
         self.learnt = false;
+        self.refuse_all(Refusal::NotOwner, out);
+    }
+
+    /// From now on everything is refused, until the engine comes back as a new run.
+    fn leave(&mut self, out: &mut Vec<Command>) {
+        self.leaving = true;
+        self.refuse_all(Refusal::EngineLeaves, out);
+    }
+
+    fn refuse_all(&mut self, reason: Refusal, out: &mut Vec<Command>) {
         for id in self.queue.ids() {
             self.queue.remove(id);
-            out.push(refuse(id, Refusal::NotOwner, 0));
+            out.push(refuse(id, reason, 0));
         }
     }
 
@@ -648,6 +665,7 @@
             Event::Missing(model) => self.note_missing(&model),
             Event::Learnt(contents) => self.learn(now_ms, &contents),
             Event::Observed(contents) => self.count_inherited(&contents),
+            Event::EngineLeaves => self.leave(&mut out),
             Event::Released => self.release(&mut out),
             Event::Tick => {}
         }
--- a/crates/tinbay-core/src/naive.rs
+++ b/crates/tinbay-core/src/naive.rs
@@ -168,7 +168,7 @@
                     self.hold(model, State::Loaded, now_ms);
                 }
             }
-            Event::Observed(_) | Event::Released | Event::Tick => {}
+            Event::Observed(_) | Event::EngineLeaves | Event::Released | Event::Tick => {}
         }
         self.dispatch(now_ms, &mut out);
         self.load_first_missing(now_ms, &mut out);
--- a/crates/tinbay-core/tests/owner_test.rs
+++ b/crates/tinbay-core/tests/owner_test.rs
@@ -230,6 +230,31 @@
     );
 }
 
+#[test]
+fn engine_leaves_refuses_queue_and_new_until_next_run() {
+    let mut bench = bench();
+    bench.submit(ask(1, 0, true, 0, 5_000));
+    bench.run_until(300);
+    for id in 10..20 {
+        bench.submit(ask(id, 0, true, 300, 5_000));
+    }
+    bench.give(Event::EngineLeaves);
+    bench.submit(ask(30, 0, true, 300, 5_000));
+    let refused = bench
+        .fates
+        .values()
+        .filter(|fate| matches!(fate, Fate::Refused { .. }));
+    assert_eq!(
+        refused.count(),
+        7,
+        "six of ten waited behind a batch of four, and the new one"
+    );
+    bench.restart();
+    bench.submit(ask(40, 0, true, 300, 5_000));
+    bench.run_until(900);
+    assert!(ran_at(&bench, 40).is_some());
+}
+
 #[test]
 fn restart_empty_engine_loads_again() {
     let mut bench = bench();
--- a/crates/tinbay-experiment/src/run.rs
+++ b/crates/tinbay-experiment/src/run.rs
@@ -380,7 +380,10 @@
             Command::Dispatch { id, stall_ms } => self.start(engine, id, stall_ms),
             Command::Refuse { id, reason, .. } => match reason {
                 Refusal::DeadlinePassed => self.refuse(id),
-                Refusal::Overloaded | Refusal::LoadFailed | Refusal::NotOwner => self.try_next(id),
+                Refusal::Overloaded
+                | Refusal::LoadFailed
+                | Refusal::NotOwner
+                | Refusal::EngineLeaves => self.try_next(id),
             },
         }
     }
--- a/crates/tinbay-node/src/entry/attempts.rs
+++ b/crates/tinbay-node/src/entry/attempts.rs
@@ -21,6 +21,9 @@
 /// Attempts at one request, resumes included.
 const MAX_ATTEMPTS: u32 = 4;
 
+/// Wait noted for an engine that is leaving, so that the next requests try others first.
+const AVOIDED_WAIT_MS: Millis = 600_000;
+
 /// A stream that gives nothing for this long is taken as broken.
 const EVENT_WITHIN: Duration = Duration::from_secs(15);
 
@@ -218,6 +221,9 @@
                 Err(error) => error,
             };
             self.ends.note(error.end);
+            if error.failure == Failure::EngineLeaves {
+                self.note_wait(engine, AVOIDED_WAIT_MS);
+            }
             log::debug!(
                 target: part::ENTRY,
                 "{} attempt {} on {engine} ended {:?}: {}",
--- a/crates/tinbay-node/src/entry/local.rs
+++ b/crates/tinbay-node/src/entry/local.rs
@@ -200,6 +200,10 @@
             node.give_up(&owned.spec().name);
             AttemptError::not_run(Failure::NotOwner)
         }
+        EngineRefusal::Leaving => {
+            owned.handle(Event::EngineLeaves);
+            AttemptError::not_run(Failure::EngineLeaves)
+        }
         EngineRefusal::NothingToResume => AttemptError::not_run(Failure::CannotResume),
         EngineRefusal::NotLoaded => {
             owned.handle(Event::Missing(call.model.clone()));
@@ -224,5 +228,6 @@
         Refusal::DeadlinePassed => Failure::DeadlinePassed { retry_after_ms },
         Refusal::LoadFailed => Failure::LoadFailed { retry_after_ms },
         Refusal::NotOwner => Failure::NotOwner,
+        Refusal::EngineLeaves => Failure::EngineLeaves,
     }
 }
--- a/crates/tinbay-node/src/entry/remote.rs
+++ b/crates/tinbay-node/src/entry/remote.rs
@@ -107,6 +107,7 @@
         ErrorCode::Overloaded => Failure::Overloaded { retry_after_ms },
         ErrorCode::DeadlinePassed => Failure::DeadlinePassed { retry_after_ms },
         ErrorCode::LoadFailed => Failure::LoadFailed { retry_after_ms },
+        ErrorCode::EngineLeaves => Failure::EngineLeaves,
         ErrorCode::StaleConfiguration => Failure::StaleConfiguration,
         ErrorCode::BackendFailed => Failure::BackendFailed { not_run: true },
         _ => Failure::NotOwner,
--- a/crates/tinbay-node/src/filters/failure.rs
+++ b/crates/tinbay-node/src/filters/failure.rs
@@ -84,6 +84,9 @@
     /// The box is leaving.
     #[error("this box is leaving; ask locate for another")]
     Leaving,
+    /// The engine is leaving.
+    #[error("the engine is leaving")]
+    EngineLeaves,
     /// The box is not the owner.
     #[error("this box does not own the engine")]
     NotOwner,
@@ -154,6 +157,7 @@
             Failure::DeadlinePassed { .. } => ErrorCode::DeadlinePassed,
             Failure::LoadFailed { .. } => ErrorCode::LoadFailed,
             Failure::Leaving => ErrorCode::Leaving,
+            Failure::EngineLeaves => ErrorCode::EngineLeaves,
             Failure::NotOwner => ErrorCode::NotOwner,
             Failure::StaleConfiguration => ErrorCode::StaleConfiguration,
             Failure::AlreadyUsed => ErrorCode::AlreadyUsed,
@@ -190,6 +194,7 @@
             | Failure::LoadFailed { retry_after_ms } => Some(*retry_after_ms),
             Failure::NoEngine(_)
             | Failure::Leaving
+            | Failure::EngineLeaves
             | Failure::NotOwner
             | Failure::StaleConfiguration
             | Failure::PlatformUnavailable => Some(SOON_MS),
--- a/crates/tinbay-node/src/owners/owned.rs
+++ b/crates/tinbay-node/src/owners/owned.rs
@@ -228,6 +228,10 @@
             self.learn(engine_state);
             return;
         }
+        if engine_state.leaving {
+            self.handle(Event::EngineLeaves);
+            return;
+        }
         let contents = self.contents(engine_state);
         self.handle(Event::Observed(contents));
     }
--- a/crates/tinbay-standin/src/engine/mod.rs
+++ b/crates/tinbay-standin/src/engine/mod.rs
@@ -91,6 +91,7 @@
             .route("/v1/state", web::get().to(read_state))
             .route("/control/faults", web::post().to(set_faults))
             .route("/control/restart", web::post().to(restart))
+            .route("/control/leave", web::post().to(leave))
             .route("/control/report", web::get().to(read_report));
     })
 }
@@ -265,6 +266,11 @@
     reply::json(&engine.model().state())
 }
 
+async fn leave(engine: State<Shared>) -> HttpResponse {
+    engine.model().leave();
+    reply::json(&engine.model().state())
+}
+
 async fn read_report(engine: State<Shared>) -> HttpResponse {
     reply::json(engine.model().report())
 }
--- a/crates/tinbay-standin/src/engine/model.rs
+++ b/crates/tinbay-standin/src/engine/model.rs
@@ -77,6 +77,8 @@
     pub loads: u64,
     /// Unloads ordered while the model served a request; each is a broken promise.
     pub unloads_while_serving: u64,
+    /// Requests that came while it was leaving; each was refused.
+    pub asked_while_leaving: u64,
     /// Orders refused for their fence.
     pub fence_refusals: u64,
     /// Most requests at once.
@@ -120,6 +122,7 @@
     streams: HashMap<String, Stream>,
     ended: Vec<String>,
     running: usize,
+    leaving: bool,
     next_run: u64,
     faults: EngineFaults,
     report: EngineReport,
@@ -138,6 +141,7 @@
             streams: HashMap::new(),
             ended: Vec::new(),
             running: 0,
+            leaving: false,
             next_run: 0,
             faults: EngineFaults::default(),
             report: EngineReport::default(),
@@ -179,12 +183,17 @@
             incarnation: self.incarnation,
             loaded,
             running,
+            leaving: self.leaving,
             fence: self.guard.highest(),
         }
     }
 
     /// Puts a request into the batch; gives the number of the run.
     pub fn begin(&mut self, call: &EngineRequest) -> Result<u64, EngineRefusal> {
+        if self.leaving {
+            self.report.asked_while_leaving += 1;
+            return Err(EngineRefusal::Leaving);
+        }
         if self.running >= self.batch_limit {
             return Err(EngineRefusal::BatchFull);
         }
@@ -340,6 +349,12 @@
         self.streams.clear();
         self.ended.clear();
         self.running = 0;
+        self.leaving = false;
+    }
+
+    /// Begins to leave: what runs goes on, nothing new is taken.
+    pub fn leave(&mut self) {
+        self.leaving = true;
     }
 
     /// Sets faults.
--- a/crates/tinbay-wire/src/engine.rs
+++ b/crates/tinbay-wire/src/engine.rs
@@ -44,6 +44,9 @@
     pub loaded: Vec<ModelRef>,
     /// The requests that run.
     pub running: Vec<RunningRequest>,
+    /// Whether it ends what it has and takes nothing new.
+    #[serde(default)]
+    pub leaving: bool,
     /// The highest fence seen; zero for an engine that checks none.
     pub fence: Fence,
 }
--- a/crates/tinbay-wire/src/error_body.rs
+++ b/crates/tinbay-wire/src/error_body.rs
@@ -61,6 +61,8 @@
     LoadFailed,
     /// The box is leaving.
     Leaving,
+    /// The engine is leaving.
+    EngineLeaves,
     /// This box does not own the engine.
     NotOwner,
     /// The box must catch up with the configuration first.
@@ -109,6 +111,7 @@
             ErrorCode::NoEngine
             | ErrorCode::LoadFailed
             | ErrorCode::Leaving
+            | ErrorCode::EngineLeaves
             | ErrorCode::StaleConfiguration
             | ErrorCode::DeadlinePassed
             | ErrorCode::PlatformUnavailable => 503,
