Loads wait at the arbiter, where ranks count, not at the weight store

Cause: after a pause several loads were granted at once; the store paces them first come first served, so a desk request's load stood behind batch loads granted just before. Change: a burst of 1.2 loads.

--- a/crates/tinbay-cli/src/scenario/bindings.rs
+++ b/crates/tinbay-cli/src/scenario/bindings.rs
@@ -11,7 +11,8 @@
 use tinbay_core::view::BoxState;
 
 use super::BROKEN;
-use super::fleet::{Fleet, sum_metric};
+use super::fleet::Fleet;
+use super::summaries::sum_metric;
 use crate::error::CliError;
 
 type Shared = Arc<Mutex<Fleet>>;
--- a/crates/tinbay-cli/src/scenario/mod.rs
+++ b/crates/tinbay-cli/src/scenario/mod.rs
@@ -4,8 +4,11 @@
 //! The functions a scenario may call are listed in docs/scenarios.md.
 
 mod bindings;
+mod config_text;
 mod fleet;
+mod plans;
 mod process;
+mod summaries;
 
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
--- /dev/null
+++ b/crates/tinbay-core/src/engine/contents.rs
@@ -0,0 +1,131 @@
+//! What is known of an engine's contents, from the ends of orders and from its own reports.
+
+use super::owner::{EngineOwner, Failure, backoff_ms, refuse};
+use super::slots::{Slot, SlotState};
+use super::{Command, EngineContents, Refusal};
+use crate::ids::ModelRef;
+use crate::units::Millis;
+
+impl EngineOwner {
+    pub(super) fn note_loaded(&mut self, now_ms: Millis, model: &ModelRef, out: &mut Vec<Command>) {
+        out.push(Command::EndLoad(model.clone()));
+        self.failures.remove(model);
+        let Some(slot) = self.slots.get_mut(model) else {
+            return;
+        };
+        slot.state = SlotState::Loaded;
+        slot.loaded_ms = now_ms;
+        let load_ms = now_ms.saturating_sub(slot.ordered_ms);
+        slot.note_demand(now_ms, self.queue.has_urgent(model));
+        self.load.add(load_ms);
+        self.queue.set_open(model, true);
+    }
+
+    pub(super) fn note_load_failed(
+        &mut self,
+        now_ms: Millis,
+        model: &ModelRef,
+        out: &mut Vec<Command>,
+    ) {
+        out.push(Command::EndLoad(model.clone()));
+        self.slots.remove(model);
+        let count = self
+            .failures
+            .get(model)
+            .map_or(1, |failure| failure.count + 1);
+        let backoff_ms = backoff_ms(model, count);
+        let retry_ms = now_ms + backoff_ms;
+        self.failures
+            .insert(model.clone(), Failure { count, retry_ms });
+        for id in self.queue.waiting_for(model) {
+            self.queue.remove(id);
+            out.push(refuse(id, Refusal::LoadFailed, backoff_ms));
+        }
+    }
+
+    pub(super) fn note_unloaded(
+        &mut self,
+        now_ms: Millis,
+        model: &ModelRef,
+        out: &mut Vec<Command>,
+    ) {
+        self.slots.remove(model);
+        let Some(next) = self.replacing.remove(model) else {
+            return;
+        };
+        if self.queue.has_waiting(&next) && self.slots.get(&next).is_none() {
+            self.slots.insert(next.clone(), SlotState::Loading, now_ms);
+            out.push(Command::Load(next));
+        } else {
+            out.push(Command::ReturnLoad(next));
+        }
+    }
+
+    pub(super) fn note_unload_failed(
+        &mut self,
+        now_ms: Millis,
+        model: &ModelRef,
+        out: &mut Vec<Command>,
+    ) {
+        if self.slots.get(model).is_some_and(|slot| slot.lost) {
+            self.note_unloaded(now_ms, model, out);
+            return;
+        }
+        if let Some(next) = self.replacing.remove(model) {
+            out.push(Command::ReturnLoad(next));
+        }
+        if let Some(slot) = self.slots.get_mut(model) {
+            slot.state = SlotState::Loaded;
+            self.queue.set_open(model, true);
+        }
+    }
+
+    pub(super) fn note_missing(&mut self, model: &ModelRef) {
+        let serving = |slot: &Slot| slot.state == SlotState::Loaded;
+        if self.slots.get(model).is_some_and(serving) {
+            self.slots.remove(model);
+            self.queue.set_open(model, false);
+        }
+    }
+
+    /// Takes over what the engine says; slots it does not name are gone.
+    ///
+    /// A slot with an order under way stays until that order's own end is known: the end of
+    /// an order from before a restart must not be taken for that of a later one.
+    pub(super) fn learn(&mut self, now_ms: Millis, contents: &EngineContents) {
+        let known: Vec<ModelRef> = self.slots.iter().map(|(m, _)| m.clone()).collect();
+        for model in known {
+            let named = contents.loaded.contains(&model);
+            match self.slots.get_mut(&model) {
+                Some(slot) if slot.state == SlotState::Loading => {}
+                Some(slot) if slot.state == SlotState::Unloading => slot.lost = !named,
+                _ => {
+                    self.queue.set_open(&model, false);
+                    self.slots.remove(&model);
+                }
+            }
+        }
+        for model in &contents.loaded {
+            if self.slots.get(model).is_none() {
+                self.slots.insert(model.clone(), SlotState::Loaded, now_ms);
+                self.queue.set_open(model, true);
+            }
+        }
+        for run in self.running.values() {
+            if let Some(slot) = self.slots.get_mut(&run.model) {
+                slot.serving += 1;
+            }
+        }
+        self.count_inherited(contents);
+        self.learnt = true;
+        self.leaving = false;
+    }
+
+    /// Counts the requests of earlier owners, which hold places and slots as well.
+    pub(super) fn count_inherited(&mut self, contents: &EngineContents) {
+        self.inherited.clear();
+        for model in &contents.inherited {
+            *self.inherited.entry(model.clone()).or_default() += 1;
+        }
+    }
+}
--- a/crates/tinbay-core/src/engine/mod.rs
+++ b/crates/tinbay-core/src/engine/mod.rs
@@ -4,13 +4,17 @@
 //! counter request" is a local question. Drivers feed [`Event`]s and carry out
 //! [`Command`]s; [`Scheduler`] is the border behind which the naive baseline fits too.
 
+mod contents;
 mod demand;
 mod owner;
 mod pace;
+mod placement;
 mod queue;
+mod settings;
 mod slots;
 
-pub use owner::{EngineOwner, OwnerSettings};
+pub use owner::EngineOwner;
+pub use settings::OwnerSettings;
 
 use serde::{Deserialize, Serialize};
 
--- a/crates/tinbay-core/src/loads.rs
+++ b/crates/tinbay-core/src/loads.rs
@@ -10,6 +10,11 @@
 use crate::ids::{EngineId, ModelRef};
 use crate::units::{MS_PER_SECOND, Millis};
 
+/// Loads that may begin at once after a pause. The store paces loads by itself, first come
+/// first served: what is granted ahead of the rate waits there, where no rank counts. A fifth
+/// of a load more than one, so that nothing of the rate is lost between two looks.
+const BURST: f64 = 1.2;
+
 /// A permit not given back by then is taken as lost with its holder.
 const PERMIT_LIFE_MS: Millis = 30_000;
 
@@ -51,7 +56,7 @@
     pub fn new(allowance: Allowance) -> Self {
         Self {
             allowance,
-            tokens: burst(&allowance),
+            tokens: BURST,
             refilled_ms: 0,
             waiting: BTreeSet::new(),
             by_target: HashMap::new(),
@@ -62,7 +67,6 @@
     /// Replaces the allowance, for instance when the number of boxes that share it changes.
     pub fn set_allowance(&mut self, allowance: Allowance) {
         self.allowance = allowance;
-        self.tokens = self.tokens.min(burst(&allowance));
     }
 
     /// Queues a wish; a repeated wish keeps the better rank.
@@ -85,7 +89,7 @@
     pub fn give_back(&mut self, engine: &EngineId, model: &ModelRef) {
         let target = (engine.clone(), model.clone());
         if self.running.remove(&target).is_some() {
-            self.tokens = (self.tokens + 1.0).min(burst(&self.allowance));
+            self.tokens = (self.tokens + 1.0).min(BURST);
         }
     }
 
@@ -140,14 +144,7 @@
     fn refill(&mut self, now_ms: Millis) {
         let passed_ms = now_ms.saturating_sub(self.refilled_ms);
         let earned = passed_ms as f64 / MS_PER_SECOND as f64 * self.allowance.loads_per_s;
-        self.tokens = (self.tokens + earned).min(burst(&self.allowance));
+        self.tokens = (self.tokens + earned).min(BURST);
         self.refilled_ms = self.refilled_ms.max(now_ms);
     }
 }
-
-/// Never more at the start than run at full speed, and at least one.
-fn burst(allowance: &Allowance) -> f64 {
-    f64::from(allowance.at_once)
-        .min(allowance.loads_per_s)
-        .max(1.0)
-}
--- a/crates/tinbay-node/src/entry/attempts.rs
+++ b/crates/tinbay-node/src/entry/attempts.rs
@@ -10,6 +10,7 @@
 use tinbay_core::view::BoxRecord;
 use tinbay_http::stream::LineReader;
 use tinbay_wire::completion::DONE_EVENT;
+use tinbay_wire::engine::EngineRequest;
 
 use super::{local, remote};
 use crate::filters::Failure;
@@ -60,6 +61,21 @@
     pub resume_from: Option<u64>,
 }
 
+impl Job {
+    /// The request as an engine gets it.
+    pub fn to_call(&self, attempt: u32, resume_from: Option<u64>) -> EngineRequest {
+        EngineRequest {
+            request: self.name.clone(),
+            attempt,
+            model: self.model.clone(),
+            prompt: self.prompt.clone(),
+            max_tokens: self.max_tokens,
+            priority: self.rank,
+            resume_from,
+        }
+    }
+}
+
 /// How an attempt ended without an answer.
 #[derive(Debug, Clone)]
 pub struct AttemptError {
--- a/crates/tinbay-node/src/entry/local.rs
+++ b/crates/tinbay-node/src/entry/local.rs
@@ -41,15 +41,7 @@
     let owned = await_ownership(node, engine)
         .await
         .ok_or_else(|| AttemptError::not_run(Failure::NotOwner))?;
-    let call = EngineRequest {
-        request: job.name.clone(),
-        attempt,
-        model: job.model.clone(),
-        prompt: job.prompt.clone(),
-        max_tokens: job.max_tokens,
-        priority: job.rank,
-        resume_from,
-    };
+    let call = job.to_call(attempt, resume_from);
     if resume_from.is_some() {
         return resume(node, &owned, &call).await;
     }
--- a/crates/tinbay-node/src/entry/remote.rs
+++ b/crates/tinbay-node/src/entry/remote.rs
@@ -9,7 +9,6 @@
 use tinbay_core::view::BoxRecord;
 use tinbay_http::client::{await_head, pooled_client, read_any};
 use tinbay_http::stream::LineReader;
-use tinbay_wire::engine::EngineRequest;
 use tinbay_wire::error_body::{ErrorBody, ErrorCode, ErrorDetail};
 use tinbay_wire::forward::ForwardRequest;
 use tinbay_wire::headers;
@@ -37,15 +36,7 @@
     let wait_left_ms = job.start_by_ms.saturating_sub(now_ms);
     let request = ForwardRequest {
         engine: engine.clone(),
-        call: EngineRequest {
-            request: job.name.clone(),
-            attempt,
-            model: job.model.clone(),
-            prompt: job.prompt.clone(),
-            max_tokens: job.max_tokens,
-            priority: job.rank,
-            resume_from,
-        },
+        call: job.to_call(attempt, resume_from),
         organisation: job.organisation.clone(),
         urgent: job.urgent,
         age_ms: now_ms.saturating_sub(job.arrived_ms),
