A refused unload is not ordered again at once

Change: the slot is kept for 500 ms. Test first failing: 399 orders in 399 ms, now at most one a slot.

--- a/crates/tinbay-core/src/engine/contents.rs
+++ b/crates/tinbay-core/src/engine/contents.rs
@@ -6,6 +6,9 @@
 use crate::ids::ModelRef;
 use crate::units::Millis;
 
+/// Time until an unload that failed is ordered again.
+const UNLOAD_PAUSE_MS: Millis = 500;
+
 impl EngineOwner {
     pub(super) fn note_loaded(&mut self, now_ms: Millis, model: &ModelRef, out: &mut Vec<Command>) {
         out.push(Command::EndLoad(model.clone()));
@@ -76,6 +79,7 @@
         }
         if let Some(slot) = self.slots.get_mut(model) {
             slot.state = SlotState::Loaded;
+            slot.keep_until_ms = now_ms + UNLOAD_PAUSE_MS;
             self.queue.set_open(model, true);
         }
     }
--- a/crates/tinbay-core/src/engine/placement.rs
+++ b/crates/tinbay-core/src/engine/placement.rs
@@ -73,7 +73,7 @@
         self.slots
             .iter()
             .filter(|(model, slot)| {
-                self.is_idle(model, slot)
+                self.is_idle(model, slot, now_ms)
                     && (!from_batch_only || slot.is_held_for_batch(now_ms))
                     && !self.queue.has_urgent(model)
                     && self
@@ -93,9 +93,10 @@
             .map(|(model, _)| model.clone())
     }
 
-    fn is_idle(&self, model: &ModelRef, slot: &Slot) -> bool {
+    fn is_idle(&self, model: &ModelRef, slot: &Slot, now_ms: Millis) -> bool {
         matches!(slot.state, SlotState::Loaded | SlotState::Closing)
             && slot.serving == 0
+            && now_ms >= slot.keep_until_ms
             && !self.inherited.contains_key(model)
     }
 
@@ -247,7 +248,7 @@
             .slots
             .iter()
             .filter(|(model, slot)| {
-                self.is_idle(model, slot)
+                self.is_idle(model, slot, now_ms)
                     && (!from_batch_only || slot.is_held_for_batch(now_ms))
                     && self.yields(model, wish.rank, pressing)
             })
--- a/crates/tinbay-core/src/engine/slots.rs
+++ b/crates/tinbay-core/src/engine/slots.rs
@@ -32,6 +32,8 @@
     pub ordered_ms: Millis,
     /// The engine lost the model, by a restart, while it was being unloaded.
     pub lost: bool,
+    /// Not to be unloaded before then, after an unload that failed.
+    pub keep_until_ms: Millis,
     /// How much urgent requests ask for it.
     pub urgent_demand: Demand,
     /// How much other requests ask for it.
@@ -111,6 +113,7 @@
             loaded_ms: now_ms,
             ordered_ms: now_ms,
             lost: false,
+            keep_until_ms: 0,
             urgent_demand: Demand::default(),
             batch_demand: Demand::default(),
         };
--- a/crates/tinbay-core/tests/owner_test.rs
+++ b/crates/tinbay-core/tests/owner_test.rs
@@ -255,6 +255,33 @@
     assert!(ran_at(&bench, 40).is_some());
 }
 
+#[test]
+fn unload_failed_is_not_ordered_again_at_once() {
+    let mut owner = EngineOwner::new(SHAPE, OwnerSettings::default());
+    owner.handle(
+        0,
+        Event::Learnt(EngineContents {
+            loaded: vec![model(0), model(1)],
+            inherited: Vec::new(),
+        }),
+    );
+    owner.handle(0, Event::Submit(ask(1, 2, true, 0, 60_000)));
+    let mut unloads = 0;
+    for now_ms in 1..400 {
+        let commands = owner.handle(now_ms, Event::LoadGranted(model(2)));
+        for command in commands {
+            if let Command::Unload(model) = command {
+                unloads += 1;
+                owner.handle(now_ms, Event::UnloadFailed(model));
+            }
+        }
+    }
+    assert!(
+        unloads <= 2,
+        "one try for each of two slots, found {unloads}"
+    );
+}
+
 #[test]
 fn restart_empty_engine_loads_again() {
     let mut bench = bench();
