--- a/crates/tinbay-cli/src/scenario/summaries.rs
+++ b/crates/tinbay-cli/src/scenario/summaries.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use serde::Serialize;
+use tinbay_wire::error_body::ErrorCode;
 
 use crate::caller::{Outcome, ServiceOutcome};
 
@@ -23,8 +24,10 @@
     pub resumed: usize,
     /// Slowest first token in milliseconds, over the right answers.
     pub first_token_max_ms: f64,
-    /// 99th percentile of the time to a refusal, in milliseconds.
+    /// 99th percentile of the time to any refusal, in milliseconds.
     pub refusal_p99_ms: f64,
+    /// The same for those refused because they would start too late.
+    pub overloaded_p99_ms: f64,
     /// Right answers of the class `counter`.
     pub counter_right: usize,
     /// Requests of the class `counter`.
@@ -59,12 +62,23 @@
     pub memory_kib: u64,
 }
 
+/// 99th percentile of the whole time of requests.
+fn p99_ms<'a>(outcomes: impl Iterator<Item = &'a Outcome>) -> f64 {
+    let mut times: Vec<f64> = outcomes.map(|outcome| outcome.total_ms).collect();
+    times.sort_by(f64::total_cmp);
+    times.get(times.len() * 99 / 100).copied().unwrap_or(0.0)
+}
+
 /// Sums up what became of a load's requests.
 pub fn summarise(outcomes: &[Outcome]) -> LoadSummary {
     let count = |meets: &dyn Fn(&Outcome) -> bool| outcomes.iter().filter(|o| meets(o)).count();
     let not_run: Vec<&Outcome> = outcomes.iter().filter(|o| o.is_told_not_run()).collect();
-    let mut refusals: Vec<f64> = not_run.iter().map(|o| o.total_ms).collect();
-    refusals.sort_by(f64::total_cmp);
+    let overloaded = not_run.iter().copied().filter(|o| {
+        let failure = o.failure.as_ref();
+        failure.is_some_and(|failure| failure.code == ErrorCode::Overloaded)
+    });
+    let overloaded_p99_ms = p99_ms(overloaded);
+    let refusal_p99_ms = p99_ms(not_run.iter().copied());
     let right = count(&|o| o.is_right());
     let wrong = count(&|o| o.is_wrong());
     let first_tokens = outcomes
@@ -85,10 +99,8 @@
         lost: outcomes.len() - right - wrong - not_run.len(),
         resumed: count(&|o| o.resumes > 0),
         first_token_max_ms: first_tokens.fold(0.0, f64::max),
-        refusal_p99_ms: refusals
-            .get(refusals.len() * 99 / 100)
-            .copied()
-            .unwrap_or(0.0),
+        refusal_p99_ms,
+        overloaded_p99_ms,
         counter_right: count(&|o| o.class == "counter" && o.is_right()),
         counter_sent: count(&|o| o.class == "counter"),
         not_run_keys: not_run.iter().map(|o| o.key.clone()).collect(),
