Heartbeats within a zone wait for no other zone

Cause: a keeper asked other zones one after the other, three keepers of 0.8 s each, in the same loop as its own zone's heartbeats; with two zones cut a round took about 5 s, longer than the 3 s after which a box is held to be dead. Change: own zone, other zones (all at once) and strangers each in a controller of its own.

--- a/crates/tinbay-cli/tests/scenarios_test.rs
+++ b/crates/tinbay-cli/tests/scenarios_test.rs
@@ -91,6 +91,11 @@
     assert_kept("configuration");
 }
 
+#[test]
+fn scenario_cut_zone() {
+    assert_kept("cut_zone");
+}
+
 #[test]
 fn scenario_platform_outage() {
     assert_kept("platform_outage");
--- a/crates/tinbay-node/src/controllers/box_list.rs
+++ b/crates/tinbay-node/src/controllers/box_list.rs
@@ -53,9 +53,7 @@
     }
 
     fn is_keeper(&self) -> bool {
-        let members = read(&self.node.members);
-        let keepers = members.view().keepers(&self.node.options.zone);
-        keepers.iter().any(|keeper| keeper.id == *self.node.id())
+        read(&self.node.members).is_keeper(&self.node.options.zone)
     }
 }
 
--- a/crates/tinbay-node/src/controllers/config_watch.rs
+++ b/crates/tinbay-node/src/controllers/config_watch.rs
@@ -101,9 +101,7 @@
         if !self.node.has_joined() {
             return false;
         }
-        let members = read(&self.node.members);
-        let keepers = members.view().keepers(&self.node.options.zone);
-        keepers.iter().any(|keeper| keeper.id == *self.node.id())
+        read(&self.node.members).is_keeper(&self.node.options.zone)
     }
 }
 
--- a/crates/tinbay-node/src/controllers/members.rs
+++ b/crates/tinbay-node/src/controllers/members.rs
@@ -76,6 +76,12 @@
         self.version
     }
 
+    /// Whether this box is a keeper of a zone.
+    pub fn is_keeper(&self, zone: &ZoneId) -> bool {
+        let keepers = self.view.keepers(zone);
+        keepers.iter().any(|keeper| keeper.id == self.me)
+    }
+
     /// The box that should own an engine; worked out once a change of the view.
     pub fn owner_of(&self, spec: &EngineSpec) -> Option<&BoxRecord> {
         let mut owners = lock(&self.owners);
--- a/crates/tinbay-node/src/controllers/mod.rs
+++ b/crates/tinbay-node/src/controllers/mod.rs
@@ -4,6 +4,7 @@
 //! nothing depends on a step having seen every change in between.
 
 mod answers;
+mod beats;
 mod box_lease;
 mod box_list;
 mod config_catch_up;
@@ -11,11 +12,13 @@
 mod engine_watch;
 mod heartbeat;
 mod loads;
+mod meeting;
 mod members;
 mod ownership;
 mod policies;
 mod succession;
 mod ticker;
+mod zone_heartbeat;
 
 pub use answers::{ControlAnswers, zone_status};
 pub use box_lease::BoxLease;
@@ -46,6 +49,8 @@
 pub fn start_controllers(node: &Arc<Node>) {
     let controllers: Vec<Box<dyn Controller>> = vec![
         Box::new(heartbeat::HeartbeatController::new(node)),
+        Box::new(zone_heartbeat::ZoneHeartbeatController::new(node)),
+        Box::new(meeting::MeetingController::new(node)),
         Box::new(box_list::BoxListController::new(node)),
         Box::new(config_watch::ConfigWatchController::new(node)),
         Box::new(config_catch_up::CatchUpController::new(node)),
