A frozen box holds up neither the catching up of others nor a takeover's announcement

Found by reading for loops that wait on one peer after another, after the fault of the zone heartbeats. A box that catches up asked each of three peers for 5 s; two frozen ones would have cost 10 s against 7 s for a change. A takeover was announced to one heir after the other; now to all at once.

--- a/crates/tinbay-node/src/controllers/config_catch_up.rs
+++ b/crates/tinbay-node/src/controllers/config_catch_up.rs
@@ -10,6 +10,7 @@
 use tinbay_wire::control::{Message, Reply};
 
 use super::Controller;
+use crate::control::ASK_WITHIN;
 use crate::logging::part;
 use crate::state::Node;
 use crate::util::sync::read;
@@ -20,8 +21,9 @@
 /// Time between steps.
 const PERIOD: Duration = Duration::from_millis(20);
 
-/// How long a whole configuration may take on its way.
-const UPDATE_WITHIN: Duration = Duration::from_secs(5);
+/// How long a whole configuration may take on its way. Later updates are short, and a box that
+/// is frozen must not hold them up: the next one is asked after the usual patience.
+const WHOLE_WITHIN: Duration = Duration::from_secs(5);
 
 /// Other boxes asked before the next step.
 const ASKED: usize = 3;
@@ -56,10 +58,8 @@
         for peer in self.peers() {
             let since = self.node.config.in_force();
             let message = Message::ConfigSince(since);
-            let reply = self
-                .node
-                .ask(&peer.control_address, message, UPDATE_WITHIN)
-                .await;
+            let within = if since == 0 { WHOLE_WITHIN } else { ASK_WITHIN };
+            let reply = self.node.ask(&peer.control_address, message, within).await;
             if let Ok(Reply::Config(update)) = reply {
                 self.node.note_contact();
                 self.node.config.apply_update(&update);
--- a/crates/tinbay-node/src/controllers/succession.rs
+++ b/crates/tinbay-node/src/controllers/succession.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use tinbay_core::config::EngineSpec;
 use tinbay_core::engine::OwnerSettings;
 use tinbay_core::fence::{Fence, Order};
@@ -229,11 +230,12 @@
             .cloned()
             .collect()
     };
-    for heir in heirs {
+    let told = heirs.iter().map(|heir| {
         let message = Message::Succession(succession.clone());
-        // A box that misses this learns from the engine's refusal.
-        let _ = node.ask_soon(&heir.control_address, message).await;
-    }
+        node.ask_soon(&heir.control_address, message)
+    });
+    // A box that misses this learns from the engine's refusal.
+    join_all(told).await;
 }
 
 /// Keeps a succession and gives the engine up if it names a later owner.
