--- a/crates/tinbay-cli/src/cli.rs
+++ b/crates/tinbay-cli/src/cli.rs
@@ -55,6 +55,14 @@
         .value_hint(ValueHint::FilePath)
 }
 
+fn files_arg() -> Arg {
+    Arg::new("files")
+        .value_name("FILE")
+        .num_args(1..)
+        .required(true)
+        .value_hint(ValueHint::FilePath)
+}
+
 fn operator_arg() -> Arg {
     Arg::new("operator")
         .long("operator")
@@ -157,13 +165,7 @@
                  with fakes of engines and weight store, and compare. The policy stands beside \
                  the file with the ending .rhai. The same seeds give the same figures.",
             )
-            .arg(
-                Arg::new("files")
-                    .value_name("FILE")
-                    .num_args(1..)
-                    .required(true)
-                    .value_hint(ValueHint::FilePath),
-            )
+            .arg(files_arg())
             .arg(
                 Arg::new("judge")
                     .long("judge")
@@ -182,13 +184,7 @@
             .subcommand(
                 Command::new("run")
                     .about("Run scenario files and name the first broken promise of each")
-                    .arg(
-                        Arg::new("files")
-                            .value_name("FILE")
-                            .num_args(1..)
-                            .required(true)
-                            .value_hint(ValueHint::FilePath),
-                    )
+                    .arg(files_arg())
                     .arg(
                         Arg::new("seed")
                             .long("seed")
--- a/crates/tinbay-core/src/engine/owner.rs
+++ b/crates/tinbay-core/src/engine/owner.rs
@@ -195,7 +195,9 @@
                 return;
             };
             let Some(slot) = self.slots.get_mut(&ask.model) else {
-                return;
+                // Open models have slots; were one missing, the request must still get an end.
+                out.push(refuse(id, Refusal::LoadFailed, 0));
+                continue;
             };
             slot.serving += 1;
             self.paces.note_dispatch(ask.rank, now_ms);
--- a/crates/tinbay-node/src/controllers/config_watch.rs
+++ b/crates/tinbay-node/src/controllers/config_watch.rs
@@ -10,7 +10,7 @@
 
 use super::Controller;
 use crate::logging::part;
-use crate::platform::{Listing, PlatformError, Watch, WatchedChange, keys};
+use crate::platform::{Listing, PlatformError, WatchedChange, keys};
 use crate::state::Node;
 use crate::util::sync::read;
 
@@ -68,7 +68,6 @@
                 Err(_) => self.check_head().await?,
             }
         }
-        drop::<Box<dyn Watch>>(watch);
         Ok(())
     }
 
--- a/crates/tinbay-node/src/entry/attempts.rs
+++ b/crates/tinbay-node/src/entry/attempts.rs
@@ -226,12 +226,8 @@
         if engines.is_empty() {
             return Err(Failure::NoEngine(self.job.base_model.clone()));
         }
-        let mut engines = engines.iter().cycle();
         loop {
-            // The ranking is not empty, so the cycle never ends.
-            let Some(engine) = engines.next() else {
-                return Err(Failure::NoEngine(self.job.base_model.clone()));
-            };
+            let engine = &engines[self.attempt as usize % engines.len()];
             let error = match self.try_engine(engine).await {
                 Ok(chunk) => return Ok(chunk),
                 Err(error) => error,
