path.rhai shows the forward between two boxes

A caller pinned to each of three boxes gets the same whole answer; the two that do not own the engine forward to the one that does (2 of 3).

--- a/crates/tinbay-cli/src/caller/mod.rs
+++ b/crates/tinbay-cli/src/caller/mod.rs
@@ -56,6 +56,8 @@
 /// One caller.
 pub struct Caller {
     entries: Vec<String>,
+    /// Connects here whatever locate says.
+    pinned: Option<String>,
     located: RefCell<HashMap<String, Located>>,
 }
 
@@ -64,10 +66,19 @@
     pub fn new(entries: Vec<String>) -> Self {
         Self {
             entries,
+            pinned: None,
             located: RefCell::default(),
         }
     }
 
+    /// A caller that connects to one box only, owner or not.
+    pub fn pinned(entries: Vec<String>, address: String) -> Self {
+        Self {
+            pinned: Some(address),
+            ..Self::new(entries)
+        }
+    }
+
     /// Asks for addresses; answers are kept for their life unless a key is needed.
     ///
     /// # Errors
@@ -110,10 +121,14 @@
     /// Asks for a model's addresses; where locate refuses the model, for any, so that the
     /// request itself gets the typed refusal.
     async fn locate_for(&self, model: &ModelRef, fresh: bool) -> Result<LocateAnswer, CallError> {
-        match self.locate(Some(model), fresh).await {
-            Err(CallError::Status(_)) => self.locate(None, fresh).await,
-            located => located,
+        let mut located = match self.locate(Some(model), fresh).await {
+            Err(CallError::Status(_)) => self.locate(None, fresh).await?,
+            located => located?,
+        };
+        if let Some(pinned) = &self.pinned {
+            located.addresses = vec![pinned.clone()];
         }
+        Ok(located)
     }
 
     /// Sends a request and follows it to its end.
--- a/crates/tinbay-cli/src/scenario/fleet.rs
+++ b/crates/tinbay-cli/src/scenario/fleet.rs
@@ -362,8 +362,18 @@
     pub fn complete(&mut self, plan: &RequestPlan) -> Result<Outcome, CliError> {
         let wanted = plan.to_wanted()?;
         let entries = self.entries();
-        self.log(&format!("request {} {}", plan.class, plan.model));
-        self.run(move || async move { Ok(Caller::new(entries).complete(&wanted).await) })
+        let pinned = (!plan.at.is_empty()).then(|| self.address(&plan.at));
+        self.log(&format!(
+            "request {} {} {}",
+            plan.class, plan.model, plan.at
+        ));
+        self.run(move || async move {
+            let caller = match pinned {
+                Some(address) => Caller::pinned(entries, address),
+                None => Caller::new(entries),
+            };
+            Ok(caller.complete(&wanted).await)
+        })
     }
 
     /// Calls a plain service, asking up to `asks` times with one key.
--- a/crates/tinbay-cli/src/scenario/plans.rs
+++ b/crates/tinbay-cli/src/scenario/plans.rs
@@ -77,6 +77,8 @@
     pub keyed: bool,
     /// How long the caller follows "not run, come back".
     pub patience_ms: u64,
+    /// The box to connect to whatever locate says; empty for the one located.
+    pub at: String,
 }
 
 impl Default for RequestPlan {
@@ -88,6 +90,7 @@
             max_tokens: 16,
             keyed: true,
             patience_ms: 0,
+            at: String::new(),
         }
     }
 }
--- a/scenarios/path.rhai
+++ b/scenarios/path.rhai
@@ -16,8 +16,15 @@
 let reply = call_service("records", 1);
 check(reply.answered, "a plain service is called");
 
-// Each box forwards what another owns: with six adapters on two engines of two owners,
-// a caller that asks any box gets the same answers.
+// Each box forwards what another owns: a caller that connects to any box gets the same answer.
+let forwarded = 0;
+for name in ["box-1", "box-2", "box-3"] {
+    let answer = complete(#{ model: "adapter-0@v1", at: name });
+    check(answer.right, `${name} gives the whole answer, owner or not`);
+    if answer.box_id != name { forwarded += 1; }
+}
+note(`${forwarded} of 3 boxes forwarded the request to its engine's owner`);
+check(forwarded == 2, "the two boxes that do not own the engine forward to the one that does");
 let load = start_load(#{ rate_per_s: 60.0, length_ms: 1500, adapters: 6, keyed: false });
 let sum = finish_load(load);
 note(`${sum.right} of ${sum.sent} right, slowest first token ${sum.first_token_max_ms} ms`);
