A peer that goes away after the request was sent is no failed connect

Cause: the HTTP library reports a connection that closes before the answer's head as Connect(Disconnected(None)); await_head took every Connect error as 'nothing was handed over', so an attempt that may have run counted as not run. Ruled out: the claim table (no call ran twice). Change: Disconnected without a cause is Broken, that is unknown; with one it is a refused connect. client_test first failed (NotConnected for a peer that had read the request), passes.

--- a/crates/tinbay-http/src/client.rs
+++ b/crates/tinbay-http/src/client.rs
@@ -4,7 +4,7 @@
 use std::future::Future;
 use std::time::Duration;
 
-use ntex::client::error::ClientError;
+use ntex::client::error::{ClientError, ConnectError};
 use ntex::client::{Client, ClientRequest, ClientResponse, Connector};
 use ntex::http::Method;
 use ntex::time::Seconds;
@@ -105,6 +105,8 @@
     match tokio::time::timeout(within, call).await {
         Err(_) => Err(CallError::TimedOut),
         Ok(Ok(response)) => Ok(response),
+        // Without a cause this is no failed connect: the peer went away after the request was sent.
+        Ok(Err(ClientError::Connect(ConnectError::Disconnected(None)))) => Err(CallError::Broken),
         Ok(Err(ClientError::Connect(_) | ClientError::Url(_))) => Err(CallError::NotConnected),
         Ok(Err(_)) => Err(CallError::Broken),
     }
