--- a/crates/tinbay-core/src/engine/owner.rs
+++ b/crates/tinbay-core/src/engine/owner.rs
@@ -100,11 +100,6 @@
         loaded
     }
 
-    /// Whether a model can serve now.
-    pub fn is_loaded(&self, model: &ModelRef) -> bool {
-        self.slots.is_loaded(model)
-    }
-
     /// Whether the owner has learnt what the engine holds.
     pub fn has_learnt(&self) -> bool {
         self.learnt
--- a/crates/tinbay-core/src/engine/placement.rs
+++ b/crates/tinbay-core/src/engine/placement.rs
@@ -69,13 +69,9 @@
 
     /// The loaded model that serves nothing and is missed least.
     fn choose_idle_victim(&self, now_ms: Millis, wish: Wish) -> Option<ModelRef> {
-        let from_batch_only = self.may_take_from_batch_only(now_ms, wish);
-        self.slots
-            .iter()
-            .filter(|(model, slot)| {
-                self.is_idle(model, slot, now_ms)
-                    && (!from_batch_only || slot.is_held_for_batch(now_ms))
-                    && !self.queue.has_urgent(model)
+        self.idle_slots(now_ms, wish)
+            .filter(|(model, _)| {
+                !self.queue.has_urgent(model)
                     && self
                         .queue
                         .head_rank(model)
@@ -93,6 +89,15 @@
             .map(|(model, _)| model.clone())
     }
 
+    /// Slots that serve nothing and that work like this may take.
+    fn idle_slots(&self, now_ms: Millis, wish: Wish) -> impl Iterator<Item = (&ModelRef, &Slot)> {
+        let from_batch_only = self.may_take_from_batch_only(now_ms, wish);
+        self.slots.iter().filter(move |(model, slot)| {
+            self.is_idle(model, slot, now_ms)
+                && (!from_batch_only || slot.is_held_for_batch(now_ms))
+        })
+    }
+
     fn is_idle(&self, model: &ModelRef, slot: &Slot, now_ms: Millis) -> bool {
         matches!(slot.state, SlotState::Loaded | SlotState::Closing)
             && slot.serving == 0
@@ -243,17 +248,10 @@
             .count();
         let held = self.slots.iter().count();
         let free = (self.shape.slots as usize).saturating_sub(held);
-        let from_batch_only = self.may_take_from_batch_only(now_ms, wish);
-        let idle = self
-            .slots
-            .iter()
-            .filter(|(model, slot)| {
-                self.is_idle(model, slot, now_ms)
-                    && (!from_batch_only || slot.is_held_for_batch(now_ms))
-                    && self.yields(model, wish.rank, pressing)
-            })
-            .count();
-        promised < free + idle
+        let yielding = self
+            .idle_slots(now_ms, wish)
+            .filter(|(model, _)| self.yields(model, wish.rank, pressing));
+        promised < free + yielding.count()
     }
 
     /// Whether an idle model gives way: at once when nothing waits for it, else only to
--- a/crates/tinbay-node/src/control/client.rs
+++ b/crates/tinbay-node/src/control/client.rs
@@ -201,7 +201,7 @@
             }
             message = receive.recv() => match message {
                 Ok(message) => {
-                    traffic.add(message_bytes(&message));
+                    traffic.add_message(&message);
                     pending.resolve(&message);
                 }
                 Err(_) => return,
@@ -215,10 +215,6 @@
     }
 }
 
-fn message_bytes(message: &ZmqMessage) -> usize {
-    message.iter().map(|frame| frame.len()).sum()
-}
-
 /// Sends a question; `None` when the connection is gone.
 async fn send_ask(
     send: &mut DealerSendHalf,
@@ -233,7 +229,7 @@
     let number = pending.add(ask.answer);
     let mut message = ZmqMessage::from(number.to_be_bytes().to_vec());
     message.push_back(body.into());
-    traffic.add(message_bytes(&message));
+    traffic.add_message(&message);
     send.send(message).await.ok()?;
     Some(number)
 }
--- a/crates/tinbay-node/src/control/mod.rs
+++ b/crates/tinbay-node/src/control/mod.rs
@@ -14,6 +14,8 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use zeromq::ZmqMessage;
+
 /// Bytes of control messages sent and received, without the transport's own headers.
 #[derive(Debug, Clone, Default)]
 pub struct Traffic {
@@ -21,7 +23,12 @@
 }
 
 impl Traffic {
-    /// Counts a message.
+    /// Counts a message as it travels.
+    pub fn add_message(&self, message: &ZmqMessage) {
+        self.add(message.iter().map(|frame| frame.len()).sum());
+    }
+
+    /// Counts bytes.
     pub fn add(&self, bytes: usize) {
         self.bytes.fetch_add(bytes as u64, Ordering::Relaxed);
     }
--- a/crates/tinbay-node/src/control/server.rs
+++ b/crates/tinbay-node/src/control/server.rs
@@ -43,7 +43,7 @@
     pub async fn run(self, answerer: impl Answer, traffic: Traffic) {
         let (send, mut receive) = self.socket.split();
         while let Ok(message) = receive.recv().await {
-            traffic.add(message.iter().map(|frame| frame.len()).sum());
+            traffic.add_message(&message);
             let Some(question) = Question::decode(message) else {
                 continue;
             };
--- a/crates/tinbay-node/src/controllers/box_list.rs
+++ b/crates/tinbay-node/src/controllers/box_list.rs
@@ -9,7 +9,7 @@
 use super::Controller;
 use crate::logging::part;
 use crate::state::Node;
-use crate::util::sync::{read, write};
+use crate::util::sync::write;
 
 /// Time between reads.
 const PERIOD: Duration = Duration::from_secs(1);
@@ -31,7 +31,7 @@
     }
 
     async fn read_list(&self) {
-        if self.node.has_joined() && !self.is_keeper() {
+        if self.node.has_joined() && !self.node.is_keeper() {
             return;
         }
         let Ok(listed) = self.node.box_list.read().await else {
@@ -51,10 +51,6 @@
             members.set_joined();
         }
     }
-
-    fn is_keeper(&self) -> bool {
-        read(&self.node.members).is_keeper(&self.node.options.zone)
-    }
 }
 
 impl Controller for BoxListController {
--- a/crates/tinbay-node/src/controllers/config_watch.rs
+++ b/crates/tinbay-node/src/controllers/config_watch.rs
@@ -12,7 +12,6 @@
 use crate::logging::part;
 use crate::platform::{Listing, PlatformError, WatchedChange, keys};
 use crate::state::Node;
-use crate::util::sync::read;
 
 /// Time between the end of a watch and the next; lengthened at random, so that keepers do
 /// not come back all at once after an outage.
@@ -97,10 +96,7 @@
     }
 
     fn is_keeper(&self) -> bool {
-        if !self.node.has_joined() {
-            return false;
-        }
-        read(&self.node.members).is_keeper(&self.node.options.zone)
+        self.node.has_joined() && self.node.is_keeper()
     }
 }
 
--- a/crates/tinbay-node/src/controllers/meeting.rs
+++ b/crates/tinbay-node/src/controllers/meeting.rs
@@ -38,7 +38,7 @@
     }
 
     async fn meet(&mut self) {
-        if self.node.has_joined() && !self.is_keeper() {
+        if self.node.has_joined() && !self.node.is_keeper() {
             return;
         }
         let strangers = read(&self.node.members).strangers();
@@ -61,10 +61,6 @@
             write(&self.node.members).set_joined();
         }
     }
-
-    fn is_keeper(&self) -> bool {
-        read(&self.node.members).is_keeper(&self.node.options.zone)
-    }
 }
 
 impl Controller for MeetingController {
--- a/crates/tinbay-node/src/state.rs
+++ b/crates/tinbay-node/src/state.rs
@@ -177,6 +177,11 @@
         read(&self.members).has_joined()
     }
 
+    /// Whether this box is a keeper of its zone.
+    pub fn is_keeper(&self) -> bool {
+        read(&self.members).is_keeper(&self.options.zone)
+    }
+
     /// A new number for a request.
     pub fn next_request_id(&self) -> RequestId {
         RequestId(self.next_request.fetch_add(1, Ordering::Relaxed))
