--- a/crates/tinbay-core/src/lib.rs
+++ b/crates/tinbay-core/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod rendezvous;
 pub mod retry;
 pub mod route;
+pub mod serving;
 pub mod units;
 pub mod view;
--- /dev/null
+++ b/crates/tinbay-core/src/serving/configuration.rs
@@ -0,0 +1,107 @@
+//! The operators' whole configuration as the direct path reads it.
+
+use std::collections::HashMap;
+
+use crate::units::Millis;
+
+/// One whole configuration; a higher `version` replaces a lower one.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Configuration {
+    /// Version, rising with each change.
+    pub version: u64,
+    /// All routes.
+    pub routes: Vec<Route>,
+    /// All services.
+    pub services: HashMap<String, Service>,
+    /// What a caller may send.
+    pub limits: Limits,
+}
+
+/// What decides whether a request may be sent again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RouteKind {
+    /// May run more than once.
+    Safe,
+    /// Runs at most once.
+    Unsafe,
+    /// Answers with a stream of events; at most once unless the route is resumable.
+    Streaming,
+}
+
+/// Requests of one host below one path prefix.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Route {
+    /// Name for logs.
+    pub name: String,
+    /// Host the caller names.
+    pub host: String,
+    /// Prefix of the path, with a slash at both ends.
+    pub path_prefix: String,
+    /// What may be repeated.
+    pub kind: RouteKind,
+    /// Longest time a request is held.
+    pub timeout_ms: Millis,
+    /// Time within which an answer earns its full credit.
+    pub objective_ms: Millis,
+    /// Rank, 0 first.
+    pub priority: u8,
+    /// Services and their shares; one with weight 1 where there is no split.
+    pub targets: Vec<Target>,
+    /// Most servers one request may be sent to.
+    pub most_attempts: u32,
+    /// Whether a broken stream may go on at another server.
+    pub resumable: bool,
+}
+
+/// One share of a route.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Target {
+    /// Service that gets this share.
+    pub service: String,
+    /// Weight among the targets of the route.
+    pub weight: u32,
+}
+
+/// A group of servers that do the same work.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Service {
+    /// Connections each server accepts from all callers together.
+    pub most_connections: usize,
+    /// What its model engines hold; none for plain services.
+    pub engine: Option<EngineSpec>,
+}
+
+/// What each model engine of a service has room for.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EngineSpec {
+    /// Requests in a batch.
+    pub batch_slots: usize,
+    /// Adapters held at once.
+    pub adapter_slots: usize,
+    /// Loads a second that the weight store allows over all engines.
+    pub loads_per_s: f64,
+}
+
+/// Bounds on what callers send.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Limits {
+    /// Longest head, in bytes.
+    pub head_bytes: usize,
+    /// Longest body, in bytes.
+    pub body_bytes: usize,
+    /// Longest time until the head is whole.
+    pub head_timeout_ms: Millis,
+    /// Longest rest of a connection.
+    pub idle_timeout_ms: Millis,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            head_bytes: 16_384,
+            body_bytes: 4_194_304,
+            head_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
+        }
+    }
+}
--- /dev/null
+++ b/crates/tinbay-core/src/serving/mod.rs
@@ -0,0 +1,11 @@
+//! Decisions of the direct path: a box sends requests straight to back end servers.
+//!
+//! Like the rest of the core this does no I/O and reads no clock: times come in as
+//! milliseconds of a monotonic clock, decisions go out as values.
+
+pub mod budget;
+pub mod claims;
+pub mod configuration;
+pub mod pacing;
+pub mod routes;
+pub mod servers;
--- /dev/null
+++ b/crates/tinbay-core/src/serving/servers.rs
@@ -0,0 +1,64 @@
+//! What a server says about itself.
+
+use std::net::SocketAddr;
+
+use crate::units::Millis;
+
+/// An adapter as `model/name`.
+pub type AdapterName = String;
+
+/// The state a server announced.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ServerState {
+    /// Takes work.
+    Ready,
+    /// Finishes what runs and leaves.
+    Draining,
+}
+
+/// One incarnation of a server.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ServerRecord {
+    /// Name of the incarnation; a restart gives another.
+    pub id: String,
+    /// Service it belongs to.
+    pub service: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Availability zone.
+    pub zone: String,
+    /// Requests it works on at once.
+    pub slots: usize,
+    /// Whether it takes work.
+    pub state: ServerState,
+    /// Time it has left, when it is taken away at short notice.
+    pub remaining_ms: Option<Millis>,
+    /// Orders it has taken.
+    pub order_count: u64,
+    /// Base models it holds.
+    pub models: Vec<String>,
+    /// Adapters it holds.
+    pub adapters: Vec<HeldAdapter>,
+}
+
+/// An adapter and the version of it that a server holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HeldAdapter {
+    /// The adapter as `model/name`.
+    pub adapter: AdapterName,
+    /// Its version.
+    pub version: u64,
+}
+
+/// A server's own report, as of some hundred milliseconds before.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Report {
+    /// Orders it has taken.
+    pub order_count: u64,
+    /// Adapters it holds.
+    pub adapters: Vec<HeldAdapter>,
+    /// Adapters on their way to it.
+    pub incoming: Vec<HeldAdapter>,
+    /// Adapters that load fast because the server had them lately.
+    pub at_hand: Vec<HeldAdapter>,
+}
--- /dev/null
+++ b/crates/tinbay-gateway/src/directory.rs
@@ -0,0 +1,131 @@
+//! Tells callers which boxes to use, the platform whether this box is ready, and operators
+//! its measures.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tinbay_core::units::Millis;
+use tokio::net::TcpListener;
+
+use crate::http::body::AnswerBody;
+use crate::node::Node;
+
+/// Most addresses in one answer.
+const MOST_ADDRESSES: usize = 64;
+
+/// How long callers may keep an answer; boxes come and go within seconds.
+const VALID_MS: Millis = 2_000;
+
+/// Boxes of the caller's own zone that make others needless.
+const ENOUGH_IN_ZONE: usize = 2;
+
+/// Path of the measures.
+const METRICS_PATH: &str = "/metrics";
+
+/// Longest rest of a connection here.
+const REST: Duration = Duration::from_secs(20);
+
+/// Serves one of the small listeners.
+pub async fn serve(node: Rc<Node>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let node = Rc::clone(&node);
+        tokio::task::spawn_local(async move {
+            let service = service_fn(move |request| answer(Rc::clone(&node), request));
+            let _ = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(REST)
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+async fn answer(
+    node: Rc<Node>,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Infallible> {
+    let path = request.uri().path();
+    if path == node.dialect.ready_path() {
+        return Ok(readiness(&node));
+    }
+    if path == node.dialect.directory_path() {
+        let question = node
+            .dialect
+            .decode_question(request.uri().query().unwrap_or_default());
+        return Ok(directory_answer(&node, &question.zone));
+    }
+    if path == METRICS_PATH {
+        return Ok(reply(StatusCode::OK, "text/plain", node.metrics.to_text()));
+    }
+    Ok(reply(StatusCode::NOT_FOUND, "text/plain", String::new()))
+}
+
+fn readiness(node: &Node) -> Response<AnswerBody> {
+    let status = if node.is_ready() {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    };
+    reply(status, "text/plain", String::new())
+}
+
+fn directory_answer(node: &Node, zone: &str) -> Response<AnswerBody> {
+    let addresses = choose_addresses(node, zone);
+    if addresses.is_empty() {
+        return reply(StatusCode::SERVICE_UNAVAILABLE, "text/plain", String::new());
+    }
+    let valid_ms = VALID_MS.min(node.settings.borrow().bounds.directory_valid_ms);
+    let body = node.dialect.encode_directory(&addresses, valid_ms);
+    reply(StatusCode::OK, "application/json", body)
+}
+
+/// Boxes a caller of `zone` should use: those of its zone, or all where these are few.
+fn choose_addresses(node: &Node, zone: &str) -> Vec<SocketAddr> {
+    let mut boxes = up_boxes(node);
+    let in_zone = boxes.iter().filter(|(_, own_zone)| own_zone == zone).count();
+    if in_zone >= ENOUGH_IN_ZONE {
+        boxes.retain(|(_, own_zone)| own_zone == zone);
+    }
+    let mut addresses: Vec<SocketAddr> = boxes.into_iter().map(|(front, _)| front).collect();
+    addresses.sort();
+    addresses.truncate(MOST_ADDRESSES);
+    addresses
+}
+
+fn up_boxes(node: &Node) -> Vec<(SocketAddr, String)> {
+    let now_ms = node.now_ms();
+    let own_id = node.settings.borrow().box_id.clone();
+    let members = node.members.borrow();
+    let mut boxes: Vec<(SocketAddr, String)> = members
+        .all()
+        .filter(|(id, member)| **id != own_id && member.is_up(now_ms))
+        .map(|(_, member)| (member.record.front, member.record.zone.clone()))
+        .collect();
+    if node.is_ready() || boxes.is_empty() {
+        let own = node.own_record();
+        boxes.push((own.front, own.zone));
+    }
+    boxes
+}
+
+fn reply(status: StatusCode, kind: &'static str, body: impl Into<Bytes>) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::Whole(Some(body.into())));
+    *response.status_mut() = status;
+    let kind = hyper::header::HeaderValue::from_static(kind);
+    response.headers_mut().insert(CONTENT_TYPE, kind);
+    response
+}
--- /dev/null
+++ b/crates/tinbay-gateway/src/front/attempt.rs
@@ -0,0 +1,139 @@
+//! One try to have a server run a request.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::header::HeaderMap;
+use hyper::{Request, Response, StatusCode};
+
+use super::headers::{self, ServerHeaders};
+use super::question::{Question, text};
+use crate::http::body::RequestBody;
+use crate::http::pool::{ConnectError, Connection};
+use crate::node::Node;
+use crate::servers::{Flight, Server};
+
+/// How a try ended.
+pub enum AttemptResult {
+    /// The server began its answer.
+    Begun(Box<BegunAnswer>),
+    /// The server did not run it and says so.
+    Declined {
+        /// Its status.
+        status: StatusCode,
+    },
+    /// It was never sent; the body is still whole if it is given.
+    NotSent {
+        /// Why.
+        error: ConnectError,
+    },
+    /// It was sent, and the server may have run it.
+    Unknown,
+}
+
+/// An answer whose head has come.
+pub struct BegunAnswer {
+    /// Head and body.
+    pub response: Response<Incoming>,
+    /// Connection it comes on.
+    pub connection: Connection,
+    /// Counts the request at its server.
+    pub flight: Flight,
+}
+
+/// What a try needs besides the request.
+pub struct AttemptTerms<'a> {
+    /// The server.
+    pub server: &'a Rc<Server>,
+    /// Connections this box may open to it.
+    pub most_open: usize,
+    /// What is set besides the caller's headers.
+    pub headers: ServerHeaders<'a>,
+    /// Longest wait for the head.
+    pub head_within: Duration,
+}
+
+/// Sends a request to a server and waits for the head of the answer.
+pub async fn attempt(
+    node: &Node,
+    question: &Question,
+    body: RequestBody,
+    terms: AttemptTerms<'_>,
+) -> AttemptResult {
+    let flight = terms.server.take_off();
+    let exchange = exchange(node, question, body, &terms);
+    match tokio::time::timeout(terms.head_within, exchange).await {
+        Err(_) => AttemptResult::Unknown,
+        Ok(Err(result)) => result,
+        Ok(Ok((response, connection))) => judge(node, question, response, connection, flight),
+    }
+}
+
+async fn exchange(
+    node: &Node,
+    question: &Question,
+    body: RequestBody,
+    terms: &AttemptTerms<'_>,
+) -> Result<(Response<Incoming>, Connection), AttemptResult> {
+    let names = node.dialect.headers();
+    let headers = headers::for_server(&question.parts.headers, names, &terms.headers);
+    let mut request = build(question, body, headers);
+    loop {
+        let connected = terms.server.pool.get(terms.most_open).await;
+        let mut connection = connected.map_err(|error| AttemptResult::NotSent { error })?;
+        match connection.sender.try_send_request(request).await {
+            Ok(response) => return Ok((response, connection)),
+            Err(mut error) => match error.take_message() {
+                Some(unsent) if connection.is_reused => request = unsent,
+                Some(_) => {
+                    let error = ConnectError::Refused;
+                    return Err(AttemptResult::NotSent { error });
+                }
+                None => return Err(AttemptResult::Unknown),
+            },
+        }
+    }
+}
+
+fn build(question: &Question, body: RequestBody, headers: HeaderMap) -> Request<RequestBody> {
+    let mut request = Request::new(body);
+    *request.method_mut() = question.parts.method.clone();
+    *request.uri_mut() = question.parts.uri.clone();
+    *request.headers_mut() = headers;
+    request
+}
+
+fn judge(
+    node: &Node,
+    question: &Question,
+    response: Response<Incoming>,
+    connection: Connection,
+    flight: Flight,
+) -> AttemptResult {
+    let names = node.dialect.headers();
+    let status = response.status();
+    if response.headers().contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST {
+        return AttemptResult::Declined { status };
+    }
+    let is_own = text(response.headers(), &names.request_id) == Some(question.id.as_str());
+    if !is_own || is_promise(status) {
+        return AttemptResult::Unknown;
+    }
+    AttemptResult::Begun(Box::new(BegunAnswer {
+        response,
+        connection,
+        flight,
+    }))
+}
+
+/// Statuses that would tell the caller that nothing ran; without the server's word they
+/// are not passed on.
+fn is_promise(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::REQUEST_TIMEOUT
+    )
+}
--- /dev/null
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -0,0 +1,304 @@
+//! Brings a request to a server, to another one where that is allowed, and back.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::{Response, StatusCode};
+use log::Level;
+use serde::Serialize;
+use tinbay_core::retry::{AttemptEnd, AttemptEnds, RetryCase, may_retry};
+use tinbay_core::units::Millis;
+
+use super::attempt::{AttemptResult, AttemptTerms, BegunAnswer, attempt};
+use super::choice;
+use super::headers::{self, ServerHeaders};
+use super::question::Question;
+use super::refusal::Refusal;
+use crate::events::{self, part};
+use crate::http::body::{AnswerBody, RequestBody};
+use crate::http::relay::{Relay, RelayTerms};
+use crate::node::Node;
+use crate::servers::Server;
+
+/// Most tries of one request, refused ones included.
+const MOST_TRIES: usize = 4;
+
+/// Shortest wait after which a refused caller comes back.
+const SHORTEST_RETRY_MS: Millis = 50;
+
+/// Mistrust after a try that may have run without an answer.
+const MISTRUST_UNKNOWN: f64 = 1.0;
+
+/// Mistrust after a connection that did not stand.
+const MISTRUST_CONNECT: f64 = 2.0;
+
+/// Mistrust after the server declined.
+const MISTRUST_DECLINED: f64 = 0.5;
+
+/// What is known of a request's tries so far.
+#[derive(Debug, Default)]
+struct Tries {
+    tried: Vec<String>,
+    ends: AttemptEnds,
+    runs: u32,
+}
+
+#[derive(Serialize)]
+struct TryEvent<'a> {
+    request: &'a str,
+    server: &'a str,
+    outcome: &'a str,
+    status: Option<u16>,
+    flights: usize,
+    age_ms: Millis,
+}
+
+/// Brings a request to a server and back.
+///
+/// # Errors
+/// What the caller is told instead of a server's answer.
+pub async fn deliver(
+    node: &Rc<Node>,
+    question: &Rc<Question>,
+    body: RequestBody,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let mut tries = Tries::default();
+    let mut body = Some(body);
+    loop {
+        let Some(server) = choice::choose(node, question, &tries.tried) else {
+            return Err(give_up(node, question, &tries));
+        };
+        let Some(sent) = body.take() else {
+            return Err(give_up(node, question, &tries));
+        };
+        body = sent.repeat();
+        let result = try_server(node, question, sent, &server).await;
+        log_try(node, question, &server, &result);
+        let end = match result {
+            AttemptResult::Begun(answer) => {
+                let may_go_on = tries.runs + 1 < question.route.most_attempts;
+                if is_worth_repeating(question, &answer)
+                    && may_go_on
+                    && body.is_some()
+                    && take_second_send(node, question)
+                {
+                    AttemptEnd::Unknown
+                } else {
+                    return Ok(relay(node, question, *answer));
+                }
+            }
+            AttemptResult::Declined { .. } => {
+                server.add_mistrust(MISTRUST_DECLINED, node.now_ms());
+                AttemptEnd::NotRun
+            }
+            AttemptResult::NotSent { .. } => {
+                server.add_mistrust(MISTRUST_CONNECT, node.now_ms());
+                AttemptEnd::NotRun
+            }
+            AttemptResult::Unknown => {
+                server.add_mistrust(MISTRUST_UNKNOWN, node.now_ms());
+                AttemptEnd::Unknown
+            }
+        };
+        tries.ends.note(end);
+        tries.tried.push(server.record().id.clone());
+        if end == AttemptEnd::Unknown {
+            tries.runs += 1;
+        }
+        if !may_go_on(node, question, &tries, end) {
+            return Err(give_up(node, question, &tries));
+        }
+    }
+}
+
+async fn try_server(
+    node: &Node,
+    question: &Question,
+    body: RequestBody,
+    server: &Rc<Server>,
+) -> AttemptResult {
+    let now_ms = node.now_ms();
+    let left_ms = question.time_up_ms.saturating_sub(now_ms);
+    let record = server.record();
+    let terms = AttemptTerms {
+        server,
+        most_open: most_open(node, question),
+        headers: ServerHeaders {
+            deadline_ms: left_ms,
+            server_id: &record.id,
+            priority: Some(question.route.priority.min(9)),
+            version: question.model.as_deref().and_then(|model| node.named_version(model)),
+            last_event: None,
+        },
+        head_within: Duration::from_millis(left_ms),
+    };
+    attempt(node, question, body, terms).await
+}
+
+/// Connections this box may open to one server: its part of what the server accepts.
+fn most_open(node: &Node, question: &Question) -> usize {
+    let accepted = node
+        .in_force()
+        .and_then(|in_force| {
+            let service = in_force.configuration.services.get(&question.service)?;
+            Some(service.most_connections)
+        })
+        .unwrap_or_default();
+    (accepted / (node.box_count() + 1)).max(4)
+}
+
+fn is_worth_repeating(question: &Question, answer: &BegunAnswer) -> bool {
+    question.is_repeatable() && answer.response.status().is_server_error()
+}
+
+fn may_go_on(node: &Node, question: &Question, tries: &Tries, end: AttemptEnd) -> bool {
+    let case = RetryCase {
+        end,
+        repeatable: question.is_repeatable() && tries.runs < question.route.most_attempts,
+        answer_begun: false,
+        now_ms: node.now_ms(),
+        deadline_ms: question.time_up_ms,
+    };
+    may_retry(&case) && tries.tried.len() < MOST_TRIES && take_second_send(node, question)
+}
+
+fn take_second_send(node: &Node, question: &Question) -> bool {
+    let terms = node.settings.borrow().bounds.second_sends;
+    let boxes = node.box_count();
+    let now_ms = node.now_ms();
+    let mut budgets = node.budgets.borrow_mut();
+    let budget = budgets.entry(question.service.clone()).or_default();
+    let is_taken = budget.take_second(&terms, boxes, now_ms);
+    let outcome = if is_taken { "sent" } else { "no_budget" };
+    node.metrics.second_sends.with_label_values(&[outcome]).inc();
+    is_taken
+}
+
+fn give_up(node: &Node, question: &Question, tries: &Tries) -> Refusal {
+    if !tries.ends.are_all_not_run() {
+        return if node.now_ms() >= question.time_up_ms {
+            Refusal::TimeUp
+        } else {
+            Refusal::MayHaveRun
+        };
+    }
+    Refusal::NotRun {
+        retry_after_ms: SHORTEST_RETRY_MS,
+    }
+}
+
+fn log_try(node: &Node, question: &Question, server: &Server, result: &AttemptResult) {
+    let (outcome, status, level) = match result {
+        AttemptResult::Begun(answer) => {
+            let status = answer.response.status();
+            let level = if status == StatusCode::OK { Level::Debug } else { Level::Info };
+            ("begun", Some(status.as_u16()), level)
+        }
+        AttemptResult::Declined { status } => ("declined", Some(status.as_u16()), Level::Info),
+        AttemptResult::NotSent { .. } => ("not_sent", None, Level::Info),
+        AttemptResult::Unknown => ("unknown", None, Level::Info),
+    };
+    let event = TryEvent {
+        request: &question.id,
+        server: &server.record().id,
+        outcome,
+        status,
+        flights: server.flights(),
+        age_ms: node.now_ms() - question.arrived_ms,
+    };
+    events::emit(part::FRONT, level, "try", &event);
+}
+
+fn relay(node: &Rc<Node>, question: &Rc<Question>, answer: BegunAnswer) -> Response<AnswerBody> {
+    let server = answer.flight.server();
+    let (mut parts, incoming) = answer.response.into_parts();
+    let terms = RelayTerms {
+        connection: answer.connection,
+        pool: Rc::clone(&server.pool),
+        rest: headers::allowed_rest(&parts.headers),
+        may_keep: headers::keeps_connection(&parts.headers),
+        time_up: node.clock.instant(question.time_up_ms),
+        end: observe_end(node, question, answer.flight, parts.status.as_u16()),
+    };
+    headers::drop_hop_headers(&mut parts.headers);
+    let relay = Relay::new(incoming, terms);
+    Response::from_parts(parts, AnswerBody::Relayed(Box::new(relay)))
+}
+
+fn observe_end(
+    node: &Rc<Node>,
+    question: &Rc<Question>,
+    flight: crate::servers::Flight,
+    status: u16,
+) -> crate::http::relay::EndObserver {
+    let node = Rc::clone(node);
+    let question = Rc::clone(question);
+    let head_ms = node.now_ms() - question.arrived_ms;
+    Box::new(move |end| {
+        let ending = match end {
+            Ok(()) => Ending::Whole,
+            Err(error) => Ending::Cut(error),
+        };
+        let server = flight.server().record().id.clone();
+        log_end(&node, &question, Some(&server), status, Some(head_ms), &ending);
+        drop(flight);
+    })
+}
+
+/// How an answer ended.
+pub enum Ending {
+    /// Whole.
+    Whole,
+    /// Cut.
+    Cut(crate::http::body::BodyError),
+    /// An answer of our own.
+    Refused(Refusal),
+}
+
+#[derive(Serialize)]
+struct EndEvent<'a> {
+    request: &'a str,
+    route: &'a str,
+    service: &'a str,
+    configuration: u64,
+    model: Option<&'a str>,
+    server: Option<&'a str>,
+    status: u16,
+    outcome: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    cause: Option<String>,
+    head_ms: Option<Millis>,
+    total_ms: Millis,
+}
+
+/// Writes the line that ends a request's story.
+pub fn log_end(
+    node: &Node,
+    question: &Question,
+    server: Option<&str>,
+    status: u16,
+    head_ms: Option<Millis>,
+    ending: &Ending,
+) {
+    let (outcome, cause) = match ending {
+        Ending::Whole if status < 400 => ("answered", None),
+        Ending::Whole => ("failed_by_server", None),
+        Ending::Cut(error) => ("cut", Some(error.to_string())),
+        Ending::Refused(refusal) => (refusal.name(), Some(refusal.to_string())),
+    };
+    let event = EndEvent {
+        request: &question.id,
+        route: &question.route.name,
+        service: &question.service,
+        configuration: question.configuration_version,
+        model: question.model.as_deref(),
+        server,
+        status,
+        outcome,
+        cause,
+        head_ms,
+        total_ms: node.now_ms() - question.arrived_ms,
+    };
+    node.metrics.requests.with_label_values(&[question.kind(), outcome]).inc();
+    events::emit(part::FRONT, Level::Info, "request", &event);
+}
--- /dev/null
+++ b/crates/tinbay-gateway/src/front/listener.rs
@@ -0,0 +1,150 @@
+//! Takes callers' connections.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use log::Level;
+use rand::RngExt;
+use tinbay_core::units::Millis;
+use tokio::net::{TcpListener, TcpStream};
+
+use super::deliver::{self, Ending};
+use super::question::Question;
+use super::refusal::Refusal;
+use crate::events::{self, part};
+use crate::http::body::{AnswerBody, BodyError, read_request_body};
+use crate::node::Node;
+
+/// Longest body that is kept whole, so that it can be sent a second time.
+const MOST_KEPT_BYTES: usize = 131_072;
+
+/// Shortest read buffer that hyper takes.
+const LEAST_BUFFER_BYTES: usize = 8_192;
+
+/// Counts a caller's connection while it lives.
+struct Open(Rc<Node>);
+
+impl Open {
+    fn begin(node: &Rc<Node>) -> Self {
+        node.connections.set(node.connections.get() + 1);
+        Self(Rc::clone(node))
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.connections.set(self.0.connections.get() - 1);
+    }
+}
+
+/// Takes callers' connections until the box stops.
+pub async fn listen(node: Rc<Node>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let _ = stream.set_nodelay(true);
+                tokio::task::spawn_local(serve(Rc::clone(&node), stream));
+            }
+            Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
+        }
+    }
+}
+
+async fn serve(node: Rc<Node>, stream: TcpStream) {
+    let _open = Open::begin(&node);
+    let limits = node.limits();
+    let service = {
+        let node = Rc::clone(&node);
+        service_fn(move |request| answer(Rc::clone(&node), request))
+    };
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms))
+        .max_buf_size(limits.head_bytes.max(LEAST_BUFFER_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        () = node.closing.wait() => connection.as_mut().graceful_shutdown(),
+    }
+    let _ = connection.await;
+}
+
+async fn answer(
+    node: Rc<Node>,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Infallible> {
+    let arrived_ms = node.now_ms();
+    let (parts, body) = request.into_parts();
+    let draw = rand::rng().random_range(0.0..1.0);
+    let mut response = match Question::read(&node, parts, arrived_ms, draw) {
+        Ok(question) => take(&node, Rc::new(question), body).await,
+        Err(refusal) => {
+            log_refusal(refusal);
+            refusal.to_response()
+        }
+    };
+    if node.is_leaving.get() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    Ok(response)
+}
+
+async fn take(node: &Rc<Node>, question: Rc<Question>, body: Incoming) -> Response<AnswerBody> {
+    let left = Duration::from_millis(question.time_up_ms - question.arrived_ms);
+    let delivering = read_and_deliver(node, &question, body);
+    let result = match tokio::time::timeout(left, delivering).await {
+        Ok(result) => result,
+        Err(_) => Err(Refusal::TimeUp),
+    };
+    match result {
+        Ok(response) => response,
+        Err(refusal) => {
+            let response = refusal.to_response();
+            let status = response.status().as_u16();
+            deliver::log_end(node, &question, None, status, None, &Ending::Refused(refusal));
+            response
+        }
+    }
+}
+
+async fn read_and_deliver(
+    node: &Rc<Node>,
+    question: &Rc<Question>,
+    body: Incoming,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let most_bytes = node.limits().body_bytes;
+    let body = read_request_body(body, MOST_KEPT_BYTES, most_bytes)
+        .await
+        .map_err(|error| match error {
+            BodyError::TooLong => Refusal::BodyTooLong,
+            _ => Refusal::CallerBrokeOff,
+        })?;
+    note_first_send(node, question);
+    deliver::deliver(node, question, body).await
+}
+
+fn note_first_send(node: &Node, question: &Question) {
+    let now_ms: Millis = node.now_ms();
+    let mut budgets = node.budgets.borrow_mut();
+    budgets.entry(question.service.clone()).or_default().note_first(now_ms);
+}
+
+fn log_refusal(refusal: Refusal) {
+    #[derive(serde::Serialize)]
+    struct RefusedEvent {
+        outcome: &'static str,
+    }
+    let event = RefusedEvent {
+        outcome: refusal.name(),
+    };
+    events::emit(part::FRONT, Level::Info, "unrouted", &event);
+}
--- /dev/null
+++ b/crates/tinbay-gateway/src/front/mod.rs
@@ -0,0 +1,9 @@
+//! Takes callers' requests and brings them their answers.
+
+pub mod attempt;
+pub mod choice;
+pub mod deliver;
+pub mod headers;
+pub mod listener;
+pub mod question;
+pub mod refusal;
--- /dev/null
+++ b/crates/tinbay-gateway/src/front/question.rs
@@ -0,0 +1,92 @@
+//! A caller's request with all that decides its way.
+
+use std::rc::Rc;
+
+use hyper::header::{HOST, HeaderMap, HeaderName};
+use hyper::http::request::Parts;
+use tinbay_core::serving::configuration::{Route, RouteKind};
+use tinbay_core::units::Millis;
+
+use super::refusal::Refusal;
+use crate::node::Node;
+
+/// Time a caller is taken to wait where it names none.
+const DEFAULT_DEADLINE_MS: Millis = 30_000;
+
+/// A caller's request with all that decides its way.
+#[derive(Debug)]
+pub struct Question {
+    /// Id of the caller's try.
+    pub id: String,
+    /// Method, path, query and headers as they came.
+    pub parts: Parts,
+    /// The route.
+    pub route: Rc<Route>,
+    /// The service chosen among the route's.
+    pub service: String,
+    /// Version of the configuration that gave the route.
+    pub configuration_version: u64,
+    /// The adapter asked for as `model/name`, or the model alone.
+    pub model: Option<String>,
+    /// When the request came.
+    pub arrived_ms: Millis,
+    /// When its time is up: the caller's deadline or the route's time-out.
+    pub time_up_ms: Millis,
+}
+
+impl Question {
+    /// Reads a request's head and finds its route.
+    ///
+    /// # Errors
+    /// What the caller is told where there is no way.
+    pub fn read(node: &Node, parts: Parts, arrived_ms: Millis, draw: f64) -> Result<Self, Refusal> {
+        let names = node.dialect.headers();
+        let in_force = node.in_force().ok_or(Refusal::NoConfiguration)?;
+        let host = text(&parts.headers, &HOST).or_else(|| parts.uri.host()).unwrap_or_default();
+        let route = in_force
+            .routes
+            .find(host, parts.uri.path())
+            .ok_or(Refusal::NoRoute)?;
+        let service = route.choose_service(draw).ok_or(Refusal::NoRoute)?.to_string();
+        let id = text(&parts.headers, &names.request_id).ok_or(Refusal::NoRequestId)?.to_string();
+        let deadline_ms = text(&parts.headers, &names.deadline_ms)
+            .and_then(|value| value.trim().parse::<f64>().ok())
+            .map_or(DEFAULT_DEADLINE_MS, |value| value as Millis);
+        let model = text(&parts.headers, &names.model).map(str::to_string);
+        let time_up_ms = arrived_ms + deadline_ms.min(route.timeout_ms);
+        Ok(Self {
+            id,
+            route,
+            service,
+            configuration_version: in_force.configuration.version,
+            model,
+            arrived_ms,
+            time_up_ms,
+            parts,
+        })
+    }
+
+    /// Whether the request may run more than once.
+    pub fn is_repeatable(&self) -> bool {
+        match self.route.kind {
+            RouteKind::Safe => true,
+            RouteKind::Unsafe => false,
+            RouteKind::Streaming => self.route.resumable,
+        }
+    }
+
+    /// The kind of its route, for logs and measures.
+    pub fn kind(&self) -> &'static str {
+        match (self.route.kind, self.route.resumable) {
+            (RouteKind::Safe, _) => "safe",
+            (RouteKind::Unsafe, _) => "unsafe",
+            (RouteKind::Streaming, false) => "streaming",
+            (RouteKind::Streaming, true) => "resumable",
+        }
+    }
+}
+
+/// A header's text.
+pub fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
--- /dev/null
+++ b/crates/tinbay-gateway/src/front/refusal.rs
@@ -0,0 +1,97 @@
+//! Answers of our own, where a server's answer is not to be had.
+
+use bytes::Bytes;
+use hyper::header::{HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+use tinbay_core::units::{MS_PER_SECOND, Millis};
+
+use crate::http::body::AnswerBody;
+
+/// Why a request gets an answer of our own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum Refusal {
+    /// No configuration is known yet.
+    #[error("no configuration is known yet")]
+    NoConfiguration,
+    /// No route fits.
+    #[error("no route fits")]
+    NoRoute,
+    /// The request names no id.
+    #[error("the request names no id")]
+    NoRequestId,
+    /// The body is longer than allowed.
+    #[error("the body is longer than allowed")]
+    BodyTooLong,
+    /// The caller broke off its request.
+    #[error("the caller broke off its request")]
+    CallerBrokeOff,
+    /// No server of the service takes work.
+    #[error("no server takes work")]
+    NoServer,
+    /// No server could take it in time; it has not run and will not.
+    #[error("not run")]
+    NotRun {
+        /// When to come back.
+        retry_after_ms: Millis,
+    },
+    /// A server may have run it, and there is no whole answer.
+    #[error("it may have run")]
+    MayHaveRun,
+    /// Its time is up, and a server may have run it.
+    #[error("time is up, it may have run")]
+    TimeUp,
+}
+
+/// When to come back while nothing is known of the service.
+const RETRY_AFTER_UNKNOWN_MS: Millis = 300;
+
+impl Refusal {
+    /// Name for logs and measures.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Refusal::NoConfiguration => "no_configuration",
+            Refusal::NoRoute => "no_route",
+            Refusal::NoRequestId => "no_request_id",
+            Refusal::BodyTooLong => "body_too_long",
+            Refusal::CallerBrokeOff => "caller_broke_off",
+            Refusal::NoServer => "no_server",
+            Refusal::NotRun { .. } => "not_run",
+            Refusal::MayHaveRun => "may_have_run",
+            Refusal::TimeUp => "time_up",
+        }
+    }
+
+    fn status(&self) -> StatusCode {
+        match self {
+            Refusal::NoConfiguration | Refusal::NoServer | Refusal::NotRun { .. } => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            Refusal::NoRoute => StatusCode::NOT_FOUND,
+            Refusal::NoRequestId | Refusal::CallerBrokeOff => StatusCode::BAD_REQUEST,
+            Refusal::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            Refusal::MayHaveRun => StatusCode::BAD_GATEWAY,
+            Refusal::TimeUp => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    fn retry_after_ms(&self) -> Option<Millis> {
+        match self {
+            Refusal::NotRun { retry_after_ms } => Some(*retry_after_ms),
+            Refusal::NoConfiguration | Refusal::NoServer => Some(RETRY_AFTER_UNKNOWN_MS),
+            _ => None,
+        }
+    }
+
+    /// The answer to the caller.
+    pub fn to_response(self) -> Response<AnswerBody> {
+        let mut response = Response::new(AnswerBody::Whole(Some(Bytes::from(self.to_string()))));
+        *response.status_mut() = self.status();
+        if let Some(after_ms) = self.retry_after_ms() {
+            let seconds = format!("{:.3}", after_ms as f64 / MS_PER_SECOND as f64);
+            if let Ok(value) = HeaderValue::from_str(&seconds) {
+                response.headers_mut().insert(RETRY_AFTER, value);
+            }
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/tinbay-gateway/src/http/body.rs
@@ -0,0 +1,189 @@
+//! Bodies that go on to servers and back to callers.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use tokio::sync::mpsc;
+
+use crate::http::relay::Relay;
+
+/// Why an answer or a body ended early.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum BodyError {
+    /// The server broke off.
+    #[error("the server broke off")]
+    ServerBrokeOff,
+    /// The caller broke off.
+    #[error("the caller broke off")]
+    CallerBrokeOff,
+    /// The time of the request is up.
+    #[error("the time of the request is up")]
+    TimeUp,
+    /// The body is longer than allowed.
+    #[error("the body is too long")]
+    TooLong,
+}
+
+/// The body of a caller's request: what was read so far, then what still comes.
+#[derive(Debug)]
+pub struct RequestBody {
+    first: Bytes,
+    rest: Option<Incoming>,
+}
+
+impl RequestBody {
+    /// A body that is all there.
+    pub fn whole(bytes: Bytes) -> Self {
+        Self {
+            first: bytes,
+            rest: None,
+        }
+    }
+
+    /// A body whose end is still to come.
+    pub fn streamed(first: Bytes, rest: Incoming) -> Self {
+        Self {
+            first,
+            rest: Some(rest),
+        }
+    }
+
+    /// The same body once more, if all of it is there.
+    pub fn repeat(&self) -> Option<Self> {
+        match self.rest {
+            Some(_) => None,
+            None => Some(Self::whole(self.first.clone())),
+        }
+    }
+}
+
+/// Reads a caller's body up to `most_kept` bytes; a longer one stays a stream.
+///
+/// # Errors
+/// When the caller broke off, or the body is longer than `most` bytes.
+pub async fn read_request_body(
+    mut body: Incoming,
+    most_kept: usize,
+    most: usize,
+) -> Result<RequestBody, BodyError> {
+    if body.size_hint().lower() > most as u64 {
+        return Err(BodyError::TooLong);
+    }
+    let mut kept: Vec<Bytes> = Vec::new();
+    let mut length = 0;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| BodyError::CallerBrokeOff)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        length += data.len();
+        kept.push(data);
+        if length > most {
+            return Err(BodyError::TooLong);
+        }
+        if length > most_kept {
+            return Ok(RequestBody::streamed(join(kept, length), body));
+        }
+    }
+    Ok(RequestBody::whole(join(kept, length)))
+}
+
+fn join(mut parts: Vec<Bytes>, length: usize) -> Bytes {
+    if parts.len() == 1 {
+        return parts.remove(0);
+    }
+    let mut joined = Vec::with_capacity(length);
+    for part in parts {
+        joined.extend_from_slice(&part);
+    }
+    Bytes::from(joined)
+}
+
+impl Body for RequestBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if !self.first.is_empty() {
+            let first = std::mem::take(&mut self.first);
+            return Poll::Ready(Some(Ok(Frame::data(first))));
+        }
+        match &mut self.rest {
+            None => Poll::Ready(None),
+            Some(rest) => Pin::new(rest)
+                .poll_frame(context)
+                .map(|frame| frame.map(|frame| frame.map_err(|_| BodyError::CallerBrokeOff))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.first.is_empty() && self.rest.as_ref().is_none_or(Body::is_end_stream)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let first = self.first.len() as u64;
+        let Some(rest) = &self.rest else {
+            return SizeHint::with_exact(first);
+        };
+        let rest = rest.size_hint();
+        let mut hint = SizeHint::new();
+        hint.set_lower(first + rest.lower());
+        if let Some(upper) = rest.upper() {
+            hint.set_upper(first + upper);
+        }
+        hint
+    }
+}
+
+/// The body of an answer to a caller.
+#[derive(Debug)]
+pub enum AnswerBody {
+    /// All there.
+    Whole(Option<Bytes>),
+    /// A server's bytes as they come.
+    Relayed(Box<Relay>),
+    /// Events that may come from several servers in turn.
+    Events(mpsc::Receiver<Result<Bytes, BodyError>>),
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match self.get_mut() {
+            AnswerBody::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            AnswerBody::Relayed(relay) => relay.poll_data(context),
+            AnswerBody::Events(events) => events
+                .poll_recv(context)
+                .map(|event| event.map(|event| event.map(Frame::data))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            AnswerBody::Whole(bytes) => bytes.is_none(),
+            AnswerBody::Relayed(relay) => relay.is_at_end(),
+            AnswerBody::Events(_) => false,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            AnswerBody::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64)
+            }
+            AnswerBody::Relayed(relay) => relay.size_hint(),
+            AnswerBody::Events(_) => SizeHint::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/tinbay-gateway/src/http/mod.rs
@@ -0,0 +1,6 @@
+//! HTTP by hyper: single calls, connections to servers, bodies.
+
+pub mod body;
+pub mod call;
+pub mod pool;
+pub mod relay;
--- /dev/null
+++ b/crates/tinbay-gateway/src/http/pool.rs
@@ -0,0 +1,148 @@
+//! Kept connections to one server, each with a handle of its own.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+
+use super::body::RequestBody;
+
+/// Longest time until a connection stands; a server is at most a few milliseconds away.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Longest rest of a connection where the server names none.
+const DEFAULT_REST: Duration = Duration::from_millis(4_000);
+
+/// Longest time a used connection takes to become ready again.
+const READY_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Why there is no connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum ConnectError {
+    /// All that this box may open are in use.
+    #[error("all connections to the server are in use")]
+    AllInUse,
+    /// The server did not take a connection.
+    #[error("the server took no connection")]
+    Refused,
+}
+
+/// Kept connections to one server.
+#[derive(Debug)]
+pub struct Pool {
+    address: SocketAddr,
+    idle: RefCell<Vec<Idle>>,
+    open: Rc<Cell<usize>>,
+}
+
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    until: Instant,
+}
+
+/// A connection in use; dropped, it is closed at once.
+#[derive(Debug)]
+pub struct Connection {
+    /// Sends one request at a time.
+    pub sender: SendRequest<RequestBody>,
+    /// Whether it carried a request before.
+    pub is_reused: bool,
+    driver: AbortHandle,
+    open: Rc<Cell<usize>>,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+        self.open.set(self.open.get() - 1);
+    }
+}
+
+impl Pool {
+    /// A pool for a server at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            idle: RefCell::default(),
+            open: Rc::default(),
+        }
+    }
+
+    /// A kept connection, or a new one while fewer than `most_open` are open.
+    ///
+    /// # Errors
+    /// When none may be opened or the server takes none.
+    pub async fn get(&self, most_open: usize) -> Result<Connection, ConnectError> {
+        if let Some(connection) = self.take_idle() {
+            return Ok(connection);
+        }
+        if self.open.get() >= most_open {
+            return Err(ConnectError::AllInUse);
+        }
+        self.connect().await
+    }
+
+    fn take_idle(&self) -> Option<Connection> {
+        let now = Instant::now();
+        let mut idle = self.idle.borrow_mut();
+        while let Some(kept) = idle.pop() {
+            if kept.until > now && kept.connection.sender.is_ready() {
+                return Some(kept.connection);
+            }
+        }
+        None
+    }
+
+    async fn connect(&self) -> Result<Connection, ConnectError> {
+        let connecting = TcpStream::connect(self.address);
+        let stream = match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
+            Ok(Ok(stream)) => stream,
+            _ => return Err(ConnectError::Refused),
+        };
+        let _ = stream.set_nodelay(true);
+        let (sender, driver) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|_| ConnectError::Refused)?;
+        let driver = tokio::task::spawn_local(async move {
+            let _ = driver.await;
+        });
+        self.open.set(self.open.get() + 1);
+        Ok(Connection {
+            sender,
+            is_reused: false,
+            driver: driver.abort_handle(),
+            open: Rc::clone(&self.open),
+        })
+    }
+
+    /// Keeps a connection whose answer came whole, for part of the rest the server allows.
+    pub fn give_back(self: &Rc<Self>, mut connection: Connection, rest: Option<Duration>) {
+        let pool = Rc::clone(self);
+        let until = Instant::now() + rest.unwrap_or(DEFAULT_REST) / 2;
+        tokio::task::spawn_local(async move {
+            let ready = tokio::time::timeout(READY_TIMEOUT, connection.sender.ready()).await;
+            if matches!(ready, Ok(Ok(()))) {
+                connection.is_reused = true;
+                pool.idle.borrow_mut().push(Idle { connection, until });
+            }
+        });
+    }
+
+    /// Closes connections that have rested too long or that the server has closed.
+    pub fn tidy(&self) {
+        let now = Instant::now();
+        let keeps = |idle: &Idle| idle.until > now && !idle.connection.sender.is_closed();
+        self.idle.borrow_mut().retain(keeps);
+    }
+
+    /// Closes all resting connections.
+    pub fn clear(&self) {
+        self.idle.borrow_mut().clear();
+    }
+}
--- /dev/null
+++ b/crates/tinbay-gateway/src/lib.rs
@@ -0,0 +1,21 @@
+//! The direct path: callers' requests go from the box they connect to straight to a server.
+//!
+//! Every box runs the same program on one thread, as the boxes show one core. What differs
+//! from one surrounding to another (names, formats, calls) stands behind the traits of
+//! [`port`]; what is decided stands in `tinbay_core::serving`.
+
+pub mod clock;
+pub mod directory;
+pub mod error;
+pub mod events;
+pub mod front;
+pub mod http;
+pub mod latch;
+pub mod members;
+pub mod metrics;
+pub mod node;
+pub mod port;
+pub mod run;
+pub mod servers;
+pub mod settings;
+pub mod watch;
--- /dev/null
+++ b/crates/tinbay-gateway/src/members.rs
@@ -0,0 +1,113 @@
+//! The boxes this box knows.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use tinbay_core::units::Millis;
+
+/// Silence after which a box that used to talk is no longer handed out.
+const SILENT_AFTER_MS: Millis = 1_500;
+
+/// What a box writes about itself into the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberRecord {
+    /// Where callers connect.
+    pub front: SocketAddr,
+    /// Where other boxes send messages.
+    pub peer: SocketAddr,
+    /// Availability zone.
+    pub zone: String,
+    /// Whether it takes no new callers.
+    pub is_leaving: bool,
+}
+
+/// A box and what is believed of it.
+#[derive(Debug, Clone)]
+pub struct Member {
+    /// What it wrote about itself.
+    pub record: MemberRecord,
+    /// Whether its entry is in the store, and since when that is so.
+    pub listed: bool,
+    /// When that changed last.
+    pub listed_changed_ms: Millis,
+    /// When it was last heard.
+    pub heard_ms: Option<Millis>,
+}
+
+/// The other boxes.
+#[derive(Debug, Default)]
+pub struct Members {
+    by_id: HashMap<String, Member>,
+}
+
+impl Members {
+    /// Notes a box's entry in the store.
+    pub fn put(&mut self, id: &str, record: MemberRecord, now_ms: Millis) {
+        let member = self.by_id.entry(id.to_string()).or_insert_with(|| Member {
+            record: record.clone(),
+            listed: true,
+            listed_changed_ms: now_ms,
+            heard_ms: None,
+        });
+        member.record = record;
+        if !member.listed {
+            member.listed = true;
+            member.listed_changed_ms = now_ms;
+        }
+    }
+
+    /// Notes that a box's entry went away.
+    pub fn unlist(&mut self, id: &str, now_ms: Millis) {
+        if let Some(member) = self.by_id.get_mut(id)
+            && member.listed
+        {
+            member.listed = false;
+            member.listed_changed_ms = now_ms;
+        }
+    }
+
+    /// Notes a message of a box.
+    pub fn hear(&mut self, id: &str, record: MemberRecord, now_ms: Millis) {
+        let member = self.by_id.entry(id.to_string()).or_insert_with(|| Member {
+            record: record.clone(),
+            listed: false,
+            listed_changed_ms: now_ms,
+            heard_ms: None,
+        });
+        member.record = record;
+        member.heard_ms = Some(now_ms);
+    }
+
+    /// One box.
+    pub fn get(&self, id: &str) -> Option<&Member> {
+        self.by_id.get(id)
+    }
+
+    /// All boxes known.
+    pub fn all(&self) -> impl Iterator<Item = (&String, &Member)> {
+        self.by_id.iter()
+    }
+
+    /// Forgets boxes that are neither listed nor heard for long.
+    pub fn tidy(&mut self, oldest_ms: Millis) {
+        self.by_id.retain(|_, member| {
+            member.listed
+                || member.listed_changed_ms >= oldest_ms
+                || member.heard_ms.is_some_and(|heard_ms| heard_ms >= oldest_ms)
+        });
+    }
+}
+
+impl Member {
+    /// Whether callers may be sent to it.
+    pub fn is_up(&self, now_ms: Millis) -> bool {
+        if self.record.is_leaving {
+            return false;
+        }
+        match self.heard_ms {
+            Some(heard_ms) => now_ms.saturating_sub(heard_ms) < SILENT_AFTER_MS,
+            None => self.listed,
+        }
+    }
+}
--- /dev/null
+++ b/crates/tinbay-gateway/src/metrics.rs
@@ -0,0 +1,75 @@
+//! What a box on the direct path measures.
+
+use prometheus::{Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder};
+
+use crate::error::GatewayError;
+
+/// Bounds in seconds, around objectives of 150 ms to a second.
+const SECONDS_BOUNDS: [f64; 11] = [
+    0.005, 0.02, 0.05, 0.1, 0.15, 0.3, 0.6, 0.8, 1.0, 2.0, 5.0,
+];
+
+/// The measures of one box.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Requests by kind and outcome.
+    pub requests: IntCounterVec,
+    /// Time to the head of the answer, by kind.
+    pub head_seconds: HistogramVec,
+    /// Time a request waited for its adapter, by outcome.
+    pub stall_seconds: HistogramVec,
+    /// Sends beyond a request's first, by outcome.
+    pub second_sends: IntCounterVec,
+    /// Calls to the store, by call and outcome.
+    pub store_calls: IntCounterVec,
+    /// Orders to servers, by action and outcome.
+    pub orders: IntCounterVec,
+    /// What is believed: versions, counts and ages by name.
+    pub beliefs: IntGaugeVec,
+}
+
+impl Metrics {
+    /// New measures, all zero.
+    ///
+    /// # Errors
+    /// When two measures share a name; a mistake in this file.
+    pub fn new() -> Result<Self, GatewayError> {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            let counter = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok::<_, GatewayError>(counter)
+        };
+        let histogram = |name: &str, help: &str, labels: &[&str]| {
+            let options = HistogramOpts::new(name, help).buckets(SECONDS_BOUNDS.to_vec());
+            let histogram = HistogramVec::new(options, labels)?;
+            registry.register(Box::new(histogram.clone()))?;
+            Ok::<_, GatewayError>(histogram)
+        };
+        let beliefs = IntGaugeVec::new(Opts::new("tinbay_belief", "What the box believes"), &["what"])?;
+        registry.register(Box::new(beliefs.clone()))?;
+        Ok(Self {
+            requests: counter("tinbay_requests_total", "Requests", &["kind", "outcome"])?,
+            head_seconds: histogram("tinbay_head_seconds", "Time to the head", &["kind"])?,
+            stall_seconds: histogram("tinbay_stall_seconds", "Wait for an adapter", &["outcome"])?,
+            second_sends: counter("tinbay_second_sends_total", "Second sends", &["outcome"])?,
+            store_calls: counter("tinbay_store_calls_total", "Calls to the store", &["call", "outcome"])?,
+            orders: counter("tinbay_orders_total", "Orders to servers", &["action", "outcome"])?,
+            beliefs,
+            registry,
+        })
+    }
+
+    /// All measures as text.
+    pub fn to_text(&self) -> String {
+        let mut text = Vec::new();
+        if TextEncoder::new()
+            .encode(&self.registry.gather(), &mut text)
+            .is_err()
+        {
+            return String::new();
+        }
+        String::from_utf8(text).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/tinbay-gateway/src/port/dialect.rs
@@ -0,0 +1,154 @@
+//! Spellings that differ from one surrounding to another.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use hyper::header::HeaderName;
+use tinbay_core::serving::configuration::Configuration;
+use tinbay_core::serving::servers::{Report, ServerRecord};
+use tinbay_core::units::Millis;
+
+/// Bytes that could not be read.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{what} could not be read: {reason}")]
+pub struct DecodeError {
+    /// What was read.
+    pub what: &'static str,
+    /// What was wrong, with the field where it is known.
+    pub reason: String,
+}
+
+/// Names of the headers that matter on the direct path.
+#[derive(Debug, Clone)]
+pub struct HeaderNames {
+    /// Id of a caller's try.
+    pub request_id: HeaderName,
+    /// Time the caller still waits.
+    pub deadline_ms: HeaderName,
+    /// Incarnation a server must have to take a request.
+    pub expect_server: HeaderName,
+    /// Set by a server that did not run the request.
+    pub not_run: HeaderName,
+    /// Model and adapter a request asks for.
+    pub model: HeaderName,
+    /// Version of the adapter a server must have.
+    pub expect_version: HeaderName,
+    /// Rank at the server.
+    pub priority: HeaderName,
+    /// Signature of the server over its answer.
+    pub seal: HeaderName,
+    /// Last event a caller has.
+    pub last_event: HeaderName,
+    /// Headers that only boxes may set; taken off callers' requests.
+    pub reserved: Vec<HeaderName>,
+}
+
+/// Prefixes and keys in the store.
+#[derive(Debug, Clone)]
+pub struct KeyNames {
+    /// Prefix of what operators write.
+    pub operator: String,
+    /// Key of the configuration.
+    pub configuration: String,
+    /// Prefix of the named versions of adapters.
+    pub versions: String,
+    /// Prefix of the servers' own entries.
+    pub servers: String,
+}
+
+/// A version of an adapter that the operators named.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct NamedVersion {
+    /// The adapter as `model/name`.
+    pub adapter: String,
+    /// The version.
+    pub version: u64,
+}
+
+/// What a holder orders a server to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum OrderAction {
+    /// Bring in an adapter, or replace its version.
+    Load {
+        /// The version; the newest where none is given.
+        version: Option<u64>,
+    },
+    /// Take an adapter out.
+    Unload,
+}
+
+/// An order to a server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Order {
+    /// What to do.
+    pub action: OrderAction,
+    /// With which adapter, as `model/name`.
+    pub adapter: String,
+    /// Orders the server must have taken before.
+    pub expected_count: Option<u64>,
+    /// Who orders.
+    pub holder: String,
+    /// Token of the holder's claim.
+    pub token: u64,
+}
+
+/// A caller's question which boxes to use.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct DirectoryQuestion {
+    /// Availability zone of the caller.
+    pub zone: String,
+}
+
+/// Spellings of the surrounding: nothing in here decides, waits or keeps anything.
+pub trait Dialect {
+    /// Names of headers.
+    fn headers(&self) -> &HeaderNames;
+
+    /// Names of keys.
+    fn keys(&self) -> &KeyNames;
+
+    /// Path of the question whether the box is ready.
+    fn ready_path(&self) -> &str;
+
+    /// Path of the directory.
+    fn directory_path(&self) -> &str;
+
+    /// Path of a server's report.
+    fn report_path(&self) -> &str;
+
+    /// Path of orders to a server.
+    fn order_path(&self) -> &str;
+
+    /// Reads a configuration.
+    ///
+    /// # Errors
+    /// When it can't be read.
+    fn decode_configuration(&self, value: &[u8]) -> Result<Configuration, DecodeError>;
+
+    /// Reads a named version.
+    ///
+    /// # Errors
+    /// When it can't be read.
+    fn decode_version(&self, value: &[u8]) -> Result<NamedVersion, DecodeError>;
+
+    /// Reads a server's entry.
+    ///
+    /// # Errors
+    /// When it can't be read.
+    fn decode_server(&self, id: &str, value: &[u8]) -> Result<ServerRecord, DecodeError>;
+
+    /// Reads a server's report.
+    ///
+    /// # Errors
+    /// When it can't be read.
+    fn decode_report(&self, value: &[u8]) -> Result<Report, DecodeError>;
+
+    /// Writes an order.
+    fn encode_order(&self, order: &Order) -> Bytes;
+
+    /// Reads the query of a directory question.
+    fn decode_question(&self, query: &str) -> DirectoryQuestion;
+
+    /// Writes an answer of the directory.
+    fn encode_directory(&self, addresses: &[SocketAddr], valid_ms: Millis) -> Bytes;
+}
--- /dev/null
+++ b/crates/tinbay-gateway/src/run.rs
@@ -0,0 +1,206 @@
+//! Starts a box, runs it until it is told to stop, and stops it without cutting anything.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use log::Level;
+use serde::Serialize;
+use tinbay_core::units::Millis;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::task::LocalSet;
+
+use crate::directory;
+use crate::error::GatewayError;
+use crate::events::{self, part};
+use crate::front::listener;
+use crate::metrics::Metrics;
+use crate::node::Node;
+use crate::port::dialect::{DecodeError, Dialect};
+use crate::port::store::Store;
+use crate::settings::Settings;
+use crate::watch::boxes::BoxFollower;
+use crate::watch::configuration::ConfigurationFollower;
+use crate::watch::servers::ServerFollower;
+use crate::watch::{WatchPace, follow};
+
+/// Connections that may wait to be taken.
+const BACKLOG: u32 = 512;
+
+/// How operators' changes are watched: at once.
+const CONFIGURATION_PACE: WatchPace = WatchPace {
+    wait_ms: 4_000,
+    gap_ms: 20,
+};
+
+/// How servers are watched: their heartbeats are many, so that some wait for the next call.
+const SERVER_PACE: WatchPace = WatchPace {
+    wait_ms: 4_000,
+    gap_ms: 400,
+};
+
+/// How boxes are watched.
+const BOX_PACE: WatchPace = WatchPace {
+    wait_ms: 8_000,
+    gap_ms: 100,
+};
+
+/// Time kept free at the end of a planned stop.
+const STOP_MARGIN_MS: Millis = 400;
+
+/// Time before the end of a planned stop at which no more requests are taken.
+const LAST_REQUEST_MS: Millis = 2_600;
+
+/// How often it is looked whether all requests are done.
+const DRAIN_CHECK: Duration = Duration::from_millis(20);
+
+/// What differs from one surrounding to another.
+pub trait Surrounding {
+    /// Where the settings lie.
+    fn settings_path(&self) -> PathBuf;
+
+    /// Reads settings.
+    ///
+    /// # Errors
+    /// When they can't be read.
+    fn decode_settings(&self, text: &str) -> Result<Settings, DecodeError>;
+
+    /// The spellings.
+    fn dialect(&self) -> Box<dyn Dialect>;
+
+    /// The store at an address.
+    fn store(&self, address: SocketAddr) -> Box<dyn Store>;
+}
+
+#[derive(Serialize)]
+struct StartEvent<'a> {
+    box_id: &'a str,
+    zone: &'a str,
+    front: String,
+    version: &'static str,
+}
+
+#[derive(Serialize)]
+struct StopEvent {
+    connections: usize,
+    after_ms: Millis,
+}
+
+/// Reads and checks the settings.
+///
+/// # Errors
+/// When the file can't be read or is wrong.
+pub fn read_settings(surrounding: &dyn Surrounding) -> Result<Settings, GatewayError> {
+    let text = std::fs::read_to_string(surrounding.settings_path())
+        .map_err(GatewayError::SettingsFile)?;
+    Ok(surrounding.decode_settings(&text)?)
+}
+
+/// Runs a box until it is told to stop.
+///
+/// # Errors
+/// When it can't start.
+pub fn run(surrounding: &dyn Surrounding, level: log::LevelFilter) -> Result<(), GatewayError> {
+    let settings = read_settings(surrounding)?;
+    events::set_up(level)?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(GatewayError::Start)?;
+    let local = LocalSet::new();
+    local.block_on(&runtime, run_node(surrounding, settings))
+}
+
+async fn run_node(surrounding: &dyn Surrounding, settings: Settings) -> Result<(), GatewayError> {
+    let node = Rc::new(Node::new(
+        settings.clone(),
+        surrounding.dialect(),
+        surrounding.store(settings.store),
+        Metrics::new()?,
+    ));
+    let mut stop = signal(SignalKind::terminate()).map_err(GatewayError::Start)?;
+    let reload = signal(SignalKind::hangup()).map_err(GatewayError::Start)?;
+    start_listeners(&node, &settings)?;
+    start_followers(&node);
+    log_start(&settings);
+    tokio::task::spawn_local(handle_reloads(reload));
+    stop.recv().await;
+    stop_node(&node).await;
+    Ok(())
+}
+
+fn start_listeners(node: &Rc<Node>, settings: &Settings) -> Result<(), GatewayError> {
+    let front = bind(settings.front)?;
+    tokio::task::spawn_local(listener::listen(Rc::clone(node), front));
+    for address in [settings.ready, settings.directory, settings.metrics] {
+        let small = bind(address)?;
+        tokio::task::spawn_local(directory::serve(Rc::clone(node), small));
+    }
+    Ok(())
+}
+
+fn bind(address: SocketAddr) -> Result<TcpListener, GatewayError> {
+    let listen = || {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    listen().map_err(|source| GatewayError::Listen { address, source })
+}
+
+fn start_followers(node: &Rc<Node>) {
+    let configuration = Rc::new(ConfigurationFollower::new(Rc::clone(node)));
+    let servers = Rc::new(ServerFollower::new(Rc::clone(node)));
+    let boxes = Rc::new(BoxFollower::new(Rc::clone(node)));
+    tokio::task::spawn_local(follow(Rc::clone(node), configuration, CONFIGURATION_PACE));
+    tokio::task::spawn_local(follow(Rc::clone(node), servers, SERVER_PACE));
+    tokio::task::spawn_local(follow(Rc::clone(node), boxes, BOX_PACE));
+}
+
+fn log_start(settings: &Settings) {
+    let event = StartEvent {
+        box_id: &settings.box_id,
+        zone: &settings.zone,
+        front: settings.front.to_string(),
+        version: env!("CARGO_PKG_VERSION"),
+    };
+    events::emit(part::NODE, Level::Info, "start", &event);
+}
+
+async fn handle_reloads(mut reload: Signal) {
+    while reload.recv().await.is_some() {
+        #[derive(Serialize)]
+        struct ReloadEvent {}
+        events::emit(part::NODE, Level::Info, "reload", &ReloadEvent {});
+    }
+}
+
+/// Takes the box out, lets requests finish, and closes.
+async fn stop_node(node: &Node) {
+    let began_ms = node.now_ms();
+    node.is_leaving.set(true);
+    log_stop(node, "stop_begun", began_ms);
+    let end_ms = began_ms + node.settings.borrow().bounds.stop_within_ms - STOP_MARGIN_MS;
+    sleep_until(node, end_ms.saturating_sub(LAST_REQUEST_MS)).await;
+    node.closing.set();
+    while node.now_ms() < end_ms && node.connections.get() > 0 {
+        tokio::time::sleep(DRAIN_CHECK).await;
+    }
+    log_stop(node, "stopped", began_ms);
+    tokio::time::sleep(DRAIN_CHECK).await;
+}
+
+async fn sleep_until(node: &Node, time_ms: Millis) {
+    tokio::time::sleep_until(node.clock.instant(time_ms).into()).await;
+}
+
+fn log_stop(node: &Node, event: &'static str, began_ms: Millis) {
+    let stop = StopEvent {
+        connections: node.connections.get(),
+        after_ms: node.now_ms() - began_ms,
+    };
+    events::emit(part::NODE, Level::Info, event, &stop);
+}
--- /dev/null
+++ b/crates/tinbay-gateway/src/servers.rs
@@ -0,0 +1,184 @@
+//! The servers this box knows, and what it has running at each.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use tinbay_core::serving::servers::{ServerRecord, ServerState};
+use tinbay_core::units::Millis;
+
+use crate::http::pool::Pool;
+
+/// Half-life of the mistrust in a server that failed.
+const MISTRUST_HALF_LIFE_MS: f64 = 1_500.0;
+
+/// One incarnation of a server.
+#[derive(Debug)]
+pub struct Server {
+    /// What it says about itself.
+    pub record: RefCell<Rc<ServerRecord>>,
+    /// Connections to it.
+    pub pool: Rc<Pool>,
+    own_flights: Cell<usize>,
+    peer_flights: RefCell<HashMap<String, usize>>,
+    mistrust: Cell<(f64, Millis)>,
+}
+
+/// One request of this box at a server, counted while it lives.
+#[derive(Debug)]
+pub struct Flight {
+    server: Rc<Server>,
+}
+
+impl Flight {
+    /// The server the request runs at.
+    pub fn server(&self) -> Rc<Server> {
+        Rc::clone(&self.server)
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        let flights = &self.server.own_flights;
+        flights.set(flights.get() - 1);
+    }
+}
+
+impl Server {
+    fn new(record: ServerRecord) -> Self {
+        Self {
+            pool: Rc::new(Pool::new(record.address)),
+            record: RefCell::new(Rc::new(record)),
+            own_flights: Cell::default(),
+            peer_flights: RefCell::default(),
+            mistrust: Cell::default(),
+        }
+    }
+
+    /// What it says about itself.
+    pub fn record(&self) -> Rc<ServerRecord> {
+        Rc::clone(&self.record.borrow())
+    }
+
+    /// Whether it takes work.
+    pub fn is_ready(&self) -> bool {
+        self.record.borrow().state == ServerState::Ready
+    }
+
+    /// Counts a request of this box.
+    pub fn take_off(self: &Rc<Self>) -> Flight {
+        self.own_flights.set(self.own_flights.get() + 1);
+        Flight {
+            server: Rc::clone(self),
+        }
+    }
+
+    /// Requests of this box that run here.
+    pub fn own_flights(&self) -> usize {
+        self.own_flights.get()
+    }
+
+    /// Requests of all boxes that run here, as far as they told.
+    pub fn flights(&self) -> usize {
+        self.own_flights.get() + self.peer_flights.borrow().values().sum::<usize>()
+    }
+
+    /// Notes what another box has running here.
+    pub fn note_peer_flights(&self, box_id: &str, flights: usize) {
+        let mut peers = self.peer_flights.borrow_mut();
+        if flights == 0 {
+            peers.remove(box_id);
+        } else {
+            peers.insert(box_id.to_string(), flights);
+        }
+    }
+
+    /// Mistrust in the server, fading with time.
+    pub fn mistrust(&self, now_ms: Millis) -> f64 {
+        let (amount, noted_ms) = self.mistrust.get();
+        let age_ms = now_ms.saturating_sub(noted_ms) as f64;
+        amount * (-age_ms / MISTRUST_HALF_LIFE_MS).exp2()
+    }
+
+    /// Adds mistrust after a failure.
+    pub fn add_mistrust(&self, amount: f64, now_ms: Millis) {
+        let sum = (self.mistrust(now_ms) + amount).min(8.0);
+        self.mistrust.set((sum, now_ms));
+    }
+}
+
+/// All servers known, by the name of their incarnation.
+#[derive(Debug, Default)]
+pub struct ServerTable {
+    by_id: HashMap<String, Rc<Server>>,
+}
+
+/// What a record changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ServerChange {
+    /// The server is new.
+    Arrived,
+    /// Its state changed.
+    StateChanged,
+    /// Nothing that decides anything.
+    Same,
+}
+
+impl ServerTable {
+    /// Notes a server's entry.
+    pub fn put(&mut self, record: ServerRecord) -> ServerChange {
+        match self.by_id.get(&record.id) {
+            Some(server) => {
+                let changed = server.record.borrow().state != record.state;
+                *server.record.borrow_mut() = Rc::new(record);
+                if changed {
+                    ServerChange::StateChanged
+                } else {
+                    ServerChange::Same
+                }
+            }
+            None => {
+                let id = record.id.clone();
+                self.by_id.insert(id, Rc::new(Server::new(record)));
+                ServerChange::Arrived
+            }
+        }
+    }
+
+    /// Forgets a server.
+    pub fn remove(&mut self, id: &str) -> bool {
+        match self.by_id.remove(id) {
+            Some(server) => {
+                server.pool.clear();
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// A server by its name.
+    pub fn get(&self, id: &str) -> Option<Rc<Server>> {
+        self.by_id.get(id).cloned()
+    }
+
+    /// All servers.
+    pub fn all(&self) -> impl Iterator<Item = &Rc<Server>> {
+        self.by_id.values()
+    }
+
+    /// Servers of a service that take work.
+    pub fn ready(&self, service: &str) -> Vec<Rc<Server>> {
+        let fits = |server: &&Rc<Server>| server.is_ready() && server.record.borrow().service == service;
+        self.by_id.values().filter(fits).cloned().collect()
+    }
+
+    /// How many are known.
+    pub fn len(&self) -> usize {
+        self.by_id.len()
+    }
+
+    /// Whether none is known.
+    pub fn is_empty(&self) -> bool {
+        self.by_id.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/tinbay-gateway/src/settings.rs
@@ -0,0 +1,46 @@
+//! The settings of a box on the direct path, in the product's own terms.
+
+use std::net::{IpAddr, SocketAddr};
+
+use tinbay_core::serving::budget::BudgetTerms;
+use tinbay_core::units::Millis;
+
+/// Everything a box is told at its start.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Settings {
+    /// Name of the box.
+    pub box_id: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Where callers connect.
+    pub front: SocketAddr,
+    /// Where readiness is asked for.
+    pub ready: SocketAddr,
+    /// Where callers ask which box to use.
+    pub directory: SocketAddr,
+    /// Where metrics are served.
+    pub metrics: SocketAddr,
+    /// Address and port for messages between boxes.
+    pub peer: SocketAddr,
+    /// Boxes that may be up at the start; none of them must be.
+    pub seeds: Vec<IpAddr>,
+    /// The key-value store.
+    pub store: SocketAddr,
+    /// Bounds that the operators promise their users.
+    pub bounds: Bounds,
+}
+
+/// Bounds that the operators promise their users.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Bounds {
+    /// Longest planned stop.
+    pub stop_within_ms: Millis,
+    /// Time between the orders of two holders to one server.
+    pub holder_gap_ms: Millis,
+    /// Budget of second sends.
+    pub second_sends: BudgetTerms,
+    /// Longest time a caller may keep an answer of the directory.
+    pub directory_valid_ms: Millis,
+    /// Shortest lease the store grants.
+    pub shortest_lease_ms: Millis,
+}
--- /dev/null
+++ b/crates/tinbay-gateway/src/watch/boxes.rs
@@ -0,0 +1,111 @@
+//! Follows what boxes write into the store: their own entries and their claims on servers.
+
+use std::collections::HashSet;
+use std::rc::Rc;
+
+use log::Level;
+use serde::Serialize;
+
+use super::Follower;
+use crate::events::{self, part};
+use crate::members::MemberRecord;
+use crate::node::Node;
+use crate::port::store::{Change, Item};
+
+/// Prefix of all that boxes write.
+pub const PREFIX: &str = "tinbay/";
+
+/// Prefix of the boxes' own entries, which go with their leases.
+pub const MEMBER_PREFIX: &str = "tinbay/boxes/";
+
+/// Prefix of claims on servers, which stay.
+pub const CLAIM_PREFIX: &str = "tinbay/claims/";
+
+/// Follows what boxes write.
+pub struct BoxFollower {
+    node: Rc<Node>,
+}
+
+#[derive(Serialize)]
+struct MemberEvent<'a> {
+    box_id: &'a str,
+    revision: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    is_leaving: Option<bool>,
+}
+
+impl BoxFollower {
+    /// A follower that changes `node`.
+    pub fn new(node: Rc<Node>) -> Self {
+        Self { node }
+    }
+
+    fn take(&self, item: &Item) {
+        if let Some(id) = item.key.strip_prefix(MEMBER_PREFIX) {
+            self.take_member(id, item);
+        } else if let Some(address) = item.key.strip_prefix(CLAIM_PREFIX) {
+            self.node.claims.borrow_mut().note(address, &item.value, item.revision, self.node.now_ms());
+        }
+    }
+
+    fn take_member(&self, id: &str, item: &Item) {
+        let Ok(record) = serde_json::from_slice::<MemberRecord>(&item.value) else {
+            return;
+        };
+        let event = MemberEvent {
+            box_id: id,
+            revision: item.revision,
+            is_leaving: Some(record.is_leaving),
+        };
+        events::emit(part::MEMBERS, Level::Info, "box_listed", &event);
+        self.node.members.borrow_mut().put(id, record, self.node.now_ms());
+    }
+
+    fn drop_member(&self, id: &str, revision: u64) {
+        let event = MemberEvent {
+            box_id: id,
+            revision,
+            is_leaving: None,
+        };
+        events::emit(part::MEMBERS, Level::Info, "box_unlisted", &event);
+        self.node.members.borrow_mut().unlist(id, self.node.now_ms());
+    }
+}
+
+impl Follower for BoxFollower {
+    fn prefix(&self) -> &str {
+        PREFIX
+    }
+
+    fn reset(&self, items: &[Item]) {
+        let listed: HashSet<&str> = items
+            .iter()
+            .filter_map(|item| item.key.strip_prefix(MEMBER_PREFIX))
+            .collect();
+        let gone: Vec<String> = {
+            let members = self.node.members.borrow();
+            members
+                .all()
+                .filter(|(id, member)| member.listed && !listed.contains(id.as_str()))
+                .map(|(id, _)| id.clone())
+                .collect()
+        };
+        for id in gone {
+            self.drop_member(&id, 0);
+        }
+        for item in items {
+            self.take(item);
+        }
+    }
+
+    fn apply(&self, change: &Change) {
+        match change {
+            Change::Put(item) => self.take(item),
+            Change::Gone { key, revision } => {
+                if let Some(id) = key.strip_prefix(MEMBER_PREFIX) {
+                    self.drop_member(id, *revision);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/tinbay-gateway/src/watch/mod.rs
@@ -0,0 +1,146 @@
+//! Keeps beliefs in step with the store: a listing first, then changes as they come.
+
+pub mod boxes;
+pub mod configuration;
+pub mod servers;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use log::Level;
+use rand::RngExt;
+use serde::Serialize;
+use tinbay_core::units::Millis;
+
+use crate::events::{self, part};
+use crate::node::Node;
+use crate::port::store::{Change, Item, StoreError};
+
+/// First pause after a failed call.
+const FIRST_PAUSE_MS: Millis = 100;
+
+/// Longest pause after failed calls; within it a store that is back is seen again.
+const LONGEST_PAUSE_MS: Millis = 800;
+
+/// Takes what the store says below one prefix.
+pub trait Follower {
+    /// The prefix.
+    fn prefix(&self) -> &str;
+
+    /// Takes all there is; what is not in it is gone.
+    fn reset(&self, items: &[Item]);
+
+    /// Takes one change.
+    fn apply(&self, change: &Change);
+}
+
+/// How often the store is asked.
+#[derive(Debug, Clone, Copy)]
+pub struct WatchPace {
+    /// How long one call waits for changes.
+    pub wait_ms: Millis,
+    /// Pause between calls, so that many changes cost one call.
+    pub gap_ms: Millis,
+}
+
+#[derive(Serialize)]
+struct StoreEvent<'a> {
+    prefix: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    error: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    revision: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    items: Option<usize>,
+}
+
+/// Follows one prefix for ever.
+pub async fn follow(node: Rc<Node>, follower: Rc<dyn Follower>, pace: WatchPace) {
+    let mut pause_ms = FIRST_PAUSE_MS;
+    let mut is_lost = false;
+    loop {
+        let error = match follow_once(&node, &*follower, pace, &mut is_lost, &mut pause_ms).await {
+            Ok(()) => continue,
+            Err(error) => error,
+        };
+        if !is_lost {
+            is_lost = true;
+            let event = StoreEvent {
+                prefix: follower.prefix(),
+                error: Some(error.to_string()),
+                revision: None,
+                items: None,
+            };
+            events::emit(part::STORE, Level::Warn, "store_lost", &event);
+        }
+        sleep_with_jitter(pause_ms).await;
+        pause_ms = (pause_ms * 2).min(LONGEST_PAUSE_MS);
+    }
+}
+
+async fn follow_once(
+    node: &Node,
+    follower: &dyn Follower,
+    pace: WatchPace,
+    is_lost: &mut bool,
+    pause_ms: &mut Millis,
+) -> Result<(), StoreError> {
+    let listing = counted(node, "list", node.store.list(follower.prefix(), false).await)?;
+    follower.reset(&listing.items);
+    let event = StoreEvent {
+        prefix: follower.prefix(),
+        error: None,
+        revision: Some(listing.at),
+        items: Some(listing.items.len()),
+    };
+    events::emit(part::STORE, Level::Info, "store_listed", &event);
+    *is_lost = false;
+    *pause_ms = FIRST_PAUSE_MS;
+    let mut at = listing.at;
+    let mut failures = 0;
+    loop {
+        let watched = node.store.watch(follower.prefix(), at, pace.wait_ms).await;
+        match counted(node, "watch", watched) {
+            Ok(changes) => {
+                failures = 0;
+                for change in &changes.changes {
+                    follower.apply(change);
+                }
+                at = at.max(changes.at);
+                if !changes.changes.is_empty() {
+                    sleep_with_jitter(pace.gap_ms).await;
+                }
+            }
+            Err(StoreError::HistoryGone) => return Ok(()),
+            Err(error) if failures >= 1 => return Err(error),
+            Err(_) => {
+                failures += 1;
+                sleep_with_jitter(FIRST_PAUSE_MS).await;
+            }
+        }
+    }
+}
+
+/// Counts a store call by its end.
+pub fn counted<T>(node: &Node, call: &str, result: Result<T, StoreError>) -> Result<T, StoreError> {
+    let outcome = match &result {
+        Ok(_) => "ok",
+        Err(StoreError::NoAnswer) => "no_answer",
+        Err(StoreError::Refused { .. }) => "refused",
+        Err(StoreError::HistoryGone) => "history_gone",
+        Err(StoreError::Conflict { .. }) => "conflict",
+        Err(StoreError::LeaseOver) => "lease_over",
+        Err(StoreError::Malformed { .. }) => "malformed",
+    };
+    node.metrics.store_calls.with_label_values(&[call, outcome]).inc();
+    result
+}
+
+/// Sleeps for the pause, give or take a quarter, so that boxes do not move in step.
+pub async fn sleep_with_jitter(pause_ms: Millis) {
+    if pause_ms == 0 {
+        return;
+    }
+    let factor = rand::rng().random_range(0.75..1.25);
+    tokio::time::sleep(Duration::from_millis(pause_ms).mul_f64(factor)).await;
+}
--- a/crates/tinbay-node/src/error.rs
+++ b/crates/tinbay-node/src/error.rs
@@ -27,6 +27,9 @@
     /// Logging was set up twice.
     #[error("cannot set up logging: {0}")]
     Logging(#[from] log::SetLoggerError),
+    /// The box cannot run on the platform.
+    #[error(transparent)]
+    Gateway(#[from] tinbay_gateway::error::GatewayError),
 }
 
 impl NodeError {
--- a/crates/tinbay-node/src/main.rs
+++ b/crates/tinbay-node/src/main.rs
@@ -7,6 +7,7 @@
 use tinbay_node::logging::{self, part};
 use tinbay_node::node;
 use tinbay_node::options::{Options, unknown_variables};
+use tinbay_platform::Platform;
 
 fn main() -> ExitCode {
     match run() {
@@ -20,6 +21,9 @@
 
 fn run() -> Result<(), NodeError> {
     let matches = build_cli().get_matches();
+    if let Some(platform) = Platform::detect() {
+        return Ok(tinbay_gateway::run::run(&platform, log::LevelFilter::Info)?);
+    }
     let options = Options::from_matches(&matches)?;
     logging::set_up(options.log_level, options.log_format)?;
     for name in unknown_variables(&build_cli()) {
