--- /dev/null
+++ b/crates/tinbay-core/src/serving/contents.rs
@@ -0,0 +1,429 @@
+//! What one server holds, as its holder knows it, and what to order next.
+//!
+//! Every order names how many orders the server must have taken before. So an order that
+//! is carried out late finds the count moved on, and the holder never acts on contents
+//! that are not as it believes.
+
+use std::collections::HashMap;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::servers::{AdapterName, HeldAdapter, Report};
+use crate::units::Millis;
+
+/// Short name of an adapter in memory and in messages.
+pub type AdapterKey = u64;
+
+/// Loads that may be on their way to one server at once.
+const MOST_LOADING: usize = 4;
+
+/// A report is some hundred milliseconds old; after this pause it shows the last order.
+const REPORT_LAG_MS: Millis = 600;
+
+/// Time to bring an adapter from the weight store, until it has been measured.
+const FIRST_FETCH_MS: f64 = 250.0;
+
+/// Time to bring back an adapter the server had lately, until it has been measured.
+const FIRST_RELOAD_MS: f64 = 25.0;
+
+/// Weight of a new measurement of these times.
+const TIME_WEIGHT: f64 = 0.2;
+
+/// Shortest pause between two looks at a load.
+const CHECK_PAUSE_MS: Millis = 8;
+
+/// An adapter used more lately than this is not taken out for another.
+const KEEP_USED_MS: Millis = 150;
+
+/// Half-life of an adapter's uses.
+const USE_HALF_LIFE_MS: f64 = 8_000.0;
+
+/// Adapters that load fast, as a multiple of the places: what a server keeps beside them.
+const LATELY_FACTOR: usize = 4;
+
+/// The key of an adapter.
+pub fn adapter_key(adapter: &str) -> AdapterKey {
+    xxh3_64(adapter.as_bytes())
+}
+
+/// Whether an adapter can serve.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HeldState {
+    /// It is on its way.
+    Loading,
+    /// It serves.
+    Ready,
+}
+
+/// An adapter that takes a place.
+#[derive(Debug, Clone)]
+pub struct Held {
+    /// The adapter as `model/name`.
+    pub adapter: AdapterName,
+    /// Its version, where it is known.
+    pub version: Option<u64>,
+    /// Whether it can serve.
+    pub state: HeldState,
+    uses: f64,
+    used_ms: Millis,
+    ordered_ms: Millis,
+    check_ms: Millis,
+    is_fetch: bool,
+}
+
+/// Requests that wait for an adapter.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Want {
+    /// The adapter as `model/name`.
+    pub adapter: AdapterName,
+    /// The version that was named, if one was.
+    pub version: Option<u64>,
+    /// How much it is wanted.
+    pub weight: f64,
+}
+
+/// What to ask of the server next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Ask for its report.
+    Learn,
+    /// Order a load, or look whether it is done by ordering it again.
+    Load {
+        /// The adapter.
+        adapter: AdapterName,
+        /// The version; the newest where none is given.
+        version: Option<u64>,
+        /// Orders the server must have taken.
+        expected_count: u64,
+    },
+    /// Order an adapter out.
+    Unload {
+        /// The adapter.
+        adapter: AdapterName,
+        /// Orders the server must have taken.
+        expected_count: u64,
+    },
+}
+
+/// How the server took an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderAnswer {
+    /// It is being done.
+    Accepted,
+    /// It is done already.
+    Done,
+    /// Something else is under way, or the count differs.
+    Conflict,
+    /// It was refused for another reason.
+    Refused,
+    /// No answer came; it may be done now or later.
+    NoAnswer,
+}
+
+/// What one server holds, as its holder knows it.
+#[derive(Debug)]
+pub struct Contents {
+    places: usize,
+    held: HashMap<AdapterKey, Held>,
+    lately: HashMap<AdapterKey, (Option<u64>, Millis)>,
+    order_count: Option<u64>,
+    learn_from_ms: Millis,
+    fetch_ms: f64,
+    reload_ms: f64,
+}
+
+impl Contents {
+    /// Contents that are to be learnt.
+    pub fn new(places: usize, now_ms: Millis) -> Self {
+        Self {
+            places,
+            held: HashMap::new(),
+            lately: HashMap::new(),
+            order_count: None,
+            learn_from_ms: now_ms,
+            fetch_ms: FIRST_FETCH_MS,
+            reload_ms: FIRST_RELOAD_MS,
+        }
+    }
+
+    /// All adapters that take a place.
+    pub fn held(&self) -> impl Iterator<Item = (&AdapterKey, &Held)> {
+        self.held.iter()
+    }
+
+    /// Whether the contents are known.
+    pub fn is_learnt(&self) -> bool {
+        self.order_count.is_some()
+    }
+
+    /// Forgets what was believed, as after a gap in holding the claim.
+    pub fn unlearn(&mut self, now_ms: Millis) {
+        self.order_count = None;
+        self.learn_from_ms = now_ms + REPORT_LAG_MS;
+    }
+
+    /// Notes uses of an adapter.
+    pub fn note_uses(&mut self, key: AdapterKey, uses: u32, now_ms: Millis) {
+        if let Some(held) = self.held.get_mut(&key) {
+            held.uses = held.uses_at(now_ms) + f64::from(uses);
+            held.used_ms = now_ms;
+        }
+    }
+
+    /// The next order, or when to look again.
+    ///
+    /// `wants` come most wanted first; `take_fetch` takes one load from the weight store's
+    /// allowance if there is one.
+    pub fn next_action(
+        &mut self,
+        wants: &[Want],
+        named: &dyn Fn(&str) -> Option<u64>,
+        take_fetch: &mut dyn FnMut() -> bool,
+        now_ms: Millis,
+    ) -> Option<Action> {
+        let Some(expected_count) = self.order_count else {
+            return (now_ms >= self.learn_from_ms).then_some(Action::Learn);
+        };
+        if let Some(action) = self.check_load(expected_count, now_ms) {
+            return Some(action);
+        }
+        if self.loading() >= MOST_LOADING {
+            return None;
+        }
+        if let Some(action) = self.replace_version(expected_count, named, take_fetch) {
+            return Some(action);
+        }
+        wants
+            .iter()
+            .find_map(|want| self.serve_want(want, expected_count, take_fetch, now_ms))
+    }
+
+    /// When [`Contents::next_action`] may give something without a new want.
+    pub fn next_look_ms(&self) -> Option<Millis> {
+        if self.order_count.is_none() {
+            return Some(self.learn_from_ms);
+        }
+        let loading = self.held.values().filter(|held| held.state == HeldState::Loading);
+        loading.map(|held| held.check_ms).min()
+    }
+
+    fn check_load(&self, expected_count: u64, now_ms: Millis) -> Option<Action> {
+        let due = |held: &&Held| held.state == HeldState::Loading && held.check_ms <= now_ms;
+        let held = self.held.values().find(due)?;
+        Some(Action::Load {
+            adapter: held.adapter.clone(),
+            version: held.version,
+            expected_count,
+        })
+    }
+
+    fn replace_version(
+        &self,
+        expected_count: u64,
+        named: &dyn Fn(&str) -> Option<u64>,
+        take_fetch: &mut dyn FnMut() -> bool,
+    ) -> Option<Action> {
+        let is_old = |held: &&Held| held.state == HeldState::Ready && named(&held.adapter) > held.version;
+        let most_used = |left: &&Held, right: &&Held| left.uses.total_cmp(&right.uses);
+        let held = self.held.values().filter(is_old).max_by(most_used)?;
+        take_fetch().then(|| Action::Load {
+            adapter: held.adapter.clone(),
+            version: named(&held.adapter),
+            expected_count,
+        })
+    }
+
+    fn serve_want(
+        &self,
+        want: &Want,
+        expected_count: u64,
+        take_fetch: &mut dyn FnMut() -> bool,
+        now_ms: Millis,
+    ) -> Option<Action> {
+        let key = adapter_key(&want.adapter);
+        if self.held.contains_key(&key) {
+            return None;
+        }
+        let victim = if self.held.len() < self.places {
+            None
+        } else {
+            Some(self.victim(now_ms)?)
+        };
+        if let Some(victim) = victim {
+            return Some(Action::Unload {
+                adapter: victim.adapter.clone(),
+                expected_count,
+            });
+        }
+        if !self.loads_fast(key, want.version) && !take_fetch() {
+            return None;
+        }
+        Some(Action::Load {
+            adapter: want.adapter.clone(),
+            version: want.version,
+            expected_count,
+        })
+    }
+
+    fn victim(&self, now_ms: Millis) -> Option<&Held> {
+        let is_idle = |held: &&Held| {
+            held.state == HeldState::Ready && now_ms.saturating_sub(held.used_ms) >= KEEP_USED_MS
+        };
+        let least_used = |left: &&Held, right: &&Held| {
+            left.uses_at(now_ms).total_cmp(&right.uses_at(now_ms))
+        };
+        self.held.values().filter(is_idle).min_by(least_used)
+    }
+
+    /// Whether the server had this version lately, so that it does not come from the store.
+    pub fn loads_fast(&self, key: AdapterKey, version: Option<u64>) -> bool {
+        self.lately.get(&key).is_some_and(|(had, _)| *had >= version)
+    }
+
+    fn loading(&self) -> usize {
+        let is_loading = |held: &&Held| held.state == HeldState::Loading;
+        self.held.values().filter(is_loading).count()
+    }
+
+    /// Notes how the server took an order.
+    pub fn note_answer(&mut self, action: &Action, answer: OrderAnswer, now_ms: Millis) {
+        match (action, answer) {
+            (_, OrderAnswer::NoAnswer | OrderAnswer::Conflict | OrderAnswer::Refused) => {
+                self.unlearn(now_ms);
+            }
+            (Action::Load { adapter, version, .. }, OrderAnswer::Accepted) => {
+                self.note_loading(adapter, *version, now_ms);
+            }
+            (Action::Load { adapter, version, .. }, OrderAnswer::Done) => {
+                self.note_ready(adapter, *version, now_ms);
+            }
+            (Action::Unload { adapter, .. }, OrderAnswer::Accepted | OrderAnswer::Done) => {
+                self.note_unloaded(adapter, now_ms);
+            }
+            (Action::Learn, _) => {}
+        }
+    }
+
+    fn count_order(&mut self) {
+        self.order_count = self.order_count.map(|count| count + 1);
+    }
+
+    fn note_loading(&mut self, adapter: &str, version: Option<u64>, now_ms: Millis) {
+        let key = adapter_key(adapter);
+        if let Some(held) = self.held.get_mut(&key)
+            && held.state == HeldState::Loading
+        {
+            held.check_ms = now_ms + CHECK_PAUSE_MS.max((now_ms - held.ordered_ms) / 12);
+            return;
+        }
+        let is_fetch = !self.loads_fast(key, version);
+        let expected_ms = if is_fetch { self.fetch_ms } else { self.reload_ms };
+        let uses = self.held.get(&key).map_or(1.0, |held| held.uses);
+        let held = Held {
+            adapter: adapter.to_string(),
+            version,
+            state: HeldState::Loading,
+            uses,
+            used_ms: now_ms,
+            ordered_ms: now_ms,
+            check_ms: now_ms + expected_ms as Millis,
+            is_fetch,
+        };
+        self.held.insert(key, held);
+        self.count_order();
+    }
+
+    fn note_ready(&mut self, adapter: &str, version: Option<u64>, now_ms: Millis) {
+        let key = adapter_key(adapter);
+        if let Some(held) = self.held.get_mut(&key) {
+            held.state = HeldState::Ready;
+            held.version = version.max(held.version);
+            held.used_ms = now_ms;
+            let took_ms = (now_ms - held.ordered_ms) as f64;
+            let known = if held.is_fetch { &mut self.fetch_ms } else { &mut self.reload_ms };
+            *known += TIME_WEIGHT * (took_ms.min(*known * 2.0) - *known);
+        } else {
+            let held = ready(adapter.to_string(), version, now_ms);
+            self.held.insert(key, held);
+        }
+        self.lately.insert(key, (version, now_ms));
+    }
+
+    fn note_unloaded(&mut self, adapter: &str, now_ms: Millis) {
+        let key = adapter_key(adapter);
+        if let Some(held) = self.held.remove(&key) {
+            self.lately.insert(key, (held.version, now_ms));
+        }
+        self.forget_old();
+        self.count_order();
+    }
+
+    fn forget_old(&mut self) {
+        if self.lately.len() <= self.places * LATELY_FACTOR {
+            return;
+        }
+        let held = &self.held;
+        let gone = |key: &AdapterKey| !held.contains_key(key);
+        let oldest = self
+            .lately
+            .iter()
+            .filter(|(key, _)| gone(key))
+            .min_by_key(|(_, (_, noted_ms))| *noted_ms)
+            .map(|(key, _)| *key);
+        if let Some(oldest) = oldest {
+            self.lately.remove(&oldest);
+        }
+    }
+
+    /// Takes the server's report; it must have been asked for after the pause that
+    /// [`Action::Learn`] waits for.
+    pub fn note_report(&mut self, report: &Report, now_ms: Millis) {
+        self.order_count = Some(report.order_count);
+        let mut held = HashMap::new();
+        for known in &report.adapters {
+            let entry = self.carried_over(known, now_ms);
+            held.insert(adapter_key(&known.adapter), entry);
+        }
+        for coming in &report.incoming {
+            let mut entry = self.carried_over(coming, now_ms);
+            entry.state = HeldState::Loading;
+            entry.check_ms = now_ms;
+            held.insert(adapter_key(&coming.adapter), entry);
+        }
+        self.held = held;
+        for known in report.at_hand.iter().chain(&report.adapters) {
+            let key = adapter_key(&known.adapter);
+            self.lately.insert(key, (Some(known.version), now_ms));
+        }
+    }
+
+    fn carried_over(&self, known: &HeldAdapter, now_ms: Millis) -> Held {
+        let mut entry = ready(known.adapter.clone(), Some(known.version), now_ms);
+        if let Some(before) = self.held.get(&adapter_key(&known.adapter)) {
+            entry.uses = before.uses;
+            entry.ordered_ms = before.ordered_ms;
+            entry.is_fetch = before.is_fetch;
+        }
+        entry
+    }
+}
+
+impl Held {
+    fn uses_at(&self, now_ms: Millis) -> f64 {
+        let age_ms = now_ms.saturating_sub(self.used_ms) as f64;
+        self.uses * (-age_ms / USE_HALF_LIFE_MS).exp2()
+    }
+}
+
+fn ready(adapter: AdapterName, version: Option<u64>, now_ms: Millis) -> Held {
+    Held {
+        adapter,
+        version,
+        state: HeldState::Ready,
+        uses: 0.0,
+        used_ms: now_ms,
+        ordered_ms: now_ms,
+        check_ms: now_ms,
+        is_fetch: false,
+    }
+}
--- /dev/null
+++ b/crates/tinbay-gateway/src/demand.rs
@@ -0,0 +1,150 @@
+//! Which adapters are wanted and used where, by this box and by others.
+
+use std::collections::HashMap;
+
+use tinbay_core::serving::contents::{AdapterKey, Want, adapter_key};
+use tinbay_core::units::Millis;
+
+use crate::servers::ServerKey;
+
+/// How long an adapter stays wanted after its caller was sent away to come back.
+const LINGER_MS: Millis = 1_200;
+
+/// Weight of a caller that was sent away, against one that waits.
+const LINGER_WEIGHT: f64 = 0.6;
+
+/// How long another box's wants count after its last message.
+const PEER_LIFE_MS: Millis = 1_000;
+
+/// Wants of one adapter at one server.
+#[derive(Debug)]
+struct OwnWant {
+    adapter: String,
+    version: Option<u64>,
+    waiting: f64,
+    lingering: f64,
+    linger_until_ms: Millis,
+}
+
+/// Another box's wants, as it last told them.
+#[derive(Debug)]
+struct PeerWants {
+    told_ms: Millis,
+    by_server: HashMap<ServerKey, Vec<Want>>,
+}
+
+/// Which adapters are wanted and used where.
+#[derive(Debug, Default)]
+pub struct Demand {
+    own: HashMap<ServerKey, HashMap<AdapterKey, OwnWant>>,
+    uses: HashMap<ServerKey, HashMap<AdapterKey, u32>>,
+    peers: HashMap<String, PeerWants>,
+}
+
+impl Demand {
+    /// A request begins to wait for an adapter at a server; true if nobody waited before.
+    pub fn begin(&mut self, server: ServerKey, want: &Want) -> bool {
+        let wants = self.own.entry(server).or_default();
+        let own = wants.entry(adapter_key(&want.adapter)).or_insert_with(|| OwnWant {
+            adapter: want.adapter.clone(),
+            version: None,
+            waiting: 0.0,
+            lingering: 0.0,
+            linger_until_ms: 0,
+        });
+        own.version = own.version.max(want.version);
+        own.waiting += want.weight;
+        own.waiting <= want.weight
+    }
+
+    /// A request stops waiting; the adapter stays wanted for a while if it was sent away.
+    pub fn end(&mut self, server: ServerKey, want: &Want, sent_away_ms: Option<Millis>) {
+        let Some(wants) = self.own.get_mut(&server) else {
+            return;
+        };
+        let key = adapter_key(&want.adapter);
+        let Some(own) = wants.get_mut(&key) else {
+            return;
+        };
+        own.waiting = (own.waiting - want.weight).max(0.0);
+        if let Some(now_ms) = sent_away_ms {
+            own.lingering += want.weight * LINGER_WEIGHT;
+            own.linger_until_ms = now_ms + LINGER_MS;
+        }
+    }
+
+    /// Notes a use of an adapter at a server.
+    pub fn note_use(&mut self, server: ServerKey, key: AdapterKey) {
+        *self.uses.entry(server).or_default().entry(key).or_default() += 1;
+    }
+
+    /// Takes the uses noted for one server.
+    pub fn take_uses(&mut self, server: ServerKey) -> Vec<(AdapterKey, u32)> {
+        self.uses
+            .remove(&server)
+            .map(|uses| uses.into_iter().collect())
+            .unwrap_or_default()
+    }
+
+    /// What this box wants at a server.
+    pub fn own_wants(&mut self, server: ServerKey, now_ms: Millis) -> Vec<Want> {
+        let Some(wants) = self.own.get_mut(&server) else {
+            return Vec::new();
+        };
+        wants.retain(|_, own| {
+            if own.linger_until_ms <= now_ms {
+                own.lingering = 0.0;
+            }
+            own.waiting + own.lingering > 0.0
+        });
+        wants
+            .values()
+            .map(|own| Want {
+                adapter: own.adapter.clone(),
+                version: own.version,
+                weight: own.waiting + own.lingering,
+            })
+            .collect()
+    }
+
+    /// Notes all that another box wants at the servers held here.
+    pub fn note_peer(&mut self, box_id: &str, wants: Vec<(ServerKey, Want)>, now_ms: Millis) {
+        let mut by_server: HashMap<ServerKey, Vec<Want>> = HashMap::new();
+        for (server, want) in wants {
+            by_server.entry(server).or_default().push(want);
+        }
+        let peer = PeerWants {
+            told_ms: now_ms,
+            by_server,
+        };
+        self.peers.insert(box_id.to_string(), peer);
+    }
+
+    /// What all boxes want at a server, most wanted first.
+    pub fn wants(&mut self, server: ServerKey, now_ms: Millis) -> Vec<Want> {
+        let mut sums: HashMap<AdapterKey, Want> = HashMap::new();
+        let peers = self
+            .peers
+            .values()
+            .filter(|peer| now_ms < peer.told_ms + PEER_LIFE_MS)
+            .filter_map(|peer| peer.by_server.get(&server))
+            .flatten()
+            .cloned()
+            .collect::<Vec<Want>>();
+        for want in self.own_wants(server, now_ms).into_iter().chain(peers) {
+            let key = adapter_key(&want.adapter);
+            match sums.get_mut(&key) {
+                Some(sum) => {
+                    sum.weight += want.weight;
+                    sum.version = sum.version.max(want.version);
+                }
+                None => {
+                    sums.insert(key, want);
+                }
+            }
+        }
+        let mut wants: Vec<Want> = sums.into_values().collect();
+        wants.sort_by(|left, right| right.weight.total_cmp(&left.weight));
+        wants
+    }
+}
--- /dev/null
+++ b/crates/tinbay-gateway/src/front/adapters.rs
@@ -0,0 +1,106 @@
+//! Waits until a server holds the adapter of a request.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tinbay_core::serving::contents::Want;
+use tinbay_core::units::Millis;
+
+use super::choice::{self, Choice};
+use super::question::Question;
+use super::refusal::Refusal;
+use crate::node::Node;
+use crate::servers::Server;
+
+/// Part of its time that a request waits for an adapter before its caller is told to come
+/// back; the rest is left for another try.
+const PATIENCE: f64 = 0.45;
+
+/// Longest pause between looks; a change at the server ends it.
+const LOOK_PAUSE: Duration = Duration::from_millis(100);
+
+/// When a caller comes back whose adapter was not loaded in time.
+const RETRY_AFTER_MS: Millis = 500;
+
+/// A want that ends when the request stops waiting.
+struct Waiting {
+    node: Rc<Node>,
+    server: Rc<Server>,
+    want: Want,
+    is_sent_away: bool,
+}
+
+impl Waiting {
+    fn begin(node: &Rc<Node>, server: &Rc<Server>, want: Want) -> Self {
+        let is_first = node.demand.borrow_mut().begin(server.key, &want);
+        if is_first {
+            choice::notify_holder(node, server);
+        }
+        Self {
+            node: Rc::clone(node),
+            server: Rc::clone(server),
+            want,
+            is_sent_away: false,
+        }
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        let sent_away_ms = self.is_sent_away.then(|| self.node.now_ms());
+        let mut demand = self.node.demand.borrow_mut();
+        demand.end(self.server.key, &self.want, sent_away_ms);
+    }
+}
+
+/// The server that should run a request, once it holds what the request needs.
+///
+/// # Errors
+/// When no server will in time.
+pub async fn find_server(
+    node: &Rc<Node>,
+    question: &Question,
+    tried: &[String],
+) -> Result<Rc<Server>, Refusal> {
+    let time_ms = (question.time_up_ms - question.arrived_ms) as f64;
+    let patient_until_ms = question.arrived_ms + (time_ms * PATIENCE) as Millis;
+    let mut waiting: Option<Waiting> = None;
+    loop {
+        let home = match choice::choose(node, question, tried) {
+            Choice::Send(server) => {
+                note_use(node, question, &server);
+                return Ok(server);
+            }
+            Choice::Wait(home) => home,
+            Choice::Nowhere => return Err(Refusal::NoServer),
+        };
+        if node.now_ms() >= patient_until_ms {
+            if let Some(waiting) = &mut waiting {
+                waiting.is_sent_away = true;
+            }
+            return Err(Refusal::NotRun {
+                retry_after_ms: RETRY_AFTER_MS,
+            });
+        }
+        if waiting.as_ref().is_none_or(|waiting| waiting.server.key != home.key) {
+            waiting = Some(Waiting::begin(node, &home, want(node, question)));
+        }
+        let _ = tokio::time::timeout(LOOK_PAUSE, home.changed.notified()).await;
+    }
+}
+
+fn want(node: &Node, question: &Question) -> Want {
+    let adapter = question.model.clone().unwrap_or_default();
+    Want {
+        version: node.named_version(&adapter),
+        adapter,
+        weight: 1.0,
+    }
+}
+
+fn note_use(node: &Node, question: &Question, server: &Server) {
+    if let Some(model) = &question.model {
+        let key = tinbay_core::serving::contents::adapter_key(model);
+        node.demand.borrow_mut().note_use(server.key, key);
+    }
+}
--- a/crates/tinbay-gateway/src/front/choice.rs
+++ b/crates/tinbay-gateway/src/front/choice.rs
@@ -3,6 +3,8 @@
 use std::rc::Rc;
 
 use rand::RngExt;
+use tinbay_core::rendezvous;
+use tinbay_core::serving::contents::{AdapterKey, HeldState, Want, adapter_key};
 
 use super::question::Question;
 use crate::node::Node;
@@ -12,32 +14,131 @@
 /// cost, and the way is longer.
 const OTHER_ZONE_LOAD: f64 = 0.15;
 
-/// The server that should run a request, among those not tried yet.
-pub fn choose(node: &Node, question: &Question, tried: &[String]) -> Option<Rc<Server>> {
-    let ready = node.servers.borrow().ready(&question.service);
-    ready
-        .into_iter()
-        .filter(|server| !tried.contains(&server.record().id))
-        .filter(|server| holds(server, question))
-        .map(|server| (load(node, &server), server))
+/// Load of all servers that hold an adapter above which one more should hold it.
+const SPREAD_LOAD: f64 = 0.6;
+
+/// Load above which a server is no home for one adapter more.
+const FULL_LOAD: f64 = 1.0;
+
+/// What is to be done with a request next.
+pub enum Choice {
+    /// Send it there.
+    Send(Rc<Server>),
+    /// Wait until the server holds the adapter.
+    Wait(Rc<Server>),
+    /// No server is left.
+    Nowhere,
+}
+
+/// Where a request should run, among servers not tried yet.
+pub fn choose(node: &Node, question: &Question, tried: &[String]) -> Choice {
+    let mut ready = node.servers.borrow().ready(&question.service);
+    ready.retain(|server| !tried.contains(&server.record().id));
+    match question.model.as_deref() {
+        Some(model) if model.contains('/') => choose_for_adapter(node, model, &ready),
+        Some(model) => {
+            ready.retain(|server| server.record().models.iter().any(|held| held == model));
+            send_to_least_loaded(node, &ready)
+        }
+        None => send_to_least_loaded(node, &ready),
+    }
+}
+
+fn send_to_least_loaded(node: &Node, servers: &[Rc<Server>]) -> Choice {
+    match least_loaded(node, servers) {
+        Some((_, server)) => Choice::Send(server),
+        None => Choice::Nowhere,
+    }
+}
+
+fn least_loaded(node: &Node, servers: &[Rc<Server>]) -> Option<(f64, Rc<Server>)> {
+    servers
+        .iter()
+        .map(|server| (load(node, server), Rc::clone(server)))
         .min_by(|left, right| left.0.total_cmp(&right.0))
-        .map(|(_, server)| server)
 }
 
-fn holds(server: &Server, question: &Question) -> bool {
-    let Some(model) = &question.model else {
-        return true;
+fn choose_for_adapter(node: &Node, adapter: &str, ready: &[Rc<Server>]) -> Choice {
+    let key = adapter_key(adapter);
+    let version = node.named_version(adapter);
+    let (holding, others): (Vec<Rc<Server>>, Vec<Rc<Server>>) = ready
+        .iter()
+        .cloned()
+        .partition(|server| serves(node, server, key, version));
+    if let Some((load, server)) = least_loaded(node, &holding) {
+        if load > SPREAD_LOAD {
+            ask_for_spread(node, adapter, version, &others);
+        }
+        return Choice::Send(server);
+    }
+    match home(node, adapter, &others) {
+        Some(home) => Choice::Wait(home),
+        None => Choice::Nowhere,
+    }
+}
+
+fn serves(node: &Node, server: &Server, key: AdapterKey, version: Option<u64>) -> bool {
+    match server.adapter(key, node.now_ms()) {
+        Some(entry) => entry.state == HeldState::Ready && entry.version >= version.unwrap_or(0),
+        None => false,
+    }
+}
+
+/// The first server in the adapter's own order that can load it and has room for its work.
+fn home(node: &Node, adapter: &str, servers: &[Rc<Server>]) -> Option<Rc<Server>> {
+    let mut ranked: Vec<(u64, &Rc<Server>)> = servers
+        .iter()
+        .map(|server| (rendezvous::score(adapter, &server.address_text), server))
+        .collect();
+    ranked.sort_by_key(|(score, _)| std::cmp::Reverse(*score));
+    let key = adapter_key(adapter);
+    let now_ms = node.now_ms();
+    let coming = ranked
+        .iter()
+        .find(|(_, server)| server.adapter(key, now_ms).is_some() && node.has_live_holder(server));
+    let free = || {
+        ranked
+            .iter()
+            .find(|(_, server)| node.has_live_holder(server) && load(node, server) < FULL_LOAD)
     };
-    let record = server.record();
-    if model.contains('/') {
-        record.adapters.iter().any(|held| held.adapter == *model)
-    } else {
-        record.models.contains(model)
+    let (_, server) = coming.or_else(free).or_else(|| ranked.first())?;
+    Some(Rc::clone(server))
+}
+
+/// Has one more server load an adapter whose servers are busy; nobody waits for it.
+fn ask_for_spread(node: &Node, adapter: &str, version: Option<u64>, others: &[Rc<Server>]) {
+    let key = adapter_key(adapter);
+    let now_ms = node.now_ms();
+    let is_coming = |server: &Rc<Server>| server.adapter(key, now_ms).is_some();
+    if others.iter().any(is_coming) {
+        return;
+    }
+    let Some(server) = home(node, adapter, others) else {
+        return;
+    };
+    let want = Want {
+        adapter: adapter.to_string(),
+        version,
+        weight: 1.0,
+    };
+    let mut demand = node.demand.borrow_mut();
+    demand.begin(server.key, &want);
+    demand.end(server.key, &want, Some(now_ms));
+    drop(demand);
+    notify_holder(node, &server);
+}
+
+/// Has the holder of a server look at what is wanted there.
+pub fn notify_holder(node: &Node, server: &Server) {
+    match node.holder_of(server) {
+        Some(holder) if holder == node.settings.borrow().box_id => server.order_due.notify_one(),
+        Some(holder) => node.tell_box(&holder),
+        None => {}
     }
 }
 
 /// How busy a server is, with mistrust and distance added.
-pub fn load(node: &Node, server: &Server) -> f64 {
+fn load(node: &Node, server: &Server) -> f64 {
     let record = server.record();
     let slots = record.slots.max(1) as f64;
     let distance = if record.zone == node.settings.borrow().zone {
--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -9,8 +9,8 @@
 use tinbay_core::retry::{AttemptEnd, AttemptEnds, RetryCase, may_retry};
 use tinbay_core::units::Millis;
 
+use super::adapters;
 use super::attempt::{AttemptResult, AttemptTerms, BegunAnswer, attempt};
-use super::choice;
 use super::headers::{self, ServerHeaders};
 use super::question::Question;
 use super::refusal::Refusal;
@@ -65,8 +65,10 @@
     let mut tries = Tries::default();
     let mut body = Some(body);
     loop {
-        let Some(server) = choice::choose(node, question, &tries.tried) else {
-            return Err(give_up(node, question, &tries));
+        let server = match adapters::find_server(node, question, &tries.tried).await {
+            Ok(server) => server,
+            Err(refusal) if tries.tried.is_empty() => return Err(refusal),
+            Err(_) => return Err(give_up(node, question, &tries)),
         };
         let Some(sent) = body.take() else {
             return Err(give_up(node, question, &tries));
--- a/crates/tinbay-gateway/src/front/mod.rs
+++ b/crates/tinbay-gateway/src/front/mod.rs
@@ -1,5 +1,6 @@
 //! Takes callers' requests and brings them their answers.
 
+pub mod adapters;
 pub mod attempt;
 pub mod choice;
 pub mod deliver;
--- a/crates/tinbay-gateway/src/lib.rs
+++ b/crates/tinbay-gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`port`]; what is decided stands in `tinbay_core::serving`.
 
 pub mod clock;
+pub mod demand;
 pub mod directory;
 pub mod error;
 pub mod events;
@@ -14,6 +15,8 @@
 pub mod members;
 pub mod metrics;
 pub mod node;
+pub mod orders;
+pub mod peers;
 pub mod port;
 pub mod run;
 pub mod servers;
--- a/crates/tinbay-gateway/src/members.rs
+++ b/crates/tinbay-gateway/src/members.rs
@@ -67,6 +67,13 @@
         }
     }
 
+    /// Notes that watching had a break: who is missing counts as missing from now on.
+    pub fn note_break(&mut self, now_ms: Millis) {
+        for member in self.by_id.values_mut().filter(|member| !member.listed) {
+            member.listed_changed_ms = now_ms;
+        }
+    }
+
     /// Notes a message of a box.
     pub fn hear(&mut self, id: &str, record: MemberRecord, now_ms: Millis) {
         let member = self.by_id.entry(id.to_string()).or_insert_with(|| Member {
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -1,26 +1,34 @@
 //! What all parts of a box share.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 
 use tinbay_core::serving::budget::SendBudget;
-use tinbay_core::serving::claims::ClaimTable;
-use tinbay_core::serving::configuration::{Configuration, Limits};
+use tinbay_core::serving::claims::{ClaimTable, ClaimTerms, Proof};
+use tinbay_core::serving::configuration::{Configuration, EngineSpec, Limits};
+use tinbay_core::serving::contents::Contents;
+use tinbay_core::serving::pacing::LoadPace;
 use tinbay_core::serving::routes::RouteTable;
-use tinbay_core::serving::servers::ServerRecord;
 use tinbay_core::units::Millis;
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
+use crate::demand::Demand;
 use crate::latch::Latch;
 use crate::members::{MemberRecord, Members};
 use crate::metrics::Metrics;
 use crate::port::dialect::Dialect;
 use crate::port::store::Store;
-use crate::servers::{ServerChange, ServerTable};
+use crate::servers::{Server, ServerKey, ServerTable};
 use crate::settings::Settings;
 
+/// How long a proof lasts: longer than usual outages of the store.
+const PROOF_LIFE_MS: Millis = 6_000;
+
+/// Time for orders under way and for clocks that run apart.
+const CLAIM_MARGIN_MS: Millis = 500;
+
 /// A configuration in force.
 #[derive(Debug)]
 pub struct InForce {
@@ -54,8 +62,22 @@
     pub members: RefCell<Members>,
     /// Claims on servers.
     pub claims: RefCell<ClaimTable>,
-    /// Told when loads may have to be ordered.
-    pub wanted: Notify,
+    /// Proof that this box may order.
+    pub proof: Cell<Proof>,
+    /// What the servers hold whose claims this box holds.
+    pub books: RefCell<HashMap<ServerKey, Rc<RefCell<Contents>>>>,
+    /// This box's share of the weight store's rate, by service.
+    pub paces: RefCell<HashMap<String, LoadPace>>,
+    /// Which adapters are wanted and used where.
+    pub demand: RefCell<Demand>,
+    /// Told when a message to other boxes is due.
+    pub frames_due: Notify,
+    /// Boxes it is due to.
+    pub frames_to: RefCell<HashSet<String>>,
+    /// Told when the box's own entry in the store is due to be written.
+    pub entry_due: Notify,
+    /// When the boxes in the store were last listed whole.
+    pub boxes_listed_ms: Cell<Millis>,
     /// Whether a planned stop has begun.
     pub is_leaving: Cell<bool>,
     /// Set when callers' connections must end.
@@ -85,7 +107,14 @@
             servers: RefCell::default(),
             members: RefCell::default(),
             claims: RefCell::default(),
-            wanted: Notify::new(),
+            proof: Cell::default(),
+            books: RefCell::default(),
+            paces: RefCell::default(),
+            demand: RefCell::default(),
+            frames_due: Notify::new(),
+            frames_to: RefCell::default(),
+            entry_due: Notify::new(),
+            boxes_listed_ms: Cell::default(),
             is_leaving: Cell::default(),
             closing: Latch::default(),
             connections: Cell::default(),
@@ -93,12 +122,6 @@
         }
     }
 
-    /// Takes note of a server's entry.
-    pub fn note_server(&self, _record: &ServerRecord, _change: ServerChange) {}
-
-    /// Takes note that a server is gone.
-    pub fn forget_server(&self, _id: &str) {}
-
     /// Milliseconds on the monotonic clock.
     pub fn now_ms(&self) -> Millis {
         self.clock.now_ms()
@@ -149,4 +172,68 @@
     pub fn named_version(&self, adapter: &str) -> Option<u64> {
         self.versions.borrow().get(adapter).copied()
     }
+
+    /// Spans that holders and takers of claims keep.
+    pub fn claim_terms(&self) -> ClaimTerms {
+        ClaimTerms {
+            proof_life_ms: PROOF_LIFE_MS,
+            holder_gap_ms: self.settings.borrow().bounds.holder_gap_ms,
+            margin_ms: CLAIM_MARGIN_MS,
+        }
+    }
+
+    /// The token with which this box may order a server now.
+    pub fn order_token(&self, server: &Server) -> Option<u64> {
+        if self.is_leaving.get() || !self.proof.get().holds(&self.claim_terms(), self.now_ms()) {
+            return None;
+        }
+        let own_id = &self.settings.borrow().box_id;
+        self.claims.borrow().token_of(&server.address_text, own_id)
+    }
+
+    /// What the engines of a service have room for.
+    pub fn engine_spec(&self, service: &str) -> Option<EngineSpec> {
+        let in_force = self.in_force()?;
+        in_force.configuration.services.get(service)?.engine.clone()
+    }
+
+    /// Wakes what waits for a change of a server's contents.
+    pub fn wake_waiters(&self, server: &Server) {
+        server.changed.notify_waiters();
+    }
+
+    /// Has a message sent to a box at once.
+    pub fn tell_box(&self, box_id: &str) {
+        self.frames_to.borrow_mut().insert(box_id.to_string());
+        self.frames_due.notify_one();
+    }
+
+    /// Has a message sent to all boxes at once.
+    pub fn tell_all(&self) {
+        let members = self.members.borrow();
+        let mut frames_to = self.frames_to.borrow_mut();
+        frames_to.extend(members.all().map(|(id, _)| id.clone()));
+        drop(frames_to);
+        self.frames_due.notify_one();
+    }
+
+    /// The box that holds the claim on a server.
+    pub fn holder_of(&self, server: &Server) -> Option<String> {
+        let claims = self.claims.borrow();
+        let claim = claims.get(&server.address_text)?;
+        (!claim.value.is_released).then(|| claim.value.holder.clone())
+    }
+
+    /// Whether the holder of a server can order now, as far as this box knows.
+    pub fn has_live_holder(&self, server: &Server) -> bool {
+        let Some(holder) = self.holder_of(server) else {
+            return false;
+        };
+        if holder == self.settings.borrow().box_id {
+            return self.order_token(server).is_some();
+        }
+        let now_ms = self.now_ms();
+        let members = self.members.borrow();
+        members.get(&holder).is_some_and(|member| member.is_up(now_ms))
+    }
 }
--- /dev/null
+++ b/crates/tinbay-gateway/src/orders/claiming.rs
@@ -0,0 +1,181 @@
+//! Takes claims on servers that nobody holds.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use log::Level;
+use serde::Serialize;
+use tinbay_core::rendezvous;
+use tinbay_core::serving::claims::{ClaimValue, HolderEntry, may_take};
+use tinbay_core::units::Millis;
+
+use super::holder;
+use crate::events::{self, part};
+use crate::node::Node;
+use crate::port::store::{Revision, StoreError, Transaction};
+use crate::servers::Server;
+use crate::watch::boxes::{CLAIM_PREFIX, MEMBER_PREFIX};
+use crate::watch::counted;
+
+/// Pause between looks at the claims.
+const LOOK_PAUSE: Duration = Duration::from_millis(250);
+
+/// Time after the start in which boxes come to know each other.
+const SETTLE_MS: Millis = 1_200;
+
+/// Time by which each box lets the one before it go first.
+const RANK_DELAY_MS: Millis = 900;
+
+#[derive(Serialize)]
+struct ClaimEvent<'a> {
+    server: &'a str,
+    address: &'a str,
+    token: u64,
+    before: Option<&'a str>,
+}
+
+/// Looks after claims until the box stops.
+pub async fn run(node: Rc<Node>) {
+    let mut free_since_ms: HashMap<String, Millis> = HashMap::new();
+    loop {
+        tokio::time::sleep(LOOK_PAUSE).await;
+        if node.is_leaving.get() || node.now_ms() < SETTLE_MS {
+            continue;
+        }
+        for server in engine_servers(&node) {
+            look_after(&node, &server, &mut free_since_ms).await;
+        }
+    }
+}
+
+fn engine_servers(node: &Node) -> Vec<Rc<Server>> {
+    let servers = node.servers.borrow();
+    servers
+        .all()
+        .filter(|server| node.engine_spec(&server.record().service).is_some())
+        .cloned()
+        .collect()
+}
+
+async fn look_after(
+    node: &Rc<Node>,
+    server: &Rc<Server>,
+    free_since_ms: &mut HashMap<String, Millis>,
+) {
+    if node.order_token(server).is_some() {
+        free_since_ms.remove(&server.address_text);
+        holder::ensure(node, server);
+        return;
+    }
+    let now_ms = node.now_ms();
+    if !is_free(node, server, now_ms) || !node.proof.get().holds(&node.claim_terms(), now_ms) {
+        free_since_ms.remove(&server.address_text);
+        return;
+    }
+    let since_ms = *free_since_ms.entry(server.address_text.clone()).or_insert(now_ms);
+    if now_ms >= since_ms + own_rank(node, server) as Millis * RANK_DELAY_MS {
+        take(node, server).await;
+    }
+}
+
+fn is_free(node: &Node, server: &Server, now_ms: Millis) -> bool {
+    let claims = node.claims.borrow();
+    let claim = claims.get(&server.address_text);
+    let holder = claim.map(|claim| claim.value.holder.as_str());
+    let entry = holder.map_or(HolderEntry::Listed, |holder| holder_entry(node, holder));
+    let own_id = &node.settings.borrow().box_id;
+    may_take(claim, own_id, entry, &node.claim_terms(), now_ms)
+}
+
+fn holder_entry(node: &Node, holder: &str) -> HolderEntry {
+    let members = node.members.borrow();
+    match members.get(holder) {
+        Some(member) if member.listed => HolderEntry::Listed,
+        Some(member) => HolderEntry::MissingSince(member.listed_changed_ms),
+        None => HolderEntry::MissingSince(node.boxes_listed_ms.get()),
+    }
+}
+
+/// How many boxes stand before this one for a server: those of its zone first.
+fn own_rank(node: &Node, server: &Server) -> usize {
+    let now_ms = node.now_ms();
+    let own_id = node.settings.borrow().box_id.clone();
+    let own = node.own_record();
+    let zone = server.record().zone.clone();
+    let score = |id: &str, box_zone: &str| {
+        let is_near = box_zone == zone;
+        (is_near, rendezvous::score(&server.address_text, id))
+    };
+    let own_score = score(&own_id, &own.zone);
+    let members = node.members.borrow();
+    members
+        .all()
+        .filter(|(id, member)| **id != own_id && member.listed && member.is_up(now_ms))
+        .filter(|(id, member)| score(id, &member.record.zone) > own_score)
+        .count()
+}
+
+async fn take(node: &Rc<Node>, server: &Rc<Server>) {
+    let own_id = node.settings.borrow().box_id.clone();
+    let before = node.claims.borrow().get(&server.address_text).cloned();
+    let key = format!("{CLAIM_PREFIX}{}", server.address_text);
+    let mut expected = vec![(key.clone(), before.as_ref().map_or(0, |claim| claim.token))];
+    if let Some(claim) = &before
+        && claim.value.holder != own_id
+        && !claim.value.is_released
+    {
+        expected.push((format!("{MEMBER_PREFIX}{}", claim.value.holder), 0));
+    }
+    let value = encode(&own_id, false);
+    let transaction = Transaction {
+        expected,
+        put: vec![(key.clone(), value.clone(), 0)],
+        remove: Vec::new(),
+    };
+    let now_ms = node.now_ms();
+    match counted(node, "commit", node.store.commit(&transaction).await) {
+        Ok(token) => {
+            node.claims.borrow_mut().note(&server.address_text, &value, token, now_ms);
+            let event = ClaimEvent {
+                server: &server.record().id,
+                address: &server.address_text,
+                token,
+                before: before.as_ref().map(|claim| claim.value.holder.as_str()),
+            };
+            events::emit(part::ORDERS, Level::Info, "claim_taken", &event);
+            holder::ensure(node, server);
+        }
+        Err(StoreError::Conflict { items }) => {
+            let mut claims = node.claims.borrow_mut();
+            for item in items.iter().filter(|item| item.key == key) {
+                claims.note(&server.address_text, &item.value, item.revision, now_ms);
+            }
+        }
+        Err(_) => {}
+    }
+}
+
+fn encode(holder: &str, is_released: bool) -> Vec<u8> {
+    let value = ClaimValue {
+        holder: holder.to_string(),
+        is_released,
+    };
+    serde_json::to_vec(&value).unwrap_or_default()
+}
+
+/// The transaction that releases claims.
+pub fn release(own_id: &str, held: &[(String, Revision)]) -> Transaction {
+    let key = |address: &str| format!("{CLAIM_PREFIX}{address}");
+    Transaction {
+        expected: held
+            .iter()
+            .map(|(address, token)| (key(address), *token))
+            .collect(),
+        put: held
+            .iter()
+            .map(|(address, _)| (key(address), encode(own_id, true), 0))
+            .collect(),
+        remove: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/tinbay-gateway/src/orders/holder.rs
@@ -0,0 +1,289 @@
+//! Orders one server what to hold, while this box holds the claim on it.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::Method;
+use log::Level;
+use serde::Serialize;
+use tinbay_core::serving::configuration::EngineSpec;
+use tinbay_core::serving::contents::{Action, Contents, OrderAnswer};
+use tinbay_core::units::Millis;
+
+use crate::events::{self, part};
+use crate::http::call::{Call, CallError, Caller};
+use crate::node::Node;
+use crate::port::dialect::{Order, OrderAction};
+use crate::servers::{Server, ViewEntry};
+
+/// Longest wait for the answer to an order or a report.
+const ANSWER_TIMEOUT_MS: Millis = 500;
+
+/// Longest pause between looks at what is wanted; a new want ends it.
+const LONGEST_PAUSE_MS: Millis = 100;
+
+/// Pause while there is no proof.
+const NO_PROOF_PAUSE: Duration = Duration::from_millis(50);
+
+#[derive(Serialize)]
+struct OrderEvent<'a> {
+    server: &'a str,
+    action: &'a str,
+    adapter: &'a str,
+    version: Option<u64>,
+    expected_count: u64,
+    token: u64,
+    outcome: &'a str,
+    took_ms: Millis,
+    wanted: usize,
+}
+
+#[derive(Serialize)]
+struct ReportEvent<'a> {
+    server: &'a str,
+    order_count: u64,
+    adapters: usize,
+    incoming: usize,
+    at_hand: usize,
+}
+
+/// Starts to hold a server, unless this box does so already.
+pub fn ensure(node: &Rc<Node>, server: &Rc<Server>) {
+    if node.books.borrow().contains_key(&server.key) {
+        return;
+    }
+    let Some(spec) = node.engine_spec(&server.record().service) else {
+        return;
+    };
+    let book = Rc::new(RefCell::new(Contents::new(spec.adapter_slots, node.now_ms())));
+    node.books.borrow_mut().insert(server.key, Rc::clone(&book));
+    let holder = Holder {
+        node: Rc::clone(node),
+        server: Rc::clone(server),
+        book,
+        caller: Caller::new(server.record().address),
+    };
+    tokio::task::spawn_local(holder.run());
+}
+
+struct Holder {
+    node: Rc<Node>,
+    server: Rc<Server>,
+    book: Rc<RefCell<Contents>>,
+    caller: Caller,
+}
+
+impl Holder {
+    async fn run(self) {
+        while self.is_known() {
+            let Some(token) = self.node.order_token(&self.server) else {
+                if !self.is_own() {
+                    break;
+                }
+                tokio::time::sleep(NO_PROOF_PAUSE).await;
+                continue;
+            };
+            match self.next_action() {
+                Some(action) => self.perform(&action, token).await,
+                None => self.pause().await,
+            }
+        }
+        self.node.books.borrow_mut().remove(&self.server.key);
+    }
+
+    fn is_known(&self) -> bool {
+        self.node.servers.borrow().by_key(self.server.key).is_some()
+    }
+
+    fn is_own(&self) -> bool {
+        let own_id = self.node.settings.borrow().box_id.clone();
+        self.node.holder_of(&self.server).as_deref() == Some(own_id.as_str())
+    }
+
+    fn next_action(&self) -> Option<Action> {
+        let now_ms = self.node.now_ms();
+        let service = self.server.record().service.clone();
+        let spec = self.node.engine_spec(&service)?;
+        let wants = self.node.demand.borrow_mut().wants(self.server.key, now_ms);
+        let share = self.share();
+        let named = |adapter: &str| self.node.named_version(adapter);
+        let mut take_fetch = || self.take_fetch(&service, &spec, share, now_ms);
+        let mut book = self.book.borrow_mut();
+        for (key, uses) in self.node.demand.borrow_mut().take_uses(self.server.key) {
+            book.note_uses(key, uses, now_ms);
+        }
+        book.next_action(&wants, &named, &mut take_fetch, now_ms)
+    }
+
+    /// This box's share of the weight store's rate: by the engines it holds.
+    fn share(&self) -> f64 {
+        let own_id = self.node.settings.borrow().box_id.clone();
+        let service = self.server.record().service.clone();
+        let servers = self.node.servers.borrow();
+        let claims = self.node.claims.borrow();
+        let of_service = || servers.all().filter(|server| server.record().service == service);
+        let own = of_service()
+            .filter(|server| claims.token_of(&server.address_text, &own_id).is_some())
+            .count();
+        own as f64 / of_service().count().max(1) as f64
+    }
+
+    fn take_fetch(&self, service: &str, spec: &EngineSpec, share: f64, now_ms: Millis) -> bool {
+        let mut paces = self.node.paces.borrow_mut();
+        let pace = paces.entry(service.to_string()).or_default();
+        pace.take(spec.loads_per_s, share, now_ms)
+    }
+
+    async fn pause(&self) {
+        let now_ms = self.node.now_ms();
+        let look_ms = self.book.borrow().next_look_ms().unwrap_or(now_ms + LONGEST_PAUSE_MS);
+        let pause_ms = look_ms.saturating_sub(now_ms).clamp(1, LONGEST_PAUSE_MS);
+        let pause = Duration::from_millis(pause_ms);
+        let _ = tokio::time::timeout(pause, self.server.order_due.notified()).await;
+    }
+
+    async fn perform(&self, action: &Action, token: u64) {
+        match action {
+            Action::Learn => self.learn().await,
+            _ => self.order(action, token).await,
+        }
+    }
+
+    async fn learn(&self) {
+        let path = self.node.dialect.report_path().to_string();
+        let reply = self.caller.call(&self.call(Method::GET, path, Bytes::new())).await;
+        let report = match reply {
+            Ok(reply) if reply.status == 200 => self.node.dialect.decode_report(&reply.body),
+            _ => {
+                self.book.borrow_mut().unlearn(self.node.now_ms());
+                return;
+            }
+        };
+        let Ok(report) = report else {
+            self.book.borrow_mut().unlearn(self.node.now_ms());
+            return;
+        };
+        let event = ReportEvent {
+            server: &self.server.record().id,
+            order_count: report.order_count,
+            adapters: report.adapters.len(),
+            incoming: report.incoming.len(),
+            at_hand: report.at_hand.len(),
+        };
+        events::emit(part::ORDERS, Level::Info, "report", &event);
+        self.book.borrow_mut().note_report(&report, self.node.now_ms());
+        self.publish();
+    }
+
+    async fn order(&self, action: &Action, token: u64) {
+        let Some(order) = self.order_of(action, token) else {
+            return;
+        };
+        let began_ms = self.node.now_ms();
+        let body = self.node.dialect.encode_order(&order);
+        let path = self.node.dialect.order_path().to_string();
+        let reply = self.caller.call(&self.call(Method::POST, path, body)).await;
+        let answer = match reply {
+            Ok(reply) => match reply.status {
+                200 => OrderAnswer::Done,
+                202 => OrderAnswer::Accepted,
+                409 => OrderAnswer::Conflict,
+                _ => OrderAnswer::Refused,
+            },
+            Err(CallError::NotConnected) => OrderAnswer::Refused,
+            Err(CallError::NoAnswer) => OrderAnswer::NoAnswer,
+        };
+        let now_ms = self.node.now_ms();
+        self.book.borrow_mut().note_answer(action, answer, now_ms);
+        self.log_order(&order, answer, now_ms - began_ms);
+        self.publish();
+    }
+
+    fn order_of(&self, action: &Action, token: u64) -> Option<Order> {
+        let (action, adapter, expected_count) = match action {
+            Action::Learn => return None,
+            Action::Load {
+                adapter,
+                version,
+                expected_count,
+            } => (OrderAction::Load { version: *version }, adapter, *expected_count),
+            Action::Unload {
+                adapter,
+                expected_count,
+            } => (OrderAction::Unload, adapter, *expected_count),
+        };
+        Some(Order {
+            action,
+            adapter: adapter.clone(),
+            expected_count: Some(expected_count),
+            holder: self.node.settings.borrow().box_id.clone(),
+            token,
+        })
+    }
+
+    fn call(&self, method: Method, path: String, body: Bytes) -> Call {
+        let name = self.node.dialect.headers().expect_server.clone();
+        Call {
+            method,
+            path,
+            body,
+            header: Some((name, self.server.record().id.clone())),
+            timeout_ms: ANSWER_TIMEOUT_MS,
+        }
+    }
+
+    fn log_order(&self, order: &Order, answer: OrderAnswer, took_ms: Millis) {
+        let (action, version) = match order.action {
+            OrderAction::Load { version } => ("load", version),
+            OrderAction::Unload => ("unload", None),
+        };
+        let outcome = match answer {
+            OrderAnswer::Accepted => "accepted",
+            OrderAnswer::Done => "done",
+            OrderAnswer::Conflict => "conflict",
+            OrderAnswer::Refused => "refused",
+            OrderAnswer::NoAnswer => "no_answer",
+        };
+        self.node.metrics.orders.with_label_values(&[action, outcome]).inc();
+        let wanted = self
+            .node
+            .demand
+            .borrow_mut()
+            .wants(self.server.key, self.node.now_ms())
+            .len();
+        let event = OrderEvent {
+            server: &self.server.record().id,
+            action,
+            adapter: &order.adapter,
+            version,
+            expected_count: order.expected_count.unwrap_or_default(),
+            token: order.token,
+            outcome,
+            took_ms,
+            wanted,
+        };
+        events::emit(part::ORDERS, Level::Info, "order", &event);
+    }
+
+    /// Tells this box and the others what the server holds now.
+    fn publish(&self) {
+        let now_ms = self.node.now_ms();
+        let entries = {
+            let book = self.book.borrow();
+            if !book.is_learnt() {
+                return;
+            }
+            let entry = |(key, held): (&u64, &tinbay_core::serving::contents::Held)| {
+                let version = held.version.unwrap_or_default();
+                let state = held.state;
+                (*key, ViewEntry { version, state })
+            };
+            book.held().map(entry).collect()
+        };
+        self.server.note_view(entries, now_ms);
+        self.node.wake_waiters(&self.server);
+        self.node.tell_all();
+    }
+}
--- /dev/null
+++ b/crates/tinbay-gateway/src/orders/membership.rs
@@ -0,0 +1,170 @@
+//! Keeps this box's leased entry in the store, and with it the proof that it may order.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use log::Level;
+use serde::Serialize;
+use tinbay_core::units::Millis;
+
+use crate::events::{self, part};
+use crate::node::Node;
+use crate::port::store::{LeaseId, Revision, StoreError, StoreResult, Transaction};
+use crate::watch::boxes::{CLAIM_PREFIX, MEMBER_PREFIX};
+use crate::watch::{counted, sleep_with_jitter};
+
+/// Life of the lease of the box's entry.
+const LEASE_LIFE_MS: Millis = 6_000;
+
+/// Pause between proofs; several fit into the life of one.
+const PROOF_PAUSE_MS: Millis = 2_000;
+
+/// Pause after a failed call.
+const RETRY_PAUSE_MS: Millis = 300;
+
+#[derive(Serialize)]
+struct ProofEvent {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    error: Option<String>,
+}
+
+/// The box's entry as it last wrote it.
+#[derive(Debug, Default)]
+struct Entry {
+    lease: Option<LeaseId>,
+    is_written: bool,
+    written_as_leaving: bool,
+}
+
+/// Keeps the entry until the box stops.
+pub async fn keep(node: Rc<Node>) {
+    let mut entry = Entry::default();
+    loop {
+        let result = renew(&node, &mut entry).await;
+        let pause_ms = match &result {
+            Ok(()) => PROOF_PAUSE_MS,
+            Err(_) => RETRY_PAUSE_MS,
+        };
+        let held = node.proof.get().holds(&node.claim_terms(), node.now_ms());
+        if let (Err(error), false) = (&result, held) {
+            let event = ProofEvent {
+                error: Some(error.to_string()),
+            };
+            events::emit(part::ORDERS, Level::Warn, "no_proof", &event);
+        }
+        tokio::select! {
+            () = sleep_with_jitter(pause_ms) => {}
+            () = node.entry_due.notified() => {}
+        }
+    }
+}
+
+async fn renew(node: &Node, entry: &mut Entry) -> StoreResult<()> {
+    let lease = match entry.lease {
+        Some(lease) => lease,
+        None => grant(node, entry).await?,
+    };
+    if !entry.is_written || entry.written_as_leaving != node.is_leaving.get() {
+        write(node, entry, lease).await?;
+    }
+    match counted(node, "keep", node.store.keep(lease).await) {
+        Err(StoreError::LeaseOver) => {
+            *entry = Entry::default();
+            return Err(StoreError::LeaseOver);
+        }
+        result => result?,
+    }
+    prove(node, entry).await
+}
+
+async fn grant(node: &Node, entry: &mut Entry) -> StoreResult<LeaseId> {
+    let shortest_ms = node.settings.borrow().bounds.shortest_lease_ms;
+    let life_ms = LEASE_LIFE_MS.max(shortest_ms);
+    let lease = counted(node, "grant", node.store.grant(life_ms).await)?;
+    entry.lease = Some(lease);
+    entry.is_written = false;
+    Ok(lease)
+}
+
+async fn write(node: &Node, entry: &mut Entry, lease: LeaseId) -> StoreResult<()> {
+    let record = node.own_record();
+    let value = serde_json::to_vec(&record).unwrap_or_default();
+    let transaction = Transaction {
+        put: vec![(own_key(node), value, lease)],
+        ..Transaction::default()
+    };
+    match counted(node, "commit", node.store.commit(&transaction).await) {
+        Err(StoreError::LeaseOver) => {
+            *entry = Entry::default();
+            Err(StoreError::LeaseOver)
+        }
+        Err(error) => Err(error),
+        Ok(_) => {
+            entry.is_written = true;
+            entry.written_as_leaving = record.is_leaving;
+            Ok(())
+        }
+    }
+}
+
+/// Reads the own entry back: a renewed lease does not show that its keys are still there.
+async fn prove(node: &Node, entry: &mut Entry) -> StoreResult<()> {
+    let asked_ms = node.now_ms();
+    let item = counted(node, "read", node.store.read(&own_key(node)).await)?;
+    if item.is_none() {
+        entry.is_written = false;
+        return Err(StoreError::LeaseOver);
+    }
+    let mut proof = node.proof.get();
+    if !proof.holds(&node.claim_terms(), asked_ms) {
+        read_claims(node).await?;
+        events::emit(part::ORDERS, Level::Info, "proof", &ProofEvent { error: None });
+    }
+    proof.renew(asked_ms);
+    node.proof.set(proof);
+    Ok(())
+}
+
+/// Reads all claims: some may have gone to others while there was no proof.
+async fn read_claims(node: &Node) -> StoreResult<()> {
+    let listing = counted(node, "list", node.store.list(CLAIM_PREFIX, false).await)?;
+    let now_ms = node.now_ms();
+    let mut claims = node.claims.borrow_mut();
+    for item in &listing.items {
+        if let Some(address) = item.key.strip_prefix(CLAIM_PREFIX) {
+            claims.note(address, &item.value, item.revision, now_ms);
+        }
+    }
+    Ok(())
+}
+
+fn own_key(node: &Node) -> String {
+    format!("{MEMBER_PREFIX}{}", node.settings.borrow().box_id)
+}
+
+/// Marks all own claims released; no order may be given after this begins.
+pub async fn release_claims(node: &Node) {
+    let own_id = node.settings.borrow().box_id.clone();
+    let held: Vec<(String, Revision)> = {
+        let claims = node.claims.borrow();
+        let addresses = claims.held_by(&own_id);
+        addresses
+            .into_iter()
+            .filter_map(|address| Some((address.clone(), claims.get(&address)?.token)))
+            .collect()
+    };
+    for chunk in held.chunks(MOST_ENTRIES) {
+        let transaction = super::claiming::release(&own_id, chunk);
+        let committing = node.store.commit(&transaction);
+        let result = tokio::time::timeout(RELEASE_TIMEOUT, committing).await;
+        if let Ok(result) = result {
+            let _ = counted(node, "commit", result);
+        }
+    }
+}
+
+/// Entries that one transaction may have.
+const MOST_ENTRIES: usize = 32;
+
+/// Longest time for the release at a planned stop.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(800);
--- /dev/null
+++ b/crates/tinbay-gateway/src/orders/mod.rs
@@ -0,0 +1,5 @@
+//! Claims on servers, and orders to them.
+
+pub mod claiming;
+pub mod holder;
+pub mod membership;
--- /dev/null
+++ b/crates/tinbay-gateway/src/peers/frame.rs
@@ -0,0 +1,84 @@
+//! The message between boxes.
+
+use serde::{Deserialize, Serialize};
+use tinbay_core::serving::contents::{AdapterKey, Want};
+
+use crate::members::MemberRecord;
+use crate::servers::ServerKey;
+
+/// Longest datagram: what fits into one packet of any usual link.
+pub const MOST_BYTES: usize = 1_300;
+
+/// What one box tells another.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Frame {
+    /// The sender.
+    pub box_id: String,
+    /// Start of the sender's process, to tell its runs apart.
+    pub incarnation: u64,
+    /// Rises with each frame of the run.
+    pub sequence: u64,
+    /// What the sender says about itself.
+    pub record: MemberRecord,
+    /// Version of the configuration in force at the sender; 0 for none.
+    pub configuration: u64,
+    /// One part of what it has to say.
+    pub part: FramePart,
+}
+
+/// One part of what a box has to say.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum FramePart {
+    /// Requests it has running, by server; servers that are left out have none.
+    Flights(Vec<(ServerKey, u16)>),
+    /// All that some of the servers it holds the claims of hold.
+    Contents(Vec<ContentsPart>),
+    /// All that it wants at servers of the receiver.
+    Wants(Vec<WantPart>),
+    /// Uses since its last such part, at servers of the receiver.
+    Uses(Vec<(ServerKey, AdapterKey, u32)>),
+}
+
+/// All that one server holds.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ContentsPart {
+    /// The server.
+    pub server: ServerKey,
+    /// Its adapters.
+    pub adapters: Vec<AdapterPart>,
+}
+
+/// An adapter that takes a place.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AdapterPart {
+    /// The adapter.
+    pub key: AdapterKey,
+    /// Its version; 0 where it is not known.
+    pub version: u32,
+    /// Whether it can serve.
+    pub is_ready: bool,
+}
+
+/// An adapter that is wanted.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct WantPart {
+    /// Where.
+    pub server: ServerKey,
+    /// The adapter as `model/name`.
+    pub adapter: String,
+    /// The version that was named, if one was.
+    pub version: Option<u64>,
+    /// How much.
+    pub weight: f32,
+}
+
+impl WantPart {
+    /// The want as the core knows it.
+    pub fn to_want(&self) -> Want {
+        Want {
+            adapter: self.adapter.clone(),
+            version: self.version,
+            weight: f64::from(self.weight),
+        }
+    }
+}
--- a/crates/tinbay-gateway/src/run.rs
+++ b/crates/tinbay-gateway/src/run.rs
@@ -8,7 +8,7 @@
 use log::Level;
 use serde::Serialize;
 use tinbay_core::units::Millis;
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::{TcpListener, TcpSocket, UdpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::LocalSet;
 
@@ -18,6 +18,8 @@
 use crate::front::listener;
 use crate::metrics::Metrics;
 use crate::node::Node;
+use crate::orders::{claiming, membership};
+use crate::peers::exchange;
 use crate::port::dialect::{DecodeError, Dialect};
 use crate::port::store::Store;
 use crate::settings::Settings;
@@ -124,6 +126,9 @@
     let reload = signal(SignalKind::hangup()).map_err(GatewayError::Start)?;
     start_listeners(&node, &settings)?;
     start_followers(&node);
+    start_exchange(&node, settings.peer).await?;
+    tokio::task::spawn_local(membership::keep(Rc::clone(&node)));
+    tokio::task::spawn_local(claiming::run(Rc::clone(&node)));
     log_start(&settings);
     tokio::task::spawn_local(handle_reloads(reload));
     stop.recv().await;
@@ -160,6 +165,16 @@
     tokio::task::spawn_local(follow(Rc::clone(node), boxes, BOX_PACE));
 }
 
+async fn start_exchange(node: &Rc<Node>, address: SocketAddr) -> Result<(), GatewayError> {
+    let socket = UdpSocket::bind(address)
+        .await
+        .map_err(|source| GatewayError::Listen { address, source })?;
+    let socket = Rc::new(socket);
+    tokio::task::spawn_local(exchange::receive(Rc::clone(node), Rc::clone(&socket)));
+    tokio::task::spawn_local(exchange::send(Rc::clone(node), socket));
+    Ok(())
+}
+
 fn log_start(settings: &Settings) {
     let event = StartEvent {
         box_id: &settings.box_id,
@@ -182,8 +197,11 @@
 async fn stop_node(node: &Node) {
     let began_ms = node.now_ms();
     node.is_leaving.set(true);
+    node.entry_due.notify_one();
+    node.tell_all();
     log_stop(node, "stop_begun", began_ms);
     let end_ms = began_ms + node.settings.borrow().bounds.stop_within_ms - STOP_MARGIN_MS;
+    membership::release_claims(node).await;
     sleep_until(node, end_ms.saturating_sub(LAST_REQUEST_MS)).await;
     node.closing.set();
     while node.now_ms() < end_ms && node.connections.get() > 0 {
--- a/crates/tinbay-gateway/src/servers.rs
+++ b/crates/tinbay-gateway/src/servers.rs
@@ -4,17 +4,52 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
+use tinbay_core::serving::contents::{AdapterKey, HeldState, adapter_key};
 use tinbay_core::serving::servers::{ServerRecord, ServerState};
 use tinbay_core::units::Millis;
+use tokio::sync::Notify;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::http::pool::Pool;
 
 /// Half-life of the mistrust in a server that failed.
 const MISTRUST_HALF_LIFE_MS: f64 = 1_500.0;
 
+/// How long a holder's word on its server's contents counts after its last message.
+const HOLDER_WORD_LIFE_MS: Millis = 1_500;
+
+/// Short name of an incarnation of a server, in memory and in messages.
+pub type ServerKey = u64;
+
+/// An adapter at a server, as this box believes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ViewEntry {
+    /// Its version; 0 where it is not known.
+    pub version: u64,
+    /// Whether it can serve.
+    pub state: HeldState,
+}
+
+/// What a server holds, as its holder told.
+#[derive(Debug, Default)]
+struct View {
+    told_ms: Option<Millis>,
+    entries: HashMap<AdapterKey, ViewEntry>,
+}
+
 /// One incarnation of a server.
 #[derive(Debug)]
 pub struct Server {
+    /// Its short name.
+    pub key: ServerKey,
+    /// Where it listens, as text.
+    pub address_text: String,
+    /// Told when its holder may have something to order.
+    pub order_due: Notify,
+    /// Told when what it holds may have changed.
+    pub changed: Notify,
+    view: RefCell<View>,
+    listed: RefCell<HashMap<AdapterKey, ViewEntry>>,
     /// What it says about itself.
     pub record: RefCell<Rc<ServerRecord>>,
     /// Connections to it.
@@ -47,6 +82,12 @@
 impl Server {
     fn new(record: ServerRecord) -> Self {
         Self {
+            key: server_key(&record.id),
+            address_text: record.address.to_string(),
+            order_due: Notify::new(),
+            changed: Notify::new(),
+            view: RefCell::default(),
+            listed: RefCell::new(listed_entries(&record)),
             pool: Rc::new(Pool::new(record.address)),
             record: RefCell::new(Rc::new(record)),
             own_flights: Cell::default(),
@@ -60,6 +101,25 @@
         Rc::clone(&self.record.borrow())
     }
 
+    /// Notes what its holder says it holds.
+    pub fn note_view(&self, entries: HashMap<AdapterKey, ViewEntry>, now_ms: Millis) {
+        let mut view = self.view.borrow_mut();
+        view.told_ms = Some(now_ms);
+        view.entries = entries;
+    }
+
+    /// What is believed of one adapter here: its holder's word, or else its own entry.
+    pub fn adapter(&self, key: AdapterKey, now_ms: Millis) -> Option<ViewEntry> {
+        let view = self.view.borrow();
+        let is_fresh = view
+            .told_ms
+            .is_some_and(|told_ms| now_ms < told_ms + HOLDER_WORD_LIFE_MS);
+        if is_fresh {
+            return view.entries.get(&key).copied();
+        }
+        self.listed.borrow().get(&key).copied()
+    }
+
     /// Whether it takes work.
     pub fn is_ready(&self) -> bool {
         self.record.borrow().state == ServerState::Ready
@@ -111,6 +171,7 @@
 #[derive(Debug, Default)]
 pub struct ServerTable {
     by_id: HashMap<String, Rc<Server>>,
+    ids: HashMap<ServerKey, String>,
 }
 
 /// What a record changed.
@@ -130,6 +191,7 @@
         match self.by_id.get(&record.id) {
             Some(server) => {
                 let changed = server.record.borrow().state != record.state;
+                *server.listed.borrow_mut() = listed_entries(&record);
                 *server.record.borrow_mut() = Rc::new(record);
                 if changed {
                     ServerChange::StateChanged
@@ -139,6 +201,7 @@
             }
             None => {
                 let id = record.id.clone();
+                self.ids.insert(server_key(&id), id.clone());
                 self.by_id.insert(id, Rc::new(Server::new(record)));
                 ServerChange::Arrived
             }
@@ -147,6 +210,7 @@
 
     /// Forgets a server.
     pub fn remove(&mut self, id: &str) -> bool {
+        self.ids.remove(&server_key(id));
         match self.by_id.remove(id) {
             Some(server) => {
                 server.pool.clear();
@@ -161,6 +225,11 @@
         self.by_id.get(id).cloned()
     }
 
+    /// A server by its short name.
+    pub fn by_key(&self, key: ServerKey) -> Option<Rc<Server>> {
+        self.get(self.ids.get(&key)?)
+    }
+
     /// All servers.
     pub fn all(&self) -> impl Iterator<Item = &Rc<Server>> {
         self.by_id.values()
@@ -182,3 +251,21 @@
         self.by_id.is_empty()
     }
 }
+
+fn server_key(id: &str) -> ServerKey {
+    xxh3_64(id.as_bytes())
+}
+
+fn listed_entries(record: &ServerRecord) -> HashMap<AdapterKey, ViewEntry> {
+    record
+        .adapters
+        .iter()
+        .map(|held| {
+            let entry = ViewEntry {
+                version: held.version,
+                state: HeldState::Ready,
+            };
+            (adapter_key(&held.adapter), entry)
+        })
+        .collect()
+}
--- a/crates/tinbay-gateway/src/watch/boxes.rs
+++ b/crates/tinbay-gateway/src/watch/boxes.rs
@@ -93,6 +93,9 @@
         for id in gone {
             self.drop_member(&id, 0);
         }
+        let now_ms = self.node.now_ms();
+        self.node.members.borrow_mut().note_break(now_ms);
+        self.node.boxes_listed_ms.set(now_ms);
         for item in items {
             self.take(item);
         }
--- a/crates/tinbay-gateway/src/watch/configuration.rs
+++ b/crates/tinbay-gateway/src/watch/configuration.rs
@@ -94,7 +94,9 @@
         };
         events::emit(part::CONFIG, Level::Info, "version_named", &event);
         versions.insert(named.adapter, named.version);
-        self.node.wanted.notify_one();
+        for server in self.node.servers.borrow().all() {
+            server.order_due.notify_one();
+        }
     }
 }
 
--- a/crates/tinbay-gateway/src/watch/servers.rs
+++ b/crates/tinbay-gateway/src/watch/servers.rs
@@ -54,13 +54,11 @@
         if change != ServerChange::Same {
             log_change(&record);
         }
-        self.node.note_server(&record, change);
     }
 
     fn forget(&self, id: &str) {
         if self.node.servers.borrow_mut().remove(id) {
             events::emit(part::SERVERS, Level::Info, "server_gone", &GoneEvent { server: id });
-            self.node.forget_server(id);
         }
     }
 }
