Base models into empty servers; wants remembered; shares of the load rate among holders that can order

Cause: a restarted server holds no base model and answered 409 to every adapter order; two of six boxes without the store kept their part of the load rate idle; rare adapters went before those asked for again and again; requests taken late in a planned stop were cut (LOST). Change: models are ordered first; boxes tell whether they can order; a want's weight holds who asked before; a leaving box sends waiting requests elsewhere and takes none after 2.8 s.

--- a/crates/tinbay-core/src/serving/configuration.rs
+++ b/crates/tinbay-core/src/serving/configuration.rs
@@ -80,6 +80,21 @@
     pub adapter_slots: usize,
     /// Loads a second that the weight store allows over all engines.
     pub loads_per_s: f64,
+    /// Memory for weights and adapters together.
+    pub weights_mb: f64,
+    /// Base models that may be loaded.
+    pub models: Vec<ModelSpec>,
+}
+
+/// A base model.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ModelSpec {
+    /// Its name.
+    pub name: String,
+    /// Memory of its weights.
+    pub weights_mb: f64,
+    /// Memory of one adapter.
+    pub adapter_mb: f64,
 }
 
 /// Bounds on what callers send.
--- a/crates/tinbay-core/src/serving/contents.rs
+++ b/crates/tinbay-core/src/serving/contents.rs
@@ -8,6 +8,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::configuration::{EngineSpec, ModelSpec};
 use super::servers::{AdapterName, HeldAdapter, Report};
 use crate::units::Millis;
 
@@ -32,6 +33,9 @@
 /// Shortest pause between two looks at a load.
 const CHECK_PAUSE_MS: Millis = 8;
 
+/// Pause between two looks at the load of a model, which takes some hundred milliseconds.
+const MODEL_CHECK_PAUSE_MS: Millis = 60;
+
 /// An adapter used more lately than this is not taken out for another.
 const KEEP_USED_MS: Millis = 150;
 
@@ -71,7 +75,14 @@
     is_fetch: bool,
 }
 
-/// Requests that wait for an adapter.
+/// A base model that takes memory.
+#[derive(Debug, Clone)]
+struct HeldModel {
+    state: HeldState,
+    check_ms: Millis,
+}
+
+/// Requests that wait for an adapter, or for a model where no adapter is named.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Want {
     /// The adapter as `model/name`.
@@ -123,7 +134,8 @@
 /// What one server holds, as its holder knows it.
 #[derive(Debug)]
 pub struct Contents {
-    places: usize,
+    spec: EngineSpec,
+    models: HashMap<String, HeldModel>,
     held: HashMap<AdapterKey, Held>,
     lately: HashMap<AdapterKey, (Option<u64>, Millis)>,
     order_count: Option<u64>,
@@ -134,9 +146,10 @@
 
 impl Contents {
     /// Contents that are to be learnt.
-    pub fn new(places: usize, now_ms: Millis) -> Self {
+    pub fn new(spec: EngineSpec, now_ms: Millis) -> Self {
         Self {
-            places,
+            spec,
+            models: HashMap::new(),
             held: HashMap::new(),
             lately: HashMap::new(),
             order_count: None,
@@ -187,6 +200,12 @@
         if let Some(action) = self.check_load(expected_count, now_ms) {
             return Some(action);
         }
+        if self.is_loading_model() {
+            return None;
+        }
+        if let Some(action) = self.load_model(wants, expected_count, take_fetch) {
+            return Some(action);
+        }
         if self.loading() >= MOST_LOADING {
             return None;
         }
@@ -203,11 +222,83 @@
         if self.order_count.is_none() {
             return Some(self.learn_from_ms);
         }
-        let loading = self.held.values().filter(|held| held.state == HeldState::Loading);
-        loading.map(|held| held.check_ms).min()
+        let adapters = self.held.values().map(|held| (held.state, held.check_ms));
+        let models = self.models.values().map(|model| (model.state, model.check_ms));
+        adapters
+            .chain(models)
+            .filter(|(state, _)| *state == HeldState::Loading)
+            .map(|(_, check_ms)| check_ms)
+            .min()
+    }
+
+    fn is_loading_model(&self) -> bool {
+        self.models.values().any(|model| model.state == HeldState::Loading)
+    }
+
+    /// Loads the most wanted model that is missing and fits, or the first of all into an
+    /// empty server.
+    fn load_model(
+        &self,
+        wants: &[Want],
+        expected_count: u64,
+        take_fetch: &mut dyn FnMut() -> bool,
+    ) -> Option<Action> {
+        let wanted = wants.iter().map(|want| model_of(&want.adapter));
+        let missing = wanted
+            .filter(|model| !self.models.contains_key(*model))
+            .find(|model| self.fits(model));
+        let first = || self.spec.models.first().map(|model| model.name.as_str());
+        let model = match missing {
+            Some(model) => model,
+            None if self.models.is_empty() => first()?,
+            None => return None,
+        };
+        take_fetch().then(|| Action::Load {
+            adapter: model.to_string(),
+            version: None,
+            expected_count,
+        })
+    }
+
+    fn fits(&self, model: &str) -> bool {
+        let Some(spec) = self.model_spec(model) else {
+            return false;
+        };
+        let adapters_mb: f64 = self.held.values().map(|held| self.adapter_mb(&held.adapter)).sum();
+        self.models_mb() + adapters_mb + spec.weights_mb <= self.spec.weights_mb
+    }
+
+    fn model_spec(&self, model: &str) -> Option<&ModelSpec> {
+        self.spec.models.iter().find(|spec| spec.name == model)
+    }
+
+    fn models_mb(&self) -> f64 {
+        let mb = |model: &String| self.model_spec(model).map_or(0.0, |spec| spec.weights_mb);
+        self.models.keys().map(mb).sum()
+    }
+
+    fn adapter_mb(&self, adapter: &str) -> f64 {
+        self.model_spec(model_of(adapter)).map_or(0.0, |spec| spec.adapter_mb)
+    }
+
+    /// Whether one more adapter has a place and memory.
+    fn has_room(&self, adapter: &str) -> bool {
+        let adapters_mb: f64 = self.held.values().map(|held| self.adapter_mb(&held.adapter)).sum();
+        let used_mb = self.models_mb() + adapters_mb + self.adapter_mb(adapter);
+        self.held.len() < self.spec.adapter_slots && used_mb <= self.spec.weights_mb
     }
 
     fn check_load(&self, expected_count: u64, now_ms: Millis) -> Option<Action> {
+        let model_due = |(_, model): &(&String, &HeldModel)| {
+            model.state == HeldState::Loading && model.check_ms <= now_ms
+        };
+        if let Some((name, _)) = self.models.iter().find(model_due) {
+            return Some(Action::Load {
+                adapter: name.clone(),
+                version: None,
+                expected_count,
+            });
+        }
         let due = |held: &&Held| held.state == HeldState::Loading && held.check_ms <= now_ms;
         let held = self.held.values().find(due)?;
         Some(Action::Load {
@@ -241,10 +332,11 @@
         now_ms: Millis,
     ) -> Option<Action> {
         let key = adapter_key(&want.adapter);
-        if self.held.contains_key(&key) {
+        let has_model = self.models.contains_key(model_of(&want.adapter));
+        if !has_model || !want.adapter.contains('/') || self.held.contains_key(&key) {
             return None;
         }
-        let victim = if self.held.len() < self.places {
+        let victim = if self.has_room(&want.adapter) {
             None
         } else {
             Some(self.victim(now_ms)?)
@@ -309,6 +401,9 @@
     }
 
     fn note_loading(&mut self, adapter: &str, version: Option<u64>, now_ms: Millis) {
+        if !adapter.contains('/') {
+            return self.note_model_loading(adapter, now_ms);
+        }
         let key = adapter_key(adapter);
         if let Some(held) = self.held.get_mut(&key)
             && held.state == HeldState::Loading
@@ -333,7 +428,26 @@
         self.count_order();
     }
 
+    fn note_model_loading(&mut self, model: &str, now_ms: Millis) {
+        if !self.models.contains_key(model) {
+            self.count_order();
+        }
+        let held = HeldModel {
+            state: HeldState::Loading,
+            check_ms: now_ms + MODEL_CHECK_PAUSE_MS,
+        };
+        self.models.insert(model.to_string(), held);
+    }
+
     fn note_ready(&mut self, adapter: &str, version: Option<u64>, now_ms: Millis) {
+        if !adapter.contains('/') {
+            let held = HeldModel {
+                state: HeldState::Ready,
+                check_ms: now_ms,
+            };
+            self.models.insert(adapter.to_string(), held);
+            return;
+        }
         let key = adapter_key(adapter);
         if let Some(held) = self.held.get_mut(&key) {
             held.state = HeldState::Ready;
@@ -359,7 +473,7 @@
     }
 
     fn forget_old(&mut self) {
-        if self.lately.len() <= self.places * LATELY_FACTOR {
+        if self.lately.len() <= self.spec.adapter_slots * LATELY_FACTOR {
             return;
         }
         let held = &self.held;
@@ -379,6 +493,12 @@
     /// [`Action::Learn`] waits for.
     pub fn note_report(&mut self, report: &Report, now_ms: Millis) {
         self.order_count = Some(report.order_count);
+        let ready_model = HeldModel {
+            state: HeldState::Ready,
+            check_ms: now_ms,
+        };
+        let models = report.models.iter();
+        self.models = models.map(|model| (model.clone(), ready_model.clone())).collect();
         let mut held = HashMap::new();
         for known in &report.adapters {
             let entry = self.carried_over(known, now_ms);
@@ -427,3 +547,8 @@
         is_fetch: false,
     }
 }
+
+/// The base model of an adapter, or the model itself.
+fn model_of(adapter: &str) -> &str {
+    adapter.split_once('/').map_or(adapter, |(model, _)| model)
+}
--- a/crates/tinbay-core/src/serving/servers.rs
+++ b/crates/tinbay-core/src/serving/servers.rs
@@ -55,6 +55,8 @@
 pub struct Report {
     /// Orders it has taken.
     pub order_count: u64,
+    /// Base models it holds.
+    pub models: Vec<String>,
     /// Adapters it holds.
     pub adapters: Vec<HeldAdapter>,
     /// Adapters on their way to it.
--- a/crates/tinbay-gateway/src/demand.rs
+++ b/crates/tinbay-gateway/src/demand.rs
@@ -33,9 +33,33 @@
     by_server: HashMap<ServerKey, Vec<Want>>,
 }
 
+/// Half-life of the memory of how often an adapter was waited for.
+const ASKED_HALF_LIFE_MS: f64 = 15_000.0;
+
+/// Weight of a request remembered, against one that waits now.
+const ASKED_WEIGHT: f64 = 0.7;
+
+/// Adapters whose askers are remembered.
+const MOST_ASKED: usize = 20_000;
+
+/// How often an adapter was waited for, fading.
+#[derive(Debug, Default, Clone, Copy)]
+struct Asked {
+    count: f64,
+    noted_ms: Millis,
+}
+
+impl Asked {
+    fn at(&self, now_ms: Millis) -> f64 {
+        let age_ms = now_ms.saturating_sub(self.noted_ms) as f64;
+        self.count * (-age_ms / ASKED_HALF_LIFE_MS).exp2()
+    }
+}
+
 /// Which adapters are wanted and used where.
 #[derive(Debug, Default)]
 pub struct Demand {
+    asked: HashMap<AdapterKey, Asked>,
     own: HashMap<ServerKey, HashMap<AdapterKey, OwnWant>>,
     uses: HashMap<ServerKey, HashMap<AdapterKey, u32>>,
     peers: HashMap<String, PeerWants>,
@@ -57,6 +81,16 @@
         own.waiting <= want.weight
     }
 
+    /// Remembers that a request had to wait for an adapter.
+    pub fn note_asked(&mut self, key: AdapterKey, now_ms: Millis) {
+        if self.asked.len() >= MOST_ASKED {
+            self.asked.retain(|_, asked| asked.at(now_ms) >= 0.5);
+        }
+        let asked = self.asked.entry(key).or_default();
+        asked.count = asked.at(now_ms) + 1.0;
+        asked.noted_ms = now_ms;
+    }
+
     /// A request stops waiting; the adapter stays wanted for a while if it was sent away.
     pub fn end(&mut self, server: ServerKey, want: &Want, sent_away_ms: Option<Millis>) {
         let Some(wants) = self.own.get_mut(&server) else {
@@ -97,12 +131,14 @@
             }
             own.waiting + own.lingering > 0.0
         });
+        let asked = &self.asked;
+        let remembered = |key| asked.get(key).map_or(0.0, |asked: &Asked| asked.at(now_ms));
         wants
-            .values()
-            .map(|own| Want {
+            .iter()
+            .map(|(key, own)| Want {
                 adapter: own.adapter.clone(),
                 version: own.version,
-                weight: own.waiting + own.lingering,
+                weight: own.waiting + own.lingering + ASKED_WEIGHT * remembered(key),
             })
             .collect()
     }
--- a/crates/tinbay-gateway/src/front/adapters.rs
+++ b/crates/tinbay-gateway/src/front/adapters.rs
@@ -22,6 +22,9 @@
 /// When a caller comes back whose adapter was not loaded in time.
 const RETRY_AFTER_MS: Millis = 500;
 
+/// When a caller comes back that should use another box.
+const RETRY_ELSEWHERE_MS: Millis = 20;
+
 /// A want that ends when the request stops waiting.
 struct Waiting {
     node: Rc<Node>,
@@ -82,6 +85,14 @@
                 retry_after_ms: RETRY_AFTER_MS,
             });
         }
+        if node.is_leaving.get() {
+            return Err(Refusal::NotRun {
+                retry_after_ms: RETRY_ELSEWHERE_MS,
+            });
+        }
+        if waiting.is_none() {
+            note_asked(node, question);
+        }
         if waiting.as_ref().is_none_or(|waiting| waiting.server.key != home.key) {
             waiting = Some(Waiting::begin(node, &home, want(node, question)));
         }
@@ -104,3 +115,11 @@
         node.demand.borrow_mut().note_use(server.key, key);
     }
 }
+
+fn note_asked(node: &Node, question: &Question) {
+    if let Some(model) = &question.model {
+        let key = tinbay_core::serving::contents::adapter_key(model);
+        let now_ms = node.now_ms();
+        node.demand.borrow_mut().note_asked(key, now_ms);
+    }
+}
--- a/crates/tinbay-gateway/src/front/choice.rs
+++ b/crates/tinbay-gateway/src/front/choice.rs
@@ -15,10 +15,10 @@
 const OTHER_ZONE_LOAD: f64 = 0.15;
 
 /// Load of all servers that hold an adapter above which one more should hold it.
-const SPREAD_LOAD: f64 = 0.6;
+const SPREAD_LOAD: f64 = 0.9;
 
 /// Load above which a server is no home for one adapter more.
-const FULL_LOAD: f64 = 1.0;
+const FULL_LOAD: f64 = 0.7;
 
 /// What is to be done with a request next.
 pub enum Choice {
@@ -36,19 +36,18 @@
     ready.retain(|server| !tried.contains(&server.record().id));
     match question.model.as_deref() {
         Some(model) if model.contains('/') => choose_for_adapter(node, model, &ready),
-        Some(model) => {
-            ready.retain(|server| server.record().models.iter().any(|held| held == model));
-            send_to_least_loaded(node, &ready)
-        }
-        None => send_to_least_loaded(node, &ready),
+        Some(model) => choose_for_model(node, model, &ready),
+        None => least_loaded(node, &ready).map_or(Choice::Nowhere, |(_, server)| Choice::Send(server)),
     }
 }
 
-fn send_to_least_loaded(node: &Node, servers: &[Rc<Server>]) -> Choice {
-    match least_loaded(node, servers) {
-        Some((_, server)) => Choice::Send(server),
-        None => Choice::Nowhere,
+fn choose_for_model(node: &Node, model: &str, ready: &[Rc<Server>]) -> Choice {
+    let holds = |server: &&Rc<Server>| server.record().models.iter().any(|held| held == model);
+    let holding: Vec<Rc<Server>> = ready.iter().filter(holds).cloned().collect();
+    if let Some((_, server)) = least_loaded(node, &holding) {
+        return Choice::Send(server);
     }
+    home(node, model, ready).map_or(Choice::Nowhere, Choice::Wait)
 }
 
 fn least_loaded(node: &Node, servers: &[Rc<Server>]) -> Option<(f64, Rc<Server>)> {
--- a/crates/tinbay-gateway/src/front/listener.rs
+++ b/crates/tinbay-gateway/src/front/listener.rs
@@ -44,10 +44,14 @@
     }
 }
 
-/// Takes callers' connections until the box stops.
+/// Takes callers' connections until the box closes.
 pub async fn listen(node: Rc<Node>, listener: TcpListener) {
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = node.closing.wait() => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 let _ = stream.set_nodelay(true);
                 tokio::task::spawn_local(serve(Rc::clone(&node), stream));
--- a/crates/tinbay-gateway/src/members.rs
+++ b/crates/tinbay-gateway/src/members.rs
@@ -20,6 +20,8 @@
     pub zone: String,
     /// Whether it takes no new callers.
     pub is_leaving: bool,
+    /// Whether it can give orders to the servers it holds.
+    pub can_order: bool,
 }
 
 /// A box and what is believed of it.
@@ -107,6 +109,11 @@
 }
 
 impl Member {
+    /// Whether it can give orders now, as far as it told.
+    pub fn can_order(&self, now_ms: Millis) -> bool {
+        self.is_up(now_ms) && self.record.can_order
+    }
+
     /// Whether callers may be sent to it.
     pub fn is_up(&self, now_ms: Millis) -> bool {
         if self.record.is_leaving {
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -24,7 +24,7 @@
 use crate::settings::Settings;
 
 /// How long a proof lasts: longer than usual outages of the store.
-const PROOF_LIFE_MS: Millis = 6_000;
+const PROOF_LIFE_MS: Millis = 10_000;
 
 /// Time for orders under way and for clocks that run apart.
 const CLAIM_MARGIN_MS: Millis = 500;
@@ -148,6 +148,7 @@
             peer: settings.peer,
             zone: settings.zone.clone(),
             is_leaving: self.is_leaving.get(),
+            can_order: self.can_order(),
         }
     }
 
@@ -182,9 +183,14 @@
         }
     }
 
+    /// Whether this box may give orders to the servers it holds.
+    pub fn can_order(&self) -> bool {
+        !self.is_leaving.get() && self.proof.get().holds(&self.claim_terms(), self.now_ms())
+    }
+
     /// The token with which this box may order a server now.
     pub fn order_token(&self, server: &Server) -> Option<u64> {
-        if self.is_leaving.get() || !self.proof.get().holds(&self.claim_terms(), self.now_ms()) {
+        if !self.can_order() {
             return None;
         }
         let own_id = &self.settings.borrow().box_id;
@@ -234,6 +240,6 @@
         }
         let now_ms = self.now_ms();
         let members = self.members.borrow();
-        members.get(&holder).is_some_and(|member| member.is_up(now_ms))
+        members.get(&holder).is_some_and(|member| member.can_order(now_ms))
     }
 }
--- a/crates/tinbay-gateway/src/orders/holder.rs
+++ b/crates/tinbay-gateway/src/orders/holder.rs
@@ -1,6 +1,7 @@
 //! Orders one server what to hold, while this box holds the claim on it.
 
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -57,7 +58,7 @@
     let Some(spec) = node.engine_spec(&server.record().service) else {
         return;
     };
-    let book = Rc::new(RefCell::new(Contents::new(spec.adapter_slots, node.now_ms())));
+    let book = Rc::new(RefCell::new(Contents::new(spec, node.now_ms())));
     node.books.borrow_mut().insert(server.key, Rc::clone(&book));
     let holder = Holder {
         node: Rc::clone(node),
@@ -107,9 +108,9 @@
         let service = self.server.record().service.clone();
         let spec = self.node.engine_spec(&service)?;
         let wants = self.node.demand.borrow_mut().wants(self.server.key, now_ms);
-        let share = self.share();
+        let rate_per_s = self.load_rate_per_s(&spec);
         let named = |adapter: &str| self.node.named_version(adapter);
-        let mut take_fetch = || self.take_fetch(&service, &spec, share, now_ms);
+        let mut take_fetch = || self.take_fetch(&service, rate_per_s, now_ms);
         let mut book = self.book.borrow_mut();
         for (key, uses) in self.node.demand.borrow_mut().take_uses(self.server.key) {
             book.note_uses(key, uses, now_ms);
@@ -117,23 +118,31 @@
         book.next_action(&wants, &named, &mut take_fetch, now_ms)
     }
 
-    /// This box's share of the weight store's rate: by the engines it holds.
-    fn share(&self) -> f64 {
+    /// This box's part of the weight store's rate: by the engines it holds among those
+    /// whose holders can order.
+    fn load_rate_per_s(&self, spec: &EngineSpec) -> f64 {
         let own_id = self.node.settings.borrow().box_id.clone();
         let service = self.server.record().service.clone();
         let servers = self.node.servers.borrow();
-        let claims = self.node.claims.borrow();
-        let of_service = || servers.all().filter(|server| server.record().service == service);
-        let own = of_service()
-            .filter(|server| claims.token_of(&server.address_text, &own_id).is_some())
-            .count();
-        own as f64 / of_service().count().max(1) as f64
+        let mut by_holder: HashMap<String, usize> = HashMap::new();
+        for server in servers.all().filter(|server| server.record().service == service) {
+            if self.node.has_live_holder(server)
+                && let Some(holder) = self.node.holder_of(server)
+            {
+                *by_holder.entry(holder).or_default() += 1;
+            }
+        }
+        let held: usize = by_holder.values().sum();
+        let own = by_holder.get(&own_id).copied().unwrap_or_default();
+        let bound = self.node.settings.borrow().bounds.loads;
+        let rate_per_s = bound.rate_per_s(spec.loads_per_s, by_holder.len());
+        rate_per_s * own as f64 / held.max(1) as f64
     }
 
-    fn take_fetch(&self, service: &str, spec: &EngineSpec, share: f64, now_ms: Millis) -> bool {
+    fn take_fetch(&self, service: &str, rate_per_s: f64, now_ms: Millis) -> bool {
         let mut paces = self.node.paces.borrow_mut();
         let pace = paces.entry(service.to_string()).or_default();
-        pace.take(spec.loads_per_s, share, now_ms)
+        pace.take(rate_per_s, now_ms)
     }
 
     async fn pause(&self) {
--- a/crates/tinbay-gateway/src/run.rs
+++ b/crates/tinbay-gateway/src/run.rs
@@ -52,8 +52,9 @@
 /// Time kept free at the end of a planned stop.
 const STOP_MARGIN_MS: Millis = 400;
 
-/// Time before the end of a planned stop at which no more requests are taken.
-const LAST_REQUEST_MS: Millis = 2_600;
+/// Time of a planned stop in which requests are still taken: callers hold on to their
+/// answers of the directory for some seconds, and what they send last must still finish.
+const TAKING_MS: Millis = 2_800;
 
 /// How often it is looked whether all requests are done.
 const DRAIN_CHECK: Duration = Duration::from_millis(20);
@@ -202,7 +203,7 @@
     log_stop(node, "stop_begun", began_ms);
     let end_ms = began_ms + node.settings.borrow().bounds.stop_within_ms - STOP_MARGIN_MS;
     membership::release_claims(node).await;
-    sleep_until(node, end_ms.saturating_sub(LAST_REQUEST_MS)).await;
+    sleep_until(node, (began_ms + TAKING_MS).min(end_ms)).await;
     node.closing.set();
     while node.now_ms() < end_ms && node.connections.get() > 0 {
         tokio::time::sleep(DRAIN_CHECK).await;
--- a/crates/tinbay-gateway/src/settings.rs
+++ b/crates/tinbay-gateway/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::{IpAddr, SocketAddr};
 
 use tinbay_core::serving::budget::BudgetTerms;
+use tinbay_core::serving::pacing::LoadBound;
 use tinbay_core::units::Millis;
 
 /// Everything a box is told at its start.
@@ -39,6 +40,8 @@
     pub holder_gap_ms: Millis,
     /// Budget of second sends.
     pub second_sends: BudgetTerms,
+    /// Bound on loads from the weight store.
+    pub loads: LoadBound,
     /// Longest time a caller may keep an answer of the directory.
     pub directory_valid_ms: Millis,
     /// Shortest lease the store grants.
