Weight store: whole quotas over the sliding window; homes by flights alone

Cause: a token bucket a holder wasted up to one load each a window, and mistrust and distance made boxes choose different homes, so that adapters were loaded twice.

--- a/crates/tinbay-core/src/serving/pacing.rs
+++ b/crates/tinbay-core/src/serving/pacing.rs
@@ -1,13 +1,24 @@
-//! A box's share of the weight store's rate, dealt ahead so that no load is asked for.
+//! A box's part of the weight store's allowance, dealt ahead so that no load is asked for.
+//!
+//! The allowance bounds the loads that begin within any window. It is split into whole
+//! quotas, one a holder; a holder counts its own loads over the same sliding window, so the
+//! quotas' sum bounds them all. A quota that grew counts only after a window's length, as
+//! what another holder began before it went still counts until then.
 
-use crate::units::{MS_PER_SECOND, Millis};
+use std::collections::{BTreeMap, VecDeque};
 
-/// Most loads that may be saved up; one, as every holder may spend its own at once.
-const MOST_SAVED: f64 = 1.0;
+use crate::units::{MS_PER_SECOND, Millis};
 
 /// Loads by which the bound exceeds its rate in any window.
 const BOUND_EXTRA: f64 = 3.0;
 
+/// Time by which loads may reach a server later than another that began after them.
+const TRAVEL_MS: Millis = 300;
+
+/// Factor over the mean pace by which loads may follow each other: many at once would slow
+/// each other down.
+const BURST_FACTOR: u64 = 2;
+
 /// The bound on loads from the weight store.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LoadBound {
@@ -18,38 +29,74 @@
 }
 
 impl LoadBound {
-    /// Loads a second that `holders` may begin together, so that even if each spends what
-    /// it has saved at once no window holds too many.
-    pub fn rate_per_s(&self, loads_per_s: f64, holders: usize) -> f64 {
+    /// Loads that may begin within any window, over all holders.
+    pub fn allowed(&self, loads_per_s: f64) -> usize {
         let window_s = self.window_ms as f64 / MS_PER_SECOND as f64;
-        let allowed = loads_per_s * window_s * self.overshoot + BOUND_EXTRA;
-        let unsaved = allowed - MOST_SAVED * holders as f64;
-        (unsaved / window_s).min(loads_per_s).max(loads_per_s / 2.0)
+        (loads_per_s * window_s * self.overshoot + BOUND_EXTRA) as usize
+    }
+}
+
+/// Splits `allowed` loads among holders by the engines each holds; the quotas' sum is never
+/// more. What is left over goes to the largest remainders, names breaking ties.
+pub fn deal(allowed: usize, engines: &BTreeMap<String, usize>) -> BTreeMap<String, usize> {
+    let total: usize = engines.values().sum();
+    if total == 0 {
+        return BTreeMap::new();
     }
+    let mut quotas: BTreeMap<String, usize> = engines
+        .iter()
+        .map(|(holder, count)| (holder.clone(), allowed * count / total))
+        .collect();
+    let mut remainders: Vec<(usize, &String)> = engines
+        .iter()
+        .map(|(holder, count)| (allowed * count % total, holder))
+        .collect();
+    remainders.sort_by(|left, right| right.0.cmp(&left.0).then(left.1.cmp(right.1)));
+    let left = allowed - quotas.values().sum::<usize>();
+    for (_, holder) in remainders.into_iter().take(left) {
+        if let Some(quota) = quotas.get_mut(holder) {
+            *quota += 1;
+        }
+    }
+    quotas
 }
 
-/// Allowance of one holder.
+/// Account of one holder.
 #[derive(Debug, Default)]
 pub struct LoadPace {
-    saved: f64,
-    filled_ms: Millis,
+    begun: VecDeque<Millis>,
+    quotas: VecDeque<(Millis, usize)>,
 }
 
 impl LoadPace {
-    /// Takes one load if the rate has brought one by now.
-    pub fn take(&mut self, rate_per_s: f64, now_ms: Millis) -> bool {
-        self.fill(rate_per_s, now_ms);
-        if self.saved < 1.0 {
+    /// Takes one load if the quota leaves one.
+    pub fn take(&mut self, quota: usize, window_ms: Millis, now_ms: Millis) -> bool {
+        let window_ms = window_ms + TRAVEL_MS;
+        let start_ms = now_ms.saturating_sub(window_ms);
+        while self.begun.front().is_some_and(|begun_ms| *begun_ms < start_ms) {
+            self.begun.pop_front();
+        }
+        let quota = self.settled_quota(quota, start_ms, now_ms);
+        if quota == 0 || self.begun.len() >= quota {
             return false;
         }
-        self.saved -= 1.0;
+        let gap_ms = window_ms / (quota as u64 * BURST_FACTOR);
+        if self.begun.back().is_some_and(|last_ms| now_ms < last_ms + gap_ms) {
+            return false;
+        }
+        self.begun.push_back(now_ms);
         true
     }
 
-    fn fill(&mut self, rate_per_s: f64, now_ms: Millis) {
-        let span_ms = now_ms.saturating_sub(self.filled_ms);
-        self.filled_ms = now_ms;
-        let brought = rate_per_s * span_ms as f64 / MS_PER_SECOND as f64;
-        self.saved = (self.saved + brought).min(MOST_SAVED);
+    /// The least quota since a window ago.
+    fn settled_quota(&mut self, quota: usize, start_ms: Millis, now_ms: Millis) -> usize {
+        if self.quotas.back().is_none_or(|(_, last)| *last != quota) {
+            self.quotas.push_back((now_ms, quota));
+        }
+        // The first entry that began before the window still held when the window began.
+        while self.quotas.len() > 1 && self.quotas[1].0 <= start_ms {
+            self.quotas.pop_front();
+        }
+        self.quotas.iter().map(|(_, quota)| *quota).min().unwrap_or(0)
     }
 }
--- a/crates/tinbay-gateway/src/front/choice.rs
+++ b/crates/tinbay-gateway/src/front/choice.rs
@@ -18,7 +18,7 @@
 const SPREAD_LOAD: f64 = 0.9;
 
 /// Load above which a server is no home for one adapter more.
-const FULL_LOAD: f64 = 0.7;
+const FULL_LOAD: f64 = 1.0;
 
 /// What is to be done with a request next.
 pub enum Choice {
@@ -64,8 +64,8 @@
         .iter()
         .cloned()
         .partition(|server| serves(node, server, key, version));
-    if let Some((load, server)) = least_loaded(node, &holding) {
-        if load > SPREAD_LOAD {
+    if let Some((_, server)) = least_loaded(node, &holding) {
+        if fullness(&server) > SPREAD_LOAD {
             ask_for_spread(node, adapter, version, &others);
         }
         return Choice::Send(server);
@@ -98,7 +98,7 @@
     let free = || {
         ranked
             .iter()
-            .find(|(_, server)| node.has_live_holder(server) && load(node, server) < FULL_LOAD)
+            .find(|(_, server)| node.has_live_holder(server) && fullness(server) < FULL_LOAD)
     };
     let (_, server) = coming.or_else(free).or_else(|| ranked.first())?;
     Some(Rc::clone(server))
@@ -139,12 +139,17 @@
 /// How busy a server is, with mistrust and distance added.
 fn load(node: &Node, server: &Server) -> f64 {
     let record = server.record();
-    let slots = record.slots.max(1) as f64;
     let distance = if record.zone == node.settings.borrow().zone {
         0.0
     } else {
         OTHER_ZONE_LOAD
     };
     let tie: f64 = rand::rng().random_range(0.0..0.02);
-    server.flights() as f64 / slots + server.mistrust(node.now_ms()) + distance + tie
+    fullness(server) + server.mistrust(node.now_ms()) + distance + tie
+}
+
+/// Requests of all boxes at a server against those it works on at once.
+fn fullness(server: &Server) -> f64 {
+    let slots = server.record().slots.max(1) as f64;
+    server.flights() as f64 / slots
 }
--- a/crates/tinbay-gateway/src/orders/holder.rs
+++ b/crates/tinbay-gateway/src/orders/holder.rs
@@ -1,7 +1,7 @@
 //! Orders one server what to hold, while this box holds the claim on it.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,6 +11,7 @@
 use serde::Serialize;
 use tinbay_core::serving::configuration::EngineSpec;
 use tinbay_core::serving::contents::{Action, Contents, OrderAnswer};
+use tinbay_core::serving::pacing;
 use tinbay_core::units::Millis;
 
 use crate::events::{self, part};
@@ -23,7 +24,7 @@
 const ANSWER_TIMEOUT_MS: Millis = 500;
 
 /// Longest pause between looks at what is wanted; a new want ends it.
-const LONGEST_PAUSE_MS: Millis = 100;
+const LONGEST_PAUSE_MS: Millis = 50;
 
 /// Pause while there is no proof.
 const NO_PROOF_PAUSE: Duration = Duration::from_millis(50);
@@ -108,9 +109,9 @@
         let service = self.server.record().service.clone();
         let spec = self.node.engine_spec(&service)?;
         let wants = self.node.demand.borrow_mut().wants(self.server.key, now_ms);
-        let rate_per_s = self.load_rate_per_s(&spec);
+        let quota = self.load_quota(&spec);
         let named = |adapter: &str| self.node.named_version(adapter);
-        let mut take_fetch = || self.take_fetch(&service, rate_per_s, now_ms);
+        let mut take_fetch = || self.take_fetch(&service, quota, now_ms);
         let mut book = self.book.borrow_mut();
         for (key, uses) in self.node.demand.borrow_mut().take_uses(self.server.key) {
             book.note_uses(key, uses, now_ms);
@@ -118,31 +119,30 @@
         book.next_action(&wants, &named, &mut take_fetch, now_ms)
     }
 
-    /// This box's part of the weight store's rate: by the engines it holds among those
-    /// whose holders can order.
-    fn load_rate_per_s(&self, spec: &EngineSpec) -> f64 {
-        let own_id = self.node.settings.borrow().box_id.clone();
+    /// Loads this box may begin within a window: by the engines it holds among those whose
+    /// holders can order.
+    fn load_quota(&self, spec: &EngineSpec) -> usize {
         let service = self.server.record().service.clone();
         let servers = self.node.servers.borrow();
-        let mut by_holder: HashMap<String, usize> = HashMap::new();
+        let mut engines: BTreeMap<String, usize> = BTreeMap::new();
         for server in servers.all().filter(|server| server.record().service == service) {
             if self.node.has_live_holder(server)
                 && let Some(holder) = self.node.holder_of(server)
             {
-                *by_holder.entry(holder).or_default() += 1;
+                *engines.entry(holder).or_default() += 1;
             }
         }
-        let held: usize = by_holder.values().sum();
-        let own = by_holder.get(&own_id).copied().unwrap_or_default();
-        let bound = self.node.settings.borrow().bounds.loads;
-        let rate_per_s = bound.rate_per_s(spec.loads_per_s, by_holder.len());
-        rate_per_s * own as f64 / held.max(1) as f64
+        let settings = self.node.settings.borrow();
+        let allowed = settings.bounds.loads.allowed(spec.loads_per_s);
+        let quotas = pacing::deal(allowed, &engines);
+        quotas.get(&settings.box_id).copied().unwrap_or_default()
     }
 
-    fn take_fetch(&self, service: &str, rate_per_s: f64, now_ms: Millis) -> bool {
+    fn take_fetch(&self, service: &str, quota: usize, now_ms: Millis) -> bool {
+        let window_ms = self.node.settings.borrow().bounds.loads.window_ms;
         let mut paces = self.node.paces.borrow_mut();
         let pace = paces.entry(service.to_string()).or_default();
-        pace.take(rate_per_s, now_ms)
+        pace.take(quota, window_ms, now_ms)
     }
 
     async fn pause(&self) {
