--- a/crates/tinbay-core/src/serving/contents.rs
+++ b/crates/tinbay-core/src/serving/contents.rs
@@ -33,6 +33,9 @@
 /// Shortest pause between two looks at a load.
 const CHECK_PAUSE_MS: Millis = 8;
 
+/// Weight of the load of a model: nothing is served without it.
+const MODEL_WEIGHT: f64 = 1_000_000.0;
+
 /// Pause between two looks at the load of a model, which takes some hundred milliseconds.
 const MODEL_CHECK_PAUSE_MS: Millis = 60;
 
@@ -91,6 +94,8 @@
     pub version: Option<u64>,
     /// How much it is wanted.
     pub weight: f64,
+    /// Whether a request waits now; else it is only expected.
+    pub is_awaited: bool,
 }
 
 /// What to ask of the server next.
@@ -186,12 +191,12 @@
     /// The next order, or when to look again.
     ///
     /// `wants` come most wanted first; `take_fetch` takes one load from the weight store's
-    /// allowance if there is one.
+    /// allowance if there is one for a load of this weight.
     pub fn next_action(
         &mut self,
         wants: &[Want],
         named: &dyn Fn(&str) -> Option<u64>,
-        take_fetch: &mut dyn FnMut() -> bool,
+        take_fetch: &mut dyn FnMut(f64) -> bool,
         now_ms: Millis,
     ) -> Option<Action> {
         let Some(expected_count) = self.order_count else {
@@ -241,7 +246,7 @@
         &self,
         wants: &[Want],
         expected_count: u64,
-        take_fetch: &mut dyn FnMut() -> bool,
+        take_fetch: &mut dyn FnMut(f64) -> bool,
     ) -> Option<Action> {
         let wanted = wants.iter().map(|want| model_of(&want.adapter));
         let missing = wanted
@@ -253,7 +258,7 @@
             None if self.models.is_empty() => first()?,
             None => return None,
         };
-        take_fetch().then(|| Action::Load {
+        take_fetch(MODEL_WEIGHT).then(|| Action::Load {
             adapter: model.to_string(),
             version: None,
             expected_count,
@@ -312,12 +317,12 @@
         &self,
         expected_count: u64,
         named: &dyn Fn(&str) -> Option<u64>,
-        take_fetch: &mut dyn FnMut() -> bool,
+        take_fetch: &mut dyn FnMut(f64) -> bool,
     ) -> Option<Action> {
         let is_old = |held: &&Held| held.state == HeldState::Ready && named(&held.adapter) > held.version;
         let most_used = |left: &&Held, right: &&Held| left.uses.total_cmp(&right.uses);
         let held = self.held.values().filter(is_old).max_by(most_used)?;
-        take_fetch().then(|| Action::Load {
+        take_fetch(held.uses).then(|| Action::Load {
             adapter: held.adapter.clone(),
             version: named(&held.adapter),
             expected_count,
@@ -328,7 +333,7 @@
         &self,
         want: &Want,
         expected_count: u64,
-        take_fetch: &mut dyn FnMut() -> bool,
+        take_fetch: &mut dyn FnMut(f64) -> bool,
         now_ms: Millis,
     ) -> Option<Action> {
         let key = adapter_key(&want.adapter);
@@ -336,6 +341,10 @@
         if !has_model || !want.adapter.contains('/') || self.held.contains_key(&key) {
             return None;
         }
+        let loads_fast = self.loads_fast(key, want.version);
+        if loads_fast && !want.is_awaited {
+            return None;
+        }
         let victim = if self.has_room(&want.adapter) {
             None
         } else {
@@ -347,7 +356,7 @@
                 expected_count,
             });
         }
-        if !self.loads_fast(key, want.version) && !take_fetch() {
+        if !loads_fast && !take_fetch(want.weight) {
             return None;
         }
         Some(Action::Load {
--- a/crates/tinbay-core/src/serving/pacing.rs
+++ b/crates/tinbay-core/src/serving/pacing.rs
@@ -5,7 +5,7 @@
 //! quotas' sum bounds them all. A quota that grew counts only after a window's length, as
 //! what another holder began before it went still counts until then.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use crate::units::{MS_PER_SECOND, Millis};
 
@@ -15,9 +15,12 @@
 /// Time by which loads may reach a server later than another that began after them.
 const TRAVEL_MS: Millis = 300;
 
-/// Factor over the mean pace by which loads may follow each other: many at once would slow
-/// each other down.
-const BURST_FACTOR: u64 = 2;
+/// Part of the mean pause that must lie between loads: many at once would slow each other
+/// down, and the first of a rush are not the most wanted.
+const PAUSE_PART: f64 = 0.8;
+
+/// How long a bid counts for which nobody has looked again.
+const BID_LIFE_MS: Millis = 200;
 
 /// The bound on loads from the weight store.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -66,11 +69,44 @@
 pub struct LoadPace {
     begun: VecDeque<Millis>,
     quotas: VecDeque<(Millis, usize)>,
+    bids: HashMap<u64, Bid>,
+}
+
+/// What one of the holder's servers would load next.
+#[derive(Debug, Clone, Copy)]
+struct Bid {
+    weight: f64,
+    made_ms: Millis,
 }
 
 impl LoadPace {
-    /// Takes one load if the quota leaves one.
-    pub fn take(&mut self, quota: usize, window_ms: Millis, now_ms: Millis) -> bool {
+    /// Takes one load for a server if the quota leaves one and no other server of the holder
+    /// wants its own more.
+    pub fn take(
+        &mut self,
+        server: u64,
+        weight: f64,
+        quota: usize,
+        window_ms: Millis,
+        now_ms: Millis,
+    ) -> bool {
+        let bid = Bid {
+            weight,
+            made_ms: now_ms,
+        };
+        self.bids.insert(server, bid);
+        let is_outbid = self
+            .bids
+            .values()
+            .any(|other| other.weight > weight && now_ms < other.made_ms + BID_LIFE_MS);
+        if is_outbid || !self.spend(quota, window_ms, now_ms) {
+            return false;
+        }
+        self.bids.remove(&server);
+        true
+    }
+
+    fn spend(&mut self, quota: usize, window_ms: Millis, now_ms: Millis) -> bool {
         let window_ms = window_ms + TRAVEL_MS;
         let start_ms = now_ms.saturating_sub(window_ms);
         while self.begun.front().is_some_and(|begun_ms| *begun_ms < start_ms) {
@@ -80,7 +116,7 @@
         if quota == 0 || self.begun.len() >= quota {
             return false;
         }
-        let gap_ms = window_ms / (quota as u64 * BURST_FACTOR);
+        let gap_ms = (window_ms as f64 / quota as f64 * PAUSE_PART) as Millis;
         if self.begun.back().is_some_and(|last_ms| now_ms < last_ms + gap_ms) {
             return false;
         }
--- a/crates/tinbay-gateway/src/demand.rs
+++ b/crates/tinbay-gateway/src/demand.rs
@@ -7,11 +7,8 @@
 
 use crate::servers::ServerKey;
 
-/// How long an adapter stays wanted after its caller was sent away to come back.
-const LINGER_MS: Millis = 1_200;
-
-/// Weight of a caller that was sent away, against one that waits.
-const LINGER_WEIGHT: f64 = 0.6;
+/// How long an adapter stays wanted after a caller waited for it: others will ask again.
+const LINGER_MS: Millis = 12_000;
 
 /// How long another box's wants count after its last message.
 const PEER_LIFE_MS: Millis = 1_000;
@@ -22,7 +19,6 @@
     adapter: String,
     version: Option<u64>,
     waiting: f64,
-    lingering: f64,
     linger_until_ms: Millis,
 }
 
@@ -36,8 +32,9 @@
 /// Half-life of the memory of how often an adapter was waited for.
 const ASKED_HALF_LIFE_MS: f64 = 15_000.0;
 
-/// Weight of a request remembered, against one that waits now.
-const ASKED_WEIGHT: f64 = 0.7;
+/// Weight of a request that waits, against one remembered: what an adapter was asked for
+/// tells what it will be asked for.
+const WAITING_WEIGHT: f64 = 0.5;
 
 /// Adapters whose askers are remembered.
 const MOST_ASKED: usize = 20_000;
@@ -73,7 +70,6 @@
             adapter: want.adapter.clone(),
             version: None,
             waiting: 0.0,
-            lingering: 0.0,
             linger_until_ms: 0,
         });
         own.version = own.version.max(want.version);
@@ -91,8 +87,8 @@
         asked.noted_ms = now_ms;
     }
 
-    /// A request stops waiting; the adapter stays wanted for a while if it was sent away.
-    pub fn end(&mut self, server: ServerKey, want: &Want, sent_away_ms: Option<Millis>) {
+    /// A request stops waiting; the adapter stays wanted for a while.
+    pub fn end(&mut self, server: ServerKey, want: &Want, now_ms: Millis) {
         let Some(wants) = self.own.get_mut(&server) else {
             return;
         };
@@ -101,10 +97,7 @@
             return;
         };
         own.waiting = (own.waiting - want.weight).max(0.0);
-        if let Some(now_ms) = sent_away_ms {
-            own.lingering += want.weight * LINGER_WEIGHT;
-            own.linger_until_ms = now_ms + LINGER_MS;
-        }
+        own.linger_until_ms = now_ms + LINGER_MS;
     }
 
     /// Notes a use of an adapter at a server.
@@ -125,12 +118,7 @@
         let Some(wants) = self.own.get_mut(&server) else {
             return Vec::new();
         };
-        wants.retain(|_, own| {
-            if own.linger_until_ms <= now_ms {
-                own.lingering = 0.0;
-            }
-            own.waiting + own.lingering > 0.0
-        });
+        wants.retain(|_, own| own.waiting > 0.0 || now_ms < own.linger_until_ms);
         let asked = &self.asked;
         let remembered = |key| asked.get(key).map_or(0.0, |asked: &Asked| asked.at(now_ms));
         wants
@@ -138,7 +126,8 @@
             .map(|(key, own)| Want {
                 adapter: own.adapter.clone(),
                 version: own.version,
-                weight: own.waiting + own.lingering + ASKED_WEIGHT * remembered(key),
+                weight: WAITING_WEIGHT * own.waiting + remembered(key),
+                is_awaited: own.waiting > 0.0,
             })
             .collect()
     }
@@ -172,6 +161,7 @@
             match sums.get_mut(&key) {
                 Some(sum) => {
                     sum.weight += want.weight;
+                    sum.is_awaited |= want.is_awaited;
                     sum.version = sum.version.max(want.version);
                 }
                 None => {
--- a/crates/tinbay-gateway/src/front/adapters.rs
+++ b/crates/tinbay-gateway/src/front/adapters.rs
@@ -30,7 +30,6 @@
     node: Rc<Node>,
     server: Rc<Server>,
     want: Want,
-    is_sent_away: bool,
 }
 
 impl Waiting {
@@ -43,16 +42,15 @@
             node: Rc::clone(node),
             server: Rc::clone(server),
             want,
-            is_sent_away: false,
         }
     }
 }
 
 impl Drop for Waiting {
     fn drop(&mut self) {
-        let sent_away_ms = self.is_sent_away.then(|| self.node.now_ms());
+        let now_ms = self.node.now_ms();
         let mut demand = self.node.demand.borrow_mut();
-        demand.end(self.server.key, &self.want, sent_away_ms);
+        demand.end(self.server.key, &self.want, now_ms);
     }
 }
 
@@ -78,9 +76,6 @@
             Choice::Nowhere => return Err(Refusal::NoServer),
         };
         if node.now_ms() >= patient_until_ms {
-            if let Some(waiting) = &mut waiting {
-                waiting.is_sent_away = true;
-            }
             return Err(Refusal::NotRun {
                 retry_after_ms: RETRY_AFTER_MS,
             });
@@ -106,6 +101,7 @@
         version: node.named_version(&adapter),
         adapter,
         weight: 1.0,
+        is_awaited: true,
     }
 }
 
--- a/crates/tinbay-gateway/src/front/choice.rs
+++ b/crates/tinbay-gateway/src/front/choice.rs
@@ -119,10 +119,11 @@
         adapter: adapter.to_string(),
         version,
         weight: 1.0,
+        is_awaited: true,
     };
     let mut demand = node.demand.borrow_mut();
     demand.begin(server.key, &want);
-    demand.end(server.key, &want, Some(now_ms));
+    demand.end(server.key, &want, now_ms);
     drop(demand);
     notify_holder(node, &server);
 }
--- a/crates/tinbay-gateway/src/orders/holder.rs
+++ b/crates/tinbay-gateway/src/orders/holder.rs
@@ -24,7 +24,7 @@
 const ANSWER_TIMEOUT_MS: Millis = 500;
 
 /// Longest pause between looks at what is wanted; a new want ends it.
-const LONGEST_PAUSE_MS: Millis = 50;
+const LONGEST_PAUSE_MS: Millis = 25;
 
 /// Pause while there is no proof.
 const NO_PROOF_PAUSE: Duration = Duration::from_millis(50);
@@ -111,7 +111,7 @@
         let wants = self.node.demand.borrow_mut().wants(self.server.key, now_ms);
         let quota = self.load_quota(&spec);
         let named = |adapter: &str| self.node.named_version(adapter);
-        let mut take_fetch = || self.take_fetch(&service, quota, now_ms);
+        let mut take_fetch = |weight| self.take_fetch(&service, weight, quota, now_ms);
         let mut book = self.book.borrow_mut();
         for (key, uses) in self.node.demand.borrow_mut().take_uses(self.server.key) {
             book.note_uses(key, uses, now_ms);
@@ -138,11 +138,11 @@
         quotas.get(&settings.box_id).copied().unwrap_or_default()
     }
 
-    fn take_fetch(&self, service: &str, quota: usize, now_ms: Millis) -> bool {
+    fn take_fetch(&self, service: &str, weight: f64, quota: usize, now_ms: Millis) -> bool {
         let window_ms = self.node.settings.borrow().bounds.loads.window_ms;
         let mut paces = self.node.paces.borrow_mut();
         let pace = paces.entry(service.to_string()).or_default();
-        pace.take(quota, window_ms, now_ms)
+        pace.take(self.server.key, weight, quota, window_ms, now_ms)
     }
 
     async fn pause(&self) {
--- a/crates/tinbay-gateway/src/peers/exchange.rs
+++ b/crates/tinbay-gateway/src/peers/exchange.rs
@@ -143,9 +143,13 @@
             adapter: want.adapter,
             version: want.version,
             weight: want.weight as f32,
+            is_awaited: want.is_awaited,
         }));
     }
-    wants.sort_by(|left, right| right.weight.total_cmp(&left.weight));
+    wants.sort_by(|left, right| {
+        let awaited = right.is_awaited.cmp(&left.is_awaited);
+        awaited.then(right.weight.total_cmp(&left.weight))
+    });
     wants.truncate(LIST_CHUNK / 2);
     wants
 }
--- a/crates/tinbay-gateway/src/peers/frame.rs
+++ b/crates/tinbay-gateway/src/peers/frame.rs
@@ -70,6 +70,8 @@
     pub version: Option<u64>,
     /// How much.
     pub weight: f32,
+    /// Whether a request waits now.
+    pub is_awaited: bool,
 }
 
 impl WantPart {
@@ -79,6 +81,7 @@
             adapter: self.adapter.clone(),
             version: self.version,
             weight: f64::from(self.weight),
+            is_awaited: self.is_awaited,
         }
     }
 }
