--- a/crates/tinbay-gateway/src/members.rs
+++ b/crates/tinbay-gateway/src/members.rs
@@ -77,7 +77,14 @@
     }
 
     /// Notes a message of a box.
-    pub fn hear(&mut self, id: &str, record: MemberRecord, now_ms: Millis) {
+    pub fn hear(&mut self, id: &str, now_ms: Millis) {
+        if let Some(member) = self.by_id.get_mut(id) {
+            member.heard_ms = Some(now_ms);
+        }
+    }
+
+    /// Notes what a box says about itself in a message.
+    pub fn note_hello(&mut self, id: &str, record: MemberRecord, now_ms: Millis) {
         let member = self.by_id.entry(id.to_string()).or_insert_with(|| Member {
             record: record.clone(),
             listed: false,
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -72,7 +72,11 @@
     pub demand: RefCell<Demand>,
     /// Told when a message to other boxes is due.
     pub frames_due: Notify,
-    /// Boxes it is due to.
+    /// Told when other boxes must know at once what this one says about itself.
+    pub hello_due: Notify,
+    /// Servers held here whose contents other boxes do not know yet.
+    pub changed_books: RefCell<HashSet<ServerKey>>,
+    /// Boxes that are to know at once what is wanted of them.
     pub frames_to: RefCell<HashSet<String>>,
     /// Told when the box's own entry in the store is due to be written.
     pub entry_due: Notify,
@@ -112,6 +116,8 @@
             paces: RefCell::default(),
             demand: RefCell::default(),
             frames_due: Notify::new(),
+            hello_due: Notify::new(),
+            changed_books: RefCell::default(),
             frames_to: RefCell::default(),
             entry_due: Notify::new(),
             boxes_listed_ms: Cell::default(),
@@ -214,12 +220,9 @@
         self.frames_due.notify_one();
     }
 
-    /// Has a message sent to all boxes at once.
-    pub fn tell_all(&self) {
-        let members = self.members.borrow();
-        let mut frames_to = self.frames_to.borrow_mut();
-        frames_to.extend(members.all().map(|(id, _)| id.clone()));
-        drop(frames_to);
+    /// Has all boxes told what a server held here holds.
+    pub fn tell_contents(&self, server: ServerKey) {
+        self.changed_books.borrow_mut().insert(server);
         self.frames_due.notify_one();
     }
 
--- a/crates/tinbay-gateway/src/orders/holder.rs
+++ b/crates/tinbay-gateway/src/orders/holder.rs
@@ -1,7 +1,7 @@
 //! Orders one server what to hold, while this box holds the claim on it.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,6 +17,7 @@
 use crate::events::{self, part};
 use crate::http::call::{Call, CallError, Caller};
 use crate::node::Node;
+use crate::peers::frame::Fingerprint;
 use crate::port::dialect::{Order, OrderAction};
 use crate::servers::{Server, ViewEntry};
 
@@ -147,6 +148,9 @@
 
     async fn pause(&self) {
         let now_ms = self.node.now_ms();
+        if self.book.borrow().is_learnt() {
+            self.server.confirm_view(now_ms);
+        }
         let look_ms = self.book.borrow().next_look_ms().unwrap_or(now_ms + LONGEST_PAUSE_MS);
         let pause_ms = look_ms.saturating_sub(now_ms).clamp(1, LONGEST_PAUSE_MS);
         let pause = Duration::from_millis(pause_ms);
@@ -279,7 +283,7 @@
     /// Tells this box and the others what the server holds now.
     fn publish(&self) {
         let now_ms = self.node.now_ms();
-        let entries = {
+        let entries: HashMap<Fingerprint, ViewEntry> = {
             let book = self.book.borrow();
             if !book.is_learnt() {
                 return;
@@ -287,12 +291,14 @@
             let entry = |(key, held): (&u64, &tinbay_core::serving::contents::Held)| {
                 let version = held.version.unwrap_or_default();
                 let state = held.state;
-                (*key, ViewEntry { version, state })
+                (*key as Fingerprint, ViewEntry { version, state })
             };
             book.held().map(entry).collect()
         };
-        self.server.note_view(entries, now_ms);
-        self.node.wake_waiters(&self.server);
-        self.node.tell_all();
+        let is_changed = self.server.note_view(entries, now_ms);
+        if is_changed {
+            self.node.wake_waiters(&self.server);
+            self.node.tell_contents(self.server.key);
+        }
     }
 }
--- a/crates/tinbay-gateway/src/orders/membership.rs
+++ b/crates/tinbay-gateway/src/orders/membership.rs
@@ -14,10 +14,10 @@
 use crate::watch::{counted, sleep_with_jitter};
 
 /// Life of the lease of the box's entry.
-const LEASE_LIFE_MS: Millis = 6_000;
+const LEASE_LIFE_MS: Millis = 8_000;
 
 /// Pause between proofs; several fit into the life of one.
-const PROOF_PAUSE_MS: Millis = 2_000;
+const PROOF_PAUSE_MS: Millis = 3_000;
 
 /// Pause after a failed call.
 const RETRY_PAUSE_MS: Millis = 300;
--- a/crates/tinbay-gateway/src/peers/exchange.rs
+++ b/crates/tinbay-gateway/src/peers/exchange.rs
@@ -9,42 +9,48 @@
 use tinbay_core::units::Millis;
 use tokio::net::UdpSocket;
 
-use super::frame::{AdapterPart, ContentsPart, Frame, FramePart, MOST_BYTES, WantPart};
+use super::frame::{AdapterPart, Fingerprint, Frame, FramePart, MOST_BYTES, WantPart};
 use crate::node::Node;
 use crate::servers::{ServerKey, ViewEntry};
 
 /// Pause between frames to a box where nothing has changed.
 const HEARTBEAT: Duration = Duration::from_millis(250);
 
+/// Heartbeats between two of what seldom changes.
+const SLOW_HEARTBEATS: u64 = 4;
+
 /// Pause after a frame that told of a change, so that several changes go together.
 const CHANGE_GAP: Duration = Duration::from_millis(4);
 
 /// Entries of a list in one frame; far below what fits.
 const LIST_CHUNK: usize = 40;
 
-/// Servers in one frame of contents.
-const SERVERS_CHUNK: usize = 2;
+/// Wants in one frame; each names its adapter.
+const MOST_WANTS: usize = 24;
 
 /// Sends frames: to all boxes some times a second, at once where something changed.
 pub async fn send(node: Rc<Node>, socket: Rc<UdpSocket>) {
-    let incarnation = started_ms();
-    let mut sequence = 0;
+    let mut sender = Sender {
+        node,
+        socket,
+        incarnation: started_ms(),
+        sequence: 0,
+    };
+    let mut heartbeats = 0;
     let mut next_heartbeat = tokio::time::Instant::now();
     loop {
-        let is_heartbeat = tokio::time::Instant::now() >= next_heartbeat;
-        if is_heartbeat {
+        sender.send_changes().await;
+        if tokio::time::Instant::now() >= next_heartbeat {
             next_heartbeat = tokio::time::Instant::now() + HEARTBEAT;
-        }
-        let targets = targets(&node, is_heartbeat);
-        for (box_id, address) in targets {
-            for part in parts(&node, &box_id) {
-                sequence += 1;
-                let frame = frame(&node, incarnation, sequence, part);
-                send_frame(&socket, address, &frame).await;
-            }
+            sender.send_heartbeat(heartbeats % SLOW_HEARTBEATS == 0).await;
+            heartbeats += 1;
         }
         tokio::time::sleep(CHANGE_GAP).await;
-        let _ = tokio::time::timeout_at(next_heartbeat, node.frames_due.notified()).await;
+        tokio::select! {
+            () = tokio::time::sleep_until(next_heartbeat) => {}
+            () = sender.node.frames_due.notified() => {}
+            () = sender.node.hello_due.notified() => sender.send_hellos().await,
+        }
     }
 }
 
@@ -53,74 +59,132 @@
     since.map(|since| since.as_millis() as u64).unwrap_or_default()
 }
 
-fn targets(node: &Node, is_heartbeat: bool) -> Vec<(String, SocketAddr)> {
-    let own_id = node.settings.borrow().box_id.clone();
-    let changed = std::mem::take(&mut *node.frames_to.borrow_mut());
-    let members = node.members.borrow();
-    members
-        .all()
-        .filter(|(id, _)| **id != own_id && (is_heartbeat || changed.contains(*id)))
-        .map(|(id, member)| (id.clone(), member.record.peer))
-        .collect()
+struct Sender {
+    node: Rc<Node>,
+    socket: Rc<UdpSocket>,
+    incarnation: u64,
+    sequence: u64,
 }
 
-fn frame(node: &Node, incarnation: u64, sequence: u64, part: FramePart) -> Frame {
-    Frame {
-        box_id: node.settings.borrow().box_id.clone(),
-        incarnation,
-        sequence,
-        record: node.own_record(),
-        configuration: node.in_force().map_or(0, |in_force| in_force.configuration.version),
-        part,
+impl Sender {
+    /// Tells changed contents to all, and wants to the holders that are to know at once.
+    async fn send_changes(&mut self) {
+        let changed = std::mem::take(&mut *self.node.changed_books.borrow_mut());
+        let hasty = std::mem::take(&mut *self.node.frames_to.borrow_mut());
+        for (box_id, address) in others(&self.node) {
+            for server in &changed {
+                if let Some(part) = contents(&self.node, *server) {
+                    self.send(address, part).await;
+                }
+            }
+            if hasty.contains(&box_id) {
+                self.send_wants(&box_id, address).await;
+            }
+        }
     }
-}
 
-async fn send_frame(socket: &UdpSocket, address: SocketAddr, frame: &Frame) {
-    let Ok(bytes) = postcard::to_stdvec(frame) else {
-        return;
-    };
-    debug_assert!(bytes.len() <= MOST_BYTES);
-    let _ = socket.send_to(&bytes, address).await;
+    async fn send_heartbeat(&mut self, is_slow: bool) {
+        let flights = FramePart::Flights(flights(&self.node));
+        for (box_id, address) in others(&self.node) {
+            self.send(address, flights.clone()).await;
+            self.send_wants(&box_id, address).await;
+            self.send_uses(&box_id, address).await;
+            if is_slow {
+                self.send_slow(address).await;
+            }
+        }
+    }
+
+    async fn send_hellos(&mut self) {
+        for (_, address) in others(&self.node) {
+            self.send_hello(address).await;
+        }
+    }
+
+    async fn send_hello(&mut self, address: SocketAddr) {
+        let version = self.node.in_force().map_or(0, |in_force| in_force.configuration.version);
+        let hello = FramePart::Hello(self.node.own_record(), version);
+        self.send(address, hello).await;
+    }
+
+    async fn send_slow(&mut self, address: SocketAddr) {
+        self.send_hello(address).await;
+        let held: Vec<ServerKey> = self.node.books.borrow().keys().copied().collect();
+        for server in held {
+            if let Some(part) = contents(&self.node, server) {
+                self.send(address, part).await;
+            }
+        }
+    }
+
+    async fn send_wants(&mut self, box_id: &str, address: SocketAddr) {
+        let held = servers_held_by(&self.node, box_id);
+        let wants = wants(&self.node, &held);
+        if !wants.is_empty() {
+            self.send(address, FramePart::Wants(wants)).await;
+        }
+    }
+
+    async fn send_uses(&mut self, box_id: &str, address: SocketAddr) {
+        let held = servers_held_by(&self.node, box_id);
+        let uses = uses(&self.node, &held);
+        for chunk in uses.chunks(LIST_CHUNK) {
+            self.send(address, FramePart::Uses(chunk.to_vec())).await;
+        }
+    }
+
+    async fn send(&mut self, address: SocketAddr, part: FramePart) {
+        self.sequence += 1;
+        let frame = Frame {
+            box_id: self.node.settings.borrow().box_id.clone(),
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            part,
+        };
+        let Ok(bytes) = postcard::to_stdvec(&frame) else {
+            return;
+        };
+        let _ = self.socket.send_to(&bytes, address).await;
+    }
 }
 
-fn parts(node: &Node, box_id: &str) -> Vec<FramePart> {
-    let mut parts = vec![FramePart::Flights(flights(node))];
-    let contents = contents(node);
-    parts.extend(contents.chunks(SERVERS_CHUNK).map(|chunk| FramePart::Contents(chunk.to_vec())));
-    let held = servers_held_by(node, box_id);
-    parts.push(FramePart::Wants(wants(node, &held)));
-    let uses = uses(node, &held);
-    parts.extend(uses.chunks(LIST_CHUNK).map(|chunk| FramePart::Uses(chunk.to_vec())));
-    parts
+fn others(node: &Node) -> Vec<(String, SocketAddr)> {
+    let own_id = node.settings.borrow().box_id.clone();
+    let members = node.members.borrow();
+    members
+        .all()
+        .filter(|(id, _)| **id != own_id)
+        .map(|(id, member)| (id.clone(), member.record.peer))
+        .collect()
 }
 
-fn flights(node: &Node) -> Vec<(ServerKey, u16)> {
+fn flights(node: &Node) -> Vec<(Fingerprint, u16)> {
     let servers = node.servers.borrow();
     servers
         .all()
         .filter(|server| server.own_flights() > 0)
-        .map(|server| (server.key, server.own_flights().min(usize::from(u16::MAX)) as u16))
+        .map(|server| {
+            let flights = server.own_flights().min(usize::from(u16::MAX));
+            (server.fingerprint(), flights as u16)
+        })
         .collect()
 }
 
-fn contents(node: &Node) -> Vec<ContentsPart> {
+fn contents(node: &Node, server: ServerKey) -> Option<FramePart> {
     let books = node.books.borrow();
-    books
-        .iter()
-        .filter(|(_, book)| book.borrow().is_learnt())
-        .map(|(server, book)| ContentsPart {
-            server: *server,
-            adapters: book
-                .borrow()
-                .held()
-                .map(|(key, held)| AdapterPart {
-                    key: *key,
-                    version: held.version.unwrap_or_default() as u32,
-                    is_ready: held.state == HeldState::Ready,
-                })
-                .collect(),
+    let book = books.get(&server)?.borrow();
+    if !book.is_learnt() {
+        return None;
+    }
+    let adapters = book
+        .held()
+        .map(|(key, held)| AdapterPart {
+            adapter: *key as Fingerprint,
+            version: held.version.unwrap_or_default() as u32,
+            is_ready: held.state == HeldState::Ready,
         })
-        .collect()
+        .collect();
+    Some(FramePart::Contents(server as Fingerprint, adapters))
 }
 
 fn servers_held_by(node: &Node, box_id: &str) -> Vec<ServerKey> {
@@ -139,7 +203,7 @@
     let mut wants: Vec<WantPart> = Vec::new();
     for server in held {
         wants.extend(demand.own_wants(*server, now_ms).into_iter().map(|want| WantPart {
-            server: *server,
+            server: *server as Fingerprint,
             adapter: want.adapter,
             version: want.version,
             weight: want.weight as f32,
@@ -150,16 +214,17 @@
         let awaited = right.is_awaited.cmp(&left.is_awaited);
         awaited.then(right.weight.total_cmp(&left.weight))
     });
-    wants.truncate(LIST_CHUNK / 2);
+    wants.truncate(MOST_WANTS);
     wants
 }
 
-fn uses(node: &Node, held: &[ServerKey]) -> Vec<(ServerKey, u64, u32)> {
+fn uses(node: &Node, held: &[ServerKey]) -> Vec<(Fingerprint, u64, u32)> {
     let mut demand = node.demand.borrow_mut();
     held.iter()
         .flat_map(|server| {
             let uses = demand.take_uses(*server);
-            uses.into_iter().map(|(key, count)| (*server, key, count))
+            uses.into_iter()
+                .map(|(key, count)| (*server as Fingerprint, key, count))
         })
         .collect()
 }
@@ -169,7 +234,7 @@
 struct Seen {
     incarnation: u64,
     flights: u64,
-    contents: u64,
+    contents: HashMap<Fingerprint, u64>,
     wants: u64,
 }
 
@@ -200,13 +265,19 @@
             ..Seen::default()
         };
     }
-    node.members.borrow_mut().hear(&frame.box_id, frame.record, now_ms);
+    node.members.borrow_mut().hear(&frame.box_id, now_ms);
     match frame.part {
+        FramePart::Hello(record, _) => {
+            node.members.borrow_mut().note_hello(&frame.box_id, record, now_ms);
+        }
         FramePart::Flights(flights) if advance(&mut seen.flights, frame.sequence) => {
             take_flights(node, &frame.box_id, &flights);
         }
-        FramePart::Contents(contents) if advance(&mut seen.contents, frame.sequence) => {
-            take_contents(node, &contents, now_ms);
+        FramePart::Contents(server, adapters) => {
+            let last = seen.contents.entry(server).or_default();
+            if advance(last, frame.sequence) {
+                take_contents(node, server, &adapters, now_ms);
+            }
         }
         FramePart::Wants(wants) if advance(&mut seen.wants, frame.sequence) => {
             take_wants(node, &frame.box_id, &wants, now_ms);
@@ -222,48 +293,48 @@
     is_newer
 }
 
-fn take_flights(node: &Node, box_id: &str, flights: &[(ServerKey, u16)]) {
-    let by_server: HashMap<ServerKey, u16> = flights.iter().copied().collect();
+fn take_flights(node: &Node, box_id: &str, flights: &[(Fingerprint, u16)]) {
+    let by_server: HashMap<Fingerprint, u16> = flights.iter().copied().collect();
     for server in node.servers.borrow().all() {
-        let count = by_server.get(&server.key).copied().unwrap_or_default();
+        let count = by_server.get(&server.fingerprint()).copied().unwrap_or_default();
         server.note_peer_flights(box_id, usize::from(count));
     }
 }
 
-fn take_contents(node: &Node, contents: &[ContentsPart], now_ms: Millis) {
-    for part in contents {
-        let Some(server) = node.servers.borrow().by_key(part.server) else {
-            continue;
-        };
-        let entries = part
-            .adapters
-            .iter()
-            .map(|adapter| {
-                let state = if adapter.is_ready { HeldState::Ready } else { HeldState::Loading };
-                let version = u64::from(adapter.version);
-                (adapter.key, ViewEntry { version, state })
-            })
-            .collect();
-        server.note_view(entries, now_ms);
-        node.wake_waiters(&server);
-    }
+fn take_contents(node: &Node, server: Fingerprint, adapters: &[AdapterPart], now_ms: Millis) {
+    let Some(server) = node.servers.borrow().by_fingerprint(server) else {
+        return;
+    };
+    let entries = adapters
+        .iter()
+        .map(|adapter| {
+            let state = if adapter.is_ready { HeldState::Ready } else { HeldState::Loading };
+            let version = u64::from(adapter.version);
+            (adapter.adapter, ViewEntry { version, state })
+        })
+        .collect();
+    server.note_view(entries, now_ms);
+    node.wake_waiters(&server);
 }
 
-fn take_wants(node: &Node, box_id: &str, wants: &[WantPart], now_ms: Millis) {
-    let servers: Vec<ServerKey> = wants.iter().map(|want| want.server).collect();
-    let wants = wants.iter().map(|want| (want.server, want.to_want())).collect();
-    node.demand.borrow_mut().note_peer(box_id, wants, now_ms);
-    for key in servers {
-        if let Some(server) = node.servers.borrow().by_key(key) {
+fn take_wants(node: &Node, box_id: &str, parts: &[WantPart], now_ms: Millis) {
+    let servers = node.servers.borrow();
+    let mut wants = Vec::new();
+    for part in parts {
+        if let Some(server) = servers.by_fingerprint(part.server) {
+            wants.push((server.key, part.to_want()));
             server.order_due.notify_one();
         }
     }
+    node.demand.borrow_mut().note_peer(box_id, wants, now_ms);
 }
 
-fn take_uses(node: &Node, uses: &[(ServerKey, u64, u32)], now_ms: Millis) {
+fn take_uses(node: &Node, uses: &[(Fingerprint, u64, u32)], now_ms: Millis) {
+    let servers = node.servers.borrow();
     let books = node.books.borrow();
     for (server, key, count) in uses {
-        if let Some(book) = books.get(server) {
+        let server = servers.by_fingerprint(*server);
+        if let Some(book) = server.and_then(|server| books.get(&server.key)) {
             book.borrow_mut().note_uses(*key, *count, now_ms);
         }
     }
--- a/crates/tinbay-gateway/src/peers/frame.rs
+++ b/crates/tinbay-gateway/src/peers/frame.rs
@@ -4,11 +4,14 @@
 use tinbay_core::serving::contents::{AdapterKey, Want};
 
 use crate::members::MemberRecord;
-use crate::servers::ServerKey;
 
 /// Longest datagram: what fits into one packet of any usual link.
 pub const MOST_BYTES: usize = 1_300;
 
+/// A short form of a server's or an adapter's key. Two that share one are told apart by the
+/// server itself, which refuses what it does not hold.
+pub type Fingerprint = u32;
+
 /// What one box tells another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Frame {
@@ -18,10 +21,6 @@
     pub incarnation: u64,
     /// Rises with each frame of the run.
     pub sequence: u64,
-    /// What the sender says about itself.
-    pub record: MemberRecord,
-    /// Version of the configuration in force at the sender; 0 for none.
-    pub configuration: u64,
     /// One part of what it has to say.
     pub part: FramePart,
 }
@@ -29,30 +28,24 @@
 /// One part of what a box has to say.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum FramePart {
+    /// What the sender says about itself, and the version of the configuration in force
+    /// there; 0 for none.
+    Hello(MemberRecord, u64),
     /// Requests it has running, by server; servers that are left out have none.
-    Flights(Vec<(ServerKey, u16)>),
-    /// All that some of the servers it holds the claims of hold.
-    Contents(Vec<ContentsPart>),
+    Flights(Vec<(Fingerprint, u16)>),
+    /// All that one server holds whose claim it holds.
+    Contents(Fingerprint, Vec<AdapterPart>),
     /// All that it wants at servers of the receiver.
     Wants(Vec<WantPart>),
     /// Uses since its last such part, at servers of the receiver.
-    Uses(Vec<(ServerKey, AdapterKey, u32)>),
-}
-
-/// All that one server holds.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct ContentsPart {
-    /// The server.
-    pub server: ServerKey,
-    /// Its adapters.
-    pub adapters: Vec<AdapterPart>,
+    Uses(Vec<(Fingerprint, AdapterKey, u32)>),
 }
 
 /// An adapter that takes a place.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AdapterPart {
     /// The adapter.
-    pub key: AdapterKey,
+    pub adapter: Fingerprint,
     /// Its version; 0 where it is not known.
     pub version: u32,
     /// Whether it can serve.
@@ -63,7 +56,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct WantPart {
     /// Where.
-    pub server: ServerKey,
+    pub server: Fingerprint,
     /// The adapter as `model/name`.
     pub adapter: String,
     /// The version that was named, if one was.
--- a/crates/tinbay-gateway/src/run.rs
+++ b/crates/tinbay-gateway/src/run.rs
@@ -40,7 +40,7 @@
 /// How servers are watched: their heartbeats are many, so that some wait for the next call.
 const SERVER_PACE: WatchPace = WatchPace {
     wait_ms: 4_000,
-    gap_ms: 400,
+    gap_ms: 750,
 };
 
 /// How boxes are watched.
@@ -199,7 +199,7 @@
     let began_ms = node.now_ms();
     node.is_leaving.set(true);
     node.entry_due.notify_one();
-    node.tell_all();
+    node.hello_due.notify_one();
     log_stop(node, "stop_begun", began_ms);
     let end_ms = began_ms + node.settings.borrow().bounds.stop_within_ms - STOP_MARGIN_MS;
     membership::release_claims(node).await;
--- a/crates/tinbay-gateway/src/servers.rs
+++ b/crates/tinbay-gateway/src/servers.rs
@@ -11,12 +11,13 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::http::pool::Pool;
+use crate::peers::frame::Fingerprint;
 
 /// Half-life of the mistrust in a server that failed.
 const MISTRUST_HALF_LIFE_MS: f64 = 1_500.0;
 
 /// How long a holder's word on its server's contents counts after its last message.
-const HOLDER_WORD_LIFE_MS: Millis = 1_500;
+const HOLDER_WORD_LIFE_MS: Millis = 2_500;
 
 /// Short name of an incarnation of a server, in memory and in messages.
 pub type ServerKey = u64;
@@ -34,7 +35,7 @@
 #[derive(Debug, Default)]
 struct View {
     told_ms: Option<Millis>,
-    entries: HashMap<AdapterKey, ViewEntry>,
+    entries: HashMap<Fingerprint, ViewEntry>,
 }
 
 /// One incarnation of a server.
@@ -101,11 +102,21 @@
         Rc::clone(&self.record.borrow())
     }
 
-    /// Notes what its holder says it holds.
-    pub fn note_view(&self, entries: HashMap<AdapterKey, ViewEntry>, now_ms: Millis) {
+    /// Notes what its holder says it holds; true if that is news.
+    pub fn note_view(&self, entries: HashMap<Fingerprint, ViewEntry>, now_ms: Millis) -> bool {
         let mut view = self.view.borrow_mut();
+        let is_changed = view.told_ms.is_none() || view.entries != entries;
         view.told_ms = Some(now_ms);
         view.entries = entries;
+        is_changed
+    }
+
+    /// Notes that its holder's word still stands.
+    pub fn confirm_view(&self, now_ms: Millis) {
+        let mut view = self.view.borrow_mut();
+        if view.told_ms.is_some() {
+            view.told_ms = Some(now_ms);
+        }
     }
 
     /// What is believed of one adapter here: its holder's word, or else its own entry.
@@ -115,7 +126,7 @@
             .told_ms
             .is_some_and(|told_ms| now_ms < told_ms + HOLDER_WORD_LIFE_MS);
         if is_fresh {
-            return view.entries.get(&key).copied();
+            return view.entries.get(&(key as Fingerprint)).copied();
         }
         self.listed.borrow().get(&key).copied()
     }
@@ -125,6 +136,11 @@
         self.record.borrow().state == ServerState::Ready
     }
 
+    /// The short form of its key in messages.
+    pub fn fingerprint(&self) -> Fingerprint {
+        self.key as Fingerprint
+    }
+
     /// Counts a request of this box.
     pub fn take_off(self: &Rc<Self>) -> Flight {
         self.own_flights.set(self.own_flights.get() + 1);
@@ -172,6 +188,7 @@
 pub struct ServerTable {
     by_id: HashMap<String, Rc<Server>>,
     ids: HashMap<ServerKey, String>,
+    keys: HashMap<Fingerprint, ServerKey>,
 }
 
 /// What a record changed.
@@ -201,7 +218,9 @@
             }
             None => {
                 let id = record.id.clone();
-                self.ids.insert(server_key(&id), id.clone());
+                let key = server_key(&id);
+                self.keys.insert(key as Fingerprint, key);
+                self.ids.insert(key, id.clone());
                 self.by_id.insert(id, Rc::new(Server::new(record)));
                 ServerChange::Arrived
             }
@@ -210,7 +229,9 @@
 
     /// Forgets a server.
     pub fn remove(&mut self, id: &str) -> bool {
-        self.ids.remove(&server_key(id));
+        let key = server_key(id);
+        self.ids.remove(&key);
+        self.keys.remove(&(key as Fingerprint));
         match self.by_id.remove(id) {
             Some(server) => {
                 server.pool.clear();
@@ -230,6 +251,11 @@
         self.get(self.ids.get(&key)?)
     }
 
+    /// A server by the short form of its key.
+    pub fn by_fingerprint(&self, fingerprint: Fingerprint) -> Option<Rc<Server>> {
+        self.by_key(*self.keys.get(&fingerprint)?)
+    }
+
     /// All servers.
     pub fn all(&self) -> impl Iterator<Item = &Rc<Server>> {
         self.by_id.values()
