--- a/crates/tinbay-gateway/src/front/choice.rs
+++ b/crates/tinbay-gateway/src/front/choice.rs
@@ -21,6 +21,10 @@
 /// others, so that streams stall long before all places are taken.
 const SPREAD_FLIGHTS: usize = 16;
 
+/// Part of a box's requests at a crowded server from which an adapter is spread: each copy
+/// costs a load, and only the copy of one that makes the crowd takes it apart.
+const SPREAD_SHARE: f64 = 0.25;
+
 /// Factor over the mean of all servers at which one is no home for more adapters. Source:
 /// Mirrokni, Thorup and Zadimoghaddam, "Consistent hashing with bounded loads", SODA 2018.
 const BOUND_OVER_MEAN: f64 = 1.25;
@@ -77,7 +81,7 @@
         .cloned()
         .partition(|server| serves(node, server, key, version));
     if let Some((_, server)) = least_loaded(node, &holding) {
-        if is_crowded(node, &server) {
+        if is_crowded(node, &server) && server.adapter_share(key) >= SPREAD_SHARE {
             ask_for_spread(node, adapter, version, &others);
         }
         return Choice::Send(server);
--- a/crates/tinbay-gateway/src/servers.rs
+++ b/crates/tinbay-gateway/src/servers.rs
@@ -65,6 +65,7 @@
     /// Connections to it.
     pub pool: Rc<Pool>,
     own_flights: Cell<usize>,
+    adapter_flights: RefCell<HashMap<AdapterKey, usize>>,
     peer_flights: RefCell<HashMap<String, usize>>,
     mistrust: Cell<(f64, Millis)>,
     delay: Cell<(f64, Millis)>,
@@ -74,6 +75,7 @@
 #[derive(Debug)]
 pub struct Flight {
     server: Rc<Server>,
+    adapter: Option<AdapterKey>,
 }
 
 impl Flight {
@@ -87,6 +89,9 @@
     fn drop(&mut self) {
         let flights = &self.server.own_flights;
         flights.set(flights.get() - 1);
+        if let Some(adapter) = self.adapter {
+            self.server.land(adapter);
+        }
     }
 }
 
@@ -102,6 +107,7 @@
             pool: Rc::new(Pool::new(record.address)),
             record: RefCell::new(Rc::new(record)),
             own_flights: Cell::default(),
+            adapter_flights: RefCell::default(),
             peer_flights: RefCell::default(),
             mistrust: Cell::default(),
             delay: Cell::default(),
@@ -152,14 +158,35 @@
         self.key as Fingerprint
     }
 
-    /// Counts a request of this box.
-    pub fn take_off(self: &Rc<Self>) -> Flight {
+    /// Counts a request of this box, for an adapter if it names one.
+    pub fn take_off(self: &Rc<Self>, adapter: Option<AdapterKey>) -> Flight {
         self.own_flights.set(self.own_flights.get() + 1);
+        if let Some(adapter) = adapter {
+            *self.adapter_flights.borrow_mut().entry(adapter).or_default() += 1;
+        }
         Flight {
             server: Rc::clone(self),
+            adapter,
+        }
+    }
+
+    fn land(&self, adapter: AdapterKey) {
+        let mut flights = self.adapter_flights.borrow_mut();
+        if let Some(count) = flights.get_mut(&adapter) {
+            *count -= 1;
+            if *count == 0 {
+                flights.remove(&adapter);
+            }
         }
     }
 
+    /// The part of this box's requests here that are for one adapter.
+    pub fn adapter_share(&self, adapter: AdapterKey) -> f64 {
+        let flights = self.adapter_flights.borrow();
+        let count = flights.get(&adapter).copied().unwrap_or_default();
+        count as f64 / self.own_flights.get().max(1) as f64
+    }
+
     /// Requests of this box that run here.
     pub fn own_flights(&self) -> usize {
         self.own_flights.get()
