The last word of a lost holder stands; memory of what servers had lately

Cause (expected): a cut box took the contents of servers without a holder's word from their slow entries and loaded copies; after a change of holder fast loads were counted as loads from the store.

--- a/crates/tinbay-core/src/serving/contents.rs
+++ b/crates/tinbay-core/src/serving/contents.rs
@@ -6,6 +6,7 @@
 
 use std::collections::HashMap;
 
+use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::configuration::{EngineSpec, ModelSpec};
@@ -85,6 +86,15 @@
     check_ms: Millis,
 }
 
+/// An adapter that a server had lately.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HadAdapter {
+    /// The adapter.
+    pub key: AdapterKey,
+    /// Its version, where it was known.
+    pub version: Option<u64>,
+}
+
 /// Requests that wait for an adapter, or for a model where no adapter is named.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Want {
@@ -194,6 +204,31 @@
         self.learn_from_ms = now_ms + REPORT_LAG_MS;
     }
 
+    /// Adapters the server had lately, for whoever holds it next: the latest last.
+    pub fn memory(&self) -> Vec<HadAdapter> {
+        let mut memory: Vec<(Millis, HadAdapter)> = self
+            .lately
+            .iter()
+            .map(|(key, (version, noted_ms))| {
+                let had = HadAdapter {
+                    key: *key,
+                    version: *version,
+                };
+                (*noted_ms, had)
+            })
+            .collect();
+        memory.sort_by_key(|(noted_ms, had)| (*noted_ms, had.key));
+        memory.into_iter().map(|(_, had)| had).collect()
+    }
+
+    /// Takes over what an earlier holder remembered.
+    pub fn note_memory(&mut self, memory: &[HadAdapter]) {
+        let most = self.spec.adapter_slots * LATELY_FACTOR;
+        for had in memory.iter().rev().take(most).rev() {
+            self.lately.entry(had.key).or_insert((had.version, 0));
+        }
+    }
+
     /// Notes uses of an adapter.
     pub fn note_uses(&mut self, key: AdapterKey, uses: u32, now_ms: Millis) {
         if let Some(held) = self.held.get_mut(&key) {
--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -7,6 +7,7 @@
 use log::Level;
 use serde::Serialize;
 use tinbay_core::retry::{AttemptEnd, AttemptEnds, RetryCase, may_retry};
+use tinbay_core::serving::contents::adapter_key;
 use tinbay_core::units::Millis;
 
 use super::adapters;
@@ -92,8 +93,8 @@
                     return Ok(relay(node, question, *answer));
                 }
             }
-            AttemptResult::Declined { .. } => {
-                server.add_mistrust(MISTRUST_DECLINED, node.now_ms());
+            AttemptResult::Declined { status } => {
+                note_declined(node, question, &server, status);
                 AttemptEnd::NotRun
             }
             AttemptResult::NotSent { .. } => {
@@ -116,6 +117,16 @@
     }
 }
 
+/// A full server is left alone for a while; one that lacks the adapter is known to lack it.
+fn note_declined(node: &Node, question: &Question, server: &Server, status: StatusCode) {
+    match &question.model {
+        Some(model) if status == StatusCode::MISDIRECTED_REQUEST => {
+            server.note_missing(adapter_key(model));
+        }
+        _ => server.add_mistrust(MISTRUST_DECLINED, node.now_ms()),
+    }
+}
+
 fn note_delay(node: &Node, question: &Question, server: &Server, sent_ms: Millis) {
     let now_ms = node.now_ms();
     let objective_ms = question.route.objective_ms.max(1) as f64;
--- a/crates/tinbay-gateway/src/orders/holder.rs
+++ b/crates/tinbay-gateway/src/orders/holder.rs
@@ -14,6 +14,7 @@
 use tinbay_core::serving::pacing;
 use tinbay_core::units::Millis;
 
+use super::memory;
 use crate::events::{self, part};
 use crate::http::call::{Call, CallError, Caller};
 use crate::node::Node;
@@ -80,6 +81,8 @@
 
 impl Holder {
     async fn run(self) {
+        let memory = memory::read(&self.node, &self.server.record().id).await;
+        self.book.borrow_mut().note_memory(&memory);
         while self.is_known() {
             let Some(token) = self.node.order_token(&self.server) else {
                 if !self.is_own() {
--- a/crates/tinbay-gateway/src/orders/mod.rs
+++ b/crates/tinbay-gateway/src/orders/mod.rs
@@ -3,3 +3,4 @@
 pub mod claiming;
 pub mod holder;
 pub mod membership;
+pub mod memory;
--- a/crates/tinbay-gateway/src/run.rs
+++ b/crates/tinbay-gateway/src/run.rs
@@ -18,7 +18,7 @@
 use crate::front::listener;
 use crate::metrics::Metrics;
 use crate::node::Node;
-use crate::orders::{claiming, membership};
+use crate::orders::{claiming, membership, memory};
 use crate::peers::exchange;
 use crate::port::dialect::{DecodeError, Dialect};
 use crate::port::store::Store;
@@ -130,6 +130,7 @@
     start_exchange(&node, settings.peer).await?;
     tokio::task::spawn_local(membership::keep(Rc::clone(&node)));
     tokio::task::spawn_local(claiming::run(Rc::clone(&node)));
+    tokio::task::spawn_local(memory::keep(Rc::clone(&node)));
     log_start(&settings);
     tokio::task::spawn_local(handle_reloads(reload));
     stop.recv().await;
--- a/crates/tinbay-gateway/src/servers.rs
+++ b/crates/tinbay-gateway/src/servers.rs
@@ -136,16 +136,24 @@
         }
     }
 
-    /// What is believed of one adapter here: its holder's word, or else its own entry.
+    /// What is believed of one adapter here: its holder's word, or else the last word and
+    /// its own entry, as a server without a holder keeps what it has.
     pub fn adapter(&self, key: AdapterKey, now_ms: Millis) -> Option<ViewEntry> {
         let view = self.view.borrow();
+        let told = view.entries.get(&(key as Fingerprint)).copied();
         let is_fresh = view
             .told_ms
             .is_some_and(|told_ms| now_ms < told_ms + HOLDER_WORD_LIFE_MS);
         if is_fresh {
-            return view.entries.get(&(key as Fingerprint)).copied();
+            return told;
         }
-        self.listed.borrow().get(&key).copied()
+        told.or_else(|| self.listed.borrow().get(&key).copied())
+    }
+
+    /// Notes that the server refused a request as it does not hold the adapter.
+    pub fn note_missing(&self, key: AdapterKey) {
+        self.view.borrow_mut().entries.remove(&(key as Fingerprint));
+        self.listed.borrow_mut().remove(&key);
     }
 
     /// Whether it takes work.
