--- a/crates/tinbay-gateway/src/front/choice.rs
+++ b/crates/tinbay-gateway/src/front/choice.rs
@@ -21,9 +21,9 @@
 /// others, so that streams stall long before all places are taken.
 const SPREAD_FLIGHTS: usize = 16;
 
-/// Part of a box's requests at a crowded server from which an adapter is spread: each copy
-/// costs a load, and only the copy of one that makes the crowd takes it apart.
-const SPREAD_SHARE: f64 = 0.25;
+/// Requests of an adapter, over all boxes, that its servers should have each before one more
+/// gets it: a copy costs a load, and only the copy of an adapter that makes the crowd helps.
+const FLIGHTS_A_COPY: usize = 8;
 
 /// Factor over the mean of all servers at which one is no home for more adapters. Source:
 /// Mirrokni, Thorup and Zadimoghaddam, "Consistent hashing with bounded loads", SODA 2018.
@@ -81,7 +81,7 @@
         .cloned()
         .partition(|server| serves(node, server, key, version));
     if let Some((_, server)) = least_loaded(node, &holding) {
-        if is_crowded(node, &server) && server.adapter_share(key) >= SPREAD_SHARE {
+        if is_crowded(node, &server) && fills_its_servers(node, key, &holding) {
             ask_for_spread(node, adapter, version, &others);
         }
         return Choice::Send(server);
@@ -92,6 +92,13 @@
     }
 }
 
+/// Whether an adapter has enough requests for one more server; those of other boxes are
+/// taken to be as many as this one's, as callers choose boxes at random.
+fn fills_its_servers(node: &Node, key: AdapterKey, holding: &[Rc<Server>]) -> bool {
+    let own: usize = holding.iter().map(|server| server.adapter_flights(key)).sum();
+    own * node.box_count() >= FLIGHTS_A_COPY * holding.len()
+}
+
 fn serves(node: &Node, server: &Server, key: AdapterKey, version: Option<u64>) -> bool {
     match server.adapter(key, node.now_ms()) {
         Some(entry) => entry.state == HeldState::Ready && entry.version >= version.unwrap_or(0),
--- a/crates/tinbay-gateway/src/servers.rs
+++ b/crates/tinbay-gateway/src/servers.rs
@@ -188,11 +188,10 @@
         }
     }
 
-    /// The part of this box's requests here that are for one adapter.
-    pub fn adapter_share(&self, adapter: AdapterKey) -> f64 {
+    /// Requests of this box here that are for one adapter.
+    pub fn adapter_flights(&self, adapter: AdapterKey) -> usize {
         let flights = self.adapter_flights.borrow();
-        let count = flights.get(&adapter).copied().unwrap_or_default();
-        count as f64 / self.own_flights.get().max(1) as f64
+        flights.get(&adapter).copied().unwrap_or_default()
     }
 
     /// Requests of this box that run here.
