--- a/crates/tinbay-gateway/src/demand.rs
+++ b/crates/tinbay-gateway/src/demand.rs
@@ -31,7 +31,7 @@
 }
 
 /// Half-life of the memory of how often an adapter was waited for.
-const ASKED_HALF_LIFE_MS: f64 = 8_000.0;
+const ASKED_HALF_LIFE_MS: f64 = 30_000.0;
 
 /// How long an adapter stays wanted that is crowded elsewhere.
 const SPREAD_MS: Millis = 1_000;
@@ -107,6 +107,11 @@
         asked.noted_ms = now_ms;
     }
 
+    /// Forgets who had to wait for an adapter, as it is there now.
+    pub fn forget_asked(&mut self, key: AdapterKey) {
+        self.asked.remove(&key);
+    }
+
     /// A request stops waiting; the adapter stays wanted for a while.
     pub fn end(&mut self, server: ServerKey, want: &Want, now_ms: Millis) {
         let Some(wants) = self.own.get_mut(&server) else {
--- a/crates/tinbay-gateway/src/front/adapters.rs
+++ b/crates/tinbay-gateway/src/front/adapters.rs
@@ -108,7 +108,9 @@
 fn note_use(node: &Node, question: &Question, server: &Server) {
     if let Some(model) = &question.model {
         let key = tinbay_core::serving::contents::adapter_key(model);
-        node.demand.borrow_mut().note_use(server.key, key);
+        let mut demand = node.demand.borrow_mut();
+        demand.note_use(server.key, key);
+        demand.forget_asked(key);
     }
 }
 
--- a/crates/tinbay-gateway/src/front/choice.rs
+++ b/crates/tinbay-gateway/src/front/choice.rs
@@ -19,11 +19,11 @@
 
 /// Requests at an engine that tell the same: prompts are read between the tokens of the
 /// others, so that streams stall long before all places are taken.
-const SPREAD_FLIGHTS: usize = 16;
+const SPREAD_FLIGHTS: usize = 20;
 
 /// Requests of an adapter, over all boxes, that its servers should have each before one more
 /// gets it: a copy costs a load, and only the copy of an adapter that makes the crowd helps.
-const FLIGHTS_A_COPY: usize = 8;
+const FLIGHTS_A_COPY: usize = 12;
 
 /// Factor over the mean of all servers at which one is no home for more adapters. Source:
 /// Mirrokni, Thorup and Zadimoghaddam, "Consistent hashing with bounded loads", SODA 2018.
