--- a/crates/tinbay-core/src/serving/contents.rs
+++ b/crates/tinbay-core/src/serving/contents.rs
@@ -277,7 +277,10 @@
             return Some(self.learn_from_ms);
         }
         let adapters = self.held.values().map(|held| (held.state, held.check_ms));
-        let models = self.models.values().map(|model| (model.state, model.check_ms));
+        let models = self
+            .models
+            .values()
+            .map(|model| (model.state, model.check_ms));
         adapters
             .chain(models)
             .filter(|(state, _)| *state == HeldState::Loading)
@@ -286,7 +289,9 @@
     }
 
     fn is_loading_model(&self) -> bool {
-        self.models.values().any(|model| model.state == HeldState::Loading)
+        self.models
+            .values()
+            .any(|model| model.state == HeldState::Loading)
     }
 
     /// Loads the most wanted model that is missing and fits, or the first of all into an
@@ -318,7 +323,11 @@
         let Some(spec) = self.model_spec(model) else {
             return false;
         };
-        let adapters_mb: f64 = self.held.values().map(|held| self.adapter_mb(&held.adapter)).sum();
+        let adapters_mb: f64 = self
+            .held
+            .values()
+            .map(|held| self.adapter_mb(&held.adapter))
+            .sum();
         self.models_mb() + adapters_mb + spec.weights_mb <= self.spec.weights_mb
     }
 
@@ -332,12 +341,17 @@
     }
 
     fn adapter_mb(&self, adapter: &str) -> f64 {
-        self.model_spec(model_of(adapter)).map_or(0.0, |spec| spec.adapter_mb)
+        self.model_spec(model_of(adapter))
+            .map_or(0.0, |spec| spec.adapter_mb)
     }
 
     /// Whether one more adapter has a place and memory.
     fn has_room(&self, adapter: &str) -> bool {
-        let adapters_mb: f64 = self.held.values().map(|held| self.adapter_mb(&held.adapter)).sum();
+        let adapters_mb: f64 = self
+            .held
+            .values()
+            .map(|held| self.adapter_mb(&held.adapter))
+            .sum();
         let used_mb = self.models_mb() + adapters_mb + self.adapter_mb(adapter);
         self.held.len() < self.spec.adapter_slots && used_mb <= self.spec.weights_mb
     }
@@ -368,7 +382,8 @@
         named: &dyn Fn(&str) -> Option<u64>,
         take_fetch: &mut dyn FnMut(f64) -> bool,
     ) -> Option<Action> {
-        let is_old = |held: &&Held| held.state == HeldState::Ready && named(&held.adapter) > held.version;
+        let is_old =
+            |held: &&Held| held.state == HeldState::Ready && named(&held.adapter) > held.version;
         let most_used = |left: &&Held, right: &&Held| left.uses.total_cmp(&right.uses);
         let held = self.held.values().filter(is_old).max_by(most_used)?;
         take_fetch(held.uses).then(|| Action::Load {
@@ -419,15 +434,16 @@
         let is_idle = |held: &&Held| {
             held.state == HeldState::Ready && now_ms.saturating_sub(held.used_ms) >= KEEP_USED_MS
         };
-        let least_used = |left: &&Held, right: &&Held| {
-            left.uses_at(now_ms).total_cmp(&right.uses_at(now_ms))
-        };
+        let least_used =
+            |left: &&Held, right: &&Held| left.uses_at(now_ms).total_cmp(&right.uses_at(now_ms));
         self.held.values().filter(is_idle).min_by(least_used)
     }
 
     /// Whether the server had this version lately, so that it does not come from the store.
     pub fn loads_fast(&self, key: AdapterKey, version: Option<u64>) -> bool {
-        self.lately.get(&key).is_some_and(|(had, _)| *had >= version)
+        self.lately
+            .get(&key)
+            .is_some_and(|(had, _)| *had >= version)
     }
 
     fn loading(&self) -> usize {
@@ -441,10 +457,20 @@
             (_, OrderAnswer::NoAnswer | OrderAnswer::Conflict | OrderAnswer::Refused) => {
                 self.unlearn(now_ms);
             }
-            (Action::Load { adapter, version, .. }, OrderAnswer::Accepted) => {
+            (
+                Action::Load {
+                    adapter, version, ..
+                },
+                OrderAnswer::Accepted,
+            ) => {
                 self.note_loading(adapter, *version, now_ms);
             }
-            (Action::Load { adapter, version, .. }, OrderAnswer::Done) => {
+            (
+                Action::Load {
+                    adapter, version, ..
+                },
+                OrderAnswer::Done,
+            ) => {
                 self.note_ready(adapter, *version, now_ms);
             }
             (Action::Unload { adapter, .. }, OrderAnswer::Accepted | OrderAnswer::Done) => {
@@ -470,7 +496,11 @@
             return;
         }
         let is_fetch = !self.loads_fast(key, version);
-        let expected_ms = if is_fetch { self.fetch_ms } else { self.reload_ms };
+        let expected_ms = if is_fetch {
+            self.fetch_ms
+        } else {
+            self.reload_ms
+        };
         let uses = self.held.get(&key).map_or(1.0, |held| held.uses);
         let held = Held {
             adapter: adapter.to_string(),
@@ -512,7 +542,11 @@
             held.version = version.max(held.version);
             held.used_ms = now_ms;
             let took_ms = (now_ms - held.ordered_ms) as f64;
-            let known = if held.is_fetch { &mut self.fetch_ms } else { &mut self.reload_ms };
+            let known = if held.is_fetch {
+                &mut self.fetch_ms
+            } else {
+                &mut self.reload_ms
+            };
             *known += TIME_WEIGHT * (took_ms.min(*known * 2.0) - *known);
         } else {
             let held = ready(adapter.to_string(), version, now_ms);
@@ -556,7 +590,9 @@
             check_ms: now_ms,
         };
         let models = report.models.iter();
-        self.models = models.map(|model| (model.clone(), ready_model.clone())).collect();
+        self.models = models
+            .map(|model| (model.clone(), ready_model.clone()))
+            .collect();
         let mut held = HashMap::new();
         for known in &report.adapters {
             let entry = self.carried_over(known, now_ms);
--- a/crates/tinbay-core/src/serving/pacing.rs
+++ b/crates/tinbay-core/src/serving/pacing.rs
@@ -109,7 +109,11 @@
     fn spend(&mut self, quota: usize, window_ms: Millis, now_ms: Millis) -> bool {
         let window_ms = window_ms + TRAVEL_MS;
         let start_ms = now_ms.saturating_sub(window_ms);
-        while self.begun.front().is_some_and(|begun_ms| *begun_ms < start_ms) {
+        while self
+            .begun
+            .front()
+            .is_some_and(|begun_ms| *begun_ms < start_ms)
+        {
             self.begun.pop_front();
         }
         let quota = self.settled_quota(quota, start_ms, now_ms);
@@ -117,7 +121,11 @@
             return false;
         }
         let gap_ms = (window_ms as f64 / quota as f64 * PAUSE_PART) as Millis;
-        if self.begun.back().is_some_and(|last_ms| now_ms < last_ms + gap_ms) {
+        if self
+            .begun
+            .back()
+            .is_some_and(|last_ms| now_ms < last_ms + gap_ms)
+        {
             return false;
         }
         self.begun.push_back(now_ms);
@@ -133,6 +141,10 @@
         while self.quotas.len() > 1 && self.quotas[1].0 <= start_ms {
             self.quotas.pop_front();
         }
-        self.quotas.iter().map(|(_, quota)| *quota).min().unwrap_or(0)
+        self.quotas
+            .iter()
+            .map(|(_, quota)| *quota)
+            .min()
+            .unwrap_or(0)
     }
 }
--- /dev/null
+++ b/crates/tinbay-core/tests/serving_contents_test.rs
@@ -0,0 +1,268 @@
+//! What a holder orders: never beyond the places, never the same thing twice, newest versions.
+
+use quickcheck::QuickCheck;
+use tinbay_core::serving::configuration::{EngineSpec, ModelSpec};
+use tinbay_core::serving::contents::{Action, Contents, HeldState, OrderAnswer, Want, adapter_key};
+use tinbay_core::serving::servers::{HeldAdapter, Report};
+
+fn spec(adapter_slots: usize) -> EngineSpec {
+    EngineSpec {
+        batch_slots: 32,
+        adapter_slots,
+        loads_per_s: 9.3,
+        weights_mb: 66_600.0,
+        models: vec![ModelSpec {
+            name: "m".into(),
+            weights_mb: 65_100.0,
+            adapter_mb: 12.0,
+        }],
+    }
+}
+
+fn report(adapters: &[(&str, u64)]) -> Report {
+    let held = |(adapter, version): &(&str, u64)| HeldAdapter {
+        adapter: adapter.to_string(),
+        version: *version,
+    };
+    Report {
+        order_count: 4,
+        models: vec!["m".into()],
+        adapters: adapters.iter().map(held).collect(),
+        ..Report::default()
+    }
+}
+
+fn learnt(adapter_slots: usize, adapters: &[(&str, u64)]) -> Contents {
+    let mut contents = Contents::new(spec(adapter_slots), 0);
+    contents.note_report(&report(adapters), 0);
+    contents
+}
+
+fn want(adapter: &str) -> Want {
+    Want {
+        adapter: adapter.into(),
+        version: None,
+        weight: 1.0,
+        is_awaited: true,
+    }
+}
+
+fn next(contents: &mut Contents, wants: &[Want], may_fetch: bool, now_ms: u64) -> Option<Action> {
+    contents.next_action(wants, &|_| None, &mut |_| may_fetch, now_ms)
+}
+
+fn load(adapter: &str, expected_count: u64) -> Action {
+    Action::Load {
+        adapter: adapter.into(),
+        version: None,
+        expected_count,
+    }
+}
+
+#[test]
+fn next_action_learns_first() {
+    let mut contents = Contents::new(spec(2), 0);
+    assert_eq!(
+        next(&mut contents, &[want("m/a")], true, 0),
+        Some(Action::Learn)
+    );
+}
+
+#[test]
+fn next_action_loads_into_free_place() {
+    let mut contents = learnt(2, &[]);
+    assert_eq!(
+        next(&mut contents, &[want("m/a")], true, 0),
+        Some(load("m/a", 4))
+    );
+}
+
+#[test]
+fn next_action_waits_for_the_store() {
+    let mut contents = learnt(2, &[]);
+    assert_eq!(next(&mut contents, &[want("m/a")], false, 0), None);
+}
+
+#[test]
+fn next_action_model_before_adapter() {
+    let mut contents = Contents::new(spec(2), 0);
+    contents.note_report(&Report::default(), 0);
+    assert_eq!(
+        next(&mut contents, &[want("m/a")], true, 0),
+        Some(load("m", 0))
+    );
+    contents.note_answer(&load("m", 0), OrderAnswer::Accepted, 0);
+    assert_eq!(next(&mut contents, &[want("m/a")], true, 10), None);
+    contents.note_answer(&load("m", 1), OrderAnswer::Done, 600);
+    assert_eq!(
+        next(&mut contents, &[want("m/a")], true, 610),
+        Some(load("m/a", 1))
+    );
+}
+
+#[test]
+fn next_action_unloads_least_used_when_full() {
+    let mut contents = learnt(2, &[("m/a", 1), ("m/b", 1)]);
+    contents.note_uses(adapter_key("m/a"), 3, 0);
+    let unload = Action::Unload {
+        adapter: "m/b".into(),
+        expected_count: 4,
+    };
+    assert_eq!(
+        next(&mut contents, &[want("m/c")], true, 1_000),
+        Some(unload.clone())
+    );
+    contents.note_answer(&unload, OrderAnswer::Done, 1_000);
+    assert_eq!(
+        next(&mut contents, &[want("m/c")], true, 1_001),
+        Some(load("m/c", 5))
+    );
+}
+
+#[test]
+fn next_action_keeps_what_was_just_used() {
+    let mut contents = learnt(1, &[("m/a", 1)]);
+    contents.note_uses(adapter_key("m/a"), 1, 1_000);
+    assert_eq!(next(&mut contents, &[want("m/b")], true, 1_050), None);
+}
+
+#[test]
+fn next_action_reload_needs_no_allowance() {
+    let mut contents = learnt(1, &[("m/a", 1)]);
+    let unload = Action::Unload {
+        adapter: "m/a".into(),
+        expected_count: 4,
+    };
+    contents.note_answer(&unload, OrderAnswer::Done, 500);
+    assert_eq!(
+        next(&mut contents, &[want("m/a")], false, 1_000),
+        Some(load("m/a", 5))
+    );
+}
+
+#[test]
+fn next_action_expected_reload_waits_for_a_request() {
+    let mut contents = learnt(1, &[("m/a", 1)]);
+    let unload = Action::Unload {
+        adapter: "m/a".into(),
+        expected_count: 4,
+    };
+    contents.note_answer(&unload, OrderAnswer::Done, 500);
+    let expected = Want {
+        is_awaited: false,
+        ..want("m/a")
+    };
+    assert_eq!(next(&mut contents, &[expected], true, 1_000), None);
+}
+
+#[test]
+fn next_action_replaces_old_version() {
+    let mut contents = learnt(2, &[("m/a", 1)]);
+    let named = |adapter: &str| (adapter == "m/a").then_some(2);
+    let action = contents.next_action(&[], &named, &mut |_| true, 0);
+    let expected = Action::Load {
+        adapter: "m/a".into(),
+        version: Some(2),
+        expected_count: 4,
+    };
+    assert_eq!(action, Some(expected));
+}
+
+#[test]
+fn note_answer_lost_learns_after_the_report_lag() {
+    let mut contents = learnt(2, &[]);
+    contents.note_answer(&load("m/a", 4), OrderAnswer::NoAnswer, 1_000);
+    assert_eq!(next(&mut contents, &[want("m/a")], true, 1_599), None);
+    assert_eq!(
+        next(&mut contents, &[want("m/a")], true, 1_600),
+        Some(Action::Learn)
+    );
+}
+
+#[test]
+fn note_memory_makes_loads_fast() {
+    let mut first = learnt(1, &[("m/a", 1)]);
+    let unload = Action::Unload {
+        adapter: "m/a".into(),
+        expected_count: 4,
+    };
+    first.note_answer(&unload, OrderAnswer::Done, 500);
+    let mut second = learnt(1, &[]);
+    assert!(!second.loads_fast(adapter_key("m/a"), None));
+    second.note_memory(&first.memory());
+    assert!(second.loads_fast(adapter_key("m/a"), None));
+    assert!(!second.loads_fast(adapter_key("m/a"), Some(2)));
+}
+
+/// A server that does as it is told, seen through any wants and lost answers: the holder never
+/// orders beyond the places.
+#[test]
+fn next_action_never_beyond_places() {
+    fn property(steps: Vec<(u8, bool)>) -> bool {
+        let places = 3;
+        let mut contents = learnt(places, &[]);
+        let mut server: Vec<String> = Vec::new();
+        let mut order_count = 4;
+        let mut now_ms = 0;
+        for (number, is_lost) in steps {
+            now_ms += 200;
+            let wants = [want(&format!("m/a{}", number % 12))];
+            let Some(action) = next(&mut contents, &wants, true, now_ms) else {
+                continue;
+            };
+            let answer = match &action {
+                Action::Learn => {
+                    let adapters: Vec<(&str, u64)> =
+                        server.iter().map(|name| (name.as_str(), 1)).collect();
+                    let mut known = report(&adapters);
+                    known.order_count = order_count;
+                    contents.note_report(&known, now_ms);
+                    continue;
+                }
+                Action::Load {
+                    adapter,
+                    expected_count,
+                    ..
+                } => {
+                    if server.contains(adapter) {
+                        OrderAnswer::Done
+                    } else if *expected_count != order_count {
+                        OrderAnswer::Conflict
+                    } else if server.len() >= places {
+                        return false;
+                    } else {
+                        server.push(adapter.clone());
+                        order_count += 1;
+                        OrderAnswer::Accepted
+                    }
+                }
+                Action::Unload {
+                    adapter,
+                    expected_count,
+                } => {
+                    if *expected_count != order_count {
+                        OrderAnswer::Conflict
+                    } else {
+                        server.retain(|held| held != adapter);
+                        order_count += 1;
+                        OrderAnswer::Done
+                    }
+                }
+            };
+            let answer = if is_lost {
+                OrderAnswer::NoAnswer
+            } else {
+                answer
+            };
+            contents.note_answer(&action, answer, now_ms);
+        }
+        let loading_or_ready = contents
+            .held()
+            .filter(|(_, held)| matches!(held.state, HeldState::Loading | HeldState::Ready))
+            .count();
+        loading_or_ready <= places
+    }
+    QuickCheck::new()
+        .tests(500)
+        .quickcheck(property as fn(Vec<(u8, bool)>) -> bool);
+}
--- /dev/null
+++ b/crates/tinbay-core/tests/serving_pacing_test.rs
@@ -0,0 +1,117 @@
+//! The weight store's allowance: never more loads within any window than allowed.
+
+use std::collections::BTreeMap;
+
+use quickcheck::QuickCheck;
+use tinbay_core::serving::pacing::{LoadBound, LoadPace, deal};
+
+const BOUND: LoadBound = LoadBound {
+    window_ms: 5_000,
+    overshoot: 1.1,
+};
+
+const RATE_PER_S: f64 = 9.3;
+
+fn engines(counts: &[usize]) -> BTreeMap<String, usize> {
+    counts
+        .iter()
+        .enumerate()
+        .map(|(number, count)| (format!("box-{number}"), *count))
+        .collect()
+}
+
+#[test]
+fn allowed_rounds_down() {
+    assert_eq!(BOUND.allowed(RATE_PER_S), 54);
+}
+
+#[test]
+fn deal_gives_out_all_and_no_more() {
+    let quotas = deal(54, &engines(&[3, 3, 5, 1, 2, 4]));
+    assert_eq!(quotas.values().sum::<usize>(), 54);
+    assert_eq!(quotas["box-2"], 15);
+}
+
+#[test]
+fn deal_without_engines_is_empty() {
+    assert!(deal(54, &BTreeMap::new()).is_empty());
+}
+
+#[test]
+fn deal_same_for_every_box() {
+    fn property(counts: Vec<u8>) -> bool {
+        let counts: Vec<usize> = counts.iter().map(|count| usize::from(count % 20)).collect();
+        let quotas = deal(54, &engines(&counts));
+        let total: usize = counts.iter().sum();
+        let dealt: usize = quotas.values().sum();
+        dealt == if total == 0 { 0 } else { 54 }
+    }
+    QuickCheck::new().quickcheck(property as fn(Vec<u8>) -> bool);
+}
+
+/// All holders take whenever they may, from any start; every window holds no more than allowed.
+#[test]
+fn take_never_exceeds_window() {
+    fn property(counts: Vec<u8>, starts: Vec<u16>) -> bool {
+        let counts: Vec<usize> = counts
+            .iter()
+            .take(9)
+            .map(|count| usize::from(count % 9))
+            .collect();
+        let quotas = deal(BOUND.allowed(RATE_PER_S), &engines(&counts));
+        let mut begun: Vec<u64> = Vec::new();
+        for (number, quota) in quotas.values().enumerate() {
+            let mut pace = LoadPace::default();
+            let start_ms = u64::from(starts.get(number).copied().unwrap_or(0));
+            for now_ms in (start_ms..start_ms + 20_000).step_by(10) {
+                if pace.take(1, 1.0, *quota, BOUND.window_ms, now_ms) {
+                    begun.push(now_ms);
+                }
+            }
+        }
+        begun.sort_unstable();
+        let in_window = |start: &u64| {
+            begun
+                .iter()
+                .filter(|time| *time >= start && **time < start + BOUND.window_ms)
+                .count()
+        };
+        begun
+            .iter()
+            .all(|start| in_window(start) <= BOUND.allowed(RATE_PER_S))
+    }
+    QuickCheck::new()
+        .tests(30)
+        .quickcheck(property as fn(Vec<u8>, Vec<u16>) -> bool);
+}
+
+#[test]
+fn take_grown_quota_counts_after_a_window() {
+    let mut pace = LoadPace::default();
+    let taken = |pace: &mut LoadPace, quota, from_ms: u64, to_ms: u64| {
+        (from_ms..to_ms)
+            .step_by(10)
+            .filter(|now_ms| pace.take(1, 1.0, quota, BOUND.window_ms, *now_ms))
+            .count()
+    };
+    assert_eq!(taken(&mut pace, 2, 0, 5_000), 2);
+    assert!(taken(&mut pace, 20, 5_000, 10_000) <= 2);
+    assert!(taken(&mut pace, 20, 10_600, 15_000) > 10);
+}
+
+#[test]
+fn take_goes_to_the_highest_bid() {
+    let mut pace = LoadPace::default();
+    assert!(pace.take(1, 1.0, 10, BOUND.window_ms, 0));
+    assert!(!pace.take(2, 5.0, 10, BOUND.window_ms, 10));
+    assert!(!pace.take(1, 1.0, 10, BOUND.window_ms, 20));
+    for now_ms in (30..600).step_by(10) {
+        if pace.take(1, 1.0, 10, BOUND.window_ms, now_ms) {
+            panic!("the lower bid went first at {now_ms}");
+        }
+        if pace.take(2, 5.0, 10, BOUND.window_ms, now_ms) {
+            return;
+        }
+    }
+    panic!("nobody was served");
+}
--- /dev/null
+++ b/crates/tinbay-core/tests/serving_routes_test.rs
@@ -0,0 +1,116 @@
+//! Routes, splits and the budget of second sends.
+
+use quickcheck::QuickCheck;
+use tinbay_core::serving::budget::{BudgetTerms, SendBudget};
+use tinbay_core::serving::configuration::{Configuration, Route, RouteKind, Target};
+use tinbay_core::serving::routes::RouteTable;
+
+fn route(name: &str, host: &str, path_prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: host.into(),
+        path_prefix: path_prefix.into(),
+        kind: RouteKind::Safe,
+        timeout_ms: 1_000,
+        objective_ms: 150,
+        priority: 0,
+        targets: vec![Target {
+            service: "s".into(),
+            weight: 1,
+        }],
+        most_attempts: 1,
+        resumable: false,
+    }
+}
+
+fn table() -> RouteTable {
+    RouteTable::new(&Configuration {
+        routes: vec![
+            route("short", "a.example", "/x/"),
+            route("long", "a.example", "/x/y/"),
+            route("other", "b.example", "/"),
+        ],
+        ..Configuration::default()
+    })
+}
+
+fn found(host: &str, path: &str) -> Option<String> {
+    table().find(host, path).map(|route| route.name.clone())
+}
+
+#[test]
+fn find_longest_prefix() {
+    assert_eq!(found("a.example", "/x/y/z"), Some("long".into()));
+    assert_eq!(found("a.example", "/x/z"), Some("short".into()));
+}
+
+#[test]
+fn find_ignores_port_and_case_of_host() {
+    assert_eq!(found("A.example:8080", "/x/"), Some("short".into()));
+}
+
+#[test]
+fn find_other_host_or_path_is_none() {
+    assert_eq!(found("a.example", "/z/"), None);
+    assert_eq!(found("c.example", "/x/"), None);
+}
+
+#[test]
+fn choose_service_by_weight() {
+    let mut split = route("split", "a.example", "/");
+    split.targets = vec![
+        Target {
+            service: "many".into(),
+            weight: 90,
+        },
+        Target {
+            service: "few".into(),
+            weight: 10,
+        },
+    ];
+    assert_eq!(split.choose_service(0.0), Some("many"));
+    assert_eq!(split.choose_service(0.899), Some("many"));
+    assert_eq!(split.choose_service(0.901), Some("few"));
+    assert_eq!(split.choose_service(0.999_999), Some("few"));
+}
+
+const TERMS: BudgetTerms = BudgetTerms {
+    ratio: 0.2,
+    extra: 52.0,
+    window_ms: 10_000,
+};
+
+/// Boxes that count for themselves never send a second time more than the users allow.
+#[test]
+fn take_second_within_terms_over_all_boxes() {
+    fn property(boxes: u8, firsts: Vec<u16>) -> bool {
+        let boxes = usize::from(boxes % 9) + 1;
+        let mut taken = 0;
+        let mut first_count = 0;
+        for _ in 0..boxes {
+            let mut budget = SendBudget::default();
+            let mut times: Vec<u64> = firsts.iter().map(|time| u64::from(time % 5_000)).collect();
+            times.sort_unstable();
+            for time in &times {
+                budget.note_first(*time);
+                first_count += 1;
+            }
+            taken += (0..100)
+                .filter(|_| budget.take_second(&TERMS, boxes, 5_000))
+                .count();
+        }
+        taken as f64 <= TERMS.ratio * f64::from(first_count) + TERMS.extra
+    }
+    QuickCheck::new().quickcheck(property as fn(u8, Vec<u16>) -> bool);
+}
+
+#[test]
+fn take_second_comes_back_after_the_window() {
+    let mut budget = SendBudget::default();
+    let taken = (0..100)
+        .filter(|_| budget.take_second(&TERMS, 1, 1_000))
+        .count();
+    assert!(taken > 0);
+    assert!(!budget.take_second(&TERMS, 1, 1_000));
+    assert!(budget.take_second(&TERMS, 1, 11_001));
+}
--- a/crates/tinbay-gateway/src/demand.rs
+++ b/crates/tinbay-gateway/src/demand.rs
@@ -86,13 +86,15 @@
 
     fn own_want(&mut self, server: ServerKey, want: &Want) -> &mut OwnWant {
         let wants = self.own.entry(server).or_default();
-        let own = wants.entry(adapter_key(&want.adapter)).or_insert_with(|| OwnWant {
-            adapter: want.adapter.clone(),
-            version: None,
-            waiting: 0.0,
-            spread_until_ms: 0,
-            linger_until_ms: 0,
-        });
+        let own = wants
+            .entry(adapter_key(&want.adapter))
+            .or_insert_with(|| OwnWant {
+                adapter: want.adapter.clone(),
+                version: None,
+                waiting: 0.0,
+                spread_until_ms: 0,
+                linger_until_ms: 0,
+            });
         own.version = own.version.max(want.version);
         own
     }
--- a/crates/tinbay-gateway/src/directory.rs
+++ b/crates/tinbay-gateway/src/directory.rs
@@ -96,7 +96,10 @@
 /// Boxes a caller of `zone` should use: those of its zone, or all where these are few.
 fn choose_addresses(node: &Node, zone: &str) -> Vec<SocketAddr> {
     let mut boxes = up_boxes(node);
-    let in_zone = boxes.iter().filter(|(_, own_zone)| own_zone == zone).count();
+    let in_zone = boxes
+        .iter()
+        .filter(|(_, own_zone)| own_zone == zone)
+        .count();
     if in_zone >= ENOUGH_IN_ZONE {
         boxes.retain(|(_, own_zone)| own_zone == zone);
     }
--- a/crates/tinbay-gateway/src/events.rs
+++ b/crates/tinbay-gateway/src/events.rs
@@ -104,7 +104,12 @@
 }
 
 /// Writes one line of the part: the event's name, then its fields.
-pub fn emit<T: Serialize>(part: &'static str, level: log::Level, event: &'static str, fields_of: &T) {
+pub fn emit<T: Serialize>(
+    part: &'static str,
+    level: log::Level,
+    event: &'static str,
+    fields_of: &T,
+) {
     if !log::log_enabled!(target: part, level) {
         return;
     }
--- a/crates/tinbay-gateway/src/front/adapters.rs
+++ b/crates/tinbay-gateway/src/front/adapters.rs
@@ -88,7 +88,10 @@
         if waiting.is_none() {
             note_asked(node, question);
         }
-        if waiting.as_ref().is_none_or(|waiting| waiting.server.key != home.key) {
+        if waiting
+            .as_ref()
+            .is_none_or(|waiting| waiting.server.key != home.key)
+        {
             waiting = Some(Waiting::begin(node, &home, want(node, question)));
         }
         let _ = tokio::time::timeout(LOOK_PAUSE, home.changed.notified()).await;
--- a/crates/tinbay-gateway/src/front/attempt.rs
+++ b/crates/tinbay-gateway/src/front/attempt.rs
@@ -62,7 +62,9 @@
     body: RequestBody,
     terms: AttemptTerms<'_>,
 ) -> AttemptResult {
-    let flight = terms.server.take_off(question.model.as_deref().map(adapter_key));
+    let flight = terms
+        .server
+        .take_off(question.model.as_deref().map(adapter_key));
     let exchange = exchange(node, question, body, &terms);
     match tokio::time::timeout(terms.head_within, exchange).await {
         Err(_) => AttemptResult::Unknown,
@@ -114,7 +116,8 @@
 ) -> AttemptResult {
     let names = node.dialect.headers();
     let status = response.status();
-    if response.headers().contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST {
+    if response.headers().contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST
+    {
         return AttemptResult::Declined { status };
     }
     let is_own = text(response.headers(), &names.request_id) == Some(question.id.as_str());
--- a/crates/tinbay-gateway/src/front/choice.rs
+++ b/crates/tinbay-gateway/src/front/choice.rs
@@ -53,7 +53,9 @@
     match question.model.as_deref() {
         Some(model) if model.contains('/') => choose_for_adapter(node, model, &ready),
         Some(model) => choose_for_model(node, model, &ready),
-        None => least_loaded(node, &ready).map_or(Choice::Nowhere, |(_, server)| Choice::Send(server)),
+        None => {
+            least_loaded(node, &ready).map_or(Choice::Nowhere, |(_, server)| Choice::Send(server))
+        }
     }
 }
 
@@ -95,7 +97,10 @@
 /// Whether an adapter has enough requests for one more server; those of other boxes are
 /// taken to be as many as this one's, as callers choose boxes at random.
 fn fills_its_servers(node: &Node, key: AdapterKey, holding: &[Rc<Server>]) -> bool {
-    let own: usize = holding.iter().map(|server| server.adapter_flights(key)).sum();
+    let own: usize = holding
+        .iter()
+        .map(|server| server.adapter_flights(key))
+        .sum();
     own * node.box_count() >= FLIGHTS_A_COPY * holding.len()
 }
 
@@ -152,7 +157,9 @@
         weight: 1.0,
         is_awaited: true,
     };
-    node.demand.borrow_mut().ask_for_spread(server.key, &want, now_ms);
+    node.demand
+        .borrow_mut()
+        .ask_for_spread(server.key, &want, now_ms);
     notify_holder(node, &server);
 }
 
--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -76,7 +76,9 @@
         };
         body = sent.repeat();
         let sent_ms = node.now_ms();
-        question.sent_after_ms.set(Some(sent_ms - question.arrived_ms));
+        question
+            .sent_after_ms
+            .set(Some(sent_ms - question.arrived_ms));
         let result = try_server(node, question, sent, &server).await;
         note_delay(node, question, &server, sent_ms);
         log_try(node, question, &server, &result);
@@ -149,7 +151,10 @@
             deadline_ms: left_ms,
             server_id: &record.id,
             priority: Some(question.route.priority.min(9)),
-            version: question.model.as_deref().and_then(|model| node.named_version(model)),
+            version: question
+                .model
+                .as_deref()
+                .and_then(|model| node.named_version(model)),
             last_event: None,
         },
         head_within: Duration::from_millis(left_ms),
@@ -192,7 +197,10 @@
     let budget = budgets.entry(question.service.clone()).or_default();
     let is_taken = budget.take_second(&terms, boxes, now_ms);
     let outcome = if is_taken { "sent" } else { "no_budget" };
-    node.metrics.second_sends.with_label_values(&[outcome]).inc();
+    node.metrics
+        .second_sends
+        .with_label_values(&[outcome])
+        .inc();
     is_taken
 }
 
@@ -213,7 +221,11 @@
     let (outcome, status, level) = match result {
         AttemptResult::Begun(answer) => {
             let status = answer.response.status();
-            let level = if status == StatusCode::OK { Level::Debug } else { Level::Info };
+            let level = if status == StatusCode::OK {
+                Level::Debug
+            } else {
+                Level::Info
+            };
             ("begun", Some(status.as_u16()), level)
         }
         AttemptResult::Declined { status } => ("declined", Some(status.as_u16()), Level::Info),
@@ -262,7 +274,14 @@
             Err(error) => Ending::Cut(error),
         };
         let server = flight.server().record().id.clone();
-        log_end(&node, &question, Some(&server), status, Some(head_ms), &ending);
+        log_end(
+            &node,
+            &question,
+            Some(&server),
+            status,
+            Some(head_ms),
+            &ending,
+        );
         drop(flight);
     })
 }
@@ -323,6 +342,9 @@
         head_ms,
         total_ms: node.now_ms() - question.arrived_ms,
     };
-    node.metrics.requests.with_label_values(&[question.kind(), outcome]).inc();
+    node.metrics
+        .requests
+        .with_label_values(&[question.kind(), outcome])
+        .inc();
     events::emit(part::FRONT, Level::Info, "request", &event);
 }
--- a/crates/tinbay-gateway/src/front/headers.rs
+++ b/crates/tinbay-gateway/src/front/headers.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use hyper::header::{CONNECTION, HeaderMap, HeaderName, HeaderValue, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
+use hyper::header::{
+    CONNECTION, HeaderMap, HeaderName, HeaderValue, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+};
 
 use crate::port::dialect::HeaderNames;
 
@@ -62,7 +64,15 @@
     for name in named {
         headers.remove(name);
     }
-    for name in [CONNECTION, KEEP_ALIVE, PROXY_CONNECTION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE] {
+    for name in [
+        CONNECTION,
+        KEEP_ALIVE,
+        PROXY_CONNECTION,
+        TE,
+        TRAILER,
+        TRANSFER_ENCODING,
+        UPGRADE,
+    ] {
         headers.remove(name);
     }
 }
--- a/crates/tinbay-gateway/src/front/listener.rs
+++ b/crates/tinbay-gateway/src/front/listener.rs
@@ -114,7 +114,14 @@
         Err(refusal) => {
             let response = refusal.to_response();
             let status = response.status().as_u16();
-            deliver::log_end(node, &question, None, status, None, &Ending::Refused(refusal));
+            deliver::log_end(
+                node,
+                &question,
+                None,
+                status,
+                None,
+                &Ending::Refused(refusal),
+            );
             response
         }
     }
@@ -139,7 +146,10 @@
 fn note_first_send(node: &Node, question: &Question) {
     let now_ms: Millis = node.now_ms();
     let mut budgets = node.budgets.borrow_mut();
-    budgets.entry(question.service.clone()).or_default().note_first(now_ms);
+    budgets
+        .entry(question.service.clone())
+        .or_default()
+        .note_first(now_ms);
 }
 
 fn log_refusal(refusal: Refusal) {
--- a/crates/tinbay-gateway/src/front/question.rs
+++ b/crates/tinbay-gateway/src/front/question.rs
@@ -45,13 +45,20 @@
     pub fn read(node: &Node, parts: Parts, arrived_ms: Millis, draw: f64) -> Result<Self, Refusal> {
         let names = node.dialect.headers();
         let in_force = node.in_force().ok_or(Refusal::NoConfiguration)?;
-        let host = text(&parts.headers, &HOST).or_else(|| parts.uri.host()).unwrap_or_default();
+        let host = text(&parts.headers, &HOST)
+            .or_else(|| parts.uri.host())
+            .unwrap_or_default();
         let route = in_force
             .routes
             .find(host, parts.uri.path())
             .ok_or(Refusal::NoRoute)?;
-        let service = route.choose_service(draw).ok_or(Refusal::NoRoute)?.to_string();
-        let id = text(&parts.headers, &names.request_id).ok_or(Refusal::NoRequestId)?.to_string();
+        let service = route
+            .choose_service(draw)
+            .ok_or(Refusal::NoRoute)?
+            .to_string();
+        let id = text(&parts.headers, &names.request_id)
+            .ok_or(Refusal::NoRequestId)?
+            .to_string();
         let deadline_ms = text(&parts.headers, &names.deadline_ms)
             .and_then(|value| value.trim().parse::<f64>().ok())
             .map_or(DEFAULT_DEADLINE_MS, |value| value as Millis);
--- a/crates/tinbay-gateway/src/http/body.rs
+++ b/crates/tinbay-gateway/src/http/body.rs
@@ -161,7 +161,9 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match self.get_mut() {
-            AnswerBody::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            AnswerBody::Whole(bytes) => {
+                Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes))))
+            }
             AnswerBody::Relayed(relay) => relay.poll_data(context),
             AnswerBody::Events(events) => events
                 .poll_recv(context)
--- a/crates/tinbay-gateway/src/http/call.rs
+++ b/crates/tinbay-gateway/src/http/call.rs
@@ -108,7 +108,10 @@
             headers.insert(HOST, host);
         }
         if !call.body.is_empty() {
-            headers.insert(CONTENT_TYPE, hyper::header::HeaderValue::from_static("application/json"));
+            headers.insert(
+                CONTENT_TYPE,
+                hyper::header::HeaderValue::from_static("application/json"),
+            );
         }
         if let Some((name, value)) = &call.header
             && let Ok(value) = value.parse()
--- a/crates/tinbay-gateway/src/http/relay.rs
+++ b/crates/tinbay-gateway/src/http/relay.rs
@@ -109,7 +109,9 @@
                 }
                 Poll::Ready(Some(Ok(frame)))
             }
-            Poll::Ready(Some(Err(_))) => Poll::Ready(Some(Err(self.cut(BodyError::ServerBrokeOff)))),
+            Poll::Ready(Some(Err(_))) => {
+                Poll::Ready(Some(Err(self.cut(BodyError::ServerBrokeOff))))
+            }
             Poll::Ready(None) => {
                 self.finish();
                 Poll::Ready(None)
--- a/crates/tinbay-gateway/src/members.rs
+++ b/crates/tinbay-gateway/src/members.rs
@@ -110,7 +110,9 @@
         self.by_id.retain(|_, member| {
             member.listed
                 || member.listed_changed_ms >= oldest_ms
-                || member.heard_ms.is_some_and(|heard_ms| heard_ms >= oldest_ms)
+                || member
+                    .heard_ms
+                    .is_some_and(|heard_ms| heard_ms >= oldest_ms)
         });
     }
 }
--- a/crates/tinbay-gateway/src/metrics.rs
+++ b/crates/tinbay-gateway/src/metrics.rs
@@ -1,13 +1,13 @@
 //! What a box on the direct path measures.
 
-use prometheus::{Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder};
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
+};
 
 use crate::error::GatewayError;
 
 /// Bounds in seconds, around objectives of 150 ms to a second.
-const SECONDS_BOUNDS: [f64; 11] = [
-    0.005, 0.02, 0.05, 0.1, 0.15, 0.3, 0.6, 0.8, 1.0, 2.0, 5.0,
-];
+const SECONDS_BOUNDS: [f64; 11] = [0.005, 0.02, 0.05, 0.1, 0.15, 0.3, 0.6, 0.8, 1.0, 2.0, 5.0];
 
 /// The measures of one box.
 #[derive(Debug)]
@@ -47,15 +47,26 @@
             registry.register(Box::new(histogram.clone()))?;
             Ok::<_, GatewayError>(histogram)
         };
-        let beliefs = IntGaugeVec::new(Opts::new("tinbay_belief", "What the box believes"), &["what"])?;
+        let beliefs = IntGaugeVec::new(
+            Opts::new("tinbay_belief", "What the box believes"),
+            &["what"],
+        )?;
         registry.register(Box::new(beliefs.clone()))?;
         Ok(Self {
             requests: counter("tinbay_requests_total", "Requests", &["kind", "outcome"])?,
             head_seconds: histogram("tinbay_head_seconds", "Time to the head", &["kind"])?,
             stall_seconds: histogram("tinbay_stall_seconds", "Wait for an adapter", &["outcome"])?,
             second_sends: counter("tinbay_second_sends_total", "Second sends", &["outcome"])?,
-            store_calls: counter("tinbay_store_calls_total", "Calls to the store", &["call", "outcome"])?,
-            orders: counter("tinbay_orders_total", "Orders to servers", &["action", "outcome"])?,
+            store_calls: counter(
+                "tinbay_store_calls_total",
+                "Calls to the store",
+                &["call", "outcome"],
+            )?,
+            orders: counter(
+                "tinbay_orders_total",
+                "Orders to servers",
+                &["action", "outcome"],
+            )?,
             beliefs,
             registry,
         })
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -172,7 +172,9 @@
 
     /// Whether this box knows enough to serve.
     pub fn is_ready(&self) -> bool {
-        !self.is_leaving.get() && self.in_force.borrow().is_some() && !self.servers.borrow().is_empty()
+        !self.is_leaving.get()
+            && self.in_force.borrow().is_some()
+            && !self.servers.borrow().is_empty()
     }
 
     /// The adapter's version that the operators named last.
@@ -243,6 +245,8 @@
         }
         let now_ms = self.now_ms();
         let members = self.members.borrow();
-        members.get(&holder).is_some_and(|member| member.can_order(now_ms))
+        members
+            .get(&holder)
+            .is_some_and(|member| member.can_order(now_ms))
     }
 }
--- a/crates/tinbay-gateway/src/orders/claiming.rs
+++ b/crates/tinbay-gateway/src/orders/claiming.rs
@@ -73,7 +73,9 @@
         free_since_ms.remove(&server.address_text);
         return;
     }
-    let since_ms = *free_since_ms.entry(server.address_text.clone()).or_insert(now_ms);
+    let since_ms = *free_since_ms
+        .entry(server.address_text.clone())
+        .or_insert(now_ms);
     if now_ms >= since_ms + own_rank(node, server) as Millis * RANK_DELAY_MS {
         take(node, server).await;
     }
@@ -136,7 +138,9 @@
     let now_ms = node.now_ms();
     match counted(node, "commit", node.store.commit(&transaction).await) {
         Ok(token) => {
-            node.claims.borrow_mut().note(&server.address_text, &value, token, now_ms);
+            node.claims
+                .borrow_mut()
+                .note(&server.address_text, &value, token, now_ms);
             let event = ClaimEvent {
                 server: &server.record().id,
                 address: &server.address_text,
--- a/crates/tinbay-gateway/src/orders/holder.rs
+++ b/crates/tinbay-gateway/src/orders/holder.rs
@@ -129,7 +129,10 @@
         let service = self.server.record().service.clone();
         let servers = self.node.servers.borrow();
         let mut engines: BTreeMap<String, usize> = BTreeMap::new();
-        for server in servers.all().filter(|server| server.record().service == service) {
+        for server in servers
+            .all()
+            .filter(|server| server.record().service == service)
+        {
             if self.node.has_live_holder(server)
                 && let Some(holder) = self.node.holder_of(server)
             {
@@ -154,7 +157,11 @@
         if self.book.borrow().is_learnt() {
             self.server.confirm_view(now_ms);
         }
-        let look_ms = self.book.borrow().next_look_ms().unwrap_or(now_ms + LONGEST_PAUSE_MS);
+        let look_ms = self
+            .book
+            .borrow()
+            .next_look_ms()
+            .unwrap_or(now_ms + LONGEST_PAUSE_MS);
         let pause_ms = look_ms.saturating_sub(now_ms).clamp(1, LONGEST_PAUSE_MS);
         let pause = Duration::from_millis(pause_ms);
         let _ = tokio::time::timeout(pause, self.server.order_due.notified()).await;
@@ -169,7 +176,10 @@
 
     async fn learn(&self) {
         let path = self.node.dialect.report_path().to_string();
-        let reply = self.caller.call(&self.call(Method::GET, path, Bytes::new())).await;
+        let reply = self
+            .caller
+            .call(&self.call(Method::GET, path, Bytes::new()))
+            .await;
         let report = match reply {
             Ok(reply) if reply.status == 200 => self.node.dialect.decode_report(&reply.body),
             _ => {
@@ -189,7 +199,9 @@
             at_hand: report.at_hand.len(),
         };
         events::emit(part::ORDERS, Level::Info, "report", &event);
-        self.book.borrow_mut().note_report(&report, self.node.now_ms());
+        self.book
+            .borrow_mut()
+            .note_report(&report, self.node.now_ms());
         self.publish();
     }
 
@@ -224,7 +236,11 @@
                 adapter,
                 version,
                 expected_count,
-            } => (OrderAction::Load { version: *version }, adapter, *expected_count),
+            } => (
+                OrderAction::Load { version: *version },
+                adapter,
+                *expected_count,
+            ),
             Action::Unload {
                 adapter,
                 expected_count,
@@ -262,7 +278,11 @@
             OrderAnswer::Refused => "refused",
             OrderAnswer::NoAnswer => "no_answer",
         };
-        self.node.metrics.orders.with_label_values(&[action, outcome]).inc();
+        self.node
+            .metrics
+            .orders
+            .with_label_values(&[action, outcome])
+            .inc();
         let wanted = self
             .node
             .demand
--- a/crates/tinbay-gateway/src/orders/membership.rs
+++ b/crates/tinbay-gateway/src/orders/membership.rs
@@ -118,7 +118,12 @@
     let mut proof = node.proof.get();
     if !proof.holds(&node.claim_terms(), asked_ms) {
         read_claims(node).await?;
-        events::emit(part::ORDERS, Level::Info, "proof", &ProofEvent { error: None });
+        events::emit(
+            part::ORDERS,
+            Level::Info,
+            "proof",
+            &ProofEvent { error: None },
+        );
     }
     proof.renew(asked_ms);
     node.proof.set(proof);
--- a/crates/tinbay-gateway/src/orders/memory.rs
+++ b/crates/tinbay-gateway/src/orders/memory.rs
@@ -43,7 +43,10 @@
     }
 }
 
-fn changed(node: &Node, written: &HashMap<String, Vec<HadAdapter>>) -> Vec<(String, Vec<HadAdapter>)> {
+fn changed(
+    node: &Node,
+    written: &HashMap<String, Vec<HadAdapter>>,
+) -> Vec<(String, Vec<HadAdapter>)> {
     let servers = node.servers.borrow();
     let books = node.books.borrow();
     books
--- a/crates/tinbay-gateway/src/peers/exchange.rs
+++ b/crates/tinbay-gateway/src/peers/exchange.rs
@@ -42,7 +42,9 @@
         sender.send_changes().await;
         if tokio::time::Instant::now() >= next_heartbeat {
             next_heartbeat = tokio::time::Instant::now() + HEARTBEAT;
-            sender.send_heartbeat(heartbeats % SLOW_HEARTBEATS == 0).await;
+            sender
+                .send_heartbeat(heartbeats % SLOW_HEARTBEATS == 0)
+                .await;
             heartbeats += 1;
         }
         tokio::time::sleep(CHANGE_GAP).await;
@@ -56,7 +58,9 @@
 
 fn started_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map(|since| since.as_millis() as u64).unwrap_or_default()
+    since
+        .map(|since| since.as_millis() as u64)
+        .unwrap_or_default()
 }
 
 struct Sender {
@@ -102,7 +106,10 @@
     }
 
     async fn send_hello(&mut self, address: SocketAddr) {
-        let version = self.node.in_force().map_or(0, |in_force| in_force.configuration.version);
+        let version = self
+            .node
+            .in_force()
+            .map_or(0, |in_force| in_force.configuration.version);
         let hello = FramePart::Hello(self.node.own_record(), version);
         self.send(address, hello).await;
     }
@@ -207,7 +214,10 @@
     }
     wants.sort_by(|left, right| right.1.urgency().total_cmp(&left.1.urgency()));
     wants.truncate(MOST_WANTS);
-    wants.into_iter().map(|(server, want)| want_part(server, want)).collect()
+    wants
+        .into_iter()
+        .map(|(server, want)| want_part(server, want))
+        .collect()
 }
 
 fn want_part(server: ServerKey, want: Want) -> WantPart {
@@ -270,7 +280,9 @@
     node.members.borrow_mut().hear(&frame.box_id, now_ms);
     match frame.part {
         FramePart::Hello(record, _) => {
-            node.members.borrow_mut().note_hello(&frame.box_id, record, now_ms);
+            node.members
+                .borrow_mut()
+                .note_hello(&frame.box_id, record, now_ms);
         }
         FramePart::Flights(flights) if advance(&mut seen.flights, frame.sequence) => {
             take_flights(node, &frame.box_id, &flights);
@@ -298,7 +310,10 @@
 fn take_flights(node: &Node, box_id: &str, flights: &[(Fingerprint, u16)]) {
     let by_server: HashMap<Fingerprint, u16> = flights.iter().copied().collect();
     for server in node.servers.borrow().all() {
-        let count = by_server.get(&server.fingerprint()).copied().unwrap_or_default();
+        let count = by_server
+            .get(&server.fingerprint())
+            .copied()
+            .unwrap_or_default();
         server.note_peer_flights(box_id, usize::from(count));
     }
 }
@@ -310,7 +325,11 @@
     let entries = adapters
         .iter()
         .map(|adapter| {
-            let state = if adapter.is_ready { HeldState::Ready } else { HeldState::Loading };
+            let state = if adapter.is_ready {
+                HeldState::Ready
+            } else {
+                HeldState::Loading
+            };
             let version = u64::from(adapter.version);
             (adapter.adapter, ViewEntry { version, state })
         })
--- a/crates/tinbay-gateway/src/port/store.rs
+++ b/crates/tinbay-gateway/src/port/store.rs
@@ -104,7 +104,8 @@
     fn read<'a>(&'a self, key: &'a str) -> LocalBoxFuture<'a, StoreResult<Option<Item>>>;
 
     /// Reads all keys below a prefix; `stale` allows an answer some seconds old.
-    fn list<'a>(&'a self, prefix: &'a str, stale: bool) -> LocalBoxFuture<'a, StoreResult<Listing>>;
+    fn list<'a>(&'a self, prefix: &'a str, stale: bool)
+    -> LocalBoxFuture<'a, StoreResult<Listing>>;
 
     /// Waits for changes below a prefix after a revision.
     fn watch<'a>(
@@ -115,8 +116,10 @@
     ) -> LocalBoxFuture<'a, StoreResult<Changes>>;
 
     /// Does a transaction and gives its revision.
-    fn commit<'a>(&'a self, transaction: &'a Transaction)
-    -> LocalBoxFuture<'a, StoreResult<Revision>>;
+    fn commit<'a>(
+        &'a self,
+        transaction: &'a Transaction,
+    ) -> LocalBoxFuture<'a, StoreResult<Revision>>;
 
     /// Grants a lease.
     fn grant(&self, life_ms: Millis) -> LocalBoxFuture<'_, StoreResult<LeaseId>>;
--- a/crates/tinbay-gateway/src/run.rs
+++ b/crates/tinbay-gateway/src/run.rs
@@ -56,6 +56,9 @@
 /// answers of the directory for some seconds, and what they send last must still finish.
 const TAKING_MS: Millis = 2_800;
 
+/// How often it is looked whether the settings file has changed without a signal.
+const SETTINGS_LOOK: Duration = Duration::from_secs(2);
+
 /// How often it is looked whether all requests are done.
 const DRAIN_CHECK: Duration = Duration::from_millis(20);
 
@@ -96,8 +99,8 @@
 /// # Errors
 /// When the file can't be read or is wrong.
 pub fn read_settings(surrounding: &dyn Surrounding) -> Result<Settings, GatewayError> {
-    let text = std::fs::read_to_string(surrounding.settings_path())
-        .map_err(GatewayError::SettingsFile)?;
+    let text =
+        std::fs::read_to_string(surrounding.settings_path()).map_err(GatewayError::SettingsFile)?;
     Ok(surrounding.decode_settings(&text)?)
 }
 
@@ -105,9 +108,8 @@
 ///
 /// # Errors
 /// When it can't start.
-pub fn run(surrounding: &dyn Surrounding, level: log::LevelFilter) -> Result<(), GatewayError> {
+pub fn run(surrounding: &dyn Surrounding) -> Result<(), GatewayError> {
     let settings = read_settings(surrounding)?;
-    events::set_up(level)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -132,8 +134,10 @@
     tokio::task::spawn_local(claiming::run(Rc::clone(&node)));
     tokio::task::spawn_local(memory::keep(Rc::clone(&node)));
     log_start(&settings);
-    tokio::task::spawn_local(handle_reloads(reload));
-    stop.recv().await;
+    tokio::select! {
+        _ = stop.recv() => {}
+        () = handle_reloads(&node, surrounding, reload) => {}
+    }
     stop_node(&node).await;
     Ok(())
 }
@@ -187,12 +191,49 @@
     events::emit(part::NODE, Level::Info, "start", &event);
 }
 
-async fn handle_reloads(mut reload: Signal) {
-    while reload.recv().await.is_some() {
-        #[derive(Serialize)]
-        struct ReloadEvent {}
-        events::emit(part::NODE, Level::Info, "reload", &ReloadEvent {});
+/// Reads the settings again on SIGHUP, and when the file has changed without one.
+async fn handle_reloads(node: &Node, surrounding: &dyn Surrounding, mut reload: Signal) {
+    let mut last = std::fs::read_to_string(surrounding.settings_path()).unwrap_or_default();
+    loop {
+        let is_asked = tokio::select! {
+            _ = reload.recv() => true,
+            () = tokio::time::sleep(SETTINGS_LOOK) => false,
+        };
+        let text = std::fs::read_to_string(surrounding.settings_path()).unwrap_or_default();
+        if text != last || is_asked {
+            reload_settings(node, surrounding, &text);
+            last = text;
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct ReloadEvent {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    error: Option<String>,
+    needs_restart: bool,
+}
+
+/// Takes new bounds; addresses and names stay until a restart. Wrong settings change nothing.
+fn reload_settings(node: &Node, surrounding: &dyn Surrounding, text: &str) {
+    let mut event = ReloadEvent {
+        error: None,
+        needs_restart: false,
+    };
+    match surrounding.decode_settings(text) {
+        Ok(new) => {
+            let mut settings = node.settings.borrow_mut();
+            settings.bounds = new.bounds.clone();
+            event.needs_restart = *settings != new;
+        }
+        Err(error) => event.error = Some(error.to_string()),
     }
+    let level = if event.error.is_some() {
+        Level::Error
+    } else {
+        Level::Info
+    };
+    events::emit(part::NODE, level, "reload", &event);
 }
 
 /// Takes the box out, lets requests finish, and closes.
--- a/crates/tinbay-gateway/src/servers.rs
+++ b/crates/tinbay-gateway/src/servers.rs
@@ -170,7 +170,11 @@
     pub fn take_off(self: &Rc<Self>, adapter: Option<AdapterKey>) -> Flight {
         self.own_flights.set(self.own_flights.get() + 1);
         if let Some(adapter) = adapter {
-            *self.adapter_flights.borrow_mut().entry(adapter).or_default() += 1;
+            *self
+                .adapter_flights
+                .borrow_mut()
+                .entry(adapter)
+                .or_default() += 1;
         }
         Flight {
             server: Rc::clone(self),
@@ -322,7 +326,8 @@
 
     /// Servers of a service that take work.
     pub fn ready(&self, service: &str) -> Vec<Rc<Server>> {
-        let fits = |server: &&Rc<Server>| server.is_ready() && server.record.borrow().service == service;
+        let fits =
+            |server: &&Rc<Server>| server.is_ready() && server.record.borrow().service == service;
         self.by_id.values().filter(fits).cloned().collect()
     }
 
--- a/crates/tinbay-gateway/src/watch/boxes.rs
+++ b/crates/tinbay-gateway/src/watch/boxes.rs
@@ -44,7 +44,12 @@
         if let Some(id) = item.key.strip_prefix(MEMBER_PREFIX) {
             self.take_member(id, item);
         } else if let Some(address) = item.key.strip_prefix(CLAIM_PREFIX) {
-            self.node.claims.borrow_mut().note(address, &item.value, item.revision, self.node.now_ms());
+            self.node.claims.borrow_mut().note(
+                address,
+                &item.value,
+                item.revision,
+                self.node.now_ms(),
+            );
         }
     }
 
@@ -58,7 +63,10 @@
             is_leaving: Some(record.is_leaving),
         };
         events::emit(part::MEMBERS, Level::Info, "box_listed", &event);
-        self.node.members.borrow_mut().put(id, record, self.node.now_ms());
+        self.node
+            .members
+            .borrow_mut()
+            .put(id, record, self.node.now_ms());
     }
 
     fn drop_member(&self, id: &str, revision: u64) {
@@ -68,7 +76,10 @@
             is_leaving: None,
         };
         events::emit(part::MEMBERS, Level::Info, "box_unlisted", &event);
-        self.node.members.borrow_mut().unlist(id, self.node.now_ms());
+        self.node
+            .members
+            .borrow_mut()
+            .unlist(id, self.node.now_ms());
     }
 }
 
--- a/crates/tinbay-gateway/src/watch/configuration.rs
+++ b/crates/tinbay-gateway/src/watch/configuration.rs
@@ -59,7 +59,9 @@
             Err(error) => return reject(item, error.to_string()),
         };
         let mut in_force = self.node.in_force.borrow_mut();
-        let current = in_force.as_ref().map(|in_force| in_force.configuration.version);
+        let current = in_force
+            .as_ref()
+            .map(|in_force| in_force.configuration.version);
         if current.is_some_and(|current| current >= configuration.version) {
             return;
         }
--- a/crates/tinbay-gateway/src/watch/mod.rs
+++ b/crates/tinbay-gateway/src/watch/mod.rs
@@ -85,7 +85,11 @@
     is_lost: &mut bool,
     pause_ms: &mut Millis,
 ) -> Result<(), StoreError> {
-    let listing = counted(node, "list", node.store.list(follower.prefix(), false).await)?;
+    let listing = counted(
+        node,
+        "list",
+        node.store.list(follower.prefix(), false).await,
+    )?;
     follower.reset(&listing.items);
     let event = StoreEvent {
         prefix: follower.prefix(),
@@ -132,7 +136,10 @@
         Err(StoreError::LeaseOver) => "lease_over",
         Err(StoreError::Malformed { .. }) => "malformed",
     };
-    node.metrics.store_calls.with_label_values(&[call, outcome]).inc();
+    node.metrics
+        .store_calls
+        .with_label_values(&[call, outcome])
+        .inc();
     result
 }
 
--- a/crates/tinbay-gateway/src/watch/servers.rs
+++ b/crates/tinbay-gateway/src/watch/servers.rs
@@ -58,7 +58,12 @@
 
     fn forget(&self, id: &str) {
         if self.node.servers.borrow_mut().remove(id) {
-            events::emit(part::SERVERS, Level::Info, "server_gone", &GoneEvent { server: id });
+            events::emit(
+                part::SERVERS,
+                Level::Info,
+                "server_gone",
+                &GoneEvent { server: id },
+            );
         }
     }
 }
@@ -83,10 +88,16 @@
     }
 
     fn reset(&self, items: &[Item]) {
-        let listed: HashSet<&str> = items.iter().filter_map(|item| self.id_of(&item.key)).collect();
+        let listed: HashSet<&str> = items
+            .iter()
+            .filter_map(|item| self.id_of(&item.key))
+            .collect();
         let known: Vec<String> = {
             let servers = self.node.servers.borrow();
-            servers.all().map(|server| server.record().id.clone()).collect()
+            servers
+                .all()
+                .map(|server| server.record().id.clone())
+                .collect()
         };
         for id in known.iter().filter(|id| !listed.contains(id.as_str())) {
             self.forget(id);
--- a/crates/tinbay-node/src/cli.rs
+++ b/crates/tinbay-node/src/cli.rs
@@ -24,6 +24,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Check the settings and exit"),
         )
+        .arg(
+            Arg::new("print-settings")
+                .long("print-settings")
+                .action(ArgAction::SetTrue)
+                .help("Print the settings in force and exit"),
+        )
 }
 
 fn setting(name: &'static str, variable: &'static str) -> Arg {
--- a/crates/tinbay-node/src/main.rs
+++ b/crates/tinbay-node/src/main.rs
@@ -2,6 +2,7 @@
 
 use std::process::ExitCode;
 
+use clap::ArgMatches;
 use tinbay_node::cli::build_cli;
 use tinbay_node::error::NodeError;
 use tinbay_node::logging::{self, part};
@@ -22,7 +23,7 @@
 fn run() -> Result<(), NodeError> {
     let matches = build_cli().get_matches();
     if let Some(platform) = Platform::detect() {
-        return Ok(tinbay_gateway::run::run(&platform, log::LevelFilter::Info)?);
+        return run_on_platform(&platform, &matches);
     }
     let options = Options::from_matches(&matches)?;
     logging::set_up(options.log_level, options.log_format)?;
@@ -33,6 +34,15 @@
         println!("settings are valid");
         return Ok(());
     }
+    if matches.get_flag("print-settings") {
+        let hidden = options.admin_token.as_ref().map(|_| "(hidden)".to_string());
+        let shown = Options {
+            admin_token: hidden,
+            ..options
+        };
+        println!("{shown:#?}");
+        return Ok(());
+    }
     let node = node::start(options)?;
     println!(
         "listening {} control {}",
@@ -42,3 +52,17 @@
     node.run_until_signal();
     Ok(())
 }
+
+fn run_on_platform(platform: &Platform, matches: &ArgMatches) -> Result<(), NodeError> {
+    if matches.get_flag("check") {
+        tinbay_gateway::run::read_settings(platform)?;
+        println!("settings are valid");
+        return Ok(());
+    }
+    if matches.get_flag("print-settings") {
+        println!("{:#?}", tinbay_gateway::run::read_settings(platform)?);
+        return Ok(());
+    }
+    tinbay_gateway::events::set_up(log::LevelFilter::Info)?;
+    Ok(tinbay_gateway::run::run(platform)?)
+}
