--- a/crates/tinbay-core/src/serving/contents.rs
+++ b/crates/tinbay-core/src/serving/contents.rs
@@ -104,6 +104,8 @@
     pub version: Option<u64>,
     /// How much it is wanted.
     pub weight: f64,
+    /// The part of the weight that is for requests that had to wait before.
+    pub asked: f64,
     /// Whether a request waits now; else it is only expected.
     pub is_awaited: bool,
 }
--- a/crates/tinbay-core/tests/serving_contents_test.rs
+++ b/crates/tinbay-core/tests/serving_contents_test.rs
@@ -43,6 +43,7 @@
         adapter: adapter.into(),
         version: None,
         weight: 1.0,
+        asked: 0.0,
         is_awaited: true,
     }
 }
--- a/crates/tinbay-gateway/src/demand.rs
+++ b/crates/tinbay-gateway/src/demand.rs
@@ -64,6 +64,7 @@
 #[derive(Debug, Default)]
 pub struct Demand {
     asked: HashMap<AdapterKey, Asked>,
+    peer_asked: HashMap<AdapterKey, HashMap<String, Asked>>,
     own: HashMap<ServerKey, HashMap<AdapterKey, OwnWant>>,
     uses: HashMap<ServerKey, HashMap<AdapterKey, u32>>,
     peers: HashMap<String, PeerWants>,
@@ -153,10 +154,12 @@
             .map(|(key, own)| {
                 let is_spread = now_ms < own.spread_until_ms;
                 let spread = if is_spread { SPREAD_WEIGHT } else { 0.0 };
+                let asked = remembered(key);
                 Want {
                     adapter: own.adapter.clone(),
                     version: own.version,
-                    weight: WAITING_WEIGHT * own.waiting + remembered(key) + spread,
+                    weight: WAITING_WEIGHT * own.waiting + spread + asked,
+                    asked,
                     is_awaited: own.waiting > 0.0 || is_spread,
                 }
             })
@@ -167,6 +170,7 @@
     pub fn note_peer(&mut self, box_id: &str, wants: Vec<(ServerKey, Want)>, now_ms: Millis) {
         let mut by_server: HashMap<ServerKey, Vec<Want>> = HashMap::new();
         for (server, want) in wants {
+            self.remember_peer(box_id, &want, now_ms);
             by_server.entry(server).or_default().push(want);
         }
         let peer = PeerWants {
@@ -176,6 +180,38 @@
         self.peers.insert(box_id.to_string(), peer);
     }
 
+    /// Callers choose boxes at random, so that each box sees a part of who asks; the holder
+    /// remembers what each told, also when it does not name the adapter in its next message.
+    fn remember_peer(&mut self, box_id: &str, want: &Want, now_ms: Millis) {
+        if self.peer_asked.len() >= MOST_ASKED {
+            self.peer_asked.retain(|_, boxes| {
+                boxes.retain(|_, asked| asked.at(now_ms) >= 0.5);
+                !boxes.is_empty()
+            });
+        }
+        let asked = Asked {
+            count: want.asked,
+            noted_ms: now_ms,
+        };
+        let boxes = self
+            .peer_asked
+            .entry(adapter_key(&want.adapter))
+            .or_default();
+        boxes.insert(box_id.to_string(), asked);
+    }
+
+    /// Forgets what other boxes told of an adapter, as it is there now.
+    pub fn forget_peers_asked(&mut self, key: AdapterKey) {
+        self.peer_asked.remove(&key);
+    }
+
+    fn peers_asked(&self, key: AdapterKey, now_ms: Millis) -> f64 {
+        let boxes = self.peer_asked.get(&key);
+        boxes.map_or(0.0, |boxes| {
+            boxes.values().map(|asked| asked.at(now_ms)).sum()
+        })
+    }
+
     /// What all boxes want at a server, most wanted first.
     pub fn wants(&mut self, server: ServerKey, now_ms: Millis) -> Vec<Want> {
         let mut sums: HashMap<AdapterKey, Want> = HashMap::new();
@@ -185,7 +221,10 @@
             .filter(|peer| now_ms < peer.told_ms + PEER_LIFE_MS)
             .filter_map(|peer| peer.by_server.get(&server))
             .flatten()
-            .cloned()
+            .map(|want| Want {
+                weight: want.weight - want.asked,
+                ..want.clone()
+            })
             .collect::<Vec<Want>>();
         for want in self.own_wants(server, now_ms).into_iter().chain(peers) {
             let key = adapter_key(&want.adapter);
@@ -201,6 +240,9 @@
             }
         }
         let mut wants: Vec<Want> = sums.into_values().collect();
+        for want in &mut wants {
+            want.weight += self.peers_asked(adapter_key(&want.adapter), now_ms);
+        }
         wants.sort_by(|left, right| right.urgency().total_cmp(&left.urgency()));
         wants
     }
--- a/crates/tinbay-gateway/src/front/adapters.rs
+++ b/crates/tinbay-gateway/src/front/adapters.rs
@@ -3,12 +3,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tinbay_core::serving::contents::Want;
+use log::Level;
+use serde::Serialize;
+use tinbay_core::serving::contents::{Want, adapter_key};
 use tinbay_core::units::Millis;
 
 use super::choice::{self, Choice};
 use super::question::Question;
-use super::refusal::Refusal;
+use super::refusal::{NotRunReason, Refusal};
+use crate::events::{self, part};
 use crate::node::Node;
 use crate::servers::Server;
 
@@ -77,11 +80,13 @@
         };
         if node.now_ms() >= patient_until_ms {
             return Err(Refusal::NotRun {
+                reason: NotRunReason::AdapterNotLoaded,
                 retry_after_ms: RETRY_AFTER_MS,
             });
         }
         if node.is_leaving.get() {
             return Err(Refusal::NotRun {
+                reason: NotRunReason::BoxLeaving,
                 retry_after_ms: RETRY_ELSEWHERE_MS,
             });
         }
@@ -92,25 +97,55 @@
             .as_ref()
             .is_none_or(|waiting| waiting.server.key != home.key)
         {
+            log_wait(node, question, &home);
             waiting = Some(Waiting::begin(node, &home, want(node, question)));
         }
         let _ = tokio::time::timeout(LOOK_PAUSE, home.changed.notified()).await;
     }
 }
 
+#[derive(Serialize)]
+struct WaitEvent<'a> {
+    request: &'a str,
+    model: Option<&'a str>,
+    version: Option<u64>,
+    server: &'a str,
+    holder: Option<&'a str>,
+    holder_can_order: bool,
+    age_ms: Millis,
+}
+
+fn log_wait(node: &Node, question: &Question, home: &Server) {
+    let holder = node.holder_of(home);
+    let event = WaitEvent {
+        request: &question.id,
+        model: question.model.as_deref(),
+        version: question
+            .model
+            .as_deref()
+            .and_then(|model| node.named_version(model)),
+        server: &home.record().id,
+        holder: holder.as_deref(),
+        holder_can_order: node.has_live_holder(home),
+        age_ms: node.now_ms() - question.arrived_ms,
+    };
+    events::emit(part::FRONT, Level::Info, "wait", &event);
+}
+
 fn want(node: &Node, question: &Question) -> Want {
     let adapter = question.model.clone().unwrap_or_default();
     Want {
         version: node.named_version(&adapter),
         adapter,
         weight: 1.0,
+        asked: 0.0,
         is_awaited: true,
     }
 }
 
 fn note_use(node: &Node, question: &Question, server: &Server) {
     if let Some(model) = &question.model {
-        let key = tinbay_core::serving::contents::adapter_key(model);
+        let key = adapter_key(model);
         let mut demand = node.demand.borrow_mut();
         demand.note_use(server.key, key);
         demand.forget_asked(key);
@@ -119,7 +154,7 @@
 
 fn note_asked(node: &Node, question: &Question) {
     if let Some(model) = &question.model {
-        let key = tinbay_core::serving::contents::adapter_key(model);
+        let key = adapter_key(model);
         let now_ms = node.now_ms();
         node.demand.borrow_mut().note_asked(key, now_ms);
     }
--- a/crates/tinbay-gateway/src/front/choice.rs
+++ b/crates/tinbay-gateway/src/front/choice.rs
@@ -155,6 +155,7 @@
         adapter: adapter.to_string(),
         version,
         weight: 1.0,
+        asked: 0.0,
         is_awaited: true,
     };
     node.demand
--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -14,7 +14,7 @@
 use super::attempt::{AttemptResult, AttemptTerms, BegunAnswer, attempt};
 use super::headers::{self, ServerHeaders};
 use super::question::Question;
-use super::refusal::Refusal;
+use super::refusal::{NotRunReason, Refusal};
 use crate::events::{self, part};
 use crate::http::body::{AnswerBody, RequestBody};
 use crate::http::relay::{Relay, RelayTerms};
@@ -213,6 +213,7 @@
         };
     }
     Refusal::NotRun {
+        reason: NotRunReason::Declined,
         retry_after_ms: SHORTEST_RETRY_MS,
     }
 }
--- a/crates/tinbay-gateway/src/front/refusal.rs
+++ b/crates/tinbay-gateway/src/front/refusal.rs
@@ -7,6 +7,20 @@
 
 use crate::http::body::AnswerBody;
 
+/// Why a request has not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum NotRunReason {
+    /// No server held its adapter in time.
+    #[error("its adapter was not loaded in time")]
+    AdapterNotLoaded,
+    /// The box is leaving, and another one will take it.
+    #[error("the box is leaving")]
+    BoxLeaving,
+    /// Every server that was tried declined it or took no connection.
+    #[error("every server tried declined it or took no connection")]
+    Declined,
+}
+
 /// Why a request gets an answer of our own.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum Refusal {
@@ -28,9 +42,11 @@
     /// No server of the service takes work.
     #[error("no server takes work")]
     NoServer,
-    /// No server could take it in time; it has not run and will not.
-    #[error("not run")]
+    /// It has not run and will not.
+    #[error("not run: {reason}")]
     NotRun {
+        /// Why.
+        reason: NotRunReason,
         /// When to come back.
         retry_after_ms: Millis,
     },
@@ -76,7 +92,7 @@
 
     fn retry_after_ms(&self) -> Option<Millis> {
         match self {
-            Refusal::NotRun { retry_after_ms } => Some(*retry_after_ms),
+            Refusal::NotRun { retry_after_ms, .. } => Some(*retry_after_ms),
             Refusal::NoConfiguration | Refusal::NoServer => Some(RETRY_AFTER_UNKNOWN_MS),
             _ => None,
         }
--- a/crates/tinbay-gateway/src/orders/holder.rs
+++ b/crates/tinbay-gateway/src/orders/holder.rs
@@ -10,7 +10,7 @@
 use log::Level;
 use serde::Serialize;
 use tinbay_core::serving::configuration::EngineSpec;
-use tinbay_core::serving::contents::{Action, Contents, OrderAnswer};
+use tinbay_core::serving::contents::{Action, Contents, OrderAnswer, adapter_key};
 use tinbay_core::serving::pacing;
 use tinbay_core::units::Millis;
 
@@ -225,6 +225,10 @@
         };
         let now_ms = self.node.now_ms();
         self.book.borrow_mut().note_answer(action, answer, now_ms);
+        if answer == OrderAnswer::Done {
+            let mut demand = self.node.demand.borrow_mut();
+            demand.forget_peers_asked(adapter_key(&order.adapter));
+        }
         self.log_order(&order, answer, now_ms - began_ms);
         self.publish();
     }
--- a/crates/tinbay-gateway/src/peers/exchange.rs
+++ b/crates/tinbay-gateway/src/peers/exchange.rs
@@ -226,6 +226,7 @@
         adapter: want.adapter,
         version: want.version,
         weight: want.weight as f32,
+        asked: want.asked as f32,
         is_awaited: want.is_awaited,
     }
 }
--- a/crates/tinbay-gateway/src/peers/frame.rs
+++ b/crates/tinbay-gateway/src/peers/frame.rs
@@ -63,6 +63,8 @@
     pub version: Option<u64>,
     /// How much.
     pub weight: f32,
+    /// The part of the weight that is for requests that had to wait before.
+    pub asked: f32,
     /// Whether a request waits now.
     pub is_awaited: bool,
 }
@@ -74,6 +76,7 @@
             adapter: self.adapter.clone(),
             version: self.version,
             weight: f64::from(self.weight),
+            asked: f64::from(self.asked),
             is_awaited: self.is_awaited,
         }
     }
