--- a/crates/tinbay-core/src/serving/pacing.rs
+++ b/crates/tinbay-core/src/serving/pacing.rs
@@ -13,11 +13,11 @@
 const BOUND_EXTRA: f64 = 3.0;
 
 /// Time by which loads may reach a server later than another that began after them.
-const TRAVEL_MS: Millis = 300;
+const TRAVEL_MS: Millis = 100;
 
 /// Part of the mean pause that must lie between loads: many at once would slow each other
 /// down, and the first of a rush are not the most wanted.
-const PAUSE_PART: f64 = 0.8;
+const PAUSE_PART: f64 = 0.7;
 
 /// How long a bid counts for which nobody has looked again.
 const BID_LIFE_MS: Millis = 200;
--- a/crates/tinbay-gateway/src/front/choice.rs
+++ b/crates/tinbay-gateway/src/front/choice.rs
@@ -27,10 +27,10 @@
 
 /// Factor over the mean of all servers at which one is no home for more adapters. Source:
 /// Mirrokni, Thorup and Zadimoghaddam, "Consistent hashing with bounded loads", SODA 2018.
-const BOUND_OVER_MEAN: f64 = 1.25;
+const BOUND_OVER_MEAN: f64 = 1.5;
 
 /// Requests at a server that are too few to speak of a bound.
-const LEAST_BOUND: f64 = 4.0;
+const LEAST_BOUND: f64 = 6.0;
 
 /// Usual time to the head there, as a part of the objective, that tells the same: long
 /// before its places are taken an engine may have no time left to read prompts.
@@ -124,7 +124,7 @@
         .iter()
         .find(|(_, server)| server.adapter(key, now_ms).is_some() && node.has_live_holder(server));
     let bound = flight_bound(servers);
-    let has_room = |server: &Server| !is_crowded(node, server) && server.flights() as f64 <= bound;
+    let has_room = |server: &Server| server.usual_flights() <= bound;
     let free = || {
         ranked
             .iter()
@@ -135,8 +135,8 @@
 }
 
 fn flight_bound(servers: &[Rc<Server>]) -> f64 {
-    let flights: usize = servers.iter().map(|server| server.flights()).sum();
-    let mean = flights as f64 / servers.len().max(1) as f64;
+    let flights: f64 = servers.iter().map(|server| server.usual_flights()).sum();
+    let mean = flights / servers.len().max(1) as f64;
     (mean * BOUND_OVER_MEAN).max(LEAST_BOUND)
 }
 
--- a/crates/tinbay-gateway/src/peers/exchange.rs
+++ b/crates/tinbay-gateway/src/peers/exchange.rs
@@ -42,6 +42,7 @@
         sender.send_changes().await;
         if tokio::time::Instant::now() >= next_heartbeat {
             next_heartbeat = tokio::time::Instant::now() + HEARTBEAT;
+            smooth_flights(&sender.node);
             sender
                 .send_heartbeat(heartbeats % SLOW_HEARTBEATS == 0)
                 .await;
@@ -155,6 +156,12 @@
     }
 }
 
+fn smooth_flights(node: &Node) {
+    for server in node.servers.borrow().all() {
+        server.smooth_flights();
+    }
+}
+
 fn others(node: &Node) -> Vec<(String, SocketAddr)> {
     let own_id = node.settings.borrow().box_id.clone();
     let members = node.members.borrow();
--- a/crates/tinbay-gateway/src/servers.rs
+++ b/crates/tinbay-gateway/src/servers.rs
@@ -16,6 +16,9 @@
 /// Half-life of the mistrust in a server that failed.
 const MISTRUST_HALF_LIFE_MS: f64 = 1_500.0;
 
+/// Weight of the flights of now among the usual ones, some times a second.
+const FLIGHTS_WEIGHT: f64 = 0.05;
+
 /// Weight of a new head's time.
 const DELAY_WEIGHT: f64 = 0.15;
 
@@ -69,6 +72,7 @@
     peer_flights: RefCell<HashMap<String, usize>>,
     mistrust: Cell<(f64, Millis)>,
     delay: Cell<(f64, Millis)>,
+    usual_flights: Cell<f64>,
 }
 
 /// One request of this box at a server, counted while it lives.
@@ -111,6 +115,7 @@
             peer_flights: RefCell::default(),
             mistrust: Cell::default(),
             delay: Cell::default(),
+            usual_flights: Cell::default(),
         }
     }
 
@@ -218,6 +223,19 @@
         }
     }
 
+    /// Takes the flights of now into the usual ones; called some times a second.
+    pub fn smooth_flights(&self) {
+        let usual = self.usual_flights.get();
+        let flights = self.flights() as f64;
+        self.usual_flights
+            .set(usual + FLIGHTS_WEIGHT * (flights - usual));
+    }
+
+    /// Requests of all boxes that usually run here, over some seconds.
+    pub fn usual_flights(&self) -> f64 {
+        self.usual_flights.get()
+    }
+
     /// Notes how a head's time stood to its objective.
     pub fn note_delay(&self, part_of_objective: f64, now_ms: Millis) {
         let known = self.delay(now_ms);
