--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -12,6 +12,7 @@
 
 use super::adapters;
 use super::attempt::{AttemptResult, AttemptTerms, BegunAnswer, attempt};
+use super::choice::{self, Choice};
 use super::headers::{self, ServerHeaders};
 use super::question::Question;
 use super::refusal::{NotRunReason, Refusal};
@@ -44,6 +45,14 @@
     runs: u32,
 }
 
+impl Tries {
+    fn note_failed_run(&mut self, server: &Server) {
+        self.ends.note(AttemptEnd::Unknown);
+        self.tried.push(server.record().id.clone());
+        self.runs += 1;
+    }
+}
+
 #[derive(Serialize)]
 struct TryEvent<'a> {
     request: &'a str,
@@ -84,16 +93,11 @@
         log_try(node, question, &server, &result);
         let end = match result {
             AttemptResult::Begun(answer) => {
-                let may_go_on = tries.runs + 1 < question.route.most_attempts;
-                if is_worth_repeating(question, &answer)
-                    && may_go_on
-                    && body.is_some()
-                    && take_second_send(node, question)
-                {
-                    AttemptEnd::Unknown
-                } else {
+                if body.is_none() || !repeats(node, question, &tries, &server, &answer) {
                     return Ok(relay(node, question, *answer));
                 }
+                tries.note_failed_run(&server);
+                continue;
             }
             AttemptResult::Declined { status } => {
                 note_declined(node, question, &server, status);
@@ -174,8 +178,23 @@
     (accepted / (node.box_count() + 1)).max(4)
 }
 
-fn is_worth_repeating(question: &Question, answer: &BegunAnswer) -> bool {
-    question.is_repeatable() && answer.response.status().is_server_error()
+/// Whether a server's failure is put aside for a try at another server that is there and
+/// within the budget; else the caller gets the failure as it is.
+fn repeats(
+    node: &Node,
+    question: &Question,
+    tries: &Tries,
+    server: &Server,
+    answer: &BegunAnswer,
+) -> bool {
+    let is_failure = answer.response.status().is_server_error();
+    if !is_failure || !question.is_repeatable() || tries.runs + 1 >= question.route.most_attempts {
+        return false;
+    }
+    let mut tried = tries.tried.clone();
+    tried.push(server.record().id.clone());
+    let is_another = matches!(choice::choose(node, question, &tried), Choice::Send(_));
+    is_another && take_second_send(node, question)
 }
 
 fn may_go_on(node: &Node, question: &Question, tries: &Tries, end: AttemptEnd) -> bool {
--- a/crates/tinbay-gateway/src/run.rs
+++ b/crates/tinbay-gateway/src/run.rs
@@ -50,7 +50,7 @@
 };
 
 /// Time kept free at the end of a planned stop.
-const STOP_MARGIN_MS: Millis = 400;
+const STOP_MARGIN_MS: Millis = 700;
 
 /// Time of a planned stop in which requests are still taken: callers hold on to their
 /// answers of the directory for some seconds, and what they send last must still finish.
