--- a/crates/tinbay-gateway/src/demand.rs
+++ b/crates/tinbay-gateway/src/demand.rs
@@ -37,7 +37,7 @@
 const SPREAD_MS: Millis = 1_000;
 
 /// Weight of an adapter that is crowded elsewhere: as many requests of it run late.
-const SPREAD_WEIGHT: f64 = 1.0;
+const SPREAD_WEIGHT: f64 = 4.0;
 
 /// Weight of a request that waits, against one remembered: what an adapter was asked for
 /// tells what it will be asked for.
--- a/crates/tinbay-gateway/src/front/choice.rs
+++ b/crates/tinbay-gateway/src/front/choice.rs
@@ -23,7 +23,7 @@
 
 /// Requests of an adapter, over all boxes, that its servers should have each before one more
 /// gets it: a copy costs a load, and only the copy of an adapter that makes the crowd helps.
-const FLIGHTS_A_COPY: usize = 18;
+const FLIGHTS_A_COPY: usize = 12;
 
 /// Factor over the mean of all servers at which one is no home for more adapters. Source:
 /// Mirrokni, Thorup and Zadimoghaddam, "Consistent hashing with bounded loads", SODA 2018.
