--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -8,7 +8,7 @@
 use serde::Serialize;
 use tinbay_core::retry::{AttemptEnd, AttemptEnds, RetryCase, may_retry};
 use tinbay_core::serving::contents::adapter_key;
-use tinbay_core::units::Millis;
+use tinbay_core::units::{MS_PER_SECOND, Millis};
 
 use super::adapters;
 use super::attempt::{AttemptResult, AttemptTerms, BegunAnswer, attempt};
@@ -366,5 +366,20 @@
         .requests
         .with_label_values(&[question.kind(), outcome])
         .inc();
+    let seconds = |time_ms: Millis| time_ms as f64 / MS_PER_SECOND as f64;
+    if let Some(head_ms) = head_ms {
+        let heads = node
+            .metrics
+            .head_seconds
+            .with_label_values(&[question.kind()]);
+        heads.observe(seconds(head_ms));
+    }
+    if let Some(sent_ms) = question.sent_after_ms.get() {
+        let stalls = node
+            .metrics
+            .stall_seconds
+            .with_label_values(&[question.kind()]);
+        stalls.observe(seconds(sent_ms));
+    }
     events::emit(part::FRONT, Level::Info, "request", &event);
 }
--- /dev/null
+++ b/crates/tinbay-gateway/src/housekeeping.rs
@@ -0,0 +1,45 @@
+//! Drops what is no longer needed and shows what is believed, some times a minute.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tinbay_core::units::Millis;
+
+use crate::node::Node;
+
+/// Pause between rounds.
+const ROUND_PAUSE: Duration = Duration::from_secs(2);
+
+/// How long a box is remembered that is neither listed nor heard; far longer than any claim
+/// waits for it.
+const MEMBER_MEMORY_MS: Millis = 120_000;
+
+/// Runs until the box stops.
+pub async fn run(node: Rc<Node>) {
+    loop {
+        tokio::time::sleep(ROUND_PAUSE).await;
+        for server in node.servers.borrow().all() {
+            server.pool.tidy();
+        }
+        let oldest_ms = node.now_ms().saturating_sub(MEMBER_MEMORY_MS);
+        node.members.borrow_mut().tidy(oldest_ms);
+        show_beliefs(&node);
+    }
+}
+
+fn show_beliefs(node: &Node) {
+    let version = node
+        .in_force()
+        .map_or(0, |in_force| in_force.configuration.version);
+    let show = |what: &str, value: usize| {
+        let value = i64::try_from(value).unwrap_or(i64::MAX);
+        node.metrics.beliefs.with_label_values(&[what]).set(value);
+    };
+    show("configuration_version", version as usize);
+    show("named_versions", node.versions.borrow().len());
+    show("servers", node.servers.borrow().len());
+    show("boxes_up", node.box_count());
+    show("servers_held", node.books.borrow().len());
+    show("can_order", usize::from(node.can_order()));
+    show("connections", node.connections.get());
+}
--- a/crates/tinbay-gateway/src/metrics.rs
+++ b/crates/tinbay-gateway/src/metrics.rs
@@ -17,7 +17,7 @@
     pub requests: IntCounterVec,
     /// Time to the head of the answer, by kind.
     pub head_seconds: HistogramVec,
-    /// Time a request waited for its adapter, by outcome.
+    /// Time until a request was sent, by kind: the wait for its adapter.
     pub stall_seconds: HistogramVec,
     /// Sends beyond a request's first, by outcome.
     pub second_sends: IntCounterVec,
@@ -55,7 +55,7 @@
         Ok(Self {
             requests: counter("tinbay_requests_total", "Requests", &["kind", "outcome"])?,
             head_seconds: histogram("tinbay_head_seconds", "Time to the head", &["kind"])?,
-            stall_seconds: histogram("tinbay_stall_seconds", "Wait for an adapter", &["outcome"])?,
+            stall_seconds: histogram("tinbay_stall_seconds", "Time until sent", &["kind"])?,
             second_sends: counter("tinbay_second_sends_total", "Second sends", &["outcome"])?,
             store_calls: counter(
                 "tinbay_store_calls_total",
