Second read: what stood twice stands once, what nothing used is gone

Unused: events that come from several servers, the last event and the seal among the headers' names, the version in a hello, two methods and a field. In the wrong place: a holder copied the engines' settings and worked out its quota at every look; now for the first want that needs it. The wants were summed a second time for the log alone. Behaviour is meant to stay; the log's wanted counts what decided.

--- a/crates/tinbay-core/src/serving/claims.rs
+++ b/crates/tinbay-core/src/serving/claims.rs
@@ -81,15 +81,16 @@
         self.by_address.get(address)
     }
 
-    /// Forgets what is claimed, as after a wrong belief.
-    pub fn forget(&mut self, address: &str) {
-        self.by_address.remove(address);
+    /// The box that holds the claim on a server and has not released it.
+    pub fn holder_of(&self, address: &str) -> Option<&str> {
+        let claim = self.by_address.get(address)?;
+        (!claim.value.is_released).then_some(claim.value.holder.as_str())
     }
 
     /// The token with which `box_id` may order the server, if it holds the claim.
     pub fn token_of(&self, address: &str, box_id: &str) -> Option<u64> {
-        let claim = self.by_address.get(address)?;
-        (claim.value.holder == box_id && !claim.value.is_released).then_some(claim.token)
+        let is_own = self.holder_of(address) == Some(box_id);
+        is_own.then(|| self.by_address[address].token)
     }
 
     /// Addresses whose claims `box_id` holds.
--- a/crates/tinbay-core/src/serving/contents.rs
+++ b/crates/tinbay-core/src/serving/contents.rs
@@ -10,6 +10,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::configuration::{EngineSpec, ModelSpec};
+use super::fading::faded;
 use super::servers::{AdapterName, HeldAdapter, Report};
 use crate::units::Millis;
 
@@ -114,6 +115,17 @@
 const AWAITED_WEIGHT: f64 = 1_000.0;
 
 impl Want {
+    /// The want of one request that waits.
+    pub fn of_one(adapter: &str, version: Option<u64>) -> Self {
+        Self {
+            adapter: adapter.to_string(),
+            version,
+            weight: 1.0,
+            asked: 0.0,
+            is_awaited: true,
+        }
+    }
+
     /// How soon it should be loaded, against others.
     pub fn urgency(&self) -> f64 {
         if self.is_awaited {
@@ -226,7 +238,7 @@
     /// Takes over what an earlier holder remembered.
     pub fn note_memory(&mut self, memory: &[HadAdapter]) {
         let most = self.spec.adapter_slots * LATELY_FACTOR;
-        for had in memory.iter().rev().take(most).rev() {
+        for had in memory.iter().rev().take(most) {
             self.lately.entry(had.key).or_insert((had.version, 0));
         }
     }
@@ -325,21 +337,20 @@
         let Some(spec) = self.model_spec(model) else {
             return false;
         };
-        let adapters_mb: f64 = self
-            .held
-            .values()
-            .map(|held| self.adapter_mb(&held.adapter))
-            .sum();
-        self.models_mb() + adapters_mb + spec.weights_mb <= self.spec.weights_mb
+        self.used_mb() + spec.weights_mb <= self.spec.weights_mb
     }
 
     fn model_spec(&self, model: &str) -> Option<&ModelSpec> {
         self.spec.models.iter().find(|spec| spec.name == model)
     }
 
-    fn models_mb(&self) -> f64 {
-        let mb = |model: &String| self.model_spec(model).map_or(0.0, |spec| spec.weights_mb);
-        self.models.keys().map(mb).sum()
+    /// Memory that models and adapters take.
+    fn used_mb(&self) -> f64 {
+        let model_mb = |model: &String| self.model_spec(model).map_or(0.0, |spec| spec.weights_mb);
+        let models_mb: f64 = self.models.keys().map(model_mb).sum();
+        let adapters = self.held.values();
+        let adapters_mb: f64 = adapters.map(|held| self.adapter_mb(&held.adapter)).sum();
+        models_mb + adapters_mb
     }
 
     fn adapter_mb(&self, adapter: &str) -> f64 {
@@ -349,13 +360,8 @@
 
     /// Whether one more adapter has a place and memory.
     fn has_room(&self, adapter: &str) -> bool {
-        let adapters_mb: f64 = self
-            .held
-            .values()
-            .map(|held| self.adapter_mb(&held.adapter))
-            .sum();
-        let used_mb = self.models_mb() + adapters_mb + self.adapter_mb(adapter);
-        self.held.len() < self.spec.adapter_slots && used_mb <= self.spec.weights_mb
+        let needed_mb = self.used_mb() + self.adapter_mb(adapter);
+        self.held.len() < self.spec.adapter_slots && needed_mb <= self.spec.weights_mb
     }
 
     fn check_load(&self, expected_count: u64, now_ms: Millis) -> Option<Action> {
@@ -411,12 +417,8 @@
         if loads_fast && !want.is_awaited {
             return None;
         }
-        let victim = if self.has_room(&want.adapter) {
-            None
-        } else {
-            Some(self.victim(now_ms)?)
-        };
-        if let Some(victim) = victim {
+        if !self.has_room(&want.adapter) {
+            let victim = self.victim(now_ms)?;
             return Some(Action::Unload {
                 adapter: victim.adapter.clone(),
                 expected_count,
@@ -626,8 +628,7 @@
 
 impl Held {
     fn uses_at(&self, now_ms: Millis) -> f64 {
-        let age_ms = now_ms.saturating_sub(self.used_ms) as f64;
-        self.uses * (-age_ms / USE_HALF_LIFE_MS).exp2()
+        faded(self.uses, self.used_ms, USE_HALF_LIFE_MS, now_ms)
     }
 }
 
--- a/crates/tinbay-core/src/serving/mod.rs
+++ b/crates/tinbay-core/src/serving/mod.rs
@@ -7,6 +7,7 @@
 pub mod claims;
 pub mod configuration;
 pub mod contents;
+pub mod fading;
 pub mod pacing;
 pub mod routes;
 pub mod servers;
--- a/crates/tinbay-gateway/src/demand.rs
+++ b/crates/tinbay-gateway/src/demand.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 
 use tinbay_core::serving::contents::{AdapterKey, Want, adapter_key};
+use tinbay_core::serving::fading::faded;
 use tinbay_core::units::Millis;
 
 use crate::servers::ServerKey;
@@ -55,8 +56,7 @@
 
 impl Asked {
     fn at(&self, now_ms: Millis) -> f64 {
-        let age_ms = now_ms.saturating_sub(self.noted_ms) as f64;
-        self.count * (-age_ms / ASKED_HALF_LIFE_MS).exp2()
+        faded(self.count, self.noted_ms, ASKED_HALF_LIFE_MS, now_ms)
     }
 }
 
--- a/crates/tinbay-gateway/src/directory.rs
+++ b/crates/tinbay-gateway/src/directory.rs
@@ -114,8 +114,8 @@
     let own_id = node.settings.borrow().box_id.clone();
     let members = node.members.borrow();
     let mut boxes: Vec<(SocketAddr, String)> = members
-        .all()
-        .filter(|(id, member)| **id != own_id && member.is_up(now_ms))
+        .others(&own_id)
+        .filter(|(_, member)| member.is_up(now_ms))
         .map(|(_, member)| (member.record.front, member.record.zone.clone()))
         .collect();
     if node.is_ready() || boxes.is_empty() {
--- a/crates/tinbay-gateway/src/events.rs
+++ b/crates/tinbay-gateway/src/events.rs
@@ -96,11 +96,12 @@
 }
 
 /// The fields of one line, without the braces around them.
-pub fn fields<T: Serialize>(event: &T) -> String {
+fn fields<T: Serialize>(event: &T) -> String {
     let text = serde_json::to_string(event).unwrap_or_default();
-    text.trim_start_matches('{')
-        .trim_end_matches('}')
-        .to_string()
+    let inner = text
+        .strip_prefix('{')
+        .and_then(|text| text.strip_suffix('}'));
+    inner.unwrap_or_default().to_string()
 }
 
 /// Writes one line of the part: the event's name, then its fields.
--- a/crates/tinbay-gateway/src/front/adapters.rs
+++ b/crates/tinbay-gateway/src/front/adapters.rs
@@ -5,7 +5,7 @@
 
 use log::Level;
 use serde::Serialize;
-use tinbay_core::serving::contents::{Want, adapter_key};
+use tinbay_core::serving::contents::Want;
 use tinbay_core::units::Millis;
 
 use super::choice::{self, Choice};
@@ -120,10 +120,7 @@
     let event = WaitEvent {
         request: &question.id,
         model: question.model.as_deref(),
-        version: question
-            .model
-            .as_deref()
-            .and_then(|model| node.named_version(model)),
+        version: question.named_version(node),
         server: &home.record().id,
         holder: holder.as_deref(),
         holder_can_order: node.has_live_holder(home),
@@ -133,19 +130,12 @@
 }
 
 fn want(node: &Node, question: &Question) -> Want {
-    let adapter = question.model.clone().unwrap_or_default();
-    Want {
-        version: node.named_version(&adapter),
-        adapter,
-        weight: 1.0,
-        asked: 0.0,
-        is_awaited: true,
-    }
+    let adapter = question.model.as_deref().unwrap_or_default();
+    Want::of_one(adapter, question.named_version(node))
 }
 
 fn note_use(node: &Node, question: &Question, server: &Server) {
-    if let Some(model) = &question.model {
-        let key = adapter_key(model);
+    if let Some(key) = question.model_key {
         let mut demand = node.demand.borrow_mut();
         demand.note_use(server.key, key);
         demand.forget_asked(key);
@@ -153,8 +143,7 @@
 }
 
 fn note_asked(node: &Node, question: &Question) {
-    if let Some(model) = &question.model {
-        let key = adapter_key(model);
+    if let Some(key) = question.model_key {
         let now_ms = node.now_ms();
         node.demand.borrow_mut().note_asked(key, now_ms);
     }
--- a/crates/tinbay-gateway/src/front/attempt.rs
+++ b/crates/tinbay-gateway/src/front/attempt.rs
@@ -6,7 +6,6 @@
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 use hyper::{Request, Response, StatusCode};
-use tinbay_core::serving::contents::adapter_key;
 
 use super::headers::{self, ServerHeaders};
 use super::question::{Question, text};
@@ -62,9 +61,7 @@
     body: RequestBody,
     terms: AttemptTerms<'_>,
 ) -> AttemptResult {
-    let flight = terms
-        .server
-        .take_off(question.model.as_deref().map(adapter_key));
+    let flight = terms.server.take_off(question.model_key);
     let exchange = exchange(node, question, body, &terms);
     match tokio::time::timeout(terms.head_within, exchange).await {
         Err(_) => AttemptResult::Unknown,
--- a/crates/tinbay-gateway/src/front/choice.rs
+++ b/crates/tinbay-gateway/src/front/choice.rs
@@ -53,26 +53,25 @@
     match question.model.as_deref() {
         Some(model) if model.contains('/') => choose_for_adapter(node, model, &ready),
         Some(model) => choose_for_model(node, model, &ready),
-        None => {
-            least_loaded(node, &ready).map_or(Choice::Nowhere, |(_, server)| Choice::Send(server))
-        }
+        None => least_loaded(node, &ready).map_or(Choice::Nowhere, Choice::Send),
     }
 }
 
 fn choose_for_model(node: &Node, model: &str, ready: &[Rc<Server>]) -> Choice {
     let holds = |server: &&Rc<Server>| server.record().models.iter().any(|held| held == model);
     let holding: Vec<Rc<Server>> = ready.iter().filter(holds).cloned().collect();
-    if let Some((_, server)) = least_loaded(node, &holding) {
+    if let Some(server) = least_loaded(node, &holding) {
         return Choice::Send(server);
     }
     home(node, model, ready).map_or(Choice::Nowhere, Choice::Wait)
 }
 
-fn least_loaded(node: &Node, servers: &[Rc<Server>]) -> Option<(f64, Rc<Server>)> {
+fn least_loaded(node: &Node, servers: &[Rc<Server>]) -> Option<Rc<Server>> {
     servers
         .iter()
-        .map(|server| (load(node, server), Rc::clone(server)))
+        .map(|server| (load(node, server), server))
         .min_by(|left, right| left.0.total_cmp(&right.0))
+        .map(|(_, server)| Rc::clone(server))
 }
 
 fn choose_for_adapter(node: &Node, adapter: &str, ready: &[Rc<Server>]) -> Choice {
@@ -82,16 +81,13 @@
         .iter()
         .cloned()
         .partition(|server| serves(node, server, key, version));
-    if let Some((_, server)) = least_loaded(node, &holding) {
+    if let Some(server) = least_loaded(node, &holding) {
         if is_crowded(node, &server) && fills_its_servers(node, key, &holding) {
             ask_for_spread(node, adapter, version, &others);
         }
         return Choice::Send(server);
     }
-    match home(node, adapter, &others) {
-        Some(home) => Choice::Wait(home),
-        None => Choice::Nowhere,
-    }
+    home(node, adapter, &others).map_or(Choice::Nowhere, Choice::Wait)
 }
 
 /// Whether an adapter has enough requests for one more server; those of other boxes are
@@ -151,13 +147,7 @@
     let Some(server) = home(node, adapter, others) else {
         return;
     };
-    let want = Want {
-        adapter: adapter.to_string(),
-        version,
-        weight: 1.0,
-        asked: 0.0,
-        is_awaited: true,
-    };
+    let want = Want::of_one(adapter, version);
     node.demand
         .borrow_mut()
         .ask_for_spread(server.key, &want, now_ms);
--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -7,7 +7,6 @@
 use log::Level;
 use serde::Serialize;
 use tinbay_core::retry::{AttemptEnd, AttemptEnds, RetryCase, may_retry};
-use tinbay_core::serving::contents::adapter_key;
 use tinbay_core::units::{MS_PER_SECOND, Millis};
 
 use super::adapters;
@@ -17,10 +16,10 @@
 use super::question::Question;
 use super::refusal::{NotRunReason, Refusal};
 use crate::events::{self, part};
-use crate::http::body::{AnswerBody, RequestBody};
-use crate::http::relay::{Relay, RelayTerms};
+use crate::http::body::{AnswerBody, BodyError, RequestBody};
+use crate::http::relay::{EndObserver, Relay, RelayTerms};
 use crate::node::Node;
-use crate::servers::Server;
+use crate::servers::{Flight, Server};
 
 /// Most tries of one request, refused ones included.
 const MOST_TRIES: usize = 4;
@@ -28,6 +27,9 @@
 /// Shortest wait after which a refused caller comes back.
 const SHORTEST_RETRY_MS: Millis = 50;
 
+/// The last rank a server knows.
+const LEAST_URGENT: u8 = 9;
+
 /// Mistrust after a try that may have run without an answer.
 const MISTRUST_UNKNOWN: f64 = 1.0;
 
@@ -46,10 +48,12 @@
 }
 
 impl Tries {
-    fn note_failed_run(&mut self, server: &Server) {
-        self.ends.note(AttemptEnd::Unknown);
+    fn note(&mut self, server: &Server, end: AttemptEnd) {
+        self.ends.note(end);
         self.tried.push(server.record().id.clone());
-        self.runs += 1;
+        if end == AttemptEnd::Unknown {
+            self.runs += 1;
+        }
     }
 }
 
@@ -96,7 +100,7 @@
                 if body.is_none() || !repeats(node, question, &tries, &server, &answer) {
                     return Ok(relay(node, question, *answer));
                 }
-                tries.note_failed_run(&server);
+                tries.note(&server, AttemptEnd::Unknown);
                 continue;
             }
             AttemptResult::Declined { status } => {
@@ -112,11 +116,7 @@
                 AttemptEnd::Unknown
             }
         };
-        tries.ends.note(end);
-        tries.tried.push(server.record().id.clone());
-        if end == AttemptEnd::Unknown {
-            tries.runs += 1;
-        }
+        tries.note(&server, end);
         if !may_go_on(node, question, &tries, end) {
             return Err(give_up(node, question, &tries));
         }
@@ -125,10 +125,8 @@
 
 /// A full server is left alone for a while; one that lacks the adapter is known to lack it.
 fn note_declined(node: &Node, question: &Question, server: &Server, status: StatusCode) {
-    match &question.model {
-        Some(model) if status == StatusCode::MISDIRECTED_REQUEST => {
-            server.note_missing(adapter_key(model));
-        }
+    match question.model_key {
+        Some(key) if status == StatusCode::MISDIRECTED_REQUEST => server.note_missing(key),
         _ => server.add_mistrust(MISTRUST_DECLINED, node.now_ms()),
     }
 }
@@ -154,12 +152,8 @@
         headers: ServerHeaders {
             deadline_ms: left_ms,
             server_id: &record.id,
-            priority: Some(question.route.priority.min(9)),
-            version: question
-                .model
-                .as_deref()
-                .and_then(|model| node.named_version(model)),
-            last_event: None,
+            priority: question.route.priority.min(LEAST_URGENT),
+            version: question.named_version(node),
         },
         head_within: Duration::from_millis(left_ms),
     };
@@ -282,9 +276,9 @@
 fn observe_end(
     node: &Rc<Node>,
     question: &Rc<Question>,
-    flight: crate::servers::Flight,
+    flight: Flight,
     status: u16,
-) -> crate::http::relay::EndObserver {
+) -> EndObserver {
     let node = Rc::clone(node);
     let question = Rc::clone(question);
     let head_ms = node.now_ms() - question.arrived_ms;
@@ -311,7 +305,7 @@
     /// Whole.
     Whole,
     /// Cut.
-    Cut(crate::http::body::BodyError),
+    Cut(BodyError),
     /// An answer of our own.
     Refused(Refusal),
 }
--- a/crates/tinbay-gateway/src/front/headers.rs
+++ b/crates/tinbay-gateway/src/front/headers.rs
@@ -22,11 +22,9 @@
     /// Incarnation that is meant.
     pub server_id: &'a str,
     /// Rank at the server.
-    pub priority: Option<u8>,
+    pub priority: u8,
     /// Version of the adapter that is meant.
     pub version: Option<u64>,
-    /// Last event the caller has, where a stream goes on.
-    pub last_event: Option<&'a str>,
 }
 
 /// The headers of a request to a server.
@@ -40,15 +38,10 @@
     headers.remove(&names.expect_version);
     headers.insert(names.deadline_ms.clone(), set.deadline_ms.into());
     insert_text(&mut headers, &names.expect_server, set.server_id);
-    if let Some(priority) = set.priority {
-        headers.insert(names.priority.clone(), u64::from(priority).into());
-    }
+    headers.insert(names.priority.clone(), u64::from(set.priority).into());
     if let Some(version) = set.version {
         headers.insert(names.expect_version.clone(), version.into());
     }
-    if let Some(last_event) = set.last_event {
-        insert_text(&mut headers, &names.last_event, last_event);
-    }
     headers
 }
 
--- a/crates/tinbay-gateway/src/front/question.rs
+++ b/crates/tinbay-gateway/src/front/question.rs
@@ -6,6 +6,7 @@
 use hyper::header::{HOST, HeaderMap, HeaderName};
 use hyper::http::request::Parts;
 use tinbay_core::serving::configuration::{Route, RouteKind};
+use tinbay_core::serving::contents::{AdapterKey, adapter_key};
 use tinbay_core::units::Millis;
 
 use super::refusal::Refusal;
@@ -29,6 +30,8 @@
     pub configuration_version: u64,
     /// The adapter asked for as `model/name`, or the model alone.
     pub model: Option<String>,
+    /// The key of what it asks for.
+    pub model_key: Option<AdapterKey>,
     /// When the request came.
     pub arrived_ms: Millis,
     /// Time from its arrival to its last send; none was sent where it is not set.
@@ -69,6 +72,7 @@
             route,
             service,
             configuration_version: in_force.configuration.version,
+            model_key: model.as_deref().map(adapter_key),
             model,
             arrived_ms,
             sent_after_ms: Cell::default(),
@@ -77,6 +81,11 @@
         })
     }
 
+    /// The version of its adapter that the operators named last.
+    pub fn named_version(&self, node: &Node) -> Option<u64> {
+        node.named_version(self.model.as_deref()?)
+    }
+
     /// Whether the request may run more than once.
     pub fn is_repeatable(&self) -> bool {
         match self.route.kind {
--- a/crates/tinbay-gateway/src/http/body.rs
+++ b/crates/tinbay-gateway/src/http/body.rs
@@ -6,7 +6,6 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use tokio::sync::mpsc;
 
 use crate::http::relay::Relay;
 
@@ -148,8 +147,6 @@
     Whole(Option<Bytes>),
     /// A server's bytes as they come.
     Relayed(Box<Relay>),
-    /// Events that may come from several servers in turn.
-    Events(mpsc::Receiver<Result<Bytes, BodyError>>),
 }
 
 impl Body for AnswerBody {
@@ -165,9 +162,6 @@
                 Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes))))
             }
             AnswerBody::Relayed(relay) => relay.poll_data(context),
-            AnswerBody::Events(events) => events
-                .poll_recv(context)
-                .map(|event| event.map(|event| event.map(Frame::data))),
         }
     }
 
@@ -175,7 +169,6 @@
         match self {
             AnswerBody::Whole(bytes) => bytes.is_none(),
             AnswerBody::Relayed(relay) => relay.is_at_end(),
-            AnswerBody::Events(_) => false,
         }
     }
 
@@ -185,7 +178,6 @@
                 SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64)
             }
             AnswerBody::Relayed(relay) => relay.size_hint(),
-            AnswerBody::Events(_) => SizeHint::new(),
         }
     }
 }
--- a/crates/tinbay-gateway/src/http/call.rs
+++ b/crates/tinbay-gateway/src/http/call.rs
@@ -6,12 +6,12 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::client::conn::http1::SendRequest;
 use hyper::header::{CONTENT_TYPE, HOST, HeaderName};
 use hyper::{Method, Request};
-use hyper_util::rt::TokioIo;
 use tinbay_core::units::Millis;
-use tokio::net::TcpStream;
+
+use super::connect::connect;
 
 /// Idle connections kept to the address.
 const MOST_IDLE: usize = 4;
@@ -131,27 +131,16 @@
                     }
                 }
                 Some(_) => {}
-                None => return self.connect().await,
+                None => {
+                    let connected = connect(self.address, CONNECT_TIMEOUT).await;
+                    return connected
+                        .map(|(sender, _)| sender)
+                        .ok_or(CallError::NotConnected);
+                }
             }
         }
     }
 
-    async fn connect(&self) -> Result<SendRequest<Full<Bytes>>, CallError> {
-        let connecting = TcpStream::connect(self.address);
-        let stream = match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
-            Ok(Ok(stream)) => stream,
-            _ => return Err(CallError::NotConnected),
-        };
-        let _ = stream.set_nodelay(true);
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(|_| CallError::NotConnected)?;
-        tokio::task::spawn_local(async move {
-            let _ = connection.await;
-        });
-        Ok(sender)
-    }
-
     fn keep(&self, sender: SendRequest<Full<Bytes>>) {
         let mut idle = self.idle.borrow_mut();
         if idle.len() < MOST_IDLE {
--- a/crates/tinbay-gateway/src/http/mod.rs
+++ b/crates/tinbay-gateway/src/http/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod body;
 pub mod call;
+pub mod connect;
 pub mod pool;
 pub mod relay;
--- a/crates/tinbay-gateway/src/http/pool.rs
+++ b/crates/tinbay-gateway/src/http/pool.rs
@@ -5,12 +5,11 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+use hyper::client::conn::http1::SendRequest;
 use tokio::task::AbortHandle;
 
 use super::body::RequestBody;
+use super::connect::connect;
 
 /// Longest time until a connection stands; a server is at most a few milliseconds away.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -100,23 +99,13 @@
     }
 
     async fn connect(&self) -> Result<Connection, ConnectError> {
-        let connecting = TcpStream::connect(self.address);
-        let stream = match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
-            Ok(Ok(stream)) => stream,
-            _ => return Err(ConnectError::Refused),
-        };
-        let _ = stream.set_nodelay(true);
-        let (sender, driver) = http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(|_| ConnectError::Refused)?;
-        let driver = tokio::task::spawn_local(async move {
-            let _ = driver.await;
-        });
+        let connected = connect(self.address, CONNECT_TIMEOUT).await;
+        let (sender, driver) = connected.ok_or(ConnectError::Refused)?;
         self.open.set(self.open.get() + 1);
         Ok(Connection {
             sender,
             is_reused: false,
-            driver: driver.abort_handle(),
+            driver,
             open: Rc::clone(&self.open),
         })
     }
--- a/crates/tinbay-gateway/src/latch.rs
+++ b/crates/tinbay-gateway/src/latch.rs
@@ -22,11 +22,6 @@
         self.sender.send_replace(true);
     }
 
-    /// Whether it is set.
-    pub fn is_set(&self) -> bool {
-        *self.sender.borrow()
-    }
-
     /// Waits until it is set.
     pub async fn wait(&self) {
         let mut receiver = self.sender.subscribe();
--- a/crates/tinbay-gateway/src/members.rs
+++ b/crates/tinbay-gateway/src/members.rs
@@ -46,13 +46,7 @@
 impl Members {
     /// Notes a box's entry in the store.
     pub fn put(&mut self, id: &str, record: MemberRecord, now_ms: Millis) {
-        let member = self.by_id.entry(id.to_string()).or_insert_with(|| Member {
-            record: record.clone(),
-            listed: true,
-            listed_changed_ms: now_ms,
-            heard_ms: None,
-        });
-        member.record = record;
+        let member = self.renew(id, record, now_ms);
         if !member.listed {
             member.listed = true;
             member.listed_changed_ms = now_ms;
@@ -85,6 +79,11 @@
 
     /// Notes what a box says about itself in a message.
     pub fn note_hello(&mut self, id: &str, record: MemberRecord, now_ms: Millis) {
+        self.renew(id, record, now_ms).heard_ms = Some(now_ms);
+    }
+
+    /// Takes a box's new record; a box not known before is neither listed nor heard yet.
+    fn renew(&mut self, id: &str, record: MemberRecord, now_ms: Millis) -> &mut Member {
         let member = self.by_id.entry(id.to_string()).or_insert_with(|| Member {
             record: record.clone(),
             listed: false,
@@ -92,7 +91,7 @@
             heard_ms: None,
         });
         member.record = record;
-        member.heard_ms = Some(now_ms);
+        member
     }
 
     /// One box.
@@ -105,6 +104,11 @@
         self.by_id.iter()
     }
 
+    /// All boxes known but `own_id`, which is listed like any other.
+    pub fn others<'a>(&'a self, own_id: &'a str) -> impl Iterator<Item = (&'a String, &'a Member)> {
+        self.all().filter(move |(id, _)| *id != own_id)
+    }
+
     /// Forgets boxes that are neither listed nor heard for long.
     pub fn tidy(&mut self, oldest_ms: Millis) {
         self.by_id.retain(|_, member| {
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -36,8 +36,6 @@
     pub configuration: Configuration,
     /// Its routes for look-ups.
     pub routes: RouteTable,
-    /// Since when it is in force.
-    pub since_ms: Millis,
 }
 
 /// What all parts of a box share; all of it lives on one thread.
@@ -164,8 +162,8 @@
         let own = &self.settings.borrow().box_id;
         let members = self.members.borrow();
         let others = members
-            .all()
-            .filter(|(id, member)| *id != own && member.is_up(now_ms))
+            .others(own)
+            .filter(|(_, member)| member.is_up(now_ms))
             .count();
         others + 1
     }
@@ -211,6 +209,18 @@
         in_force.configuration.services.get(service)?.engine.clone()
     }
 
+    /// Loads a second that the weight store allows over all engines of a service.
+    pub fn loads_per_s(&self, service: &str) -> Option<f64> {
+        let in_force = self.in_force()?;
+        let engine = in_force
+            .configuration
+            .services
+            .get(service)?
+            .engine
+            .as_ref()?;
+        Some(engine.loads_per_s)
+    }
+
     /// Wakes what waits for a change of a server's contents.
     pub fn wake_waiters(&self, server: &Server) {
         server.changed.notify_waiters();
@@ -231,22 +241,22 @@
     /// The box that holds the claim on a server.
     pub fn holder_of(&self, server: &Server) -> Option<String> {
         let claims = self.claims.borrow();
-        let claim = claims.get(&server.address_text)?;
-        (!claim.value.is_released).then(|| claim.value.holder.clone())
+        claims.holder_of(&server.address_text).map(str::to_string)
     }
 
     /// Whether the holder of a server can order now, as far as this box knows.
     pub fn has_live_holder(&self, server: &Server) -> bool {
-        let Some(holder) = self.holder_of(server) else {
+        let claims = self.claims.borrow();
+        let Some(holder) = claims.holder_of(&server.address_text) else {
             return false;
         };
         if holder == self.settings.borrow().box_id {
-            return self.order_token(server).is_some();
+            return self.can_order();
         }
         let now_ms = self.now_ms();
         let members = self.members.borrow();
         members
-            .get(&holder)
+            .get(holder)
             .is_some_and(|member| member.can_order(now_ms))
     }
 }
--- a/crates/tinbay-gateway/src/orders/claiming.rs
+++ b/crates/tinbay-gateway/src/orders/claiming.rs
@@ -53,7 +53,7 @@
     let servers = node.servers.borrow();
     servers
         .all()
-        .filter(|server| node.engine_spec(&server.record().service).is_some())
+        .filter(|server| node.loads_per_s(&server.record().service).is_some())
         .cloned()
         .collect()
 }
@@ -112,8 +112,8 @@
     let own_score = score(&own_id, &own.zone);
     let members = node.members.borrow();
     members
-        .all()
-        .filter(|(id, member)| **id != own_id && member.listed && member.is_up(now_ms))
+        .others(&own_id)
+        .filter(|(_, member)| member.listed && member.is_up(now_ms))
         .filter(|(id, member)| score(id, &member.record.zone) > own_score)
         .count()
 }
--- a/crates/tinbay-gateway/src/orders/holder.rs
+++ b/crates/tinbay-gateway/src/orders/holder.rs
@@ -9,8 +9,9 @@
 use hyper::Method;
 use log::Level;
 use serde::Serialize;
-use tinbay_core::serving::configuration::EngineSpec;
-use tinbay_core::serving::contents::{Action, Contents, OrderAnswer, adapter_key};
+use tinbay_core::serving::contents::{
+    Action, AdapterKey, Contents, Held, OrderAnswer, Want, adapter_key,
+};
 use tinbay_core::serving::pacing;
 use tinbay_core::units::Millis;
 
@@ -91,8 +92,11 @@
                 tokio::time::sleep(NO_PROOF_PAUSE).await;
                 continue;
             };
-            match self.next_action() {
-                Some(action) => self.perform(&action, token).await,
+            let now_ms = self.node.now_ms();
+            let wants = self.node.demand.borrow_mut().wants(self.server.key, now_ms);
+            match self.next_action(&wants, now_ms) {
+                Some(Action::Learn) => self.learn().await,
+                Some(action) => self.order(&action, token, wants.len()).await,
                 None => self.pause().await,
             }
         }
@@ -108,24 +112,25 @@
         self.node.holder_of(&self.server).as_deref() == Some(own_id.as_str())
     }
 
-    fn next_action(&self) -> Option<Action> {
-        let now_ms = self.node.now_ms();
-        let service = self.server.record().service.clone();
-        let spec = self.node.engine_spec(&service)?;
-        let wants = self.node.demand.borrow_mut().wants(self.server.key, now_ms);
-        let quota = self.load_quota(&spec);
+    fn next_action(&self, wants: &[Want], now_ms: Millis) -> Option<Action> {
+        let loads_per_s = self.node.loads_per_s(&self.server.record().service)?;
         let named = |adapter: &str| self.node.named_version(adapter);
-        let mut take_fetch = |weight| self.take_fetch(&service, weight, quota, now_ms);
+        // Worked out for the first of the wants that needs it; there may be many.
+        let mut quota = None;
+        let mut take_fetch = |weight| {
+            let quota = *quota.get_or_insert_with(|| self.load_quota(loads_per_s));
+            self.take_fetch(weight, quota, now_ms)
+        };
         let mut book = self.book.borrow_mut();
         for (key, uses) in self.node.demand.borrow_mut().take_uses(self.server.key) {
             book.note_uses(key, uses, now_ms);
         }
-        book.next_action(&wants, &named, &mut take_fetch, now_ms)
+        book.next_action(wants, &named, &mut take_fetch, now_ms)
     }
 
     /// Loads this box may begin within a window: by the engines it holds among those whose
     /// holders can order.
-    fn load_quota(&self, spec: &EngineSpec) -> usize {
+    fn load_quota(&self, loads_per_s: f64) -> usize {
         let service = self.server.record().service.clone();
         let servers = self.node.servers.borrow();
         let mut engines: BTreeMap<String, usize> = BTreeMap::new();
@@ -140,15 +145,16 @@
             }
         }
         let settings = self.node.settings.borrow();
-        let allowed = settings.bounds.loads.allowed(spec.loads_per_s);
+        let allowed = settings.bounds.loads.allowed(loads_per_s);
         let quotas = pacing::deal(allowed, &engines);
         quotas.get(&settings.box_id).copied().unwrap_or_default()
     }
 
-    fn take_fetch(&self, service: &str, weight: f64, quota: usize, now_ms: Millis) -> bool {
+    fn take_fetch(&self, weight: f64, quota: usize, now_ms: Millis) -> bool {
+        let service = self.server.record().service.clone();
         let window_ms = self.node.settings.borrow().bounds.loads.window_ms;
         let mut paces = self.node.paces.borrow_mut();
-        let pace = paces.entry(service.to_string()).or_default();
+        let pace = paces.entry(service).or_default();
         pace.take(self.server.key, weight, quota, window_ms, now_ms)
     }
 
@@ -167,13 +173,6 @@
         let _ = tokio::time::timeout(pause, self.server.order_due.notified()).await;
     }
 
-    async fn perform(&self, action: &Action, token: u64) {
-        match action {
-            Action::Learn => self.learn().await,
-            _ => self.order(action, token).await,
-        }
-    }
-
     async fn learn(&self) {
         let path = self.node.dialect.report_path().to_string();
         let reply = self
@@ -181,13 +180,10 @@
             .call(&self.call(Method::GET, path, Bytes::new()))
             .await;
         let report = match reply {
-            Ok(reply) if reply.status == 200 => self.node.dialect.decode_report(&reply.body),
-            _ => {
-                self.book.borrow_mut().unlearn(self.node.now_ms());
-                return;
-            }
+            Ok(reply) if reply.status == 200 => self.node.dialect.decode_report(&reply.body).ok(),
+            _ => None,
         };
-        let Ok(report) = report else {
+        let Some(report) = report else {
             self.book.borrow_mut().unlearn(self.node.now_ms());
             return;
         };
@@ -205,7 +201,7 @@
         self.publish();
     }
 
-    async fn order(&self, action: &Action, token: u64) {
+    async fn order(&self, action: &Action, token: u64, wanted: usize) {
         let Some(order) = self.order_of(action, token) else {
             return;
         };
@@ -229,7 +225,7 @@
             let mut demand = self.node.demand.borrow_mut();
             demand.forget_peers_asked(adapter_key(&order.adapter));
         }
-        self.log_order(&order, answer, now_ms - began_ms);
+        self.log_order(&order, answer, now_ms - began_ms, wanted);
         self.publish();
     }
 
@@ -270,7 +266,7 @@
         }
     }
 
-    fn log_order(&self, order: &Order, answer: OrderAnswer, took_ms: Millis) {
+    fn log_order(&self, order: &Order, answer: OrderAnswer, took_ms: Millis, wanted: usize) {
         let (action, version) = match order.action {
             OrderAction::Load { version } => ("load", version),
             OrderAction::Unload => ("unload", None),
@@ -287,12 +283,6 @@
             .orders
             .with_label_values(&[action, outcome])
             .inc();
-        let wanted = self
-            .node
-            .demand
-            .borrow_mut()
-            .wants(self.server.key, self.node.now_ms())
-            .len();
         let event = OrderEvent {
             server: &self.server.record().id,
             action,
@@ -315,7 +305,7 @@
             if !book.is_learnt() {
                 return;
             }
-            let entry = |(key, held): (&u64, &tinbay_core::serving::contents::Held)| {
+            let entry = |(key, held): (&AdapterKey, &Held)| {
                 let version = held.version.unwrap_or_default();
                 let state = held.state;
                 (*key as Fingerprint, ViewEntry { version, state })
--- a/crates/tinbay-gateway/src/orders/membership.rs
+++ b/crates/tinbay-gateway/src/orders/membership.rs
@@ -9,7 +9,7 @@
 
 use crate::events::{self, part};
 use crate::node::Node;
-use crate::port::store::{LeaseId, Revision, StoreError, StoreResult, Transaction};
+use crate::port::store::{LeaseId, MOST_ENTRIES, Revision, StoreError, StoreResult, Transaction};
 use crate::watch::boxes::{CLAIM_PREFIX, MEMBER_PREFIX};
 use crate::watch::{counted, sleep_with_jitter};
 
@@ -168,8 +168,5 @@
     }
 }
 
-/// Entries that one transaction may have.
-const MOST_ENTRIES: usize = 32;
-
 /// Longest time for the release at a planned stop.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(800);
--- a/crates/tinbay-gateway/src/orders/memory.rs
+++ b/crates/tinbay-gateway/src/orders/memory.rs
@@ -10,7 +10,7 @@
 use tinbay_core::units::Millis;
 
 use crate::node::Node;
-use crate::port::store::Transaction;
+use crate::port::store::{MOST_ENTRIES, Transaction};
 use crate::watch::{counted, sleep_with_jitter};
 
 /// Prefix of the keys; nobody watches it.
@@ -19,9 +19,6 @@
 /// Pause between writes.
 const WRITE_PAUSE_MS: Millis = 4_000;
 
-/// Entries that one transaction may have.
-const MOST_ENTRIES: usize = 32;
-
 /// Writes what has changed, some times a minute.
 pub async fn keep(node: Rc<Node>) {
     let mut written: HashMap<String, Vec<HadAdapter>> = HashMap::new();
--- a/crates/tinbay-gateway/src/peers/exchange.rs
+++ b/crates/tinbay-gateway/src/peers/exchange.rs
@@ -83,7 +83,8 @@
                 }
             }
             if hasty.contains(&box_id) {
-                self.send_wants(&box_id, address).await;
+                let held = servers_held_by(&self.node, &box_id);
+                self.send_wants(&held, address).await;
             }
         }
     }
@@ -92,8 +93,9 @@
         let flights = FramePart::Flights(flights(&self.node));
         for (box_id, address) in others(&self.node) {
             self.send(address, flights.clone()).await;
-            self.send_wants(&box_id, address).await;
-            self.send_uses(&box_id, address).await;
+            let held = servers_held_by(&self.node, &box_id);
+            self.send_wants(&held, address).await;
+            self.send_uses(&held, address).await;
             if is_slow {
                 self.send_slow(address).await;
             }
@@ -107,11 +109,7 @@
     }
 
     async fn send_hello(&mut self, address: SocketAddr) {
-        let version = self
-            .node
-            .in_force()
-            .map_or(0, |in_force| in_force.configuration.version);
-        let hello = FramePart::Hello(self.node.own_record(), version);
+        let hello = FramePart::Hello(self.node.own_record());
         self.send(address, hello).await;
     }
 
@@ -125,17 +123,15 @@
         }
     }
 
-    async fn send_wants(&mut self, box_id: &str, address: SocketAddr) {
-        let held = servers_held_by(&self.node, box_id);
-        let wants = wants(&self.node, &held);
+    async fn send_wants(&mut self, held: &[ServerKey], address: SocketAddr) {
+        let wants = wants(&self.node, held);
         if !wants.is_empty() {
             self.send(address, FramePart::Wants(wants)).await;
         }
     }
 
-    async fn send_uses(&mut self, box_id: &str, address: SocketAddr) {
-        let held = servers_held_by(&self.node, box_id);
-        let uses = uses(&self.node, &held);
+    async fn send_uses(&mut self, held: &[ServerKey], address: SocketAddr) {
+        let uses = uses(&self.node, held);
         for chunk in uses.chunks(LIST_CHUNK) {
             self.send(address, FramePart::Uses(chunk.to_vec())).await;
         }
@@ -166,8 +162,7 @@
     let own_id = node.settings.borrow().box_id.clone();
     let members = node.members.borrow();
     members
-        .all()
-        .filter(|(id, _)| **id != own_id)
+        .others(&own_id)
         .map(|(id, member)| (id.clone(), member.record.peer))
         .collect()
 }
@@ -287,7 +282,7 @@
     }
     node.members.borrow_mut().hear(&frame.box_id, now_ms);
     match frame.part {
-        FramePart::Hello(record, _) => {
+        FramePart::Hello(record) => {
             node.members
                 .borrow_mut()
                 .note_hello(&frame.box_id, record, now_ms);
--- a/crates/tinbay-gateway/src/peers/frame.rs
+++ b/crates/tinbay-gateway/src/peers/frame.rs
@@ -28,9 +28,8 @@
 /// One part of what a box has to say.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum FramePart {
-    /// What the sender says about itself, and the version of the configuration in force
-    /// there; 0 for none.
-    Hello(MemberRecord, u64),
+    /// What the sender says about itself.
+    Hello(MemberRecord),
     /// Requests it has running, by server; servers that are left out have none.
     Flights(Vec<(Fingerprint, u16)>),
     /// All that one server holds whose claim it holds.
--- a/crates/tinbay-gateway/src/port/dialect.rs
+++ b/crates/tinbay-gateway/src/port/dialect.rs
@@ -35,10 +35,6 @@
     pub expect_version: HeaderName,
     /// Rank at the server.
     pub priority: HeaderName,
-    /// Signature of the server over its answer.
-    pub seal: HeaderName,
-    /// Last event a caller has.
-    pub last_event: HeaderName,
     /// Headers that only boxes may set; taken off callers' requests.
     pub reserved: Vec<HeaderName>,
 }
--- a/crates/tinbay-gateway/src/port/store.rs
+++ b/crates/tinbay-gateway/src/port/store.rs
@@ -63,6 +63,9 @@
     pub remove: Vec<String>,
 }
 
+/// Entries that one transaction may have.
+pub const MOST_ENTRIES: usize = 32;
+
 /// Why a call did not do what it should.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum StoreError {
--- a/crates/tinbay-gateway/src/servers.rs
+++ b/crates/tinbay-gateway/src/servers.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use tinbay_core::serving::contents::{AdapterKey, HeldState, adapter_key};
+use tinbay_core::serving::fading::faded;
 use tinbay_core::serving::servers::{ServerRecord, ServerState};
 use tinbay_core::units::Millis;
 use tokio::sync::Notify;
@@ -16,6 +17,9 @@
 /// Half-life of the mistrust in a server that failed.
 const MISTRUST_HALF_LIFE_MS: f64 = 1_500.0;
 
+/// Most mistrust in a server; it is forgotten within some half-lives.
+const MOST_MISTRUST: f64 = 8.0;
+
 /// Weight of the flights of now among the usual ones, some times a second.
 const FLIGHTS_WEIGHT: f64 = 0.05;
 
@@ -246,20 +250,18 @@
     /// Usual time to the head as a part of the objective, fading with time.
     pub fn delay(&self, now_ms: Millis) -> f64 {
         let (amount, noted_ms) = self.delay.get();
-        let age_ms = now_ms.saturating_sub(noted_ms) as f64;
-        amount * (-age_ms / DELAY_HALF_LIFE_MS).exp2()
+        faded(amount, noted_ms, DELAY_HALF_LIFE_MS, now_ms)
     }
 
     /// Mistrust in the server, fading with time.
     pub fn mistrust(&self, now_ms: Millis) -> f64 {
         let (amount, noted_ms) = self.mistrust.get();
-        let age_ms = now_ms.saturating_sub(noted_ms) as f64;
-        amount * (-age_ms / MISTRUST_HALF_LIFE_MS).exp2()
+        faded(amount, noted_ms, MISTRUST_HALF_LIFE_MS, now_ms)
     }
 
     /// Adds mistrust after a failure.
     pub fn add_mistrust(&self, amount: f64, now_ms: Millis) {
-        let sum = (self.mistrust(now_ms) + amount).min(8.0);
+        let sum = (self.mistrust(now_ms) + amount).min(MOST_MISTRUST);
         self.mistrust.set((sum, now_ms));
     }
 }
--- a/crates/tinbay-gateway/src/watch/configuration.rs
+++ b/crates/tinbay-gateway/src/watch/configuration.rs
@@ -75,7 +75,6 @@
         *in_force = Some(Rc::new(InForce {
             routes: RouteTable::new(&configuration),
             configuration,
-            since_ms: self.node.now_ms(),
         }));
     }
 
