Only the most wanted bids for the allowance, and nothing is unloaded without it

Cause: a server's bid among its holder's servers was overwritten by each less wanted adapter in turn, so that the lowest stood, and any server took the turn; a place was emptied before the allowance was asked. Ruled out: too few loads. Change: the allowance offers, then is taken; only the first want that needs a fetch is offered. The rest of the starving has other causes.

--- a/crates/tinbay-core/src/serving/contents.rs
+++ b/crates/tinbay-core/src/serving/contents.rs
@@ -174,6 +174,15 @@
     NoAnswer,
 }
 
+/// What the weight store allows the holder now.
+pub trait FetchAllowance {
+    /// Whether a load of this weight may begin now.
+    fn offers(&mut self, weight: f64) -> bool;
+
+    /// Takes the load that was offered last.
+    fn take(&mut self);
+}
+
 /// What one server holds, as its holder knows it.
 #[derive(Debug)]
 pub struct Contents {
@@ -253,13 +262,14 @@
 
     /// The next order, or when to look again.
     ///
-    /// `wants` come most wanted first; `take_fetch` takes one load from the weight store's
-    /// allowance if there is one for a load of this weight.
+    /// `wants` come most wanted first. Only the first of them that needs a fetch is offered
+    /// to the allowance: a less wanted one must not take its turn, nor speak for this server
+    /// among the holder's others.
     pub fn next_action(
         &mut self,
         wants: &[Want],
         named: &dyn Fn(&str) -> Option<u64>,
-        take_fetch: &mut dyn FnMut(f64) -> bool,
+        allowance: &mut dyn FetchAllowance,
         now_ms: Millis,
     ) -> Option<Action> {
         let Some(expected_count) = self.order_count else {
@@ -271,18 +281,19 @@
         if self.is_loading_model() {
             return None;
         }
-        if let Some(action) = self.load_model(wants, expected_count, take_fetch) {
+        if let Some(action) = self.load_model(wants, expected_count, allowance) {
             return Some(action);
         }
         if self.loading() >= MOST_LOADING {
             return None;
         }
-        if let Some(action) = self.replace_version(expected_count, named, take_fetch) {
+        if let Some(action) = self.replace_version(expected_count, named, allowance) {
             return Some(action);
         }
-        wants
-            .iter()
-            .find_map(|want| self.serve_want(want, expected_count, take_fetch, now_ms))
+        let mut may_fetch = true;
+        wants.iter().find_map(|want| {
+            self.serve_want(want, expected_count, allowance, &mut may_fetch, now_ms)
+        })
     }
 
     /// When [`Contents::next_action`] may give something without a new want.
@@ -314,7 +325,7 @@
         &self,
         wants: &[Want],
         expected_count: u64,
-        take_fetch: &mut dyn FnMut(f64) -> bool,
+        allowance: &mut dyn FetchAllowance,
     ) -> Option<Action> {
         let wanted = wants.iter().map(|want| model_of(&want.adapter));
         let missing = wanted
@@ -326,7 +337,7 @@
             None if self.models.is_empty() => first()?,
             None => return None,
         };
-        take_fetch(MODEL_WEIGHT).then(|| Action::Load {
+        take_offer(allowance, MODEL_WEIGHT).then(|| Action::Load {
             adapter: model.to_string(),
             version: None,
             expected_count,
@@ -388,13 +399,13 @@
         &self,
         expected_count: u64,
         named: &dyn Fn(&str) -> Option<u64>,
-        take_fetch: &mut dyn FnMut(f64) -> bool,
+        allowance: &mut dyn FetchAllowance,
     ) -> Option<Action> {
         let is_old =
             |held: &&Held| held.state == HeldState::Ready && named(&held.adapter) > held.version;
         let most_used = |left: &&Held, right: &&Held| left.uses.total_cmp(&right.uses);
         let held = self.held.values().filter(is_old).max_by(most_used)?;
-        take_fetch(held.uses).then(|| Action::Load {
+        take_offer(allowance, held.uses).then(|| Action::Load {
             adapter: held.adapter.clone(),
             version: named(&held.adapter),
             expected_count,
@@ -405,7 +416,8 @@
         &self,
         want: &Want,
         expected_count: u64,
-        take_fetch: &mut dyn FnMut(f64) -> bool,
+        allowance: &mut dyn FetchAllowance,
+        may_fetch: &mut bool,
         now_ms: Millis,
     ) -> Option<Action> {
         let key = adapter_key(&want.adapter);
@@ -417,6 +429,12 @@
         if loads_fast && !want.is_awaited {
             return None;
         }
+        if !loads_fast {
+            *may_fetch = *may_fetch && allowance.offers(want.urgency());
+            if !*may_fetch {
+                return None;
+            }
+        }
         if !self.has_room(&want.adapter) {
             let victim = self.victim(now_ms)?;
             return Some(Action::Unload {
@@ -424,8 +442,8 @@
                 expected_count,
             });
         }
-        if !loads_fast && !take_fetch(want.urgency()) {
-            return None;
+        if !loads_fast {
+            allowance.take();
         }
         Some(Action::Load {
             adapter: want.adapter.clone(),
@@ -632,6 +650,14 @@
     }
 }
 
+fn take_offer(allowance: &mut dyn FetchAllowance, weight: f64) -> bool {
+    let is_offered = allowance.offers(weight);
+    if is_offered {
+        allowance.take();
+    }
+    is_offered
+}
+
 fn ready(adapter: AdapterName, version: Option<u64>, now_ms: Millis) -> Held {
     Held {
         adapter,
--- a/crates/tinbay-core/src/serving/pacing.rs
+++ b/crates/tinbay-core/src/serving/pacing.rs
@@ -80,8 +80,7 @@
 }
 
 impl LoadPace {
-    /// Takes one load for a server if the quota leaves one and no other server of the holder
-    /// wants its own more.
+    /// Takes one load for a server if it is offered one.
     pub fn take(
         &mut self,
         server: u64,
@@ -89,6 +88,23 @@
         quota: usize,
         window_ms: Millis,
         now_ms: Millis,
+    ) -> bool {
+        let is_offered = self.offers(server, weight, quota, window_ms, now_ms);
+        if is_offered {
+            self.take_offered(server, now_ms);
+        }
+        is_offered
+    }
+
+    /// Whether a server may load now: the quota leaves a load, and no other server of the
+    /// holder wants its own more.
+    pub fn offers(
+        &mut self,
+        server: u64,
+        weight: f64,
+        quota: usize,
+        window_ms: Millis,
+        now_ms: Millis,
     ) -> bool {
         let bid = Bid {
             weight,
@@ -99,14 +115,16 @@
             .bids
             .values()
             .any(|other| other.weight > weight && now_ms < other.made_ms + BID_LIFE_MS);
-        if is_outbid || !self.spend(quota, window_ms, now_ms) {
-            return false;
-        }
+        !is_outbid && self.leaves(quota, window_ms, now_ms)
+    }
+
+    /// Takes the load that was offered to a server.
+    pub fn take_offered(&mut self, server: u64, now_ms: Millis) {
+        self.begun.push_back(now_ms);
         self.bids.remove(&server);
-        true
     }
 
-    fn spend(&mut self, quota: usize, window_ms: Millis, now_ms: Millis) -> bool {
+    fn leaves(&mut self, quota: usize, window_ms: Millis, now_ms: Millis) -> bool {
         let window_ms = window_ms + TRAVEL_MS;
         let start_ms = now_ms.saturating_sub(window_ms);
         while self
@@ -121,15 +139,9 @@
             return false;
         }
         let gap_ms = (window_ms as f64 / quota as f64 * PAUSE_PART) as Millis;
-        if self
-            .begun
+        self.begun
             .back()
-            .is_some_and(|last_ms| now_ms < last_ms + gap_ms)
-        {
-            return false;
-        }
-        self.begun.push_back(now_ms);
-        true
+            .is_none_or(|last_ms| now_ms >= last_ms + gap_ms)
     }
 
     /// The least quota since a window ago.
--- a/crates/tinbay-core/tests/serving_contents_test.rs
+++ b/crates/tinbay-core/tests/serving_contents_test.rs
@@ -2,7 +2,9 @@
 
 use quickcheck::QuickCheck;
 use tinbay_core::serving::configuration::{EngineSpec, ModelSpec};
-use tinbay_core::serving::contents::{Action, Contents, HeldState, OrderAnswer, Want, adapter_key};
+use tinbay_core::serving::contents::{
+    Action, Contents, FetchAllowance, HeldState, OrderAnswer, Want, adapter_key,
+};
 use tinbay_core::serving::servers::{HeldAdapter, Report};
 
 fn spec(adapter_slots: usize) -> EngineSpec {
@@ -48,8 +50,37 @@
     }
 }
 
+/// An allowance that is there or not, and what was asked of it.
+struct FakeAllowance {
+    may_fetch: bool,
+    weights: Vec<f64>,
+    taken: usize,
+}
+
+impl FakeAllowance {
+    fn new(may_fetch: bool) -> Self {
+        Self {
+            may_fetch,
+            weights: Vec::new(),
+            taken: 0,
+        }
+    }
+}
+
+impl FetchAllowance for FakeAllowance {
+    fn offers(&mut self, weight: f64) -> bool {
+        self.weights.push(weight);
+        self.may_fetch
+    }
+
+    fn take(&mut self) {
+        self.taken += 1;
+    }
+}
+
 fn next(contents: &mut Contents, wants: &[Want], may_fetch: bool, now_ms: u64) -> Option<Action> {
-    contents.next_action(wants, &|_| None, &mut |_| may_fetch, now_ms)
+    let mut allowance = FakeAllowance::new(may_fetch);
+    contents.next_action(wants, &|_| None, &mut allowance, now_ms)
 }
 
 fn load(adapter: &str, expected_count: u64) -> Action {
@@ -120,6 +151,38 @@
     );
 }
 
+#[test]
+fn next_action_bids_with_the_most_wanted() {
+    let mut contents = learnt(2, &[]);
+    let mut allowance = FakeAllowance::new(false);
+    let less = Want {
+        weight: 0.5,
+        ..want("m/b")
+    };
+    let wants = [want("m/a"), less];
+    let action = contents.next_action(&wants, &|_| None, &mut allowance, 0);
+    assert_eq!(action, None);
+    assert_eq!(allowance.weights, [want("m/a").urgency()]);
+}
+
+#[test]
+fn next_action_unloads_nothing_without_allowance() {
+    let mut contents = learnt(1, &[("m/a", 1)]);
+    assert_eq!(next(&mut contents, &[want("m/b")], false, 1_000), None);
+}
+
+#[test]
+fn next_action_takes_the_allowance_with_the_load() {
+    let mut contents = learnt(1, &[("m/a", 1)]);
+    let mut allowance = FakeAllowance::new(true);
+    let unload = contents.next_action(&[want("m/b")], &|_| None, &mut allowance, 1_000);
+    assert_eq!(allowance.taken, 0);
+    contents.note_answer(&unload.expect("an unload"), OrderAnswer::Done, 1_000);
+    let action = contents.next_action(&[want("m/b")], &|_| None, &mut allowance, 1_001);
+    assert_eq!(action, Some(load("m/b", 5)));
+    assert_eq!(allowance.taken, 1);
+}
+
 #[test]
 fn next_action_keeps_what_was_just_used() {
     let mut contents = learnt(1, &[("m/a", 1)]);
@@ -160,7 +223,7 @@
 fn next_action_replaces_old_version() {
     let mut contents = learnt(2, &[("m/a", 1)]);
     let named = |adapter: &str| (adapter == "m/a").then_some(2);
-    let action = contents.next_action(&[], &named, &mut |_| true, 0);
+    let action = contents.next_action(&[], &named, &mut FakeAllowance::new(true), 0);
     let expected = Action::Load {
         adapter: "m/a".into(),
         version: Some(2),
--- a/crates/tinbay-gateway/src/orders/holder.rs
+++ b/crates/tinbay-gateway/src/orders/holder.rs
@@ -1,6 +1,6 @@
 //! Orders one server what to hold, while this box holds the claim on it.
 
-use std::cell::RefCell;
+use std::cell::{RefCell, RefMut};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,9 +10,9 @@
 use log::Level;
 use serde::Serialize;
 use tinbay_core::serving::contents::{
-    Action, AdapterKey, Contents, Held, OrderAnswer, Want, adapter_key,
+    Action, AdapterKey, Contents, FetchAllowance, Held, OrderAnswer, Want, adapter_key,
 };
-use tinbay_core::serving::pacing;
+use tinbay_core::serving::pacing::{self, LoadPace};
 use tinbay_core::units::Millis;
 
 use super::memory;
@@ -73,6 +73,36 @@
     tokio::task::spawn_local(holder.run());
 }
 
+/// This box's part of what the weight store allows, for one of its servers.
+struct Allowance<'a> {
+    holder: &'a Holder,
+    loads_per_s: f64,
+    now_ms: Millis,
+}
+
+impl Allowance<'_> {
+    fn pace(&self) -> RefMut<'_, LoadPace> {
+        let service = self.holder.server.record().service.clone();
+        let paces = self.holder.node.paces.borrow_mut();
+        RefMut::map(paces, |paces| paces.entry(service).or_default())
+    }
+}
+
+impl FetchAllowance for Allowance<'_> {
+    fn offers(&mut self, weight: f64) -> bool {
+        let quota = self.holder.load_quota(self.loads_per_s);
+        let window_ms = self.holder.node.settings.borrow().bounds.loads.window_ms;
+        let server = self.holder.server.key;
+        self.pace()
+            .offers(server, weight, quota, window_ms, self.now_ms)
+    }
+
+    fn take(&mut self) {
+        let server = self.holder.server.key;
+        self.pace().take_offered(server, self.now_ms);
+    }
+}
+
 struct Holder {
     node: Rc<Node>,
     server: Rc<Server>,
@@ -115,17 +145,16 @@
     fn next_action(&self, wants: &[Want], now_ms: Millis) -> Option<Action> {
         let loads_per_s = self.node.loads_per_s(&self.server.record().service)?;
         let named = |adapter: &str| self.node.named_version(adapter);
-        // Worked out for the first of the wants that needs it; there may be many.
-        let mut quota = None;
-        let mut take_fetch = |weight| {
-            let quota = *quota.get_or_insert_with(|| self.load_quota(loads_per_s));
-            self.take_fetch(weight, quota, now_ms)
+        let mut allowance = Allowance {
+            holder: self,
+            loads_per_s,
+            now_ms,
         };
         let mut book = self.book.borrow_mut();
         for (key, uses) in self.node.demand.borrow_mut().take_uses(self.server.key) {
             book.note_uses(key, uses, now_ms);
         }
-        book.next_action(wants, &named, &mut take_fetch, now_ms)
+        book.next_action(wants, &named, &mut allowance, now_ms)
     }
 
     /// Loads this box may begin within a window: by the engines it holds among those whose
@@ -150,14 +179,6 @@
         quotas.get(&settings.box_id).copied().unwrap_or_default()
     }
 
-    fn take_fetch(&self, weight: f64, quota: usize, now_ms: Millis) -> bool {
-        let service = self.server.record().service.clone();
-        let window_ms = self.node.settings.borrow().bounds.loads.window_ms;
-        let mut paces = self.node.paces.borrow_mut();
-        let pace = paces.entry(service).or_default();
-        pace.take(self.server.key, weight, quota, window_ms, now_ms)
-    }
-
     async fn pause(&self) {
         let now_ms = self.node.now_ms();
         if self.book.borrow().is_learnt() {
