--- a/crates/tinbay-core/src/serving/contents.rs
+++ b/crates/tinbay-core/src/serving/contents.rs
@@ -96,43 +96,55 @@
     pub version: Option<u64>,
 }
 
-/// Requests that wait for an adapter, or for a model where no adapter is named.
+/// Weight of a request that waits, against one remembered: what an adapter was asked for
+/// tells what it will be asked for.
+const WAITING_WEIGHT: f64 = 0.5;
+
+/// Weight of a request that a copy would take over: it runs late, others do not run at all.
+const COPY_WEIGHT: f64 = 0.3;
+
+/// An adapter that requests need, or a model where no adapter is named.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Want {
     /// The adapter as `model/name`.
     pub adapter: AdapterName,
     /// The version that was named, if one was.
     pub version: Option<u64>,
-    /// How much it is wanted.
-    pub weight: f64,
-    /// The part of the weight that is for requests that had to wait before.
+    /// Requests that had to wait for it, fading with time.
     pub asked: f64,
-    /// Whether a request waits now; else it is only expected.
-    pub is_awaited: bool,
+    /// Requests that wait now.
+    pub waiting: f64,
+    /// Whether it is for one more server of an adapter whose servers are crowded.
+    pub is_copy: bool,
 }
 
-/// Weight that puts an adapter somebody waits for before those that are only expected.
-const AWAITED_WEIGHT: f64 = 1_000.0;
-
 impl Want {
-    /// The want of one request that waits.
-    pub fn of_one(adapter: &str, version: Option<u64>) -> Self {
+    /// The want of a copy that would take over so many `requests`; none waits for it.
+    pub fn of_copy(adapter: &str, version: Option<u64>, requests: f64) -> Self {
         Self {
             adapter: adapter.to_string(),
             version,
-            weight: 1.0,
-            asked: 0.0,
-            is_awaited: true,
+            asked: COPY_WEIGHT * requests,
+            waiting: 1.0,
+            is_copy: true,
         }
     }
 
     /// How soon it should be loaded, against others.
-    pub fn urgency(&self) -> f64 {
-        if self.is_awaited {
-            self.weight + AWAITED_WEIGHT
-        } else {
-            self.weight
-        }
+    pub fn weight(&self) -> f64 {
+        self.asked + WAITING_WEIGHT * self.waiting
+    }
+
+    /// Adds what others want of the same adapter.
+    pub fn add(&mut self, other: &Self) {
+        self.version = self.version.max(other.version);
+        self.asked += other.asked;
+        self.waiting += other.waiting;
+    }
+
+    /// Whether a request waits now; else it is only expected.
+    pub fn is_awaited(&self) -> bool {
+        self.waiting > 0.0
     }
 }
 
@@ -221,6 +233,16 @@
         self.order_count.is_some()
     }
 
+    /// Whether an adapter takes a place, on its way or there.
+    pub fn holds(&self, key: AdapterKey) -> bool {
+        self.held.contains_key(&key)
+    }
+
+    /// Adapters that take a place against the places.
+    pub fn fullness(&self) -> f64 {
+        self.held.len() as f64 / self.spec.adapter_slots.max(1) as f64
+    }
+
     /// Forgets what was believed, as after a gap in holding the claim.
     pub fn unlearn(&mut self, now_ms: Millis) {
         self.order_count = None;
@@ -296,6 +318,16 @@
         })
     }
 
+    /// Weights of the wants that need a fetch, the most wanted first; `wants` come so.
+    pub fn fetch_weights(&self, wants: &[Want], most: usize) -> Vec<f64> {
+        let needs_fetch = |want: &&Want| {
+            let key = adapter_key(&want.adapter);
+            !self.holds(key) && !self.loads_fast(key, want.version)
+        };
+        let weights = wants.iter().filter(needs_fetch).map(Want::weight);
+        weights.take(most).collect()
+    }
+
     /// When [`Contents::next_action`] may give something without a new want.
     pub fn next_look_ms(&self) -> Option<Millis> {
         if self.order_count.is_none() {
@@ -426,11 +458,11 @@
             return None;
         }
         let loads_fast = self.loads_fast(key, want.version);
-        if loads_fast && !want.is_awaited {
+        if loads_fast && !want.is_awaited() {
             return None;
         }
         if !loads_fast {
-            *may_fetch = *may_fetch && allowance.offers(want.urgency());
+            *may_fetch = *may_fetch && allowance.offers(want.weight());
             if !*may_fetch {
                 return None;
             }
--- a/crates/tinbay-core/src/serving/pacing.rs
+++ b/crates/tinbay-core/src/serving/pacing.rs
@@ -12,8 +12,19 @@
 /// Loads by which the bound exceeds its rate in any window.
 const BOUND_EXTRA: f64 = 3.0;
 
-/// Time by which loads may reach a server later than another that began after them.
-const TRAVEL_MS: Millis = 100;
+/// Time by which loads may reach a server later than another that began after them, the life
+/// of a grant included.
+const TRAVEL_MS: Millis = 250;
+
+/// How long a load counts that another holder gave away; it was counted there when it was
+/// given.
+const GRANT_LIFE_MS: Millis = 150;
+
+/// Factor by which another holder must want its next load more to be given one.
+const GIVE_FACTOR: f64 = 1.25;
+
+/// Weight by which it must besides, so that nobody gives away what it will want at once.
+const GIVE_MARGIN: f64 = 0.5;
 
 /// Part of the mean pause that must lie between loads: many at once would slow each other
 /// down, and the first of a rush are not the most wanted.
@@ -70,6 +81,7 @@
     begun: VecDeque<Millis>,
     quotas: VecDeque<(Millis, usize)>,
     bids: HashMap<u64, Bid>,
+    grants: VecDeque<Millis>,
 }
 
 /// What one of the holder's servers would load next.
@@ -96,6 +108,15 @@
         is_offered
     }
 
+    /// Notes what a server would load next.
+    pub fn bid(&mut self, server: u64, weight: f64, now_ms: Millis) {
+        let bid = Bid {
+            weight,
+            made_ms: now_ms,
+        };
+        self.bids.insert(server, bid);
+    }
+
     /// Whether a server may load now: the quota leaves a load, and no other server of the
     /// holder wants its own more.
     pub fn offers(
@@ -106,24 +127,53 @@
         window_ms: Millis,
         now_ms: Millis,
     ) -> bool {
-        let bid = Bid {
-            weight,
-            made_ms: now_ms,
-        };
-        self.bids.insert(server, bid);
+        self.bid(server, weight, now_ms);
         let is_outbid = self
             .bids
             .values()
             .any(|other| other.weight > weight && now_ms < other.made_ms + BID_LIFE_MS);
-        !is_outbid && self.leaves(quota, window_ms, now_ms)
+        !is_outbid && (self.has_grant(now_ms) || self.leaves(quota, window_ms, now_ms))
     }
 
     /// Takes the load that was offered to a server.
     pub fn take_offered(&mut self, server: u64, now_ms: Millis) {
-        self.begun.push_back(now_ms);
+        if self.has_grant(now_ms) {
+            self.grants.pop_front();
+        } else {
+            self.begun.push_back(now_ms);
+        }
         self.bids.remove(&server);
     }
 
+    /// Takes a load that another holder gave away.
+    pub fn note_grant(&mut self, now_ms: Millis) {
+        self.grants.push_back(now_ms + GRANT_LIFE_MS);
+    }
+
+    /// Gives a load away if the quota leaves one and `weight`, what another holder would load
+    /// next, is well above all that this one wants.
+    pub fn give(&mut self, weight: f64, quota: usize, window_ms: Millis, now_ms: Millis) -> bool {
+        let own_weight = self
+            .bids
+            .values()
+            .filter(|bid| now_ms < bid.made_ms + BID_LIFE_MS)
+            .map(|bid| bid.weight)
+            .fold(0.0, f64::max);
+        let is_wanted_more = weight > own_weight * GIVE_FACTOR + GIVE_MARGIN;
+        if !is_wanted_more || !self.leaves(quota, window_ms, now_ms) {
+            return false;
+        }
+        self.begun.push_back(now_ms);
+        true
+    }
+
+    fn has_grant(&mut self, now_ms: Millis) -> bool {
+        while self.grants.front().is_some_and(|end_ms| *end_ms <= now_ms) {
+            self.grants.pop_front();
+        }
+        !self.grants.is_empty()
+    }
+
     fn leaves(&mut self, quota: usize, window_ms: Millis, now_ms: Millis) -> bool {
         let window_ms = window_ms + TRAVEL_MS;
         let start_ms = now_ms.saturating_sub(window_ms);
--- a/crates/tinbay-core/src/serving/servers.rs
+++ b/crates/tinbay-core/src/serving/servers.rs
@@ -4,6 +4,9 @@
 
 use crate::units::Millis;
 
+/// Short name of an incarnation of a server, in memory and in messages.
+pub type ServerKey = u64;
+
 /// An adapter as `model/name`.
 pub type AdapterName = String;
 
--- a/crates/tinbay-gateway/src/front/adapters.rs
+++ b/crates/tinbay-gateway/src/front/adapters.rs
@@ -5,7 +5,7 @@
 
 use log::Level;
 use serde::Serialize;
-use tinbay_core::serving::contents::Want;
+use tinbay_core::serving::contents::{AdapterKey, adapter_key};
 use tinbay_core::units::Millis;
 
 use super::choice::{self, Choice};
@@ -13,7 +13,7 @@
 use super::refusal::{NotRunReason, Refusal};
 use crate::events::{self, part};
 use crate::node::Node;
-use crate::servers::Server;
+use crate::servers::{Server, ServerKey};
 
 /// Part of its time that a request waits for an adapter before its caller is told to come
 /// back; the rest is left for another try.
@@ -31,29 +31,32 @@
 /// A want that ends when the request stops waiting.
 struct Waiting {
     node: Rc<Node>,
-    server: Rc<Server>,
-    want: Want,
+    home: ServerKey,
+    adapter: AdapterKey,
 }
 
 impl Waiting {
-    fn begin(node: &Rc<Node>, server: &Rc<Server>, want: Want) -> Self {
-        let is_first = node.demand.borrow_mut().begin(server.key, &want);
-        if is_first {
-            choice::notify_holder(node, server);
+    fn begin(node: &Rc<Node>, question: &Question, home: &Server, is_first: bool) -> Self {
+        let adapter = question.model.as_deref().unwrap_or_default();
+        let version = question.named_version(node);
+        let now_ms = node.now_ms();
+        let mut asking = node.asking.borrow_mut();
+        let is_news = asking.begin(home.key, adapter, version, is_first, now_ms);
+        drop(asking);
+        if is_news {
+            choice::notify_holder(node, home);
         }
         Self {
             node: Rc::clone(node),
-            server: Rc::clone(server),
-            want,
+            home: home.key,
+            adapter: adapter_key(adapter),
         }
     }
 }
 
 impl Drop for Waiting {
     fn drop(&mut self) {
-        let now_ms = self.node.now_ms();
-        let mut demand = self.node.demand.borrow_mut();
-        demand.end(self.server.key, &self.want, now_ms);
+        self.node.asking.borrow_mut().end(self.adapter);
     }
 }
 
@@ -90,17 +93,17 @@
                 retry_after_ms: RETRY_ELSEWHERE_MS,
             });
         }
-        if waiting.is_none() {
-            note_asked(node, question);
-        }
         if waiting
             .as_ref()
-            .is_none_or(|waiting| waiting.server.key != home.key)
+            .is_none_or(|waiting| waiting.home != home.key)
         {
             log_wait(node, question, &home);
-            waiting = Some(Waiting::begin(node, &home, want(node, question)));
+            let is_first = waiting.is_none();
+            drop(waiting);
+            waiting = Some(Waiting::begin(node, question, &home, is_first));
         }
-        let _ = tokio::time::timeout(LOOK_PAUSE, home.changed.notified()).await;
+        let told = node.waiters.join(question.model_key.unwrap_or_default());
+        let _ = tokio::time::timeout(LOOK_PAUSE, told.notified()).await;
     }
 }
 
@@ -129,22 +132,9 @@
     events::emit(part::FRONT, Level::Info, "wait", &event);
 }
 
-fn want(node: &Node, question: &Question) -> Want {
-    let adapter = question.model.as_deref().unwrap_or_default();
-    Want::of_one(adapter, question.named_version(node))
-}
-
 fn note_use(node: &Node, question: &Question, server: &Server) {
     if let Some(key) = question.model_key {
-        let mut demand = node.demand.borrow_mut();
-        demand.note_use(server.key, key);
-        demand.forget_asked(key);
-    }
-}
-
-fn note_asked(node: &Node, question: &Question) {
-    if let Some(key) = question.model_key {
-        let now_ms = node.now_ms();
-        node.demand.borrow_mut().note_asked(key, now_ms);
+        node.uses.borrow_mut().note(server.key, key);
+        node.asking.borrow_mut().forget(key);
     }
 }
--- a/crates/tinbay-gateway/src/front/choice.rs
+++ b/crates/tinbay-gateway/src/front/choice.rs
@@ -23,14 +23,7 @@
 
 /// Requests of an adapter, over all boxes, that its servers should have each before one more
 /// gets it: a copy costs a load, and only the copy of an adapter that makes the crowd helps.
-const FLIGHTS_A_COPY: usize = 12;
-
-/// Factor over the mean of all servers at which one is no home for more adapters. Source:
-/// Mirrokni, Thorup and Zadimoghaddam, "Consistent hashing with bounded loads", SODA 2018.
-const BOUND_OVER_MEAN: f64 = 1.5;
-
-/// Requests at a server that are too few to speak of a bound.
-const LEAST_BOUND: f64 = 6.0;
+const REQUESTS_A_COPY: f64 = 12.0;
 
 /// Usual time to the head there, as a part of the objective, that tells the same: long
 /// before its places are taken an engine may have no time left to read prompts.
@@ -82,22 +75,21 @@
         .cloned()
         .partition(|server| serves(node, server, key, version));
     if let Some(server) = least_loaded(node, &holding) {
-        if is_crowded(node, &server) && fills_its_servers(node, key, &holding) {
-            ask_for_spread(node, adapter, version, &others);
+        // Other boxes have as many, as callers choose boxes at random.
+        let requests = requests_a_server(key, &holding);
+        let is_enough = requests * node.box_count() as f64 >= REQUESTS_A_COPY;
+        if is_crowded(node, &server) && is_enough {
+            ask_for_copy(node, adapter, requests, &others);
         }
         return Choice::Send(server);
     }
     home(node, adapter, &others).map_or(Choice::Nowhere, Choice::Wait)
 }
 
-/// Whether an adapter has enough requests for one more server; those of other boxes are
-/// taken to be as many as this one's, as callers choose boxes at random.
-fn fills_its_servers(node: &Node, key: AdapterKey, holding: &[Rc<Server>]) -> bool {
-    let own: usize = holding
-        .iter()
-        .map(|server| server.adapter_flights(key))
-        .sum();
-    own * node.box_count() >= FLIGHTS_A_COPY * holding.len()
+/// Requests of an adapter from this box at each of its servers.
+fn requests_a_server(key: AdapterKey, holding: &[Rc<Server>]) -> f64 {
+    let flights = holding.iter().map(|server| server.adapter_flights(key));
+    flights.sum::<usize>() as f64 / holding.len().max(1) as f64
 }
 
 fn serves(node: &Node, server: &Server, key: AdapterKey, version: Option<u64>) -> bool {
@@ -107,37 +99,19 @@
     }
 }
 
-/// The first server in the adapter's own order that can load it and has room for its work.
+/// The first server in the adapter's own order whose holder can order, which all boxes work
+/// out alike; its holder chooses among the servers it holds.
 fn home(node: &Node, adapter: &str, servers: &[Rc<Server>]) -> Option<Rc<Server>> {
-    let mut ranked: Vec<(u64, &Rc<Server>)> = servers
+    let score = |server: &&Rc<Server>| rendezvous::score(adapter, &server.address_text);
+    let live = servers
         .iter()
-        .map(|server| (rendezvous::score(adapter, &server.address_text), server))
-        .collect();
-    ranked.sort_by_key(|(score, _)| std::cmp::Reverse(*score));
-    let key = adapter_key(adapter);
-    let now_ms = node.now_ms();
-    let coming = ranked
-        .iter()
-        .find(|(_, server)| server.adapter(key, now_ms).is_some() && node.has_live_holder(server));
-    let bound = flight_bound(servers);
-    let has_room = |server: &Server| server.usual_flights() <= bound;
-    let free = || {
-        ranked
-            .iter()
-            .find(|(_, server)| node.has_live_holder(server) && has_room(server))
-    };
-    let (_, server) = coming.or_else(free).or_else(|| ranked.first())?;
-    Some(Rc::clone(server))
-}
-
-fn flight_bound(servers: &[Rc<Server>]) -> f64 {
-    let flights: f64 = servers.iter().map(|server| server.usual_flights()).sum();
-    let mean = flights / servers.len().max(1) as f64;
-    (mean * BOUND_OVER_MEAN).max(LEAST_BOUND)
+        .filter(|server| node.has_live_holder(server))
+        .max_by_key(score);
+    live.or_else(|| servers.iter().max_by_key(score)).cloned()
 }
 
 /// Has one more server load an adapter whose servers are busy; nobody waits for it.
-fn ask_for_spread(node: &Node, adapter: &str, version: Option<u64>, others: &[Rc<Server>]) {
+fn ask_for_copy(node: &Node, adapter: &str, requests: f64, others: &[Rc<Server>]) {
     let key = adapter_key(adapter);
     let now_ms = node.now_ms();
     let is_coming = |server: &Rc<Server>| server.adapter(key, now_ms).is_some();
@@ -147,10 +121,10 @@
     let Some(server) = home(node, adapter, others) else {
         return;
     };
-    let want = Want::of_one(adapter, version);
-    node.demand
+    let want = Want::of_copy(adapter, node.named_version(adapter), requests);
+    node.asking
         .borrow_mut()
-        .ask_for_spread(server.key, &want, now_ms);
+        .ask_for_copy(server.key, want, now_ms);
     notify_holder(node, &server);
 }
 
--- a/crates/tinbay-gateway/src/housekeeping.rs
+++ b/crates/tinbay-gateway/src/housekeeping.rs
@@ -23,6 +23,16 @@
         }
         let oldest_ms = node.now_ms().saturating_sub(MEMBER_MEMORY_MS);
         node.members.borrow_mut().tidy(oldest_ms);
+        let books = node.books.borrow();
+        let is_held = |server| books.contains_key(&server);
+        let mut ledger = node.ledger.borrow_mut();
+        ledger.keep_servers(&is_held);
+        let is_kept = |placed, server| is_held(server) && ledger.asks_for(placed);
+        node.placing.borrow_mut().keep(&is_kept);
+        node.bids.borrow_mut().keep_servers(&is_held);
+        node.waiters.tidy();
+        drop(ledger);
+        drop(books);
         show_beliefs(&node);
     }
 }
--- a/crates/tinbay-gateway/src/lib.rs
+++ b/crates/tinbay-gateway/src/lib.rs
@@ -5,7 +5,6 @@
 //! [`port`]; what is decided stands in `tinbay_core::serving`.
 
 pub mod clock;
-pub mod demand;
 pub mod directory;
 pub mod error;
 pub mod events;
@@ -22,4 +21,6 @@
 pub mod run;
 pub mod servers;
 pub mod settings;
+pub mod uses;
+pub mod waiters;
 pub mod watch;
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -4,24 +4,30 @@
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 
+use tinbay_core::serving::asking::Asking;
 use tinbay_core::serving::budget::SendBudget;
 use tinbay_core::serving::claims::{ClaimTable, ClaimTerms, Proof};
 use tinbay_core::serving::configuration::{Configuration, EngineSpec, Limits};
 use tinbay_core::serving::contents::Contents;
+use tinbay_core::serving::ledger::Ledger;
 use tinbay_core::serving::pacing::LoadPace;
+use tinbay_core::serving::placing::Placing;
 use tinbay_core::serving::routes::RouteTable;
 use tinbay_core::units::Millis;
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
-use crate::demand::Demand;
 use crate::latch::Latch;
 use crate::members::{MemberRecord, Members};
 use crate::metrics::Metrics;
+use crate::orders::sharing::Bids;
+use crate::peers::frame::Fingerprint;
 use crate::port::dialect::Dialect;
 use crate::port::store::Store;
 use crate::servers::{Server, ServerKey, ServerTable};
 use crate::settings::Settings;
+use crate::uses::Uses;
+use crate::waiters::Waiters;
 
 /// How long a proof lasts: longer than usual outages of the store.
 const PROOF_LIFE_MS: Millis = 10_000;
@@ -66,8 +72,20 @@
     pub books: RefCell<HashMap<ServerKey, Rc<RefCell<Contents>>>>,
     /// This box's share of the weight store's rate, by service.
     pub paces: RefCell<HashMap<String, LoadPace>>,
-    /// Which adapters are wanted and used where.
-    pub demand: RefCell<Demand>,
+    /// What holders would load next.
+    pub bids: RefCell<Bids>,
+    /// Loads given away that are to be sent: to which box, for which service.
+    pub given_loads: RefCell<Vec<(String, Fingerprint)>>,
+    /// Which adapters callers of this box wait or waited for.
+    pub asking: RefCell<Asking>,
+    /// What all boxes ask of the servers held here.
+    pub ledger: RefCell<Ledger>,
+    /// Where adapters go that are asked of the servers held here.
+    pub placing: RefCell<Placing>,
+    /// Requests that wait for an adapter.
+    pub waiters: Waiters,
+    /// Uses of adapters that their holders do not know yet.
+    pub uses: RefCell<Uses>,
     /// Told when a message to other boxes is due.
     pub frames_due: Notify,
     /// Told when other boxes must know at once what this one says about itself.
@@ -112,7 +130,13 @@
             proof: Cell::default(),
             books: RefCell::default(),
             paces: RefCell::default(),
-            demand: RefCell::default(),
+            bids: RefCell::default(),
+            given_loads: RefCell::default(),
+            asking: RefCell::default(),
+            ledger: RefCell::default(),
+            placing: RefCell::default(),
+            waiters: Waiters::default(),
+            uses: RefCell::default(),
             frames_due: Notify::new(),
             hello_due: Notify::new(),
             changed_books: RefCell::default(),
@@ -221,23 +245,69 @@
         Some(engine.loads_per_s)
     }
 
-    /// Wakes what waits for a change of a server's contents.
-    pub fn wake_waiters(&self, server: &Server) {
-        server.changed.notify_waiters();
-    }
-
     /// Has a message sent to a box at once.
     pub fn tell_box(&self, box_id: &str) {
         self.frames_to.borrow_mut().insert(box_id.to_string());
         self.frames_due.notify_one();
     }
 
+    /// Has a load sent to a box that wants it more.
+    pub fn give_load(&self, box_id: &str, service: Fingerprint) {
+        let given = (box_id.to_string(), service);
+        self.given_loads.borrow_mut().push(given);
+        self.frames_due.notify_one();
+    }
+
+    /// Services of which this box holds servers.
+    pub fn held_services(&self) -> HashSet<String> {
+        let servers = self.servers.borrow();
+        let books = self.books.borrow();
+        books
+            .keys()
+            .filter_map(|key| servers.by_key(*key))
+            .map(|server| server.record().service.clone())
+            .collect()
+    }
+
+    /// Servers of a service that are held here and take work.
+    pub fn held_of_service(&self, service: &str) -> Vec<Rc<Server>> {
+        let servers = self.servers.borrow();
+        let books = self.books.borrow();
+        let mut held = servers.ready(service);
+        held.retain(|server| books.contains_key(&server.key));
+        held
+    }
+
     /// Has all boxes told what a server held here holds.
     pub fn tell_contents(&self, server: ServerKey) {
         self.changed_books.borrow_mut().insert(server);
         self.frames_due.notify_one();
     }
 
+    /// Servers whose claims a box holds.
+    pub fn servers_held_by(&self, box_id: &str) -> HashSet<ServerKey> {
+        let claims = self.claims.borrow();
+        let servers = self.servers.borrow();
+        servers
+            .all()
+            .filter(|server| claims.token_of(&server.address_text, box_id).is_some())
+            .map(|server| server.key)
+            .collect()
+    }
+
+    /// Enters into the ledger what this box itself asks of the servers it holds.
+    pub fn note_own_wants(&self) {
+        let now_ms = self.now_ms();
+        let books = self.books.borrow();
+        let is_own = |server: ServerKey| books.contains_key(&server);
+        let told = self.asking.borrow_mut().tell(&is_own, now_ms);
+        let own_id = self.settings.borrow().box_id.clone();
+        let mut ledger = self.ledger.borrow_mut();
+        for (server, want) in &told {
+            ledger.note(&own_id, *server, want, now_ms);
+        }
+    }
+
     /// The box that holds the claim on a server.
     pub fn holder_of(&self, server: &Server) -> Option<String> {
         let claims = self.claims.borrow();
--- a/crates/tinbay-gateway/src/orders/holder.rs
+++ b/crates/tinbay-gateway/src/orders/holder.rs
@@ -1,7 +1,7 @@
 //! Orders one server what to hold, while this box holds the claim on it.
 
 use std::cell::{RefCell, RefMut};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,16 +12,19 @@
 use tinbay_core::serving::contents::{
     Action, AdapterKey, Contents, FetchAllowance, Held, OrderAnswer, Want, adapter_key,
 };
-use tinbay_core::serving::pacing::{self, LoadPace};
+use tinbay_core::serving::pacing::LoadPace;
+use tinbay_core::serving::placing::Candidate;
 use tinbay_core::units::Millis;
 
-use super::memory;
+use super::memory::{self, ServerMemory};
+use super::quota;
+use super::sharing::{self, MOST_BIDS};
 use crate::events::{self, part};
 use crate::http::call::{Call, CallError, Caller};
 use crate::node::Node;
 use crate::peers::frame::Fingerprint;
 use crate::port::dialect::{Order, OrderAction};
-use crate::servers::{Server, ViewEntry};
+use crate::servers::{Server, ServerKey, ViewEntry};
 
 /// Longest wait for the answer to an order or a report.
 const ANSWER_TIMEOUT_MS: Millis = 500;
@@ -43,6 +46,10 @@
     outcome: &'a str,
     took_ms: Millis,
     wanted: usize,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    asked: Option<f64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    waiting: Option<f64>,
 }
 
 #[derive(Serialize)]
@@ -76,7 +83,6 @@
 /// This box's part of what the weight store allows, for one of its servers.
 struct Allowance<'a> {
     holder: &'a Holder,
-    loads_per_s: f64,
     now_ms: Millis,
 }
 
@@ -90,9 +96,12 @@
 
 impl FetchAllowance for Allowance<'_> {
     fn offers(&mut self, weight: f64) -> bool {
-        let quota = self.holder.load_quota(self.loads_per_s);
+        let service = self.holder.server.record().service.clone();
+        let quota = quota::of_service(&self.holder.node, &service).unwrap_or_default();
         let window_ms = self.holder.node.settings.borrow().bounds.loads.window_ms;
         let server = self.holder.server.key;
+        self.pace().bid(server, weight, self.now_ms);
+        sharing::give(&self.holder.node, &service);
         self.pace()
             .offers(server, weight, quota, window_ms, self.now_ms)
     }
@@ -113,7 +122,7 @@
 impl Holder {
     async fn run(self) {
         let memory = memory::read(&self.node, &self.server.record().id).await;
-        self.book.borrow_mut().note_memory(&memory);
+        self.take_over(&memory);
         while self.is_known() {
             let Some(token) = self.node.order_token(&self.server) else {
                 if !self.is_own() {
@@ -123,16 +132,23 @@
                 continue;
             };
             let now_ms = self.node.now_ms();
-            let wants = self.node.demand.borrow_mut().wants(self.server.key, now_ms);
+            let wants = self.wants(now_ms);
             match self.next_action(&wants, now_ms) {
                 Some(Action::Learn) => self.learn().await,
-                Some(action) => self.order(&action, token, wants.len()).await,
+                Some(action) => self.order(&action, token, &wants).await,
                 None => self.pause().await,
             }
         }
         self.node.books.borrow_mut().remove(&self.server.key);
     }
 
+    fn take_over(&self, memory: &ServerMemory) {
+        let now_ms = self.node.now_ms();
+        self.book.borrow_mut().note_memory(&memory.had);
+        let mut ledger = self.node.ledger.borrow_mut();
+        ledger.remember(self.server.key, &memory.asked, now_ms);
+    }
+
     fn is_known(&self) -> bool {
         self.node.servers.borrow().by_key(self.server.key).is_some()
     }
@@ -142,43 +158,63 @@
         self.node.holder_of(&self.server).as_deref() == Some(own_id.as_str())
     }
 
+    /// What goes to this server of all that is asked of the servers held here.
+    fn wants(&self, now_ms: Millis) -> Vec<Want> {
+        self.node.note_own_wants();
+        let held = self.node.held_of_service(&self.server.record().service);
+        let keys: Vec<ServerKey> = held.iter().map(|server| server.key).collect();
+        let mut wants = self.node.ledger.borrow_mut().wants(&keys, now_ms);
+        wants.retain(|want| self.place(want, &held) == Some(self.server.key));
+        wants
+    }
+
+    fn place(&self, want: &Want, held: &[Rc<Server>]) -> Option<ServerKey> {
+        let placed = (adapter_key(&want.adapter), want.is_copy);
+        let mut placing = self.node.placing.borrow_mut();
+        let chosen = placing.chosen(placed);
+        if chosen.is_some_and(|chosen| held.iter().any(|server| server.key == chosen)) {
+            return chosen;
+        }
+        let candidates: Vec<Candidate> = held
+            .iter()
+            .filter_map(|server| self.candidate(server, want))
+            .collect();
+        placing.place(placed, &candidates)
+    }
+
+    fn candidate(&self, server: &Server, want: &Want) -> Option<Candidate> {
+        let books = self.node.books.borrow();
+        let book = books.get(&server.key)?.borrow();
+        if !book.is_learnt() {
+            return None;
+        }
+        let key = adapter_key(&want.adapter);
+        Some(Candidate {
+            server: server.key,
+            holds: book.holds(key),
+            had: book.loads_fast(key, want.version),
+            load: book.fullness() + server.usual_fullness(),
+        })
+    }
+
     fn next_action(&self, wants: &[Want], now_ms: Millis) -> Option<Action> {
-        let loads_per_s = self.node.loads_per_s(&self.server.record().service)?;
         let named = |adapter: &str| self.node.named_version(adapter);
         let mut allowance = Allowance {
             holder: self,
-            loads_per_s,
             now_ms,
         };
         let mut book = self.book.borrow_mut();
-        for (key, uses) in self.node.demand.borrow_mut().take_uses(self.server.key) {
+        for (key, uses) in self.node.uses.borrow_mut().take(self.server.key) {
             book.note_uses(key, uses, now_ms);
         }
+        let weights = book.fetch_weights(wants, MOST_BIDS);
+        self.node
+            .bids
+            .borrow_mut()
+            .note_own(self.server.key, weights);
         book.next_action(wants, &named, &mut allowance, now_ms)
     }
 
-    /// Loads this box may begin within a window: by the engines it holds among those whose
-    /// holders can order.
-    fn load_quota(&self, loads_per_s: f64) -> usize {
-        let service = self.server.record().service.clone();
-        let servers = self.node.servers.borrow();
-        let mut engines: BTreeMap<String, usize> = BTreeMap::new();
-        for server in servers
-            .all()
-            .filter(|server| server.record().service == service)
-        {
-            if self.node.has_live_holder(server)
-                && let Some(holder) = self.node.holder_of(server)
-            {
-                *engines.entry(holder).or_default() += 1;
-            }
-        }
-        let settings = self.node.settings.borrow();
-        let allowed = settings.bounds.loads.allowed(loads_per_s);
-        let quotas = pacing::deal(allowed, &engines);
-        quotas.get(&settings.box_id).copied().unwrap_or_default()
-    }
-
     async fn pause(&self) {
         let now_ms = self.node.now_ms();
         if self.book.borrow().is_learnt() {
@@ -222,7 +258,7 @@
         self.publish();
     }
 
-    async fn order(&self, action: &Action, token: u64, wanted: usize) {
+    async fn order(&self, action: &Action, token: u64, wants: &[Want]) {
         let Some(order) = self.order_of(action, token) else {
             return;
         };
@@ -243,10 +279,14 @@
         let now_ms = self.node.now_ms();
         self.book.borrow_mut().note_answer(action, answer, now_ms);
         if answer == OrderAnswer::Done {
-            let mut demand = self.node.demand.borrow_mut();
-            demand.forget_peers_asked(adapter_key(&order.adapter));
+            let mut ledger = self.node.ledger.borrow_mut();
+            let key = adapter_key(&order.adapter);
+            ledger.forget(self.server.key, key);
+            let mut placing = self.node.placing.borrow_mut();
+            placing.forget((key, false));
+            placing.forget((key, true));
         }
-        self.log_order(&order, answer, now_ms - began_ms, wanted);
+        self.log_order(&order, answer, now_ms - began_ms, wants);
         self.publish();
     }
 
@@ -287,7 +327,8 @@
         }
     }
 
-    fn log_order(&self, order: &Order, answer: OrderAnswer, took_ms: Millis, wanted: usize) {
+    fn log_order(&self, order: &Order, answer: OrderAnswer, took_ms: Millis, wants: &[Want]) {
+        let want = wants.iter().find(|want| want.adapter == order.adapter);
         let (action, version) = match order.action {
             OrderAction::Load { version } => ("load", version),
             OrderAction::Unload => ("unload", None),
@@ -313,7 +354,9 @@
             token: order.token,
             outcome,
             took_ms,
-            wanted,
+            wanted: wants.len(),
+            asked: want.map(|want| want.asked),
+            waiting: want.map(|want| want.waiting),
         };
         events::emit(part::ORDERS, Level::Info, "order", &event);
     }
@@ -333,9 +376,9 @@
             };
             book.held().map(entry).collect()
         };
-        let is_changed = self.server.note_view(entries, now_ms);
-        if is_changed {
-            self.node.wake_waiters(&self.server);
+        let change = self.server.note_view(entries, now_ms);
+        self.node.waiters.wake(&change.ready);
+        if change.is_any {
             self.node.tell_contents(self.server.key);
         }
     }
--- a/crates/tinbay-gateway/src/orders/mod.rs
+++ b/crates/tinbay-gateway/src/orders/mod.rs
@@ -4,3 +4,5 @@
 pub mod holder;
 pub mod membership;
 pub mod memory;
+pub mod quota;
+pub mod sharing;
--- a/crates/tinbay-gateway/src/peers/exchange.rs
+++ b/crates/tinbay-gateway/src/peers/exchange.rs
@@ -1,6 +1,6 @@
 //! Sends and takes the messages between boxes.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -11,6 +11,7 @@
 
 use super::frame::{AdapterPart, Fingerprint, Frame, FramePart, MOST_BYTES, WantPart};
 use crate::node::Node;
+use crate::orders::sharing::service_fingerprint;
 use crate::servers::{ServerKey, ViewEntry};
 
 /// Pause between frames to a box where nothing has changed.
@@ -26,7 +27,7 @@
 const LIST_CHUNK: usize = 40;
 
 /// Wants in one frame; each names its adapter.
-const MOST_WANTS: usize = 24;
+const WANTS_CHUNK: usize = 24;
 
 /// Sends frames: to all boxes some times a second, at once where something changed.
 pub async fn send(node: Rc<Node>, socket: Rc<UdpSocket>) {
@@ -74,6 +75,7 @@
 impl Sender {
     /// Tells changed contents to all, and wants to the holders that are to know at once.
     async fn send_changes(&mut self) {
+        self.send_grants().await;
         let changed = std::mem::take(&mut *self.node.changed_books.borrow_mut());
         let hasty = std::mem::take(&mut *self.node.frames_to.borrow_mut());
         for (box_id, address) in others(&self.node) {
@@ -83,17 +85,31 @@
                 }
             }
             if hasty.contains(&box_id) {
-                let held = servers_held_by(&self.node, &box_id);
+                let held = self.node.servers_held_by(&box_id);
                 self.send_wants(&held, address).await;
             }
         }
     }
 
+    async fn send_grants(&mut self) {
+        let given = std::mem::take(&mut *self.node.given_loads.borrow_mut());
+        for (box_id, service) in given {
+            let address = peer_address(&self.node, &box_id);
+            if let Some(address) = address {
+                self.send(address, FramePart::Grant(service, 1)).await;
+            }
+        }
+    }
+
     async fn send_heartbeat(&mut self, is_slow: bool) {
         let flights = FramePart::Flights(flights(&self.node));
+        let bids = bids(&self.node);
         for (box_id, address) in others(&self.node) {
             self.send(address, flights.clone()).await;
-            let held = servers_held_by(&self.node, &box_id);
+            for part in &bids {
+                self.send(address, part.clone()).await;
+            }
+            let held = self.node.servers_held_by(&box_id);
             self.send_wants(&held, address).await;
             self.send_uses(&held, address).await;
             if is_slow {
@@ -123,14 +139,14 @@
         }
     }
 
-    async fn send_wants(&mut self, held: &[ServerKey], address: SocketAddr) {
+    async fn send_wants(&mut self, held: &HashSet<ServerKey>, address: SocketAddr) {
         let wants = wants(&self.node, held);
-        if !wants.is_empty() {
-            self.send(address, FramePart::Wants(wants)).await;
+        for chunk in wants.chunks(WANTS_CHUNK) {
+            self.send(address, FramePart::Wants(chunk.to_vec())).await;
         }
     }
 
-    async fn send_uses(&mut self, held: &[ServerKey], address: SocketAddr) {
+    async fn send_uses(&mut self, held: &HashSet<ServerKey>, address: SocketAddr) {
         let uses = uses(&self.node, held);
         for chunk in uses.chunks(LIST_CHUNK) {
             self.send(address, FramePart::Uses(chunk.to_vec())).await;
@@ -167,6 +183,23 @@
         .collect()
 }
 
+fn peer_address(node: &Node, box_id: &str) -> Option<SocketAddr> {
+    let members = node.members.borrow();
+    members.get(box_id).map(|member| member.record.peer)
+}
+
+fn bids(node: &Node) -> Vec<FramePart> {
+    let bids = node.bids.borrow();
+    let of_service = |service: String| {
+        let held = node.held_of_service(&service);
+        let keys: Vec<ServerKey> = held.iter().map(|server| server.key).collect();
+        let weights = bids.own(&keys).into_iter();
+        let weights = weights.map(|weight| weight as f32).collect();
+        FramePart::Bids(service_fingerprint(&service), weights)
+    };
+    node.held_services().into_iter().map(of_service).collect()
+}
+
 fn flights(node: &Node) -> Vec<(Fingerprint, u16)> {
     let servers = node.servers.borrow();
     servers
@@ -196,28 +229,11 @@
     Some(FramePart::Contents(server as Fingerprint, adapters))
 }
 
-fn servers_held_by(node: &Node, box_id: &str) -> Vec<ServerKey> {
-    let claims = node.claims.borrow();
-    let servers = node.servers.borrow();
-    servers
-        .all()
-        .filter(|server| claims.token_of(&server.address_text, box_id).is_some())
-        .map(|server| server.key)
-        .collect()
-}
-
-fn wants(node: &Node, held: &[ServerKey]) -> Vec<WantPart> {
+fn wants(node: &Node, held: &HashSet<ServerKey>) -> Vec<WantPart> {
     let now_ms = node.now_ms();
-    let mut demand = node.demand.borrow_mut();
-    let mut wants: Vec<(ServerKey, Want)> = Vec::new();
-    for server in held {
-        let own = demand.own_wants(*server, now_ms);
-        wants.extend(own.into_iter().map(|want| (*server, want)));
-    }
-    wants.sort_by(|left, right| right.1.urgency().total_cmp(&left.1.urgency()));
-    wants.truncate(MOST_WANTS);
-    wants
-        .into_iter()
+    let is_theirs = |server: ServerKey| held.contains(&server);
+    let told = node.asking.borrow_mut().tell(&is_theirs, now_ms);
+    told.into_iter()
         .map(|(server, want)| want_part(server, want))
         .collect()
 }
@@ -227,17 +243,17 @@
         server: server as Fingerprint,
         adapter: want.adapter,
         version: want.version,
-        weight: want.weight as f32,
         asked: want.asked as f32,
-        is_awaited: want.is_awaited,
+        waiting: want.waiting as f32,
+        is_copy: want.is_copy,
     }
 }
 
-fn uses(node: &Node, held: &[ServerKey]) -> Vec<(Fingerprint, u64, u32)> {
-    let mut demand = node.demand.borrow_mut();
+fn uses(node: &Node, held: &HashSet<ServerKey>) -> Vec<(Fingerprint, u64, u32)> {
+    let mut noted = node.uses.borrow_mut();
     held.iter()
         .flat_map(|server| {
-            let uses = demand.take_uses(*server);
+            let uses = noted.take(*server);
             uses.into_iter()
                 .map(|(key, count)| (*server as Fingerprint, key, count))
         })
@@ -251,6 +267,7 @@
     flights: u64,
     contents: HashMap<Fingerprint, u64>,
     wants: u64,
+    grants: u64,
 }
 
 /// Takes frames.
@@ -299,6 +316,14 @@
         FramePart::Wants(wants) if advance(&mut seen.wants, frame.sequence) => {
             take_wants(node, &frame.box_id, &wants, now_ms);
         }
+        FramePart::Bids(service, weights) => {
+            let weights = weights.into_iter().map(f64::from).collect();
+            let mut bids = node.bids.borrow_mut();
+            bids.note_peer(service, &frame.box_id, weights, now_ms);
+        }
+        FramePart::Grant(service, loads) if advance(&mut seen.grants, frame.sequence) => {
+            take_grant(node, service, loads, now_ms);
+        }
         FramePart::Uses(uses) => take_uses(node, &uses, now_ms),
         _ => {}
     }
@@ -337,20 +362,37 @@
             (adapter.adapter, ViewEntry { version, state })
         })
         .collect();
-    server.note_view(entries, now_ms);
-    node.wake_waiters(&server);
+    let change = server.note_view(entries, now_ms);
+    node.waiters.wake(&change.ready);
 }
 
 fn take_wants(node: &Node, box_id: &str, parts: &[WantPart], now_ms: Millis) {
     let servers = node.servers.borrow();
-    let mut wants = Vec::new();
+    let mut ledger = node.ledger.borrow_mut();
     for part in parts {
         if let Some(server) = servers.by_fingerprint(part.server) {
-            wants.push((server.key, part.to_want()));
+            ledger.note(box_id, server.key, &part.to_want(), now_ms);
             server.order_due.notify_one();
         }
     }
-    node.demand.borrow_mut().note_peer(box_id, wants, now_ms);
+}
+
+fn take_grant(node: &Node, fingerprint: Fingerprint, loads: u32, now_ms: Millis) {
+    let services = node.held_services();
+    let service = services
+        .into_iter()
+        .find(|service| service_fingerprint(service) == fingerprint);
+    let Some(service) = service else {
+        return;
+    };
+    let mut paces = node.paces.borrow_mut();
+    let pace = paces.entry(service.clone()).or_default();
+    for _ in 0..loads {
+        pace.note_grant(now_ms);
+    }
+    for server in node.held_of_service(&service) {
+        server.order_due.notify_one();
+    }
 }
 
 fn take_uses(node: &Node, uses: &[(Fingerprint, u64, u32)], now_ms: Millis) {
--- a/crates/tinbay-gateway/src/peers/frame.rs
+++ b/crates/tinbay-gateway/src/peers/frame.rs
@@ -34,8 +34,12 @@
     Flights(Vec<(Fingerprint, u16)>),
     /// All that one server holds whose claim it holds.
     Contents(Fingerprint, Vec<AdapterPart>),
-    /// All that it wants at servers of the receiver.
+    /// What it wants at servers of the receiver, where that changed or a request waits.
     Wants(Vec<WantPart>),
+    /// How much it wants its next loads, by service; the most wanted first.
+    Bids(Fingerprint, Vec<f32>),
+    /// Loads of a service that it gives to the receiver.
+    Grant(Fingerprint, u32),
     /// Uses since its last such part, at servers of the receiver.
     Uses(Vec<(Fingerprint, AdapterKey, u32)>),
 }
@@ -54,18 +58,18 @@
 /// An adapter that is wanted.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct WantPart {
-    /// Where.
+    /// Its first server; the holder chooses among those it holds.
     pub server: Fingerprint,
     /// The adapter as `model/name`.
     pub adapter: String,
     /// The version that was named, if one was.
     pub version: Option<u64>,
-    /// How much.
-    pub weight: f32,
-    /// The part of the weight that is for requests that had to wait before.
+    /// Requests that had to wait for it, fading with time.
     pub asked: f32,
-    /// Whether a request waits now.
-    pub is_awaited: bool,
+    /// Requests that wait now.
+    pub waiting: f32,
+    /// Whether it is for one more server of the adapter.
+    pub is_copy: bool,
 }
 
 impl WantPart {
@@ -74,9 +78,9 @@
         Want {
             adapter: self.adapter.clone(),
             version: self.version,
-            weight: f64::from(self.weight),
             asked: f64::from(self.asked),
-            is_awaited: self.is_awaited,
+            waiting: f64::from(self.waiting),
+            is_copy: self.is_copy,
         }
     }
 }
--- a/crates/tinbay-gateway/src/servers.rs
+++ b/crates/tinbay-gateway/src/servers.rs
@@ -6,6 +6,7 @@
 
 use tinbay_core::serving::contents::{AdapterKey, HeldState, adapter_key};
 use tinbay_core::serving::fading::faded;
+pub use tinbay_core::serving::servers::ServerKey;
 use tinbay_core::serving::servers::{ServerRecord, ServerState};
 use tinbay_core::units::Millis;
 use tokio::sync::Notify;
@@ -35,9 +36,6 @@
 /// How long a holder's word on its server's contents counts after its last message.
 const HOLDER_WORD_LIFE_MS: Millis = 2_500;
 
-/// Short name of an incarnation of a server, in memory and in messages.
-pub type ServerKey = u64;
-
 /// An adapter at a server, as this box believes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ViewEntry {
@@ -47,6 +45,15 @@
     pub state: HeldState,
 }
 
+/// What a holder's word changed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ViewChange {
+    /// Whether it changed anything.
+    pub is_any: bool,
+    /// Adapters that can serve now, or in another version.
+    pub ready: Vec<Fingerprint>,
+}
+
 /// What a server holds, as its holder told.
 #[derive(Debug, Default)]
 struct View {
@@ -63,8 +70,6 @@
     pub address_text: String,
     /// Told when its holder may have something to order.
     pub order_due: Notify,
-    /// Told when what it holds may have changed.
-    pub changed: Notify,
     view: RefCell<View>,
     listed: RefCell<HashMap<AdapterKey, ViewEntry>>,
     /// What it says about itself.
@@ -109,7 +114,6 @@
             key: server_key(&record.id),
             address_text: record.address.to_string(),
             order_due: Notify::new(),
-            changed: Notify::new(),
             view: RefCell::default(),
             listed: RefCell::new(listed_entries(&record)),
             pool: Rc::new(Pool::new(record.address)),
@@ -128,13 +132,24 @@
         Rc::clone(&self.record.borrow())
     }
 
-    /// Notes what its holder says it holds; true if that is news.
-    pub fn note_view(&self, entries: HashMap<Fingerprint, ViewEntry>, now_ms: Millis) -> bool {
+    /// Notes what its holder says it holds.
+    pub fn note_view(
+        &self,
+        entries: HashMap<Fingerprint, ViewEntry>,
+        now_ms: Millis,
+    ) -> ViewChange {
         let mut view = self.view.borrow_mut();
-        let is_changed = view.told_ms.is_none() || view.entries != entries;
+        let is_news = |(adapter, entry): &(&Fingerprint, &ViewEntry)| {
+            entry.state == HeldState::Ready && view.entries.get(adapter) != Some(entry)
+        };
+        let ready = entries.iter().filter(is_news).map(|(adapter, _)| *adapter);
+        let change = ViewChange {
+            is_any: view.told_ms.is_none() || view.entries != entries,
+            ready: ready.collect(),
+        };
         view.told_ms = Some(now_ms);
         view.entries = entries;
-        is_changed
+        change
     }
 
     /// Notes that its holder's word still stands.
@@ -240,6 +255,11 @@
         self.usual_flights.get()
     }
 
+    /// Requests that usually run here against those it works on at once.
+    pub fn usual_fullness(&self) -> f64 {
+        self.usual_flights() / self.record().slots.max(1) as f64
+    }
+
     /// Notes how a head's time stood to its objective.
     pub fn note_delay(&self, part_of_objective: f64, now_ms: Millis) {
         let known = self.delay(now_ms);
