--- a/crates/tinbay-core/src/serving/contents.rs
+++ b/crates/tinbay-core/src/serving/contents.rs
@@ -44,6 +44,10 @@
 /// An adapter used more lately than this is not taken out for another.
 const KEEP_USED_MS: Millis = 150;
 
+/// An adapter used more lately than this is not replaced by its newer version: the server
+/// would hold the order, and all requests for the adapter, until the last run is done.
+const REPLACE_IDLE_MS: Millis = 2_500;
+
 /// Half-life of an adapter's uses.
 const USE_HALF_LIFE_MS: f64 = 8_000.0;
 
@@ -80,6 +84,26 @@
     is_fetch: bool,
 }
 
+/// How a server holds an adapter.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Holding {
+    /// Not at all.
+    None,
+    /// In an older version.
+    Stale,
+    /// On its way, or there.
+    Current,
+}
+
+/// What one look for the next order goes by.
+struct Turn<'a> {
+    expected_count: u64,
+    named: &'a dyn Fn(&str) -> Option<u64>,
+    allowance: &'a mut dyn FetchAllowance,
+    may_fetch: bool,
+    now_ms: Millis,
+}
+
 /// A base model that takes memory.
 #[derive(Debug, Clone)]
 struct HeldModel {
@@ -233,9 +257,15 @@
         self.order_count.is_some()
     }
 
-    /// Whether an adapter takes a place, on its way or there.
-    pub fn holds(&self, key: AdapterKey) -> bool {
-        self.held.contains_key(&key)
+    /// How an adapter of at least this version takes a place.
+    pub fn holding(&self, key: AdapterKey, version: Option<u64>) -> Holding {
+        match self.held.get(&key) {
+            None => Holding::None,
+            Some(held) if held.state == HeldState::Ready && held.version < version => {
+                Holding::Stale
+            }
+            Some(_) => Holding::Current,
+        }
     }
 
     /// Adapters that take a place against the places.
@@ -309,20 +339,24 @@
         if self.loading() >= MOST_LOADING {
             return None;
         }
-        if let Some(action) = self.replace_version(expected_count, named, allowance) {
-            return Some(action);
-        }
-        let mut may_fetch = true;
-        wants.iter().find_map(|want| {
-            self.serve_want(want, expected_count, allowance, &mut may_fetch, now_ms)
-        })
+        let mut turn = Turn {
+            expected_count,
+            named,
+            allowance,
+            may_fetch: true,
+            now_ms,
+        };
+        wants
+            .iter()
+            .find_map(|want| self.serve_want(want, &mut turn))
     }
 
     /// Weights of the wants that need a fetch, the most wanted first; `wants` come so.
     pub fn fetch_weights(&self, wants: &[Want], most: usize) -> Vec<f64> {
         let needs_fetch = |want: &&Want| {
             let key = adapter_key(&want.adapter);
-            !self.holds(key) && !self.loads_fast(key, want.version)
+            self.holding(key, want.version) != Holding::Current
+                && !self.loads_fast(key, want.version)
         };
         let weights = wants.iter().filter(needs_fetch).map(Want::weight);
         weights.take(most).collect()
@@ -427,34 +461,15 @@
         })
     }
 
-    fn replace_version(
-        &self,
-        expected_count: u64,
-        named: &dyn Fn(&str) -> Option<u64>,
-        allowance: &mut dyn FetchAllowance,
-    ) -> Option<Action> {
-        let is_old =
-            |held: &&Held| held.state == HeldState::Ready && named(&held.adapter) > held.version;
-        let most_used = |left: &&Held, right: &&Held| left.uses.total_cmp(&right.uses);
-        let held = self.held.values().filter(is_old).max_by(most_used)?;
-        take_offer(allowance, held.uses).then(|| Action::Load {
-            adapter: held.adapter.clone(),
-            version: named(&held.adapter),
-            expected_count,
-        })
-    }
-
-    fn serve_want(
-        &self,
-        want: &Want,
-        expected_count: u64,
-        allowance: &mut dyn FetchAllowance,
-        may_fetch: &mut bool,
-        now_ms: Millis,
-    ) -> Option<Action> {
+    fn serve_want(&self, want: &Want, turn: &mut Turn<'_>) -> Option<Action> {
         let key = adapter_key(&want.adapter);
-        let has_model = self.models.contains_key(model_of(&want.adapter));
-        if !has_model || !want.adapter.contains('/') || self.held.contains_key(&key) {
+        if !self.models.contains_key(model_of(&want.adapter)) || !want.adapter.contains('/') {
+            return None;
+        }
+        let holding = self.holding(key, want.version);
+        if holding == Holding::Current
+            || (holding == Holding::Stale && !self.is_replaceable(key, turn.now_ms))
+        {
             return None;
         }
         let loads_fast = self.loads_fast(key, want.version);
@@ -462,35 +477,48 @@
             return None;
         }
         if !loads_fast {
-            *may_fetch = *may_fetch && allowance.offers(want.weight());
-            if !*may_fetch {
+            turn.may_fetch = turn.may_fetch && turn.allowance.offers(want.weight());
+            if !turn.may_fetch {
                 return None;
             }
         }
-        if !self.has_room(&want.adapter) {
-            let victim = self.victim(now_ms)?;
+        if holding == Holding::None && !self.has_room(&want.adapter) {
+            let victim = self.victim(turn)?;
             return Some(Action::Unload {
                 adapter: victim.adapter.clone(),
-                expected_count,
+                expected_count: turn.expected_count,
             });
         }
         if !loads_fast {
-            allowance.take();
+            turn.allowance.take();
         }
         Some(Action::Load {
             adapter: want.adapter.clone(),
             version: want.version,
-            expected_count,
+            expected_count: turn.expected_count,
         })
     }
 
-    fn victim(&self, now_ms: Millis) -> Option<&Held> {
+    fn is_replaceable(&self, key: AdapterKey, now_ms: Millis) -> bool {
+        let idle_ms = |held: &Held| now_ms.saturating_sub(held.used_ms);
+        self.held
+            .get(&key)
+            .is_some_and(|held| idle_ms(held) >= REPLACE_IDLE_MS)
+    }
+
+    /// The adapter that is missed least: one in an old version, or else the least used.
+    fn victim(&self, turn: &Turn<'_>) -> Option<&Held> {
         let is_idle = |held: &&Held| {
-            held.state == HeldState::Ready && now_ms.saturating_sub(held.used_ms) >= KEEP_USED_MS
+            let idle_ms = turn.now_ms.saturating_sub(held.used_ms);
+            held.state == HeldState::Ready && idle_ms >= KEEP_USED_MS
         };
-        let least_used =
-            |left: &&Held, right: &&Held| left.uses_at(now_ms).total_cmp(&right.uses_at(now_ms));
-        self.held.values().filter(is_idle).min_by(least_used)
+        let is_current = |held: &Held| (turn.named)(&held.adapter) <= held.version;
+        let missed_less = |left: &&Held, right: &&Held| {
+            let by_version = is_current(left).cmp(&is_current(right));
+            let uses = |held: &Held| held.uses_at(turn.now_ms);
+            by_version.then(uses(left).total_cmp(&uses(right)))
+        };
+        self.held.values().filter(is_idle).min_by(missed_less)
     }
 
     /// Whether the server had this version lately, so that it does not come from the store.
@@ -649,7 +677,10 @@
             .collect();
         let mut held = HashMap::new();
         for known in &report.adapters {
-            let entry = self.carried_over(known, now_ms);
+            let mut entry = self.carried_over(known, now_ms);
+            if self.is_being_replaced(known) {
+                entry.state = HeldState::Loading;
+            }
             held.insert(adapter_key(&known.adapter), entry);
         }
         for coming in &report.incoming {
@@ -665,12 +696,22 @@
         }
     }
 
+    /// Whether a newer version was ordered: no report shows that before the last run is done.
+    fn is_being_replaced(&self, known: &HeldAdapter) -> bool {
+        self.held
+            .get(&adapter_key(&known.adapter))
+            .is_some_and(|held| {
+                held.state == HeldState::Loading && held.version > Some(known.version)
+            })
+    }
+
     fn carried_over(&self, known: &HeldAdapter, now_ms: Millis) -> Held {
         let mut entry = ready(known.adapter.clone(), Some(known.version), now_ms);
         if let Some(before) = self.held.get(&adapter_key(&known.adapter)) {
             entry.uses = before.uses;
             entry.ordered_ms = before.ordered_ms;
             entry.is_fetch = before.is_fetch;
+            entry.version = entry.version.max(before.version);
         }
         entry
     }
--- a/crates/tinbay-core/src/serving/placing.rs
+++ b/crates/tinbay-core/src/serving/placing.rs
@@ -6,7 +6,7 @@
 
 use std::collections::HashMap;
 
-use super::contents::AdapterKey;
+use super::contents::{AdapterKey, Holding};
 use super::servers::ServerKey;
 
 /// A server that may take an adapter.
@@ -14,8 +14,8 @@
 pub struct Candidate {
     /// The server.
     pub server: ServerKey,
-    /// Whether it holds the adapter, or it is on its way there.
-    pub holds: bool,
+    /// How it holds the adapter.
+    pub holding: Holding,
     /// Whether it had the adapter lately, so that it loads fast.
     pub had: bool,
     /// How full it is: requests and adapters against their places.
@@ -41,16 +41,17 @@
     pub fn place(&mut self, placed: Placed, candidates: &[Candidate]) -> Option<ServerKey> {
         let (_, is_copy) = placed;
         let rank = |candidate: &&Candidate| {
-            let is_preferred = if is_copy {
-                0
-            } else {
-                u8::from(!candidate.holds)
+            let holding = match candidate.holding {
+                Holding::Current => 0,
+                Holding::None => 1,
+                // A busy old version can't be replaced; better beside it.
+                Holding::Stale => 2,
             };
-            (is_preferred, u8::from(!candidate.had))
+            (holding, u8::from(!candidate.had))
         };
         let best = candidates
             .iter()
-            .filter(|candidate| !(is_copy && candidate.holds))
+            .filter(|candidate| !(is_copy && candidate.holding != Holding::None))
             .min_by(|left, right| {
                 let by_rank = rank(left).cmp(&rank(right));
                 by_rank.then(left.load.total_cmp(&right.load))
--- a/crates/tinbay-core/tests/serving_contents_test.rs
+++ b/crates/tinbay-core/tests/serving_contents_test.rs
@@ -219,11 +219,17 @@
     assert_eq!(next(&mut contents, &[expected], true, 1_000), None);
 }
 
+fn second_version_of(adapter: &str) -> Want {
+    Want {
+        version: Some(2),
+        ..want(adapter)
+    }
+}
+
 #[test]
 fn next_action_replaces_old_version() {
     let mut contents = learnt(2, &[("m/a", 1)]);
-    let named = |adapter: &str| (adapter == "m/a").then_some(2);
-    let action = contents.next_action(&[], &named, &mut FakeAllowance::new(true), 0);
+    let action = next(&mut contents, &[second_version_of("m/a")], true, 5_000);
     let expected = Action::Load {
         adapter: "m/a".into(),
         version: Some(2),
@@ -232,6 +238,47 @@
     assert_eq!(action, Some(expected));
 }
 
+/// Else the server holds the order, and all requests for the adapter, until the last run ends.
+#[test]
+fn next_action_never_replaces_a_busy_version() {
+    let mut contents = learnt(2, &[("m/a", 1)]);
+    contents.note_uses(adapter_key("m/a"), 1, 4_000);
+    let wants = [second_version_of("m/a")];
+    assert_eq!(next(&mut contents, &wants, true, 5_000), None);
+}
+
+#[test]
+fn next_action_unloads_old_version_first() {
+    let mut contents = learnt(2, &[("m/a", 1), ("m/b", 1)]);
+    contents.note_uses(adapter_key("m/a"), 9, 100);
+    let named = |adapter: &str| (adapter == "m/a").then_some(2);
+    let mut allowance = FakeAllowance::new(true);
+    let action = contents.next_action(&[want("m/c")], &named, &mut allowance, 5_000);
+    let expected = Action::Unload {
+        adapter: "m/a".into(),
+        expected_count: 4,
+    };
+    assert_eq!(action, Some(expected));
+}
+
+/// A report shows a replaced adapter in its old version until the last run is done; the order
+/// must not be counted again.
+#[test]
+fn note_report_keeps_a_replacement_under_way() {
+    let mut contents = learnt(2, &[("m/a", 1)]);
+    let load = Action::Load {
+        adapter: "m/a".into(),
+        version: Some(2),
+        expected_count: 4,
+    };
+    contents.note_answer(&load, OrderAnswer::Accepted, 5_000);
+    let mut known = report(&[("m/a", 1)]);
+    known.order_count = 5;
+    contents.note_report(&known, 6_000);
+    let states: Vec<HeldState> = contents.held().map(|(_, held)| held.state).collect();
+    assert_eq!(states, [HeldState::Loading]);
+}
+
 #[test]
 fn note_answer_lost_learns_after_the_report_lag() {
     let mut contents = learnt(2, &[]);
--- a/crates/tinbay-gateway/src/front/choice.rs
+++ b/crates/tinbay-gateway/src/front/choice.rs
@@ -25,6 +25,10 @@
 /// gets it: a copy costs a load, and only the copy of an adapter that makes the crowd helps.
 const REQUESTS_A_COPY: f64 = 12.0;
 
+/// Requests added to those of an adapter whose new version is not loaded yet: they all will
+/// wait for it.
+const NEW_VERSION_REQUESTS: f64 = 10.0;
+
 /// Usual time to the head there, as a part of the objective, that tells the same: long
 /// before its places are taken an engine may have no time left to read prompts.
 const SPREAD_DELAY: f64 = 0.3;
@@ -70,20 +74,33 @@
 fn choose_for_adapter(node: &Node, adapter: &str, ready: &[Rc<Server>]) -> Choice {
     let key = adapter_key(adapter);
     let version = node.named_version(adapter);
-    let (holding, others): (Vec<Rc<Server>>, Vec<Rc<Server>>) = ready
+    let (current, others): (Vec<Rc<Server>>, Vec<Rc<Server>>) = ready
         .iter()
         .cloned()
         .partition(|server| serves(node, server, key, version));
-    if let Some(server) = least_loaded(node, &holding) {
-        // Other boxes have as many, as callers choose boxes at random.
-        let requests = requests_a_server(key, &holding);
-        let is_enough = requests * node.box_count() as f64 >= REQUESTS_A_COPY;
-        if is_crowded(node, &server) && is_enough {
-            ask_for_copy(node, adapter, requests, &others);
-        }
-        return Choice::Send(server);
+    let (older, others): (Vec<Rc<Server>>, Vec<Rc<Server>>) = others
+        .into_iter()
+        .partition(|server| serves(node, server, key, None));
+    let may_serve_older = !older.is_empty() && node.may_serve_older(adapter);
+    let mut serving = current.clone();
+    if may_serve_older {
+        serving.extend(older.iter().cloned());
+    }
+    let Some(server) = least_loaded(node, &serving) else {
+        // Older versions are left to run out; a server beside them loads the new one.
+        let places = if others.is_empty() { &older } else { &others };
+        return home(node, adapter, places).map_or(Choice::Nowhere, Choice::Wait);
+    };
+    // Other boxes have as many, as callers choose boxes at random.
+    let requests = requests_a_server(key, &serving);
+    let is_enough = requests * node.box_count() as f64 >= REQUESTS_A_COPY;
+    let wants_newer = may_serve_older && current.len() < older.len();
+    if wants_newer && (current.is_empty() || is_enough) {
+        ask_for_copy(node, adapter, requests + NEW_VERSION_REQUESTS, &others);
+    } else if is_crowded(node, &server) && is_enough {
+        ask_for_copy(node, adapter, requests, &others);
     }
-    home(node, adapter, &others).map_or(Choice::Nowhere, Choice::Wait)
+    Choice::Send(server)
 }
 
 /// Requests of an adapter from this box at each of its servers.
--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -153,13 +153,25 @@
             deadline_ms: left_ms,
             server_id: &record.id,
             priority: question.route.priority.min(LEAST_URGENT),
-            version: question.named_version(node),
+            version: expected_version(node, question, server),
         },
         head_within: Duration::from_millis(left_ms),
     };
     attempt(node, question, body, terms).await
 }
 
+/// The version the server must hold: the one it is believed to hold where one was named. A
+/// server that holds another one declines.
+fn expected_version(node: &Node, question: &Question, server: &Server) -> Option<u64> {
+    let named = question.named_version(node)?;
+    let entry = server.adapter(question.model_key?, node.now_ms())?;
+    match entry.version {
+        0 if node.may_serve_older(question.model.as_deref()?) => None,
+        0 => Some(named),
+        version => Some(version),
+    }
+}
+
 /// Connections this box may open to one server: its part of what the server accepts.
 fn most_open(node: &Node, question: &Question) -> usize {
     let accepted = node
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -35,6 +35,19 @@
 /// Time for orders under way and for clocks that run apart.
 const CLAIM_MARGIN_MS: Millis = 500;
 
+/// Part of the time allowed for a new version in which the older one still serves; the rest is
+/// left for requests that wait at a server before they run.
+const OLDER_VERSION_PART: f64 = 0.4;
+
+/// A version of an adapter that the operators named.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NamedVersion {
+    /// The version.
+    pub version: u64,
+    /// When it was seen to replace another; none where it was there when this box came.
+    pub changed_ms: Option<Millis>,
+}
+
 /// A configuration in force.
 #[derive(Debug)]
 pub struct InForce {
@@ -59,7 +72,7 @@
     /// The configuration in force.
     pub in_force: RefCell<Option<Rc<InForce>>>,
     /// Named versions of adapters, by `model/name`.
-    pub versions: RefCell<HashMap<String, u64>>,
+    pub versions: RefCell<HashMap<String, NamedVersion>>,
     /// Servers.
     pub servers: RefCell<ServerTable>,
     /// Other boxes.
@@ -201,7 +214,20 @@
 
     /// The adapter's version that the operators named last.
     pub fn named_version(&self, adapter: &str) -> Option<u64> {
-        self.versions.borrow().get(adapter).copied()
+        let versions = self.versions.borrow();
+        versions.get(adapter).map(|named| named.version)
+    }
+
+    /// Whether an older version of an adapter may still serve.
+    pub fn may_serve_older(&self, adapter: &str) -> bool {
+        let allowed_ms = self.settings.borrow().bounds.version_within_ms;
+        let grace_ms = (allowed_ms as f64 * OLDER_VERSION_PART) as Millis;
+        let versions = self.versions.borrow();
+        versions.get(adapter).is_none_or(|named| {
+            named
+                .changed_ms
+                .is_some_and(|changed_ms| self.now_ms() < changed_ms + grace_ms)
+        })
     }
 
     /// Spans that holders and takers of claims keep.
--- a/crates/tinbay-gateway/src/orders/holder.rs
+++ b/crates/tinbay-gateway/src/orders/holder.rs
@@ -191,7 +191,7 @@
         let key = adapter_key(&want.adapter);
         Some(Candidate {
             server: server.key,
-            holds: book.holds(key),
+            holding: book.holding(key, want.version),
             had: book.loads_fast(key, want.version),
             load: book.fullness() + server.usual_fullness(),
         })
--- a/crates/tinbay-gateway/src/settings.rs
+++ b/crates/tinbay-gateway/src/settings.rs
@@ -42,6 +42,8 @@
     pub second_sends: BudgetTerms,
     /// Bound on loads from the weight store.
     pub loads: LoadBound,
+    /// Time after which no request may start on an older version of its adapter.
+    pub version_within_ms: Millis,
     /// Longest time a caller may keep an answer of the directory.
     pub directory_valid_ms: Millis,
     /// Shortest lease the store grants.
--- a/crates/tinbay-gateway/src/watch/configuration.rs
+++ b/crates/tinbay-gateway/src/watch/configuration.rs
@@ -8,7 +8,7 @@
 
 use super::Follower;
 use crate::events::{self, part};
-use crate::node::{InForce, Node};
+use crate::node::{InForce, NamedVersion, Node};
 use crate::port::store::{Change, Item};
 
 /// Follows what operators write.
@@ -44,12 +44,12 @@
         Self { node }
     }
 
-    fn take(&self, item: &Item) {
+    fn take(&self, item: &Item, is_news: bool) {
         let keys = self.node.dialect.keys();
         if item.key == keys.configuration {
             self.take_configuration(item);
         } else if item.key.starts_with(&keys.versions) {
-            self.take_version(item);
+            self.take_version(item, is_news);
         }
     }
 
@@ -78,14 +78,15 @@
         }));
     }
 
-    fn take_version(&self, item: &Item) {
+    /// `is_news` if it was seen to change, rather than found.
+    fn take_version(&self, item: &Item, is_news: bool) {
         let named = match self.node.dialect.decode_version(&item.value) {
             Ok(named) => named,
             Err(error) => return reject(item, error.to_string()),
         };
         let mut versions = self.node.versions.borrow_mut();
-        let current = versions.get(&named.adapter).copied();
-        if current.is_some_and(|current| current >= named.version) {
+        let current = versions.get(&named.adapter);
+        if current.is_some_and(|current| current.version >= named.version) {
             return;
         }
         let event = VersionEvent {
@@ -94,7 +95,11 @@
             revision: item.revision,
         };
         events::emit(part::CONFIG, Level::Info, "version_named", &event);
-        versions.insert(named.adapter, named.version);
+        let version = NamedVersion {
+            version: named.version,
+            changed_ms: is_news.then(|| self.node.now_ms()),
+        };
+        versions.insert(named.adapter, version);
         for server in self.node.servers.borrow().all() {
             server.order_due.notify_one();
         }
@@ -117,13 +122,13 @@
 
     fn reset(&self, items: &[Item]) {
         for item in items {
-            self.take(item);
+            self.take(item, false);
         }
     }
 
     fn apply(&self, change: &Change) {
         if let Change::Put(item) = change {
-            self.take(item);
+            self.take(item, true);
         }
     }
 }
