--- a/crates/tinbay-core/src/serving/asking.rs
+++ b/crates/tinbay-core/src/serving/asking.rs
@@ -9,7 +9,7 @@
 use crate::units::Millis;
 
 /// Half-life of the memory of how often an adapter was waited for.
-pub const ASKED_HALF_LIFE_MS: f64 = 30_000.0;
+pub const ASKED_HALF_LIFE_MS: f64 = 300_000.0;
 
 /// Pause after which a holder is told again what has not changed, as messages may be lost.
 const REFRESH_MS: Millis = 4_000;
--- a/crates/tinbay-core/src/serving/ledger.rs
+++ b/crates/tinbay-core/src/serving/ledger.rs
@@ -45,6 +45,7 @@
 struct Entry {
     adapter: String,
     version: Option<u64>,
+    count: Fading,
     by_box: HashMap<String, Word>,
 }
 
@@ -64,19 +65,11 @@
             .or_insert_with(|| Entry {
                 adapter: want.adapter.clone(),
                 version: None,
+                count: Fading::default(),
                 by_box: HashMap::new(),
             });
         entry.version = entry.version.max(want.version);
-        if want.asked <= 0.0 && want.waiting <= 0.0 {
-            entry.by_box.remove(box_id);
-            return;
-        }
-        let word = Word {
-            asked: want.asked,
-            waiting: want.waiting,
-            told_ms: now_ms,
-        };
-        entry.by_box.insert(box_id.to_string(), word);
+        entry.take_word(box_id, want, now_ms);
     }
 
     /// Takes over what an earlier holder of the server remembered.
@@ -138,7 +131,7 @@
         };
         entries.retain(|_, entry| {
             entry.drop_old(now_ms);
-            !entry.by_box.is_empty()
+            !entry.by_box.is_empty() || entry.asked(now_ms) >= LEAST_ASKED
         });
     }
 
@@ -195,11 +188,35 @@
             .retain(|_, word| now_ms < word.told_ms + WORD_LIFE_MS);
     }
 
+    /// Takes a box's word in place of the one before. A box that starts anew counts from zero;
+    /// what it told before stays.
+    fn take_word(&mut self, box_id: &str, want: &Want, now_ms: Millis) {
+        let before = self.by_box.get(box_id).map_or(0.0, |word| {
+            faded(word.asked, word.told_ms, ASKED_HALF_LIFE_MS, now_ms)
+        });
+        let is_withdrawn = want.asked <= 0.0 && want.waiting <= 0.0;
+        let has_restarted = want.asked + LEAST_ASKED < before && !is_withdrawn;
+        let more = if has_restarted {
+            want.asked
+        } else {
+            want.asked - before
+        };
+        let asked = (self.asked(now_ms) + more).max(0.0);
+        self.count = Fading::new(asked, now_ms);
+        if is_withdrawn {
+            self.by_box.remove(box_id);
+            return;
+        }
+        let word = Word {
+            asked: want.asked,
+            waiting: want.waiting,
+            told_ms: now_ms,
+        };
+        self.by_box.insert(box_id.to_string(), word);
+    }
+
     fn asked(&self, now_ms: Millis) -> f64 {
-        self.by_box
-            .values()
-            .map(|word| faded(word.asked, word.told_ms, ASKED_HALF_LIFE_MS, now_ms))
-            .sum()
+        self.count.at(ASKED_HALF_LIFE_MS, now_ms)
     }
 
     fn waiting(&self, now_ms: Millis) -> f64 {
--- a/crates/tinbay-core/src/serving/pacing.rs
+++ b/crates/tinbay-core/src/serving/pacing.rs
@@ -2,8 +2,8 @@
 //!
 //! The allowance bounds the loads that begin within any window. It is split into whole
 //! quotas, one a holder; a holder counts its own loads over the same sliding window, so the
-//! quotas' sum bounds them all. A quota that grew counts only after a window's length, as
-//! what another holder began before it went still counts until then.
+//! quotas' sum bounds them all. A quota that grew counts only as far as what another holder
+//! began before it went has left the window.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
@@ -79,11 +79,18 @@
 #[derive(Debug, Default)]
 pub struct LoadPace {
     begun: VecDeque<Millis>,
-    quotas: VecDeque<(Millis, usize)>,
+    quotas: VecDeque<QuotaSince>,
     bids: HashMap<u64, Bid>,
     grants: VecDeque<Millis>,
 }
 
+/// A quota and when it came into force.
+#[derive(Debug, Clone, Copy)]
+struct QuotaSince {
+    quota: usize,
+    since_ms: Millis,
+}
+
 /// What one of the holder's servers would load next.
 #[derive(Debug, Clone, Copy)]
 struct Bid {
@@ -184,7 +191,7 @@
         {
             self.begun.pop_front();
         }
-        let quota = self.settled_quota(quota, start_ms, now_ms);
+        let quota = self.settled_quota(quota, window_ms, now_ms);
         if quota == 0 || self.begun.len() >= quota {
             return false;
         }
@@ -194,19 +201,35 @@
             .is_none_or(|last_ms| now_ms >= last_ms + gap_ms)
     }
 
-    /// The least quota since a window ago.
-    fn settled_quota(&mut self, quota: usize, start_ms: Millis, now_ms: Millis) -> usize {
-        if self.quotas.back().is_none_or(|(_, last)| *last != quota) {
-            self.quotas.push_back((now_ms, quota));
+    /// What of a quota may be used: one that grew does so as fast as the loads that others
+    /// began, before it went over to this holder, leave the window.
+    fn settled_quota(&mut self, quota: usize, window_ms: Millis, now_ms: Millis) -> usize {
+        if self.quotas.back().is_none_or(|last| last.quota != quota) {
+            self.quotas.push_back(QuotaSince {
+                quota,
+                since_ms: now_ms,
+            });
         }
+        let start_ms = now_ms.saturating_sub(window_ms);
         // The first entry that began before the window still held when the window began.
-        while self.quotas.len() > 1 && self.quotas[1].0 <= start_ms {
+        while self.quotas.len() > 1 && self.quotas[1].since_ms <= start_ms {
             self.quotas.pop_front();
         }
-        self.quotas
-            .iter()
-            .map(|(_, quota)| *quota)
-            .min()
-            .unwrap_or(0)
+        let befores = self.quotas.iter().zip(self.quotas.iter().skip(1));
+        befores
+            .filter(|(before, _)| before.quota < quota)
+            .map(|(before, after)| {
+                let part = freed_part(now_ms - after.since_ms, window_ms);
+                let grown = (quota - before.quota) as f64 * part;
+                before.quota + grown as usize
+            })
+            .fold(quota, usize::min)
     }
 }
+
+/// Part of a holder's loads that has left the window so long after it stopped: they lie no
+/// closer than [`PAUSE_PART`] of their mean pause.
+fn freed_part(since_ms: Millis, window_ms: Millis) -> f64 {
+    let passed = since_ms as f64 / window_ms as f64;
+    ((passed - (1.0 - PAUSE_PART)) / PAUSE_PART).clamp(0.0, 1.0)
+}
