--- a/crates/tinbay-core/src/serving/contents.rs
+++ b/crates/tinbay-core/src/serving/contents.rs
@@ -351,15 +351,27 @@
             .find_map(|want| self.serve_want(want, &mut turn))
     }
 
-    /// Weights of the wants that need a fetch, the most wanted first; `wants` come so.
-    pub fn fetch_weights(&self, wants: &[Want], most: usize) -> Vec<f64> {
-        let needs_fetch = |want: &&Want| {
+    /// Weights of the fetches that the server could begin now, the most wanted first; `wants`
+    /// come so.
+    pub fn fetch_weights(&self, wants: &[Want], now_ms: Millis) -> Vec<f64> {
+        let can_load = self.is_learnt() && !self.is_loading_model();
+        if !can_load {
+            return Vec::new();
+        }
+        let is_any_idle = self.held.values().any(|held| held.is_idle(now_ms));
+        let can_fetch = |want: &&Want| {
             let key = adapter_key(&want.adapter);
-            self.holding(key, want.version) != Holding::Current
-                && !self.loads_fast(key, want.version)
+            let has_place = match self.holding(key, want.version) {
+                Holding::None => is_any_idle || self.has_room(&want.adapter),
+                Holding::Stale => self.is_replaceable(key, now_ms),
+                Holding::Current => false,
+            };
+            has_place && !self.loads_fast(key, want.version)
         };
-        let weights = wants.iter().filter(needs_fetch).map(Want::weight);
-        weights.take(most).collect()
+        let weights = wants.iter().filter(can_fetch).map(Want::weight);
+        weights
+            .take(MOST_LOADING.saturating_sub(self.loading()))
+            .collect()
     }
 
     /// When [`Contents::next_action`] may give something without a new want.
@@ -476,14 +488,20 @@
         if loads_fast && !want.is_awaited() {
             return None;
         }
+        let needs_place = holding == Holding::None && !self.has_room(&want.adapter);
+        // A server that has no place to give must not bid: it would keep the others from theirs.
+        let victim = if needs_place {
+            Some(self.victim(turn)?)
+        } else {
+            None
+        };
         if !loads_fast {
             turn.may_fetch = turn.may_fetch && turn.allowance.offers(want.weight());
             if !turn.may_fetch {
                 return None;
             }
         }
-        if holding == Holding::None && !self.has_room(&want.adapter) {
-            let victim = self.victim(turn)?;
+        if let Some(victim) = victim {
             return Some(Action::Unload {
                 adapter: victim.adapter.clone(),
                 expected_count: turn.expected_count,
@@ -508,17 +526,14 @@
 
     /// The adapter that is missed least: one in an old version, or else the least used.
     fn victim(&self, turn: &Turn<'_>) -> Option<&Held> {
-        let is_idle = |held: &&Held| {
-            let idle_ms = turn.now_ms.saturating_sub(held.used_ms);
-            held.state == HeldState::Ready && idle_ms >= KEEP_USED_MS
-        };
         let is_current = |held: &Held| (turn.named)(&held.adapter) <= held.version;
         let missed_less = |left: &&Held, right: &&Held| {
             let by_version = is_current(left).cmp(&is_current(right));
             let uses = |held: &Held| held.uses_at(turn.now_ms);
             by_version.then(uses(left).total_cmp(&uses(right)))
         };
-        self.held.values().filter(is_idle).min_by(missed_less)
+        let idle = self.held.values().filter(|held| held.is_idle(turn.now_ms));
+        idle.min_by(missed_less)
     }
 
     /// Whether the server had this version lately, so that it does not come from the store.
@@ -718,6 +733,12 @@
 }
 
 impl Held {
+    /// Whether it may be taken out for another.
+    fn is_idle(&self, now_ms: Millis) -> bool {
+        let idle_ms = now_ms.saturating_sub(self.used_ms);
+        self.state == HeldState::Ready && idle_ms >= KEEP_USED_MS
+    }
+
     fn uses_at(&self, now_ms: Millis) -> f64 {
         faded(self.uses, self.used_ms, USE_HALF_LIFE_MS, now_ms)
     }
--- a/crates/tinbay-core/src/serving/pacing.rs
+++ b/crates/tinbay-core/src/serving/pacing.rs
@@ -21,10 +21,10 @@
 const GRANT_LIFE_MS: Millis = 150;
 
 /// Factor by which another holder must want its next load more to be given one.
-const GIVE_FACTOR: f64 = 1.25;
+const GIVE_FACTOR: f64 = 1.5;
 
 /// Weight by which it must besides, so that nobody gives away what it will want at once.
-const GIVE_MARGIN: f64 = 0.5;
+const GIVE_MARGIN: f64 = 1.0;
 
 /// Part of the mean pause that must lie between loads: many at once would slow each other
 /// down, and the first of a rush are not the most wanted.
--- a/crates/tinbay-core/tests/serving_contents_test.rs
+++ b/crates/tinbay-core/tests/serving_contents_test.rs
@@ -165,6 +165,16 @@
     assert_eq!(allowance.weights, [want("m/a").weight()]);
 }
 
+#[test]
+fn next_action_without_a_place_to_give_bids_nothing() {
+    let mut contents = learnt(1, &[("m/a", 1)]);
+    contents.note_uses(adapter_key("m/a"), 1, 1_000);
+    let mut allowance = FakeAllowance::new(true);
+    let action = contents.next_action(&[want("m/b")], &|_| None, &mut allowance, 1_050);
+    assert_eq!(action, None);
+    assert!(allowance.weights.is_empty());
+}
+
 #[test]
 fn next_action_unloads_nothing_without_allowance() {
     let mut contents = learnt(1, &[("m/a", 1)]);
--- a/crates/tinbay-gateway/src/orders/holder.rs
+++ b/crates/tinbay-gateway/src/orders/holder.rs
@@ -18,7 +18,7 @@
 
 use super::memory::{self, ServerMemory};
 use super::quota;
-use super::sharing::{self, MOST_BIDS};
+use super::sharing;
 use crate::events::{self, part};
 use crate::http::call::{Call, CallError, Caller};
 use crate::node::Node;
@@ -214,7 +214,7 @@
         for (key, uses) in self.node.uses.borrow_mut().take(self.server.key) {
             book.note_uses(key, uses, now_ms);
         }
-        let weights = book.fetch_weights(wants, MOST_BIDS);
+        let weights = book.fetch_weights(wants, now_ms);
         self.node
             .bids
             .borrow_mut()
--- a/crates/tinbay-gateway/src/orders/sharing.rs
+++ b/crates/tinbay-gateway/src/orders/sharing.rs
@@ -8,16 +8,19 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use log::Level;
+use serde::Serialize;
 use tinbay_core::units::Millis;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::events::{self, part};
 use crate::node::Node;
 use crate::orders::quota;
 use crate::peers::frame::Fingerprint;
 use crate::servers::ServerKey;
 
 /// Weights of next loads that are told.
-pub const MOST_BIDS: usize = 8;
+const MOST_BIDS: usize = 8;
 
 /// Pause between looks at what may be given away.
 const LOOK_PAUSE: Duration = Duration::from_millis(40);
@@ -93,6 +96,14 @@
     }
 }
 
+#[derive(Serialize)]
+struct GivenEvent<'a> {
+    service: &'a str,
+    to: &'a str,
+    weight: f64,
+    quota: usize,
+}
+
 /// The short name of a service in messages.
 pub fn service_fingerprint(service: &str) -> Fingerprint {
     xxh3_64(service.as_bytes()) as Fingerprint
@@ -132,6 +143,13 @@
         return false;
     }
     node.bids.borrow_mut().note_given(fingerprint, &box_id);
+    let event = GivenEvent {
+        service,
+        to: &box_id,
+        weight,
+        quota,
+    };
+    events::emit(part::ORDERS, Level::Info, "load_given", &event);
     node.give_load(&box_id, fingerprint);
     true
 }
