--- a/crates/tinbay-core/src/serving/mod.rs
+++ b/crates/tinbay-core/src/serving/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod asking;
 pub mod budget;
+pub mod callers;
 pub mod claims;
 pub mod configuration;
 pub mod contents;
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -6,6 +6,7 @@
 
 use tinbay_core::serving::asking::Asking;
 use tinbay_core::serving::budget::SendBudget;
+use tinbay_core::serving::callers::Callers;
 use tinbay_core::serving::claims::{ClaimTable, ClaimTerms, Proof};
 use tinbay_core::serving::configuration::{Configuration, EngineSpec, Limits};
 use tinbay_core::serving::contents::Contents;
@@ -117,6 +118,8 @@
     pub closing: Latch,
     /// Connections of callers that are open.
     pub connections: Cell<usize>,
+    /// How long callers are ready to wait.
+    pub callers: RefCell<Callers>,
     /// Second sends by service.
     pub budgets: RefCell<HashMap<String, SendBudget>>,
 }
@@ -159,6 +162,7 @@
             is_leaving: Cell::default(),
             closing: Latch::default(),
             connections: Cell::default(),
+            callers: RefCell::default(),
             budgets: RefCell::default(),
         }
     }
