--- a/crates/tinbay-core/src/serving/contents.rs
+++ b/crates/tinbay-core/src/serving/contents.rs
@@ -124,9 +124,6 @@
 /// tells what it will be asked for.
 const WAITING_WEIGHT: f64 = 0.5;
 
-/// Weight of a request that a copy would take over: it runs late, others do not run at all.
-const COPY_WEIGHT: f64 = 0.3;
-
 /// An adapter that requests need, or a model where no adapter is named.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Want {
@@ -148,7 +145,7 @@
         Self {
             adapter: adapter.to_string(),
             version,
-            asked: COPY_WEIGHT * requests,
+            asked: requests,
             waiting: 1.0,
             is_copy: true,
         }
--- a/crates/tinbay-gateway/src/front/choice.rs
+++ b/crates/tinbay-gateway/src/front/choice.rs
@@ -25,6 +25,12 @@
 /// gets it: a copy costs a load, and only the copy of an adapter that makes the crowd helps.
 const REQUESTS_A_COPY: f64 = 12.0;
 
+/// Part of a request that a copy earns where its servers are crowded but answer in time.
+const LEAST_LATENESS: f64 = 0.3;
+
+/// Most that one earns where they answer late.
+const MOST_LATENESS: f64 = 2.0;
+
 /// Requests added to those of an adapter whose new version is not loaded yet: they all will
 /// wait for it.
 const NEW_VERSION_REQUESTS: f64 = 10.0;
@@ -98,7 +104,10 @@
     if wants_newer && (current.is_empty() || is_enough) {
         ask_for_copy(node, adapter, requests + NEW_VERSION_REQUESTS, &others);
     } else if is_crowded(node, &server) && is_enough {
-        ask_for_copy(node, adapter, requests, &others);
+        let lateness = server
+            .delay(node.now_ms())
+            .clamp(LEAST_LATENESS, MOST_LATENESS);
+        ask_for_copy(node, adapter, requests * lateness, &others);
     }
     Choice::Send(server)
 }
@@ -129,15 +138,18 @@
     }
 }
 
-/// The first server in the adapter's own order whose holder can order, which all boxes work
-/// out alike; its holder chooses among the servers it holds.
+/// The first server in the adapter's own order whose holder can order and does not call it
+/// overloaded, which all boxes work out alike; its holder chooses among the servers it holds.
 fn home(node: &Node, adapter: &str, servers: &[Rc<Server>]) -> Option<Rc<Server>> {
     let score = |server: &&Rc<Server>| rendezvous::score(adapter, &server.address_text);
-    let live = servers
-        .iter()
-        .filter(|server| node.has_live_holder(server))
+    let live = || servers.iter().filter(|server| node.has_live_holder(server));
+    let free = live()
+        .filter(|server| !server.is_overloaded())
         .max_by_key(score);
-    live.or_else(|| servers.iter().max_by_key(score)).cloned()
+    let first = free
+        .or_else(|| live().max_by_key(score))
+        .or_else(|| servers.iter().max_by_key(score));
+    first.cloned()
 }
 
 /// Has one more server load an adapter whose servers are busy; nobody waits for it.
--- a/crates/tinbay-gateway/src/orders/mod.rs
+++ b/crates/tinbay-gateway/src/orders/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod claiming;
 pub mod holder;
+pub mod load;
 pub mod membership;
 pub mod memory;
 pub mod quota;
--- a/crates/tinbay-gateway/src/peers/exchange.rs
+++ b/crates/tinbay-gateway/src/peers/exchange.rs
@@ -9,8 +9,11 @@
 use tinbay_core::units::Millis;
 use tokio::net::UdpSocket;
 
-use super::frame::{AdapterPart, Fingerprint, Frame, FramePart, MOST_BYTES, WantPart};
+use super::frame::{
+    AdapterPart, ContentsPart, Fingerprint, Frame, FramePart, MOST_BYTES, WantPart,
+};
 use crate::node::Node;
+use crate::orders::load;
 use crate::orders::sharing::service_fingerprint;
 use crate::servers::{ServerKey, ViewEntry};
 
@@ -44,6 +47,7 @@
         if tokio::time::Instant::now() >= next_heartbeat {
             next_heartbeat = tokio::time::Instant::now() + HEARTBEAT;
             smooth_flights(&sender.node);
+            load::judge(&sender.node);
             sender
                 .send_heartbeat(heartbeats % SLOW_HEARTBEATS == 0)
                 .await;
@@ -226,7 +230,11 @@
             is_ready: held.state == HeldState::Ready,
         })
         .collect();
-    Some(FramePart::Contents(server as Fingerprint, adapters))
+    Some(FramePart::Contents(ContentsPart {
+        server: server as Fingerprint,
+        is_overloaded: node.servers.borrow().by_key(server)?.is_overloaded(),
+        adapters,
+    }))
 }
 
 fn wants(node: &Node, held: &HashSet<ServerKey>) -> Vec<WantPart> {
@@ -307,10 +315,10 @@
         FramePart::Flights(flights) if advance(&mut seen.flights, frame.sequence) => {
             take_flights(node, &frame.box_id, &flights);
         }
-        FramePart::Contents(server, adapters) => {
-            let last = seen.contents.entry(server).or_default();
+        FramePart::Contents(contents) => {
+            let last = seen.contents.entry(contents.server).or_default();
             if advance(last, frame.sequence) {
-                take_contents(node, server, &adapters, now_ms);
+                take_contents(node, &contents, now_ms);
             }
         }
         FramePart::Wants(wants) if advance(&mut seen.wants, frame.sequence) => {
@@ -346,11 +354,13 @@
     }
 }
 
-fn take_contents(node: &Node, server: Fingerprint, adapters: &[AdapterPart], now_ms: Millis) {
-    let Some(server) = node.servers.borrow().by_fingerprint(server) else {
+fn take_contents(node: &Node, contents: &ContentsPart, now_ms: Millis) {
+    let Some(server) = node.servers.borrow().by_fingerprint(contents.server) else {
         return;
     };
-    let entries = adapters
+    server.set_overloaded(contents.is_overloaded);
+    let entries = contents
+        .adapters
         .iter()
         .map(|adapter| {
             let state = if adapter.is_ready {
--- a/crates/tinbay-gateway/src/peers/frame.rs
+++ b/crates/tinbay-gateway/src/peers/frame.rs
@@ -33,7 +33,7 @@
     /// Requests it has running, by server; servers that are left out have none.
     Flights(Vec<(Fingerprint, u16)>),
     /// All that one server holds whose claim it holds.
-    Contents(Fingerprint, Vec<AdapterPart>),
+    Contents(ContentsPart),
     /// What it wants at servers of the receiver, where that changed or a request waits.
     Wants(Vec<WantPart>),
     /// How much it wants its next loads, by service; the most wanted first.
@@ -44,6 +44,17 @@
     Uses(Vec<(Fingerprint, AdapterKey, u32)>),
 }
 
+/// What the holder of a server says of it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ContentsPart {
+    /// The server.
+    pub server: Fingerprint,
+    /// Whether it should get no more adapters for now.
+    pub is_overloaded: bool,
+    /// All that it holds.
+    pub adapters: Vec<AdapterPart>,
+}
+
 /// An adapter that takes a place.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AdapterPart {
--- a/crates/tinbay-gateway/src/servers.rs
+++ b/crates/tinbay-gateway/src/servers.rs
@@ -82,6 +82,7 @@
     mistrust: Cell<(f64, Millis)>,
     delay: Cell<(f64, Millis)>,
     usual_flights: Cell<f64>,
+    is_overloaded: Cell<bool>,
 }
 
 /// One request of this box at a server, counted while it lives.
@@ -124,6 +125,7 @@
             mistrust: Cell::default(),
             delay: Cell::default(),
             usual_flights: Cell::default(),
+            is_overloaded: Cell::default(),
         }
     }
 
@@ -255,6 +257,16 @@
         self.usual_flights.get()
     }
 
+    /// Whether it should get no more adapters for now, as its holder judges.
+    pub fn is_overloaded(&self) -> bool {
+        self.is_overloaded.get()
+    }
+
+    /// Notes whether it should get no more adapters for now; true if that is news.
+    pub fn set_overloaded(&self, is_overloaded: bool) -> bool {
+        self.is_overloaded.replace(is_overloaded) != is_overloaded
+    }
+
     /// Requests that usually run here against those it works on at once.
     pub fn usual_fullness(&self) -> f64 {
         self.usual_flights() / self.record().slots.max(1) as f64
