--- a/crates/tinbay-core/src/serving/contents.rs
+++ b/crates/tinbay-core/src/serving/contents.rs
@@ -120,9 +120,9 @@
     pub version: Option<u64>,
 }
 
-/// Weight of a request that waits, against one remembered: what an adapter was asked for
-/// tells what it will be asked for.
-const WAITING_WEIGHT: f64 = 0.5;
+/// Weight of a request that waits, or will come back, against one remembered: the load serves
+/// it, while others may never be asked again.
+const WAITING_WEIGHT: f64 = 3.0;
 
 /// An adapter that requests need, or a model where no adapter is named.
 #[derive(Debug, Clone, PartialEq)]
--- a/crates/tinbay-gateway/src/front/adapters.rs
+++ b/crates/tinbay-gateway/src/front/adapters.rs
@@ -30,9 +30,24 @@
 /// third.
 const RETRY_AFTER_PART: f64 = 0.32;
 
+/// Time by which a caller may come back later than it was told.
+const COMING_BACK: Duration = Duration::from_millis(100);
+
 /// When a caller comes back that should use another box.
 const RETRY_ELSEWHERE_MS: Millis = 20;
 
+/// The caller is expected back: its adapter stays wanted until then.
+fn keep_waiting(waiting: Option<Waiting>, retry_after_ms: Millis) {
+    let Some(waiting) = waiting else {
+        return;
+    };
+    let until_back = Duration::from_millis(retry_after_ms) + COMING_BACK;
+    tokio::task::spawn_local(async move {
+        tokio::time::sleep(until_back).await;
+        drop(waiting);
+    });
+}
+
 /// How long a request waits for its adapter.
 struct Patience {
     first_until_ms: Millis,
@@ -126,9 +141,13 @@
         let now_ms = node.now_ms();
         let patient_until_ms = patience.until_ms(choice::is_coming(node, question));
         if now_ms >= patient_until_ms {
+            let retry_after_ms = patience.retry_after_ms(now_ms);
+            if question.is_new {
+                keep_waiting(waiting.take(), retry_after_ms);
+            }
             return Err(Refusal::NotRun {
                 reason: NotRunReason::AdapterNotLoaded,
-                retry_after_ms: patience.retry_after_ms(now_ms),
+                retry_after_ms,
             });
         }
         if node.is_leaving.get() {
