--- a/crates/tinbay-gateway/src/front/choice.rs
+++ b/crates/tinbay-gateway/src/front/choice.rs
@@ -19,14 +19,14 @@
 
 /// Requests at an engine that tell the same: prompts are read between the tokens of the
 /// others, so that streams stall long before all places are taken.
-const SPREAD_FLIGHTS: usize = 20;
+const SPREAD_FLIGHTS: usize = 26;
 
 /// Requests of an adapter, over all boxes, that its servers should have each before one more
 /// gets it: a copy costs a load, and only the copy of an adapter that makes the crowd helps.
 const REQUESTS_A_COPY: f64 = 12.0;
 
 /// Part of a request that a copy earns where its servers are crowded but answer in time.
-const LEAST_LATENESS: f64 = 0.3;
+const LEAST_LATENESS: f64 = 0.15;
 
 /// Most that one earns where they answer late.
 const MOST_LATENESS: f64 = 2.0;
@@ -37,7 +37,7 @@
 
 /// Usual time to the head there, as a part of the objective, that tells the same: long
 /// before its places are taken an engine may have no time left to read prompts.
-const SPREAD_DELAY: f64 = 0.3;
+const SPREAD_DELAY: f64 = 0.6;
 
 /// What is to be done with a request next.
 pub enum Choice {
