--- a/crates/tinbay-gateway/src/orders/claiming.rs
+++ b/crates/tinbay-gateway/src/orders/claiming.rs
@@ -21,7 +21,10 @@
 /// Pause between looks at the claims.
 const LOOK_PAUSE: Duration = Duration::from_millis(250);
 
-/// Time after the start in which boxes come to know each other.
+/// The same just after the start, when own claims are taken up again.
+const START_LOOK_PAUSE: Duration = Duration::from_millis(20);
+
+/// Time after the start in which boxes come to know each other and no new claim is taken.
 const SETTLE_MS: Millis = 1_200;
 
 /// Time by which each box lets the one before it go first.
@@ -39,8 +42,8 @@
 pub async fn run(node: Rc<Node>) {
     let mut free_since_ms: HashMap<String, Millis> = HashMap::new();
     loop {
-        tokio::time::sleep(LOOK_PAUSE).await;
-        if node.is_leaving.get() || node.now_ms() < SETTLE_MS {
+        tokio::time::sleep(look_pause(&node)).await;
+        if node.is_leaving.get() {
             continue;
         }
         for server in engine_servers(&node) {
@@ -49,6 +52,15 @@
     }
 }
 
+/// A box that starts again must know soon what its servers hold: all others wait for its word.
+fn look_pause(node: &Node) -> Duration {
+    if node.now_ms() < SETTLE_MS {
+        START_LOOK_PAUSE
+    } else {
+        LOOK_PAUSE
+    }
+}
+
 fn engine_servers(node: &Node) -> Vec<Rc<Server>> {
     let servers = node.servers.borrow();
     servers
@@ -69,6 +81,9 @@
         return;
     }
     let now_ms = node.now_ms();
+    if now_ms < SETTLE_MS {
+        return;
+    }
     if !is_free(node, server, now_ms) || !node.proof.get().holds(&node.claim_terms(), now_ms) {
         free_since_ms.remove(&server.address_text);
         return;
