Each step of a grown quota counts by itself

It is no matter of load: the case fails every time on the old code and stands as a test of its own. Change: growth not freed yet is summed over the steps; never less than what held all the window.

--- a/crates/tinbay-core/src/serving/pacing.rs
+++ b/crates/tinbay-core/src/serving/pacing.rs
@@ -201,8 +201,9 @@
             .is_none_or(|last_ms| now_ms >= last_ms + gap_ms)
     }
 
-    /// What of a quota may be used: one that grew does so as fast as the loads that others
-    /// began, before it went over to this holder, leave the window.
+    /// What of a quota may be used: each step by which it grew counts as fast as the loads that
+    /// others began, before it went over to this holder, leave the window. What held all the
+    /// window through always counts.
     fn settled_quota(&mut self, quota: usize, window_ms: Millis, now_ms: Millis) -> usize {
         if self.quotas.back().is_none_or(|last| last.quota != quota) {
             self.quotas.push_back(QuotaSince {
@@ -215,15 +216,16 @@
         while self.quotas.len() > 1 && self.quotas[1].since_ms <= start_ms {
             self.quotas.pop_front();
         }
-        let befores = self.quotas.iter().zip(self.quotas.iter().skip(1));
-        befores
-            .filter(|(before, _)| before.quota < quota)
+        let least = self.quotas.iter().map(|since| since.quota).min();
+        let steps = self.quotas.iter().zip(self.quotas.iter().skip(1));
+        let not_freed: f64 = steps
             .map(|(before, after)| {
-                let part = freed_part(now_ms - after.since_ms, window_ms);
-                let grown = (quota - before.quota) as f64 * part;
-                before.quota + grown as usize
+                let grown = after.quota.saturating_sub(before.quota) as f64;
+                grown * (1.0 - freed_part(now_ms - after.since_ms, window_ms))
             })
-            .fold(quota, usize::min)
+            .sum();
+        let freed = quota.saturating_sub(not_freed.ceil() as usize);
+        freed.max(least.unwrap_or(quota))
     }
 }
 
--- a/crates/tinbay-core/tests/serving_pacing_test.rs
+++ b/crates/tinbay-core/tests/serving_pacing_test.rs
@@ -106,48 +106,59 @@
 /// holds no more than allowed.
 #[test]
 fn take_never_exceeds_window_when_engines_move() {
-    fn property(moves: Vec<(u8, u8, u8)>, starts: Vec<u8>) -> bool {
-        const BOXES: usize = 4;
-        let mut counts: Vec<usize> = (0..BOXES)
-            .map(|number| usize::from(starts.get(number).copied().unwrap_or(3) % 5))
-            .collect();
-        let mut paces: Vec<LoadPace> = (0..BOXES).map(|_| LoadPace::default()).collect();
-        let mut moves = moves.into_iter();
-        let mut next_move_ms = 3_000;
-        let mut begun: Vec<u64> = Vec::new();
-        for now_ms in (0..40_000).step_by(10) {
-            if now_ms >= next_move_ms
-                && let Some((from, to, pause)) = moves.next()
-            {
-                let (from, to) = (usize::from(from) % BOXES, usize::from(to) % BOXES);
-                let moved = counts[from];
-                counts[from] = 0;
-                if from != to {
-                    counts[to] += moved;
-                }
-                next_move_ms = now_ms + 400 + u64::from(pause) * 40;
+    QuickCheck::new()
+        .tests(60)
+        .quickcheck(holds_window_when_engines_move as fn(Vec<(u8, u8, u8)>, Vec<u8>) -> bool);
+}
+
+/// Two moves shortly after each other: the second step of a quota must not count as freed since
+/// the first. Found by the property above, beside load.
+#[test]
+fn take_never_exceeds_window_after_two_moves() {
+    assert!(holds_window_when_engines_move(
+        vec![(5, 127, 1), (0, 0, 0)],
+        vec![109, 1, 27]
+    ));
+}
+
+fn holds_window_when_engines_move(moves: Vec<(u8, u8, u8)>, starts: Vec<u8>) -> bool {
+    const BOXES: usize = 4;
+    let mut counts: Vec<usize> = (0..BOXES)
+        .map(|number| usize::from(starts.get(number).copied().unwrap_or(3) % 5))
+        .collect();
+    let mut paces: Vec<LoadPace> = (0..BOXES).map(|_| LoadPace::default()).collect();
+    let mut moves = moves.into_iter();
+    let mut next_move_ms = 3_000;
+    let mut begun: Vec<u64> = Vec::new();
+    for now_ms in (0..40_000).step_by(10) {
+        if now_ms >= next_move_ms
+            && let Some((from, to, pause)) = moves.next()
+        {
+            let (from, to) = (usize::from(from) % BOXES, usize::from(to) % BOXES);
+            let moved = counts[from];
+            counts[from] = 0;
+            if from != to {
+                counts[to] += moved;
             }
-            let quotas = deal(BOUND.allowed(RATE_PER_S), &engines(&counts));
-            for (number, pace) in paces.iter_mut().enumerate() {
-                let quota = quotas.get(&format!("box-{number}")).copied().unwrap_or(0);
-                if pace.take(1, 1.0, quota, BOUND.window_ms, now_ms) {
-                    begun.push(now_ms);
-                }
+            next_move_ms = now_ms + 400 + u64::from(pause) * 40;
+        }
+        let quotas = deal(BOUND.allowed(RATE_PER_S), &engines(&counts));
+        for (number, pace) in paces.iter_mut().enumerate() {
+            let quota = quotas.get(&format!("box-{number}")).copied().unwrap_or(0);
+            if pace.take(1, 1.0, quota, BOUND.window_ms, now_ms) {
+                begun.push(now_ms);
             }
         }
-        let in_window = |start: &u64| {
-            begun
-                .iter()
-                .filter(|time| *time >= start && **time < start + BOUND.window_ms)
-                .count()
-        };
+    }
+    let in_window = |start: &u64| {
         begun
             .iter()
-            .all(|start| in_window(start) <= BOUND.allowed(RATE_PER_S))
-    }
-    QuickCheck::new()
-        .tests(60)
-        .quickcheck(property as fn(Vec<(u8, u8, u8)>, Vec<u8>) -> bool);
+            .filter(|time| *time >= start && **time < start + BOUND.window_ms)
+            .count()
+    };
+    begun
+        .iter()
+        .all(|start| in_window(start) <= BOUND.allowed(RATE_PER_S))
 }
 
 #[test]
--- a/crates/tinbay-gateway/src/run.rs
+++ b/crates/tinbay-gateway/src/run.rs
@@ -32,15 +32,16 @@
 /// Connections that may wait to be taken.
 const BACKLOG: u32 = 512;
 
-/// How operators' changes are watched: at once.
+/// How operators' changes are watched: at once. A call that the store lost as it fell silent is
+/// noticed only when its wait is over, so that the wait must be shorter than a change may take.
 const CONFIGURATION_PACE: WatchPace = WatchPace {
-    wait_ms: 4_000,
+    wait_ms: 1_500,
     gap_ms: 20,
 };
 
 /// How servers are watched: their heartbeats are many, so that some wait for the next call.
 const SERVER_PACE: WatchPace = WatchPace {
-    wait_ms: 4_000,
+    wait_ms: 1_500,
     gap_ms: 750,
 };
 
