Loads of adapters are no longer rationed

Cause: the users' new fact: adapters count neither for the rate of loads nor for the ceiling; the code dealt some 10 loads a second out among holders with quotas, bids, grants, pauses and a first patience, and refused what found no quota. Ruled out: places (servers had idle adapters to give), the store's rate (it allows any number of adapters). Change: quotas, bids, grants, gifts between holders, pauses between loads, the short patience of first requests and the memory of who comes back are gone.

--- a/crates/tinbay-core/src/serving/contents.rs
+++ b/crates/tinbay-core/src/serving/contents.rs
@@ -35,9 +35,6 @@
 /// Shortest pause between two looks at a load.
 const CHECK_PAUSE_MS: Millis = 8;
 
-/// Weight of the load of a model: nothing is served without it.
-const MODEL_WEIGHT: f64 = 1_000_000.0;
-
 /// Pause between two looks at the load of a model, which takes some hundred milliseconds.
 const MODEL_CHECK_PAUSE_MS: Millis = 60;
 
@@ -99,8 +96,6 @@
 struct Turn<'a> {
     expected_count: u64,
     named: &'a dyn Fn(&str) -> Option<u64>,
-    allowance: &'a mut dyn FetchAllowance,
-    may_fetch: bool,
     now_ms: Millis,
 }
 
@@ -207,13 +202,10 @@
     NoAnswer,
 }
 
-/// What the weight store allows the holder now.
-pub trait FetchAllowance {
-    /// Whether a load of this weight may begin now.
-    fn offers(&mut self, weight: f64) -> bool;
-
-    /// Takes the load that was offered last.
-    fn take(&mut self);
+/// What the weight store allows the holder now; it bounds the loads of base models alone.
+pub trait ModelAllowance {
+    /// Takes one load, if one is left.
+    fn take(&mut self) -> bool;
 }
 
 /// What one server holds, as its holder knows it.
@@ -311,14 +303,12 @@
 
     /// The next order, or when to look again.
     ///
-    /// `wants` come most wanted first. Only the first of them that needs a fetch is offered
-    /// to the allowance: a less wanted one must not take its turn, nor speak for this server
-    /// among the holder's others.
+    /// `wants` come most wanted first; what nobody waits for is not loaded.
     pub fn next_action(
         &mut self,
         wants: &[Want],
         named: &dyn Fn(&str) -> Option<u64>,
-        allowance: &mut dyn FetchAllowance,
+        allowance: &mut dyn ModelAllowance,
         now_ms: Millis,
     ) -> Option<Action> {
         let Some(expected_count) = self.order_count else {
@@ -336,39 +326,15 @@
         if self.loading() >= MOST_LOADING {
             return None;
         }
-        let mut turn = Turn {
+        let turn = Turn {
             expected_count,
             named,
-            allowance,
-            may_fetch: true,
             now_ms,
         };
         wants
             .iter()
-            .find_map(|want| self.serve_want(want, &mut turn))
-    }
-
-    /// Weights of the fetches that the server could begin now, the most wanted first; `wants`
-    /// come so.
-    pub fn fetch_weights(&self, wants: &[Want], now_ms: Millis) -> Vec<f64> {
-        let can_load = self.is_learnt() && !self.is_loading_model();
-        if !can_load {
-            return Vec::new();
-        }
-        let is_any_idle = self.held.values().any(|held| held.is_idle(now_ms));
-        let can_fetch = |want: &&Want| {
-            let key = adapter_key(&want.adapter);
-            let has_place = match self.holding(key, want.version) {
-                Holding::None => is_any_idle || self.has_room(&want.adapter),
-                Holding::Stale => self.is_replaceable(key, now_ms),
-                Holding::Current => false,
-            };
-            has_place && !self.loads_fast(key, want.version)
-        };
-        let weights = wants.iter().filter(can_fetch).map(Want::weight);
-        weights
-            .take(MOST_LOADING.saturating_sub(self.loading()))
-            .collect()
+            .filter(|want| want.is_awaited())
+            .find_map(|want| self.serve_want(want, &turn))
     }
 
     /// When [`Contents::next_action`] may give something without a new want.
@@ -400,7 +366,7 @@
         &self,
         wants: &[Want],
         expected_count: u64,
-        allowance: &mut dyn FetchAllowance,
+        allowance: &mut dyn ModelAllowance,
     ) -> Option<Action> {
         let wanted = wants.iter().map(|want| model_of(&want.adapter));
         let missing = wanted
@@ -412,7 +378,7 @@
             None if self.models.is_empty() => first()?,
             None => return None,
         };
-        take_offer(allowance, MODEL_WEIGHT).then(|| Action::Load {
+        allowance.take().then(|| Action::Load {
             adapter: model.to_string(),
             version: None,
             expected_count,
@@ -470,7 +436,7 @@
         })
     }
 
-    fn serve_want(&self, want: &Want, turn: &mut Turn<'_>) -> Option<Action> {
+    fn serve_want(&self, want: &Want, turn: &Turn<'_>) -> Option<Action> {
         let key = adapter_key(&want.adapter);
         if !self.models.contains_key(model_of(&want.adapter)) || !want.adapter.contains('/') {
             return None;
@@ -481,32 +447,13 @@
         {
             return None;
         }
-        let loads_fast = self.loads_fast(key, want.version);
-        if loads_fast && !want.is_awaited() {
-            return None;
-        }
-        let needs_place = holding == Holding::None && !self.has_room(&want.adapter);
-        // A server that has no place to give must not bid: it would keep the others from theirs.
-        let victim = if needs_place {
-            Some(self.victim(turn)?)
-        } else {
-            None
-        };
-        if !loads_fast {
-            turn.may_fetch = turn.may_fetch && turn.allowance.offers(want.weight());
-            if !turn.may_fetch {
-                return None;
-            }
-        }
-        if let Some(victim) = victim {
+        if holding == Holding::None && !self.has_room(&want.adapter) {
+            let victim = self.victim(turn)?;
             return Some(Action::Unload {
                 adapter: victim.adapter.clone(),
                 expected_count: turn.expected_count,
             });
         }
-        if !loads_fast {
-            turn.allowance.take();
-        }
         Some(Action::Load {
             adapter: want.adapter.clone(),
             version: want.version,
@@ -741,14 +688,6 @@
     }
 }
 
-fn take_offer(allowance: &mut dyn FetchAllowance, weight: f64) -> bool {
-    let is_offered = allowance.offers(weight);
-    if is_offered {
-        allowance.take();
-    }
-    is_offered
-}
-
 fn ready(adapter: AdapterName, version: Option<u64>, now_ms: Millis) -> Held {
     Held {
         adapter,
--- a/crates/tinbay-core/src/serving/mod.rs
+++ b/crates/tinbay-core/src/serving/mod.rs
@@ -5,7 +5,6 @@
 
 pub mod asking;
 pub mod budget;
-pub mod callers;
 pub mod claims;
 pub mod configuration;
 pub mod contents;
--- a/crates/tinbay-gateway/src/front/adapters.rs
+++ b/crates/tinbay-gateway/src/front/adapters.rs
@@ -22,64 +22,28 @@
 /// Longest pause between looks; a change at the server ends it.
 const LOOK_PAUSE: Duration = Duration::from_millis(100);
 
-/// Part of a new request's objective after which its caller is told to come back, unless its
-/// adapter is on its way: one that comes back to a loaded adapter is served in time again.
-const FIRST_PATIENCE: f64 = 0.22;
-
 /// Part of the time left after which a caller should come back; callers wait no longer than a
 /// third.
 const RETRY_AFTER_PART: f64 = 0.32;
 
-/// Time by which a caller may come back later than it was told.
-const COMING_BACK: Duration = Duration::from_millis(100);
-
 /// When a caller comes back that should use another box.
 const RETRY_ELSEWHERE_MS: Millis = 20;
 
-/// The caller is expected back: its adapter stays wanted until then.
-fn keep_waiting(waiting: Option<Waiting>, retry_after_ms: Millis) {
-    let Some(waiting) = waiting else {
-        return;
-    };
-    let until_back = Duration::from_millis(retry_after_ms) + COMING_BACK;
-    tokio::task::spawn_local(async move {
-        tokio::time::sleep(until_back).await;
-        drop(waiting);
-    });
-}
-
 /// How long a request waits for its adapter.
 struct Patience {
-    first_until_ms: Millis,
-    longest_until_ms: Millis,
+    until_ms: Millis,
     time_up_ms: Millis,
 }
 
 impl Patience {
     fn of(question: &Question) -> Self {
         let time_ms = (question.time_up_ms - question.arrived_ms) as f64;
-        let longest_ms = time_ms * PATIENCE;
-        let first_ms = if question.is_new {
-            question.route.objective_ms as f64 * FIRST_PATIENCE
-        } else {
-            longest_ms
-        };
         Self {
-            first_until_ms: question.arrived_ms + first_ms.min(longest_ms) as Millis,
-            longest_until_ms: question.arrived_ms + longest_ms as Millis,
+            until_ms: question.arrived_ms + (time_ms * PATIENCE) as Millis,
             time_up_ms: question.time_up_ms,
         }
     }
 
-    /// When the caller is told to come back.
-    fn until_ms(&self, is_coming: bool) -> Millis {
-        if is_coming {
-            self.longest_until_ms
-        } else {
-            self.first_until_ms
-        }
-    }
-
     fn retry_after_ms(&self, now_ms: Millis) -> Millis {
         let left_ms = self.time_up_ms.saturating_sub(now_ms) as f64;
         (left_ms * RETRY_AFTER_PART) as Millis
@@ -139,15 +103,10 @@
             Choice::Nowhere => return Err(Refusal::NoServer),
         };
         let now_ms = node.now_ms();
-        let patient_until_ms = patience.until_ms(choice::is_coming(node, question));
-        if now_ms >= patient_until_ms {
-            let retry_after_ms = patience.retry_after_ms(now_ms);
-            if question.is_new {
-                keep_waiting(waiting.take(), retry_after_ms);
-            }
+        if now_ms >= patience.until_ms {
             return Err(Refusal::NotRun {
                 reason: NotRunReason::AdapterNotLoaded,
-                retry_after_ms,
+                retry_after_ms: patience.retry_after_ms(now_ms),
             });
         }
         if node.is_leaving.get() {
@@ -166,7 +125,7 @@
             waiting = Some(Waiting::begin(node, question, &home, is_first));
         }
         let told = node.waiters.join(question.model_key.unwrap_or_default());
-        let pause = LOOK_PAUSE.min(Duration::from_millis(patient_until_ms - now_ms));
+        let pause = LOOK_PAUSE.min(Duration::from_millis(patience.until_ms - now_ms));
         let _ = tokio::time::timeout(pause, told.notified()).await;
     }
 }
--- a/crates/tinbay-gateway/src/front/choice.rs
+++ b/crates/tinbay-gateway/src/front/choice.rs
@@ -112,19 +112,6 @@
     Choice::Send(server)
 }
 
-/// Whether the adapter of a request is on its way to a server.
-pub fn is_coming(node: &Node, question: &Question) -> bool {
-    let Some(key) = question.model_key else {
-        return false;
-    };
-    let now_ms = node.now_ms();
-    let servers = node.servers.borrow().ready(&question.service);
-    servers
-        .iter()
-        .filter_map(|server| server.adapter(key, now_ms))
-        .any(|entry| entry.state == HeldState::Loading)
-}
-
 /// Requests of an adapter from this box at each of its servers.
 fn requests_a_server(key: AdapterKey, holding: &[Rc<Server>]) -> f64 {
     let flights = holding.iter().map(|server| server.adapter_flights(key));
--- a/crates/tinbay-gateway/src/front/question.rs
+++ b/crates/tinbay-gateway/src/front/question.rs
@@ -36,8 +36,6 @@
     pub arrived_ms: Millis,
     /// Time from its arrival to its last send; none was sent where it is not set.
     pub sent_after_ms: Cell<Option<Millis>>,
-    /// Whether its caller asks for the first time, as far as the time it gives tells.
-    pub is_new: bool,
     /// When its time is up: the caller's deadline or the route's time-out.
     pub time_up_ms: Millis,
 }
@@ -67,7 +65,6 @@
         let deadline_ms = text(&parts.headers, &names.deadline_ms)
             .and_then(|value| value.trim().parse::<f64>().ok())
             .map_or(DEFAULT_DEADLINE_MS, |value| value as Millis);
-        let is_new = node.callers.borrow_mut().is_new(&route.name, deadline_ms);
         let model = text(&parts.headers, &names.model).map(str::to_string);
         let time_up_ms = arrived_ms + deadline_ms.min(route.timeout_ms);
         Ok(Self {
@@ -79,7 +76,6 @@
             model,
             arrived_ms,
             sent_after_ms: Cell::default(),
-            is_new,
             time_up_ms,
             parts,
         })
--- a/crates/tinbay-gateway/src/housekeeping.rs
+++ b/crates/tinbay-gateway/src/housekeeping.rs
@@ -29,7 +29,6 @@
         ledger.keep_servers(&is_held);
         let is_kept = |placed, server| is_held(server) && ledger.asks_for(placed);
         node.placing.borrow_mut().keep(&is_kept);
-        node.bids.borrow_mut().keep_servers(&is_held);
         node.waiters.tidy();
         drop(ledger);
         drop(books);
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -6,7 +6,6 @@
 
 use tinbay_core::serving::asking::Asking;
 use tinbay_core::serving::budget::SendBudget;
-use tinbay_core::serving::callers::Callers;
 use tinbay_core::serving::claims::{ClaimTable, ClaimTerms, Proof};
 use tinbay_core::serving::configuration::{Configuration, EngineSpec, Limits};
 use tinbay_core::serving::contents::Contents;
@@ -21,8 +20,6 @@
 use crate::latch::Latch;
 use crate::members::{MemberRecord, Members};
 use crate::metrics::Metrics;
-use crate::orders::sharing::Bids;
-use crate::peers::frame::Fingerprint;
 use crate::port::dialect::Dialect;
 use crate::port::store::Store;
 use crate::servers::{Server, ServerKey, ServerTable};
@@ -86,10 +83,6 @@
     pub books: RefCell<HashMap<ServerKey, Rc<RefCell<Contents>>>>,
     /// This box's share of the weight store's rate, by service.
     pub paces: RefCell<HashMap<String, LoadPace>>,
-    /// What holders would load next.
-    pub bids: RefCell<Bids>,
-    /// Loads given away that are to be sent: to which box, for which service.
-    pub given_loads: RefCell<Vec<(String, Fingerprint)>>,
     /// Which adapters callers of this box wait or waited for.
     pub asking: RefCell<Asking>,
     /// What all boxes ask of the servers held here.
@@ -118,8 +111,6 @@
     pub closing: Latch,
     /// Connections of callers that are open.
     pub connections: Cell<usize>,
-    /// How long callers are ready to wait.
-    pub callers: RefCell<Callers>,
     /// Second sends by service.
     pub budgets: RefCell<HashMap<String, SendBudget>>,
 }
@@ -146,8 +137,6 @@
             proof: Cell::default(),
             books: RefCell::default(),
             paces: RefCell::default(),
-            bids: RefCell::default(),
-            given_loads: RefCell::default(),
             asking: RefCell::default(),
             ledger: RefCell::default(),
             placing: RefCell::default(),
@@ -162,7 +151,6 @@
             is_leaving: Cell::default(),
             closing: Latch::default(),
             connections: Cell::default(),
-            callers: RefCell::default(),
             budgets: RefCell::default(),
         }
     }
@@ -281,13 +269,6 @@
         self.frames_due.notify_one();
     }
 
-    /// Has a load sent to a box that wants it more.
-    pub fn give_load(&self, box_id: &str, service: Fingerprint) {
-        let given = (box_id.to_string(), service);
-        self.given_loads.borrow_mut().push(given);
-        self.frames_due.notify_one();
-    }
-
     /// Services of which this box holds servers.
     pub fn held_services(&self) -> HashSet<String> {
         let servers = self.servers.borrow();
--- a/crates/tinbay-gateway/src/orders/holder.rs
+++ b/crates/tinbay-gateway/src/orders/holder.rs
@@ -1,6 +1,6 @@
 //! Orders one server what to hold, while this box holds the claim on it.
 
-use std::cell::{RefCell, RefMut};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,15 +10,13 @@
 use log::Level;
 use serde::Serialize;
 use tinbay_core::serving::contents::{
-    Action, AdapterKey, Contents, FetchAllowance, Held, OrderAnswer, Want, adapter_key,
+    Action, AdapterKey, Contents, Held, ModelAllowance, OrderAnswer, Want, adapter_key,
 };
-use tinbay_core::serving::pacing::LoadPace;
 use tinbay_core::serving::placing::Candidate;
 use tinbay_core::units::Millis;
 
 use super::memory::{self, ServerMemory};
 use super::quota;
-use super::sharing;
 use crate::events::{self, part};
 use crate::http::call::{Call, CallError, Caller};
 use crate::node::Node;
@@ -93,29 +91,15 @@
     now_ms: Millis,
 }
 
-impl Allowance<'_> {
-    fn pace(&self) -> RefMut<'_, LoadPace> {
+impl ModelAllowance for Allowance<'_> {
+    fn take(&mut self) -> bool {
+        let node = &self.holder.node;
         let service = self.holder.server.record().service.clone();
-        let paces = self.holder.node.paces.borrow_mut();
-        RefMut::map(paces, |paces| paces.entry(service).or_default())
-    }
-}
-
-impl FetchAllowance for Allowance<'_> {
-    fn offers(&mut self, weight: f64) -> bool {
-        let service = self.holder.server.record().service.clone();
-        let quota = quota::of_service(&self.holder.node, &service).unwrap_or_default();
-        let window_ms = self.holder.node.settings.borrow().bounds.loads.window_ms;
-        let server = self.holder.server.key;
-        self.pace().bid(server, weight, self.now_ms);
-        sharing::give(&self.holder.node, &service);
-        self.pace()
-            .offers(server, weight, quota, window_ms, self.now_ms)
-    }
-
-    fn take(&mut self) {
-        let server = self.holder.server.key;
-        self.pace().take_offered(server, self.now_ms);
+        let quota = quota::of_service(node, &service).unwrap_or_default();
+        let window_ms = node.settings.borrow().bounds.loads.window_ms;
+        let mut paces = node.paces.borrow_mut();
+        let pace = paces.entry(service).or_default();
+        pace.take(quota, window_ms, self.now_ms)
     }
 }
 
@@ -214,11 +198,6 @@
         for (key, uses) in self.node.uses.borrow_mut().take(self.server.key) {
             book.note_uses(key, uses, now_ms);
         }
-        let weights = book.fetch_weights(wants, now_ms);
-        self.node
-            .bids
-            .borrow_mut()
-            .note_own(self.server.key, weights);
         book.next_action(wants, &named, &mut allowance, now_ms)
     }
 
--- a/crates/tinbay-gateway/src/orders/mod.rs
+++ b/crates/tinbay-gateway/src/orders/mod.rs
@@ -6,4 +6,3 @@
 pub mod membership;
 pub mod memory;
 pub mod quota;
-pub mod sharing;
--- a/crates/tinbay-gateway/src/peers/exchange.rs
+++ b/crates/tinbay-gateway/src/peers/exchange.rs
@@ -14,7 +14,6 @@
 };
 use crate::node::Node;
 use crate::orders::load;
-use crate::orders::sharing::service_fingerprint;
 use crate::servers::{ServerKey, ViewEntry};
 
 /// Pause between frames to a box where nothing has changed.
@@ -79,7 +78,6 @@
 impl Sender {
     /// Tells changed contents to all, and wants to the holders that are to know at once.
     async fn send_changes(&mut self) {
-        self.send_grants().await;
         let changed = std::mem::take(&mut *self.node.changed_books.borrow_mut());
         let hasty = std::mem::take(&mut *self.node.frames_to.borrow_mut());
         for (box_id, address) in others(&self.node) {
@@ -95,24 +93,10 @@
         }
     }
 
-    async fn send_grants(&mut self) {
-        let given = std::mem::take(&mut *self.node.given_loads.borrow_mut());
-        for (box_id, service) in given {
-            let address = peer_address(&self.node, &box_id);
-            if let Some(address) = address {
-                self.send(address, FramePart::Grant(service, 1)).await;
-            }
-        }
-    }
-
     async fn send_heartbeat(&mut self, is_slow: bool) {
         let flights = FramePart::Flights(flights(&self.node));
-        let bids = bids(&self.node);
         for (box_id, address) in others(&self.node) {
             self.send(address, flights.clone()).await;
-            for part in &bids {
-                self.send(address, part.clone()).await;
-            }
             let held = self.node.servers_held_by(&box_id);
             self.send_wants(&held, address).await;
             self.send_uses(&held, address).await;
@@ -187,23 +171,6 @@
         .collect()
 }
 
-fn peer_address(node: &Node, box_id: &str) -> Option<SocketAddr> {
-    let members = node.members.borrow();
-    members.get(box_id).map(|member| member.record.peer)
-}
-
-fn bids(node: &Node) -> Vec<FramePart> {
-    let bids = node.bids.borrow();
-    let of_service = |service: String| {
-        let held = node.held_of_service(&service);
-        let keys: Vec<ServerKey> = held.iter().map(|server| server.key).collect();
-        let weights = bids.own(&keys).into_iter();
-        let weights = weights.map(|weight| weight as f32).collect();
-        FramePart::Bids(service_fingerprint(&service), weights)
-    };
-    node.held_services().into_iter().map(of_service).collect()
-}
-
 fn flights(node: &Node) -> Vec<(Fingerprint, u16)> {
     let servers = node.servers.borrow();
     servers
@@ -275,7 +242,6 @@
     flights: u64,
     contents: HashMap<Fingerprint, u64>,
     wants: u64,
-    grants: u64,
 }
 
 /// Takes frames.
@@ -324,14 +290,6 @@
         FramePart::Wants(wants) if advance(&mut seen.wants, frame.sequence) => {
             take_wants(node, &frame.box_id, &wants, now_ms);
         }
-        FramePart::Bids(service, weights) => {
-            let weights = weights.into_iter().map(f64::from).collect();
-            let mut bids = node.bids.borrow_mut();
-            bids.note_peer(service, &frame.box_id, weights, now_ms);
-        }
-        FramePart::Grant(service, loads) if advance(&mut seen.grants, frame.sequence) => {
-            take_grant(node, service, loads, now_ms);
-        }
         FramePart::Uses(uses) => take_uses(node, &uses, now_ms),
         _ => {}
     }
@@ -387,24 +345,6 @@
     }
 }
 
-fn take_grant(node: &Node, fingerprint: Fingerprint, loads: u32, now_ms: Millis) {
-    let services = node.held_services();
-    let service = services
-        .into_iter()
-        .find(|service| service_fingerprint(service) == fingerprint);
-    let Some(service) = service else {
-        return;
-    };
-    let mut paces = node.paces.borrow_mut();
-    let pace = paces.entry(service.clone()).or_default();
-    for _ in 0..loads {
-        pace.note_grant(now_ms);
-    }
-    for server in node.held_of_service(&service) {
-        server.order_due.notify_one();
-    }
-}
-
 fn take_uses(node: &Node, uses: &[(Fingerprint, u64, u32)], now_ms: Millis) {
     let servers = node.servers.borrow();
     let books = node.books.borrow();
--- a/crates/tinbay-gateway/src/peers/frame.rs
+++ b/crates/tinbay-gateway/src/peers/frame.rs
@@ -36,10 +36,6 @@
     Contents(ContentsPart),
     /// What it wants at servers of the receiver, where that changed or a request waits.
     Wants(Vec<WantPart>),
-    /// How much it wants its next loads, by service; the most wanted first.
-    Bids(Fingerprint, Vec<f32>),
-    /// Loads of a service that it gives to the receiver.
-    Grant(Fingerprint, u32),
     /// Uses since its last such part, at servers of the receiver.
     Uses(Vec<(Fingerprint, AdapterKey, u32)>),
 }
--- a/crates/tinbay-gateway/src/run.rs
+++ b/crates/tinbay-gateway/src/run.rs
@@ -19,7 +19,7 @@
 use crate::housekeeping;
 use crate::metrics::Metrics;
 use crate::node::Node;
-use crate::orders::{claiming, membership, memory, sharing};
+use crate::orders::{claiming, membership, memory};
 use crate::peers::exchange;
 use crate::port::dialect::{DecodeError, Dialect};
 use crate::port::store::Store;
@@ -135,7 +135,6 @@
     tokio::task::spawn_local(membership::keep(Rc::clone(&node)));
     tokio::task::spawn_local(claiming::run(Rc::clone(&node)));
     tokio::task::spawn_local(memory::keep(Rc::clone(&node)));
-    tokio::task::spawn_local(sharing::run(Rc::clone(&node)));
     tokio::task::spawn_local(housekeeping::run(Rc::clone(&node)));
     log_start(&settings);
     tokio::select! {
