--- /dev/null
+++ b/crates/tinbay-core/src/serving/contents/models.rs
@@ -0,0 +1,147 @@
+//! The base models that a server holds.
+
+use std::collections::HashMap;
+
+use super::held::HeldState;
+use crate::serving::configuration::{EngineSpec, ModelSpec};
+use crate::units::Millis;
+
+/// Pause between two looks at the load of a model, which takes some hundred milliseconds.
+const CHECK_PAUSE_MS: Millis = 60;
+
+/// A base model that takes memory.
+#[derive(Debug, Clone)]
+struct HeldModel {
+    state: HeldState,
+    check_ms: Millis,
+}
+
+/// The base models that a server holds.
+#[derive(Debug)]
+pub(super) struct BaseModels {
+    specs: Vec<ModelSpec>,
+    memory_mb: f64,
+    held: HashMap<String, HeldModel>,
+}
+
+impl BaseModels {
+    /// No model is held yet.
+    pub fn new(spec: &EngineSpec) -> Self {
+        Self {
+            specs: spec.models.clone(),
+            memory_mb: spec.weights_mb,
+            held: HashMap::new(),
+        }
+    }
+
+    /// Whether a model takes memory, ready or not.
+    pub fn holds(&self, model: &str) -> bool {
+        self.held.contains_key(model)
+    }
+
+    /// Whether none takes memory.
+    pub fn is_empty(&self) -> bool {
+        self.held.is_empty()
+    }
+
+    /// Whether one is on its way.
+    pub fn is_loading(&self) -> bool {
+        self.held
+            .values()
+            .any(|model| model.state == HeldState::Loading)
+    }
+
+    /// A model on its way that is due to be looked at.
+    pub fn due(&self, now_ms: Millis) -> Option<&str> {
+        let is_due = |(_, model): &(&String, &HeldModel)| {
+            model.state == HeldState::Loading && model.check_ms <= now_ms
+        };
+        let (name, _) = self.held.iter().find(is_due)?;
+        Some(name)
+    }
+
+    /// When a model on its way is to be looked at next.
+    pub fn next_look_ms(&self) -> Option<Millis> {
+        let loading = self
+            .held
+            .values()
+            .filter(|model| model.state == HeldState::Loading);
+        loading.map(|model| model.check_ms).min()
+    }
+
+    /// The model to load next: the first wanted one that is missing and fits beside adapters
+    /// of `adapters_mb`, or the first of all into an empty server.
+    pub fn missing<'a>(
+        &'a self,
+        wanted: impl Iterator<Item = &'a str>,
+        adapters_mb: f64,
+    ) -> Option<&'a str> {
+        let missing = wanted
+            .filter(|model| !self.holds(model))
+            .find(|model| self.fits(model, adapters_mb));
+        let first = || self.specs.first().map(|model| model.name.as_str());
+        match missing {
+            Some(model) => Some(model),
+            None if self.is_empty() => first(),
+            None => None,
+        }
+    }
+
+    fn fits(&self, model: &str, adapters_mb: f64) -> bool {
+        let Some(spec) = self.spec(model) else {
+            return false;
+        };
+        self.used_mb() + adapters_mb + spec.weights_mb <= self.memory_mb
+    }
+
+    fn spec(&self, model: &str) -> Option<&ModelSpec> {
+        self.specs.iter().find(|spec| spec.name == model)
+    }
+
+    fn used_mb(&self) -> f64 {
+        let weights_mb = |model: &String| self.spec(model).map_or(0.0, |spec| spec.weights_mb);
+        self.held.keys().map(weights_mb).sum()
+    }
+
+    /// Memory of one adapter of a model.
+    pub fn adapter_mb(&self, model: &str) -> f64 {
+        self.spec(model).map_or(0.0, |spec| spec.adapter_mb)
+    }
+
+    /// Memory of the largest adapter of the models held.
+    pub fn largest_adapter_mb(&self) -> f64 {
+        let sizes_mb = self.held.keys().map(|model| self.adapter_mb(model));
+        sizes_mb.fold(0.0, f64::max)
+    }
+
+    /// Memory left for adapters.
+    pub fn free_mb(&self) -> f64 {
+        self.memory_mb - self.used_mb()
+    }
+
+    /// Notes that a model is on its way; whether that is news.
+    pub fn note_loading(&mut self, model: &str, now_ms: Millis) -> bool {
+        let held = HeldModel {
+            state: HeldState::Loading,
+            check_ms: now_ms + CHECK_PAUSE_MS,
+        };
+        self.held.insert(model.to_string(), held).is_none()
+    }
+
+    /// Notes that a model is there.
+    pub fn note_ready(&mut self, model: &str, now_ms: Millis) {
+        let held = HeldModel {
+            state: HeldState::Ready,
+            check_ms: now_ms,
+        };
+        self.held.insert(model.to_string(), held);
+    }
+
+    /// Takes the models of a report: all of them are there.
+    pub fn note_report(&mut self, models: &[String], now_ms: Millis) {
+        self.held.clear();
+        for model in models {
+            self.note_ready(model, now_ms);
+        }
+    }
+}
--- /dev/null
+++ b/crates/tinbay-core/src/serving/homes.rs
@@ -0,0 +1,113 @@
+//! Where a request for an adapter should run.
+//!
+//! All boxes rank the servers alike for each adapter, so that it is looked for and loaded in
+//! the same places. A request goes down that order until it finds a server that is not too
+//! busy: what is asked for much is thereby held by more servers, without anyone counting.
+//! Source of the bounded walk: Mirrokni, Thorup and Zadimoghaddam, "Consistent hashing with
+//! bounded loads", SODA 2018.
+
+/// How a server holds an adapter.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Presence {
+    /// It can serve.
+    Ready,
+    /// It is on its way.
+    Coming,
+    /// It is not there.
+    Absent,
+    /// An older version is there that must not serve any more.
+    Outdated,
+}
+
+/// A server where a request may run; candidates come in the adapter's own order.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Candidate {
+    /// How it holds the adapter.
+    pub presence: Presence,
+    /// How busy it is: requests against its places, time to the first byte against the
+    /// objective, distance.
+    pub load: f64,
+    /// Whether it can load an adapter: its holder can order, and a place can be freed.
+    pub takes_loads: bool,
+}
+
+/// What to do with a request; positions are those of the candidates.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Pick {
+    /// Send it to the server, and have one more load the adapter if one is named.
+    Send {
+        /// The server.
+        to: usize,
+        /// The server for one more copy.
+        copy: Option<usize>,
+    },
+    /// Wait until the server has loaded the adapter.
+    Load {
+        /// The server.
+        at: usize,
+    },
+    /// No server can serve it.
+    Nowhere,
+}
+
+/// Load that a wait for an adapter on its way is worth: about half of a fetch from the weight
+/// store, of 250 ms, against objectives of 600 to 1,000 ms.
+const COMING_COST: f64 = 0.25;
+
+/// Load that a fetch is worth: its time, and what it takes from other adapters.
+const FETCH_COST: f64 = 0.6;
+
+/// Load by which a server must be less busy than the one before it in the order to take its
+/// place: adapters should stay where they are.
+const STEP_COST: f64 = 0.06;
+
+/// Load of an outdated version's server: the new version loads only when its runs are done.
+const OUTDATED_COST: f64 = 0.3;
+
+/// Load of the best server above which one more should hold the adapter.
+const COPY_LOAD: f64 = 0.75;
+
+/// Load by which the server of a copy must be less busy.
+const COPY_GAIN: f64 = 0.5;
+
+/// Chooses among candidates in the adapter's own order.
+pub fn pick(candidates: &[Candidate]) -> Pick {
+    let costs = candidates.iter().enumerate().filter_map(cost);
+    let Some((position, _)) = costs.min_by(|left, right| left.1.total_cmp(&right.1)) else {
+        return Pick::Nowhere;
+    };
+    if candidates[position].presence != Presence::Ready {
+        return Pick::Load { at: position };
+    }
+    Pick::Send {
+        to: position,
+        copy: copy_for(candidates, candidates[position].load),
+    }
+}
+
+fn cost((position, candidate): (usize, &Candidate)) -> Option<(usize, f64)> {
+    let steps = STEP_COST * position as f64;
+    let cost = match candidate.presence {
+        Presence::Ready => candidate.load,
+        Presence::Coming => candidate.load + COMING_COST,
+        _ if !candidate.takes_loads => return None,
+        Presence::Absent => candidate.load + FETCH_COST + steps,
+        Presence::Outdated => candidate.load + FETCH_COST + OUTDATED_COST + steps,
+    };
+    Some((position, cost))
+}
+
+fn copy_for(candidates: &[Candidate], load: f64) -> Option<usize> {
+    let is_any_coming = || {
+        let is_coming = |candidate: &Candidate| candidate.presence == Presence::Coming;
+        candidates.iter().any(is_coming)
+    };
+    if load < COPY_LOAD || is_any_coming() {
+        return None;
+    }
+    candidates.iter().position(|candidate| {
+        candidate.presence == Presence::Absent
+            && candidate.takes_loads
+            && candidate.load + COPY_GAIN <= load
+    })
+}
--- a/crates/tinbay-core/src/serving/mod.rs
+++ b/crates/tinbay-core/src/serving/mod.rs
@@ -3,14 +3,14 @@
 //! Like the rest of the core this does no I/O and reads no clock: times come in as
 //! milliseconds of a monotonic clock, decisions go out as values.
 
-pub mod asking;
 pub mod budget;
 pub mod claims;
 pub mod configuration;
 pub mod contents;
 pub mod fading;
-pub mod ledger;
+pub mod guests;
+pub mod homes;
 pub mod pacing;
-pub mod placing;
 pub mod routes;
 pub mod servers;
+pub mod wants;
--- a/crates/tinbay-core/src/serving/servers.rs
+++ b/crates/tinbay-core/src/serving/servers.rs
@@ -7,6 +7,10 @@
 /// Short name of an incarnation of a server, in memory and in messages.
 pub type ServerKey = u64;
 
+/// A short form of a server's or an adapter's key in messages. Two that share one are told
+/// apart by the server itself, which refuses what it does not hold.
+pub type Fingerprint = u32;
+
 /// An adapter as `model/name`.
 pub type AdapterName = String;
 
--- a/crates/tinbay-gateway/src/front/adapters.rs
+++ b/crates/tinbay-gateway/src/front/adapters.rs
@@ -5,23 +5,29 @@
 
 use log::Level;
 use serde::Serialize;
-use tinbay_core::serving::contents::{AdapterKey, adapter_key};
+use tinbay_core::serving::wants::Want;
 use tinbay_core::units::Millis;
 
-use super::choice::{self, Choice};
+use super::choice::{self, Asked, Choice};
 use super::question::Question;
 use super::refusal::{NotRunReason, Refusal};
 use crate::events::{self, part};
 use crate::node::Node;
-use crate::servers::{Server, ServerKey};
+use crate::servers::Server;
 
 /// Part of its time that a request waits for an adapter before its caller is told to come
 /// back; the rest is left for another try.
 const PATIENCE: f64 = 0.45;
 
-/// Longest pause between looks; a change at the server ends it.
+/// Longest pause between looks; the word of the server's holder ends it.
 const LOOK_PAUSE: Duration = Duration::from_millis(100);
 
+/// Pause after which a holder is asked again, as messages may be lost.
+const ASK_AGAIN_MS: Millis = 100;
+
+/// Longest wait for a holder's word where the request could be sent without it.
+const ANSWER_WAIT: Duration = Duration::from_millis(20);
+
 /// Part of the time left after which a caller should come back; callers wait no longer than a
 /// third.
 const RETRY_AFTER_PART: f64 = 0.32;
@@ -50,38 +56,6 @@
     }
 }
 
-/// A want that ends when the request stops waiting.
-struct Waiting {
-    node: Rc<Node>,
-    home: ServerKey,
-    adapter: AdapterKey,
-}
-
-impl Waiting {
-    fn begin(node: &Rc<Node>, question: &Question, home: &Server, is_first: bool) -> Self {
-        let adapter = question.model.as_deref().unwrap_or_default();
-        let version = question.named_version(node);
-        let now_ms = node.now_ms();
-        let mut asking = node.asking.borrow_mut();
-        let is_news = asking.begin(home.key, adapter, version, is_first, now_ms);
-        drop(asking);
-        if is_news {
-            choice::notify_holder(node, home);
-        }
-        Self {
-            node: Rc::clone(node),
-            home: home.key,
-            adapter: adapter_key(adapter),
-        }
-    }
-}
-
-impl Drop for Waiting {
-    fn drop(&mut self) {
-        self.node.asking.borrow_mut().end(self.adapter);
-    }
-}
-
 /// The server that should run a request, once it holds what the request needs.
 ///
 /// # Errors
@@ -92,41 +66,80 @@
     tried: &[String],
 ) -> Result<Rc<Server>, Refusal> {
     let patience = Patience::of(question);
-    let mut waiting: Option<Waiting> = None;
+    let mut asked = Asked::new();
     loop {
-        let home = match choice::choose(node, question, tried) {
-            Choice::Send(server) => {
-                note_use(node, question, &server);
-                return Ok(server);
+        let (server, pause) = match choice::choose(node, question, tried, &asked) {
+            Choice::Send { server, copy } => {
+                if let Some(copy) = copy {
+                    node.ask(&copy, want(node, question, true));
+                }
+                let is_told = asked.contains_key(&server.key) || !node.should_ask(&server);
+                if question.model_key.is_none() || is_told {
+                    return Ok(server);
+                }
+                (server, ANSWER_WAIT)
+            }
+            Choice::Load(server) => {
+                let now_ms = node.now_ms();
+                check_patience(node, &patience, now_ms)?;
+                if asked.is_empty() {
+                    log_wait(node, question, &server);
+                }
+                let left = Duration::from_millis(patience.until_ms - now_ms);
+                (server, LOOK_PAUSE.min(left))
             }
-            Choice::Wait(home) => home,
             Choice::Nowhere => return Err(Refusal::NoServer),
         };
-        let now_ms = node.now_ms();
-        if now_ms >= patience.until_ms {
-            return Err(Refusal::NotRun {
-                reason: NotRunReason::AdapterNotLoaded,
-                retry_after_ms: patience.retry_after_ms(now_ms),
-            });
-        }
-        if node.is_leaving.get() {
-            return Err(Refusal::NotRun {
-                reason: NotRunReason::BoxLeaving,
-                retry_after_ms: RETRY_ELSEWHERE_MS,
-            });
-        }
-        if waiting
-            .as_ref()
-            .is_none_or(|waiting| waiting.home != home.key)
-        {
-            log_wait(node, question, &home);
-            let is_first = waiting.is_none();
-            drop(waiting);
-            waiting = Some(Waiting::begin(node, question, &home, is_first));
-        }
-        let told = node.waiters.join(question.model_key.unwrap_or_default());
-        let pause = LOOK_PAUSE.min(Duration::from_millis(patience.until_ms - now_ms));
-        let _ = tokio::time::timeout(pause, told.notified()).await;
+        wait_for_news(node, question, &server, pause, &mut asked).await;
+    }
+}
+
+fn check_patience(node: &Node, patience: &Patience, now_ms: Millis) -> Result<(), Refusal> {
+    if now_ms >= patience.until_ms {
+        return Err(Refusal::NotRun {
+            reason: NotRunReason::AdapterNotLoaded,
+            retry_after_ms: patience.retry_after_ms(now_ms),
+        });
+    }
+    if node.is_leaving.get() {
+        return Err(Refusal::NotRun {
+            reason: NotRunReason::BoxLeaving,
+            retry_after_ms: RETRY_ELSEWHERE_MS,
+        });
+    }
+    Ok(())
+}
+
+/// Asks the server's holder, unless that was done lately, and waits until its word comes or the
+/// adapter can serve somewhere.
+async fn wait_for_news(
+    node: &Node,
+    question: &Question,
+    server: &Server,
+    pause: Duration,
+    asked: &mut Asked,
+) {
+    let adapter = node.waiters.join(question.model_key.unwrap_or_default());
+    let adapter_ready = adapter.notified();
+    let word_came = server.word_came.notified();
+    let now_ms = node.now_ms();
+    let is_over = |asked_ms: &Millis| now_ms >= asked_ms + ASK_AGAIN_MS;
+    if asked.get(&server.key).is_none_or(is_over) {
+        node.ask(server, want(node, question, false));
+        asked.insert(server.key, now_ms);
+    }
+    tokio::select! {
+        () = adapter_ready => {}
+        () = word_came => {}
+        () = tokio::time::sleep(pause) => {}
+    }
+}
+
+fn want(node: &Node, question: &Question, is_copy: bool) -> Want {
+    Want {
+        adapter: question.model.clone().unwrap_or_default(),
+        version: question.named_version(node),
+        is_copy,
     }
 }
 
@@ -137,7 +150,7 @@
     version: Option<u64>,
     server: &'a str,
     holder: Option<&'a str>,
-    holder_can_order: bool,
+    has_holder: bool,
     age_ms: Millis,
 }
 
@@ -149,15 +162,8 @@
         version: question.named_version(node),
         server: &home.record().id,
         holder: holder.as_deref(),
-        holder_can_order: node.has_live_holder(home),
+        has_holder: node.has_holder(home),
         age_ms: node.now_ms() - question.arrived_ms,
     };
     events::emit(part::FRONT, Level::Info, "wait", &event);
 }
-
-fn note_use(node: &Node, question: &Question, server: &Server) {
-    if let Some(key) = question.model_key {
-        node.uses.borrow_mut().note(server.key, key);
-        node.asking.borrow_mut().forget(key);
-    }
-}
--- a/crates/tinbay-gateway/src/front/choice.rs
+++ b/crates/tinbay-gateway/src/front/choice.rs
@@ -1,10 +1,14 @@
 //! Chooses the server for a try.
 
+use std::collections::HashMap;
 use std::rc::Rc;
 
 use rand::RngExt;
 use tinbay_core::rendezvous;
-use tinbay_core::serving::contents::{AdapterKey, HeldState, Want, adapter_key};
+use tinbay_core::serving::contents::{AdapterKey, HeldState, adapter_key};
+use tinbay_core::serving::homes::{Candidate, Pick, Presence, pick};
+use tinbay_core::serving::servers::ServerKey;
+use tinbay_core::units::Millis;
 
 use super::question::Question;
 use crate::node::Node;
@@ -14,59 +18,59 @@
 /// cost, and the way is longer.
 const OTHER_ZONE_LOAD: f64 = 0.15;
 
-/// Load of all servers that hold an adapter above which one more should hold it.
-const SPREAD_LOAD: f64 = 0.8;
+/// Servers at the head of an adapter's order that are always looked at.
+const USUAL_CANDIDATES: usize = 6;
 
-/// Requests at an engine that tell the same: prompts are read between the tokens of the
-/// others, so that streams stall long before all places are taken.
-const SPREAD_FLIGHTS: usize = 26;
+/// Servers that are looked at while all before them are crowded.
+const MOST_CANDIDATES: usize = 24;
 
-/// Requests of an adapter, over all boxes, that its servers should have each before one more
-/// gets it: a copy costs a load, and only the copy of an adapter that makes the crowd helps.
-const REQUESTS_A_COPY: f64 = 12.0;
+/// Load above which a server is crowded.
+const CROWDED_LOAD: f64 = 0.75;
 
-/// Part of a request that a copy earns where its servers are crowded but answer in time.
-const LEAST_LATENESS: f64 = 0.15;
-
-/// Most that one earns where they answer late.
-const MOST_LATENESS: f64 = 2.0;
-
-/// Requests added to those of an adapter whose new version is not loaded yet: they all will
-/// wait for it.
-const NEW_VERSION_REQUESTS: f64 = 10.0;
-
-/// Usual time to the head there, as a part of the objective, that tells the same: long
-/// before its places are taken an engine may have no time left to read prompts.
-const SPREAD_DELAY: f64 = 0.6;
+/// Loads that are alike within this are chosen among at random.
+const TIE_LOAD: f64 = 0.02;
 
 /// What is to be done with a request next.
 pub enum Choice {
     /// Send it there.
-    Send(Rc<Server>),
-    /// Wait until the server holds the adapter.
-    Wait(Rc<Server>),
+    Send {
+        /// The server.
+        server: Rc<Server>,
+        /// A server that should load the adapter as well.
+        copy: Option<Rc<Server>>,
+    },
+    /// Wait until the server holds what it needs.
+    Load(Rc<Server>),
     /// No server is left.
     Nowhere,
 }
 
+/// When the holders of servers were asked on behalf of one request.
+pub type Asked = HashMap<ServerKey, Millis>;
+
 /// Where a request should run, among servers not tried yet.
-pub fn choose(node: &Node, question: &Question, tried: &[String]) -> Choice {
+pub fn choose(node: &Node, question: &Question, tried: &[String], asked: &Asked) -> Choice {
     let mut ready = node.servers.borrow().ready(&question.service);
     ready.retain(|server| !tried.contains(&server.record().id));
     match question.model.as_deref() {
-        Some(model) if model.contains('/') => choose_for_adapter(node, model, &ready),
+        Some(model) if model.contains('/') => choose_for_adapter(node, model, &ready, asked),
         Some(model) => choose_for_model(node, model, &ready),
-        None => least_loaded(node, &ready).map_or(Choice::Nowhere, Choice::Send),
+        None => least_loaded(node, &ready).map_or(Choice::Nowhere, send),
     }
 }
 
+fn send(server: Rc<Server>) -> Choice {
+    Choice::Send { server, copy: None }
+}
+
 fn choose_for_model(node: &Node, model: &str, ready: &[Rc<Server>]) -> Choice {
     let holds = |server: &&Rc<Server>| server.record().models.iter().any(|held| held == model);
     let holding: Vec<Rc<Server>> = ready.iter().filter(holds).cloned().collect();
     if let Some(server) = least_loaded(node, &holding) {
-        return Choice::Send(server);
+        return send(server);
     }
-    home(node, model, ready).map_or(Choice::Nowhere, Choice::Wait)
+    let home = in_order(model, ready).into_iter().next();
+    home.map_or(Choice::Nowhere, Choice::Load)
 }
 
 fn least_loaded(node: &Node, servers: &[Rc<Server>]) -> Option<Rc<Server>> {
@@ -77,115 +81,122 @@
         .map(|(_, server)| Rc::clone(server))
 }
 
-fn choose_for_adapter(node: &Node, adapter: &str, ready: &[Rc<Server>]) -> Choice {
-    let key = adapter_key(adapter);
-    let version = node.named_version(adapter);
-    let (current, others): (Vec<Rc<Server>>, Vec<Rc<Server>>) = ready
+/// The first servers in the adapter's own order, which all boxes work out alike.
+fn in_order(adapter: &str, ready: &[Rc<Server>]) -> Vec<Rc<Server>> {
+    let mut scored: Vec<(u64, &Rc<Server>)> = ready
         .iter()
-        .cloned()
-        .partition(|server| serves(node, server, key, version));
-    let (older, others): (Vec<Rc<Server>>, Vec<Rc<Server>>) = others
-        .into_iter()
-        .partition(|server| serves(node, server, key, None));
-    let may_serve_older = !older.is_empty() && node.may_serve_older(adapter);
-    let mut serving = current.clone();
-    if may_serve_older {
-        serving.extend(older.iter().cloned());
-    }
-    let Some(server) = least_loaded(node, &serving) else {
-        // Older versions are left to run out; a server beside them loads the new one.
-        let places = if others.is_empty() { &older } else { &others };
-        return home(node, adapter, places).map_or(Choice::Nowhere, Choice::Wait);
-    };
-    // Other boxes have as many, as callers choose boxes at random.
-    let requests = requests_a_server(key, &serving);
-    let is_enough = requests * node.box_count() as f64 >= REQUESTS_A_COPY;
-    let wants_newer = may_serve_older && current.len() < older.len();
-    if wants_newer && (current.is_empty() || is_enough) {
-        ask_for_copy(node, adapter, requests + NEW_VERSION_REQUESTS, &others);
-    } else if is_crowded(node, &server) && is_enough {
-        let lateness = server
-            .delay(node.now_ms())
-            .clamp(LEAST_LATENESS, MOST_LATENESS);
-        ask_for_copy(node, adapter, requests * lateness, &others);
-    }
-    Choice::Send(server)
+        .map(|server| (rendezvous::score(adapter, &server.address_text), server))
+        .collect();
+    scored.sort_unstable_by_key(|(score, _)| std::cmp::Reverse(*score));
+    scored.truncate(MOST_CANDIDATES);
+    let servers = scored.into_iter().map(|(_, server)| Rc::clone(server));
+    servers.collect()
 }
 
-/// Requests of an adapter from this box at each of its servers.
-fn requests_a_server(key: AdapterKey, holding: &[Rc<Server>]) -> f64 {
-    let flights = holding.iter().map(|server| server.adapter_flights(key));
-    flights.sum::<usize>() as f64 / holding.len().max(1) as f64
+/// What one request needs to know of the servers in its adapter's order.
+struct Survey {
+    servers: Vec<Rc<Server>>,
+    candidates: Vec<Candidate>,
+    is_older: Vec<bool>,
 }
 
-fn serves(node: &Node, server: &Server, key: AdapterKey, version: Option<u64>) -> bool {
-    match server.adapter(key, node.now_ms()) {
-        Some(entry) => entry.state == HeldState::Ready && entry.version >= version.unwrap_or(0),
-        None => false,
+impl Survey {
+    fn make(node: &Node, adapter: &str, ready: &[Rc<Server>], asked: &Asked) -> Self {
+        let key = adapter_key(adapter);
+        let version = node.named_version(adapter).unwrap_or(0);
+        let may_serve_older = node.may_serve_older(adapter);
+        let mut survey = Self {
+            servers: Vec::new(),
+            candidates: Vec::new(),
+            is_older: Vec::new(),
+        };
+        let mut is_any_open = false;
+        for server in in_order(adapter, ready) {
+            if survey.servers.len() >= USUAL_CANDIDATES && is_any_open {
+                break;
+            }
+            let mut presence = presence(&server, key, version);
+            let is_older = presence == Presence::Outdated && may_serve_older;
+            if is_older {
+                presence = Presence::Ready;
+            }
+            if presence == Presence::Absent && asked.contains_key(&server.key) {
+                presence = Presence::Coming;
+            }
+            let candidate = Candidate {
+                presence,
+                load: load(node, &server),
+                takes_loads: node.takes_loads(&server),
+            };
+            is_any_open |= candidate.load < CROWDED_LOAD && candidate.takes_loads;
+            survey.candidates.push(candidate);
+            survey.is_older.push(is_older);
+            survey.servers.push(server);
+        }
+        survey
     }
-}
 
-/// The first server in the adapter's own order whose holder can order and does not call it
-/// overloaded, which all boxes work out alike; its holder chooses among the servers it holds.
-fn home(node: &Node, adapter: &str, servers: &[Rc<Server>]) -> Option<Rc<Server>> {
-    let score = |server: &&Rc<Server>| rendezvous::score(adapter, &server.address_text);
-    let live = || servers.iter().filter(|server| node.has_live_holder(server));
-    let free = live()
-        .filter(|server| !server.is_overloaded())
-        .max_by_key(score);
-    let first = free
-        .or_else(|| live().max_by_key(score))
-        .or_else(|| servers.iter().max_by_key(score));
-    first.cloned()
+    /// Where the new version should be loaded while an older one serves.
+    fn place_for_newer(&self) -> Option<usize> {
+        let is_newer_there =
+            self.candidates
+                .iter()
+                .zip(&self.is_older)
+                .any(|(candidate, is_older)| match candidate.presence {
+                    Presence::Ready => !is_older,
+                    Presence::Coming => true,
+                    Presence::Absent | Presence::Outdated => false,
+                });
+        if is_newer_there {
+            return None;
+        }
+        let takes_it =
+            |candidate: &Candidate| candidate.presence == Presence::Absent && candidate.takes_loads;
+        self.candidates.iter().position(takes_it)
+    }
+
+    fn server(&self, position: usize) -> Rc<Server> {
+        Rc::clone(&self.servers[position])
+    }
 }
 
-/// Has one more server load an adapter whose servers are busy; nobody waits for it.
-fn ask_for_copy(node: &Node, adapter: &str, requests: f64, others: &[Rc<Server>]) {
-    let key = adapter_key(adapter);
-    let now_ms = node.now_ms();
-    let is_coming = |server: &Rc<Server>| server.adapter(key, now_ms).is_some();
-    if others.iter().any(is_coming) {
-        return;
+fn choose_for_adapter(node: &Node, adapter: &str, ready: &[Rc<Server>], asked: &Asked) -> Choice {
+    let survey = Survey::make(node, adapter, ready, asked);
+    match pick(&survey.candidates) {
+        Pick::Send { to, copy } => {
+            let newer = || survey.place_for_newer();
+            let copy = if survey.is_older[to] { newer() } else { copy };
+            Choice::Send {
+                server: survey.server(to),
+                copy: copy.map(|position| survey.server(position)),
+            }
+        }
+        Pick::Load { at } => Choice::Load(survey.server(at)),
+        // Places become free within moments: the holder of the first is asked again.
+        Pick::Nowhere => match survey.servers.first() {
+            Some(first) => Choice::Load(Rc::clone(first)),
+            None => Choice::Nowhere,
+        },
     }
-    let Some(server) = home(node, adapter, others) else {
-        return;
-    };
-    let want = Want::of_copy(adapter, node.named_version(adapter), requests);
-    node.asking
-        .borrow_mut()
-        .ask_for_copy(server.key, want, now_ms);
-    notify_holder(node, &server);
 }
 
-/// Has the holder of a server look at what is wanted there.
-pub fn notify_holder(node: &Node, server: &Server) {
-    match node.holder_of(server) {
-        Some(holder) if holder == node.settings.borrow().box_id => server.order_due.notify_one(),
-        Some(holder) => node.tell_box(&holder),
-        None => {}
+fn presence(server: &Server, key: AdapterKey, version: u64) -> Presence {
+    match server.adapter(key) {
+        None => Presence::Absent,
+        Some(entry) if entry.state == HeldState::Loading => Presence::Coming,
+        Some(entry) if entry.version >= version => Presence::Ready,
+        Some(_) => Presence::Outdated,
     }
 }
 
 /// How busy a server is, with mistrust and distance added.
 fn load(node: &Node, server: &Server) -> f64 {
-    let record = server.record();
-    let distance = if record.zone == node.settings.borrow().zone {
+    let now_ms = node.now_ms();
+    let distance = if server.record().zone == node.settings.borrow().zone {
         0.0
     } else {
         OTHER_ZONE_LOAD
     };
-    let tie: f64 = rand::rng().random_range(0.0..0.02);
-    fullness(server) + server.delay(node.now_ms()) + server.mistrust(node.now_ms()) + distance + tie
-}
-
-fn is_crowded(node: &Node, server: &Server) -> bool {
-    fullness(server) > SPREAD_LOAD
-        || server.flights() > SPREAD_FLIGHTS
-        || server.delay(node.now_ms()) > SPREAD_DELAY
-}
-
-/// Requests of all boxes at a server against those it works on at once.
-fn fullness(server: &Server) -> f64 {
-    let slots = server.record().slots.max(1) as f64;
-    server.flights() as f64 / slots
+    let tie: f64 = rand::rng().random_range(0.0..TIE_LOAD);
+    node.busyness(server) + server.mistrust(now_ms) + distance + tie
 }
--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -11,7 +11,7 @@
 
 use super::adapters;
 use super::attempt::{AttemptResult, AttemptTerms, BegunAnswer, attempt};
-use super::choice::{self, Choice};
+use super::choice::{self, Asked, Choice};
 use super::headers::{self, ServerHeaders};
 use super::question::Question;
 use super::refusal::{NotRunReason, Refusal};
@@ -63,7 +63,7 @@
     server: &'a str,
     outcome: &'a str,
     status: Option<u16>,
-    flights: usize,
+    running: usize,
     age_ms: Millis,
 }
 
@@ -164,7 +164,7 @@
 /// server that holds another one declines.
 fn expected_version(node: &Node, question: &Question, server: &Server) -> Option<u64> {
     let named = question.named_version(node)?;
-    let entry = server.adapter(question.model_key?, node.now_ms())?;
+    let entry = server.adapter(question.model_key?)?;
     match entry.version {
         0 if node.may_serve_older(question.model.as_deref()?) => None,
         0 => Some(named),
@@ -181,7 +181,7 @@
             Some(service.most_connections)
         })
         .unwrap_or_default();
-    (accepted / (node.box_count() + 1)).max(4)
+    (accepted / (node.box_count.get() + 1)).max(4)
 }
 
 /// Whether a server's failure is put aside for a try at another server that is there and
@@ -199,7 +199,10 @@
     }
     let mut tried = tries.tried.clone();
     tried.push(server.record().id.clone());
-    let is_another = matches!(choice::choose(node, question, &tried), Choice::Send(_));
+    let is_another = matches!(
+        choice::choose(node, question, &tried, &Asked::new()),
+        Choice::Send { .. }
+    );
     is_another && take_second_send(node, question)
 }
 
@@ -216,7 +219,7 @@
 
 fn take_second_send(node: &Node, question: &Question) -> bool {
     let terms = node.settings.borrow().bounds.second_sends;
-    let boxes = node.box_count();
+    let boxes = node.box_count.get();
     let now_ms = node.now_ms();
     let mut budgets = node.budgets.borrow_mut();
     let budget = budgets.entry(question.service.clone()).or_default();
@@ -263,7 +266,7 @@
         server: &server.record().id,
         outcome,
         status,
-        flights: server.flights(),
+        running: server.running(node.now_ms()),
         age_ms: node.now_ms() - question.arrived_ms,
     };
     events::emit(part::FRONT, level, "try", &event);
--- a/crates/tinbay-gateway/src/housekeeping.rs
+++ b/crates/tinbay-gateway/src/housekeeping.rs
@@ -23,15 +23,10 @@
         }
         let oldest_ms = node.now_ms().saturating_sub(MEMBER_MEMORY_MS);
         node.members.borrow_mut().tidy(oldest_ms);
-        let books = node.books.borrow();
-        let is_held = |server| books.contains_key(&server);
-        let mut ledger = node.ledger.borrow_mut();
-        ledger.keep_servers(&is_held);
-        let is_kept = |placed, server| is_held(server) && ledger.asks_for(placed);
-        node.placing.borrow_mut().keep(&is_kept);
+        for book in node.books.borrow().values() {
+            book.tidy(node.now_ms());
+        }
         node.waiters.tidy();
-        drop(ledger);
-        drop(books);
         show_beliefs(&node);
     }
 }
@@ -47,7 +42,7 @@
     show("configuration_version", version as usize);
     show("named_versions", node.versions.borrow().len());
     show("servers", node.servers.borrow().len());
-    show("boxes_up", node.box_count());
+    show("boxes_up", node.box_count.get());
     show("servers_held", node.books.borrow().len());
     show("can_order", usize::from(node.can_order()));
     show("connections", node.connections.get());
--- a/crates/tinbay-gateway/src/lib.rs
+++ b/crates/tinbay-gateway/src/lib.rs
@@ -21,6 +21,5 @@
 pub mod run;
 pub mod servers;
 pub mod settings;
-pub mod uses;
 pub mod waiters;
 pub mod watch;
--- a/crates/tinbay-gateway/src/metrics.rs
+++ b/crates/tinbay-gateway/src/metrics.rs
@@ -25,6 +25,10 @@
     pub store_calls: IntCounterVec,
     /// Orders to servers, by action and outcome.
     pub orders: IntCounterVec,
+    /// Messages between boxes, by outcome.
+    pub frames: IntCounterVec,
+    /// Bytes of messages between boxes, by outcome.
+    pub frame_bytes: IntCounterVec,
     /// What is believed: versions, counts and ages by name.
     pub beliefs: IntGaugeVec,
 }
@@ -67,11 +71,28 @@
                 "Orders to servers",
                 &["action", "outcome"],
             )?,
+            frames: counter(
+                "tinbay_frames_total",
+                "Messages between boxes",
+                &["outcome"],
+            )?,
+            frame_bytes: counter(
+                "tinbay_frame_bytes_total",
+                "Bytes of messages between boxes",
+                &["outcome"],
+            )?,
             beliefs,
             registry,
         })
     }
 
+    /// Counts a message between boxes.
+    pub fn count_frame(&self, outcome: &str, bytes: usize) {
+        self.frames.with_label_values(&[outcome]).inc();
+        let sum = self.frame_bytes.with_label_values(&[outcome]);
+        sum.inc_by(bytes as u64);
+    }
+
     /// All measures as text.
     pub fn to_text(&self) -> String {
         let mut text = Vec::new();
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -1,18 +1,16 @@
 //! What all parts of a box share.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::rc::Rc;
 
-use tinbay_core::serving::asking::Asking;
 use tinbay_core::serving::budget::SendBudget;
 use tinbay_core::serving::claims::{ClaimTable, ClaimTerms, Proof};
 use tinbay_core::serving::configuration::{Configuration, EngineSpec, Limits};
-use tinbay_core::serving::contents::Contents;
-use tinbay_core::serving::ledger::Ledger;
 use tinbay_core::serving::pacing::LoadPace;
-use tinbay_core::serving::placing::Placing;
 use tinbay_core::serving::routes::RouteTable;
+use tinbay_core::serving::servers::ServerKey;
+use tinbay_core::serving::wants::Want;
 use tinbay_core::units::Millis;
 use tokio::sync::Notify;
 
@@ -20,11 +18,13 @@
 use crate::latch::Latch;
 use crate::members::{MemberRecord, Members};
 use crate::metrics::Metrics;
+use crate::orders::book::Book;
+use crate::peers::frame::{AskPart, FramePart};
+use crate::peers::outbox::Outbox;
 use crate::port::dialect::Dialect;
 use crate::port::store::Store;
-use crate::servers::{Server, ServerKey, ServerTable};
+use crate::servers::{Server, ServerTable};
 use crate::settings::Settings;
-use crate::uses::Uses;
 use crate::waiters::Waiters;
 
 /// How long a proof lasts: longer than usual outages of the store.
@@ -80,27 +80,13 @@
     /// Proof that this box may order.
     pub proof: Cell<Proof>,
     /// What the servers hold whose claims this box holds.
-    pub books: RefCell<HashMap<ServerKey, Rc<RefCell<Contents>>>>,
+    pub books: RefCell<HashMap<ServerKey, Rc<Book>>>,
     /// This box's share of the weight store's rate, by service.
     pub paces: RefCell<HashMap<String, LoadPace>>,
-    /// Which adapters callers of this box wait or waited for.
-    pub asking: RefCell<Asking>,
-    /// What all boxes ask of the servers held here.
-    pub ledger: RefCell<Ledger>,
-    /// Where adapters go that are asked of the servers held here.
-    pub placing: RefCell<Placing>,
     /// Requests that wait for an adapter.
     pub waiters: Waiters,
-    /// Uses of adapters that their holders do not know yet.
-    pub uses: RefCell<Uses>,
-    /// Told when a message to other boxes is due.
-    pub frames_due: Notify,
-    /// Told when other boxes must know at once what this one says about itself.
-    pub hello_due: Notify,
-    /// Servers held here whose contents other boxes do not know yet.
-    pub changed_books: RefCell<HashSet<ServerKey>>,
-    /// Boxes that are to know at once what is wanted of them.
-    pub frames_to: RefCell<HashSet<String>>,
+    /// What is to be told to other boxes.
+    pub outbox: Outbox,
     /// Told when the box's own entry in the store is due to be written.
     pub entry_due: Notify,
     /// When the boxes in the store were last listed whole.
@@ -113,6 +99,8 @@
     pub connections: Cell<usize>,
     /// Second sends by service.
     pub budgets: RefCell<HashMap<String, SendBudget>>,
+    /// Boxes that are up, this one included, as counted lately.
+    pub box_count: Cell<usize>,
 }
 
 impl Node {
@@ -123,6 +111,7 @@
         store: Box<dyn Store>,
         metrics: Metrics,
     ) -> Self {
+        let members = Members::new(&settings.zone);
         Self {
             settings: RefCell::new(settings),
             dialect,
@@ -132,26 +121,20 @@
             in_force: RefCell::default(),
             versions: RefCell::default(),
             servers: RefCell::default(),
-            members: RefCell::default(),
+            members: RefCell::new(members),
             claims: RefCell::default(),
             proof: Cell::default(),
             books: RefCell::default(),
             paces: RefCell::default(),
-            asking: RefCell::default(),
-            ledger: RefCell::default(),
-            placing: RefCell::default(),
             waiters: Waiters::default(),
-            uses: RefCell::default(),
-            frames_due: Notify::new(),
-            hello_due: Notify::new(),
-            changed_books: RefCell::default(),
-            frames_to: RefCell::default(),
+            outbox: Outbox::default(),
             entry_due: Notify::new(),
             boxes_listed_ms: Cell::default(),
             is_leaving: Cell::default(),
             closing: Latch::default(),
             connections: Cell::default(),
             budgets: RefCell::default(),
+            box_count: Cell::new(1),
         }
     }
 
@@ -181,12 +164,11 @@
             peer: settings.peer,
             zone: settings.zone.clone(),
             is_leaving: self.is_leaving.get(),
-            can_order: self.can_order(),
         }
     }
 
-    /// Boxes that are up, this one included.
-    pub fn box_count(&self) -> usize {
+    /// Counts the boxes that are up, this one included.
+    pub fn count_boxes(&self) {
         let now_ms = self.now_ms();
         let own = &self.settings.borrow().box_id;
         let members = self.members.borrow();
@@ -194,7 +176,7 @@
             .others(own)
             .filter(|(_, member)| member.is_up(now_ms))
             .count();
-        others + 1
+        self.box_count.set(others + 1);
     }
 
     /// Whether this box knows enough to serve.
@@ -263,60 +245,67 @@
         Some(engine.loads_per_s)
     }
 
-    /// Has a message sent to a box at once.
-    pub fn tell_box(&self, box_id: &str) {
-        self.frames_to.borrow_mut().insert(box_id.to_string());
-        self.frames_due.notify_one();
+    /// What this box knows of a server, if it holds it.
+    pub fn book(&self, server: ServerKey) -> Option<Rc<Book>> {
+        self.books.borrow().get(&server).cloned()
     }
 
-    /// Services of which this box holds servers.
-    pub fn held_services(&self) -> HashSet<String> {
-        let servers = self.servers.borrow();
-        let books = self.books.borrow();
-        books
-            .keys()
-            .filter_map(|key| servers.by_key(*key))
-            .map(|server| server.record().service.clone())
-            .collect()
-    }
-
-    /// Servers of a service that are held here and take work.
-    pub fn held_of_service(&self, service: &str) -> Vec<Rc<Server>> {
-        let servers = self.servers.borrow();
-        let books = self.books.borrow();
-        let mut held = servers.ready(service);
-        held.retain(|server| books.contains_key(&server.key));
-        held
+    /// Has the holder of a server told what a request needs there.
+    pub fn ask(&self, server: &Server, want: Want) {
+        let now_ms = self.now_ms();
+        if let Some(book) = self.book(server.key) {
+            let own_id = self.settings.borrow().box_id.clone();
+            book.note_ask(&own_id, want, now_ms);
+            server.order_due.notify_one();
+            return;
+        }
+        let Some(holder) = self.holder_of(server) else {
+            return;
+        };
+        server.view.borrow_mut().note_asked(now_ms);
+        let part = AskPart {
+            server: server.fingerprint(),
+            adapter: want.adapter,
+            version: want.version,
+            is_copy: want.is_copy,
+        };
+        self.outbox.post(&holder, FramePart::Ask(part));
     }
 
-    /// Has all boxes told what a server held here holds.
-    pub fn tell_contents(&self, server: ServerKey) {
-        self.changed_books.borrow_mut().insert(server);
-        self.frames_due.notify_one();
+    /// Whether a load at a server could begin, as far as this box knows.
+    pub fn takes_loads(&self, server: &Server) -> bool {
+        match self.book(server.key) {
+            Some(book) => book.takes_loads(self, server),
+            None => {
+                let view = server.view.borrow();
+                let now_ms = self.now_ms();
+                !view.is_silent(now_ms) && view.takes_loads(now_ms) && self.has_holder(server)
+            }
+        }
     }
 
-    /// Servers whose claims a box holds.
-    pub fn servers_held_by(&self, box_id: &str) -> HashSet<ServerKey> {
-        let claims = self.claims.borrow();
-        let servers = self.servers.borrow();
-        servers
-            .all()
-            .filter(|server| claims.token_of(&server.address_text, box_id).is_some())
-            .map(|server| server.key)
-            .collect()
+    /// Whether asking how busy a server is would tell this box more than it knows.
+    pub fn should_ask(&self, server: &Server) -> bool {
+        let now_ms = self.now_ms();
+        let view = server.view.borrow();
+        let is_told = view.is_fresh(now_ms) || view.is_silent(now_ms);
+        self.book(server.key).is_none() && !is_told && self.has_holder(server)
     }
 
-    /// Enters into the ledger what this box itself asks of the servers it holds.
-    pub fn note_own_wants(&self) {
+    /// How busy a server is: requests against its places, and the time to the first byte
+    /// against the objective.
+    pub fn busyness(&self, server: &Server) -> f64 {
         let now_ms = self.now_ms();
-        let books = self.books.borrow();
-        let is_own = |server: ServerKey| books.contains_key(&server);
-        let told = self.asking.borrow_mut().tell(&is_own, now_ms);
-        let own_id = self.settings.borrow().box_id.clone();
-        let mut ledger = self.ledger.borrow_mut();
-        for (server, want) in &told {
-            ledger.note(&own_id, *server, want, now_ms);
-        }
+        let (delay, running) = match self.book(server.key) {
+            Some(book) => {
+                let own_id = &self.settings.borrow().box_id;
+                let (delay, elsewhere) = book.busyness(own_id, now_ms);
+                let running = server.usage.borrow().running() + elsewhere;
+                (delay.max(server.delay(now_ms)), running)
+            }
+            None => (server.delay(now_ms), server.running(now_ms)),
+        };
+        running as f64 / server.record().slots.max(1) as f64 + delay
     }
 
     /// The box that holds the claim on a server.
@@ -325,19 +314,19 @@
         claims.holder_of(&server.address_text).map(str::to_string)
     }
 
-    /// Whether the holder of a server can order now, as far as this box knows.
-    pub fn has_live_holder(&self, server: &Server) -> bool {
+    /// Whether a box that may live holds the claim on a server.
+    pub fn has_holder(&self, server: &Server) -> bool {
         let claims = self.claims.borrow();
         let Some(holder) = claims.holder_of(&server.address_text) else {
             return false;
         };
         if holder == self.settings.borrow().box_id {
-            return self.can_order();
+            return true;
         }
-        let now_ms = self.now_ms();
         let members = self.members.borrow();
+        let now_ms = self.now_ms();
         members
             .get(holder)
-            .is_some_and(|member| member.can_order(now_ms))
+            .is_some_and(|member| member.is_up(now_ms))
     }
 }
--- a/crates/tinbay-gateway/src/orders/holder.rs
+++ b/crates/tinbay-gateway/src/orders/holder.rs
@@ -1,6 +1,5 @@
 //! Orders one server what to hold, while this box holds the claim on it.
 
-use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,19 +9,20 @@
 use log::Level;
 use serde::Serialize;
 use tinbay_core::serving::contents::{
-    Action, AdapterKey, Contents, Held, ModelAllowance, OrderAnswer, Want, adapter_key,
+    Action, AdapterKey, Held, Look, ModelAllowance, OrderAnswer, adapter_key,
 };
-use tinbay_core::serving::placing::Candidate;
+use tinbay_core::serving::servers::Fingerprint;
+use tinbay_core::serving::wants::Want;
 use tinbay_core::units::Millis;
 
-use super::memory::{self, ServerMemory};
+use super::book::Book;
 use super::quota;
 use crate::events::{self, part};
 use crate::http::call::{Call, CallError, Caller};
 use crate::node::Node;
-use crate::peers::frame::Fingerprint;
 use crate::port::dialect::{Order, OrderAction};
-use crate::servers::{Server, ServerKey, ViewEntry};
+use crate::servers::Server;
+use crate::servers::view::{HolderWord, ViewEntry};
 
 /// Longest wait for a report.
 const REPORT_TIMEOUT_MS: Millis = 500;
@@ -35,7 +35,10 @@
 const MOST_SENDS: usize = 4;
 
 /// Longest pause between looks at what is wanted; a new want ends it.
-const LONGEST_PAUSE_MS: Millis = 25;
+const LONGEST_PAUSE_MS: Millis = 1_000;
+
+/// Pause between looks while something is wanted that can't be loaded yet.
+const WANTED_PAUSE_MS: Millis = 30;
 
 /// Pause while there is no proof.
 const NO_PROOF_PAUSE: Duration = Duration::from_millis(50);
@@ -51,10 +54,7 @@
     outcome: &'a str,
     took_ms: Millis,
     wanted: usize,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    asked: Option<f64>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    waiting: Option<f64>,
+    is_awaited: bool,
 }
 
 #[derive(Serialize)]
@@ -74,7 +74,7 @@
     let Some(spec) = node.engine_spec(&server.record().service) else {
         return;
     };
-    let book = Rc::new(RefCell::new(Contents::new(spec, node.now_ms())));
+    let book = Rc::new(Book::new(&spec, node.now_ms()));
     node.books.borrow_mut().insert(server.key, Rc::clone(&book));
     let holder = Holder {
         node: Rc::clone(node),
@@ -106,14 +106,12 @@
 struct Holder {
     node: Rc<Node>,
     server: Rc<Server>,
-    book: Rc<RefCell<Contents>>,
+    book: Rc<Book>,
     caller: Caller,
 }
 
 impl Holder {
     async fn run(self) {
-        let memory = memory::read(&self.node, &self.server.record().id).await;
-        self.take_over(&memory);
         while self.is_known() {
             let Some(token) = self.node.order_token(&self.server) else {
                 if !self.is_own() {
@@ -123,23 +121,16 @@
                 continue;
             };
             let now_ms = self.node.now_ms();
-            let wants = self.wants(now_ms);
+            let wants = self.book.wants.borrow_mut().current(now_ms);
             match self.next_action(&wants, now_ms) {
                 Some(Action::Learn) => self.learn().await,
                 Some(action) => self.order(&action, token, &wants).await,
-                None => self.pause().await,
+                None => self.pause(&wants).await,
             }
         }
         self.node.books.borrow_mut().remove(&self.server.key);
     }
 
-    fn take_over(&self, memory: &ServerMemory) {
-        let now_ms = self.node.now_ms();
-        self.book.borrow_mut().note_memory(&memory.had);
-        let mut ledger = self.node.ledger.borrow_mut();
-        ledger.remember(self.server.key, &memory.asked, now_ms);
-    }
-
     fn is_known(&self) -> bool {
         self.node.servers.borrow().by_key(self.server.key).is_some()
     }
@@ -149,70 +140,30 @@
         self.node.holder_of(&self.server).as_deref() == Some(own_id.as_str())
     }
 
-    /// What goes to this server of all that is asked of the servers held here.
-    fn wants(&self, now_ms: Millis) -> Vec<Want> {
-        self.node.note_own_wants();
-        let held = self.node.held_of_service(&self.server.record().service);
-        let keys: Vec<ServerKey> = held.iter().map(|server| server.key).collect();
-        let mut wants = self.node.ledger.borrow_mut().wants(&keys, now_ms);
-        wants.retain(|want| self.place(want, &held) == Some(self.server.key));
-        wants
-    }
-
-    fn place(&self, want: &Want, held: &[Rc<Server>]) -> Option<ServerKey> {
-        let placed = (adapter_key(&want.adapter), want.is_copy);
-        let mut placing = self.node.placing.borrow_mut();
-        let chosen = placing.chosen(placed);
-        if chosen.is_some_and(|chosen| held.iter().any(|server| server.key == chosen)) {
-            return chosen;
-        }
-        let candidates: Vec<Candidate> = held
-            .iter()
-            .filter_map(|server| self.candidate(server, want))
-            .collect();
-        placing.place(placed, &candidates)
-    }
-
-    fn candidate(&self, server: &Server, want: &Want) -> Option<Candidate> {
-        let books = self.node.books.borrow();
-        let book = books.get(&server.key)?.borrow();
-        if !book.is_learnt() {
-            return None;
-        }
-        let key = adapter_key(&want.adapter);
-        Some(Candidate {
-            server: server.key,
-            holding: book.holding(key, want.version),
-            had: book.loads_fast(key, want.version),
-            load: book.fullness() + server.usual_fullness(),
-        })
-    }
-
     fn next_action(&self, wants: &[Want], now_ms: Millis) -> Option<Action> {
-        let named = |adapter: &str| self.node.named_version(adapter);
+        let look = Look {
+            named: &|adapter: &str| self.node.named_version(adapter),
+            is_in_use: &|key| self.book.is_in_use(&self.server, key, now_ms),
+            now_ms,
+        };
         let mut allowance = Allowance {
             holder: self,
             now_ms,
         };
-        let mut book = self.book.borrow_mut();
-        for (key, uses) in self.node.uses.borrow_mut().take(self.server.key) {
-            book.note_uses(key, uses, now_ms);
-        }
-        book.next_action(wants, &named, &mut allowance, now_ms)
+        let contents = self.book.contents.borrow();
+        contents.next_action(wants, &look, &mut allowance)
     }
 
-    async fn pause(&self) {
+    async fn pause(&self, wants: &[Want]) {
         let now_ms = self.node.now_ms();
-        if self.book.borrow().is_learnt() {
-            self.server.confirm_view(now_ms);
-        }
-        let look_ms = self
-            .book
-            .borrow()
-            .next_look_ms()
-            .unwrap_or(now_ms + LONGEST_PAUSE_MS);
-        let pause_ms = look_ms.saturating_sub(now_ms).clamp(1, LONGEST_PAUSE_MS);
-        let pause = Duration::from_millis(pause_ms);
+        let longest_ms = if wants.is_empty() {
+            LONGEST_PAUSE_MS
+        } else {
+            WANTED_PAUSE_MS
+        };
+        let look_ms = self.book.contents.borrow().next_look_ms();
+        let pause_ms = look_ms.map_or(longest_ms, |look_ms| look_ms.saturating_sub(now_ms));
+        let pause = Duration::from_millis(pause_ms.clamp(1, longest_ms));
         let _ = tokio::time::timeout(pause, self.server.order_due.notified()).await;
     }
 
@@ -227,7 +178,7 @@
             _ => None,
         };
         let Some(report) = report else {
-            self.book.borrow_mut().unlearn(self.node.now_ms());
+            self.book.contents.borrow_mut().unlearn(self.node.now_ms());
             return;
         };
         let event = ReportEvent {
@@ -239,6 +190,7 @@
         };
         events::emit(part::ORDERS, Level::Info, "report", &event);
         self.book
+            .contents
             .borrow_mut()
             .note_report(&report, self.node.now_ms());
         self.publish();
@@ -256,14 +208,12 @@
             sends += 1;
         }
         let now_ms = self.node.now_ms();
-        self.book.borrow_mut().note_answer(action, answer, now_ms);
-        if answer == OrderAnswer::Done {
-            let mut ledger = self.node.ledger.borrow_mut();
-            let key = adapter_key(&order.adapter);
-            ledger.forget(self.server.key, key);
-            let mut placing = self.node.placing.borrow_mut();
-            placing.forget((key, false));
-            placing.forget((key, true));
+        let mut contents = self.book.contents.borrow_mut();
+        contents.note_answer(action, answer, now_ms);
+        drop(contents);
+        if let (OrderAction::Load { .. }, OrderAnswer::Done) = (&order.action, answer) {
+            let mut wants = self.book.wants.borrow_mut();
+            wants.forget(adapter_key(&order.adapter));
         }
         self.log_order(&order, answer, now_ms - began_ms, wants);
         self.publish();
@@ -354,31 +304,42 @@
             outcome,
             took_ms,
             wanted: wants.len(),
-            asked: want.map(|want| want.asked),
-            waiting: want.map(|want| want.waiting),
+            is_awaited: want.is_some_and(|want| !want.is_copy),
         };
         events::emit(part::ORDERS, Level::Info, "order", &event);
     }
 
-    /// Tells this box and the others what the server holds now.
+    /// Tells this box and those that use the server what it holds now.
     fn publish(&self) {
-        let now_ms = self.node.now_ms();
-        let entries: HashMap<Fingerprint, ViewEntry> = {
-            let book = self.book.borrow();
-            if !book.is_learnt() {
-                return;
-            }
-            let entry = |(key, held): (&AdapterKey, &Held)| {
-                let version = held.version.unwrap_or_default();
-                let state = held.state;
-                (*key as Fingerprint, ViewEntry { version, state })
-            };
-            book.held().map(entry).collect()
+        let Some(word) = self.own_word() else {
+            return;
         };
-        let change = self.server.note_view(entries, now_ms);
-        self.node.waiters.wake(&change.ready);
-        if change.is_any {
-            self.node.tell_contents(self.server.key);
+        let ready = self.server.view.borrow_mut().note(word, self.node.now_ms());
+        self.node.waiters.wake(&ready);
+        self.server.word_came.notify_waiters();
+        self.node.outbox.tell_guests(self.server.key);
+    }
+
+    fn own_word(&self) -> Option<HolderWord> {
+        let now_ms = self.node.now_ms();
+        let own_id = self.node.settings.borrow().box_id.clone();
+        let (delay, running_elsewhere) = self.book.busyness(&own_id, now_ms);
+        let takes_loads = self.book.takes_loads(&self.node, &self.server);
+        let contents = self.book.contents.borrow();
+        if !contents.is_learnt() {
+            return None;
         }
+        Some(HolderWord {
+            entries: contents.held().map(to_entry).collect::<HashMap<_, _>>(),
+            running_elsewhere,
+            delay,
+            takes_loads,
+        })
     }
 }
+
+fn to_entry((key, held): (&AdapterKey, &Held)) -> (Fingerprint, ViewEntry) {
+    let version = held.version.unwrap_or_default();
+    let state = held.state;
+    (*key as Fingerprint, ViewEntry { version, state })
+}
--- a/crates/tinbay-gateway/src/orders/quota.rs
+++ b/crates/tinbay-gateway/src/orders/quota.rs
@@ -16,7 +16,7 @@
         .all()
         .filter(|server| server.record().service == service)
     {
-        if node.has_live_holder(server)
+        if node.has_holder(server)
             && let Some(holder) = node.holder_of(server)
         {
             *engines.entry(holder).or_default() += 1;
--- a/crates/tinbay-gateway/src/peers/frame.rs
+++ b/crates/tinbay-gateway/src/peers/frame.rs
@@ -1,17 +1,14 @@
 //! The message between boxes.
 
 use serde::{Deserialize, Serialize};
-use tinbay_core::serving::contents::{AdapterKey, Want};
+use tinbay_core::serving::guests::AdapterUse;
+use tinbay_core::serving::servers::Fingerprint;
 
 use crate::members::MemberRecord;
 
 /// Longest datagram: what fits into one packet of any usual link.
 pub const MOST_BYTES: usize = 1_300;
 
-/// A short form of a server's or an adapter's key. Two that share one are told apart by the
-/// server itself, which refuses what it does not hold.
-pub type Fingerprint = u32;
-
 /// What one box tells another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Frame {
@@ -21,8 +18,8 @@
     pub incarnation: u64,
     /// Rises with each frame of the run.
     pub sequence: u64,
-    /// One part of what it has to say.
-    pub part: FramePart,
+    /// What it has to say.
+    pub parts: Vec<FramePart>,
 }
 
 /// One part of what a box has to say.
@@ -30,24 +27,52 @@
 pub enum FramePart {
     /// What the sender says about itself.
     Hello(MemberRecord),
-    /// Requests it has running, by server; servers that are left out have none.
-    Flights(Vec<(Fingerprint, u16)>),
-    /// All that one server holds whose claim it holds.
-    Contents(ContentsPart),
-    /// What it wants at servers of the receiver, where that changed or a request waits.
-    Wants(Vec<WantPart>),
-    /// Uses since its last such part, at servers of the receiver.
-    Uses(Vec<(Fingerprint, AdapterKey, u32)>),
+    /// Boxes of its availability zone that it heard of lately, and how long ago in ms.
+    Heard(Vec<(Fingerprint, u16)>),
+    /// What a request needs of a server that the receiver holds.
+    Ask(AskPart),
+    /// All that the sender has running at a server that the receiver holds.
+    Uses(UsesPart),
+    /// What the sender, its holder, believes of a server.
+    Word(WordPart),
 }
 
-/// What the holder of a server says of it.
+/// What a request needs of a server.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ContentsPart {
+pub struct AskPart {
     /// The server.
     pub server: Fingerprint,
-    /// Whether it should get no more adapters for now.
-    pub is_overloaded: bool,
-    /// All that it holds.
+    /// The adapter as `model/name`, or a base model.
+    pub adapter: String,
+    /// The version that was named, if one was.
+    pub version: Option<u64>,
+    /// Whether no request waits for it.
+    pub is_copy: bool,
+}
+
+/// All that a box has running at a server.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UsesPart {
+    /// The server.
+    pub server: Fingerprint,
+    /// Requests by adapter.
+    pub uses: Vec<AdapterUse>,
+    /// The last time to the first byte as hundredths of the objective, if one is new.
+    pub delay_percent: Option<u16>,
+}
+
+/// What a server's holder believes of it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WordPart {
+    /// The server.
+    pub server: Fingerprint,
+    /// Requests that run there for other boxes than the receiver.
+    pub running_elsewhere: u16,
+    /// Usual time to the first byte as hundredths of the objective.
+    pub delay_percent: u16,
+    /// Whether a load could begin.
+    pub takes_loads: bool,
+    /// All adapters that take a place.
     pub adapters: Vec<AdapterPart>,
 }
 
@@ -62,32 +87,12 @@
     pub is_ready: bool,
 }
 
-/// An adapter that is wanted.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct WantPart {
-    /// Its first server; the holder chooses among those it holds.
-    pub server: Fingerprint,
-    /// The adapter as `model/name`.
-    pub adapter: String,
-    /// The version that was named, if one was.
-    pub version: Option<u64>,
-    /// Requests that had to wait for it, fading with time.
-    pub asked: f32,
-    /// Requests that wait now.
-    pub waiting: f32,
-    /// Whether it is for one more server of the adapter.
-    pub is_copy: bool,
+/// A part of an objective as hundredths.
+pub fn to_percent(part: f64) -> u16 {
+    (part * 100.0).clamp(0.0, f64::from(u16::MAX)) as u16
 }
 
-impl WantPart {
-    /// The want as the core knows it.
-    pub fn to_want(&self) -> Want {
-        Want {
-            adapter: self.adapter.clone(),
-            version: self.version,
-            asked: f64::from(self.asked),
-            waiting: f64::from(self.waiting),
-            is_copy: self.is_copy,
-        }
-    }
+/// Hundredths as a part of an objective.
+pub fn from_percent(percent: u16) -> f64 {
+    f64::from(percent) / 100.0
 }
--- /dev/null
+++ b/crates/tinbay-gateway/src/peers/inbox.rs
@@ -0,0 +1,170 @@
+//! Takes the messages between boxes.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use log::Level;
+use serde::Serialize;
+use tinbay_core::serving::contents::HeldState;
+use tinbay_core::serving::servers::Fingerprint;
+use tinbay_core::serving::wants::Want;
+use tinbay_core::units::Millis;
+use tokio::net::UdpSocket;
+
+use super::frame::{
+    AdapterPart, AskPart, Frame, FramePart, MOST_BYTES, UsesPart, WordPart, from_percent,
+};
+use crate::events::{self, part};
+use crate::node::Node;
+use crate::servers::view::{HolderWord, ViewEntry};
+
+/// Pause after a failed read.
+const FAILURE_PAUSE: Duration = Duration::from_millis(10);
+
+/// The newest frames seen of one box, to pass over what comes late.
+#[derive(Debug, Default)]
+struct Seen {
+    incarnation: u64,
+    uses: HashMap<Fingerprint, u64>,
+    words: HashMap<Fingerprint, u64>,
+}
+
+#[derive(Serialize)]
+struct UnreadableEvent {
+    bytes: usize,
+    error: String,
+}
+
+/// Takes frames until the box stops.
+pub async fn receive(node: Rc<Node>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; MOST_BYTES * 2];
+    let mut seen: HashMap<String, Seen> = HashMap::new();
+    loop {
+        let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
+            tokio::time::sleep(FAILURE_PAUSE).await;
+            continue;
+        };
+        match postcard::from_bytes::<Frame>(&buffer[..length]) {
+            Ok(frame) => {
+                node.metrics.count_frame("received", length);
+                take(&node, frame, &mut seen);
+            }
+            Err(error) => {
+                node.metrics.count_frame("unreadable", length);
+                let event = UnreadableEvent {
+                    bytes: length,
+                    error: error.to_string(),
+                };
+                events::emit(part::MEMBERS, Level::Warn, "frame_unreadable", &event);
+            }
+        }
+    }
+}
+
+fn take(node: &Node, frame: Frame, seen: &mut HashMap<String, Seen>) {
+    let seen = seen.entry(frame.box_id.clone()).or_default();
+    if frame.incarnation < seen.incarnation {
+        return;
+    }
+    if frame.incarnation > seen.incarnation {
+        *seen = Seen {
+            incarnation: frame.incarnation,
+            ..Seen::default()
+        };
+    }
+    let now_ms = node.now_ms();
+    node.members.borrow_mut().hear(&frame.box_id, now_ms);
+    for part in frame.parts {
+        match part {
+            FramePart::Hello(record) => {
+                let mut members = node.members.borrow_mut();
+                members.note_hello(&frame.box_id, record, now_ms);
+            }
+            FramePart::Heard(heard) => take_heard(node, &heard, now_ms),
+            FramePart::Ask(ask) => take_ask(node, &frame.box_id, ask, now_ms),
+            FramePart::Uses(uses) => {
+                if advance(seen.uses.entry(uses.server).or_default(), frame.sequence) {
+                    take_uses(node, &frame.box_id, uses, now_ms);
+                }
+            }
+            FramePart::Word(word) => {
+                if advance(seen.words.entry(word.server).or_default(), frame.sequence) {
+                    take_word(node, word, now_ms);
+                }
+            }
+        }
+    }
+}
+
+fn advance(last: &mut u64, sequence: u64) -> bool {
+    let is_newer = sequence > *last;
+    *last = sequence.max(*last);
+    is_newer
+}
+
+fn take_heard(node: &Node, heard: &[(Fingerprint, u16)], now_ms: Millis) {
+    let mut members = node.members.borrow_mut();
+    for (fingerprint, age_ms) in heard {
+        let heard_ms = now_ms.saturating_sub(Millis::from(*age_ms));
+        members.hear_at(*fingerprint, heard_ms);
+    }
+}
+
+fn take_ask(node: &Node, box_id: &str, ask: AskPart, now_ms: Millis) {
+    let Some(server) = node.servers.borrow().by_fingerprint(ask.server) else {
+        return;
+    };
+    let Some(book) = node.book(server.key) else {
+        return;
+    };
+    let want = Want {
+        adapter: ask.adapter,
+        version: ask.version,
+        is_copy: ask.is_copy,
+    };
+    book.note_ask(box_id, want, now_ms);
+    server.order_due.notify_one();
+    node.outbox.tell_box(server.key, box_id);
+}
+
+fn take_uses(node: &Node, box_id: &str, part: UsesPart, now_ms: Millis) {
+    let Some(server) = node.servers.borrow().by_fingerprint(part.server) else {
+        return;
+    };
+    let Some(book) = node.book(server.key) else {
+        return;
+    };
+    let delay = part.delay_percent.map(from_percent);
+    if book.note_uses(box_id, part.uses, delay, now_ms) {
+        node.outbox.tell_box(server.key, box_id);
+    }
+    if book.has_wants() {
+        server.order_due.notify_one();
+    }
+}
+
+fn take_word(node: &Node, part: WordPart, now_ms: Millis) {
+    let Some(server) = node.servers.borrow().by_fingerprint(part.server) else {
+        return;
+    };
+    let word = HolderWord {
+        entries: part.adapters.iter().map(to_entry).collect(),
+        running_elsewhere: usize::from(part.running_elsewhere),
+        delay: from_percent(part.delay_percent),
+        takes_loads: part.takes_loads,
+    };
+    let ready = server.view.borrow_mut().note(word, now_ms);
+    node.waiters.wake(&ready);
+    server.word_came.notify_waiters();
+}
+
+fn to_entry(adapter: &AdapterPart) -> (Fingerprint, ViewEntry) {
+    let state = if adapter.is_ready {
+        HeldState::Ready
+    } else {
+        HeldState::Loading
+    };
+    let version = u64::from(adapter.version);
+    (adapter.adapter, ViewEntry { version, state })
+}
--- a/crates/tinbay-gateway/src/peers/mod.rs
+++ b/crates/tinbay-gateway/src/peers/mod.rs
@@ -1,5 +1,7 @@
-//! Messages between boxes: datagrams that carry states, so that a lost one is made good by
-//! the next.
+//! Messages between boxes: questions to the holders of servers, their answers, and who lives.
 
 pub mod exchange;
 pub mod frame;
+pub mod gossip;
+pub mod inbox;
+pub mod outbox;
--- a/crates/tinbay-gateway/src/run.rs
+++ b/crates/tinbay-gateway/src/run.rs
@@ -19,8 +19,8 @@
 use crate::housekeeping;
 use crate::metrics::Metrics;
 use crate::node::Node;
-use crate::orders::{claiming, membership, memory};
-use crate::peers::exchange;
+use crate::orders::{claiming, membership};
+use crate::peers::{exchange, gossip, inbox};
 use crate::port::dialect::{DecodeError, Dialect};
 use crate::port::store::Store;
 use crate::settings::Settings;
@@ -134,7 +134,6 @@
     start_exchange(&node, settings.peer).await?;
     tokio::task::spawn_local(membership::keep(Rc::clone(&node)));
     tokio::task::spawn_local(claiming::run(Rc::clone(&node)));
-    tokio::task::spawn_local(memory::keep(Rc::clone(&node)));
     tokio::task::spawn_local(housekeeping::run(Rc::clone(&node)));
     log_start(&settings);
     tokio::select! {
@@ -179,7 +178,7 @@
         .await
         .map_err(|source| GatewayError::Listen { address, source })?;
     let socket = Rc::new(socket);
-    tokio::task::spawn_local(exchange::receive(Rc::clone(node), Rc::clone(&socket)));
+    tokio::task::spawn_local(inbox::receive(Rc::clone(node), Rc::clone(&socket)));
     tokio::task::spawn_local(exchange::send(Rc::clone(node), socket));
     Ok(())
 }
@@ -244,7 +243,7 @@
     let began_ms = node.now_ms();
     node.is_leaving.set(true);
     node.entry_due.notify_one();
-    node.hello_due.notify_one();
+    gossip::post_leaving(node);
     log_stop(node, "stop_begun", began_ms);
     let end_ms = began_ms + node.settings.borrow().bounds.stop_within_ms - STOP_MARGIN_MS;
     membership::release_claims(node).await;
--- /dev/null
+++ b/crates/tinbay-gateway/src/servers/server.rs
@@ -0,0 +1,165 @@
+//! One incarnation of a server, and what this box believes of it.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use tinbay_core::serving::contents::AdapterKey;
+use tinbay_core::serving::fading::faded;
+use tinbay_core::serving::servers::{Fingerprint, ServerKey, ServerRecord, ServerState};
+use tinbay_core::units::Millis;
+use tokio::sync::Notify;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::usage::Usage;
+use super::view::{View, ViewEntry};
+use crate::http::pool::Pool;
+
+/// Half-life of the mistrust in a server that failed.
+const MISTRUST_HALF_LIFE_MS: f64 = 1_500.0;
+
+/// Most mistrust in a server; it is forgotten within some half-lives.
+const MOST_MISTRUST: f64 = 8.0;
+
+/// Weight of a new head's time.
+const DELAY_WEIGHT: f64 = 0.15;
+
+/// Longest time of a head that counts, as a part of the objective.
+const MOST_DELAY: f64 = 3.0;
+
+/// Half-life of the time to the head where no new one comes.
+const DELAY_HALF_LIFE_MS: f64 = 1_500.0;
+
+/// One incarnation of a server.
+#[derive(Debug)]
+pub struct Server {
+    /// Its short name.
+    pub key: ServerKey,
+    /// Where it listens, as text.
+    pub address_text: String,
+    /// Told when its holder may have something to order.
+    pub order_due: Notify,
+    /// Told when its holder's word has come.
+    pub word_came: Notify,
+    /// What its holder told.
+    pub view: RefCell<View>,
+    /// What this box has running there.
+    pub usage: RefCell<Usage>,
+    /// Connections to it.
+    pub pool: Rc<Pool>,
+    pub(super) record: RefCell<Rc<ServerRecord>>,
+    mistrust: Cell<(f64, Millis)>,
+    delay: Cell<(f64, Millis)>,
+}
+
+/// One request of this box at a server, counted while it lives.
+#[derive(Debug)]
+pub struct Flight {
+    server: Rc<Server>,
+    adapter: Option<AdapterKey>,
+}
+
+impl Flight {
+    /// The server the request runs at.
+    pub fn server(&self) -> Rc<Server> {
+        Rc::clone(&self.server)
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.server.usage.borrow_mut().end(self.adapter);
+    }
+}
+
+/// The short name of an incarnation.
+pub(super) fn server_key(id: &str) -> ServerKey {
+    xxh3_64(id.as_bytes())
+}
+
+impl Server {
+    pub(super) fn new(record: ServerRecord) -> Self {
+        Self {
+            key: server_key(&record.id),
+            address_text: record.address.to_string(),
+            order_due: Notify::new(),
+            word_came: Notify::new(),
+            view: RefCell::default(),
+            usage: RefCell::default(),
+            pool: Rc::new(Pool::new(record.address)),
+            record: RefCell::new(Rc::new(record)),
+            mistrust: Cell::default(),
+            delay: Cell::default(),
+        }
+    }
+
+    /// What it says about itself.
+    pub fn record(&self) -> Rc<ServerRecord> {
+        Rc::clone(&self.record.borrow())
+    }
+
+    /// What is believed of one adapter here.
+    pub fn adapter(&self, key: AdapterKey) -> Option<ViewEntry> {
+        self.view.borrow().entry(key as Fingerprint)
+    }
+
+    /// Notes that the server refused a request as it does not hold the adapter.
+    pub fn note_missing(&self, key: AdapterKey) {
+        self.view.borrow_mut().note_missing(key as Fingerprint);
+    }
+
+    /// Whether it takes work.
+    pub fn is_ready(&self) -> bool {
+        self.record.borrow().state == ServerState::Ready
+    }
+
+    /// The short form of its key in messages.
+    pub fn fingerprint(&self) -> Fingerprint {
+        self.key as Fingerprint
+    }
+
+    /// Counts a request of this box, for an adapter if it names one.
+    pub fn take_off(self: &Rc<Self>, adapter: Option<AdapterKey>) -> Flight {
+        self.usage.borrow_mut().begin(adapter);
+        Flight {
+            server: Rc::clone(self),
+            adapter,
+        }
+    }
+
+    /// Requests of all boxes that run here, as far as the holder told.
+    pub fn running(&self, now_ms: Millis) -> usize {
+        self.usage.borrow().running() + self.view.borrow().running_elsewhere(now_ms)
+    }
+
+    /// Notes how a head's time stood to its objective.
+    pub fn note_delay(&self, part_of_objective: f64, now_ms: Millis) {
+        let part = part_of_objective.min(MOST_DELAY);
+        let known = self.own_delay(now_ms);
+        let delay = known + DELAY_WEIGHT * (part - known);
+        self.delay.set((delay, now_ms));
+        self.usage.borrow_mut().note_delay(part);
+    }
+
+    /// Usual time to the head as a part of the objective, fading with time: what this box saw,
+    /// or what all boxes saw where that is more.
+    pub fn delay(&self, now_ms: Millis) -> f64 {
+        self.own_delay(now_ms).max(self.view.borrow().delay(now_ms))
+    }
+
+    fn own_delay(&self, now_ms: Millis) -> f64 {
+        let (amount, noted_ms) = self.delay.get();
+        faded(amount, noted_ms, DELAY_HALF_LIFE_MS, now_ms)
+    }
+
+    /// Mistrust in the server, fading with time.
+    pub fn mistrust(&self, now_ms: Millis) -> f64 {
+        let (amount, noted_ms) = self.mistrust.get();
+        faded(amount, noted_ms, MISTRUST_HALF_LIFE_MS, now_ms)
+    }
+
+    /// Adds mistrust after a failure.
+    pub fn add_mistrust(&self, amount: f64, now_ms: Millis) {
+        let sum = (self.mistrust(now_ms) + amount).min(MOST_MISTRUST);
+        self.mistrust.set((sum, now_ms));
+    }
+}
--- /dev/null
+++ b/crates/tinbay-gateway/src/servers/view.rs
@@ -0,0 +1,121 @@
+//! What a server's holder told this box of it.
+
+use std::collections::HashMap;
+
+use tinbay_core::serving::contents::HeldState;
+use tinbay_core::serving::servers::Fingerprint;
+use tinbay_core::units::Millis;
+
+/// How long a holder's word is new enough to send a request by it without asking.
+const FRESH_MS: Millis = 300;
+
+/// How long its word on what others have running, and on places, counts.
+const WORD_LIFE_MS: Millis = 2_000;
+
+/// Time within which a holder answers; a datagram and back takes a few milliseconds.
+const ANSWER_WITHIN_MS: Millis = 60;
+
+/// How long a holder that did not answer is passed over.
+const SILENCE_LIFE_MS: Millis = 1_500;
+
+/// An adapter at a server, as its holder believes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ViewEntry {
+    /// Its version; 0 where it is not known.
+    pub version: u64,
+    /// Whether it can serve.
+    pub state: HeldState,
+}
+
+/// A holder's word on its server.
+#[derive(Debug, Clone, PartialEq)]
+pub struct HolderWord {
+    /// All adapters that take a place.
+    pub entries: HashMap<Fingerprint, ViewEntry>,
+    /// Requests that other boxes have running there.
+    pub running_elsewhere: usize,
+    /// Usual time to the first byte as a part of the objective, over all boxes.
+    pub delay: f64,
+    /// Whether a load could begin.
+    pub takes_loads: bool,
+}
+
+/// What a server's holder told this box of it.
+#[derive(Debug, Default)]
+pub struct View {
+    word: Option<HolderWord>,
+    told_ms: Millis,
+    asked_ms: Option<Millis>,
+}
+
+impl View {
+    /// Takes the holder's word; the adapters that can serve now, or in another version.
+    pub fn note(&mut self, word: HolderWord, now_ms: Millis) -> Vec<Fingerprint> {
+        let known = |adapter: &Fingerprint| self.entry(*adapter);
+        let ready = word
+            .entries
+            .iter()
+            .filter(|(adapter, entry)| {
+                entry.state == HeldState::Ready && known(adapter) != Some(**entry)
+            })
+            .map(|(adapter, _)| *adapter)
+            .collect();
+        self.word = Some(word);
+        self.told_ms = now_ms;
+        self.asked_ms = None;
+        ready
+    }
+
+    /// Notes that the holder was asked; it is late from its first question without an answer.
+    pub fn note_asked(&mut self, now_ms: Millis) {
+        let is_over = |asked_ms| now_ms >= asked_ms + SILENCE_LIFE_MS;
+        if self.asked_ms.is_none_or(is_over) {
+            self.asked_ms = Some(now_ms);
+        }
+    }
+
+    /// Whether the holder does not answer.
+    pub fn is_silent(&self, now_ms: Millis) -> bool {
+        self.asked_ms.is_some_and(|asked_ms| {
+            let waited_ms = now_ms.saturating_sub(asked_ms);
+            (ANSWER_WITHIN_MS..SILENCE_LIFE_MS).contains(&waited_ms)
+        })
+    }
+
+    /// Whether the word is new enough to send a request by it.
+    pub fn is_fresh(&self, now_ms: Millis) -> bool {
+        self.word.is_some() && now_ms < self.told_ms + FRESH_MS
+    }
+
+    /// An adapter by the holder's last word, however old: the server refuses what it lacks.
+    pub fn entry(&self, adapter: Fingerprint) -> Option<ViewEntry> {
+        self.word.as_ref()?.entries.get(&adapter).copied()
+    }
+
+    /// The server refused a request as it does not hold the adapter.
+    pub fn note_missing(&mut self, adapter: Fingerprint) {
+        if let Some(word) = &mut self.word {
+            word.entries.remove(&adapter);
+        }
+    }
+
+    /// Requests that other boxes have running there, as far as that was told lately.
+    pub fn running_elsewhere(&self, now_ms: Millis) -> usize {
+        self.recent(now_ms).map_or(0, |word| word.running_elsewhere)
+    }
+
+    /// Usual time to the first byte over all boxes, as far as that was told lately.
+    pub fn delay(&self, now_ms: Millis) -> f64 {
+        self.recent(now_ms).map_or(0.0, |word| word.delay)
+    }
+
+    /// Whether a load could begin; true where nothing was told lately.
+    pub fn takes_loads(&self, now_ms: Millis) -> bool {
+        self.recent(now_ms).is_none_or(|word| word.takes_loads)
+    }
+
+    fn recent(&self, now_ms: Millis) -> Option<&HolderWord> {
+        let is_recent = now_ms < self.told_ms + WORD_LIFE_MS;
+        self.word.as_ref().filter(|_| is_recent)
+    }
+}
--- a/crates/tinbay-gateway/src/waiters.rs
+++ b/crates/tinbay-gateway/src/waiters.rs
@@ -5,10 +5,9 @@
 use std::rc::Rc;
 
 use tinbay_core::serving::contents::AdapterKey;
+use tinbay_core::serving::servers::Fingerprint;
 use tokio::sync::Notify;
 
-use crate::peers::frame::Fingerprint;
-
 /// Requests that wait, by the adapter they wait for.
 #[derive(Debug, Default)]
 pub struct Waiters {
