A few boxes a zone read the store for the others

Ruled out: longer waits alone (a watch that the store lost must be noticed in time, and the servers' entries change with every order). Change: in each zone one box, and one more for each 16, reads the store; the others ask one of them, or one of another zone where it fails, with the store's own revisions, so that changing the relay costs nothing. Only where none gives anything a box reads the store itself, each 2 s. Entries of servers go on only when more than their contents changed. The proof that the own entry stands comes from what is watched (less 1.5 s, as watches may hear nothing for a second); the store is read only where that is older than 6 s. Tests: relays of a zone (property), what is passed on, two boxes before one store of which the relay dies.

--- a/crates/tinbay-core/src/serving/mod.rs
+++ b/crates/tinbay-core/src/serving/mod.rs
@@ -11,6 +11,7 @@
 pub mod guests;
 pub mod homes;
 pub mod pacing;
+pub mod relays;
 pub mod routes;
 pub mod servers;
 pub mod wants;
--- a/crates/tinbay-core/src/serving/servers.rs
+++ b/crates/tinbay-core/src/serving/servers.rs
@@ -48,6 +48,18 @@
     pub adapters: Vec<HeldAdapter>,
 }
 
+impl ServerRecord {
+    /// The record without what it holds, which changes with every order.
+    pub fn identity(&self) -> Self {
+        Self {
+            order_count: 0,
+            remaining_ms: self.remaining_ms.map(|_| 0),
+            adapters: Vec::new(),
+            ..self.clone()
+        }
+    }
+}
+
 /// An adapter and the version of it that a server holds.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct HeldAdapter {
--- a/crates/tinbay-gateway/src/directory.rs
+++ b/crates/tinbay-gateway/src/directory.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 use hyper::server::conn::http1;
@@ -18,6 +19,7 @@
 
 use crate::http::body::AnswerBody;
 use crate::node::Node;
+use crate::watch::relay;
 
 /// Most addresses in one answer.
 const MOST_ADDRESSES: usize = 64;
@@ -59,6 +61,9 @@
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Infallible> {
     let path = request.uri().path();
+    if path == relay::PATH {
+        return Ok(pass_on(&node, request).await);
+    }
     if path == node.dialect.ready_path() {
         return Ok(readiness(&node));
     }
@@ -74,6 +79,17 @@
     Ok(reply(StatusCode::NOT_FOUND, "text/plain", String::new()))
 }
 
+/// Passes on what this box sees of the store.
+async fn pass_on(node: &Node, request: Request<Incoming>) -> Response<AnswerBody> {
+    match request.into_body().collect().await {
+        Ok(body) => {
+            let answer = relay::answer(node, &body.to_bytes()).await;
+            reply(StatusCode::OK, "application/octet-stream", answer)
+        }
+        Err(_) => reply(StatusCode::BAD_REQUEST, "text/plain", String::new()),
+    }
+}
+
 fn readiness(node: &Node) -> Response<AnswerBody> {
     let status = if node.is_ready() {
         StatusCode::OK
--- a/crates/tinbay-gateway/src/members.rs
+++ b/crates/tinbay-gateway/src/members.rs
@@ -18,6 +18,8 @@
     pub front: SocketAddr,
     /// Where other boxes send messages.
     pub peer: SocketAddr,
+    /// Where other boxes ask what this one sees of the store.
+    pub control: SocketAddr,
     /// Availability zone.
     pub zone: String,
     /// Whether it takes no new callers.
--- a/crates/tinbay-gateway/src/metrics.rs
+++ b/crates/tinbay-gateway/src/metrics.rs
@@ -23,6 +23,8 @@
     pub second_sends: IntCounterVec,
     /// Calls to the store, by call and outcome.
     pub store_calls: IntCounterVec,
+    /// Questions to boxes that read the store for this one, by call and outcome.
+    pub relay_calls: IntCounterVec,
     /// Orders to servers, by action and outcome.
     pub orders: IntCounterVec,
     /// Messages between boxes, by outcome.
@@ -66,6 +68,11 @@
                 "Calls to the store",
                 &["call", "outcome"],
             )?,
+            relay_calls: counter(
+                "tinbay_relay_calls_total",
+                "Questions to boxes that read the store",
+                &["call", "outcome"],
+            )?,
             orders: counter(
                 "tinbay_orders_total",
                 "Orders to servers",
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use tinbay_core::serving::budget::SendBudget;
@@ -15,6 +16,7 @@
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
+use crate::http::call::Caller;
 use crate::latch::Latch;
 use crate::members::{MemberRecord, Members};
 use crate::metrics::Metrics;
@@ -26,6 +28,7 @@
 use crate::servers::{Server, ServerTable};
 use crate::settings::Settings;
 use crate::waiters::Waiters;
+use crate::watch::replica::Replica;
 
 /// How long a proof lasts: longer than usual outages of the store.
 const PROOF_LIFE_MS: Millis = 10_000;
@@ -63,6 +66,14 @@
     pub dialect: Box<dyn Dialect>,
     /// The key-value store.
     pub store: Box<dyn Store>,
+    /// What was seen of the store, to pass it on.
+    pub replica: Replica,
+    /// Boxes that failed to pass on what they see of the store, and until when they are not asked.
+    pub failed_relays: RefCell<HashMap<String, Millis>>,
+    /// When this box last read the store itself though others do it for it, by prefix.
+    pub store_turns: RefCell<HashMap<String, Millis>>,
+    /// Connections to boxes that pass on what they see of the store.
+    pub relay_callers: RefCell<HashMap<SocketAddr, Rc<Caller>>>,
     /// The monotonic clock.
     pub clock: Clock,
     /// Measures.
@@ -116,6 +127,10 @@
             settings: RefCell::new(settings),
             dialect,
             store,
+            replica: Replica::default(),
+            failed_relays: RefCell::default(),
+            store_turns: RefCell::default(),
+            relay_callers: RefCell::default(),
             clock: Clock::start(),
             metrics,
             in_force: RefCell::default(),
@@ -162,6 +177,7 @@
         MemberRecord {
             front: settings.front,
             peer: settings.peer,
+            control: settings.metrics,
             zone: settings.zone.clone(),
             is_leaving: self.is_leaving.get(),
         }
--- a/crates/tinbay-gateway/src/orders/membership.rs
+++ b/crates/tinbay-gateway/src/orders/membership.rs
@@ -10,7 +10,7 @@
 use crate::events::{self, part};
 use crate::node::Node;
 use crate::port::store::{LeaseId, MOST_ENTRIES, Revision, StoreError, StoreResult, Transaction};
-use crate::watch::boxes::{CLAIM_PREFIX, MEMBER_PREFIX};
+use crate::watch::boxes::{CLAIM_PREFIX, MEMBER_PREFIX, PREFIX as BOXES_PREFIX};
 use crate::watch::{counted, sleep_with_jitter};
 
 /// Life of the lease of the box's entry.
@@ -19,6 +19,13 @@
 /// Pause between proofs; several fit into the life of one.
 const PROOF_PAUSE_MS: Millis = 3_000;
 
+/// Time for which a watch may hear nothing of changes that are made: the store may drop its
+/// history then, and cut the watch a second later.
+const WATCH_BLIND_MS: Millis = 1_500;
+
+/// Age up to which what is seen of the store serves as proof; beyond it the store is read.
+const MOST_EVIDENCE_AGE_MS: Millis = 6_000;
+
 /// Pause after a failed call.
 const RETRY_PAUSE_MS: Millis = 300;
 
@@ -34,6 +41,7 @@
     lease: Option<LeaseId>,
     is_written: bool,
     written_as_leaving: bool,
+    written_at: Revision,
 }
 
 /// Keeps the entry until the box stops.
@@ -99,7 +107,8 @@
             Err(StoreError::LeaseOver)
         }
         Err(error) => Err(error),
-        Ok(_) => {
+        Ok(revision) => {
+            entry.written_at = revision;
             entry.is_written = true;
             entry.written_as_leaving = record.is_leaving;
             Ok(())
@@ -107,8 +116,37 @@
     }
 }
 
-/// Reads the own entry back: a renewed lease does not show that its keys are still there.
+/// Shows that the own entry still stands: a renewed lease does not show that its keys do.
 async fn prove(node: &Node, entry: &mut Entry) -> StoreResult<()> {
+    if let Some(seen_ms) = seen_in_store(node, entry) {
+        let mut proof = node.proof.get();
+        if !proof.holds(&node.claim_terms(), node.now_ms()) {
+            events::emit(
+                part::ORDERS,
+                Level::Info,
+                "proof",
+                &ProofEvent { error: None },
+            );
+        }
+        proof.renew(seen_ms);
+        node.proof.set(proof);
+        return Ok(());
+    }
+    read_back(node, entry).await
+}
+
+/// When the own entry certainly stood, by what is watched. The claims are watched together with
+/// the entries, so that none of them has gone to others by then unseen.
+fn seen_in_store(node: &Node, entry: &Entry) -> Option<Millis> {
+    let confirmed_ms = node.replica.confirmed_ms(BOXES_PREFIX)?;
+    let item = node.replica.item(BOXES_PREFIX, &own_key(node))?;
+    let seen_ms = confirmed_ms.saturating_sub(WATCH_BLIND_MS);
+    let is_recent = node.now_ms() < seen_ms + MOST_EVIDENCE_AGE_MS;
+    (is_recent && item.revision >= entry.written_at).then_some(seen_ms)
+}
+
+/// Reads the own entry back from the store.
+async fn read_back(node: &Node, entry: &mut Entry) -> StoreResult<()> {
     let asked_ms = node.now_ms();
     let item = counted(node, "read", node.store.read(&own_key(node)).await)?;
     if item.is_none() {
--- a/crates/tinbay-gateway/src/port/store.rs
+++ b/crates/tinbay-gateway/src/port/store.rs
@@ -34,6 +34,16 @@
     },
 }
 
+impl Change {
+    /// When it was made.
+    pub fn revision(&self) -> Revision {
+        match self {
+            Self::Put(item) => item.revision,
+            Self::Gone { revision, .. } => *revision,
+        }
+    }
+}
+
 /// All keys below a prefix.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Listing {
@@ -72,6 +82,9 @@
     /// No answer: it may be done, now or later.
     #[error("no answer from the store")]
     NoAnswer,
+    /// Not asked: others read the store for this box, and its own turn has not come.
+    #[error("the store was not asked yet")]
+    NotAsked,
     /// Refused; nothing was done.
     #[error("the store refused with status {status}")]
     Refused {
--- a/crates/tinbay-gateway/src/run.rs
+++ b/crates/tinbay-gateway/src/run.rs
@@ -47,7 +47,7 @@
 
 /// How boxes are watched.
 const BOX_PACE: WatchPace = WatchPace {
-    wait_ms: 8_000,
+    wait_ms: 3_000,
     gap_ms: 100,
 };
 
--- a/crates/tinbay-gateway/src/watch/mod.rs
+++ b/crates/tinbay-gateway/src/watch/mod.rs
@@ -2,7 +2,10 @@
 
 pub mod boxes;
 pub mod configuration;
+pub mod relay;
+pub mod replica;
 pub mod servers;
+pub mod source;
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,6 +25,9 @@
 /// Longest pause after failed calls; within it a store that is back is seen again.
 const LONGEST_PAUSE_MS: Millis = 800;
 
+/// Pause after changes that another box passed on, so that several go together.
+const RELAY_GAP_MS: Millis = 40;
+
 /// Takes what the store says below one prefix.
 pub trait Follower {
     /// The prefix.
@@ -32,6 +38,11 @@
 
     /// Takes one change.
     fn apply(&self, change: &Change);
+
+    /// Whether a new value of a key is to be passed on to other boxes.
+    fn is_passed_on(&self, _before: &Item, _after: &Item) -> bool {
+        true
+    }
 }
 
 /// How often the store is asked.
@@ -85,14 +96,12 @@
     is_lost: &mut bool,
     pause_ms: &mut Millis,
 ) -> Result<(), StoreError> {
-    let listing = counted(
-        node,
-        "list",
-        node.store.list(follower.prefix(), false).await,
-    )?;
+    let prefix = follower.prefix();
+    let (listing, evidence) = source::list(node, prefix).await?;
     follower.reset(&listing.items);
+    node.replica.note_listing(prefix, &listing, evidence);
     let event = StoreEvent {
-        prefix: follower.prefix(),
+        prefix,
         error: None,
         revision: Some(listing.at),
         items: Some(listing.items.len()),
@@ -103,16 +112,21 @@
     let mut at = listing.at;
     let mut failures = 0;
     loop {
-        let watched = node.store.watch(follower.prefix(), at, pace.wait_ms).await;
-        match counted(node, "watch", watched) {
-            Ok(changes) => {
+        match source::watch(node, prefix, at, pace.wait_ms).await {
+            Ok((changes, evidence)) => {
                 failures = 0;
                 for change in &changes.changes {
-                    follower.apply(change);
+                    take(node, follower, change);
                 }
                 at = at.max(changes.at);
+                node.replica.confirm(prefix, at, evidence);
                 if !changes.changes.is_empty() {
-                    sleep_with_jitter(pace.gap_ms).await;
+                    let gap_ms = if evidence.is_from_store {
+                        pace.gap_ms
+                    } else {
+                        RELAY_GAP_MS
+                    };
+                    sleep_with_jitter(gap_ms).await;
                 }
             }
             Err(StoreError::HistoryGone) => return Ok(()),
@@ -125,11 +139,25 @@
     }
 }
 
+fn take(node: &Node, follower: &dyn Follower, change: &Change) {
+    let prefix = follower.prefix();
+    let is_passed_on = match change {
+        Change::Put(item) => node
+            .replica
+            .item(prefix, &item.key)
+            .is_none_or(|before| follower.is_passed_on(&before, item)),
+        Change::Gone { .. } => true,
+    };
+    node.replica.note_change(prefix, change, is_passed_on);
+    follower.apply(change);
+}
+
 /// Counts a store call by its end.
 pub fn counted<T>(node: &Node, call: &str, result: Result<T, StoreError>) -> Result<T, StoreError> {
     let outcome = match &result {
         Ok(_) => "ok",
         Err(StoreError::NoAnswer) => "no_answer",
+        Err(StoreError::NotAsked) => "not_asked",
         Err(StoreError::Refused { .. }) => "refused",
         Err(StoreError::HistoryGone) => "history_gone",
         Err(StoreError::Conflict { .. }) => "conflict",
--- /dev/null
+++ b/crates/tinbay-gateway/src/watch/relay.rs
@@ -0,0 +1,344 @@
+//! Boxes that read the store pass on what they see to those that ask.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::Method;
+use serde::{Deserialize, Serialize};
+use tinbay_core::serving::relays::{order_for, relays_of};
+use tinbay_core::units::Millis;
+
+use super::replica::{Evidence, Since};
+use crate::http::call::{Call, Caller};
+use crate::node::Node;
+use crate::port::store::{Change, Changes, Item, Listing, Revision};
+
+/// Path where a box passes on what it sees of the store.
+pub const PATH: &str = "/relay";
+
+/// Time that an answer may take beyond the wait that was asked for; between boxes it takes some
+/// milliseconds.
+const ANSWER_MARGIN_MS: Millis = 300;
+
+/// Longest time for all there is below a prefix, which may be some hundred kilobytes.
+const LISTING_TIMEOUT_MS: Millis = 1_000;
+
+/// How long a relay that failed is passed over.
+const FAILED_LIFE_MS: Millis = 1_000;
+
+/// Longest wait that another box may ask for.
+const MOST_WAIT_MS: Millis = 10_000;
+
+/// A question to a relay.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RelayQuestion {
+    /// All there is below a prefix.
+    List {
+        /// The prefix.
+        prefix: String,
+    },
+    /// What changes below a prefix after a revision.
+    Watch {
+        /// The prefix.
+        prefix: String,
+        /// The revision.
+        after: Revision,
+        /// How long to wait for a change.
+        wait_ms: Millis,
+    },
+}
+
+/// A change of one key, as it is passed on.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChangePart {
+    key: String,
+    revision: Revision,
+    value: Option<Vec<u8>>,
+}
+
+/// A relay's answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RelayAnswer {
+    /// Items or changes.
+    Parts {
+        /// What there is, or what changed, oldest first.
+        parts: Vec<ChangePart>,
+        /// Where to go on.
+        at: Revision,
+        /// How old what the relay knows is.
+        age_ms: Millis,
+    },
+    /// Too much has been forgotten: list again.
+    HistoryGone,
+    /// The relay does not read the store, or is not in touch with it.
+    NotInTouch,
+}
+
+/// Why a relay gave nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum RelayError {
+    /// No whole answer came in time.
+    #[error("the relay did not answer")]
+    NoAnswer,
+    /// It is not in touch with the store.
+    #[error("the relay is not in touch with the store")]
+    NotInTouch,
+    /// What was asked for is forgotten there.
+    #[error("the relay's history is gone")]
+    HistoryGone,
+}
+
+/// Another box that reads the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RelayBox {
+    /// Its name.
+    pub id: String,
+    /// Where it is asked.
+    pub address: SocketAddr,
+}
+
+impl ChangePart {
+    fn of_item(item: &Item) -> Self {
+        Self {
+            key: item.key.clone(),
+            revision: item.revision,
+            value: Some(item.value.clone()),
+        }
+    }
+
+    fn of_change(change: &Change) -> Self {
+        match change {
+            Change::Put(item) => Self::of_item(item),
+            Change::Gone { key, revision } => Self {
+                key: key.clone(),
+                revision: *revision,
+                value: None,
+            },
+        }
+    }
+
+    fn into_change(self) -> Change {
+        match self.value {
+            Some(value) => Change::Put(Item {
+                key: self.key,
+                value,
+                revision: self.revision,
+            }),
+            None => Change::Gone {
+                key: self.key,
+                revision: self.revision,
+            },
+        }
+    }
+}
+
+/// Answers a question of another box; waits for a change if it asks for one.
+pub async fn answer(node: &Node, body: &[u8]) -> Vec<u8> {
+    let answer = match postcard::from_bytes::<RelayQuestion>(body) {
+        Ok(RelayQuestion::List { prefix }) => list(node, &prefix),
+        Ok(RelayQuestion::Watch {
+            prefix,
+            after,
+            wait_ms,
+        }) => watch(node, &prefix, after, wait_ms.min(MOST_WAIT_MS)).await,
+        Err(_) => RelayAnswer::NotInTouch,
+    };
+    postcard::to_stdvec(&answer).unwrap_or_default()
+}
+
+fn list(node: &Node, prefix: &str) -> RelayAnswer {
+    let age_ms = node.replica.age_ms(prefix, node.now_ms());
+    match (age_ms, node.replica.listing(prefix)) {
+        (Some(age_ms), Some(listing)) => RelayAnswer::Parts {
+            parts: listing.items.iter().map(ChangePart::of_item).collect(),
+            at: listing.at,
+            age_ms,
+        },
+        _ => RelayAnswer::NotInTouch,
+    }
+}
+
+async fn watch(node: &Node, prefix: &str, after: Revision, wait_ms: Millis) -> RelayAnswer {
+    let end = tokio::time::Instant::now() + Duration::from_millis(wait_ms);
+    loop {
+        let changed = node.replica.changed.notified();
+        let Some(age_ms) = node.replica.age_ms(prefix, node.now_ms()) else {
+            return RelayAnswer::NotInTouch;
+        };
+        match node.replica.since(prefix, after) {
+            None => return RelayAnswer::NotInTouch,
+            Some(Since::HistoryGone) => return RelayAnswer::HistoryGone,
+            Some(Since::Changes { changes, at }) => {
+                let is_over = tokio::time::Instant::now() >= end || node.is_leaving.get();
+                if is_over || !changes.is_empty() {
+                    return RelayAnswer::Parts {
+                        parts: changes.iter().map(ChangePart::of_change).collect(),
+                        at,
+                        age_ms,
+                    };
+                }
+            }
+        }
+        let _ = tokio::time::timeout_at(end, changed).await;
+    }
+}
+
+/// The relays as this box works them out.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Relays {
+    /// Whether this box is one, and reads the store itself.
+    pub is_one: bool,
+    /// Those to ask, in order; without those that failed lately.
+    pub to_ask: Vec<RelayBox>,
+}
+
+/// Which boxes read the store for this one.
+pub fn relays(node: &Node) -> Relays {
+    let now_ms = node.now_ms();
+    let settings = node.settings.borrow();
+    let members = node.members.borrow();
+    let own = (settings.box_id.as_str(), settings.zone.as_str());
+    let others = members
+        .others(&settings.box_id)
+        .filter(|(_, member)| member.listed && member.is_up(now_ms))
+        .map(|(id, member)| (id.as_str(), member.record.zone.as_str()));
+    let mut zones: Vec<(&str, Vec<&str>)> = Vec::new();
+    let is_own_up = !node.is_leaving.get();
+    for (id, zone) in others.chain(is_own_up.then_some(own)) {
+        match zones.iter_mut().find(|(name, _)| *name == zone) {
+            Some((_, boxes)) => boxes.push(id),
+            None => zones.push((zone, vec![id])),
+        }
+    }
+    let (mut near, mut far) = (Vec::new(), Vec::new());
+    for (zone, boxes) in &zones {
+        let relays = relays_of(zone, boxes);
+        if *zone == own.1 {
+            near.extend(relays);
+        } else {
+            far.extend(relays);
+        }
+    }
+    if near.contains(&own.0) {
+        return Relays {
+            is_one: true,
+            to_ask: Vec::new(),
+        };
+    }
+    let failed = node.failed_relays.borrow();
+    let is_tried = |id: &str| failed.get(id).is_some_and(|until_ms| now_ms < *until_ms);
+    let to_ask = order_for(own.0, &near, &far)
+        .into_iter()
+        .filter(|id| !is_tried(id))
+        .filter_map(|id| {
+            let address = members.get(id)?.record.control;
+            let id = id.to_string();
+            Some(RelayBox { id, address })
+        })
+        .collect();
+    Relays {
+        is_one: false,
+        to_ask,
+    }
+}
+
+/// Asks a relay for all there is below a prefix.
+///
+/// # Errors
+/// When it gives nothing; it is passed over for a while then.
+pub async fn ask_list(
+    node: &Node,
+    relay: &RelayBox,
+    prefix: &str,
+) -> Result<(Listing, Evidence), RelayError> {
+    let prefix = prefix.to_string();
+    let question = RelayQuestion::List { prefix };
+    let (parts, at, evidence) = ask(node, relay, &question, LISTING_TIMEOUT_MS).await?;
+    let items = parts
+        .into_iter()
+        .filter_map(|part| match part.into_change() {
+            Change::Put(item) => Some(item),
+            Change::Gone { .. } => None,
+        });
+    let items = items.collect();
+    Ok((Listing { items, at }, evidence))
+}
+
+/// Asks a relay for what changes below a prefix.
+///
+/// # Errors
+/// When it gives nothing; it is passed over for a while then.
+pub async fn ask_watch(
+    node: &Node,
+    relay: &RelayBox,
+    prefix: &str,
+    after: Revision,
+    wait_ms: Millis,
+) -> Result<(Changes, Evidence), RelayError> {
+    let question = RelayQuestion::Watch {
+        prefix: prefix.to_string(),
+        after,
+        wait_ms,
+    };
+    let timeout_ms = wait_ms + ANSWER_MARGIN_MS;
+    let (parts, at, evidence) = ask(node, relay, &question, timeout_ms).await?;
+    let changes = parts.into_iter().map(ChangePart::into_change).collect();
+    Ok((Changes { changes, at }, evidence))
+}
+
+async fn ask(
+    node: &Node,
+    relay: &RelayBox,
+    question: &RelayQuestion,
+    timeout_ms: Millis,
+) -> Result<(Vec<ChangePart>, Revision, Evidence), RelayError> {
+    let asked_ms = node.now_ms();
+    let answer = exchange(node, relay, question, timeout_ms).await;
+    let result = match answer {
+        Some(RelayAnswer::Parts { parts, at, age_ms }) => {
+            let evidence = Evidence {
+                confirmed_ms: asked_ms.saturating_sub(age_ms),
+                is_from_store: false,
+            };
+            Ok((parts, at, evidence))
+        }
+        Some(RelayAnswer::HistoryGone) => Err(RelayError::HistoryGone),
+        Some(RelayAnswer::NotInTouch) => Err(RelayError::NotInTouch),
+        None => Err(RelayError::NoAnswer),
+    };
+    if matches!(result, Err(RelayError::NoAnswer | RelayError::NotInTouch)) {
+        let until_ms = node.now_ms() + FAILED_LIFE_MS;
+        let mut failed = node.failed_relays.borrow_mut();
+        failed.retain(|_, until_ms| *until_ms > asked_ms);
+        failed.insert(relay.id.clone(), until_ms);
+    }
+    result
+}
+
+async fn exchange(
+    node: &Node,
+    relay: &RelayBox,
+    question: &RelayQuestion,
+    timeout_ms: Millis,
+) -> Option<RelayAnswer> {
+    let call = Call {
+        method: Method::POST,
+        path: PATH.to_string(),
+        body: Bytes::from(postcard::to_stdvec(question).ok()?),
+        header: None,
+        timeout_ms,
+    };
+    let caller = caller(node, relay.address);
+    let reply = caller.call(&call).await.ok()?;
+    postcard::from_bytes(&reply.body).ok()
+}
+
+fn caller(node: &Node, address: SocketAddr) -> Rc<Caller> {
+    let mut callers = node.relay_callers.borrow_mut();
+    let caller = callers
+        .entry(address)
+        .or_insert_with(|| Rc::new(Caller::new(address)));
+    Rc::clone(caller)
+}
--- /dev/null
+++ b/crates/tinbay-gateway/src/watch/replica.rs
@@ -0,0 +1,154 @@
+//! What this box has seen of the store, kept to pass it on to other boxes.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+use tinbay_core::units::Millis;
+use tokio::sync::Notify;
+
+use crate::port::store::{Change, Item, Listing, Revision};
+
+/// Changes kept for boxes that are behind; older ones make them read all again.
+const MOST_CHANGES: usize = 4_000;
+
+/// How long after its last answer from the store a box passes on what it knows: longer than
+/// one of its watches may wait.
+const PASSED_ON_MS: Millis = 4_500;
+
+/// What was seen below one prefix.
+#[derive(Debug, Default)]
+struct Copy {
+    items: BTreeMap<String, Item>,
+    listed_at: Revision,
+    at: Revision,
+    log: VecDeque<Change>,
+    confirmed_ms: Millis,
+    is_from_store: bool,
+}
+
+/// What this box has seen of the store.
+#[derive(Debug, Default)]
+pub struct Replica {
+    by_prefix: RefCell<HashMap<String, Copy>>,
+    /// Told when something has changed.
+    pub changed: Notify,
+}
+
+/// How old knowledge is, and where it came from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Evidence {
+    /// When what is known was certainly complete.
+    pub confirmed_ms: Millis,
+    /// Whether it came from the store itself, not from another box.
+    pub is_from_store: bool,
+}
+
+/// What a box that asks for changes is told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Since {
+    /// These, and where to go on.
+    Changes {
+        /// The changes, oldest first.
+        changes: Vec<Change>,
+        /// Where to go on.
+        at: Revision,
+    },
+    /// Too much has been forgotten.
+    HistoryGone,
+}
+
+impl Replica {
+    /// Takes all there is below a prefix.
+    pub fn note_listing(&self, prefix: &str, listing: &Listing, evidence: Evidence) {
+        let items = listing.items.iter();
+        let copy = Copy {
+            items: items.map(|item| (item.key.clone(), item.clone())).collect(),
+            listed_at: listing.at,
+            at: listing.at,
+            log: VecDeque::new(),
+            confirmed_ms: evidence.confirmed_ms,
+            is_from_store: evidence.is_from_store,
+        };
+        let mut by_prefix = self.by_prefix.borrow_mut();
+        by_prefix.insert(prefix.to_string(), copy);
+        self.changed.notify_waiters();
+    }
+
+    /// Takes one change; `is_passed_on` is false where it decides nothing for others.
+    pub fn note_change(&self, prefix: &str, change: &Change, is_passed_on: bool) {
+        let mut by_prefix = self.by_prefix.borrow_mut();
+        let Some(copy) = by_prefix.get_mut(prefix) else {
+            return;
+        };
+        match change {
+            Change::Put(item) => copy.items.insert(item.key.clone(), item.clone()),
+            Change::Gone { key, .. } => copy.items.remove(key),
+        };
+        if !is_passed_on {
+            return;
+        }
+        copy.log.push_back(change.clone());
+        if copy.log.len() > MOST_CHANGES
+            && let Some(oldest) = copy.log.pop_front()
+        {
+            copy.listed_at = copy.listed_at.max(oldest.revision());
+        }
+        self.changed.notify_waiters();
+    }
+
+    /// All changes up to a revision have been taken.
+    pub fn confirm(&self, prefix: &str, at: Revision, evidence: Evidence) {
+        let mut by_prefix = self.by_prefix.borrow_mut();
+        let Some(copy) = by_prefix.get_mut(prefix) else {
+            return;
+        };
+        copy.at = copy.at.max(at);
+        copy.confirmed_ms = copy.confirmed_ms.max(evidence.confirmed_ms);
+        copy.is_from_store = evidence.is_from_store;
+    }
+
+    /// The item with a key, as last seen.
+    pub fn item(&self, prefix: &str, key: &str) -> Option<Item> {
+        let by_prefix = self.by_prefix.borrow();
+        by_prefix.get(prefix)?.items.get(key).cloned()
+    }
+
+    /// When what is known below a prefix was certainly complete.
+    pub fn confirmed_ms(&self, prefix: &str) -> Option<Millis> {
+        let by_prefix = self.by_prefix.borrow();
+        by_prefix.get(prefix).map(|copy| copy.confirmed_ms)
+    }
+
+    /// How old what is known below a prefix is, if this box has it from the store itself and
+    /// is in touch with it.
+    pub fn age_ms(&self, prefix: &str, now_ms: Millis) -> Option<Millis> {
+        let by_prefix = self.by_prefix.borrow();
+        let copy = by_prefix.get(prefix)?;
+        let age_ms = now_ms.saturating_sub(copy.confirmed_ms);
+        (copy.is_from_store && age_ms < PASSED_ON_MS).then_some(age_ms)
+    }
+
+    /// All there is below a prefix.
+    pub fn listing(&self, prefix: &str) -> Option<Listing> {
+        let by_prefix = self.by_prefix.borrow();
+        let copy = by_prefix.get(prefix)?;
+        Some(Listing {
+            items: copy.items.values().cloned().collect(),
+            at: copy.at,
+        })
+    }
+
+    /// What has changed below a prefix after a revision.
+    pub fn since(&self, prefix: &str, after: Revision) -> Option<Since> {
+        let by_prefix = self.by_prefix.borrow();
+        let copy = by_prefix.get(prefix)?;
+        if after < copy.listed_at {
+            return Some(Since::HistoryGone);
+        }
+        let newer = copy.log.iter().filter(|change| change.revision() > after);
+        Some(Since::Changes {
+            changes: newer.cloned().collect(),
+            at: copy.at.max(after),
+        })
+    }
+}
--- a/crates/tinbay-gateway/src/watch/servers.rs
+++ b/crates/tinbay-gateway/src/watch/servers.rs
@@ -107,6 +107,16 @@
         }
     }
 
+    /// What a server holds changes all the time, and its holder tells those that use it.
+    fn is_passed_on(&self, before: &Item, after: &Item) -> bool {
+        let identity = |item: &Item| {
+            let id = self.id_of(&item.key)?;
+            let record = self.node.dialect.decode_server(id, &item.value).ok()?;
+            Some(record.identity())
+        };
+        identity(before) != identity(after)
+    }
+
     fn apply(&self, change: &Change) {
         match change {
             Change::Put(item) => self.take(item),
--- /dev/null
+++ b/crates/tinbay-gateway/src/watch/source.rs
@@ -0,0 +1,121 @@
+//! Where a box reads the store: from a box that passes on what it sees, or itself.
+//!
+//! A box that should ask others reads the store itself only where none of them gives anything,
+//! and then seldom: while the store is away for all, many boxes would ask it in vain.
+
+use log::Level;
+use serde::Serialize;
+use tinbay_core::units::Millis;
+
+use super::counted;
+use super::relay::{self, RelayError};
+use super::replica::Evidence;
+use crate::events::{self, part};
+use crate::node::Node;
+use crate::port::store::{Changes, Listing, Revision, StoreError, StoreResult};
+
+/// Relays that are asked before the store.
+const MOST_RELAYS: usize = 4;
+
+/// How long one question to a relay waits for changes. One that falls silent is noticed only
+/// when this is over, and a change of the configuration may take two seconds in all.
+const RELAY_WAIT_MS: Millis = 800;
+
+/// Pause between reads of the store by a box that should ask others.
+const STORE_PAUSE_MS: Millis = 2_000;
+
+#[derive(Serialize)]
+struct RelayEvent<'a> {
+    relay: &'a str,
+    prefix: &'a str,
+    error: String,
+}
+
+/// All there is below a prefix.
+///
+/// # Errors
+/// When neither another box nor the store gives it.
+pub async fn list(node: &Node, prefix: &str) -> StoreResult<(Listing, Evidence)> {
+    let relays = relay::relays(node);
+    for relay in relays.to_ask.iter().take(MOST_RELAYS) {
+        let asked = relay::ask_list(node, relay, prefix).await;
+        count(node, "list", asked.as_ref().err());
+        match asked {
+            Ok(listed) => return Ok(listed),
+            Err(error) => log_failure(&relay.id, prefix, error),
+        }
+    }
+    check_turn(node, prefix, relays.is_one)?;
+    let confirmed_ms = node.now_ms();
+    let listed = node.store.list(prefix, false).await;
+    let listing = counted(node, "list", listed)?;
+    Ok((listing, from_store(confirmed_ms)))
+}
+
+/// What changes below a prefix after a revision.
+///
+/// # Errors
+/// When neither another box nor the store tells.
+pub async fn watch(
+    node: &Node,
+    prefix: &str,
+    after: Revision,
+    wait_ms: Millis,
+) -> StoreResult<(Changes, Evidence)> {
+    let relays = relay::relays(node);
+    for relay in relays.to_ask.iter().take(MOST_RELAYS) {
+        let asked = relay::ask_watch(node, relay, prefix, after, RELAY_WAIT_MS).await;
+        count(node, "watch", asked.as_ref().err());
+        match asked {
+            Ok(changes) => return Ok(changes),
+            Err(RelayError::HistoryGone) => return Err(StoreError::HistoryGone),
+            Err(error) => log_failure(&relay.id, prefix, error),
+        }
+    }
+    check_turn(node, prefix, relays.is_one)?;
+    let confirmed_ms = node.now_ms();
+    let watched = node.store.watch(prefix, after, wait_ms).await;
+    let changes = counted(node, "watch", watched)?;
+    Ok((changes, from_store(confirmed_ms)))
+}
+
+fn from_store(confirmed_ms: Millis) -> Evidence {
+    Evidence {
+        confirmed_ms,
+        is_from_store: true,
+    }
+}
+
+/// Whether this box may read the store itself now.
+fn check_turn(node: &Node, prefix: &str, is_relay: bool) -> StoreResult<()> {
+    if is_relay {
+        return Ok(());
+    }
+    let now_ms = node.now_ms();
+    let mut turns = node.store_turns.borrow_mut();
+    let is_early = |last_ms: &Millis| now_ms < last_ms + STORE_PAUSE_MS;
+    if turns.get(prefix).is_some_and(is_early) {
+        return Err(StoreError::NotAsked);
+    }
+    turns.insert(prefix.to_string(), now_ms);
+    Ok(())
+}
+
+fn count(node: &Node, call: &str, error: Option<&RelayError>) {
+    let outcome = match error {
+        None | Some(RelayError::HistoryGone) => "ok",
+        Some(RelayError::NoAnswer) => "no_answer",
+        Some(RelayError::NotInTouch) => "not_in_touch",
+    };
+    let labels = [call, outcome];
+    node.metrics.relay_calls.with_label_values(&labels).inc();
+}
+
+fn log_failure(relay: &str, prefix: &str, error: RelayError) {
+    let event = RelayEvent {
+        relay,
+        prefix,
+        error: error.to_string(),
+    };
+    events::emit(part::STORE, Level::Info, "relay_failed", &event);
+}
