--- a/crates/tinbay-core/src/rendezvous.rs
+++ b/crates/tinbay-core/src/rendezvous.rs
@@ -7,7 +7,12 @@
 
 /// The score of `node` for `key`; the highest score wins.
 pub fn score(key: &str, node: &str) -> u64 {
-    xxh3_64_with_seed(node.as_bytes(), xxh3_64_with_seed(key.as_bytes(), 0))
+    score_of(xxh3_64_with_seed(key.as_bytes(), 0), node)
+}
+
+/// The score of `node` for a key that is a number already; the highest score wins.
+pub fn score_of(key: u64, node: &str) -> u64 {
+    xxh3_64_with_seed(node.as_bytes(), key)
 }
 
 /// The node with the highest score for `key`; the name breaks a tie.
--- a/crates/tinbay-core/src/serving/contents/mod.rs
+++ b/crates/tinbay-core/src/serving/contents/mod.rs
@@ -4,11 +4,13 @@
 //! is carried out late finds the count moved on, and the holder never acts on contents
 //! that are not as it believes.
 
+mod fetching;
 mod held;
 mod models;
 
 use std::collections::HashMap;
 
+use fetching::FetchWindow;
 pub use held::{AdapterKey, Held, HeldState, Holding, adapter_key};
 use models::BaseModels;
 
@@ -17,9 +19,6 @@
 use super::wants::Want;
 use crate::units::Millis;
 
-/// Loads that may be on their way to one server at once; servers refuse more.
-const MOST_LOADING: usize = 4;
-
 /// A report is some hundred milliseconds old; after this pause it shows the last order.
 const REPORT_LAG_MS: Millis = 600;
 
@@ -107,7 +106,9 @@
     held: HashMap<AdapterKey, Held>,
     lately: HashMap<AdapterKey, (Option<u64>, Millis)>,
     order_count: Option<u64>,
+    was_learnt: bool,
     learn_from_ms: Millis,
+    fetches: FetchWindow,
     fetch_ms: f64,
     reload_ms: f64,
 }
@@ -121,7 +122,9 @@
             held: HashMap::new(),
             lately: HashMap::new(),
             order_count: None,
+            was_learnt: false,
             learn_from_ms: now_ms,
+            fetches: FetchWindow::new(FIRST_FETCH_MS),
             fetch_ms: FIRST_FETCH_MS,
             reload_ms: FIRST_RELOAD_MS,
         }
@@ -132,11 +135,21 @@
         self.held.iter()
     }
 
+    /// An adapter that takes a place.
+    pub fn get(&self, key: AdapterKey) -> Option<&Held> {
+        self.held.get(&key)
+    }
+
     /// Whether the contents are known.
     pub fn is_learnt(&self) -> bool {
         self.order_count.is_some()
     }
 
+    /// Whether the contents were known before, if not now.
+    pub fn was_learnt(&self) -> bool {
+        self.was_learnt
+    }
+
     /// How an adapter of at least this version takes a place.
     pub fn holding(&self, key: AdapterKey, version: Option<u64>) -> Holding {
         match self.held.get(&key) {
@@ -197,11 +210,12 @@
         if let Some(action) = self.load_model(wants, expected_count, allowance) {
             return Some(action);
         }
-        if self.loading() >= MOST_LOADING {
+        if self.loading() >= self.fetches.at_once() {
             return None;
         }
         wants
             .iter()
+            .filter(|want| !want.is_copy || self.fetches.takes_copies())
             .find_map(|want| self.serve_want(want, expected_count, look))
     }
 
@@ -399,6 +413,9 @@
             held.version = version.max(held.version);
             held.used_ms = now_ms;
             let took_ms = (now_ms - held.ordered_ms) as f64;
+            if held.is_fetch {
+                self.fetches.note(now_ms - held.ordered_ms);
+            }
             let known_ms = if held.is_fetch {
                 &mut self.fetch_ms
             } else {
@@ -442,6 +459,7 @@
     /// [`Action::Learn`] waits for.
     pub fn note_report(&mut self, report: &Report, now_ms: Millis) {
         self.order_count = Some(report.order_count);
+        self.was_learnt = true;
         self.models.note_report(&report.models, now_ms);
         let mut held = HashMap::new();
         for known in &report.adapters {
--- a/crates/tinbay-core/src/serving/guests.rs
+++ b/crates/tinbay-core/src/serving/guests.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::fading::Fading;
+use super::reading::Backlog;
 use super::servers::Fingerprint;
 use crate::units::Millis;
 
@@ -23,6 +24,12 @@
 /// Weight of one box's word on that time.
 const DELAY_WEIGHT: f64 = 0.15;
 
+/// Half-life of the mistrust in a server that failed.
+pub const MISTRUST_HALF_LIFE_MS: f64 = 1_500.0;
+
+/// Most mistrust in a server; it is forgotten within some half-lives.
+pub const MOST_MISTRUST: f64 = 8.0;
+
 /// Requests of one box at a server that are for one adapter.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AdapterUse {
@@ -32,6 +39,8 @@
     pub running: u16,
     /// Requests that began since the box's last word.
     pub begun: u16,
+    /// Tokens of their prompts.
+    pub begun_tokens: u32,
 }
 
 #[derive(Debug)]
@@ -52,6 +61,8 @@
 pub struct Guests {
     by_box: HashMap<String, Guest>,
     delay: Fading,
+    backlog: Backlog,
+    mistrust: Fading,
 }
 
 impl Guests {
@@ -98,6 +109,36 @@
         self.delay.at(DELAY_HALF_LIFE_MS, now_ms)
     }
 
+    /// Notes that requests began that take so long to read.
+    pub fn note_begun(&mut self, reading_ms: f64, now_ms: Millis) {
+        self.backlog.add(reading_ms, now_ms);
+    }
+
+    /// What the server has to read before it begins a new request, as time.
+    pub fn backlog_ms(&self, now_ms: Millis) -> f64 {
+        self.backlog.at(now_ms)
+    }
+
+    /// Notes that requests of a box failed there.
+    pub fn note_failures(&mut self, mistrust: f64, now_ms: Millis) {
+        let sum = self.mistrust(now_ms) + mistrust;
+        self.mistrust = Fading::new(sum.min(MOST_MISTRUST), now_ms);
+    }
+
+    /// Mistrust in the server over all boxes, fading with time.
+    pub fn mistrust(&self, now_ms: Millis) -> f64 {
+        self.mistrust.at(MISTRUST_HALF_LIFE_MS, now_ms)
+    }
+
+    /// Requests of all boxes for one adapter.
+    pub fn running_for(&self, adapter: Fingerprint, now_ms: Millis) -> usize {
+        let is_it = |of: &&AdapterUse| of.adapter == adapter;
+        self.heard(now_ms)
+            .flat_map(|(_, guest)| guest.uses.iter().filter(is_it))
+            .map(|of| usize::from(of.running))
+            .sum()
+    }
+
     /// Requests of all boxes but `box_id`.
     pub fn running_of_others(&self, box_id: &str, now_ms: Millis) -> usize {
         self.heard(now_ms)
--- a/crates/tinbay-core/src/serving/homes.rs
+++ b/crates/tinbay-core/src/serving/homes.rs
@@ -1,10 +1,8 @@
 //! Where a request for an adapter should run.
 //!
-//! All boxes rank the servers alike for each adapter, so that it is looked for and loaded in
-//! the same places. A request goes down that order until it finds a server that is not too
-//! busy: what is asked for much is thereby held by more servers, without anyone counting.
-//! Source of the bounded walk: Mirrokni, Thorup and Zadimoghaddam, "Consistent hashing with
-//! bounded loads", SODA 2018.
+//! All boxes rank the servers alike for each adapter (rendezvous hashing), so that it is looked
+//! for and loaded in the same places. The first server's holder says over how many servers of
+//! that order the adapter is spread; among these a request takes the least busy.
 
 /// How a server holds an adapter.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -57,19 +55,13 @@
 /// Load that a fetch is worth: its time, and what it takes from other adapters.
 const FETCH_COST: f64 = 0.6;
 
-/// Load by which a server must be less busy than the one before it in the order to take its
-/// place: adapters should stay where they are.
+/// Load by which a server must be less busy than the one before it in the order to load the
+/// adapter instead of it.
 const STEP_COST: f64 = 0.06;
 
 /// Load of an outdated version's server: the new version loads only when its runs are done.
 const OUTDATED_COST: f64 = 0.3;
 
-/// Load of the best server above which one more should hold the adapter.
-const COPY_LOAD: f64 = 0.75;
-
-/// Load by which the server of a copy must be less busy.
-const COPY_GAIN: f64 = 0.5;
-
 /// Chooses among candidates in the adapter's own order.
 pub fn pick(candidates: &[Candidate]) -> Pick {
     let costs = candidates.iter().enumerate().filter_map(cost);
@@ -81,7 +73,7 @@
     }
     Pick::Send {
         to: position,
-        copy: copy_for(candidates, candidates[position].load),
+        copy: copy_for(candidates),
     }
 }
 
@@ -97,17 +89,13 @@
     Some((position, cost))
 }
 
-fn copy_for(candidates: &[Candidate], load: f64) -> Option<usize> {
-    let is_any_coming = || {
-        let is_coming = |candidate: &Candidate| candidate.presence == Presence::Coming;
-        candidates.iter().any(is_coming)
-    };
-    if load < COPY_LOAD || is_any_coming() {
+/// The next server that should hold the adapter as well; one at a time.
+fn copy_for(candidates: &[Candidate]) -> Option<usize> {
+    let is_coming = |candidate: &Candidate| candidate.presence == Presence::Coming;
+    if candidates.iter().any(is_coming) {
         return None;
     }
-    candidates.iter().position(|candidate| {
-        candidate.presence == Presence::Absent
-            && candidate.takes_loads
-            && candidate.load + COPY_GAIN <= load
-    })
+    candidates
+        .iter()
+        .position(|candidate| candidate.presence == Presence::Absent && candidate.takes_loads)
 }
--- a/crates/tinbay-core/src/serving/prompt.rs
+++ b/crates/tinbay-core/src/serving/prompt.rs
@@ -1,5 +1,7 @@
 //! What a request has an engine read.
 
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 /// One part of a prompt; requests share parts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PromptPart {
@@ -9,6 +11,15 @@
     pub tokens: u32,
 }
 
+/// What several requests have in common: the parts before a prompt's own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SharedPrefix {
+    /// Names all these parts together.
+    pub key: u64,
+    /// Their length.
+    pub tokens: u32,
+}
+
 /// What a request has an engine read; empty where it does not say.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Prompt {
@@ -17,3 +28,15 @@
     /// Its parts in order; the last is the request's own.
     pub parts: Vec<PromptPart>,
 }
+
+impl Prompt {
+    /// What the prompt may have in common with others; none where all of it is its own.
+    pub fn shared_prefix(&self) -> Option<SharedPrefix> {
+        let (_, shared) = self.parts.split_last()?;
+        let tokens = shared.iter().map(|part| part.tokens).sum();
+        let key = shared.iter().fold(0, |key: u64, part| {
+            xxh3_64_with_seed(&part.id.to_le_bytes(), key)
+        });
+        (tokens > 0).then_some(SharedPrefix { key, tokens })
+    }
+}
--- a/crates/tinbay-core/src/serving/reading.rs
+++ b/crates/tinbay-core/src/serving/reading.rs
@@ -7,7 +7,7 @@
 use crate::units::Millis;
 
 /// Tokens a ms that an engine reads, until it has been measured.
-const FIRST_TOKENS_A_MS: f64 = 25.0;
+const FIRST_TOKENS_A_MS: f64 = 40.0;
 
 /// Least and most that is believed.
 const BELIEVABLE_TOKENS_A_MS: std::ops::RangeInclusive<f64> = 2.0..=400.0;
--- a/crates/tinbay-core/src/serving/relays.rs
+++ b/crates/tinbay-core/src/serving/relays.rs
@@ -8,7 +8,7 @@
 use crate::rendezvous;
 
 /// Boxes that one relay serves: what it passes on takes little of a small box's processor.
-const BOXES_A_RELAY: usize = 16;
+const BOXES_A_RELAY: usize = 32;
 
 /// The relays of a zone among its boxes.
 pub fn relays_of<'a>(zone: &str, boxes: &[&'a str]) -> Vec<&'a str> {
--- a/crates/tinbay-gateway/src/front/attempt.rs
+++ b/crates/tinbay-gateway/src/front/attempt.rs
@@ -61,10 +61,7 @@
     body: RequestBody,
     terms: AttemptTerms<'_>,
 ) -> AttemptResult {
-    let flight = terms.server.take_off(question.model_key);
-    if question.model_key.is_some() {
-        node.outbox.tell_uses(terms.server.key);
-    }
+    let flight = node.take_off(terms.server, question);
     let exchange = exchange(node, question, body, &terms);
     match tokio::time::timeout(terms.head_within, exchange).await {
         Err(_) => AttemptResult::Unknown,
--- a/crates/tinbay-gateway/src/front/choice.rs
+++ b/crates/tinbay-gateway/src/front/choice.rs
@@ -5,7 +5,7 @@
 
 use rand::RngExt;
 use tinbay_core::rendezvous;
-use tinbay_core::serving::contents::{AdapterKey, HeldState, adapter_key};
+use tinbay_core::serving::contents::{HeldState, adapter_key};
 use tinbay_core::serving::homes::{Candidate, Pick, Presence, pick};
 use tinbay_core::serving::servers::ServerKey;
 use tinbay_core::units::Millis;
@@ -13,19 +13,21 @@
 use super::question::Question;
 use crate::node::Node;
 use crate::servers::Server;
+use crate::servers::view::ViewEntry;
 
 /// Load that a server of another zone must have less to be chosen: bytes between zones
 /// cost, and the way is longer.
 const OTHER_ZONE_LOAD: f64 = 0.15;
 
-/// Servers at the head of an adapter's order that are always looked at.
-const USUAL_CANDIDATES: usize = 6;
+/// Servers of an adapter's order that are looked at.
+const MOST_CANDIDATES: usize = 48;
 
-/// Servers that are looked at while all before them are crowded.
-const MOST_CANDIDATES: usize = 24;
+/// Load above which a server does not count among those over which an adapter is spread: other
+/// adapters may have crowded it, and the next server of the order is looked at as well.
+const CROWDED_LOAD: f64 = 0.8;
 
-/// Load above which a server is crowded.
-const CROWDED_LOAD: f64 = 0.75;
+/// Mistrust at which a server does not count among those over which an adapter is spread.
+const MISTRUSTED: f64 = 1.5;
 
 /// Loads that are alike within this are chosen among at random.
 const TIE_LOAD: f64 = 0.02;
@@ -45,17 +47,24 @@
     Nowhere,
 }
 
-/// When the holders of servers were asked on behalf of one request.
-pub type Asked = HashMap<ServerKey, Millis>;
+/// What the holders of servers were asked on behalf of one request, and when.
+#[derive(Debug, Default)]
+pub struct Asked {
+    /// To load what it needs.
+    pub loads: HashMap<ServerKey, Millis>,
+    /// How their servers stand.
+    pub peeks: HashMap<ServerKey, Millis>,
+}
 
 /// Where a request should run, among servers not tried yet.
 pub fn choose(node: &Node, question: &Question, tried: &[String], asked: &Asked) -> Choice {
     let mut ready = node.servers.borrow().ready(&question.service);
     ready.retain(|server| !tried.contains(&server.record().id));
+    let objective_ms = question.route.objective_ms;
     match question.model.as_deref() {
-        Some(model) if model.contains('/') => choose_for_adapter(node, model, &ready, asked),
-        Some(model) => choose_for_model(node, model, &ready),
-        None => least_loaded(node, &ready).map_or(Choice::Nowhere, send),
+        Some(model) if model.contains('/') => choose_for_adapter(node, question, &ready, asked),
+        Some(model) => choose_for_model(node, model, &ready, objective_ms),
+        None => least_loaded(node, &ready, objective_ms).map_or(Choice::Nowhere, send),
     }
 }
 
@@ -63,20 +72,25 @@
     Choice::Send { server, copy: None }
 }
 
-fn choose_for_model(node: &Node, model: &str, ready: &[Rc<Server>]) -> Choice {
+fn choose_for_model(
+    node: &Node,
+    model: &str,
+    ready: &[Rc<Server>],
+    objective_ms: Millis,
+) -> Choice {
     let holds = |server: &&Rc<Server>| server.record().models.iter().any(|held| held == model);
     let holding: Vec<Rc<Server>> = ready.iter().filter(holds).cloned().collect();
-    if let Some(server) = least_loaded(node, &holding) {
+    if let Some(server) = least_loaded(node, &holding, objective_ms) {
         return send(server);
     }
     let home = in_order(model, ready).into_iter().next();
     home.map_or(Choice::Nowhere, Choice::Load)
 }
 
-fn least_loaded(node: &Node, servers: &[Rc<Server>]) -> Option<Rc<Server>> {
+fn least_loaded(node: &Node, servers: &[Rc<Server>], objective_ms: Millis) -> Option<Rc<Server>> {
     servers
         .iter()
-        .map(|server| (load(node, server), server))
+        .map(|server| (load(node, server, objective_ms), server))
         .min_by(|left, right| left.0.total_cmp(&right.0))
         .map(|(_, server)| Rc::clone(server))
 }
@@ -93,7 +107,7 @@
     servers.collect()
 }
 
-/// What one request needs to know of the servers in its adapter's order.
+/// What one request needs to know of the servers that should hold its adapter.
 struct Survey {
     servers: Vec<Rc<Server>>,
     candidates: Vec<Candidate>,
@@ -101,41 +115,124 @@
 }
 
 impl Survey {
-    fn make(node: &Node, adapter: &str, ready: &[Rc<Server>], asked: &Asked) -> Self {
-        let key = adapter_key(adapter);
-        let version = node.named_version(adapter).unwrap_or(0);
-        let may_serve_older = node.may_serve_older(adapter);
+    fn make(node: &Node, question: &Question, ready: &[Rc<Server>], asked: &Asked) -> Self {
+        let adapter = question.model.as_deref().unwrap_or_default();
         let mut survey = Self {
             servers: Vec::new(),
             candidates: Vec::new(),
             is_older: Vec::new(),
         };
-        let mut is_any_open = false;
+        let mut wanted = 1;
+        let mut counted = 0;
+        let mut is_home_found = false;
         for server in in_order(adapter, ready) {
-            if survey.servers.len() >= USUAL_CANDIDATES && is_any_open {
+            if counted >= wanted {
                 break;
             }
-            let mut presence = presence(&server, key, version);
-            let is_older = presence == Presence::Outdated && may_serve_older;
-            if is_older {
-                presence = Presence::Ready;
+            let entry = node.entry(&server, adapter_key(adapter));
+            survey.add(node, question, &server, entry, asked);
+            let Some(added) = survey.candidates.last() else {
+                continue;
+            };
+            let is_home = node.is_answered_for(&server) && (entry.is_some() || added.takes_loads);
+            if is_home && !is_home_found {
+                is_home_found = true;
+                wanted = entry.map_or(1, |entry| entry.copies.max(1));
             }
-            if presence == Presence::Absent && asked.contains_key(&server.key) {
-                presence = Presence::Coming;
+            let is_outdated = added.presence == Presence::Outdated || survey.is_last_older();
+            let is_crowded = added.load >= CROWDED_LOAD;
+            let is_mistrusted = node.mistrust(&server) >= MISTRUSTED;
+            if is_home && !is_outdated && !is_crowded && !is_mistrusted {
+                counted += 1;
             }
-            let candidate = Candidate {
-                presence,
-                load: load(node, &server),
-                takes_loads: node.takes_loads(&server),
-            };
-            is_any_open |= candidate.load < CROWDED_LOAD && candidate.takes_loads;
-            survey.candidates.push(candidate);
-            survey.is_older.push(is_older);
-            survey.servers.push(server);
         }
+        survey.keep_to_asked(asked);
+        survey.prefer_reader(node, question);
         survey
     }
 
+    /// Among several servers that hold the adapter, requests that share the parts before their
+    /// own go to the same one, which reads these once: it counts as less busy by that time.
+    fn prefer_reader(&mut self, node: &Node, question: &Question) {
+        let Some(shared) = question.prompt.shared_prefix() else {
+            return;
+        };
+        let servers = self.servers.iter().zip(&self.candidates).enumerate();
+        let reader = servers
+            .filter(|(_, (_, candidate))| candidate.presence == Presence::Ready)
+            .max_by_key(|(_, (server, _))| rendezvous::score_of(shared.key, &server.address_text))
+            .map(|(position, _)| position);
+        if let Some(reader) = reader {
+            let saved_ms = node.reading_ms(&question.service, shared.tokens);
+            let objective_ms = question.route.objective_ms.max(1) as f64;
+            self.candidates[reader].load -= saved_ms / objective_ms;
+        }
+    }
+
+    /// A request that had one server asked to load its adapter has no other one load it too.
+    fn keep_to_asked(&mut self, asked: &Asked) {
+        let is_asked = |server: &Rc<Server>| asked.loads.contains_key(&server.key);
+        let is_coming = self
+            .servers
+            .iter()
+            .zip(&self.candidates)
+            .any(|(server, candidate)| {
+                is_asked(server) && candidate.presence == Presence::Coming && candidate.takes_loads
+            });
+        if !is_coming {
+            return;
+        }
+        for (server, candidate) in self.servers.iter().zip(&mut self.candidates) {
+            candidate.takes_loads &= is_asked(server);
+        }
+    }
+
+    fn add(
+        &mut self,
+        node: &Node,
+        question: &Question,
+        server: &Rc<Server>,
+        entry: Option<ViewEntry>,
+        asked: &Asked,
+    ) {
+        let adapter = question.model.as_deref().unwrap_or_default();
+        let version = node.named_version(adapter).unwrap_or(0);
+        let mut presence = presence(entry, version);
+        let is_older = presence == Presence::Outdated && node.may_serve_older(adapter);
+        if is_older {
+            presence = Presence::Ready;
+        }
+        if presence == Presence::Absent {
+            presence = self.presumed(node, server, asked);
+        }
+        self.candidates.push(Candidate {
+            presence,
+            load: load(node, server, question.route.objective_ms),
+            takes_loads: node.takes_loads(server),
+        });
+        self.is_older.push(is_older);
+        self.servers.push(Rc::clone(server));
+    }
+
+    /// What to make of a server that is not known to hold the adapter. One that was asked will
+    /// load it; one of several over which it is spread, of which nothing is known, is presumed
+    /// to hold it, as its holder is asked before anything is sent.
+    fn presumed(&self, node: &Node, server: &Server, asked: &Asked) -> Presence {
+        if asked.loads.contains_key(&server.key) {
+            return Presence::Coming;
+        }
+        let is_first = self.servers.is_empty();
+        let is_peeked = asked.peeks.contains_key(&server.key);
+        if !is_first && !is_peeked && node.should_ask(server) {
+            return Presence::Ready;
+        }
+        Presence::Absent
+    }
+
+    fn is_last_older(&self) -> bool {
+        self.is_older.last().copied().unwrap_or_default()
+    }
+
     /// Where the new version should be loaded while an older one serves.
     fn place_for_newer(&self) -> Option<usize> {
         let is_newer_there =
@@ -160,8 +257,13 @@
     }
 }
 
-fn choose_for_adapter(node: &Node, adapter: &str, ready: &[Rc<Server>], asked: &Asked) -> Choice {
-    let survey = Survey::make(node, adapter, ready, asked);
+fn choose_for_adapter(
+    node: &Node,
+    question: &Question,
+    ready: &[Rc<Server>],
+    asked: &Asked,
+) -> Choice {
+    let survey = Survey::make(node, question, ready, asked);
     match pick(&survey.candidates) {
         Pick::Send { to, copy } => {
             let newer = || survey.place_for_newer();
@@ -180,8 +282,8 @@
     }
 }
 
-fn presence(server: &Server, key: AdapterKey, version: u64) -> Presence {
-    match server.adapter(key) {
+fn presence(entry: Option<ViewEntry>, version: u64) -> Presence {
+    match entry {
         None => Presence::Absent,
         Some(entry) if entry.state == HeldState::Loading => Presence::Coming,
         Some(entry) if entry.version >= version => Presence::Ready,
@@ -190,13 +292,12 @@
 }
 
 /// How busy a server is, with mistrust and distance added.
-fn load(node: &Node, server: &Server) -> f64 {
-    let now_ms = node.now_ms();
+fn load(node: &Node, server: &Server, objective_ms: Millis) -> f64 {
     let distance = if server.record().zone == node.settings.borrow().zone {
         0.0
     } else {
         OTHER_ZONE_LOAD
     };
     let tie: f64 = rand::rng().random_range(0.0..TIE_LOAD);
-    node.busyness(server) + server.mistrust(now_ms) + distance + tie
+    node.load(server, objective_ms) + node.mistrust(server) + distance + tie
 }
--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -92,7 +92,11 @@
         question
             .sent_after_ms
             .set(Some(sent_ms - question.arrived_ms));
+        let before_ms = node.backlog_ms(&server);
         let result = try_server(node, question, sent, &server).await;
+        if matches!(result, AttemptResult::Begun(_)) {
+            node.note_reading(question, before_ms, node.now_ms() - sent_ms);
+        }
         note_delay(node, question, &server, sent_ms);
         log_try(node, question, &server, &result);
         let end = match result {
@@ -164,7 +168,7 @@
 /// server that holds another one declines.
 fn expected_version(node: &Node, question: &Question, server: &Server) -> Option<u64> {
     let named = question.named_version(node)?;
-    let entry = server.adapter(question.model_key?)?;
+    let entry = node.entry(server, question.model_key?)?;
     match entry.version {
         0 if node.may_serve_older(question.model.as_deref()?) => None,
         0 => Some(named),
@@ -200,7 +204,7 @@
     let mut tried = tries.tried.clone();
     tried.push(server.record().id.clone());
     let is_another = matches!(
-        choice::choose(node, question, &tried, &Asked::new()),
+        choice::choose(node, question, &tried, &Asked::default()),
         Choice::Send { .. }
     );
     is_another && take_second_send(node, question)
--- a/crates/tinbay-gateway/src/front/question.rs
+++ b/crates/tinbay-gateway/src/front/question.rs
@@ -7,6 +7,7 @@
 use hyper::http::request::Parts;
 use tinbay_core::serving::configuration::{Route, RouteKind};
 use tinbay_core::serving::contents::{AdapterKey, adapter_key};
+use tinbay_core::serving::prompt::Prompt;
 use tinbay_core::units::Millis;
 
 use super::refusal::Refusal;
@@ -32,6 +33,8 @@
     pub model: Option<String>,
     /// The key of what it asks for.
     pub model_key: Option<AdapterKey>,
+    /// What it has an engine read.
+    pub prompt: Prompt,
     /// When the request came.
     pub arrived_ms: Millis,
     /// Time from its arrival to its last send; none was sent where it is not set.
@@ -74,6 +77,7 @@
             configuration_version: in_force.configuration.version,
             model_key: model.as_deref().map(adapter_key),
             model,
+            prompt: node.dialect.decode_prompt(&parts.headers),
             arrived_ms,
             sent_after_ms: Cell::default(),
             time_up_ms,
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -8,7 +8,9 @@
 use tinbay_core::serving::budget::SendBudget;
 use tinbay_core::serving::claims::{ClaimTable, ClaimTerms, Proof};
 use tinbay_core::serving::configuration::{Configuration, EngineSpec, Limits};
+use tinbay_core::serving::contents::AdapterKey;
 use tinbay_core::serving::pacing::LoadPace;
+use tinbay_core::serving::reading::ReadingPace;
 use tinbay_core::serving::routes::RouteTable;
 use tinbay_core::serving::servers::ServerKey;
 use tinbay_core::serving::wants::Want;
@@ -16,16 +18,18 @@
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
+use crate::front::question::Question;
 use crate::http::call::Caller;
 use crate::latch::Latch;
 use crate::members::{MemberRecord, Members};
 use crate::metrics::Metrics;
-use crate::orders::book::Book;
+use crate::orders::book::{Book, Busyness};
 use crate::peers::frame::{AskPart, FramePart};
 use crate::peers::outbox::Outbox;
 use crate::port::dialect::Dialect;
 use crate::port::store::Store;
-use crate::servers::{Server, ServerTable};
+use crate::servers::view::ViewEntry;
+use crate::servers::{Flight, Server, ServerTable};
 use crate::settings::Settings;
 use crate::waiters::Waiters;
 use crate::watch::replica::Replica;
@@ -40,6 +44,16 @@
 /// left for requests that wait at a server before they run.
 const OLDER_VERSION_PART: f64 = 0.4;
 
+/// Weight of the usual time to the first byte beside what is known to be read: it tells of slow
+/// servers.
+const DELAY_PART: f64 = 0.5;
+
+/// Shortest prompt by which the pace of reading is measured: shorter ones take a step or two.
+const LEAST_MEASURED_TOKENS: u32 = 500;
+
+/// Most that an engine may have to read before a request by which its pace is measured.
+const MOST_MEASURED_BACKLOG_MS: f64 = 20.0;
+
 /// A version of an adapter that the operators named.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct NamedVersion {
@@ -108,6 +122,8 @@
     pub closing: Latch,
     /// Connections of callers that are open.
     pub connections: Cell<usize>,
+    /// How fast engines read prompts, by service.
+    pub reading: RefCell<HashMap<String, ReadingPace>>,
     /// Second sends by service.
     pub budgets: RefCell<HashMap<String, SendBudget>>,
     /// Boxes that are up, this one included, as counted lately.
@@ -148,6 +164,7 @@
             is_leaving: Cell::default(),
             closing: Latch::default(),
             connections: Cell::default(),
+            reading: RefCell::default(),
             budgets: RefCell::default(),
             box_count: Cell::new(1),
         }
@@ -288,14 +305,22 @@
         self.outbox.post(&holder, FramePart::Ask(part));
     }
 
+    /// Asks a server's holder how it stands.
+    pub fn peek(&self, server: &Server) {
+        if let Some(holder) = self.holder_of(server) {
+            server.view.borrow_mut().note_asked(self.now_ms());
+            let part = FramePart::Peek(server.fingerprint());
+            self.outbox.post(&holder, part);
+        }
+    }
+
     /// Whether a load at a server could begin, as far as this box knows.
     pub fn takes_loads(&self, server: &Server) -> bool {
         match self.book(server.key) {
             Some(book) => book.takes_loads(self, server),
             None => {
-                let view = server.view.borrow();
-                let now_ms = self.now_ms();
-                !view.is_silent(now_ms) && view.takes_loads(now_ms) && self.has_holder(server)
+                let takes_loads = server.view.borrow().takes_loads(self.now_ms());
+                takes_loads && self.is_answered_for(server)
             }
         }
     }
@@ -308,20 +333,84 @@
         self.book(server.key).is_none() && !is_told && self.has_holder(server)
     }
 
-    /// How busy a server is: requests against its places, and the time to the first byte
-    /// against the objective.
-    pub fn busyness(&self, server: &Server) -> f64 {
+    /// How busy a server is: requests against its places, the time to the first byte and what
+    /// it has to read against the objective.
+    pub fn load(&self, server: &Server, objective_ms: Millis) -> f64 {
         let now_ms = self.now_ms();
-        let (delay, running) = match self.book(server.key) {
-            Some(book) => {
-                let own_id = &self.settings.borrow().box_id;
-                let (delay, elsewhere) = book.busyness(own_id, now_ms);
-                let running = server.usage.borrow().running() + elsewhere;
-                (delay.max(server.delay(now_ms)), running)
-            }
-            None => (server.delay(now_ms), server.running(now_ms)),
-        };
-        running as f64 / server.record().slots.max(1) as f64 + delay
+        let busyness = self.busyness(server, now_ms);
+        let running = server.usage.borrow().running() + busyness.running_elsewhere;
+        let fullness = running as f64 / server.record().slots.max(1) as f64;
+        let backlog = busyness.backlog_ms / objective_ms.max(1) as f64;
+        fullness + backlog + DELAY_PART * busyness.delay.max(server.delay(now_ms))
+    }
+
+    fn busyness(&self, server: &Server, now_ms: Millis) -> Busyness {
+        if let Some(book) = self.book(server.key) {
+            let own_id = &self.settings.borrow().box_id;
+            return book.busyness(own_id, now_ms);
+        }
+        let view = server.view.borrow();
+        Busyness {
+            delay: view.delay(now_ms),
+            running_elsewhere: view.running_elsewhere(now_ms),
+            backlog_ms: view.backlog_ms(now_ms),
+            mistrust: view.mistrust(now_ms),
+        }
+    }
+
+    /// What is believed of an adapter at a server.
+    pub fn entry(&self, server: &Server, key: AdapterKey) -> Option<ViewEntry> {
+        match self.book(server.key) {
+            Some(book) => book.entry(server, key, self.now_ms()),
+            None => server.adapter(key),
+        }
+    }
+
+    /// Mistrust in a server.
+    pub fn mistrust(&self, server: &Server) -> f64 {
+        let now_ms = self.now_ms();
+        let told = self.busyness(server, now_ms).mistrust;
+        server.mistrust(now_ms).max(told)
+    }
+
+    /// Whether a server's holder may live and answers.
+    pub fn is_answered_for(&self, server: &Server) -> bool {
+        let is_silent = server.view.borrow().is_silent(self.now_ms());
+        self.book(server.key).is_some() || (!is_silent && self.has_holder(server))
+    }
+
+    /// What a server has to read before it begins a new request, as time.
+    pub fn backlog_ms(&self, server: &Server) -> f64 {
+        self.busyness(server, self.now_ms()).backlog_ms
+    }
+
+    /// Notes how long a request's first byte took at a server that had so much to read before.
+    pub fn note_reading(&self, question: &Question, backlog_ms: f64, took_ms: Millis) {
+        if question.prompt.tokens < LEAST_MEASURED_TOKENS || backlog_ms > MOST_MEASURED_BACKLOG_MS {
+            return;
+        }
+        let mut paces = self.reading.borrow_mut();
+        let pace = paces.entry(question.service.clone()).or_default();
+        pace.note(question.prompt.tokens, took_ms as f64);
+    }
+
+    /// Time in which an engine of a service reads so many tokens.
+    pub fn reading_ms(&self, service: &str, tokens: u32) -> f64 {
+        let paces = self.reading.borrow();
+        let pace = paces.get(service).copied().unwrap_or_default();
+        pace.time_ms(tokens)
+    }
+
+    /// Counts a request that is sent to a server.
+    pub fn take_off(&self, server: &Rc<Server>, question: &Question) -> Flight {
+        let tokens = question.prompt.tokens;
+        if question.model_key.is_some() {
+            let reading_ms = self.reading_ms(&question.service, tokens);
+            let mut view = server.view.borrow_mut();
+            view.note_begun(reading_ms, self.now_ms());
+            self.outbox.tell_uses(server.key);
+        }
+        server.take_off(question.model_key, tokens)
     }
 
     /// The box that holds the claim on a server.
--- a/crates/tinbay-gateway/src/orders/book.rs
+++ b/crates/tinbay-gateway/src/orders/book.rs
@@ -1,17 +1,37 @@
 //! What this box knows of a server that it holds, and what it tells others of it.
 
 use std::cell::RefCell;
+use std::collections::HashMap;
 
 use tinbay_core::serving::configuration::EngineSpec;
 use tinbay_core::serving::contents::{AdapterKey, Contents, Held, HeldState, Holding, adapter_key};
-use tinbay_core::serving::guests::{AdapterUse, Guests};
+use tinbay_core::serving::guests::{Guests, MOST_MISTRUST};
 use tinbay_core::serving::servers::{Fingerprint, ServerKey};
+use tinbay_core::serving::spread::Spreads;
 use tinbay_core::serving::wants::{Want, Wants};
 use tinbay_core::units::Millis;
 
 use crate::node::Node;
 use crate::peers::frame::{AdapterPart, WordPart, to_percent};
 use crate::servers::Server;
+use crate::servers::usage::UsageReport;
+use crate::servers::view::ViewEntry;
+
+/// Mistrust in a server that does not answer orders: about that of a failed connection.
+const DOUBT: f64 = 2.0;
+
+/// How busy a server is.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Busyness {
+    /// Usual time to the first byte as a part of the objective.
+    pub delay: f64,
+    /// Requests of other boxes.
+    pub running_elsewhere: usize,
+    /// What it has to read before it begins a new request, as time.
+    pub backlog_ms: f64,
+    /// Mistrust by failures of requests of all boxes.
+    pub mistrust: f64,
+}
 
 /// What this box knows of a server that it holds.
 #[derive(Debug)]
@@ -21,6 +41,7 @@
     /// What is asked of it.
     pub wants: RefCell<Wants>,
     guests: RefCell<Guests>,
+    spreads: RefCell<Spreads>,
 }
 
 impl Book {
@@ -30,9 +51,27 @@
             contents: RefCell::new(Contents::new(spec, now_ms)),
             wants: RefCell::default(),
             guests: RefCell::default(),
+            spreads: RefCell::default(),
         }
     }
 
+    /// Notes that the server does not answer orders: others are better used for a while.
+    pub fn note_doubtful(&self, now_ms: Millis) {
+        let mut guests = self.guests.borrow_mut();
+        guests.note_failures(DOUBT, now_ms);
+    }
+
+    /// Notes that the server took no connection: nobody should use it for a while.
+    pub fn note_unreachable(&self, now_ms: Millis) {
+        let mut guests = self.guests.borrow_mut();
+        guests.note_failures(MOST_MISTRUST, now_ms);
+    }
+
+    /// Notes that a box asked how the server stands: it is told what changes.
+    pub fn note_peek(&self, box_id: &str, now_ms: Millis) {
+        self.guests.borrow_mut().hear(box_id, now_ms);
+    }
+
     /// Notes what a box's request needs. An adapter that is there is kept for the request.
     pub fn note_ask(&self, box_id: &str, want: Want, now_ms: Millis) {
         self.guests.borrow_mut().hear(box_id, now_ms);
@@ -45,23 +84,30 @@
         self.wants.borrow_mut().ask(want, now_ms);
     }
 
-    /// Notes all that a box has running; whether it is to be told what the server holds.
-    pub fn note_uses(
+    /// Notes all that a box has running; whether it is to be told how busy the server is.
+    pub fn note_usage(
         &self,
+        node: &Node,
+        server: &Server,
         box_id: &str,
-        uses: Vec<AdapterUse>,
-        delay: Option<f64>,
-        now_ms: Millis,
+        report: UsageReport,
     ) -> bool {
+        let now_ms = node.now_ms();
         let mut contents = self.contents.borrow_mut();
-        for of in uses.iter().filter(|of| of.begun > 0) {
+        let mut guests = self.guests.borrow_mut();
+        let mut spreads = self.spreads.borrow_mut();
+        let service = &server.record().service;
+        for of in report.uses.iter().filter(|of| of.begun > 0) {
             contents.note_uses_of(of.adapter, u32::from(of.begun), now_ms);
+            let reading_ms = node.reading_ms(service, of.begun_tokens);
+            guests.note_begun(reading_ms, now_ms);
+            spreads.note_begun(of.adapter, reading_ms, now_ms);
         }
-        let mut guests = self.guests.borrow_mut();
-        if let Some(delay) = delay {
+        guests.note_failures(report.mistrust, now_ms);
+        if let Some(delay) = report.delay {
             guests.note_delay(delay, now_ms);
         }
-        guests.note_uses(box_id, uses, now_ms)
+        guests.note_uses(box_id, report.uses, now_ms)
     }
 
     /// Whether something is wanted.
@@ -94,10 +140,15 @@
         let server = node.servers.borrow().by_key(server)?;
         let takes_loads = self.takes_loads(node, &server);
         let contents = self.contents.borrow();
-        if !contents.is_learnt() {
+        if !contents.was_learnt() {
             return None;
         }
         let now_ms = node.now_ms();
+        let slots = server.record().slots;
+        let adapters = contents
+            .held()
+            .map(|(key, held)| adapter_part(*key, held, self.copies(*key, slots, now_ms)))
+            .collect();
         let mut guests = self.guests.borrow_mut();
         guests.note_told(box_id, now_ms);
         let running = guests.running_of_others(box_id, now_ms);
@@ -105,28 +156,67 @@
             server: server.fingerprint(),
             running_elsewhere: running.min(usize::from(u16::MAX)) as u16,
             delay_percent: to_percent(guests.delay(now_ms)),
+            backlog_ms: guests.backlog_ms(now_ms).min(f64::from(u16::MAX)) as u16,
+            mistrust_percent: to_percent(guests.mistrust(now_ms)),
             takes_loads,
-            adapters: contents.held().map(adapter_part).collect(),
+            adapters,
         })
     }
 
-    /// Usual time to the first byte, and requests of other boxes than `box_id`.
-    pub fn busyness(&self, box_id: &str, now_ms: Millis) -> (f64, usize) {
+    /// How busy the server is, without what `box_id` has running there.
+    pub fn busyness(&self, box_id: &str, now_ms: Millis) -> Busyness {
         let guests = self.guests.borrow();
-        let running = guests.running_of_others(box_id, now_ms);
-        (guests.delay(now_ms), running)
+        Busyness {
+            delay: guests.delay(now_ms),
+            running_elsewhere: guests.running_of_others(box_id, now_ms),
+            backlog_ms: guests.backlog_ms(now_ms),
+            mistrust: guests.mistrust(now_ms),
+        }
+    }
+
+    /// Servers of its order over which an adapter of the server is spread.
+    fn copies(&self, key: AdapterKey, slots: usize, now_ms: Millis) -> usize {
+        let adapter = key as Fingerprint;
+        let running = self.guests.borrow().running_for(adapter, now_ms);
+        let places_part = running as f64 / slots.max(1) as f64;
+        let mut spreads = self.spreads.borrow_mut();
+        spreads.copies(adapter, places_part, now_ms)
+    }
+
+    /// What the server holds of an adapter.
+    pub fn entry(&self, server: &Server, key: AdapterKey, now_ms: Millis) -> Option<ViewEntry> {
+        let contents = self.contents.borrow();
+        let held = contents.get(key)?;
+        Some(ViewEntry {
+            version: held.version.unwrap_or_default(),
+            state: held.state,
+            copies: self.copies(key, server.record().slots, now_ms),
+        })
+    }
+
+    /// All that the server holds.
+    pub fn entries(&self, server: &Server, now_ms: Millis) -> HashMap<Fingerprint, ViewEntry> {
+        let keys: Vec<AdapterKey> = {
+            let contents = self.contents.borrow();
+            contents.held().map(|(key, _)| *key).collect()
+        };
+        keys.into_iter()
+            .filter_map(|key| Some((key as Fingerprint, self.entry(server, key, now_ms)?)))
+            .collect()
     }
 
-    /// Forgets boxes that have been silent.
+    /// Forgets boxes that have been silent, and adapters that nobody asks for.
     pub fn tidy(&self, now_ms: Millis) {
         self.guests.borrow_mut().tidy(now_ms);
+        self.spreads.borrow_mut().tidy(now_ms);
     }
 }
 
-fn adapter_part((key, held): (&AdapterKey, &Held)) -> AdapterPart {
+fn adapter_part(key: AdapterKey, held: &Held, copies: usize) -> AdapterPart {
     AdapterPart {
-        adapter: *key as Fingerprint,
+        adapter: key as Fingerprint,
         version: held.version.unwrap_or_default() as u32,
         is_ready: held.state == HeldState::Ready,
+        copies: copies.min(usize::from(u8::MAX)) as u8,
     }
 }
--- a/crates/tinbay-gateway/src/orders/holder.rs
+++ b/crates/tinbay-gateway/src/orders/holder.rs
@@ -1,6 +1,6 @@
 //! Orders one server what to hold, while this box holds the claim on it.
 
-use std::collections::HashMap;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,10 +8,7 @@
 use hyper::Method;
 use log::Level;
 use serde::Serialize;
-use tinbay_core::serving::contents::{
-    Action, AdapterKey, Held, Look, ModelAllowance, OrderAnswer, adapter_key,
-};
-use tinbay_core::serving::servers::Fingerprint;
+use tinbay_core::serving::contents::{Action, Look, ModelAllowance, OrderAnswer, adapter_key};
 use tinbay_core::serving::wants::Want;
 use tinbay_core::units::Millis;
 
@@ -22,17 +19,21 @@
 use crate::node::Node;
 use crate::port::dialect::{Order, OrderAction};
 use crate::servers::Server;
-use crate::servers::view::{HolderWord, ViewEntry};
+use crate::servers::view::HolderWord;
 
 /// Longest wait for a report.
 const REPORT_TIMEOUT_MS: Millis = 500;
 
 /// Longest wait for the answer to an order; most come within a few milliseconds.
-const ORDER_TIMEOUT_MS: Millis = 150;
+const ORDER_TIMEOUT_MS: Millis = 60;
 
 /// How often an order is sent whose answer does not come. It may have been taken, or be taken
-/// later: each names the same count of orders taken before, so that only one of them is.
-const MOST_SENDS: usize = 4;
+/// later: each names the same count of orders taken before, so that only one of them is, and
+/// until it is known which one, no other order may name that count.
+const MOST_SENDS: usize = 16;
+
+/// Sends without an answer after which other boxes are told to use other servers.
+const DOUBTFUL_SENDS: usize = 4;
 
 /// Longest pause between looks at what is wanted; a new want ends it.
 const LONGEST_PAUSE_MS: Millis = 1_000;
@@ -81,6 +82,7 @@
         server: Rc::clone(server),
         book,
         caller: Caller::new(server.record().address),
+        has_given_up: Cell::new(true),
     };
     tokio::task::spawn_local(holder.run());
 }
@@ -108,6 +110,8 @@
     server: Rc<Server>,
     book: Rc<Book>,
     caller: Caller,
+    /// Whether an order was given up that the server may still take.
+    has_given_up: Cell<bool>,
 }
 
 impl Holder {
@@ -175,7 +179,11 @@
             .await;
         let report = match reply {
             Ok(reply) if reply.status == 200 => self.node.dialect.decode_report(&reply.body).ok(),
-            _ => None,
+            Ok(_) => None,
+            Err(error) => {
+                self.note_unreachable(error);
+                None
+            }
         };
         let Some(report) = report else {
             self.book.contents.borrow_mut().unlearn(self.node.now_ms());
@@ -201,12 +209,7 @@
             return;
         };
         let began_ms = self.node.now_ms();
-        let mut answer = self.send(&order).await;
-        let mut sends = 1;
-        while answer == OrderAnswer::NoAnswer && sends < MOST_SENDS && self.may_order(token) {
-            answer = self.send(&order).await;
-            sends += 1;
-        }
+        let answer = self.send_until_answered(&order, token).await;
         let now_ms = self.node.now_ms();
         let mut contents = self.book.contents.borrow_mut();
         contents.note_answer(action, answer, now_ms);
@@ -219,6 +222,35 @@
         self.publish();
     }
 
+    /// Sends an order until it is known whether it was taken. A conflict after a send without an
+    /// answer means that this send was taken, unless an order given up before may have been.
+    async fn send_until_answered(&self, order: &Order, token: u64) -> OrderAnswer {
+        let mut answer = self.send(order).await;
+        let mut unanswered = 0;
+        while answer == OrderAnswer::NoAnswer && unanswered < MOST_SENDS && self.may_order(token) {
+            unanswered += 1;
+            if unanswered == DOUBTFUL_SENDS {
+                self.book.note_doubtful(self.node.now_ms());
+                self.publish();
+            }
+            answer = self.send(order).await;
+        }
+        match answer {
+            OrderAnswer::Conflict if unanswered > 0 && !self.has_given_up.get() => {
+                OrderAnswer::Accepted
+            }
+            OrderAnswer::Accepted => {
+                self.has_given_up.set(false);
+                answer
+            }
+            OrderAnswer::NoAnswer => {
+                self.has_given_up.set(true);
+                answer
+            }
+            _ => answer,
+        }
+    }
+
     fn may_order(&self, token: u64) -> bool {
         self.node.order_token(&self.server) == Some(token)
     }
@@ -234,8 +266,21 @@
                 409 => OrderAnswer::Conflict,
                 _ => OrderAnswer::Refused,
             },
-            Err(CallError::NotConnected) => OrderAnswer::Refused,
-            Err(CallError::NoAnswer) => OrderAnswer::NoAnswer,
+            Err(error) => {
+                self.note_unreachable(error);
+                match error {
+                    CallError::NotConnected => OrderAnswer::Refused,
+                    CallError::NoAnswer => OrderAnswer::NoAnswer,
+                }
+            }
+        }
+    }
+
+    /// Has all that use the server told that it takes no connection.
+    fn note_unreachable(&self, error: CallError) {
+        if error == CallError::NotConnected {
+            self.book.note_unreachable(self.node.now_ms());
+            self.publish();
         }
     }
 
@@ -323,23 +368,18 @@
     fn own_word(&self) -> Option<HolderWord> {
         let now_ms = self.node.now_ms();
         let own_id = self.node.settings.borrow().box_id.clone();
-        let (delay, running_elsewhere) = self.book.busyness(&own_id, now_ms);
+        let busyness = self.book.busyness(&own_id, now_ms);
         let takes_loads = self.book.takes_loads(&self.node, &self.server);
-        let contents = self.book.contents.borrow();
-        if !contents.is_learnt() {
+        if !self.book.contents.borrow().was_learnt() {
             return None;
         }
         Some(HolderWord {
-            entries: contents.held().map(to_entry).collect::<HashMap<_, _>>(),
-            running_elsewhere,
-            delay,
+            entries: self.book.entries(&self.server, now_ms),
+            running_elsewhere: busyness.running_elsewhere,
+            delay: busyness.delay,
+            backlog_ms: busyness.backlog_ms,
+            mistrust: busyness.mistrust,
             takes_loads,
         })
     }
 }
-
-fn to_entry((key, held): (&AdapterKey, &Held)) -> (Fingerprint, ViewEntry) {
-    let version = held.version.unwrap_or_default();
-    let state = held.state;
-    (*key as Fingerprint, ViewEntry { version, state })
-}
--- a/crates/tinbay-gateway/src/peers/exchange.rs
+++ b/crates/tinbay-gateway/src/peers/exchange.rs
@@ -189,16 +189,17 @@
 fn uses(node: &Node, server: ServerKey) -> Option<(String, FramePart)> {
     let server = node.servers.borrow().by_key(server)?;
     let holder = node.holder_of(&server)?;
-    let (uses, delay) = server.usage.borrow_mut().tell(node.now_ms());
+    let report = server.usage.borrow_mut().tell(node.now_ms());
     if let Some(book) = node.book(server.key) {
         let own_id = node.settings.borrow().box_id.clone();
-        book.note_uses(&own_id, uses, delay, node.now_ms());
+        book.note_usage(node, &server, &own_id, report);
         return None;
     }
     let part = UsesPart {
         server: server.fingerprint(),
-        uses,
-        delay_percent: delay.map(to_percent),
+        uses: report.uses,
+        mistrust_percent: to_percent(report.mistrust),
+        delay_percent: report.delay.map(to_percent),
     };
     Some((holder, FramePart::Uses(part)))
 }
--- a/crates/tinbay-gateway/src/peers/frame.rs
+++ b/crates/tinbay-gateway/src/peers/frame.rs
@@ -31,6 +31,8 @@
     Heard(Vec<(Fingerprint, u16)>),
     /// What a request needs of a server that the receiver holds.
     Ask(AskPart),
+    /// A question how a server that the receiver holds stands.
+    Peek(Fingerprint),
     /// All that the sender has running at a server that the receiver holds.
     Uses(UsesPart),
     /// What the sender, its holder, believes of a server.
@@ -57,6 +59,8 @@
     pub server: Fingerprint,
     /// Requests by adapter.
     pub uses: Vec<AdapterUse>,
+    /// Mistrust by failures since the last such part, in hundredths.
+    pub mistrust_percent: u16,
     /// The last time to the first byte as hundredths of the objective, if one is new.
     pub delay_percent: Option<u16>,
 }
@@ -70,6 +74,10 @@
     pub running_elsewhere: u16,
     /// Usual time to the first byte as hundredths of the objective.
     pub delay_percent: u16,
+    /// What the server has to read before it begins a new request, in ms.
+    pub backlog_ms: u16,
+    /// Mistrust in the server over all boxes, in hundredths.
+    pub mistrust_percent: u16,
     /// Whether a load could begin.
     pub takes_loads: bool,
     /// All adapters that take a place.
@@ -85,6 +93,8 @@
     pub version: u32,
     /// Whether it can serve.
     pub is_ready: bool,
+    /// Servers of its order over which it is spread.
+    pub copies: u8,
 }
 
 /// A part of an objective as hundredths.
--- a/crates/tinbay-gateway/src/peers/inbox.rs
+++ b/crates/tinbay-gateway/src/peers/inbox.rs
@@ -17,6 +17,7 @@
 };
 use crate::events::{self, part};
 use crate::node::Node;
+use crate::servers::usage::UsageReport;
 use crate::servers::view::{HolderWord, ViewEntry};
 
 /// Pause after a failed read.
@@ -83,9 +84,10 @@
             }
             FramePart::Heard(heard) => take_heard(node, &heard, now_ms),
             FramePart::Ask(ask) => take_ask(node, &frame.box_id, ask, now_ms),
+            FramePart::Peek(server) => take_peek(node, &frame.box_id, server, now_ms),
             FramePart::Uses(uses) => {
                 if advance(seen.uses.entry(uses.server).or_default(), frame.sequence) {
-                    take_uses(node, &frame.box_id, uses, now_ms);
+                    take_uses(node, &frame.box_id, uses);
                 }
             }
             FramePart::Word(word) => {
@@ -128,15 +130,29 @@
     node.outbox.tell_box(server.key, box_id);
 }
 
-fn take_uses(node: &Node, box_id: &str, part: UsesPart, now_ms: Millis) {
+fn take_peek(node: &Node, box_id: &str, fingerprint: Fingerprint, now_ms: Millis) {
+    let Some(server) = node.servers.borrow().by_fingerprint(fingerprint) else {
+        return;
+    };
+    if let Some(book) = node.book(server.key) {
+        book.note_peek(box_id, now_ms);
+        node.outbox.tell_box(server.key, box_id);
+    }
+}
+
+fn take_uses(node: &Node, box_id: &str, part: UsesPart) {
     let Some(server) = node.servers.borrow().by_fingerprint(part.server) else {
         return;
     };
     let Some(book) = node.book(server.key) else {
         return;
     };
-    let delay = part.delay_percent.map(from_percent);
-    if book.note_uses(box_id, part.uses, delay, now_ms) {
+    let report = UsageReport {
+        uses: part.uses,
+        mistrust: from_percent(part.mistrust_percent),
+        delay: part.delay_percent.map(from_percent),
+    };
+    if book.note_usage(node, &server, box_id, report) {
         node.outbox.tell_box(server.key, box_id);
     }
     if book.has_wants() {
@@ -152,6 +168,8 @@
         entries: part.adapters.iter().map(to_entry).collect(),
         running_elsewhere: usize::from(part.running_elsewhere),
         delay: from_percent(part.delay_percent),
+        backlog_ms: f64::from(part.backlog_ms),
+        mistrust: from_percent(part.mistrust_percent),
         takes_loads: part.takes_loads,
     };
     let ready = server.view.borrow_mut().note(word, now_ms);
@@ -165,6 +183,10 @@
     } else {
         HeldState::Loading
     };
-    let version = u64::from(adapter.version);
-    (adapter.adapter, ViewEntry { version, state })
+    let entry = ViewEntry {
+        version: u64::from(adapter.version),
+        state,
+        copies: usize::from(adapter.copies),
+    };
+    (adapter.adapter, entry)
 }
--- a/crates/tinbay-gateway/src/port/dialect.rs
+++ b/crates/tinbay-gateway/src/port/dialect.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use hyper::header::HeaderName;
+use hyper::header::{HeaderMap, HeaderName};
 use tinbay_core::serving::configuration::Configuration;
+use tinbay_core::serving::prompt::Prompt;
 use tinbay_core::serving::servers::{Report, ServerRecord};
 use tinbay_core::units::Millis;
 
@@ -115,6 +116,9 @@
     /// Path of orders to a server.
     fn order_path(&self) -> &str;
 
+    /// Reads what a request has an engine read.
+    fn decode_prompt(&self, headers: &HeaderMap) -> Prompt;
+
     /// Reads a configuration.
     ///
     /// # Errors
--- a/crates/tinbay-gateway/src/run.rs
+++ b/crates/tinbay-gateway/src/run.rs
@@ -33,21 +33,22 @@
 const BACKLOG: u32 = 512;
 
 /// How operators' changes are watched: at once. A call that the store lost as it fell silent is
-/// noticed only when its wait is over, so that the wait must be shorter than a change may take.
+/// noticed only when its wait is over, and the boxes that ask this one turn to another then; a
+/// change may take two seconds in all.
 const CONFIGURATION_PACE: WatchPace = WatchPace {
-    wait_ms: 1_500,
+    wait_ms: 600,
     gap_ms: 20,
 };
 
 /// How servers are watched: their heartbeats are many, so that some wait for the next call.
 const SERVER_PACE: WatchPace = WatchPace {
-    wait_ms: 1_500,
-    gap_ms: 750,
+    wait_ms: 600,
+    gap_ms: 300,
 };
 
 /// How boxes are watched.
 const BOX_PACE: WatchPace = WatchPace {
-    wait_ms: 3_000,
+    wait_ms: 1_000,
     gap_ms: 100,
 };
 
--- a/crates/tinbay-gateway/src/servers/server.rs
+++ b/crates/tinbay-gateway/src/servers/server.rs
@@ -5,6 +5,7 @@
 
 use tinbay_core::serving::contents::AdapterKey;
 use tinbay_core::serving::fading::faded;
+use tinbay_core::serving::guests::{MISTRUST_HALF_LIFE_MS, MOST_MISTRUST};
 use tinbay_core::serving::servers::{Fingerprint, ServerKey, ServerRecord, ServerState};
 use tinbay_core::units::Millis;
 use tokio::sync::Notify;
@@ -14,12 +15,6 @@
 use super::view::{View, ViewEntry};
 use crate::http::pool::Pool;
 
-/// Half-life of the mistrust in a server that failed.
-const MISTRUST_HALF_LIFE_MS: f64 = 1_500.0;
-
-/// Most mistrust in a server; it is forgotten within some half-lives.
-const MOST_MISTRUST: f64 = 8.0;
-
 /// Weight of a new head's time.
 const DELAY_WEIGHT: f64 = 0.15;
 
@@ -117,9 +112,9 @@
         self.key as Fingerprint
     }
 
-    /// Counts a request of this box, for an adapter if it names one.
-    pub fn take_off(self: &Rc<Self>, adapter: Option<AdapterKey>) -> Flight {
-        self.usage.borrow_mut().begin(adapter);
+    /// Counts a request of this box with so many tokens to read, for an adapter if it names one.
+    pub fn take_off(self: &Rc<Self>, adapter: Option<AdapterKey>, tokens: u32) -> Flight {
+        self.usage.borrow_mut().begin(adapter, tokens);
         Flight {
             server: Rc::clone(self),
             adapter,
@@ -151,15 +146,22 @@
         faded(amount, noted_ms, DELAY_HALF_LIFE_MS, now_ms)
     }
 
-    /// Mistrust in the server, fading with time.
+    /// Mistrust in the server, fading with time: by what this box saw, or what all boxes saw
+    /// where that is more.
     pub fn mistrust(&self, now_ms: Millis) -> f64 {
+        let told = self.view.borrow().mistrust(now_ms);
+        self.own_mistrust(now_ms).max(told)
+    }
+
+    fn own_mistrust(&self, now_ms: Millis) -> f64 {
         let (amount, noted_ms) = self.mistrust.get();
         faded(amount, noted_ms, MISTRUST_HALF_LIFE_MS, now_ms)
     }
 
     /// Adds mistrust after a failure.
     pub fn add_mistrust(&self, amount: f64, now_ms: Millis) {
-        let sum = (self.mistrust(now_ms) + amount).min(MOST_MISTRUST);
+        let sum = (self.own_mistrust(now_ms) + amount).min(MOST_MISTRUST);
         self.mistrust.set((sum, now_ms));
+        self.usage.borrow_mut().note_failure(amount);
     }
 }
--- a/crates/tinbay-gateway/src/servers/view.rs
+++ b/crates/tinbay-gateway/src/servers/view.rs
@@ -3,6 +3,9 @@
 use std::collections::HashMap;
 
 use tinbay_core::serving::contents::HeldState;
+use tinbay_core::serving::fading::faded;
+use tinbay_core::serving::guests::MISTRUST_HALF_LIFE_MS;
+use tinbay_core::serving::reading::Backlog;
 use tinbay_core::serving::servers::Fingerprint;
 use tinbay_core::units::Millis;
 
@@ -25,6 +28,8 @@
     pub version: u64,
     /// Whether it can serve.
     pub state: HeldState,
+    /// Servers of its order over which it is spread.
+    pub copies: usize,
 }
 
 /// A holder's word on its server.
@@ -36,6 +41,10 @@
     pub running_elsewhere: usize,
     /// Usual time to the first byte as a part of the objective, over all boxes.
     pub delay: f64,
+    /// What the server has to read before it begins a new request, as time.
+    pub backlog_ms: f64,
+    /// Mistrust in the server over all boxes.
+    pub mistrust: f64,
     /// Whether a load could begin.
     pub takes_loads: bool,
 }
@@ -44,6 +53,7 @@
 #[derive(Debug, Default)]
 pub struct View {
     word: Option<HolderWord>,
+    backlog: Backlog,
     told_ms: Millis,
     asked_ms: Option<Millis>,
 }
@@ -60,6 +70,7 @@
             })
             .map(|(adapter, _)| *adapter)
             .collect();
+        self.backlog = Backlog::new(word.backlog_ms, now_ms);
         self.word = Some(word);
         self.told_ms = now_ms;
         self.asked_ms = None;
@@ -109,6 +120,22 @@
         self.recent(now_ms).map_or(0.0, |word| word.delay)
     }
 
+    /// A request of this box begins that takes so long to read.
+    pub fn note_begun(&mut self, reading_ms: f64, now_ms: Millis) {
+        self.backlog.add(reading_ms, now_ms);
+    }
+
+    /// What the server has to read before it begins a new request, as time.
+    pub fn backlog_ms(&self, now_ms: Millis) -> f64 {
+        self.backlog.at(now_ms)
+    }
+
+    /// Mistrust in the server over all boxes.
+    pub fn mistrust(&self, now_ms: Millis) -> f64 {
+        let told = self.word.as_ref().map_or(0.0, |word| word.mistrust);
+        faded(told, self.told_ms, MISTRUST_HALF_LIFE_MS, now_ms)
+    }
+
     /// Whether a load could begin; true where nothing was told lately.
     pub fn takes_loads(&self, now_ms: Millis) -> bool {
         self.recent(now_ms).is_none_or(|word| word.takes_loads)
--- a/crates/tinbay-gateway/src/watch/mod.rs
+++ b/crates/tinbay-gateway/src/watch/mod.rs
@@ -74,6 +74,7 @@
             Ok(()) => continue,
             Err(error) => error,
         };
+        node.replica.lose(follower.prefix());
         if !is_lost {
             is_lost = true;
             let event = StoreEvent {
@@ -97,7 +98,7 @@
     pause_ms: &mut Millis,
 ) -> Result<(), StoreError> {
     let prefix = follower.prefix();
-    let (listing, evidence) = source::list(node, prefix).await?;
+    let (listing, evidence) = source::list(node, prefix, pace).await?;
     follower.reset(&listing.items);
     node.replica.note_listing(prefix, &listing, evidence);
     let event = StoreEvent {
@@ -112,7 +113,7 @@
     let mut at = listing.at;
     let mut failures = 0;
     loop {
-        match source::watch(node, prefix, at, pace.wait_ms).await {
+        match source::watch(node, prefix, at, pace).await {
             Ok((changes, evidence)) => {
                 failures = 0;
                 for change in &changes.changes {
@@ -121,7 +122,7 @@
                 at = at.max(changes.at);
                 node.replica.confirm(prefix, at, evidence);
                 if !changes.changes.is_empty() {
-                    let gap_ms = if evidence.is_from_store {
+                    let gap_ms = if evidence.passed_on_ms.is_some() {
                         pace.gap_ms
                     } else {
                         RELAY_GAP_MS
@@ -133,6 +134,7 @@
             Err(error) if failures >= 1 => return Err(error),
             Err(_) => {
                 failures += 1;
+                node.replica.lose(prefix);
                 sleep_with_jitter(FIRST_PAUSE_MS).await;
             }
         }
--- a/crates/tinbay-gateway/src/watch/relay.rs
+++ b/crates/tinbay-gateway/src/watch/relay.rs
@@ -300,7 +300,7 @@
         Some(RelayAnswer::Parts { parts, at, age_ms }) => {
             let evidence = Evidence {
                 confirmed_ms: asked_ms.saturating_sub(age_ms),
-                is_from_store: false,
+                passed_on_ms: None,
             };
             Ok((parts, at, evidence))
         }
--- a/crates/tinbay-gateway/src/watch/replica.rs
+++ b/crates/tinbay-gateway/src/watch/replica.rs
@@ -11,10 +11,6 @@
 /// Changes kept for boxes that are behind; older ones make them read all again.
 const MOST_CHANGES: usize = 4_000;
 
-/// How long after its last answer from the store a box passes on what it knows: longer than
-/// one of its watches may wait.
-const PASSED_ON_MS: Millis = 4_500;
-
 /// What was seen below one prefix.
 #[derive(Debug, Default)]
 struct Copy {
@@ -23,7 +19,7 @@
     at: Revision,
     log: VecDeque<Change>,
     confirmed_ms: Millis,
-    is_from_store: bool,
+    passed_on_ms: Option<Millis>,
 }
 
 /// What this box has seen of the store.
@@ -39,8 +35,8 @@
 pub struct Evidence {
     /// When what is known was certainly complete.
     pub confirmed_ms: Millis,
-    /// Whether it came from the store itself, not from another box.
-    pub is_from_store: bool,
+    /// Age up to which it is passed on; none where it came from another box, not from the store.
+    pub passed_on_ms: Option<Millis>,
 }
 
 /// What a box that asks for changes is told.
@@ -67,7 +63,7 @@
             at: listing.at,
             log: VecDeque::new(),
             confirmed_ms: evidence.confirmed_ms,
-            is_from_store: evidence.is_from_store,
+            passed_on_ms: evidence.passed_on_ms,
         };
         let mut by_prefix = self.by_prefix.borrow_mut();
         by_prefix.insert(prefix.to_string(), copy);
@@ -104,7 +100,16 @@
         };
         copy.at = copy.at.max(at);
         copy.confirmed_ms = copy.confirmed_ms.max(evidence.confirmed_ms);
-        copy.is_from_store = evidence.is_from_store;
+        copy.passed_on_ms = evidence.passed_on_ms;
+    }
+
+    /// The store did not answer: nothing is passed on until it does.
+    pub fn lose(&self, prefix: &str) {
+        let mut by_prefix = self.by_prefix.borrow_mut();
+        if let Some(copy) = by_prefix.get_mut(prefix) {
+            copy.passed_on_ms = None;
+        }
+        self.changed.notify_waiters();
     }
 
     /// The item with a key, as last seen.
@@ -125,7 +130,7 @@
         let by_prefix = self.by_prefix.borrow();
         let copy = by_prefix.get(prefix)?;
         let age_ms = now_ms.saturating_sub(copy.confirmed_ms);
-        (copy.is_from_store && age_ms < PASSED_ON_MS).then_some(age_ms)
+        (age_ms < copy.passed_on_ms?).then_some(age_ms)
     }
 
     /// All there is below a prefix.
--- a/crates/tinbay-gateway/src/watch/source.rs
+++ b/crates/tinbay-gateway/src/watch/source.rs
@@ -7,9 +7,9 @@
 use serde::Serialize;
 use tinbay_core::units::Millis;
 
-use super::counted;
 use super::relay::{self, RelayError};
 use super::replica::Evidence;
+use super::{WatchPace, counted};
 use crate::events::{self, part};
 use crate::node::Node;
 use crate::port::store::{Changes, Listing, Revision, StoreError, StoreResult};
@@ -21,6 +21,9 @@
 /// when this is over, and a change of the configuration may take two seconds in all.
 const RELAY_WAIT_MS: Millis = 800;
 
+/// Time by which an answer of the store may be late before what is known counts as too old.
+const AGE_MARGIN_MS: Millis = 250;
+
 /// Pause between reads of the store by a box that should ask others.
 const STORE_PAUSE_MS: Millis = 2_000;
 
@@ -35,7 +38,7 @@
 ///
 /// # Errors
 /// When neither another box nor the store gives it.
-pub async fn list(node: &Node, prefix: &str) -> StoreResult<(Listing, Evidence)> {
+pub async fn list(node: &Node, prefix: &str, pace: WatchPace) -> StoreResult<(Listing, Evidence)> {
     let relays = relay::relays(node);
     for relay in relays.to_ask.iter().take(MOST_RELAYS) {
         let asked = relay::ask_list(node, relay, prefix).await;
@@ -49,7 +52,7 @@
     let confirmed_ms = node.now_ms();
     let listed = node.store.list(prefix, false).await;
     let listing = counted(node, "list", listed)?;
-    Ok((listing, from_store(confirmed_ms)))
+    Ok((listing, from_store(confirmed_ms, pace)))
 }
 
 /// What changes below a prefix after a revision.
@@ -60,7 +63,7 @@
     node: &Node,
     prefix: &str,
     after: Revision,
-    wait_ms: Millis,
+    pace: WatchPace,
 ) -> StoreResult<(Changes, Evidence)> {
     let relays = relay::relays(node);
     for relay in relays.to_ask.iter().take(MOST_RELAYS) {
@@ -74,15 +77,17 @@
     }
     check_turn(node, prefix, relays.is_one)?;
     let confirmed_ms = node.now_ms();
-    let watched = node.store.watch(prefix, after, wait_ms).await;
+    let watched = node.store.watch(prefix, after, pace.wait_ms).await;
     let changes = counted(node, "watch", watched)?;
-    Ok((changes, from_store(confirmed_ms)))
+    Ok((changes, from_store(confirmed_ms, pace)))
 }
 
-fn from_store(confirmed_ms: Millis) -> Evidence {
+/// What one watch confirms is as old as the next one waits before that is over.
+fn from_store(confirmed_ms: Millis, pace: WatchPace) -> Evidence {
+    let passed_on_ms = 2 * pace.wait_ms + 2 * pace.gap_ms + AGE_MARGIN_MS;
     Evidence {
         confirmed_ms,
-        is_from_store: true,
+        passed_on_ms: Some(passed_on_ms),
     }
 }
 
