--- a/crates/tinbay-core/src/serving/spread.rs
+++ b/crates/tinbay-core/src/serving/spread.rs
@@ -2,7 +2,7 @@
 //!
 //! The first server of an adapter's order sees its part of the adapter's requests. Where that
 //! part takes more of the server than one adapter should, the adapter goes to more servers of
-//! its order; all boxes learn the number with the holder's word.
+//! its order; all boxes learn the number with the server's status.
 
 use std::collections::HashMap;
 
--- a/crates/tinbay-core/src/serving/guests.rs
+++ b/crates/tinbay-core/src/serving/subscribers.rs
@@ -12,16 +12,16 @@
 use super::servers::Fingerprint;
 use crate::units::Millis;
 
-/// How long a box's word counts; boxes with running requests repeat theirs in between.
-const WORD_LIFE_MS: Millis = 3_000;
+/// How long a box's report counts; boxes with running requests repeat theirs in between.
+const REPORT_LIFE_MS: Millis = 3_000;
 
-/// Pause between two words to a box whose requests alone have changed.
+/// Pause between two statuses to a box whose requests alone have changed.
 const TOLD_PAUSE_MS: Millis = 250;
 
 /// Half-life of what is known of the time to the first byte.
 const DELAY_HALF_LIFE_MS: f64 = 1_500.0;
 
-/// Weight of one box's word on that time.
+/// Weight of one box's report on that time.
 const DELAY_WEIGHT: f64 = 0.15;
 
 /// Half-life of the mistrust in a server that failed.
@@ -37,20 +37,20 @@
     pub adapter: Fingerprint,
     /// Requests that run.
     pub running: u16,
-    /// Requests that began since the box's last word.
+    /// Requests that began since the box's last report.
     pub begun: u16,
     /// Tokens of their prompts.
     pub begun_tokens: u32,
 }
 
 #[derive(Debug)]
-struct Guest {
+struct Subscriber {
     uses: Vec<AdapterUse>,
     heard_ms: Millis,
     told_ms: Option<Millis>,
 }
 
-impl Guest {
+impl Subscriber {
     fn running(&self) -> usize {
         self.uses.iter().map(|of| usize::from(of.running)).sum()
     }
@@ -58,43 +58,43 @@
 
 /// The boxes that send requests to one server.
 #[derive(Debug, Default)]
-pub struct Guests {
-    by_box: HashMap<String, Guest>,
+pub struct Subscribers {
+    by_box: HashMap<String, Subscriber>,
     delay: Fading,
     backlog: Backlog,
     mistrust: Fading,
 }
 
-impl Guests {
+impl Subscribers {
     /// A box asked something: it is to be told what changes.
     pub fn hear(&mut self, box_id: &str, now_ms: Millis) {
-        self.guest(box_id, now_ms);
+        self.subscriber(box_id, now_ms);
     }
 
     /// Notes all that a box has running there; whether it should be told again how busy the
     /// server is.
     pub fn note_uses(&mut self, box_id: &str, uses: Vec<AdapterUse>, now_ms: Millis) -> bool {
-        let guest = self.guest(box_id, now_ms);
-        guest.uses = uses;
+        let subscriber = self.subscriber(box_id, now_ms);
+        subscriber.uses = uses;
         let is_over = |told_ms| now_ms >= told_ms + TOLD_PAUSE_MS;
-        guest.told_ms.is_none_or(is_over)
+        subscriber.told_ms.is_none_or(is_over)
     }
 
     /// Notes that a box was told what the server holds.
     pub fn note_told(&mut self, box_id: &str, now_ms: Millis) {
-        if let Some(guest) = self.by_box.get_mut(box_id) {
-            guest.told_ms = Some(now_ms);
+        if let Some(subscriber) = self.by_box.get_mut(box_id) {
+            subscriber.told_ms = Some(now_ms);
         }
     }
 
-    fn guest(&mut self, box_id: &str, now_ms: Millis) -> &mut Guest {
-        let guest = self.by_box.entry(box_id.to_string()).or_insert(Guest {
+    fn subscriber(&mut self, box_id: &str, now_ms: Millis) -> &mut Subscriber {
+        let subscriber = self.by_box.entry(box_id.to_string()).or_insert(Subscriber {
             uses: Vec::new(),
             heard_ms: now_ms,
             told_ms: None,
         });
-        guest.heard_ms = now_ms;
-        guest
+        subscriber.heard_ms = now_ms;
+        subscriber
     }
 
     /// Notes how a box's last time to the first byte stood to its objective.
@@ -134,7 +134,7 @@
     pub fn running_for(&self, adapter: Fingerprint, now_ms: Millis) -> usize {
         let is_it = |of: &&AdapterUse| of.adapter == adapter;
         self.heard(now_ms)
-            .flat_map(|(_, guest)| guest.uses.iter().filter(is_it))
+            .flat_map(|(_, subscriber)| subscriber.uses.iter().filter(is_it))
             .map(|of| usize::from(of.running))
             .sum()
     }
@@ -143,7 +143,7 @@
     pub fn running_of_others(&self, box_id: &str, now_ms: Millis) -> usize {
         self.heard(now_ms)
             .filter(|(id, _)| *id != box_id)
-            .map(|(_, guest)| guest.running())
+            .map(|(_, subscriber)| subscriber.running())
             .sum()
     }
 
@@ -151,7 +151,7 @@
     pub fn is_in_use(&self, adapter: Fingerprint, now_ms: Millis) -> bool {
         let is_it = |of: &AdapterUse| of.adapter == adapter && of.running > 0;
         self.heard(now_ms)
-            .any(|(_, guest)| guest.uses.iter().any(is_it))
+            .any(|(_, subscriber)| subscriber.uses.iter().any(is_it))
     }
 
     /// Boxes that are to be told what changes.
@@ -162,13 +162,13 @@
     /// Forgets boxes that have been silent.
     pub fn tidy(&mut self, now_ms: Millis) {
         self.by_box
-            .retain(|_, guest| now_ms < guest.heard_ms + WORD_LIFE_MS);
+            .retain(|_, subscriber| now_ms < subscriber.heard_ms + REPORT_LIFE_MS);
     }
 
-    fn heard(&self, now_ms: Millis) -> impl Iterator<Item = (&str, &Guest)> {
+    fn heard(&self, now_ms: Millis) -> impl Iterator<Item = (&str, &Subscriber)> {
         self.by_box
             .iter()
-            .filter(move |(_, guest)| now_ms < guest.heard_ms + WORD_LIFE_MS)
-            .map(|(id, guest)| (id.as_str(), guest))
+            .filter(move |(_, subscriber)| now_ms < subscriber.heard_ms + REPORT_LIFE_MS)
+            .map(|(id, subscriber)| (id.as_str(), subscriber))
     }
 }
--- a/crates/tinbay-core/tests/serving_contents_test.rs
+++ b/crates/tinbay-core/tests/serving_contents_test.rs
@@ -369,3 +369,28 @@
         .tests(500)
         .quickcheck(property as fn(Vec<(u8, bool)>) -> bool);
 }
+
+/// Loads that take longer than they did at best make the holder begin fewer at once, and none
+/// that no request waits for.
+#[test]
+fn next_action_begins_fewer_loads_while_the_store_is_slow() {
+    let mut contents = learnt(16, &[]);
+    let mut now_ms = 0;
+    let mut count = 4;
+    for number in 0..6 {
+        let adapter = format!("m/slow{number}");
+        let action = load(&adapter, count);
+        contents.note_answer(&action, OrderAnswer::Accepted, now_ms);
+        count += 1;
+        now_ms += 1_000;
+        contents.note_answer(&action, OrderAnswer::Done, now_ms);
+    }
+    let copy = Want {
+        is_copy: true,
+        ..want("m/copy")
+    };
+    assert_eq!(next(&mut contents, &[copy], true, now_ms), None);
+    let first = next(&mut contents, &[want("m/a")], true, now_ms).expect("a load");
+    contents.note_answer(&first, OrderAnswer::Accepted, now_ms);
+    assert_eq!(next(&mut contents, &[want("m/b")], true, now_ms + 1), None);
+}
--- a/crates/tinbay-core/tests/serving_homes_test.rs
+++ b/crates/tinbay-core/tests/serving_homes_test.rs
@@ -2,10 +2,10 @@
 
 use quickcheck::QuickCheck;
 use tinbay_core::serving::contents::adapter_key;
-use tinbay_core::serving::guests::{AdapterUse, Guests};
 use tinbay_core::serving::homes::{Candidate, Pick, Presence, pick};
 use tinbay_core::serving::reading::{Backlog, ReadingPace};
 use tinbay_core::serving::spread::Spreads;
+use tinbay_core::serving::subscribers::{AdapterUse, Subscribers};
 use tinbay_core::serving::wants::{Want, Wants};
 
 fn candidate(presence: Presence, load: f64) -> Candidate {
@@ -185,33 +185,33 @@
 
 #[test]
 fn running_of_others_leaves_out_the_asker() {
-    let mut guests = Guests::default();
-    guests.note_uses("box-1", uses("m/a", 3), 0);
-    guests.note_uses("box-2", uses("m/a", 4), 0);
-    assert_eq!(guests.running_of_others("box-1", 100), 4);
-    guests.note_uses("box-2", uses("m/a", 1), 200);
-    assert_eq!(guests.running_of_others("box-1", 300), 1);
+    let mut subscribers = Subscribers::default();
+    subscribers.note_uses("box-1", uses("m/a", 3), 0);
+    subscribers.note_uses("box-2", uses("m/a", 4), 0);
+    assert_eq!(subscribers.running_of_others("box-1", 100), 4);
+    subscribers.note_uses("box-2", uses("m/a", 1), 200);
+    assert_eq!(subscribers.running_of_others("box-1", 300), 1);
 }
 
 #[test]
 fn is_in_use_until_the_box_says_no_or_falls_silent() {
     let adapter = adapter_key("m/a") as u32;
-    let mut guests = Guests::default();
-    guests.note_uses("box-1", uses("m/a", 1), 0);
-    assert!(guests.is_in_use(adapter, 2_900));
-    assert!(!guests.is_in_use(adapter, 3_000));
-    guests.note_uses("box-1", uses("m/a", 1), 3_100);
-    guests.note_uses("box-1", uses("m/a", 0), 3_200);
-    assert!(!guests.is_in_use(adapter, 3_200));
+    let mut subscribers = Subscribers::default();
+    subscribers.note_uses("box-1", uses("m/a", 1), 0);
+    assert!(subscribers.is_in_use(adapter, 2_900));
+    assert!(!subscribers.is_in_use(adapter, 3_000));
+    subscribers.note_uses("box-1", uses("m/a", 1), 3_100);
+    subscribers.note_uses("box-1", uses("m/a", 0), 3_200);
+    assert!(!subscribers.is_in_use(adapter, 3_200));
 }
 
 #[test]
 fn note_uses_asks_for_a_word_some_times_a_second() {
-    let mut guests = Guests::default();
-    assert!(guests.note_uses("box-1", uses("m/a", 1), 0));
-    guests.note_told("box-1", 0);
-    assert!(!guests.note_uses("box-1", uses("m/a", 2), 100));
-    assert!(guests.note_uses("box-1", uses("m/a", 2), 250));
+    let mut subscribers = Subscribers::default();
+    assert!(subscribers.note_uses("box-1", uses("m/a", 1), 0));
+    subscribers.note_told("box-1", 0);
+    assert!(!subscribers.note_uses("box-1", uses("m/a", 2), 100));
+    assert!(subscribers.note_uses("box-1", uses("m/a", 2), 250));
 }
 
 #[test]
--- a/crates/tinbay-gateway/src/front/adapters.rs
+++ b/crates/tinbay-gateway/src/front/adapters.rs
@@ -19,13 +19,13 @@
 /// back; the rest is left for another try.
 const PATIENCE: f64 = 0.45;
 
-/// Longest pause between looks; the word of the server's holder ends it.
+/// Longest pause between looks; the status from the server's holder ends it.
 const LOOK_PAUSE: Duration = Duration::from_millis(100);
 
 /// Pause after which a holder is asked again, as messages may be lost.
 const ASK_AGAIN_MS: Millis = 100;
 
-/// Longest wait for a holder's word where the request could be sent without it.
+/// Longest wait for a server's status where the request could be sent without it.
 const ANSWER_WAIT: Duration = Duration::from_millis(20);
 
 /// Part of the time left after which a caller should come back; callers wait no longer than a
@@ -71,13 +71,13 @@
         match choice::choose(node, question, tried, &asked) {
             Choice::Send { server, copy } => {
                 if let Some(copy) = copy {
-                    node.ask(&copy, want(node, question, true));
+                    node.request_load(&copy, want(node, question, true));
                 }
-                let is_peeked = asked.peeks.contains_key(&server.key);
-                if question.model_key.is_none() || is_peeked || !node.should_ask(&server) {
+                let is_refreshed = asked.status_requests.contains_key(&server.key);
+                if question.model_key.is_none() || is_refreshed || !node.should_ask(&server) {
                     return Ok(server);
                 }
-                peek(node, &server, &mut asked).await;
+                refresh_status(node, &server, &mut asked).await;
             }
             Choice::Load(server) => {
                 let now_ms = node.now_ms();
@@ -93,12 +93,12 @@
     }
 }
 
-/// Asks the server's holder how it stands, and waits a moment for its word.
-async fn peek(node: &Node, server: &Server, asked: &mut Asked) {
-    let word_came = server.word_came.notified();
-    node.peek(server);
-    asked.peeks.insert(server.key, node.now_ms());
-    let _ = tokio::time::timeout(ANSWER_WAIT, word_came).await;
+/// Asks the server's holder for its status, and waits a moment for the answer.
+async fn refresh_status(node: &Node, server: &Server, asked: &mut Asked) {
+    let status_came = server.status_came.notified();
+    node.request_status(server);
+    asked.status_requests.insert(server.key, node.now_ms());
+    let _ = tokio::time::timeout(ANSWER_WAIT, status_came).await;
 }
 
 fn check_patience(node: &Node, patience: &Patience, now_ms: Millis) -> Result<(), Refusal> {
@@ -117,7 +117,7 @@
     Ok(())
 }
 
-/// Has the server's holder load the adapter, unless it was asked lately, and waits until its word
+/// Has the server's holder load the adapter, unless it was asked lately, and waits until its status
 /// comes or the adapter can serve somewhere.
 async fn wait_for_load(
     node: &Node,
@@ -128,16 +128,16 @@
 ) {
     let adapter = node.waiters.join(question.model_key.unwrap_or_default());
     let adapter_ready = adapter.notified();
-    let word_came = server.word_came.notified();
+    let status_came = server.status_came.notified();
     let now_ms = node.now_ms();
     let is_over = |asked_ms: &Millis| now_ms >= asked_ms + ASK_AGAIN_MS;
     if asked.loads.get(&server.key).is_none_or(is_over) {
-        node.ask(server, want(node, question, false));
+        node.request_load(server, want(node, question, false));
         asked.loads.insert(server.key, now_ms);
     }
     tokio::select! {
         () = adapter_ready => {}
-        () = word_came => {}
+        () = status_came => {}
         () = tokio::time::sleep(pause) => {}
     }
 }
--- a/crates/tinbay-gateway/src/front/attempt.rs
+++ b/crates/tinbay-gateway/src/front/attempt.rs
@@ -12,7 +12,7 @@
 use crate::http::body::RequestBody;
 use crate::http::pool::{ConnectError, Connection};
 use crate::node::Node;
-use crate::servers::{Flight, Server};
+use crate::servers::{RunningRequest, Server};
 
 /// How a try ended.
 pub enum AttemptResult {
@@ -39,7 +39,7 @@
     /// Connection it comes on.
     pub connection: Connection,
     /// Counts the request at its server.
-    pub flight: Flight,
+    pub running: RunningRequest,
 }
 
 /// What a try needs besides the request.
@@ -61,12 +61,12 @@
     body: RequestBody,
     terms: AttemptTerms<'_>,
 ) -> AttemptResult {
-    let flight = node.take_off(terms.server, question);
+    let running = node.begin_request(terms.server, question);
     let exchange = exchange(node, question, body, &terms);
     match tokio::time::timeout(terms.head_within, exchange).await {
         Err(_) => AttemptResult::Unknown,
         Ok(Err(result)) => result,
-        Ok(Ok((response, connection))) => judge(node, question, response, connection, flight),
+        Ok(Ok((response, connection))) => judge(node, question, response, connection, running),
     }
 }
 
@@ -109,7 +109,7 @@
     question: &Question,
     response: Response<Incoming>,
     connection: Connection,
-    flight: Flight,
+    running: RunningRequest,
 ) -> AttemptResult {
     let names = node.dialect.headers();
     let status = response.status();
@@ -124,7 +124,7 @@
     AttemptResult::Begun(Box::new(BegunAnswer {
         response,
         connection,
-        flight,
+        running,
     }))
 }
 
--- a/crates/tinbay-gateway/src/front/choice.rs
+++ b/crates/tinbay-gateway/src/front/choice.rs
@@ -53,7 +53,7 @@
     /// To load what it needs.
     pub loads: HashMap<ServerKey, Millis>,
     /// How their servers stand.
-    pub peeks: HashMap<ServerKey, Millis>,
+    pub status_requests: HashMap<ServerKey, Millis>,
 }
 
 /// Where a request should run, among servers not tried yet.
@@ -222,8 +222,8 @@
             return Presence::Coming;
         }
         let is_first = self.servers.is_empty();
-        let is_peeked = asked.peeks.contains_key(&server.key);
-        if !is_first && !is_peeked && node.should_ask(server) {
+        let is_refreshed = asked.status_requests.contains_key(&server.key);
+        if !is_first && !is_refreshed && node.should_ask(server) {
             return Presence::Ready;
         }
         Presence::Absent
--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -19,7 +19,7 @@
 use crate::http::body::{AnswerBody, BodyError, RequestBody};
 use crate::http::relay::{EndObserver, Relay, RelayTerms};
 use crate::node::Node;
-use crate::servers::{Flight, Server};
+use crate::servers::{RunningRequest, Server};
 
 /// Most tries of one request, refused ones included.
 const MOST_TRIES: usize = 4;
@@ -277,7 +277,7 @@
 }
 
 fn relay(node: &Rc<Node>, question: &Rc<Question>, answer: BegunAnswer) -> Response<AnswerBody> {
-    let server = answer.flight.server();
+    let server = answer.running.server();
     let (mut parts, incoming) = answer.response.into_parts();
     let terms = RelayTerms {
         connection: answer.connection,
@@ -285,7 +285,7 @@
         rest: headers::allowed_rest(&parts.headers),
         may_keep: headers::keeps_connection(&parts.headers),
         time_up: node.clock.instant(question.time_up_ms),
-        end: observe_end(node, question, answer.flight, parts.status.as_u16()),
+        end: observe_end(node, question, answer.running, parts.status.as_u16()),
     };
     headers::drop_hop_headers(&mut parts.headers);
     let relay = Relay::new(incoming, terms);
@@ -295,7 +295,7 @@
 fn observe_end(
     node: &Rc<Node>,
     question: &Rc<Question>,
-    flight: Flight,
+    running: RunningRequest,
     status: u16,
 ) -> EndObserver {
     let node = Rc::clone(node);
@@ -306,7 +306,7 @@
             Ok(()) => Ending::Whole,
             Err(error) => Ending::Cut(error),
         };
-        let server = flight.server().record().id.clone();
+        let server = running.server().record().id.clone();
         log_end(
             &node,
             &question,
@@ -315,7 +315,7 @@
             Some(head_ms),
             &ending,
         );
-        drop(flight);
+        drop(running);
     })
 }
 
--- a/crates/tinbay-gateway/src/housekeeping.rs
+++ b/crates/tinbay-gateway/src/housekeeping.rs
@@ -23,8 +23,8 @@
         }
         let oldest_ms = node.now_ms().saturating_sub(MEMBER_MEMORY_MS);
         node.members.borrow_mut().tidy(oldest_ms);
-        for book in node.books.borrow().values() {
-            book.tidy(node.now_ms());
+        for held in node.held_servers.borrow().values() {
+            held.tidy(node.now_ms());
         }
         node.waiters.tidy();
         show_beliefs(&node);
@@ -43,7 +43,7 @@
     show("named_versions", node.versions.borrow().len());
     show("servers", node.servers.borrow().len());
     show("boxes_up", node.box_count.get());
-    show("servers_held", node.books.borrow().len());
+    show("servers_held", node.held_servers.borrow().len());
     show("can_order", usize::from(node.can_order()));
     show("connections", node.connections.get());
 }
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -23,13 +23,13 @@
 use crate::latch::Latch;
 use crate::members::{MemberRecord, Members};
 use crate::metrics::Metrics;
-use crate::orders::book::{Book, Busyness};
-use crate::peers::frame::{AskPart, FramePart};
+use crate::orders::held_server::{Busyness, HeldServer};
+use crate::peers::frame::{FramePart, LoadRequestPart};
 use crate::peers::outbox::Outbox;
 use crate::port::dialect::Dialect;
 use crate::port::store::Store;
 use crate::servers::view::ViewEntry;
-use crate::servers::{Flight, Server, ServerTable};
+use crate::servers::{RunningRequest, Server, ServerTable};
 use crate::settings::Settings;
 use crate::waiters::Waiters;
 use crate::watch::replica::Replica;
@@ -105,7 +105,7 @@
     /// Proof that this box may order.
     pub proof: Cell<Proof>,
     /// What the servers hold whose claims this box holds.
-    pub books: RefCell<HashMap<ServerKey, Rc<Book>>>,
+    pub held_servers: RefCell<HashMap<ServerKey, Rc<HeldServer>>>,
     /// This box's share of the weight store's rate, by service.
     pub paces: RefCell<HashMap<String, LoadPace>>,
     /// Requests that wait for an adapter.
@@ -155,7 +155,7 @@
             members: RefCell::new(members),
             claims: RefCell::default(),
             proof: Cell::default(),
-            books: RefCell::default(),
+            held_servers: RefCell::default(),
             paces: RefCell::default(),
             waiters: Waiters::default(),
             outbox: Outbox::default(),
@@ -279,16 +279,16 @@
     }
 
     /// What this box knows of a server, if it holds it.
-    pub fn book(&self, server: ServerKey) -> Option<Rc<Book>> {
-        self.books.borrow().get(&server).cloned()
+    pub fn held_server(&self, server: ServerKey) -> Option<Rc<HeldServer>> {
+        self.held_servers.borrow().get(&server).cloned()
     }
 
     /// Has the holder of a server told what a request needs there.
-    pub fn ask(&self, server: &Server, want: Want) {
+    pub fn request_load(&self, server: &Server, want: Want) {
         let now_ms = self.now_ms();
-        if let Some(book) = self.book(server.key) {
+        if let Some(held) = self.held_server(server.key) {
             let own_id = self.settings.borrow().box_id.clone();
-            book.note_ask(&own_id, want, now_ms);
+            held.note_load_request(&own_id, want, now_ms);
             server.order_due.notify_one();
             return;
         }
@@ -296,28 +296,28 @@
             return;
         };
         server.view.borrow_mut().note_asked(now_ms);
-        let part = AskPart {
+        let part = LoadRequestPart {
             server: server.fingerprint(),
             adapter: want.adapter,
             version: want.version,
             is_copy: want.is_copy,
         };
-        self.outbox.post(&holder, FramePart::Ask(part));
+        self.outbox.post(&holder, FramePart::LoadRequest(part));
     }
 
     /// Asks a server's holder how it stands.
-    pub fn peek(&self, server: &Server) {
+    pub fn request_status(&self, server: &Server) {
         if let Some(holder) = self.holder_of(server) {
             server.view.borrow_mut().note_asked(self.now_ms());
-            let part = FramePart::Peek(server.fingerprint());
+            let part = FramePart::StatusRequest(server.fingerprint());
             self.outbox.post(&holder, part);
         }
     }
 
     /// Whether a load at a server could begin, as far as this box knows.
     pub fn takes_loads(&self, server: &Server) -> bool {
-        match self.book(server.key) {
-            Some(book) => book.takes_loads(self, server),
+        match self.held_server(server.key) {
+            Some(held) => held.takes_loads(self, server),
             None => {
                 let takes_loads = server.view.borrow().takes_loads(self.now_ms());
                 takes_loads && self.is_answered_for(server)
@@ -330,7 +330,7 @@
         let now_ms = self.now_ms();
         let view = server.view.borrow();
         let is_told = view.is_fresh(now_ms) || view.is_silent(now_ms);
-        self.book(server.key).is_none() && !is_told && self.has_holder(server)
+        self.held_server(server.key).is_none() && !is_told && self.has_holder(server)
     }
 
     /// How busy a server is: requests against its places, the time to the first byte and what
@@ -345,9 +345,9 @@
     }
 
     fn busyness(&self, server: &Server, now_ms: Millis) -> Busyness {
-        if let Some(book) = self.book(server.key) {
+        if let Some(held) = self.held_server(server.key) {
             let own_id = &self.settings.borrow().box_id;
-            return book.busyness(own_id, now_ms);
+            return held.busyness(own_id, now_ms);
         }
         let view = server.view.borrow();
         Busyness {
@@ -360,8 +360,8 @@
 
     /// What is believed of an adapter at a server.
     pub fn entry(&self, server: &Server, key: AdapterKey) -> Option<ViewEntry> {
-        match self.book(server.key) {
-            Some(book) => book.entry(server, key, self.now_ms()),
+        match self.held_server(server.key) {
+            Some(held) => held.entry(server, key, self.now_ms()),
             None => server.adapter(key),
         }
     }
@@ -376,7 +376,7 @@
     /// Whether a server's holder may live and answers.
     pub fn is_answered_for(&self, server: &Server) -> bool {
         let is_silent = server.view.borrow().is_silent(self.now_ms());
-        self.book(server.key).is_some() || (!is_silent && self.has_holder(server))
+        self.held_server(server.key).is_some() || (!is_silent && self.has_holder(server))
     }
 
     /// What a server has to read before it begins a new request, as time.
@@ -402,7 +402,7 @@
     }
 
     /// Counts a request that is sent to a server.
-    pub fn take_off(&self, server: &Rc<Server>, question: &Question) -> Flight {
+    pub fn begin_request(&self, server: &Rc<Server>, question: &Question) -> RunningRequest {
         let tokens = question.prompt.tokens;
         if question.model_key.is_some() {
             let reading_ms = self.reading_ms(&question.service, tokens);
@@ -410,7 +410,7 @@
             view.note_begun(reading_ms, self.now_ms());
             self.outbox.tell_uses(server.key);
         }
-        server.take_off(question.model_key, tokens)
+        server.begin_request(question.model_key, tokens)
     }
 
     /// The box that holds the claim on a server.
--- a/crates/tinbay-gateway/src/orders/claiming.rs
+++ b/crates/tinbay-gateway/src/orders/claiming.rs
@@ -52,7 +52,7 @@
     }
 }
 
-/// A box that starts again must know soon what its servers hold: all others wait for its word.
+/// A box that starts again must know soon what its servers hold: all others wait for the status of these.
 fn look_pause(node: &Node) -> Duration {
     if node.now_ms() < SETTLE_MS {
         START_LOOK_PAUSE
--- a/crates/tinbay-gateway/src/orders/book.rs
+++ b/crates/tinbay-gateway/src/orders/held_server.rs
@@ -5,14 +5,14 @@
 
 use tinbay_core::serving::configuration::EngineSpec;
 use tinbay_core::serving::contents::{AdapterKey, Contents, Held, HeldState, Holding, adapter_key};
-use tinbay_core::serving::guests::{Guests, MOST_MISTRUST};
 use tinbay_core::serving::servers::{Fingerprint, ServerKey};
 use tinbay_core::serving::spread::Spreads;
+use tinbay_core::serving::subscribers::{MOST_MISTRUST, Subscribers};
 use tinbay_core::serving::wants::{Want, Wants};
 use tinbay_core::units::Millis;
 
 use crate::node::Node;
-use crate::peers::frame::{AdapterPart, WordPart, to_percent};
+use crate::peers::frame::{AdapterPart, StatusPart, to_percent};
 use crate::servers::Server;
 use crate::servers::usage::UsageReport;
 use crate::servers::view::ViewEntry;
@@ -35,46 +35,46 @@
 
 /// What this box knows of a server that it holds.
 #[derive(Debug)]
-pub struct Book {
+pub struct HeldServer {
     /// What the server holds.
     pub contents: RefCell<Contents>,
     /// What is asked of it.
     pub wants: RefCell<Wants>,
-    guests: RefCell<Guests>,
+    subscribers: RefCell<Subscribers>,
     spreads: RefCell<Spreads>,
 }
 
-impl Book {
+impl HeldServer {
     /// A server whose contents are to be learnt.
     pub fn new(spec: &EngineSpec, now_ms: Millis) -> Self {
         Self {
             contents: RefCell::new(Contents::new(spec, now_ms)),
             wants: RefCell::default(),
-            guests: RefCell::default(),
+            subscribers: RefCell::default(),
             spreads: RefCell::default(),
         }
     }
 
     /// Notes that the server does not answer orders: others are better used for a while.
     pub fn note_doubtful(&self, now_ms: Millis) {
-        let mut guests = self.guests.borrow_mut();
-        guests.note_failures(DOUBT, now_ms);
+        let mut subscribers = self.subscribers.borrow_mut();
+        subscribers.note_failures(DOUBT, now_ms);
     }
 
     /// Notes that the server took no connection: nobody should use it for a while.
     pub fn note_unreachable(&self, now_ms: Millis) {
-        let mut guests = self.guests.borrow_mut();
-        guests.note_failures(MOST_MISTRUST, now_ms);
+        let mut subscribers = self.subscribers.borrow_mut();
+        subscribers.note_failures(MOST_MISTRUST, now_ms);
     }
 
     /// Notes that a box asked how the server stands: it is told what changes.
-    pub fn note_peek(&self, box_id: &str, now_ms: Millis) {
-        self.guests.borrow_mut().hear(box_id, now_ms);
+    pub fn note_status_request(&self, box_id: &str, now_ms: Millis) {
+        self.subscribers.borrow_mut().hear(box_id, now_ms);
     }
 
     /// Notes what a box's request needs. An adapter that is there is kept for the request.
-    pub fn note_ask(&self, box_id: &str, want: Want, now_ms: Millis) {
-        self.guests.borrow_mut().hear(box_id, now_ms);
+    pub fn note_load_request(&self, box_id: &str, want: Want, now_ms: Millis) {
+        self.subscribers.borrow_mut().hear(box_id, now_ms);
         let key = adapter_key(&want.adapter);
         let mut contents = self.contents.borrow_mut();
         if contents.holding(key, want.version) == Holding::Current {
@@ -94,20 +94,20 @@
     ) -> bool {
         let now_ms = node.now_ms();
         let mut contents = self.contents.borrow_mut();
-        let mut guests = self.guests.borrow_mut();
+        let mut subscribers = self.subscribers.borrow_mut();
         let mut spreads = self.spreads.borrow_mut();
         let service = &server.record().service;
         for of in report.uses.iter().filter(|of| of.begun > 0) {
             contents.note_uses_of(of.adapter, u32::from(of.begun), now_ms);
             let reading_ms = node.reading_ms(service, of.begun_tokens);
-            guests.note_begun(reading_ms, now_ms);
+            subscribers.note_begun(reading_ms, now_ms);
             spreads.note_begun(of.adapter, reading_ms, now_ms);
         }
-        guests.note_failures(report.mistrust, now_ms);
+        subscribers.note_failures(report.mistrust, now_ms);
         if let Some(delay) = report.delay {
-            guests.note_delay(delay, now_ms);
+            subscribers.note_delay(delay, now_ms);
         }
-        guests.note_uses(box_id, report.uses, now_ms)
+        subscribers.note_uses(box_id, report.uses, now_ms)
     }
 
     /// Whether something is wanted.
@@ -116,15 +116,16 @@
     }
 
     /// Boxes that are to be told what changes.
-    pub fn guest_boxes(&self, now_ms: Millis) -> Vec<String> {
-        let guests = self.guests.borrow();
-        guests.boxes(now_ms).map(str::to_string).collect()
+    pub fn subscriber_boxes(&self, now_ms: Millis) -> Vec<String> {
+        let subscribers = self.subscribers.borrow();
+        subscribers.boxes(now_ms).map(str::to_string).collect()
     }
 
     /// Whether requests for an adapter run at the server.
     pub fn is_in_use(&self, server: &Server, key: AdapterKey, now_ms: Millis) -> bool {
-        let guests = self.guests.borrow();
-        guests.is_in_use(key as Fingerprint, now_ms) || server.usage.borrow().running_for(key) > 0
+        let subscribers = self.subscribers.borrow();
+        subscribers.is_in_use(key as Fingerprint, now_ms)
+            || server.usage.borrow().running_for(key) > 0
     }
 
     /// Whether a load could begin.
@@ -136,7 +137,7 @@
     }
 
     /// What a box is told of the server; nothing before its contents are known.
-    pub fn word(&self, node: &Node, server: ServerKey, box_id: &str) -> Option<WordPart> {
+    pub fn status(&self, node: &Node, server: ServerKey, box_id: &str) -> Option<StatusPart> {
         let server = node.servers.borrow().by_key(server)?;
         let takes_loads = self.takes_loads(node, &server);
         let contents = self.contents.borrow();
@@ -149,15 +150,15 @@
             .held()
             .map(|(key, held)| adapter_part(*key, held, self.copies(*key, slots, now_ms)))
             .collect();
-        let mut guests = self.guests.borrow_mut();
-        guests.note_told(box_id, now_ms);
-        let running = guests.running_of_others(box_id, now_ms);
-        Some(WordPart {
+        let mut subscribers = self.subscribers.borrow_mut();
+        subscribers.note_told(box_id, now_ms);
+        let running = subscribers.running_of_others(box_id, now_ms);
+        Some(StatusPart {
             server: server.fingerprint(),
             running_elsewhere: running.min(usize::from(u16::MAX)) as u16,
-            delay_percent: to_percent(guests.delay(now_ms)),
-            backlog_ms: guests.backlog_ms(now_ms).min(f64::from(u16::MAX)) as u16,
-            mistrust_percent: to_percent(guests.mistrust(now_ms)),
+            delay_percent: to_percent(subscribers.delay(now_ms)),
+            backlog_ms: subscribers.backlog_ms(now_ms).min(f64::from(u16::MAX)) as u16,
+            mistrust_percent: to_percent(subscribers.mistrust(now_ms)),
             takes_loads,
             adapters,
         })
@@ -165,19 +166,19 @@
 
     /// How busy the server is, without what `box_id` has running there.
     pub fn busyness(&self, box_id: &str, now_ms: Millis) -> Busyness {
-        let guests = self.guests.borrow();
+        let subscribers = self.subscribers.borrow();
         Busyness {
-            delay: guests.delay(now_ms),
-            running_elsewhere: guests.running_of_others(box_id, now_ms),
-            backlog_ms: guests.backlog_ms(now_ms),
-            mistrust: guests.mistrust(now_ms),
+            delay: subscribers.delay(now_ms),
+            running_elsewhere: subscribers.running_of_others(box_id, now_ms),
+            backlog_ms: subscribers.backlog_ms(now_ms),
+            mistrust: subscribers.mistrust(now_ms),
         }
     }
 
     /// Servers of its order over which an adapter of the server is spread.
     fn copies(&self, key: AdapterKey, slots: usize, now_ms: Millis) -> usize {
         let adapter = key as Fingerprint;
-        let running = self.guests.borrow().running_for(adapter, now_ms);
+        let running = self.subscribers.borrow().running_for(adapter, now_ms);
         let places_part = running as f64 / slots.max(1) as f64;
         let mut spreads = self.spreads.borrow_mut();
         spreads.copies(adapter, places_part, now_ms)
@@ -207,7 +208,7 @@
 
     /// Forgets boxes that have been silent, and adapters that nobody asks for.
     pub fn tidy(&self, now_ms: Millis) {
-        self.guests.borrow_mut().tidy(now_ms);
+        self.subscribers.borrow_mut().tidy(now_ms);
         self.spreads.borrow_mut().tidy(now_ms);
     }
 }
--- a/crates/tinbay-gateway/src/orders/holder.rs
+++ b/crates/tinbay-gateway/src/orders/holder.rs
@@ -12,14 +12,14 @@
 use tinbay_core::serving::wants::Want;
 use tinbay_core::units::Millis;
 
-use super::book::Book;
+use super::held_server::HeldServer;
 use super::quota;
 use crate::events::{self, part};
 use crate::http::call::{Call, CallError, Caller};
 use crate::node::Node;
 use crate::port::dialect::{Order, OrderAction};
 use crate::servers::Server;
-use crate::servers::view::HolderWord;
+use crate::servers::view::ServerStatus;
 
 /// Longest wait for a report.
 const REPORT_TIMEOUT_MS: Millis = 500;
@@ -69,18 +69,20 @@
 
 /// Starts to hold a server, unless this box does so already.
 pub fn ensure(node: &Rc<Node>, server: &Rc<Server>) {
-    if node.books.borrow().contains_key(&server.key) {
+    if node.held_servers.borrow().contains_key(&server.key) {
         return;
     }
     let Some(spec) = node.engine_spec(&server.record().service) else {
         return;
     };
-    let book = Rc::new(Book::new(&spec, node.now_ms()));
-    node.books.borrow_mut().insert(server.key, Rc::clone(&book));
+    let held = Rc::new(HeldServer::new(&spec, node.now_ms()));
+    node.held_servers
+        .borrow_mut()
+        .insert(server.key, Rc::clone(&held));
     let holder = Holder {
         node: Rc::clone(node),
         server: Rc::clone(server),
-        book,
+        held,
         caller: Caller::new(server.record().address),
         has_given_up: Cell::new(true),
     };
@@ -108,7 +110,7 @@
 struct Holder {
     node: Rc<Node>,
     server: Rc<Server>,
-    book: Rc<Book>,
+    held: Rc<HeldServer>,
     caller: Caller,
     /// Whether an order was given up that the server may still take.
     has_given_up: Cell<bool>,
@@ -125,14 +127,14 @@
                 continue;
             };
             let now_ms = self.node.now_ms();
-            let wants = self.book.wants.borrow_mut().current(now_ms);
+            let wants = self.held.wants.borrow_mut().current(now_ms);
             match self.next_action(&wants, now_ms) {
                 Some(Action::Learn) => self.learn().await,
                 Some(action) => self.order(&action, token, &wants).await,
                 None => self.pause(&wants).await,
             }
         }
-        self.node.books.borrow_mut().remove(&self.server.key);
+        self.node.held_servers.borrow_mut().remove(&self.server.key);
     }
 
     fn is_known(&self) -> bool {
@@ -147,14 +149,14 @@
     fn next_action(&self, wants: &[Want], now_ms: Millis) -> Option<Action> {
         let look = Look {
             named: &|adapter: &str| self.node.named_version(adapter),
-            is_in_use: &|key| self.book.is_in_use(&self.server, key, now_ms),
+            is_in_use: &|key| self.held.is_in_use(&self.server, key, now_ms),
             now_ms,
         };
         let mut allowance = Allowance {
             holder: self,
             now_ms,
         };
-        let contents = self.book.contents.borrow();
+        let contents = self.held.contents.borrow();
         contents.next_action(wants, &look, &mut allowance)
     }
 
@@ -165,7 +167,7 @@
         } else {
             WANTED_PAUSE_MS
         };
-        let look_ms = self.book.contents.borrow().next_look_ms();
+        let look_ms = self.held.contents.borrow().next_look_ms();
         let pause_ms = look_ms.map_or(longest_ms, |look_ms| look_ms.saturating_sub(now_ms));
         let pause = Duration::from_millis(pause_ms.clamp(1, longest_ms));
         let _ = tokio::time::timeout(pause, self.server.order_due.notified()).await;
@@ -186,7 +188,7 @@
             }
         };
         let Some(report) = report else {
-            self.book.contents.borrow_mut().unlearn(self.node.now_ms());
+            self.held.contents.borrow_mut().unlearn(self.node.now_ms());
             return;
         };
         let event = ReportEvent {
@@ -197,7 +199,7 @@
             at_hand: report.at_hand.len(),
         };
         events::emit(part::ORDERS, Level::Info, "report", &event);
-        self.book
+        self.held
             .contents
             .borrow_mut()
             .note_report(&report, self.node.now_ms());
@@ -211,11 +213,11 @@
         let began_ms = self.node.now_ms();
         let answer = self.send_until_answered(&order, token).await;
         let now_ms = self.node.now_ms();
-        let mut contents = self.book.contents.borrow_mut();
+        let mut contents = self.held.contents.borrow_mut();
         contents.note_answer(action, answer, now_ms);
         drop(contents);
         if let (OrderAction::Load { .. }, OrderAnswer::Done) = (&order.action, answer) {
-            let mut wants = self.book.wants.borrow_mut();
+            let mut wants = self.held.wants.borrow_mut();
             wants.forget(adapter_key(&order.adapter));
         }
         self.log_order(&order, answer, now_ms - began_ms, wants);
@@ -230,7 +232,7 @@
         while answer == OrderAnswer::NoAnswer && unanswered < MOST_SENDS && self.may_order(token) {
             unanswered += 1;
             if unanswered == DOUBTFUL_SENDS {
-                self.book.note_doubtful(self.node.now_ms());
+                self.held.note_doubtful(self.node.now_ms());
                 self.publish();
             }
             answer = self.send(order).await;
@@ -279,7 +281,7 @@
     /// Has all that use the server told that it takes no connection.
     fn note_unreachable(&self, error: CallError) {
         if error == CallError::NotConnected {
-            self.book.note_unreachable(self.node.now_ms());
+            self.held.note_unreachable(self.node.now_ms());
             self.publish();
         }
     }
@@ -356,25 +358,29 @@
 
     /// Tells this box and those that use the server what it holds now.
     fn publish(&self) {
-        let Some(word) = self.own_word() else {
+        let Some(status) = self.own_status() else {
             return;
         };
-        let ready = self.server.view.borrow_mut().note(word, self.node.now_ms());
+        let ready = self
+            .server
+            .view
+            .borrow_mut()
+            .note(status, self.node.now_ms());
         self.node.waiters.wake(&ready);
-        self.server.word_came.notify_waiters();
-        self.node.outbox.tell_guests(self.server.key);
+        self.server.status_came.notify_waiters();
+        self.node.outbox.tell_subscribers(self.server.key);
     }
 
-    fn own_word(&self) -> Option<HolderWord> {
+    fn own_status(&self) -> Option<ServerStatus> {
         let now_ms = self.node.now_ms();
         let own_id = self.node.settings.borrow().box_id.clone();
-        let busyness = self.book.busyness(&own_id, now_ms);
-        let takes_loads = self.book.takes_loads(&self.node, &self.server);
-        if !self.book.contents.borrow().was_learnt() {
+        let busyness = self.held.busyness(&own_id, now_ms);
+        let takes_loads = self.held.takes_loads(&self.node, &self.server);
+        if !self.held.contents.borrow().was_learnt() {
             return None;
         }
-        Some(HolderWord {
-            entries: self.book.entries(&self.server, now_ms),
+        Some(ServerStatus {
+            entries: self.held.entries(&self.server, now_ms),
             running_elsewhere: busyness.running_elsewhere,
             delay: busyness.delay,
             backlog_ms: busyness.backlog_ms,
--- a/crates/tinbay-gateway/src/orders/mod.rs
+++ b/crates/tinbay-gateway/src/orders/mod.rs
@@ -1,7 +1,7 @@
 //! Claims on servers, and orders to them.
 
-pub mod book;
 pub mod claiming;
+pub mod held_server;
 pub mod holder;
 pub mod membership;
 pub mod quota;
--- a/crates/tinbay-gateway/src/peers/exchange.rs
+++ b/crates/tinbay-gateway/src/peers/exchange.rs
@@ -10,7 +10,7 @@
 use tinbay_core::serving::servers::ServerKey;
 use tokio::net::UdpSocket;
 
-use super::frame::{Frame, FramePart, MOST_BYTES, UsesPart, to_percent};
+use super::frame::{Frame, FramePart, MOST_BYTES, UsagePart, to_percent};
 use super::gossip;
 use super::outbox::{Audience, Due};
 use crate::events::{self, part};
@@ -152,9 +152,9 @@
 /// All that is due, by the box it goes to.
 fn by_box(node: &Node, due: Due) -> HashMap<String, Vec<FramePart>> {
     let mut by_box = due.parts;
-    for (server, audience) in due.words {
-        for (box_id, word) in words(node, server, &audience) {
-            by_box.entry(box_id).or_default().push(word);
+    for (server, audience) in due.statuses {
+        for (box_id, status) in statuses(node, server, &audience) {
+            by_box.entry(box_id).or_default().push(status);
         }
     }
     for server in due.uses {
@@ -165,22 +165,22 @@
     by_box
 }
 
-fn words(node: &Node, server: ServerKey, audience: &Audience) -> Vec<(String, FramePart)> {
-    let Some(book) = node.book(server) else {
+fn statuses(node: &Node, server: ServerKey, audience: &Audience) -> Vec<(String, FramePart)> {
+    let Some(held) = node.held_server(server) else {
         return Vec::new();
     };
     let now_ms = node.now_ms();
     let own_id = node.settings.borrow().box_id.clone();
     let boxes: Vec<String> = match audience {
         Audience::Boxes(boxes) => boxes.iter().cloned().collect(),
-        Audience::Guests => book.guest_boxes(now_ms),
+        Audience::Subscribers => held.subscriber_boxes(now_ms),
     };
     boxes
         .into_iter()
         .filter(|box_id| *box_id != own_id)
         .filter_map(|box_id| {
-            let word = book.word(node, server, &box_id)?;
-            Some((box_id, FramePart::Word(word)))
+            let status = held.status(node, server, &box_id)?;
+            Some((box_id, FramePart::Status(status)))
         })
         .collect()
 }
@@ -190,16 +190,16 @@
     let server = node.servers.borrow().by_key(server)?;
     let holder = node.holder_of(&server)?;
     let report = server.usage.borrow_mut().tell(node.now_ms());
-    if let Some(book) = node.book(server.key) {
+    if let Some(held) = node.held_server(server.key) {
         let own_id = node.settings.borrow().box_id.clone();
-        book.note_usage(node, &server, &own_id, report);
+        held.note_usage(node, &server, &own_id, report);
         return None;
     }
-    let part = UsesPart {
+    let part = UsagePart {
         server: server.fingerprint(),
         uses: report.uses,
         mistrust_percent: to_percent(report.mistrust),
         delay_percent: report.delay.map(to_percent),
     };
-    Some((holder, FramePart::Uses(part)))
+    Some((holder, FramePart::Usage(part)))
 }
--- a/crates/tinbay-gateway/src/peers/frame.rs
+++ b/crates/tinbay-gateway/src/peers/frame.rs
@@ -1,8 +1,8 @@
 //! The message between boxes.
 
 use serde::{Deserialize, Serialize};
-use tinbay_core::serving::guests::AdapterUse;
 use tinbay_core::serving::servers::Fingerprint;
+use tinbay_core::serving::subscribers::AdapterUse;
 
 use crate::members::MemberRecord;
 
@@ -27,21 +27,21 @@
 pub enum FramePart {
     /// What the sender says about itself.
     Hello(MemberRecord),
-    /// Boxes of its availability zone that it heard of lately, and how long ago in ms.
-    Heard(Vec<(Fingerprint, u16)>),
+    /// When boxes of its availability zone were last heard, and how long ago in ms.
+    LastHeard(Vec<(Fingerprint, u16)>),
     /// What a request needs of a server that the receiver holds.
-    Ask(AskPart),
-    /// A question how a server that the receiver holds stands.
-    Peek(Fingerprint),
+    LoadRequest(LoadRequestPart),
+    /// A request for the status of a server that the receiver holds.
+    StatusRequest(Fingerprint),
     /// All that the sender has running at a server that the receiver holds.
-    Uses(UsesPart),
-    /// What the sender, its holder, believes of a server.
-    Word(WordPart),
+    Usage(UsagePart),
+    /// The status of a server that the sender holds.
+    Status(StatusPart),
 }
 
 /// What a request needs of a server.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct AskPart {
+pub struct LoadRequestPart {
     /// The server.
     pub server: Fingerprint,
     /// The adapter as `model/name`, or a base model.
@@ -54,7 +54,7 @@
 
 /// All that a box has running at a server.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct UsesPart {
+pub struct UsagePart {
     /// The server.
     pub server: Fingerprint,
     /// Requests by adapter.
@@ -67,7 +67,7 @@
 
 /// What a server's holder believes of it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct WordPart {
+pub struct StatusPart {
     /// The server.
     pub server: Fingerprint,
     /// Requests that run there for other boxes than the receiver.
--- a/crates/tinbay-gateway/src/peers/gossip.rs
+++ b/crates/tinbay-gateway/src/peers/gossip.rs
@@ -26,7 +26,8 @@
     for box_id in near.sample(&mut rng, PEERS) {
         let hello = FramePart::Hello(node.own_record());
         node.outbox.post(box_id, hello);
-        node.outbox.post(box_id, FramePart::Heard(heard.clone()));
+        node.outbox
+            .post(box_id, FramePart::LastHeard(heard.clone()));
     }
 }
 
--- a/crates/tinbay-gateway/src/peers/inbox.rs
+++ b/crates/tinbay-gateway/src/peers/inbox.rs
@@ -13,12 +13,12 @@
 use tokio::net::UdpSocket;
 
 use super::frame::{
-    AdapterPart, AskPart, Frame, FramePart, MOST_BYTES, UsesPart, WordPart, from_percent,
+    AdapterPart, Frame, FramePart, LoadRequestPart, MOST_BYTES, StatusPart, UsagePart, from_percent,
 };
 use crate::events::{self, part};
 use crate::node::Node;
 use crate::servers::usage::UsageReport;
-use crate::servers::view::{HolderWord, ViewEntry};
+use crate::servers::view::{ServerStatus, ViewEntry};
 
 /// Pause after a failed read.
 const FAILURE_PAUSE: Duration = Duration::from_millis(10);
@@ -28,7 +28,7 @@
 struct Seen {
     incarnation: u64,
     uses: HashMap<Fingerprint, u64>,
-    words: HashMap<Fingerprint, u64>,
+    statuses: HashMap<Fingerprint, u64>,
 }
 
 #[derive(Serialize)]
@@ -82,17 +82,22 @@
                 let mut members = node.members.borrow_mut();
                 members.note_hello(&frame.box_id, record, now_ms);
             }
-            FramePart::Heard(heard) => take_heard(node, &heard, now_ms),
-            FramePart::Ask(ask) => take_ask(node, &frame.box_id, ask, now_ms),
-            FramePart::Peek(server) => take_peek(node, &frame.box_id, server, now_ms),
-            FramePart::Uses(uses) => {
+            FramePart::LastHeard(heard) => take_last_heard(node, &heard, now_ms),
+            FramePart::LoadRequest(ask) => take_load_request(node, &frame.box_id, ask, now_ms),
+            FramePart::StatusRequest(server) => {
+                take_status_request(node, &frame.box_id, server, now_ms)
+            }
+            FramePart::Usage(uses) => {
                 if advance(seen.uses.entry(uses.server).or_default(), frame.sequence) {
                     take_uses(node, &frame.box_id, uses);
                 }
             }
-            FramePart::Word(word) => {
-                if advance(seen.words.entry(word.server).or_default(), frame.sequence) {
-                    take_word(node, word, now_ms);
+            FramePart::Status(status) => {
+                if advance(
+                    seen.statuses.entry(status.server).or_default(),
+                    frame.sequence,
+                ) {
+                    take_status(node, status, now_ms);
                 }
             }
         }
@@ -105,7 +110,7 @@
     is_newer
 }
 
-fn take_heard(node: &Node, heard: &[(Fingerprint, u16)], now_ms: Millis) {
+fn take_last_heard(node: &Node, heard: &[(Fingerprint, u16)], now_ms: Millis) {
     let mut members = node.members.borrow_mut();
     for (fingerprint, age_ms) in heard {
         let heard_ms = now_ms.saturating_sub(Millis::from(*age_ms));
@@ -113,11 +118,11 @@
     }
 }
 
-fn take_ask(node: &Node, box_id: &str, ask: AskPart, now_ms: Millis) {
+fn take_load_request(node: &Node, box_id: &str, ask: LoadRequestPart, now_ms: Millis) {
     let Some(server) = node.servers.borrow().by_fingerprint(ask.server) else {
         return;
     };
-    let Some(book) = node.book(server.key) else {
+    let Some(held) = node.held_server(server.key) else {
         return;
     };
     let want = Want {
@@ -125,26 +130,26 @@
         version: ask.version,
         is_copy: ask.is_copy,
     };
-    book.note_ask(box_id, want, now_ms);
+    held.note_load_request(box_id, want, now_ms);
     server.order_due.notify_one();
     node.outbox.tell_box(server.key, box_id);
 }
 
-fn take_peek(node: &Node, box_id: &str, fingerprint: Fingerprint, now_ms: Millis) {
+fn take_status_request(node: &Node, box_id: &str, fingerprint: Fingerprint, now_ms: Millis) {
     let Some(server) = node.servers.borrow().by_fingerprint(fingerprint) else {
         return;
     };
-    if let Some(book) = node.book(server.key) {
-        book.note_peek(box_id, now_ms);
+    if let Some(held) = node.held_server(server.key) {
+        held.note_status_request(box_id, now_ms);
         node.outbox.tell_box(server.key, box_id);
     }
 }
 
-fn take_uses(node: &Node, box_id: &str, part: UsesPart) {
+fn take_uses(node: &Node, box_id: &str, part: UsagePart) {
     let Some(server) = node.servers.borrow().by_fingerprint(part.server) else {
         return;
     };
-    let Some(book) = node.book(server.key) else {
+    let Some(held) = node.held_server(server.key) else {
         return;
     };
     let report = UsageReport {
@@ -152,19 +157,19 @@
         mistrust: from_percent(part.mistrust_percent),
         delay: part.delay_percent.map(from_percent),
     };
-    if book.note_usage(node, &server, box_id, report) {
+    if held.note_usage(node, &server, box_id, report) {
         node.outbox.tell_box(server.key, box_id);
     }
-    if book.has_wants() {
+    if held.has_wants() {
         server.order_due.notify_one();
     }
 }
 
-fn take_word(node: &Node, part: WordPart, now_ms: Millis) {
+fn take_status(node: &Node, part: StatusPart, now_ms: Millis) {
     let Some(server) = node.servers.borrow().by_fingerprint(part.server) else {
         return;
     };
-    let word = HolderWord {
+    let status = ServerStatus {
         entries: part.adapters.iter().map(to_entry).collect(),
         running_elsewhere: usize::from(part.running_elsewhere),
         delay: from_percent(part.delay_percent),
@@ -172,9 +177,9 @@
         mistrust: from_percent(part.mistrust_percent),
         takes_loads: part.takes_loads,
     };
-    let ready = server.view.borrow_mut().note(word, now_ms);
+    let ready = server.view.borrow_mut().note(status, now_ms);
     node.waiters.wake(&ready);
-    server.word_came.notify_waiters();
+    server.status_came.notify_waiters();
 }
 
 fn to_entry(adapter: &AdapterPart) -> (Fingerprint, ViewEntry) {
--- a/crates/tinbay-gateway/src/peers/outbox.rs
+++ b/crates/tinbay-gateway/src/peers/outbox.rs
@@ -14,7 +14,7 @@
     /// Some boxes.
     Boxes(HashSet<String>),
     /// All boxes that use it.
-    Guests,
+    Subscribers,
 }
 
 /// What is to be told with the next messages.
@@ -22,8 +22,8 @@
 pub struct Due {
     /// Parts by the box they go to.
     pub parts: HashMap<String, Vec<FramePart>>,
-    /// Servers held here, and who is to be told of them.
-    pub words: HashMap<ServerKey, Audience>,
+    /// Servers held here, and who is to be told their status.
+    pub statuses: HashMap<ServerKey, Audience>,
     /// Servers whose holders are to be told what runs there.
     pub uses: HashSet<ServerKey>,
 }
@@ -47,7 +47,7 @@
     pub fn tell_box(&self, server: ServerKey, box_id: &str) {
         let mut due = self.due.borrow_mut();
         let audience = due
-            .words
+            .statuses
             .entry(server)
             .or_insert_with(|| Audience::Boxes(HashSet::new()));
         if let Audience::Boxes(boxes) = audience {
@@ -57,8 +57,11 @@
     }
 
     /// Has all boxes that use a server held here told what it holds.
-    pub fn tell_guests(&self, server: ServerKey) {
-        self.due.borrow_mut().words.insert(server, Audience::Guests);
+    pub fn tell_subscribers(&self, server: ServerKey) {
+        self.due
+            .borrow_mut()
+            .statuses
+            .insert(server, Audience::Subscribers);
         self.told.notify_one();
     }
 
--- a/crates/tinbay-gateway/src/servers/mod.rs
+++ b/crates/tinbay-gateway/src/servers/mod.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 
 use server::server_key;
-pub use server::{Flight, Server};
+pub use server::{RunningRequest, Server};
 use tinbay_core::serving::servers::{Fingerprint, ServerKey, ServerRecord};
 
 /// All servers known, by the name of their incarnation.
--- a/crates/tinbay-gateway/src/servers/server.rs
+++ b/crates/tinbay-gateway/src/servers/server.rs
@@ -5,8 +5,8 @@
 
 use tinbay_core::serving::contents::AdapterKey;
 use tinbay_core::serving::fading::faded;
-use tinbay_core::serving::guests::{MISTRUST_HALF_LIFE_MS, MOST_MISTRUST};
 use tinbay_core::serving::servers::{Fingerprint, ServerKey, ServerRecord, ServerState};
+use tinbay_core::serving::subscribers::{MISTRUST_HALF_LIFE_MS, MOST_MISTRUST};
 use tinbay_core::units::Millis;
 use tokio::sync::Notify;
 use xxhash_rust::xxh3::xxh3_64;
@@ -33,8 +33,8 @@
     pub address_text: String,
     /// Told when its holder may have something to order.
     pub order_due: Notify,
-    /// Told when its holder's word has come.
-    pub word_came: Notify,
+    /// Told when its holder has sent its status.
+    pub status_came: Notify,
     /// What its holder told.
     pub view: RefCell<View>,
     /// What this box has running there.
@@ -48,19 +48,19 @@
 
 /// One request of this box at a server, counted while it lives.
 #[derive(Debug)]
-pub struct Flight {
+pub struct RunningRequest {
     server: Rc<Server>,
     adapter: Option<AdapterKey>,
 }
 
-impl Flight {
+impl RunningRequest {
     /// The server the request runs at.
     pub fn server(&self) -> Rc<Server> {
         Rc::clone(&self.server)
     }
 }
 
-impl Drop for Flight {
+impl Drop for RunningRequest {
     fn drop(&mut self) {
         self.server.usage.borrow_mut().end(self.adapter);
     }
@@ -77,7 +77,7 @@
             key: server_key(&record.id),
             address_text: record.address.to_string(),
             order_due: Notify::new(),
-            word_came: Notify::new(),
+            status_came: Notify::new(),
             view: RefCell::default(),
             usage: RefCell::default(),
             pool: Rc::new(Pool::new(record.address)),
@@ -113,9 +113,13 @@
     }
 
     /// Counts a request of this box with so many tokens to read, for an adapter if it names one.
-    pub fn take_off(self: &Rc<Self>, adapter: Option<AdapterKey>, tokens: u32) -> Flight {
+    pub fn begin_request(
+        self: &Rc<Self>,
+        adapter: Option<AdapterKey>,
+        tokens: u32,
+    ) -> RunningRequest {
         self.usage.borrow_mut().begin(adapter, tokens);
-        Flight {
+        RunningRequest {
             server: Rc::clone(self),
             adapter,
         }
--- a/crates/tinbay-gateway/src/servers/usage.rs
+++ b/crates/tinbay-gateway/src/servers/usage.rs
@@ -3,8 +3,8 @@
 use std::collections::HashMap;
 
 use tinbay_core::serving::contents::AdapterKey;
-use tinbay_core::serving::guests::AdapterUse;
 use tinbay_core::serving::servers::Fingerprint;
+use tinbay_core::serving::subscribers::AdapterUse;
 use tinbay_core::units::Millis;
 
 /// Pause after which the holder is told again what still runs, as messages may be lost.
--- a/crates/tinbay-gateway/src/servers/view.rs
+++ b/crates/tinbay-gateway/src/servers/view.rs
@@ -4,16 +4,16 @@
 
 use tinbay_core::serving::contents::HeldState;
 use tinbay_core::serving::fading::faded;
-use tinbay_core::serving::guests::MISTRUST_HALF_LIFE_MS;
 use tinbay_core::serving::reading::Backlog;
 use tinbay_core::serving::servers::Fingerprint;
+use tinbay_core::serving::subscribers::MISTRUST_HALF_LIFE_MS;
 use tinbay_core::units::Millis;
 
-/// How long a holder's word is new enough to send a request by it without asking.
+/// How long a holder's report is new enough to send a request by it without asking.
 const FRESH_MS: Millis = 300;
 
-/// How long its word on what others have running, and on places, counts.
-const WORD_LIFE_MS: Millis = 2_000;
+/// How long the status counts for what others have running and for places.
+const STATUS_LIFE_MS: Millis = 2_000;
 
 /// Time within which a holder answers; a datagram and back takes a few milliseconds.
 const ANSWER_WITHIN_MS: Millis = 60;
@@ -32,9 +32,9 @@
     pub copies: usize,
 }
 
-/// A holder's word on its server.
+/// The status of a server, as its holder sent it.
 #[derive(Debug, Clone, PartialEq)]
-pub struct HolderWord {
+pub struct ServerStatus {
     /// All adapters that take a place.
     pub entries: HashMap<Fingerprint, ViewEntry>,
     /// Requests that other boxes have running there.
@@ -52,17 +52,17 @@
 /// What a server's holder told this box of it.
 #[derive(Debug, Default)]
 pub struct View {
-    word: Option<HolderWord>,
+    status: Option<ServerStatus>,
     backlog: Backlog,
     told_ms: Millis,
     asked_ms: Option<Millis>,
 }
 
 impl View {
-    /// Takes the holder's word; the adapters that can serve now, or in another version.
-    pub fn note(&mut self, word: HolderWord, now_ms: Millis) -> Vec<Fingerprint> {
+    /// Takes the status that the holder sent; the adapters that can serve now, or in another version.
+    pub fn note(&mut self, status: ServerStatus, now_ms: Millis) -> Vec<Fingerprint> {
         let known = |adapter: &Fingerprint| self.entry(*adapter);
-        let ready = word
+        let ready = status
             .entries
             .iter()
             .filter(|(adapter, entry)| {
@@ -70,8 +70,8 @@
             })
             .map(|(adapter, _)| *adapter)
             .collect();
-        self.backlog = Backlog::new(word.backlog_ms, now_ms);
-        self.word = Some(word);
+        self.backlog = Backlog::new(status.backlog_ms, now_ms);
+        self.status = Some(status);
         self.told_ms = now_ms;
         self.asked_ms = None;
         ready
@@ -93,31 +93,32 @@
         })
     }
 
-    /// Whether the word is new enough to send a request by it.
+    /// Whether the status is new enough to send a request by it.
     pub fn is_fresh(&self, now_ms: Millis) -> bool {
-        self.word.is_some() && now_ms < self.told_ms + FRESH_MS
+        self.status.is_some() && now_ms < self.told_ms + FRESH_MS
     }
 
-    /// An adapter by the holder's last word, however old: the server refuses what it lacks.
+    /// An adapter by the last status, however old: the server refuses what it lacks.
     pub fn entry(&self, adapter: Fingerprint) -> Option<ViewEntry> {
-        self.word.as_ref()?.entries.get(&adapter).copied()
+        self.status.as_ref()?.entries.get(&adapter).copied()
     }
 
     /// The server refused a request as it does not hold the adapter.
     pub fn note_missing(&mut self, adapter: Fingerprint) {
-        if let Some(word) = &mut self.word {
-            word.entries.remove(&adapter);
+        if let Some(status) = &mut self.status {
+            status.entries.remove(&adapter);
         }
     }
 
     /// Requests that other boxes have running there, as far as that was told lately.
     pub fn running_elsewhere(&self, now_ms: Millis) -> usize {
-        self.recent(now_ms).map_or(0, |word| word.running_elsewhere)
+        self.recent(now_ms)
+            .map_or(0, |status| status.running_elsewhere)
     }
 
     /// Usual time to the first byte over all boxes, as far as that was told lately.
     pub fn delay(&self, now_ms: Millis) -> f64 {
-        self.recent(now_ms).map_or(0.0, |word| word.delay)
+        self.recent(now_ms).map_or(0.0, |status| status.delay)
     }
 
     /// A request of this box begins that takes so long to read.
@@ -132,17 +133,17 @@
 
     /// Mistrust in the server over all boxes.
     pub fn mistrust(&self, now_ms: Millis) -> f64 {
-        let told = self.word.as_ref().map_or(0.0, |word| word.mistrust);
+        let told = self.status.as_ref().map_or(0.0, |status| status.mistrust);
         faded(told, self.told_ms, MISTRUST_HALF_LIFE_MS, now_ms)
     }
 
     /// Whether a load could begin; true where nothing was told lately.
     pub fn takes_loads(&self, now_ms: Millis) -> bool {
-        self.recent(now_ms).is_none_or(|word| word.takes_loads)
+        self.recent(now_ms).is_none_or(|status| status.takes_loads)
     }
 
-    fn recent(&self, now_ms: Millis) -> Option<&HolderWord> {
-        let is_recent = now_ms < self.told_ms + WORD_LIFE_MS;
-        self.word.as_ref().filter(|_| is_recent)
+    fn recent(&self, now_ms: Millis) -> Option<&ServerStatus> {
+        let is_recent = now_ms < self.told_ms + STATUS_LIFE_MS;
+        self.status.as_ref().filter(|_| is_recent)
     }
 }
--- /dev/null
+++ b/crates/tinbay-gateway/tests/server_view_test.rs
@@ -0,0 +1,93 @@
+//! What a box believes of a server by its holder, and what it tells the holder.
+
+use std::collections::HashMap;
+
+use tinbay_core::serving::contents::{HeldState, adapter_key};
+use tinbay_gateway::servers::usage::Usage;
+use tinbay_gateway::servers::view::{ServerStatus, View, ViewEntry};
+
+fn entry(version: u64, state: HeldState) -> ViewEntry {
+    ViewEntry {
+        version,
+        state,
+        copies: 1,
+    }
+}
+
+fn status(entries: &[(u32, ViewEntry)]) -> ServerStatus {
+    ServerStatus {
+        entries: entries.iter().copied().collect::<HashMap<_, _>>(),
+        running_elsewhere: 7,
+        delay: 0.5,
+        backlog_ms: 300.0,
+        mistrust: 2.0,
+        takes_loads: false,
+    }
+}
+
+#[test]
+fn note_tells_what_can_serve_now() {
+    let mut view = View::default();
+    let loading = entry(1, HeldState::Loading);
+    let ready = entry(1, HeldState::Ready);
+    assert_eq!(view.note(status(&[(4, ready), (5, loading)]), 0), [4]);
+    assert_eq!(view.note(status(&[(4, ready), (5, ready)]), 10), [5]);
+    let newer = entry(2, HeldState::Ready);
+    assert_eq!(view.note(status(&[(4, newer), (5, ready)]), 20), [4]);
+}
+
+#[test]
+fn status_counts_for_a_while_and_contents_longer() {
+    let mut view = View::default();
+    view.note(status(&[(4, entry(1, HeldState::Ready))]), 1_000);
+    assert!(view.is_fresh(1_299) && !view.is_fresh(1_300));
+    assert_eq!(view.running_elsewhere(2_999), 7);
+    assert!(!view.takes_loads(2_999));
+    assert_eq!(view.running_elsewhere(3_000), 0);
+    assert!(view.takes_loads(3_000));
+    assert_eq!(view.backlog_ms(1_100), 200.0);
+    assert!(view.mistrust(2_500) < 1.1);
+    assert!(view.entry(4).is_some());
+}
+
+#[test]
+fn is_silent_from_the_first_question_until_it_answers_or_is_tried_again() {
+    let mut view = View::default();
+    view.note_asked(0);
+    view.note_asked(50);
+    assert!(!view.is_silent(59) && view.is_silent(60));
+    assert!(!view.is_silent(1_500));
+    view.note(status(&[]), 70);
+    assert!(!view.is_silent(80));
+}
+
+#[test]
+fn tell_gives_what_runs_and_what_began_once() {
+    let key = adapter_key("m/a");
+    let mut usage = Usage::default();
+    usage.begin(Some(key), 500);
+    usage.begin(Some(key), 700);
+    usage.end(Some(key));
+    let report = usage.tell(0);
+    assert_eq!(report.uses[0].running, 1);
+    assert_eq!(report.uses[0].begun, 2);
+    assert_eq!(report.uses[0].begun_tokens, 1_200);
+    assert_eq!(usage.tell(10).uses[0].begun, 0);
+}
+
+#[test]
+fn is_due_when_something_changed_or_still_runs() {
+    let key = adapter_key("m/a");
+    let mut usage = Usage::default();
+    assert!(!usage.is_due(0));
+    usage.begin(Some(key), 1);
+    assert!(usage.is_due(0));
+    usage.tell(0);
+    assert!(!usage.is_due(999) && usage.is_due(1_000));
+    usage.end(Some(key));
+    assert!(usage.is_due(10));
+    usage.tell(10);
+    assert!(!usage.is_due(60_000));
+    usage.note_failure(2.0);
+    assert_eq!(usage.tell(70_000).mistrust, 2.0);
+}
