--- a/crates/tinbay-core/tests/serving_contents_test.rs
+++ b/crates/tinbay-core/tests/serving_contents_test.rs
@@ -376,12 +376,10 @@
 fn next_action_begins_fewer_loads_while_the_store_is_slow() {
     let mut contents = learnt(16, &[]);
     let mut now_ms = 0;
-    let mut count = 4;
     for number in 0..6 {
         let adapter = format!("m/slow{number}");
-        let action = load(&adapter, count);
+        let action = load(&adapter, 4 + number);
         contents.note_answer(&action, OrderAnswer::Accepted, now_ms);
-        count += 1;
         now_ms += 1_000;
         contents.note_answer(&action, OrderAnswer::Done, now_ms);
     }
