Silent connections: probes, rests that are trusted, second tries on new connections

Cause: an open connection may go silent for good without a reset. A request that may run once was lost on a kept connection; one that may be repeated waited for its whole time; a caller of the store or a relay took the next silent connection from its kept ones after a time-out. Change: kernel probes on every connection end silent ones within some seconds; a connection that rested for 500 ms takes no request that may run once; a repeatable request gives up a server that says nothing for four times the expected time, and goes out again on a connection just used or new; after a time-out no kept connection of that caller is trusted.

--- a/crates/tinbay-gateway/src/front/attempt.rs
+++ b/crates/tinbay-gateway/src/front/attempt.rs
@@ -10,7 +10,7 @@
 use super::headers::{self, ServerHeaders};
 use super::question::{Question, text};
 use crate::http::body::RequestBody;
-use crate::http::pool::{ConnectError, Connection};
+use crate::http::pool::{ConnectError, Connection, Trust};
 use crate::node::Node;
 use crate::servers::{RunningRequest, Server};
 
@@ -48,6 +48,8 @@
     pub server: &'a Rc<Server>,
     /// Connections this box may open to it.
     pub most_open: usize,
+    /// Which kept connections it may go out on.
+    pub trust: Trust,
     /// What is set besides the caller's headers.
     pub headers: ServerHeaders<'a>,
     /// Longest wait for the head.
@@ -80,7 +82,7 @@
     let headers = headers::for_server(&question.parts.headers, names, &terms.headers);
     let mut request = build(question, body, headers);
     loop {
-        let connected = terms.server.pool.get(terms.most_open).await;
+        let connected = terms.server.pool.get(terms.most_open, terms.trust).await;
         let mut connection = connected.map_err(|error| AttemptResult::NotSent { error })?;
         match connection.sender.try_send_request(request).await {
             Ok(response) => return Ok((response, connection)),
--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -17,6 +17,7 @@
 use super::refusal::{NotRunReason, Refusal};
 use crate::events::{self, part};
 use crate::http::body::{AnswerBody, BodyError, RequestBody};
+use crate::http::pool::Trust;
 use crate::http::relay::{EndObserver, Relay, RelayTerms};
 use crate::node::Node;
 use crate::servers::{RunningRequest, Server};
@@ -30,6 +31,14 @@
 /// The last rank a server knows.
 const LEAST_URGENT: u8 = 9;
 
+/// Factor over the expected time to the head after which a server is taken not to answer: its
+/// connection may have gone silent, and the rest of the time is better spent at another server.
+const SILENCE_FACTOR: f64 = 4.0;
+
+/// Shortest silence of a server that is taken as such: plain services answer within some tens of
+/// milliseconds.
+const LEAST_SILENCE_MS: Millis = 100;
+
 /// Mistrust after a try that may have run without an answer.
 const MISTRUST_UNKNOWN: f64 = 1.0;
 
@@ -93,7 +102,7 @@
             .sent_after_ms
             .set(Some(sent_ms - question.arrived_ms));
         let before_ms = node.backlog_ms(&server);
-        let result = try_server(node, question, sent, &server).await;
+        let result = try_server(node, question, &tries, sent, &server).await;
         if matches!(result, AttemptResult::Begun(_)) {
             node.note_reading(question, before_ms, node.now_ms() - sent_ms);
         }
@@ -144,26 +153,47 @@
 async fn try_server(
     node: &Node,
     question: &Question,
+    tries: &Tries,
     body: RequestBody,
     server: &Rc<Server>,
 ) -> AttemptResult {
     let now_ms = node.now_ms();
     let left_ms = question.time_up_ms.saturating_sub(now_ms);
+    let is_last = !may_run_again(question, tries);
     let record = server.record();
     let terms = AttemptTerms {
         server,
         most_open: most_open(node, question),
+        trust: if is_last { Trust::JustUsed } else { Trust::Any },
         headers: ServerHeaders {
             deadline_ms: left_ms,
             server_id: &record.id,
             priority: question.route.priority.min(LEAST_URGENT),
             version: expected_version(node, question, server),
         },
-        head_within: Duration::from_millis(left_ms),
+        head_within: if is_last {
+            Duration::from_millis(left_ms)
+        } else {
+            Duration::from_millis(left_ms.min(silent_after_ms(node, question, server)))
+        },
     };
     attempt(node, question, body, terms).await
 }
 
+/// Whether a request may be sent to one more server if the next one does not answer.
+fn may_run_again(question: &Question, tries: &Tries) -> bool {
+    question.is_repeatable() && tries.runs + 1 < question.route.most_attempts
+}
+
+/// Time after which a server that has said nothing is taken not to answer any more.
+fn silent_after_ms(node: &Node, question: &Question, server: &Server) -> Millis {
+    let objective_ms = question.route.objective_ms as f64;
+    let usual_ms = server.delay(node.now_ms()) * objective_ms;
+    let reading_ms = node.reading_ms(&question.service, question.prompt.tokens);
+    let expected_ms = usual_ms.max(node.backlog_ms(server) + reading_ms);
+    LEAST_SILENCE_MS.max((expected_ms * SILENCE_FACTOR) as Millis)
+}
+
 /// The version the server must hold: the one it is believed to hold where one was named. A
 /// server that holds another one declines.
 fn expected_version(node: &Node, question: &Question, server: &Server) -> Option<u64> {
@@ -198,7 +228,7 @@
     answer: &BegunAnswer,
 ) -> bool {
     let is_failure = answer.response.status().is_server_error();
-    if !is_failure || !question.is_repeatable() || tries.runs + 1 >= question.route.most_attempts {
+    if !is_failure || !may_run_again(question, tries) {
         return false;
     }
     let mut tried = tries.tried.clone();
--- a/crates/tinbay-gateway/src/front/listener.rs
+++ b/crates/tinbay-gateway/src/front/listener.rs
@@ -20,6 +20,7 @@
 use super::refusal::Refusal;
 use crate::events::{self, part};
 use crate::http::body::{AnswerBody, BodyError, read_request_body};
+use crate::http::silence::end_when_silent;
 use crate::node::Node;
 
 /// Longest body that is kept whole, so that it can be sent a second time.
@@ -28,6 +29,10 @@
 /// Shortest read buffer that hyper takes.
 const LEAST_BUFFER_BYTES: usize = 8_192;
 
+/// Rest after which a caller's connection is probed: those that went silent are let go long
+/// before the longest rest that callers are allowed.
+const PROBED_REST: Duration = Duration::from_secs(3);
+
 /// Counts a caller's connection while it lives.
 struct Open(Rc<Node>);
 
@@ -54,6 +59,7 @@
         match accepted {
             Ok((stream, _)) => {
                 let _ = stream.set_nodelay(true);
+                end_when_silent(&stream, PROBED_REST);
                 tokio::task::spawn_local(serve(Rc::clone(&node), stream));
             }
             Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
--- a/crates/tinbay-gateway/src/http/call.rs
+++ b/crates/tinbay-gateway/src/http/call.rs
@@ -78,7 +78,11 @@
         let timeout = Duration::from_millis(call.timeout_ms);
         match tokio::time::timeout(timeout, self.exchange(call)).await {
             Ok(result) => result,
-            Err(_) => Err(CallError::NoAnswer),
+            Err(_) => {
+                // The connections that rest may have gone silent with the one just used.
+                self.idle.borrow_mut().clear();
+                Err(CallError::NoAnswer)
+            }
         }
     }
 
--- a/crates/tinbay-gateway/src/http/connect.rs
+++ b/crates/tinbay-gateway/src/http/connect.rs
@@ -10,6 +10,12 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use super::silence::end_when_silent;
+
+/// Rest after which a connection of our own is probed: watches and long answers are silent for
+/// about as long.
+const PROBED_REST: Duration = Duration::from_millis(1_000);
+
 /// Opens a connection; none when it does not stand in time. Its driver runs until the
 /// connection ends or the handle aborts it.
 pub async fn connect<B>(
@@ -24,6 +30,7 @@
     let connecting = TcpStream::connect(address);
     let stream = tokio::time::timeout(within, connecting).await.ok()?.ok()?;
     let _ = stream.set_nodelay(true);
+    end_when_silent(&stream, PROBED_REST);
     let (sender, driver) = http1::handshake(TokioIo::new(stream)).await.ok()?;
     let driver = tokio::task::spawn_local(async move {
         let _ = driver.await;
--- a/crates/tinbay-gateway/src/http/mod.rs
+++ b/crates/tinbay-gateway/src/http/mod.rs
@@ -5,3 +5,4 @@
 pub mod connect;
 pub mod pool;
 pub mod relay;
+pub mod silence;
--- a/crates/tinbay-gateway/src/http/pool.rs
+++ b/crates/tinbay-gateway/src/http/pool.rs
@@ -17,6 +17,11 @@
 /// Longest rest of a connection where the server names none.
 const DEFAULT_REST: Duration = Duration::from_millis(4_000);
 
+/// Rest after which a kept connection is no longer trusted with a request that may run only
+/// once: it may have gone silent, or the server may have forgotten it, and nobody could tell
+/// whether the request has run.
+const TRUSTED_REST: Duration = Duration::from_millis(500);
+
 /// Longest time a used connection takes to become ready again.
 const READY_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -42,9 +47,19 @@
 #[derive(Debug)]
 struct Idle {
     connection: Connection,
+    since: Instant,
     until: Instant,
 }
 
+/// Which kept connections a request may use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Trust {
+    /// Any: the request may be sent again where there is no answer.
+    Any,
+    /// Those that were used just now: the request may run only once.
+    JustUsed,
+}
+
 /// A connection in use; dropped, it is closed at once.
 #[derive(Debug)]
 pub struct Connection {
@@ -73,24 +88,31 @@
         }
     }
 
-    /// A kept connection, or a new one while fewer than `most_open` are open.
+    /// A kept connection that is trusted, or a new one while fewer than `most_open` are open.
     ///
     /// # Errors
     /// When none may be opened or the server takes none.
-    pub async fn get(&self, most_open: usize) -> Result<Connection, ConnectError> {
-        if let Some(connection) = self.take_idle() {
+    pub async fn get(&self, most_open: usize, trust: Trust) -> Result<Connection, ConnectError> {
+        if let Some(connection) = self.take_idle(trust) {
             return Ok(connection);
         }
+        if self.open.get() >= most_open {
+            self.close_oldest();
+        }
         if self.open.get() >= most_open {
             return Err(ConnectError::AllInUse);
         }
         self.connect().await
     }
 
-    fn take_idle(&self) -> Option<Connection> {
+    fn take_idle(&self, trust: Trust) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
-        while let Some(kept) = idle.pop() {
+        while let Some(last) = idle.last() {
+            if trust == Trust::JustUsed && last.since + TRUSTED_REST < now {
+                return None;
+            }
+            let kept = idle.pop()?;
             if kept.until > now && kept.connection.sender.is_ready() {
                 return Some(kept.connection);
             }
@@ -98,6 +120,14 @@
         None
     }
 
+    /// Closes the connection that has rested longest, to make way for a new one.
+    fn close_oldest(&self) {
+        let mut idle = self.idle.borrow_mut();
+        if !idle.is_empty() {
+            idle.remove(0);
+        }
+    }
+
     async fn connect(&self) -> Result<Connection, ConnectError> {
         let connected = connect(self.address, CONNECT_TIMEOUT).await;
         let (sender, driver) = connected.ok_or(ConnectError::Refused)?;
@@ -113,12 +143,18 @@
     /// Keeps a connection whose answer came whole, for part of the rest the server allows.
     pub fn give_back(self: &Rc<Self>, mut connection: Connection, rest: Option<Duration>) {
         let pool = Rc::clone(self);
-        let until = Instant::now() + rest.unwrap_or(DEFAULT_REST) / 2;
+        let since = Instant::now();
+        let until = since + rest.unwrap_or(DEFAULT_REST) / 2;
         tokio::task::spawn_local(async move {
             let ready = tokio::time::timeout(READY_TIMEOUT, connection.sender.ready()).await;
             if matches!(ready, Ok(Ok(()))) {
                 connection.is_reused = true;
-                pool.idle.borrow_mut().push(Idle { connection, until });
+                let kept = Idle {
+                    connection,
+                    since,
+                    until,
+                };
+                pool.idle.borrow_mut().push(kept);
             }
         });
     }
--- /dev/null
+++ b/crates/tinbay-gateway/tests/call_test.rs
@@ -0,0 +1,69 @@
+//! Single calls over kept connections that may have gone silent.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::Method;
+use tinbay_gateway::http::call::{Call, CallError, Caller};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::LocalSet;
+
+/// Connections that answer their first request and nothing after it.
+const SILENT_CONNECTIONS: usize = 3;
+
+const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+fn call() -> Call {
+    Call {
+        method: Method::GET,
+        path: "/".into(),
+        body: Bytes::new(),
+        header: None,
+        timeout_ms: 300,
+    }
+}
+
+async fn serve(listener: TcpListener) {
+    let mut opened = 0;
+    while let Ok((stream, _)) = listener.accept().await {
+        opened += 1;
+        let most_answers = if opened <= SILENT_CONNECTIONS {
+            1
+        } else {
+            usize::MAX
+        };
+        tokio::task::spawn_local(answer(stream, most_answers));
+    }
+}
+
+async fn answer(mut stream: TcpStream, most_answers: usize) {
+    let mut buffer = [0; 1_024];
+    let mut answers = 0;
+    while matches!(stream.read(&mut buffer).await, Ok(length) if length > 0) {
+        if answers < most_answers {
+            // A pause, so that calls at the same time need connections of their own.
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            stream.write_all(ANSWER).await.expect("the caller reads");
+            answers += 1;
+        }
+    }
+}
+
+#[test]
+fn call_after_a_silent_connection_trusts_none_that_rested() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let caller = Caller::new(listener.local_addr().expect("its address"));
+        tokio::task::spawn_local(serve(listener));
+        let call = call();
+        let first = tokio::join!(caller.call(&call), caller.call(&call), caller.call(&call));
+        assert!(first.0.is_ok() && first.1.is_ok() && first.2.is_ok());
+        assert_eq!(caller.call(&call).await, Err(CallError::NoAnswer));
+        assert!(caller.call(&call).await.is_ok());
+    });
+}
