A request waits as long as it can be served in time, and is refused at once where it can't

Cause: requests waited 0.45 of their time for an adapter, whatever was known, and were told to come back after 0.32 of the rest. A caller counts from its first try: a refusal that leads to success gains nothing, a wait in vain costs by its length. Change: holders tell how long a load takes that is asked for now; a request whose adapter would come after its caller leaves (its deadline, or the silence after which streams are given up) is refused at once with that time as Retry-After; any other is kept until it could not be read in time. A request whose time ends before it was sent is told so, instead of a 504. Load requests are repeated each 200 ms in place of 100.

--- a/crates/tinbay-core/src/serving/configuration.rs
+++ b/crates/tinbay-core/src/serving/configuration.rs
@@ -43,6 +43,8 @@
     pub timeout_ms: Millis,
     /// Time within which an answer earns its full credit.
     pub objective_ms: Millis,
+    /// Longest pause between events of a stream in time; none where there is no stream.
+    pub objective_gap_ms: Option<Millis>,
     /// Rank, 0 first.
     pub priority: u8,
     /// Services and their shares; one with weight 1 where there is no split.
@@ -53,6 +55,27 @@
     pub resumable: bool,
 }
 
+/// Silence after which callers give up any stream, however short its objective.
+const LEAST_STREAM_PATIENCE_MS: Millis = 2_000;
+
+/// Objectives after which callers give up a stream that has not begun.
+const PATIENCE_OBJECTIVES: Millis = 4;
+
+/// Longest pauses in time after which callers give up a silent stream.
+const PATIENCE_GAPS: Millis = 8;
+
+impl Route {
+    /// How long callers wait for the first piece of a stream; none where there is no stream.
+    pub fn stream_patience_ms(&self) -> Option<Millis> {
+        if self.kind != RouteKind::Streaming {
+            return None;
+        }
+        let by_objective_ms = PATIENCE_OBJECTIVES * self.objective_ms;
+        let by_gap_ms = PATIENCE_GAPS * self.objective_gap_ms.unwrap_or_default();
+        Some(LEAST_STREAM_PATIENCE_MS.max(by_objective_ms).max(by_gap_ms))
+    }
+}
+
 /// One share of a route.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Target {
--- a/crates/tinbay-core/src/serving/contents/mod.rs
+++ b/crates/tinbay-core/src/serving/contents/mod.rs
@@ -170,6 +170,13 @@
         self.has_room(self.models.largest_adapter_mb()) || self.held.iter().any(can_give)
     }
 
+    /// Expected time until a load that is asked for now is done, behind `awaited` others.
+    pub fn load_wait_ms(&self, awaited: usize) -> f64 {
+        let before = self.loading() + awaited;
+        let rounds = before as f64 / self.fetches.at_once().max(1) as f64;
+        self.fetch_ms * (1.0 + rounds)
+    }
+
     /// Forgets what was believed, as after a gap in holding the claim.
     pub fn unlearn(&mut self, now_ms: Millis) {
         self.order_count = None;
--- a/crates/tinbay-core/src/serving/wants.rs
+++ b/crates/tinbay-core/src/serving/wants.rs
@@ -59,6 +59,12 @@
         self.by_adapter.remove(&key);
     }
 
+    /// Adapters that requests wait for.
+    pub fn awaited(&self) -> usize {
+        let is_awaited = |asked: &&Asked| !asked.want.is_copy;
+        self.by_adapter.values().filter(is_awaited).count()
+    }
+
     /// Whether nothing is wanted.
     pub fn is_empty(&self) -> bool {
         self.by_adapter.is_empty()
--- a/crates/tinbay-core/tests/serving_routes_test.rs
+++ b/crates/tinbay-core/tests/serving_routes_test.rs
@@ -13,6 +13,7 @@
         kind: RouteKind::Safe,
         timeout_ms: 1_000,
         objective_ms: 150,
+        objective_gap_ms: None,
         priority: 0,
         targets: vec![Target {
             service: "s".into(),
@@ -114,3 +115,17 @@
     assert!(!budget.take_second(&TERMS, 1, 1_000));
     assert!(budget.take_second(&TERMS, 1, 11_001));
 }
+
+#[test]
+fn stream_patience_is_the_longest_of_three() {
+    let mut stream = route("r", "h", "/");
+    assert_eq!(stream.stream_patience_ms(), None);
+    stream.kind = RouteKind::Streaming;
+    stream.objective_ms = 600;
+    assert_eq!(stream.stream_patience_ms(), Some(2_400));
+    stream.objective_gap_ms = Some(500);
+    assert_eq!(stream.stream_patience_ms(), Some(4_000));
+    stream.objective_ms = 150;
+    stream.objective_gap_ms = Some(100);
+    assert_eq!(stream.stream_patience_ms(), Some(2_000));
+}
--- a/crates/tinbay-gateway/src/front/adapters.rs
+++ b/crates/tinbay-gateway/src/front/adapters.rs
@@ -15,47 +15,22 @@
 use crate::node::Node;
 use crate::servers::Server;
 
-/// Part of its time that a request waits for an adapter before its caller is told to come
-/// back; the rest is left for another try.
-const PATIENCE: f64 = 0.45;
-
 /// Longest pause between looks; the status from the server's holder ends it.
 const LOOK_PAUSE: Duration = Duration::from_millis(100);
 
-/// Pause after which a holder is asked again, as messages may be lost.
-const ASK_AGAIN_MS: Millis = 100;
+/// Time after the first request for a load within which its holder's answer decides whether to
+/// wait for it; it tells how long a load takes that is asked for just then.
+const JUDGED_WITHIN_MS: Millis = 50;
 
 /// Longest wait for a server's status where the request could be sent without it.
 const ANSWER_WAIT: Duration = Duration::from_millis(20);
 
-/// Part of the time left after which a caller should come back; callers wait no longer than a
-/// third.
-const RETRY_AFTER_PART: f64 = 0.32;
+/// When a caller should come back while it is not known how long a load would take.
+const RETRY_UNKNOWN_MS: Millis = 300;
 
 /// When a caller comes back that should use another box.
 const RETRY_ELSEWHERE_MS: Millis = 20;
 
-/// How long a request waits for its adapter.
-struct Patience {
-    until_ms: Millis,
-    time_up_ms: Millis,
-}
-
-impl Patience {
-    fn of(question: &Question) -> Self {
-        let time_ms = (question.time_up_ms - question.arrived_ms) as f64;
-        Self {
-            until_ms: question.arrived_ms + (time_ms * PATIENCE) as Millis,
-            time_up_ms: question.time_up_ms,
-        }
-    }
-
-    fn retry_after_ms(&self, now_ms: Millis) -> Millis {
-        let left_ms = self.time_up_ms.saturating_sub(now_ms) as f64;
-        (left_ms * RETRY_AFTER_PART) as Millis
-    }
-}
-
 /// The server that should run a request, once it holds what the request needs.
 ///
 /// # Errors
@@ -65,7 +40,6 @@
     question: &Question,
     tried: &[String],
 ) -> Result<Rc<Server>, Refusal> {
-    let patience = Patience::of(question);
     let mut asked = Asked::default();
     loop {
         match choice::choose(node, question, tried, &asked) {
@@ -80,12 +54,12 @@
                 refresh_status(node, &server, &mut asked).await;
             }
             Choice::Load(server) => {
-                let now_ms = node.now_ms();
-                check_patience(node, &patience, now_ms)?;
+                let last_send_ms = last_send_ms(node, question, &server);
+                check_prospect(node, &asked, &server, last_send_ms)?;
                 if asked.loads.is_empty() {
                     log_wait(node, question, &server);
                 }
-                let left = Duration::from_millis(patience.until_ms - now_ms);
+                let left = Duration::from_millis(last_send_ms.saturating_sub(node.now_ms()));
                 wait_for_load(node, question, &server, LOOK_PAUSE.min(left), &mut asked).await;
             }
             Choice::Nowhere => return Err(Refusal::NoServer),
@@ -101,20 +75,43 @@
     let _ = tokio::time::timeout(ANSWER_WAIT, status_came).await;
 }
 
-fn check_patience(node: &Node, patience: &Patience, now_ms: Millis) -> Result<(), Refusal> {
-    if now_ms >= patience.until_ms {
-        return Err(Refusal::NotRun {
-            reason: NotRunReason::AdapterNotLoaded,
-            retry_after_ms: patience.retry_after_ms(now_ms),
-        });
-    }
+/// Until when a request can be sent to a server so that its first piece still finds the caller.
+fn last_send_ms(node: &Node, question: &Question, server: &Server) -> Millis {
+    let own_ms = node.reading_ms(&question.service, question.prompt.tokens);
+    let reading_ms = (node.backlog_ms(server) + own_ms) as Millis;
+    question.first_piece_by_ms.saturating_sub(reading_ms)
+}
+
+/// Refuses a request at once that is known not to be served: its adapter comes too late, or the
+/// box is leaving.
+fn check_prospect(
+    node: &Node,
+    asked: &Asked,
+    server: &Server,
+    last_send_ms: Millis,
+) -> Result<(), Refusal> {
     if node.is_leaving.get() {
         return Err(Refusal::NotRun {
             reason: NotRunReason::BoxLeaving,
             retry_after_ms: RETRY_ELSEWHERE_MS,
         });
     }
-    Ok(())
+    let now_ms = node.now_ms();
+    let first_asked_ms = asked.loads.get(&server.key).map(|load| load.first_ms);
+    let wait_ms = first_asked_ms.and_then(|asked_ms| node.load_wait_ms(server, asked_ms));
+    let ready_ms = match (first_asked_ms, wait_ms) {
+        (Some(asked_ms), Some(wait_ms)) if now_ms < asked_ms + JUDGED_WITHIN_MS => {
+            asked_ms + wait_ms as Millis
+        }
+        _ => now_ms,
+    };
+    if ready_ms < last_send_ms {
+        return Ok(());
+    }
+    Err(Refusal::NotRun {
+        reason: NotRunReason::AdapterNotLoaded,
+        retry_after_ms: wait_ms.map_or(RETRY_UNKNOWN_MS, |wait_ms| wait_ms as Millis),
+    })
 }
 
 /// Has the server's holder load the adapter, unless it was asked lately, and waits until its status
@@ -130,10 +127,8 @@
     let adapter_ready = adapter.notified();
     let status_came = server.status_came.notified();
     let now_ms = node.now_ms();
-    let is_over = |asked_ms: &Millis| now_ms >= asked_ms + ASK_AGAIN_MS;
-    if asked.loads.get(&server.key).is_none_or(is_over) {
+    if asked.takes_load_request(server.key, now_ms) {
         node.request_load(server, want(node, question, false));
-        asked.loads.insert(server.key, now_ms);
     }
     tokio::select! {
         () = adapter_ready => {}
--- a/crates/tinbay-gateway/src/front/choice.rs
+++ b/crates/tinbay-gateway/src/front/choice.rs
@@ -29,6 +29,9 @@
 /// Mistrust at which a server does not count among those over which an adapter is spread.
 const MISTRUSTED: f64 = 1.5;
 
+/// Pause after which a holder is asked for a load again, as messages may be lost.
+const ASK_AGAIN_MS: Millis = 200;
+
 /// Loads that are alike within this are chosen among at random.
 const TIE_LOAD: f64 = 0.02;
 
@@ -51,11 +54,39 @@
 #[derive(Debug, Default)]
 pub struct Asked {
     /// To load what it needs.
-    pub loads: HashMap<ServerKey, Millis>,
+    pub loads: HashMap<ServerKey, LoadAsked>,
     /// How their servers stand.
     pub status_requests: HashMap<ServerKey, Millis>,
 }
 
+/// When one holder was asked to load what a request needs.
+#[derive(Debug, Clone, Copy)]
+pub struct LoadAsked {
+    /// First.
+    pub first_ms: Millis,
+    /// Last.
+    pub last_ms: Millis,
+}
+
+impl Asked {
+    /// Whether a holder is to be asked for a load now, the first time or again; notes that it is.
+    pub fn takes_load_request(&mut self, server: ServerKey, now_ms: Millis) -> bool {
+        let Some(asked) = self.loads.get_mut(&server) else {
+            let asked = LoadAsked {
+                first_ms: now_ms,
+                last_ms: now_ms,
+            };
+            self.loads.insert(server, asked);
+            return true;
+        };
+        let is_over = now_ms >= asked.last_ms + ASK_AGAIN_MS;
+        if is_over {
+            asked.last_ms = now_ms;
+        }
+        is_over
+    }
+}
+
 /// Where a request should run, among servers not tried yet.
 pub fn choose(node: &Node, question: &Question, tried: &[String], asked: &Asked) -> Choice {
     let mut ready = node.servers.borrow().ready(&question.service);
--- a/crates/tinbay-gateway/src/front/listener.rs
+++ b/crates/tinbay-gateway/src/front/listener.rs
@@ -17,7 +17,7 @@
 
 use super::deliver::{self, Ending};
 use super::question::Question;
-use super::refusal::Refusal;
+use super::refusal::{NotRunReason, Refusal};
 use crate::events::{self, part};
 use crate::http::body::{AnswerBody, BodyError, read_request_body};
 use crate::http::silence::end_when_silent;
@@ -33,6 +33,9 @@
 /// before the longest rest that callers are allowed.
 const PROBED_REST: Duration = Duration::from_secs(3);
 
+/// When a caller should come back whose time was up: by then others may have been served.
+const RETRY_AFTER_TIME_UP_MS: Millis = 1_000;
+
 /// Counts a caller's connection while it lives.
 struct Open(Rc<Node>);
 
@@ -113,6 +116,10 @@
     let delivering = read_and_deliver(node, &question, body);
     let result = match tokio::time::timeout(left, delivering).await {
         Ok(result) => result,
+        Err(_) if question.sent_after_ms.get().is_none() => Err(Refusal::NotRun {
+            reason: NotRunReason::TimeUp,
+            retry_after_ms: RETRY_AFTER_TIME_UP_MS,
+        }),
         Err(_) => Err(Refusal::TimeUp),
     };
     match result {
--- a/crates/tinbay-gateway/src/front/question.rs
+++ b/crates/tinbay-gateway/src/front/question.rs
@@ -41,6 +41,8 @@
     pub sent_after_ms: Cell<Option<Millis>>,
     /// When its time is up: the caller's deadline or the route's time-out.
     pub time_up_ms: Millis,
+    /// When its caller leaves if nothing has come.
+    pub first_piece_by_ms: Millis,
 }
 
 impl Question {
@@ -70,6 +72,10 @@
             .map_or(DEFAULT_DEADLINE_MS, |value| value as Millis);
         let model = text(&parts.headers, &names.model).map(str::to_string);
         let time_up_ms = arrived_ms + deadline_ms.min(route.timeout_ms);
+        let first_piece_by_ms = match route.stream_patience_ms() {
+            Some(patience_ms) => time_up_ms.min(arrived_ms + patience_ms),
+            None => time_up_ms,
+        };
         Ok(Self {
             id,
             route,
@@ -81,6 +87,7 @@
             arrived_ms,
             sent_after_ms: Cell::default(),
             time_up_ms,
+            first_piece_by_ms,
             parts,
         })
     }
--- a/crates/tinbay-gateway/src/front/refusal.rs
+++ b/crates/tinbay-gateway/src/front/refusal.rs
@@ -10,9 +10,12 @@
 /// Why a request has not run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum NotRunReason {
-    /// No server held its adapter in time.
-    #[error("its adapter was not loaded in time")]
+    /// Its adapter can't be there before its caller leaves.
+    #[error("its adapter can't be loaded in time")]
     AdapterNotLoaded,
+    /// Its time was up before it was sent.
+    #[error("its time was up before it was sent")]
+    TimeUp,
     /// The box is leaving, and another one will take it.
     #[error("the box is leaving")]
     BoxLeaving,
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -326,6 +326,15 @@
         }
     }
 
+    /// Expected time from `asked_ms` until a load is done that was asked for then, if that is
+    /// known.
+    pub fn load_wait_ms(&self, server: &Server, asked_ms: Millis) -> Option<f64> {
+        match self.held_server(server.key) {
+            Some(held) => Some(held.load_wait_ms()),
+            None => server.view.borrow().load_wait_ms(asked_ms),
+        }
+    }
+
     /// Whether asking how busy a server is would tell this box more than it knows.
     pub fn should_ask(&self, server: &Server) -> bool {
         let now_ms = self.now_ms();
--- a/crates/tinbay-gateway/src/orders/held_server.rs
+++ b/crates/tinbay-gateway/src/orders/held_server.rs
@@ -142,6 +142,12 @@
         node.order_token(server).is_some() && contents.takes_loads(&is_in_use, now_ms)
     }
 
+    /// Expected time until a load that is asked for now is done.
+    pub fn load_wait_ms(&self) -> f64 {
+        let awaited = self.wants.borrow().awaited();
+        self.contents.borrow().load_wait_ms(awaited)
+    }
+
     /// What a box is told of the server; nothing before its contents are known.
     pub fn status(&self, node: &Node, server: ServerKey, box_id: &str) -> Option<StatusPart> {
         let server = node.servers.borrow().by_key(server)?;
@@ -166,6 +172,7 @@
             backlog_ms: subscribers.backlog_ms(now_ms).min(f64::from(u16::MAX)) as u16,
             mistrust_percent: to_percent(subscribers.mistrust(now_ms)),
             takes_loads,
+            load_wait_ms: self.load_wait_ms().min(f64::from(u16::MAX)) as u16,
             adapters,
         })
     }
--- a/crates/tinbay-gateway/src/orders/holder.rs
+++ b/crates/tinbay-gateway/src/orders/holder.rs
@@ -409,6 +409,7 @@
             backlog_ms: busyness.backlog_ms,
             mistrust: busyness.mistrust,
             takes_loads,
+            load_wait_ms: self.held.load_wait_ms(),
         })
     }
 }
--- a/crates/tinbay-gateway/src/peers/frame.rs
+++ b/crates/tinbay-gateway/src/peers/frame.rs
@@ -80,6 +80,8 @@
     pub mistrust_percent: u16,
     /// Whether a load could begin.
     pub takes_loads: bool,
+    /// Expected time until a load that is asked for now is done, in ms.
+    pub load_wait_ms: u16,
     /// All adapters that take a place.
     pub adapters: Vec<AdapterPart>,
 }
--- a/crates/tinbay-gateway/src/peers/inbox.rs
+++ b/crates/tinbay-gateway/src/peers/inbox.rs
@@ -174,6 +174,7 @@
         backlog_ms: f64::from(part.backlog_ms),
         mistrust: from_percent(part.mistrust_percent),
         takes_loads: part.takes_loads,
+        load_wait_ms: f64::from(part.load_wait_ms),
     };
     let change = server.view.borrow_mut().note(status, now_ms);
     node.waiters.wake(&change.ready);
--- a/crates/tinbay-gateway/src/servers/view.rs
+++ b/crates/tinbay-gateway/src/servers/view.rs
@@ -44,6 +44,8 @@
     pub mistrust: f64,
     /// Whether a load could begin.
     pub takes_loads: bool,
+    /// Expected time until a load that is asked for now is done.
+    pub load_wait_ms: f64,
 }
 
 /// What a server's holder told this box of it.
@@ -151,6 +153,13 @@
         self.recent(now_ms).is_none_or(|status| status.takes_loads)
     }
 
+    /// Expected time until a load is done that was asked for at `asked_ms`, if the holder has said
+    /// so since.
+    pub fn load_wait_ms(&self, asked_ms: Millis) -> Option<f64> {
+        let status = self.status.as_ref()?;
+        (self.told_ms >= asked_ms).then_some(status.load_wait_ms)
+    }
+
     fn recent(&self, now_ms: Millis) -> Option<&ServerStatus> {
         let is_recent = now_ms < self.told_ms + STATUS_LIFE_MS;
         self.status.as_ref().filter(|_| is_recent)
--- a/crates/tinbay-gateway/tests/server_view_test.rs
+++ b/crates/tinbay-gateway/tests/server_view_test.rs
@@ -23,6 +23,7 @@
         backlog_ms: 300.0,
         mistrust: 2.0,
         takes_loads: false,
+        load_wait_ms: 250.0,
     }
 }
 
