Three servers of an adapter's order are looked at before it is loaded

Change: while none is found, the survey goes on to the third server of the order, whose holders are asked first.

--- a/crates/tinbay-gateway/src/front/choice.rs
+++ b/crates/tinbay-gateway/src/front/choice.rs
@@ -22,6 +22,11 @@
 /// Servers of an adapter's order that are looked at.
 const MOST_CANDIDATES: usize = 48;
 
+/// Servers of an adapter's order that are looked at before it is loaded once more: it may have
+/// gone to the second or third while the places of the first were all in use. To ask one costs a
+/// millisecond, a load some hundred.
+const MOST_LOOKED_AT: usize = 3;
+
 /// Load above which a server does not count among those over which an adapter is spread: other
 /// adapters may have crowded it, and the next server of the order is looked at as well.
 const CROWDED_LOAD: f64 = 0.8;
@@ -159,7 +164,8 @@
         let mut counted = 0;
         let mut is_home_found = false;
         for server in in_order(adapter, ready) {
-            if counted >= survey.copies {
+            let is_looked_for = survey.servers.len() < MOST_LOOKED_AT && !survey.is_found();
+            if counted >= survey.copies && !is_looked_for {
                 break;
             }
             let entry = node.entry(&server, adapter_key(adapter));
@@ -262,6 +268,14 @@
         Presence::Absent
     }
 
+    /// Whether a server serves the adapter, or will.
+    fn is_found(&self) -> bool {
+        let is_there = |candidate: &Candidate| {
+            matches!(candidate.presence, Presence::Ready | Presence::Coming)
+        };
+        self.candidates.iter().any(is_there)
+    }
+
     fn is_last_older(&self) -> bool {
         self.is_older.last().copied().unwrap_or_default()
     }
