The wait for loads decides where an adapter is loaded; one that is overdue is asked for elsewhere

Change: a server's expected time of a load counts in the choice in place of a constant; a server where it is longer than the objective does not end the look at servers; a load that takes 300 ms more than twice its expected time is asked for at another server.

--- a/crates/tinbay-core/src/serving/homes.rs
+++ b/crates/tinbay-core/src/serving/homes.rs
@@ -27,6 +27,9 @@
     pub load: f64,
     /// Whether it can load an adapter: its holder can order, and a place can be freed.
     pub takes_loads: bool,
+    /// Expected time of a load there, behind those that are asked for already, as a part of the
+    /// objective.
+    pub load_wait: f64,
 }
 
 /// What to do with a request; positions are those of the candidates.
@@ -52,8 +55,8 @@
 /// store, of 250 ms, against objectives of 600 to 1,000 ms.
 const COMING_COST: f64 = 0.25;
 
-/// Load that a fetch is worth: its time, and what it takes from other adapters.
-const FETCH_COST: f64 = 0.6;
+/// Load that a place is worth: what a load takes from other adapters, besides its time.
+const PLACE_COST: f64 = 0.2;
 
 /// Load by which a server must be less busy than the one before it in the order to load the
 /// adapter instead of it.
@@ -83,8 +86,10 @@
         Presence::Ready => candidate.load,
         Presence::Coming => candidate.load + COMING_COST,
         _ if !candidate.takes_loads => return None,
-        Presence::Absent => candidate.load + FETCH_COST + steps,
-        Presence::Outdated => candidate.load + FETCH_COST + OUTDATED_COST + steps,
+        Presence::Absent => candidate.load + candidate.load_wait + PLACE_COST + steps,
+        Presence::Outdated => {
+            candidate.load + candidate.load_wait + PLACE_COST + OUTDATED_COST + steps
+        }
     };
     Some((position, cost))
 }
--- a/crates/tinbay-core/tests/serving_homes_test.rs
+++ b/crates/tinbay-core/tests/serving_homes_test.rs
@@ -14,6 +14,7 @@
         presence,
         load,
         takes_loads: true,
+        load_wait: 0.4,
     }
 }
 
@@ -26,6 +27,17 @@
     assert_eq!(pick(&candidates, 1), Pick::Load { at: 0 });
 }
 
+/// Loads asked for at one server wait for each other; the next server begins at once.
+#[test]
+fn pick_loads_past_a_server_with_many_loads_to_do() {
+    let clogged = Candidate {
+        load_wait: 3.0,
+        ..candidate(Presence::Absent, 0.1)
+    };
+    let candidates = [clogged, candidate(Presence::Absent, 0.3)];
+    assert_eq!(pick(&candidates, 1), Pick::Load { at: 1 });
+}
+
 #[test]
 fn pick_sends_where_it_is_rather_than_load() {
     let candidates = [
@@ -106,6 +118,7 @@
                 },
                 load: f64::from(*load) / 64.0,
                 takes_loads: *takes_loads,
+                load_wait: 0.4,
             })
             .collect();
         match pick(&candidates, 2) {
--- a/crates/tinbay-gateway/src/front/adapters.rs
+++ b/crates/tinbay-gateway/src/front/adapters.rs
@@ -18,16 +18,9 @@
 /// Longest pause between looks; the status from the server's holder ends it.
 const LOOK_PAUSE: Duration = Duration::from_millis(100);
 
-/// Time after the first request for a load within which its holder's answer decides whether to
-/// wait for it; it tells how long a load takes that is asked for just then.
-const JUDGED_WITHIN_MS: Millis = 50;
-
 /// Longest wait for a server's status where the request could be sent without it.
 const ANSWER_WAIT: Duration = Duration::from_millis(20);
 
-/// When a caller should come back while it is not known how long a load would take.
-const RETRY_UNKNOWN_MS: Millis = 300;
-
 /// When a caller comes back that should use another box.
 const RETRY_ELSEWHERE_MS: Millis = 20;
 
@@ -55,7 +48,7 @@
             }
             Choice::Load(server) => {
                 let last_send_ms = last_send_ms(node, question, &server);
-                check_prospect(node, &asked, &server, last_send_ms)?;
+                check_prospect(node, &mut asked, &server, last_send_ms)?;
                 if asked.loads.is_empty() {
                     log_wait(node, question, &server);
                 }
@@ -86,7 +79,7 @@
 /// box is leaving.
 fn check_prospect(
     node: &Node,
-    asked: &Asked,
+    asked: &mut Asked,
     server: &Server,
     last_send_ms: Millis,
 ) -> Result<(), Refusal> {
@@ -97,20 +90,19 @@
         });
     }
     let now_ms = node.now_ms();
-    let first_asked_ms = asked.loads.get(&server.key).map(|load| load.first_ms);
-    let wait_ms = first_asked_ms.and_then(|asked_ms| node.load_wait_ms(server, asked_ms));
-    let ready_ms = match (first_asked_ms, wait_ms) {
-        (Some(asked_ms), Some(wait_ms)) if now_ms < asked_ms + JUDGED_WITHIN_MS => {
-            asked_ms + wait_ms as Millis
-        }
-        _ => now_ms,
-    };
+    let wait_ms = node.load_wait_ms(server);
+    let asked_ms = asked.loads.get(&server.key).map(|load| load.first_ms);
+    if asked_ms.is_some_and(|asked_ms| node.is_told_since(server, asked_ms)) {
+        asked.note_wait(server.key, wait_ms);
+    }
+    let expected_ms = asked.expected_ms(server.key).unwrap_or(now_ms);
+    let ready_ms = expected_ms.max(now_ms);
     if ready_ms < last_send_ms {
         return Ok(());
     }
     Err(Refusal::NotRun {
         reason: NotRunReason::AdapterNotLoaded,
-        retry_after_ms: wait_ms.map_or(RETRY_UNKNOWN_MS, |wait_ms| wait_ms as Millis),
+        retry_after_ms: wait_ms as Millis,
     })
 }
 
--- a/crates/tinbay-gateway/src/front/choice.rs
+++ b/crates/tinbay-gateway/src/front/choice.rs
@@ -31,12 +31,19 @@
 /// adapters may have crowded it, and the next server of the order is looked at as well.
 const CROWDED_LOAD: f64 = 0.8;
 
+/// Expected time of a load, as a part of the objective, at which a server does not count among
+/// those over which an adapter is spread: another one would load it in time.
+const CLOGGED_WAIT: f64 = 1.0;
+
 /// Mistrust at which a server does not count among those over which an adapter is spread.
 const MISTRUSTED: f64 = 1.5;
 
 /// Pause after which a holder is asked for a load again, as messages may be lost.
 const ASK_AGAIN_MS: Millis = 200;
 
+/// Time beyond twice the expected one after which a load is overdue.
+const OVERDUE_MS: Millis = 300;
+
 /// Loads that are alike within this are chosen among at random.
 const TIE_LOAD: f64 = 0.02;
 
@@ -71,15 +78,41 @@
     pub first_ms: Millis,
     /// Last.
     pub last_ms: Millis,
+    /// When the load is expected to be done, once the holder has told.
+    pub expected_ms: Option<Millis>,
 }
 
 impl Asked {
+    /// Notes how long a load takes at a server, where its holder was asked for one before.
+    pub fn note_wait(&mut self, server: ServerKey, wait_ms: f64) {
+        if let Some(asked) = self.loads.get_mut(&server) {
+            let expected_ms = asked.first_ms + wait_ms as Millis;
+            asked.expected_ms.get_or_insert(expected_ms);
+        }
+    }
+
+    /// When a load that was asked for is expected to be done, once the holder has told.
+    pub fn expected_ms(&self, server: ServerKey) -> Option<Millis> {
+        self.loads.get(&server)?.expected_ms
+    }
+
+    /// Whether a load that was asked for is on its way; one that is long overdue is not: the
+    /// server may not take orders, and another one may as well load the adapter.
+    fn is_coming(&self, server: ServerKey, now_ms: Millis) -> bool {
+        let Some(asked) = self.loads.get(&server) else {
+            return false;
+        };
+        let expected_ms = asked.expected_ms.unwrap_or(asked.first_ms);
+        now_ms < expected_ms + (expected_ms - asked.first_ms) + OVERDUE_MS
+    }
+
     /// Whether a holder is to be asked for a load now, the first time or again; notes that it is.
     pub fn takes_load_request(&mut self, server: ServerKey, now_ms: Millis) -> bool {
         let Some(asked) = self.loads.get_mut(&server) else {
             let asked = LoadAsked {
                 first_ms: now_ms,
                 last_ms: now_ms,
+                expected_ms: None,
             };
             self.loads.insert(server, asked);
             return true;
@@ -181,11 +214,12 @@
             let is_outdated = added.presence == Presence::Outdated || survey.is_last_older();
             let is_crowded = added.load >= CROWDED_LOAD;
             let is_mistrusted = node.mistrust(&server) >= MISTRUSTED;
-            if is_home && !is_outdated && !is_crowded && !is_mistrusted {
+            let is_clogged = entry.is_none() && added.load_wait >= CLOGGED_WAIT;
+            if is_home && !is_outdated && !is_crowded && !is_mistrusted && !is_clogged {
                 counted += 1;
             }
         }
-        survey.keep_to_asked(asked);
+        survey.keep_to_asked(asked, node.now_ms());
         survey.prefer_reader(node, question);
         survey
     }
@@ -209,8 +243,8 @@
     }
 
     /// A request that had one server asked to load its adapter has no other one load it too.
-    fn keep_to_asked(&mut self, asked: &Asked) {
-        let is_asked = |server: &Rc<Server>| asked.loads.contains_key(&server.key);
+    fn keep_to_asked(&mut self, asked: &Asked, now_ms: Millis) {
+        let is_asked = |server: &Rc<Server>| asked.is_coming(server.key, now_ms);
         let is_coming = self
             .servers
             .iter()
@@ -248,6 +282,7 @@
             presence,
             load: load(node, server, question.route.objective_ms),
             takes_loads: node.takes_loads(server),
+            load_wait: node.load_wait_ms(server) / question.route.objective_ms.max(1) as f64,
         });
         self.is_older.push(is_older);
         self.servers.push(Rc::clone(server));
@@ -257,7 +292,7 @@
     /// load it; one of several over which it is spread, of which nothing is known, is presumed
     /// to hold it, as its holder is asked before anything is sent.
     fn presumed(&self, node: &Node, server: &Server, asked: &Asked) -> Presence {
-        if asked.loads.contains_key(&server.key) {
+        if asked.is_coming(server.key, node.now_ms()) {
             return Presence::Coming;
         }
         let is_first = self.servers.is_empty();
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -49,6 +49,9 @@
 /// servers.
 const DELAY_PART: f64 = 0.5;
 
+/// Time of a load from the weight store at full speed, until the holder tells.
+const USUAL_LOAD_MS: f64 = 250.0;
+
 /// Shortest prompt by which the pace of reading is measured: shorter ones take a step or two.
 const LEAST_MEASURED_TOKENS: u32 = 500;
 
@@ -326,13 +329,19 @@
         }
     }
 
-    /// Expected time from `asked_ms` until a load is done that was asked for then, if that is
-    /// known.
-    pub fn load_wait_ms(&self, server: &Server, asked_ms: Millis) -> Option<f64> {
-        match self.held_server(server.key) {
+    /// Expected time until a load is done that is asked for now.
+    pub fn load_wait_ms(&self, server: &Server) -> f64 {
+        let told_ms = match self.held_server(server.key) {
             Some(held) => Some(held.load_wait_ms()),
-            None => server.view.borrow().load_wait_ms(asked_ms),
-        }
+            None => server.view.borrow().load_wait_ms(self.now_ms()),
+        };
+        told_ms.unwrap_or(USUAL_LOAD_MS)
+    }
+
+    /// Whether the holder of a server has told how it stands since `asked_ms`.
+    pub fn is_told_since(&self, server: &Server, asked_ms: Millis) -> bool {
+        let is_held = self.held_server(server.key).is_some();
+        is_held || server.view.borrow().is_told_since(asked_ms)
     }
 
     /// Whether asking how busy a server is would tell this box more than it knows.
--- a/crates/tinbay-gateway/src/servers/view.rs
+++ b/crates/tinbay-gateway/src/servers/view.rs
@@ -153,11 +153,14 @@
         self.recent(now_ms).is_none_or(|status| status.takes_loads)
     }
 
-    /// Expected time until a load is done that was asked for at `asked_ms`, if the holder has said
-    /// so since.
-    pub fn load_wait_ms(&self, asked_ms: Millis) -> Option<f64> {
-        let status = self.status.as_ref()?;
-        (self.told_ms >= asked_ms).then_some(status.load_wait_ms)
+    /// Expected time until a load is done that is asked for now, if the holder told it lately.
+    pub fn load_wait_ms(&self, now_ms: Millis) -> Option<f64> {
+        self.recent(now_ms).map(|status| status.load_wait_ms)
+    }
+
+    /// Whether the status is newer than a question.
+    pub fn is_told_since(&self, asked_ms: Millis) -> bool {
+        self.status.is_some() && self.told_ms >= asked_ms
     }
 
     fn recent(&self, now_ms: Millis) -> Option<&ServerStatus> {
