--- a/crates/tinbay-gateway/src/metrics.rs
+++ b/crates/tinbay-gateway/src/metrics.rs
@@ -31,6 +31,8 @@
     pub frames: IntCounterVec,
     /// Bytes of messages between boxes, by outcome.
     pub frame_bytes: IntCounterVec,
+    /// Bytes of what is sent to other boxes, by kind of part.
+    pub part_bytes: IntCounterVec,
     /// What is believed: versions, counts and ages by name.
     pub beliefs: IntGaugeVec,
 }
@@ -88,11 +90,22 @@
                 "Bytes of messages between boxes",
                 &["outcome"],
             )?,
+            part_bytes: counter(
+                "tinbay_part_bytes_total",
+                "Bytes of what is sent to other boxes",
+                &["kind"],
+            )?,
             beliefs,
             registry,
         })
     }
 
+    /// Counts one part of a message that is sent to another box.
+    pub fn count_part(&self, kind: &str, bytes: usize) {
+        let sum = self.part_bytes.with_label_values(&[kind]);
+        sum.inc_by(bytes as u64);
+    }
+
     /// Counts a message between boxes.
     pub fn count_frame(&self, outcome: &str, bytes: usize) {
         self.frames.with_label_values(&[outcome]).inc();
--- a/crates/tinbay-gateway/src/peers/exchange.rs
+++ b/crates/tinbay-gateway/src/peers/exchange.rs
@@ -103,6 +103,7 @@
         let mut bytes = FRAME_BYTES;
         for part in parts {
             let size = postcard::to_stdvec(&part).map_or(0, |encoded| encoded.len());
+            self.node.metrics.count_part(part.kind(), size);
             if bytes + size > MOST_BYTES && !frame.is_empty() {
                 self.send_frame(box_id, address, std::mem::take(&mut frame))
                     .await;
--- a/crates/tinbay-gateway/src/peers/frame.rs
+++ b/crates/tinbay-gateway/src/peers/frame.rs
@@ -39,6 +39,20 @@
     Status(StatusPart),
 }
 
+impl FramePart {
+    /// Name for measures.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            FramePart::Hello(_) => "hello",
+            FramePart::LastHeard(_) => "last_heard",
+            FramePart::LoadRequest(_) => "load_request",
+            FramePart::StatusRequest(_) => "status_request",
+            FramePart::Usage(_) => "usage",
+            FramePart::Status(_) => "status",
+        }
+    }
+}
+
 /// What a request needs of a server.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadRequestPart {
