The watch renews the proof that a box may order; a proof lasts 12 s

A proof was renewed each 3 s only, by what the watch had seen 1.5 s before, and lasted 10 s. Ruled out: claims without a holder (0 to 4 waits a second). Change: each answer of the watch renews the proof, which costs no call; it lasts 12 s.

--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -35,8 +35,10 @@
 use crate::watch::replica::Replica;
 use crate::watch::source::StoreTurn;
 
-/// How long a proof lasts: longer than usual outages of the store.
-const PROOF_LIFE_MS: Millis = 10_000;
+/// How long a proof lasts: longer than usual outages of the store, of 4 to 8 s, with what a proof
+/// by the watch is older than the outage. Servers of a box that is gone for good are taken over
+/// that much later.
+const PROOF_LIFE_MS: Millis = 12_000;
 
 /// Time for orders under way and for clocks that run apart.
 const CLAIM_MARGIN_MS: Millis = 500;
--- a/crates/tinbay-gateway/src/orders/membership.rs
+++ b/crates/tinbay-gateway/src/orders/membership.rs
@@ -74,28 +74,29 @@
             };
             events::emit(part::ORDERS, Level::Warn, "no_proof", &event);
         }
-        tokio::select! {
-            () = sleep_with_jitter(pause_ms) => {}
-            () = node.entry_due.notified() => {}
-            () = wait_for_return(&node), if result.is_err() => {}
-        }
+        rest(&node, &entry, pause_ms, result.is_err()).await;
     }
 }
 
-/// Waits until the store is seen again by the watch of what boxes write, and then a moment that
-/// differs from box to box.
-async fn wait_for_return(node: &Node) {
-    let failed_ms = node.now_ms();
+/// Waits until the entry is to be renewed. What the watch sees meanwhile renews the proof, which
+/// costs no call: a proof that is as new as the watch outlasts longer outages of the store.
+async fn rest(node: &Node, entry: &Entry, pause_ms: Millis, has_failed: bool) {
+    let began_ms = node.now_ms();
+    let mut pause = std::pin::pin!(sleep_with_jitter(pause_ms));
     loop {
-        let confirmed = node.replica.confirmed.notified();
-        let is_back = |seen_ms| seen_ms > failed_ms;
-        if node.replica.confirmed_ms(BOXES_PREFIX).is_some_and(is_back) {
-            break;
+        tokio::select! {
+            () = pause.as_mut() => return,
+            () = node.entry_due.notified() => return,
+            () = node.replica.confirmed.notified() => {}
+        }
+        prove_by_watch(node, entry);
+        let seen_ms = node.replica.confirmed_ms(BOXES_PREFIX);
+        if has_failed && seen_ms.is_some_and(|seen_ms| seen_ms > began_ms) {
+            let spread_ms = rand::rng().random_range(0..RETURN_SPREAD_MS);
+            tokio::time::sleep(Duration::from_millis(spread_ms)).await;
+            return;
         }
-        confirmed.await;
     }
-    let spread_ms = rand::rng().random_range(0..RETURN_SPREAD_MS);
-    tokio::time::sleep(Duration::from_millis(spread_ms)).await;
 }
 
 async fn renew(node: &Node, entry: &mut Entry) -> StoreResult<()> {
@@ -149,23 +150,31 @@
 
 /// Shows that the own entry still stands: a renewed lease does not show that its keys do.
 async fn prove(node: &Node, entry: &mut Entry) -> StoreResult<()> {
-    if let Some(seen_ms) = seen_in_store(node, entry) {
-        let mut proof = node.proof.get();
-        if !proof.holds(&node.claim_terms(), node.now_ms()) {
-            events::emit(
-                part::ORDERS,
-                Level::Info,
-                "proof",
-                &ProofEvent { error: None },
-            );
-        }
-        proof.renew(seen_ms);
-        node.proof.set(proof);
+    if prove_by_watch(node, entry) {
         return Ok(());
     }
     read_back(node, entry).await
 }
 
+/// Renews the proof by what is watched; whether that shows the own entry.
+fn prove_by_watch(node: &Node, entry: &Entry) -> bool {
+    let Some(seen_ms) = seen_in_store(node, entry) else {
+        return false;
+    };
+    set_proof(node, seen_ms);
+    true
+}
+
+fn set_proof(node: &Node, seen_ms: Millis) {
+    let mut proof = node.proof.get();
+    if !proof.holds(&node.claim_terms(), node.now_ms()) {
+        let event = ProofEvent { error: None };
+        events::emit(part::ORDERS, Level::Info, "proof", &event);
+    }
+    proof.renew(seen_ms);
+    node.proof.set(proof);
+}
+
 /// When the own entry certainly stood, by what is watched. The claims are watched together with
 /// the entries, so that none of them has gone to others by then unseen.
 fn seen_in_store(node: &Node, entry: &Entry) -> Option<Millis> {
@@ -184,18 +193,10 @@
         entry.is_written = false;
         return Err(StoreError::LeaseOver);
     }
-    let mut proof = node.proof.get();
-    if !proof.holds(&node.claim_terms(), asked_ms) {
+    if !node.proof.get().holds(&node.claim_terms(), asked_ms) {
         read_claims(node).await?;
-        events::emit(
-            part::ORDERS,
-            Level::Info,
-            "proof",
-            &ProofEvent { error: None },
-        );
     }
-    proof.renew(asked_ms);
-    node.proof.set(proof);
+    set_proof(node, asked_ms);
     Ok(())
 }
 
