A prospect counts a request's own reading alone; a pace of reading that is too slow is measured again

A few slow answers had made the pace of reading slow, by it every server had more than 3 s to read, and the pace was measured only at servers with nothing to read: it stayed wrong for good. Change: the last moment to send is reckoned with the request's own reading, at most its objective; an answer that came faster than the pace says is always measured.

--- a/crates/tinbay-gateway/src/front/adapters.rs
+++ b/crates/tinbay-gateway/src/front/adapters.rs
@@ -47,7 +47,7 @@
                 refresh_status(node, &server, &mut asked).await;
             }
             Choice::Load(server) => {
-                let last_send_ms = last_send_ms(node, question, &server);
+                let last_send_ms = last_send_ms(node, question);
                 check_prospect(node, &mut asked, &server, last_send_ms)?;
                 if asked.loads.is_empty() {
                     log_wait(node, question, &server);
@@ -68,11 +68,15 @@
     let _ = tokio::time::timeout(ANSWER_WAIT, status_came).await;
 }
 
-/// Until when a request can be sent to a server so that its first piece still finds the caller.
-fn last_send_ms(node: &Node, question: &Question, server: &Server) -> Millis {
-    let own_ms = node.reading_ms(&question.service, question.prompt.tokens);
-    let reading_ms = (node.backlog_ms(server) + own_ms) as Millis;
-    question.first_piece_by_ms.saturating_sub(reading_ms)
+/// Until when a request can be sent so that its first piece still finds the caller. Its own
+/// reading alone counts: what else a server has to read is an estimate, and by a wrong one all
+/// requests were refused for 13 s on a small fleet while the engines had places.
+fn last_send_ms(node: &Node, question: &Question) -> Millis {
+    let own_ms = node.reading_ms(&question.service, question.prompt.tokens) as Millis;
+    let most_ms = question.route.objective_ms;
+    question
+        .first_piece_by_ms
+        .saturating_sub(own_ms.min(most_ms))
 }
 
 /// Refuses a request at once that is known not to be served: its adapter comes too late, or the
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -407,12 +407,15 @@
 
     /// Notes how long a request's first byte took at a server that had so much to read before.
     pub fn note_reading(&self, question: &Question, backlog_ms: f64, took_ms: Millis) {
-        if question.prompt.tokens < LEAST_MEASURED_TOKENS || backlog_ms > MOST_MEASURED_BACKLOG_MS {
-            return;
-        }
+        let tokens = question.prompt.tokens;
         let mut paces = self.reading.borrow_mut();
         let pace = paces.entry(question.service.clone()).or_default();
-        pace.note(question.prompt.tokens, took_ms as f64);
+        let was_idle = backlog_ms <= MOST_MEASURED_BACKLOG_MS;
+        // The backlog is worked out by the pace: one that is too slow must not keep itself so.
+        let is_faster = (took_ms as f64) < pace.time_ms(tokens);
+        if tokens >= LEAST_MEASURED_TOKENS && (was_idle || is_faster) {
+            pace.note(tokens, took_ms as f64);
+        }
     }
 
     /// Time in which an engine of a service reads so many tokens.
