--- a/crates/tinbay-core/tests/serving_homes_test.rs
+++ b/crates/tinbay-core/tests/serving_homes_test.rs
@@ -323,6 +323,29 @@
 }
 
 /// No measurement makes the pace useless.
+/// By a pace that is too slow every engine has a backlog: it must not be kept by that.
+#[test]
+fn reading_pace_too_slow_is_measured_again() {
+    let mut pace = ReadingPace::default();
+    for _ in 0..400 {
+        pace.note_answer(700, 0.0, 3_000.0);
+    }
+    assert!(pace.tokens_a_ms() < 3.0);
+    for _ in 0..2_000 {
+        pace.note_answer(700, 5_000.0, 20.0);
+    }
+    assert!(pace.tokens_a_ms() > 20.0);
+}
+
+#[test]
+fn reading_pace_of_a_busy_engine_tells_nothing() {
+    let mut pace = ReadingPace::default();
+    let before = pace;
+    pace.note_answer(700, 21.0, 3_000.0);
+    pace.note_answer(499, 0.0, 3_000.0);
+    assert_eq!(pace, before);
+}
+
 #[test]
 fn reading_pace_stays_believable() {
     fn property(notes: Vec<(u16, u16)>) -> bool {
--- a/crates/tinbay-gateway/src/front/choice.rs
+++ b/crates/tinbay-gateway/src/front/choice.rs
@@ -103,7 +103,7 @@
 
     /// Whether a load that was asked for is on its way; one that is long overdue is not: the
     /// server may not take orders, and another one may as well load the adapter.
-    fn is_coming(&self, server: ServerKey, now_ms: Millis) -> bool {
+    pub fn is_coming(&self, server: ServerKey, now_ms: Millis) -> bool {
         let Some(asked) = self.loads.get(&server) else {
             return false;
         };
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -54,12 +54,6 @@
 /// Time of a load from the weight store at full speed, until the holder tells.
 const USUAL_LOAD_MS: f64 = 250.0;
 
-/// Shortest prompt by which the pace of reading is measured: shorter ones take a step or two.
-const LEAST_MEASURED_TOKENS: u32 = 500;
-
-/// Most that an engine may have to read before a request by which its pace is measured.
-const MOST_MEASURED_BACKLOG_MS: f64 = 20.0;
-
 /// A version of an adapter that the operators named.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct NamedVersion {
@@ -407,15 +401,9 @@
 
     /// Notes how long a request's first byte took at a server that had so much to read before.
     pub fn note_reading(&self, question: &Question, backlog_ms: f64, took_ms: Millis) {
-        let tokens = question.prompt.tokens;
         let mut paces = self.reading.borrow_mut();
         let pace = paces.entry(question.service.clone()).or_default();
-        let was_idle = backlog_ms <= MOST_MEASURED_BACKLOG_MS;
-        // The backlog is worked out by the pace: one that is too slow must not keep itself so.
-        let is_faster = (took_ms as f64) < pace.time_ms(tokens);
-        if tokens >= LEAST_MEASURED_TOKENS && (was_idle || is_faster) {
-            pace.note(tokens, took_ms as f64);
-        }
+        pace.note_answer(question.prompt.tokens, backlog_ms, took_ms as f64);
     }
 
     /// Time in which an engine of a service reads so many tokens.
--- /dev/null
+++ b/crates/tinbay-gateway/tests/asking_test.rs
@@ -0,0 +1,52 @@
+//! When a box asks others: for loads, and the store while relays give nothing.
+
+use tinbay_gateway::front::choice::Asked;
+use tinbay_gateway::watch::source::StoreTurn;
+
+const SERVER: u64 = 7;
+
+#[test]
+fn takes_load_request_first_and_after_a_pause() {
+    let mut asked = Asked::default();
+    assert!(asked.takes_load_request(SERVER, 1_000));
+    assert!(!asked.takes_load_request(SERVER, 1_000));
+    assert!(!asked.takes_load_request(SERVER, 1_199));
+    assert!(asked.takes_load_request(SERVER, 1_200));
+    assert!(!asked.takes_load_request(SERVER, 1_399));
+}
+
+#[test]
+fn is_coming_until_the_load_is_overdue() {
+    let mut asked = Asked::default();
+    assert!(!asked.is_coming(SERVER, 1_000));
+    asked.takes_load_request(SERVER, 1_000);
+    assert!(asked.is_coming(SERVER, 1_299) && !asked.is_coming(SERVER, 1_300));
+    asked.note_wait(SERVER, 250.0);
+    assert!(asked.is_coming(SERVER, 1_799) && !asked.is_coming(SERVER, 1_800));
+}
+
+/// Later answers tell how long a load takes that is asked for then.
+#[test]
+fn note_wait_first_answer_counts() {
+    let mut asked = Asked::default();
+    asked.note_wait(SERVER, 250.0);
+    assert_eq!(asked.expected_ms(SERVER), None);
+    asked.takes_load_request(SERVER, 1_000);
+    asked.note_wait(SERVER, 250.0);
+    asked.note_wait(SERVER, 900.0);
+    assert_eq!(asked.expected_ms(SERVER), Some(1_250));
+}
+
+/// While the store is away for all, each box that should ask relays makes one call in two
+/// seconds, whichever prefix it is for.
+#[test]
+fn store_turn_one_call_until_one_succeeds() {
+    let turn = StoreTurn::default();
+    assert!(turn.take(0));
+    assert!(!turn.take(0) && !turn.take(1_999));
+    assert!(turn.take(2_000));
+    assert!(!turn.take(2_100));
+    turn.note_success(2_100);
+    assert!(turn.take(2_100) && turn.take(2_200) && turn.take(4_099));
+    assert!(!turn.take(4_100));
+}
