Lines of requests tell the version expected of the server, the one named, and for how long it was known

Cause: the log told neither, so that no hypothesis on requests that ran on a replaced version could be told from another. Ruled out: nothing. Change: LastSend, in the try and request lines. No logic changes.

--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -13,7 +13,7 @@
 use super::attempt::{AttemptResult, AttemptTerms, BegunAnswer, attempt};
 use super::choice::{self, Asked, Choice};
 use super::headers::{self, ServerHeaders};
-use super::question::Question;
+use super::question::{LastSend, Question};
 use super::refusal::{NotRunReason, Refusal};
 use crate::events::{self, part};
 use crate::http::body::{AnswerBody, BodyError, RequestBody};
@@ -74,6 +74,9 @@
     status: Option<u16>,
     running: usize,
     age_ms: Millis,
+    expected_version: Option<u64>,
+    named_version: Option<u64>,
+    named_age_ms: Option<Millis>,
 }
 
 /// Brings a request to a server and back.
@@ -98,9 +101,8 @@
         };
         body = sent.repeat();
         let sent_ms = node.now_ms();
-        question
-            .sent_after_ms
-            .set(Some(sent_ms - question.arrived_ms));
+        let last_send = last_send(node, question, &server, sent_ms);
+        question.last_send.set(Some(last_send));
         let before_ms = node.backlog_ms(&server);
         let result = try_server(node, question, &tries, sent, &server).await;
         if matches!(result, AttemptResult::Begun(_)) {
@@ -169,7 +171,10 @@
             deadline_ms: left_ms,
             server_id: &record.id,
             priority: question.route.priority.min(LEAST_URGENT),
-            version: expected_version(node, question, server),
+            version: question
+                .last_send
+                .get()
+                .and_then(|send| send.expected_version),
         },
         head_within: if is_last {
             Duration::from_millis(left_ms)
@@ -180,6 +185,21 @@
     attempt(node, question, body, terms).await
 }
 
+/// What a request that is sent now is sent by.
+fn last_send(node: &Node, question: &Question, server: &Server, now_ms: Millis) -> LastSend {
+    let named = question
+        .model
+        .as_deref()
+        .and_then(|model| node.named(model));
+    let learnt_ms = named.and_then(|named| named.changed_ms);
+    LastSend {
+        after_ms: now_ms - question.arrived_ms,
+        expected_version: expected_version(node, question, server),
+        named_version: named.map(|named| named.version),
+        named_age_ms: learnt_ms.map(|learnt_ms| now_ms.saturating_sub(learnt_ms)),
+    }
+}
+
 /// Whether a request may be sent to one more server if the next one does not answer.
 fn may_run_again(question: &Question, tries: &Tries) -> bool {
     question.is_repeatable() && tries.runs + 1 < question.route.most_attempts
@@ -295,6 +315,7 @@
         AttemptResult::NotSent { .. } => ("not_sent", None, Level::Info),
         AttemptResult::Unknown => ("unknown", None, Level::Info),
     };
+    let sent = question.last_send.get();
     let event = TryEvent {
         request: &question.id,
         server: &server.record().id,
@@ -302,6 +323,9 @@
         status,
         running: server.running(node.now_ms()),
         age_ms: node.now_ms() - question.arrived_ms,
+        expected_version: sent.and_then(|sent| sent.expected_version),
+        named_version: sent.and_then(|sent| sent.named_version),
+        named_age_ms: sent.and_then(|sent| sent.named_age_ms),
     };
     events::emit(part::FRONT, level, "try", &event);
 }
@@ -372,6 +396,12 @@
     #[serde(skip_serializing_if = "Option::is_none")]
     cause: Option<String>,
     sent_after_ms: Option<Millis>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    expected_version: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    named_version: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    named_age_ms: Option<Millis>,
     head_ms: Option<Millis>,
     total_ms: Millis,
 }
@@ -391,6 +421,7 @@
         Ending::Cut(error) => ("cut", Some(error.to_string())),
         Ending::Refused(refusal) => (refusal.name(), Some(refusal.to_string())),
     };
+    let sent = question.last_send.get();
     let event = EndEvent {
         request: &question.id,
         route: &question.route.name,
@@ -401,7 +432,10 @@
         status,
         outcome,
         cause,
-        sent_after_ms: question.sent_after_ms.get(),
+        sent_after_ms: sent.map(|sent| sent.after_ms),
+        expected_version: sent.and_then(|sent| sent.expected_version),
+        named_version: sent.and_then(|sent| sent.named_version),
+        named_age_ms: sent.and_then(|sent| sent.named_age_ms),
         head_ms,
         total_ms: node.now_ms() - question.arrived_ms,
     };
@@ -417,12 +451,12 @@
             .with_label_values(&[question.kind()]);
         heads.observe(seconds(head_ms));
     }
-    if let Some(sent_ms) = question.sent_after_ms.get() {
+    if let Some(sent) = sent {
         let stalls = node
             .metrics
             .stall_seconds
             .with_label_values(&[question.kind()]);
-        stalls.observe(seconds(sent_ms));
+        stalls.observe(seconds(sent.after_ms));
     }
     events::emit(part::FRONT, Level::Info, "request", &event);
 }
--- a/crates/tinbay-gateway/src/front/listener.rs
+++ b/crates/tinbay-gateway/src/front/listener.rs
@@ -116,7 +116,7 @@
     let delivering = read_and_deliver(node, &question, body);
     let result = match tokio::time::timeout(left, delivering).await {
         Ok(result) => result,
-        Err(_) if question.sent_after_ms.get().is_none() => Err(Refusal::NotRun {
+        Err(_) if question.last_send.get().is_none() => Err(Refusal::NotRun {
             reason: NotRunReason::TimeUp,
             retry_after_ms: RETRY_AFTER_TIME_UP_MS,
         }),
--- a/crates/tinbay-gateway/src/front/question.rs
+++ b/crates/tinbay-gateway/src/front/question.rs
@@ -16,6 +16,19 @@
 /// Time a caller is taken to wait where it names none.
 const DEFAULT_DEADLINE_MS: Millis = 30_000;
 
+/// How a request was sent to a server, and what that was decided by.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LastSend {
+    /// Time from the request's arrival.
+    pub after_ms: Millis,
+    /// Version of the adapter the server must have; any one does where none is given.
+    pub expected_version: Option<u64>,
+    /// Version the operators had named last, as this box knew it.
+    pub named_version: Option<u64>,
+    /// How long this box had known that version; none where it was there when the box came.
+    pub named_age_ms: Option<Millis>,
+}
+
 /// A caller's request with all that decides its way.
 #[derive(Debug)]
 pub struct Question {
@@ -37,8 +50,8 @@
     pub prompt: Prompt,
     /// When the request came.
     pub arrived_ms: Millis,
-    /// Time from its arrival to its last send; none was sent where it is not set.
-    pub sent_after_ms: Cell<Option<Millis>>,
+    /// How it was last sent; none was sent where it is not set.
+    pub last_send: Cell<Option<LastSend>>,
     /// When its time is up: the caller's deadline or the route's time-out.
     pub time_up_ms: Millis,
     /// When its caller leaves if nothing has come.
@@ -85,7 +98,7 @@
             model,
             prompt: node.dialect.decode_prompt(&parts.headers),
             arrived_ms,
-            sent_after_ms: Cell::default(),
+            last_send: Cell::default(),
             time_up_ms,
             first_piece_by_ms,
             parts,
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -219,10 +219,14 @@
             && !self.servers.borrow().is_empty()
     }
 
+    /// What is known of the version of an adapter that the operators named last.
+    pub fn named(&self, adapter: &str) -> Option<NamedVersion> {
+        self.versions.borrow().get(adapter).copied()
+    }
+
     /// The adapter's version that the operators named last.
     pub fn named_version(&self, adapter: &str) -> Option<u64> {
-        let versions = self.versions.borrow();
-        versions.get(adapter).map(|named| named.version)
+        self.named(adapter).map(|named| named.version)
     }
 
     /// Whether an older version of an adapter may still serve.
