Each version of an adapter is judged from its own name, and a request on an older one has to begin in time

Cause: a box kept the newest name alone and when it learnt it; while that was less than two fifths of the time allowed ago, any older version served, so that each new name began the time anew; and the time was kept at the send alone, not at the begin. Class: a bound counted from the latest event, and at the wrong end, instead of from the event it is about. Ruled out: a lost value (both boxes' lines show the newest name). Change: all names of an adapter whose time is not over (tinbay_core::serving::versions), each counted from when it certainly was not named yet; a request on an older version is handed no more time than that has left, so that the server itself declines it if it still waits.

--- a/crates/tinbay-core/src/serving/mod.rs
+++ b/crates/tinbay-core/src/serving/mod.rs
@@ -17,4 +17,5 @@
 pub mod servers;
 pub mod spread;
 pub mod subscribers;
+pub mod versions;
 pub mod wants;
--- a/crates/tinbay-gateway/src/front/choice.rs
+++ b/crates/tinbay-gateway/src/front/choice.rs
@@ -277,7 +277,9 @@
         let adapter = question.model.as_deref().unwrap_or_default();
         let version = node.named_version(adapter).unwrap_or(0);
         let mut presence = presence(entry, version);
-        let is_older = presence == Presence::Outdated && node.may_serve_older(adapter);
+        let held_version = entry.map_or(0, |entry| entry.version);
+        let is_older =
+            presence == Presence::Outdated && node.may_serve_older(adapter, held_version);
         if is_older {
             presence = Presence::Ready;
         }
--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -39,6 +39,10 @@
 /// milliseconds.
 const LEAST_SILENCE_MS: Millis = 100;
 
+/// Time by which a server stops before its version may not serve any more: for the way there and a
+/// connection that must be made first, of some milliseconds, and for its word that it did not run.
+const BEGIN_MARGIN_MS: Millis = 250;
+
 /// Mistrust after a try that may have run without an answer.
 const MISTRUST_UNKNOWN: f64 = 1.0;
 
@@ -101,8 +105,6 @@
         };
         body = sent.repeat();
         let sent_ms = node.now_ms();
-        let last_send = last_send(node, question, &server, sent_ms);
-        question.last_send.set(Some(last_send));
         let before_ms = node.backlog_ms(&server);
         let result = try_server(node, question, &tries, sent, &server).await;
         if matches!(result, AttemptResult::Begun(_)) {
@@ -160,7 +162,10 @@
     server: &Rc<Server>,
 ) -> AttemptResult {
     let now_ms = node.now_ms();
-    let left_ms = question.time_up_ms.saturating_sub(now_ms);
+    let sent = last_send(node, question, server, now_ms);
+    question.last_send.set(Some(sent));
+    let head_by_ms = question.time_up_ms.min(sent.time_up_ms + BEGIN_MARGIN_MS);
+    let left_ms = head_by_ms.saturating_sub(now_ms);
     let is_last = !may_run_again(question, tries);
     let record = server.record();
     let terms = AttemptTerms {
@@ -168,13 +173,10 @@
         most_open: most_open(node, question),
         trust: if is_last { Trust::JustUsed } else { Trust::Any },
         headers: ServerHeaders {
-            deadline_ms: left_ms,
+            deadline_ms: sent.time_up_ms.saturating_sub(now_ms),
             server_id: &record.id,
             priority: question.route.priority.min(LEAST_URGENT),
-            version: question
-                .last_send
-                .get()
-                .and_then(|send| send.expected_version),
+            version: sent.expected_version,
         },
         head_within: if is_last {
             Duration::from_millis(left_ms)
@@ -185,21 +187,44 @@
     attempt(node, question, body, terms).await
 }
 
-/// What a request that is sent now is sent by.
+/// How a request that is sent now is sent.
+///
+/// On a version that is replaced, the server is handed no more time than that version has left: a
+/// request that still waits there by then is declined. Bounding the send alone let one begin 6.2 s
+/// after its version was replaced, 5 s allowed, at a server that had stood still.
 fn last_send(node: &Node, question: &Question, server: &Server, now_ms: Millis) -> LastSend {
-    let named = question
-        .model
-        .as_deref()
-        .and_then(|model| node.named(model));
-    let learnt_ms = named.and_then(|named| named.changed_ms);
+    let model = question.model.as_deref().unwrap_or_default();
+    let named_version = question.named_version(node);
+    let held_version = held_version(node, question, server);
+    let known_version = held_version.filter(|version| *version > 0);
+    let begin_by_ms = held_version.and_then(|version| node.begin_by_ms(model, version));
+    let is_allowed = held_version.is_some_and(|version| node.may_serve_older(model, version));
+    let (expected_version, time_up_ms) = match begin_by_ms {
+        None => (
+            known_version.and(named_version).and(known_version),
+            question.time_up_ms,
+        ),
+        Some(begin_by_ms) if is_allowed => {
+            let begin_by_ms = begin_by_ms.saturating_sub(BEGIN_MARGIN_MS);
+            (known_version, question.time_up_ms.min(begin_by_ms))
+        }
+        Some(_) => (named_version, question.time_up_ms),
+    };
     LastSend {
         after_ms: now_ms - question.arrived_ms,
-        expected_version: expected_version(node, question, server),
-        named_version: named.map(|named| named.version),
-        named_age_ms: learnt_ms.map(|learnt_ms| now_ms.saturating_sub(learnt_ms)),
+        expected_version,
+        time_up_ms,
+        named_version,
+        named_age_ms: node.named_age_ms(model),
     }
 }
 
+/// The version of its adapter that a server is believed to hold; 0 where it is not known which.
+fn held_version(node: &Node, question: &Question, server: &Server) -> Option<u64> {
+    let entry = node.entry(server, question.model_key?)?;
+    Some(entry.version)
+}
+
 /// Whether a request may be sent to one more server if the next one does not answer.
 fn may_run_again(question: &Question, tries: &Tries) -> bool {
     question.is_repeatable() && tries.runs + 1 < question.route.most_attempts
@@ -214,18 +239,6 @@
     LEAST_SILENCE_MS.max((expected_ms * SILENCE_FACTOR) as Millis)
 }
 
-/// The version the server must hold: the one it is believed to hold where one was named. A
-/// server that holds another one declines.
-fn expected_version(node: &Node, question: &Question, server: &Server) -> Option<u64> {
-    let named = question.named_version(node)?;
-    let entry = node.entry(server, question.model_key?)?;
-    match entry.version {
-        0 if node.may_serve_older(question.model.as_deref()?) => None,
-        0 => Some(named),
-        version => Some(version),
-    }
-}
-
 /// Connections this box may open to one server: its part of what the server accepts.
 fn most_open(node: &Node, question: &Question) -> usize {
     let accepted = node
--- a/crates/tinbay-gateway/src/front/question.rs
+++ b/crates/tinbay-gateway/src/front/question.rs
@@ -23,6 +23,8 @@
     pub after_ms: Millis,
     /// Version of the adapter the server must have; any one does where none is given.
     pub expected_version: Option<u64>,
+    /// When the request's time is up at the server.
+    pub time_up_ms: Millis,
     /// Version the operators had named last, as this box knew it.
     pub named_version: Option<u64>,
     /// How long this box had known that version; none where it was there when the box came.
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -13,6 +13,7 @@
 use tinbay_core::serving::reading::ReadingPace;
 use tinbay_core::serving::routes::RouteTable;
 use tinbay_core::serving::servers::ServerKey;
+use tinbay_core::serving::versions::NamedVersions;
 use tinbay_core::serving::wants::Want;
 use tinbay_core::units::Millis;
 use tokio::sync::Notify;
@@ -54,15 +55,6 @@
 /// Time of a load from the weight store at full speed, until the holder tells.
 const USUAL_LOAD_MS: f64 = 250.0;
 
-/// A version of an adapter that the operators named.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct NamedVersion {
-    /// The version.
-    pub version: u64,
-    /// When it was seen to replace another; none where it was there when this box came.
-    pub changed_ms: Option<Millis>,
-}
-
 /// A configuration in force.
 #[derive(Debug)]
 pub struct InForce {
@@ -95,7 +87,7 @@
     /// The configuration in force.
     pub in_force: RefCell<Option<Rc<InForce>>>,
     /// Named versions of adapters, by `model/name`.
-    pub versions: RefCell<HashMap<String, NamedVersion>>,
+    pub versions: RefCell<HashMap<String, NamedVersions>>,
     /// Servers.
     pub servers: RefCell<ServerTable>,
     /// Other boxes.
@@ -219,26 +211,29 @@
             && !self.servers.borrow().is_empty()
     }
 
-    /// What is known of the version of an adapter that the operators named last.
-    pub fn named(&self, adapter: &str) -> Option<NamedVersion> {
-        self.versions.borrow().get(adapter).copied()
-    }
-
     /// The adapter's version that the operators named last.
     pub fn named_version(&self, adapter: &str) -> Option<u64> {
-        self.named(adapter).map(|named| named.version)
+        self.versions.borrow().get(adapter)?.newest()
+    }
+
+    /// How long this box has known that version; none where it was there when the box came.
+    pub fn named_age_ms(&self, adapter: &str) -> Option<Millis> {
+        let learnt_ms = self.versions.borrow().get(adapter)?.learnt_ms()?;
+        Some(self.now_ms().saturating_sub(learnt_ms))
+    }
+
+    /// Time by which a request on a version of an adapter must have begun; none while that is
+    /// the newest one.
+    pub fn begin_by_ms(&self, adapter: &str, version: u64) -> Option<Millis> {
+        self.versions.borrow().get(adapter)?.begin_by_ms(version)
     }
 
-    /// Whether an older version of an adapter may still serve.
-    pub fn may_serve_older(&self, adapter: &str) -> bool {
+    /// Whether a request may be sent with a version of an adapter that is not the newest one.
+    pub fn may_serve_older(&self, adapter: &str, version: u64) -> bool {
         let allowed_ms = self.settings.borrow().bounds.version_within_ms;
-        let grace_ms = (allowed_ms as f64 * OLDER_VERSION_PART) as Millis;
-        let versions = self.versions.borrow();
-        versions.get(adapter).is_none_or(|named| {
-            named
-                .changed_ms
-                .is_some_and(|changed_ms| self.now_ms() < changed_ms + grace_ms)
-        })
+        let kept_ms = (allowed_ms as f64 * (1.0 - OLDER_VERSION_PART)) as Millis;
+        let begin_by_ms = self.begin_by_ms(adapter, version);
+        begin_by_ms.is_none_or(|begin_by_ms| self.now_ms() + kept_ms < begin_by_ms)
     }
 
     /// Spans that holders and takers of claims keep.
--- a/crates/tinbay-gateway/src/watch/configuration.rs
+++ b/crates/tinbay-gateway/src/watch/configuration.rs
@@ -5,10 +5,11 @@
 use log::Level;
 use serde::Serialize;
 use tinbay_core::serving::routes::RouteTable;
+use tinbay_core::units::Millis;
 
 use super::Follower;
 use crate::events::{self, part};
-use crate::node::{InForce, NamedVersion, Node};
+use crate::node::{InForce, Node};
 use crate::port::store::{Change, Item};
 
 /// Follows what operators write.
@@ -29,6 +30,8 @@
     adapter: &'a str,
     version: u64,
     revision: u64,
+    /// Time since it was certainly not named yet; none where it was there when this box came.
+    earliest_age_ms: Option<Millis>,
 }
 
 #[derive(Serialize)]
@@ -44,12 +47,12 @@
         Self { node }
     }
 
-    fn take(&self, item: &Item, is_news: bool) {
+    fn take(&self, item: &Item) {
         let keys = self.node.dialect.keys();
         if item.key == keys.configuration {
             self.take_configuration(item);
         } else if item.key.starts_with(&keys.versions) {
-            self.take_version(item, is_news);
+            self.take_version(item);
         }
     }
 
@@ -78,28 +81,28 @@
         }));
     }
 
-    /// `is_news` if it was seen to change, rather than found.
-    fn take_version(&self, item: &Item, is_news: bool) {
+    fn take_version(&self, item: &Item) {
         let named = match self.node.dialect.decode_version(&item.value) {
             Ok(named) => named,
             Err(error) => return reject(item, error.to_string()),
         };
+        let allowed_ms = self.node.settings.borrow().bounds.version_within_ms;
+        // The version had not been named when this box last knew all that the operators wrote.
+        // Counted from when it is learnt, the time of a late watch would be lost to the callers.
+        let earliest_ms = self.node.replica.confirmed_ms(self.prefix());
+        let now_ms = self.node.now_ms();
         let mut versions = self.node.versions.borrow_mut();
-        let current = versions.get(&named.adapter);
-        if current.is_some_and(|current| current.version >= named.version) {
+        let known = versions.entry(named.adapter.clone()).or_default();
+        if !known.note(named.version, earliest_ms, allowed_ms, now_ms) {
             return;
         }
         let event = VersionEvent {
             adapter: &named.adapter,
             version: named.version,
             revision: item.revision,
+            earliest_age_ms: earliest_ms.map(|earliest_ms| now_ms.saturating_sub(earliest_ms)),
         };
         events::emit(part::CONFIG, Level::Info, "version_named", &event);
-        let version = NamedVersion {
-            version: named.version,
-            changed_ms: is_news.then(|| self.node.now_ms()),
-        };
-        versions.insert(named.adapter, version);
         for server in self.node.servers.borrow().all() {
             server.order_due.notify_one();
         }
@@ -122,13 +125,13 @@
 
     fn reset(&self, items: &[Item]) {
         for item in items {
-            self.take(item, false);
+            self.take(item);
         }
     }
 
     fn apply(&self, change: &Change) {
         if let Change::Put(item) = change {
-            self.take(item, true);
+            self.take(item);
         }
     }
 }
