The time of a load is known between two looks: a late answer is no slow weight store

Cause: whether a load is done is seen by the answer to an order. Its delay counted as the time of the load, so that servers that lose orders loaded one adapter at a time (990 of 1,094 looks) and told waits of 8.8 s in the median: callers were refused at once and their adapters never came to their turn. Class: a measure that takes the delay of the observer for that of what is observed, and feeds itself. Ruled out: popular adapters that win each time (wants are served by their age); a refusal without a load asked for (it is asked for first). Change: a load took between when it was last seen not to be done and when it was seen to be; the window falls only by the first and grows only by the second.

--- a/crates/tinbay-core/src/serving/contents/held.rs
+++ b/crates/tinbay-core/src/serving/contents/held.rs
@@ -2,6 +2,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::fetching::LoadTime;
 use crate::serving::fading::faded;
 use crate::serving::servers::AdapterName;
 use crate::units::Millis;
@@ -53,6 +54,8 @@
     pub(super) used_ms: Millis,
     pub(super) ordered_ms: Millis,
     pub(super) check_ms: Millis,
+    /// When its load was last seen not to be done.
+    pub(super) seen_loading_ms: Millis,
     pub(super) is_fetch: bool,
 }
 
@@ -67,6 +70,7 @@
             used_ms: now_ms,
             ordered_ms: now_ms,
             check_ms: now_ms,
+            seen_loading_ms: now_ms,
             is_fetch: false,
         }
     }
@@ -77,6 +81,15 @@
         self.state == HeldState::Ready && idle_ms >= KEEP_USED_MS
     }
 
+    /// How long its load took that is seen to be done now.
+    pub(super) fn load_time(&self, now_ms: Millis) -> LoadTime {
+        let since_ordered_ms = |time_ms: Millis| time_ms.saturating_sub(self.ordered_ms) as f64;
+        LoadTime {
+            least_ms: since_ordered_ms(self.seen_loading_ms),
+            most_ms: since_ordered_ms(now_ms),
+        }
+    }
+
     pub(super) fn uses_at(&self, now_ms: Millis) -> f64 {
         faded(self.uses, self.used_ms, USE_HALF_LIFE_MS, now_ms)
     }
--- a/crates/tinbay-core/src/serving/contents/mod.rs
+++ b/crates/tinbay-core/src/serving/contents/mod.rs
@@ -170,6 +170,11 @@
         self.has_room(self.models.largest_adapter_mb()) || self.held.iter().any(can_give)
     }
 
+    /// Adapters that may be on their way at the same time.
+    pub fn loads_at_once(&self) -> usize {
+        self.fetches.at_once()
+    }
+
     /// Expected time until a load that is asked for now is done, behind `awaited` others.
     pub fn load_wait_ms(&self, awaited: usize) -> f64 {
         let before = self.loading() + awaited;
@@ -389,6 +394,7 @@
         {
             let taken_ms = now_ms - held.ordered_ms;
             held.check_ms = now_ms + CHECK_PAUSE_MS.max(taken_ms / CHECK_PART);
+            held.seen_loading_ms = now_ms;
             return;
         }
         let is_fetch = !self.loads_fast(key, version);
@@ -419,16 +425,17 @@
             held.state = HeldState::Ready;
             held.version = version.max(held.version);
             held.used_ms = now_ms;
-            let took_ms = (now_ms - held.ordered_ms) as f64;
+            let took = held.load_time(now_ms);
             if held.is_fetch {
-                self.fetches.note(now_ms - held.ordered_ms);
+                self.fetches.note(took);
             }
             let known_ms = if held.is_fetch {
                 &mut self.fetch_ms
             } else {
                 &mut self.reload_ms
             };
-            *known_ms += TIME_WEIGHT * (took_ms.min(*known_ms * 2.0) - *known_ms);
+            let took_ms = took.nearest_to(*known_ms).min(*known_ms * 2.0);
+            *known_ms += TIME_WEIGHT * (took_ms - *known_ms);
         } else {
             let held = Held::ready(adapter.to_string(), version, now_ms);
             self.held.insert(key, held);
@@ -503,6 +510,7 @@
         if let Some(before) = self.held.get(&adapter_key(&known.adapter)) {
             entry.uses = before.uses;
             entry.ordered_ms = before.ordered_ms;
+            entry.seen_loading_ms = before.seen_loading_ms;
             entry.is_fetch = before.is_fetch;
             entry.version = entry.version.max(before.version);
         }
