Four copies at once of an order that has no answer; what a conflict means is decided in the core

Cause: one order without an answer held its server's line up for 60 ms a send and up to a second in all; 81 of 241 s of orders went to such as were given up. Change: after the first send without an answer, four copies at a time; the first answer counts that says what became of the order. What a conflict means after sends without an answer moves to Contents::settle, unchanged. Order lines tell how many loads are begun at once and the wait that callers are told.

--- a/crates/tinbay-core/src/serving/contents/mod.rs
+++ b/crates/tinbay-core/src/serving/contents/mod.rs
@@ -107,6 +107,8 @@
     lately: HashMap<AdapterKey, (Option<u64>, Millis)>,
     order_count: Option<u64>,
     was_learnt: bool,
+    /// Whether an order was given up that the server may still take.
+    has_given_up: bool,
     learn_from_ms: Millis,
     fetches: FetchWindow,
     fetch_ms: f64,
@@ -123,6 +125,7 @@
             lately: HashMap::new(),
             order_count: None,
             was_learnt: false,
+            has_given_up: true,
             learn_from_ms: now_ms,
             fetches: FetchWindow::new(FIRST_FETCH_MS),
             fetch_ms: FIRST_FETCH_MS,
@@ -348,6 +351,29 @@
         self.held.values().filter(is_loading).count()
     }
 
+    /// What became of an order whose last answer came after so many sends without one. A conflict
+    /// then means that one of these was taken, unless an order given up before may have been.
+    pub fn settle(
+        &mut self,
+        _action: &Action,
+        answer: OrderAnswer,
+        unanswered: usize,
+        _now_ms: Millis,
+    ) -> OrderAnswer {
+        match answer {
+            OrderAnswer::Conflict if unanswered > 0 && !self.has_given_up => OrderAnswer::Accepted,
+            OrderAnswer::Accepted => {
+                self.has_given_up = false;
+                answer
+            }
+            OrderAnswer::NoAnswer => {
+                self.has_given_up = true;
+                answer
+            }
+            _ => answer,
+        }
+    }
+
     /// Notes how the server took an order.
     pub fn note_answer(&mut self, action: &Action, answer: OrderAnswer, now_ms: Millis) {
         match (action, answer) {
--- a/crates/tinbay-gateway/src/orders/holder.rs
+++ b/crates/tinbay-gateway/src/orders/holder.rs
@@ -1,10 +1,11 @@
 //! Orders one server what to hold, while this box holds the claim on it.
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use hyper::Method;
 use log::Level;
 use serde::Serialize;
@@ -27,6 +28,11 @@
 /// Longest wait for the answer to an order; most come within a few milliseconds.
 const ORDER_TIMEOUT_MS: Millis = 60;
 
+/// Copies of an order that are sent at once when one has no answer: all name the same count, so that
+/// one of them is taken at most. Where nine of ten orders were lost, 0.73 to 0.75 of the requests
+/// were served with four copies, 0.70 with one at a time (three simulated days).
+const COPIES: usize = 4;
+
 /// How often an order is sent whose answer does not come. It may have been taken, or be taken
 /// later: each names the same count of orders taken before, so that only one of them is, and
 /// until it is known which one, no other order may name that count.
@@ -56,6 +62,8 @@
     took_ms: Millis,
     wanted: usize,
     is_awaited: bool,
+    loads_at_once: usize,
+    load_wait_ms: Millis,
 }
 
 #[derive(Serialize)]
@@ -93,7 +101,6 @@
         server: Rc::clone(server),
         held,
         caller: Caller::new(server.record().address),
-        has_given_up: Cell::new(true),
     };
     tokio::task::spawn_local(holder.run());
 }
@@ -121,8 +128,6 @@
     server: Rc<Server>,
     held: Rc<HeldServer>,
     caller: Caller,
-    /// Whether an order was given up that the server may still take.
-    has_given_up: Cell<bool>,
 }
 
 impl Holder {
@@ -225,7 +230,7 @@
             return;
         };
         let began_ms = self.node.now_ms();
-        let answer = self.send_until_answered(&order, token).await;
+        let answer = self.send_until_answered(action, &order, token).await;
         let now_ms = self.node.now_ms();
         let mut contents = self.held.contents.borrow_mut();
         contents.note_answer(action, answer, now_ms);
@@ -238,9 +243,8 @@
         self.publish(Reach::Concerned);
     }
 
-    /// Sends an order until it is known whether it was taken. A conflict after a send without an
-    /// answer means that this send was taken, unless an order given up before may have been.
-    async fn send_until_answered(&self, order: &Order, token: u64) -> OrderAnswer {
+    /// Sends an order until it is known whether it was taken, or too often.
+    async fn send_until_answered(&self, action: &Action, order: &Order, token: u64) -> OrderAnswer {
         let mut answer = self.send(order).await;
         let mut unanswered = 0;
         while answer == OrderAnswer::NoAnswer && unanswered < MOST_SENDS && self.may_order(token) {
@@ -249,22 +253,25 @@
                 self.held.note_doubtful(self.node.now_ms());
                 self.publish(Reach::Users);
             }
-            answer = self.send(order).await;
+            answer = self.send_copies(order).await;
         }
-        match answer {
-            OrderAnswer::Conflict if unanswered > 0 && !self.has_given_up.get() => {
-                OrderAnswer::Accepted
-            }
-            OrderAnswer::Accepted => {
-                self.has_given_up.set(false);
-                answer
-            }
-            OrderAnswer::NoAnswer => {
-                self.has_given_up.set(true);
-                answer
+        let mut contents = self.held.contents.borrow_mut();
+        contents.settle(action, answer, unanswered, self.node.now_ms())
+    }
+
+    /// Sends an order several times at once; the first answer that says what became of it.
+    async fn send_copies(&self, order: &Order) -> OrderAnswer {
+        let mut copies: FuturesUnordered<_> = (0..COPIES).map(|_| self.send(order)).collect();
+        let mut best = OrderAnswer::NoAnswer;
+        while let Some(answer) = copies.next().await {
+            match answer {
+                OrderAnswer::NoAnswer => {}
+                // Another copy may be the one that was taken.
+                OrderAnswer::Conflict => best = answer,
+                _ => return answer,
             }
-            _ => answer,
         }
+        best
     }
 
     fn may_order(&self, token: u64) -> bool {
@@ -366,6 +373,8 @@
             took_ms,
             wanted: wants.len(),
             is_awaited: want.is_some_and(|want| !want.is_copy),
+            loads_at_once: self.held.contents.borrow().loads_at_once(),
+            load_wait_ms: self.held.load_wait_ms() as Millis,
         };
         events::emit(part::ORDERS, Level::Info, "order", &event);
     }
