One order a count; loads and unloads are seen by reports while a server loses orders

Cause: a conflict after sends without an answer was taken for the last order carried out. It may as well mean that an unload waits for its runs, or that a late look whether a load is done counted. The believed count ran ahead by up to six (expected 37 to 43, the report said 38), and as it came there again late orders overfilled the server. Class: an answer with two meanings read as one; a condition (the count) used for several orders. Ruled out: the change of a holder (one holder throughout); stale reports alone (their lag is waited for). Change: an order without an answer keeps its count until it is over, and is sent again there; a conflict shows it taken only where nothing else can be meant; an unload that is not known to be done keeps its place until a report no longer names the adapter; while orders are lost, loads are looked after by reports, not by orders; a report of a server with an order under way is asked for again. Contents are walked in a fixed order.

--- a/crates/tinbay-core/src/serving/contents/mod.rs
+++ b/crates/tinbay-core/src/serving/contents/mod.rs
@@ -4,12 +4,14 @@
 //! is carried out late finds the count moved on, and the holder never acts on contents
 //! that are not as it believes.
 
+mod doubts;
 mod fetching;
 mod held;
 mod models;
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
+use doubts::Doubts;
 use fetching::FetchWindow;
 pub use held::{AdapterKey, Held, HeldState, Holding, adapter_key};
 use models::BaseModels;
@@ -22,6 +24,14 @@
 /// A report is some hundred milliseconds old; after this pause it shows the last order.
 const REPORT_LAG_MS: Millis = 600;
 
+/// Pause between reports that are asked for to see loads and unloads done; they show what was some
+/// hundred milliseconds before.
+const LOOK_PAUSE_MS: Millis = 50;
+
+/// Pause between reports of a server that has an order under way: unloads wait for runs, of some
+/// hundred milliseconds mostly.
+const BUSY_PAUSE_MS: Millis = 200;
+
 /// Time to bring an adapter from the weight store, until it has been measured.
 const FIRST_FETCH_MS: f64 = 250.0;
 
@@ -57,8 +67,10 @@
 /// What to ask of the server next.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Action {
-    /// Ask for its report.
+    /// Ask for its report, and take what it holds from that.
     Learn,
+    /// Ask for its report, to see which loads and unloads are done.
+    Look,
     /// Order a load, or look whether it is done by ordering it again.
     Load {
         /// The adapter.
@@ -77,6 +89,18 @@
     },
 }
 
+impl Action {
+    /// Orders the server must have taken before, where it is an order.
+    pub fn expected_count(&self) -> Option<u64> {
+        match self {
+            Action::Learn | Action::Look => None,
+            Action::Load { expected_count, .. } | Action::Unload { expected_count, .. } => {
+                Some(*expected_count)
+            }
+        }
+    }
+}
+
 /// How the server took an order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OrderAnswer {
@@ -103,12 +127,15 @@
 pub struct Contents {
     adapter_slots: usize,
     models: BaseModels,
-    held: HashMap<AdapterKey, Held>,
+    held: BTreeMap<AdapterKey, Held>,
     lately: HashMap<AdapterKey, (Option<u64>, Millis)>,
     order_count: Option<u64>,
     was_learnt: bool,
-    /// Whether an order was given up that the server may still take.
-    has_given_up: bool,
+    doubts: Doubts,
+    /// Adapters whose unload may wait for their runs: they take their places until a report no
+    /// longer names them, and the server takes no other order.
+    unloading: BTreeMap<AdapterKey, AdapterName>,
+    look_from_ms: Millis,
     learn_from_ms: Millis,
     fetches: FetchWindow,
     fetch_ms: f64,
@@ -121,11 +148,13 @@
         Self {
             adapter_slots: spec.adapter_slots,
             models: BaseModels::new(spec),
-            held: HashMap::new(),
+            held: BTreeMap::new(),
             lately: HashMap::new(),
             order_count: None,
             was_learnt: false,
-            has_given_up: true,
+            doubts: Doubts::new(),
+            unloading: BTreeMap::new(),
+            look_from_ms: now_ms,
             learn_from_ms: now_ms,
             fetches: FetchWindow::new(FIRST_FETCH_MS),
             fetch_ms: FIRST_FETCH_MS,
@@ -216,9 +245,20 @@
         let Some(expected_count) = self.order_count else {
             return (look.now_ms >= self.learn_from_ms).then_some(Action::Learn);
         };
-        if let Some(action) = self.check_load(expected_count, look.now_ms) {
+        let is_losing = self.doubts.is_losing(look.now_ms);
+        if !self.unloading.is_empty() || (is_losing && self.has_load_due(look.now_ms)) {
+            if look.now_ms >= self.look_from_ms {
+                return Some(Action::Look);
+            }
+            if !self.unloading.is_empty() {
+                return None;
+            }
+        } else if let Some(action) = self.check_load(expected_count, look.now_ms) {
             return Some(action);
         }
+        if let Some(doubtful) = self.doubts.at(expected_count, look.now_ms) {
+            return Some(doubtful.clone());
+        }
         if self.models.is_loading() {
             return None;
         }
@@ -243,8 +283,10 @@
             .held
             .values()
             .filter(|held| held.state == HeldState::Loading);
-        let adapters = loading.map(|held| held.check_ms);
-        adapters.chain(self.models.next_look_ms()).min()
+        let adapters = loading.map(|held| held.check_ms.max(self.look_from_ms));
+        let unloading = (!self.unloading.is_empty()).then_some(self.look_from_ms);
+        let models = self.models.next_look_ms();
+        adapters.chain(models).chain(unloading).min()
     }
 
     fn load_model(
@@ -274,6 +316,11 @@
         self.held.len() < self.adapter_slots && has_memory
     }
 
+    fn has_load_due(&self, now_ms: Millis) -> bool {
+        let is_due = |held: &Held| held.state == HeldState::Loading && held.check_ms <= now_ms;
+        self.models.due(now_ms).is_none() && self.held.values().any(is_due)
+    }
+
     fn check_load(&self, expected_count: u64, now_ms: Millis) -> Option<Action> {
         if let Some(model) = self.models.due(now_ms) {
             return Some(Action::Load {
@@ -351,27 +398,38 @@
         self.held.values().filter(is_loading).count()
     }
 
-    /// What became of an order whose last answer came after so many sends without one. A conflict
-    /// then means that one of these was taken, unless an order given up before may have been.
+    /// What became of an order whose last answer came after so many sends without one.
     pub fn settle(
         &mut self,
-        _action: &Action,
+        action: &Action,
         answer: OrderAnswer,
         unanswered: usize,
-        _now_ms: Millis,
+        now_ms: Millis,
     ) -> OrderAnswer {
-        match answer {
-            OrderAnswer::Conflict if unanswered > 0 && !self.has_given_up => OrderAnswer::Accepted,
-            OrderAnswer::Accepted => {
-                self.has_given_up = false;
-                answer
-            }
-            OrderAnswer::NoAnswer => {
-                self.has_given_up = true;
-                answer
-            }
-            _ => answer,
+        let is_look = self.is_look(action);
+        if unanswered > 0 && is_look {
+            self.doubts.note_look_unanswered(action, now_ms);
+        } else if unanswered > 0 {
+            self.doubts.note_unanswered(action, now_ms);
+        }
+        let is_conflict = answer == OrderAnswer::Conflict && unanswered > 0;
+        if is_conflict && !is_look && self.doubts.shows_taken(action, now_ms) {
+            return OrderAnswer::Accepted;
+        }
+        self.doubts.note_told(answer);
+        answer
+    }
+
+    /// Whether an order only looks whether a load is done.
+    fn is_look(&self, action: &Action) -> bool {
+        let Action::Load { adapter, .. } = action else {
+            return false;
+        };
+        if !adapter.contains('/') {
+            return self.models.holds(adapter);
         }
+        let held = self.held.get(&adapter_key(adapter));
+        held.is_some_and(|held| held.state == HeldState::Loading)
     }
 
     /// Notes how the server took an order.
@@ -396,10 +454,15 @@
             ) => {
                 self.note_ready(adapter, *version, now_ms);
             }
-            (Action::Unload { adapter, .. }, OrderAnswer::Accepted | OrderAnswer::Done) => {
+            (Action::Unload { adapter, .. }, OrderAnswer::Accepted) => {
+                self.unloading.insert(adapter_key(adapter), adapter.clone());
+                self.look_from_ms = now_ms + LOOK_PAUSE_MS;
                 self.note_unloaded(adapter, now_ms);
             }
-            (Action::Learn, _) => {}
+            (Action::Unload { adapter, .. }, OrderAnswer::Done) => {
+                self.note_unloaded(adapter, now_ms);
+            }
+            (Action::Learn | Action::Look, _) => {}
         }
     }
 
@@ -495,13 +558,46 @@
         }
     }
 
+    /// Takes what a report shows of loads and unloads, if one came; the adapters that are there now.
+    /// It may be older than the last order, so that only what was awaited is taken from it.
+    pub fn note_look(&mut self, report: Option<&Report>, now_ms: Millis) -> Vec<AdapterKey> {
+        self.look_from_ms = now_ms + LOOK_PAUSE_MS;
+        let Some(report) = report else {
+            return Vec::new();
+        };
+        let is_named = |key: &AdapterKey| {
+            let mut all = report.adapters.iter().chain(&report.incoming);
+            all.any(|known| adapter_key(&known.adapter) == *key)
+        };
+        self.unloading.retain(|key, _| is_named(key));
+        let mut done = Vec::new();
+        for known in &report.adapters {
+            let key = adapter_key(&known.adapter);
+            let is_done = self.held.get(&key).is_some_and(|held| {
+                held.state == HeldState::Loading && held.version <= Some(known.version)
+            });
+            if is_done {
+                self.note_ready(&known.adapter, Some(known.version), now_ms);
+                done.push(key);
+            }
+        }
+        done
+    }
+
     /// Takes the server's report; it must have been asked for after the pause that
     /// [`Action::Learn`] waits for.
     pub fn note_report(&mut self, report: &Report, now_ms: Millis) {
-        self.order_count = Some(report.order_count);
         self.was_learnt = true;
+        self.unloading.clear();
+        if report.is_busy {
+            // What is under way changes the contents without a further order.
+            self.order_count = None;
+            self.learn_from_ms = now_ms + BUSY_PAUSE_MS;
+        } else {
+            self.order_count = Some(report.order_count);
+        }
         self.models.note_report(&report.models, now_ms);
-        let mut held = HashMap::new();
+        let mut held = BTreeMap::new();
         for known in &report.adapters {
             let mut entry = self.carried_over(known, now_ms);
             if self.is_being_replaced(known) {
--- a/crates/tinbay-core/src/serving/servers.rs
+++ b/crates/tinbay-core/src/serving/servers.rs
@@ -74,6 +74,8 @@
 pub struct Report {
     /// Orders it has taken.
     pub order_count: u64,
+    /// Whether an order is under way that keeps it from taking others.
+    pub is_busy: bool,
     /// Base models it holds.
     pub models: Vec<String>,
     /// Adapters it holds.
--- a/crates/tinbay-core/tests/serving_contents_test.rs
+++ b/crates/tinbay-core/tests/serving_contents_test.rs
@@ -322,6 +322,12 @@
                     contents.note_report(&known, now_ms);
                     continue;
                 }
+                Action::Look => {
+                    let adapters: Vec<(&str, u64)> =
+                        server.iter().map(|name| (name.as_str(), 1)).collect();
+                    contents.note_look(Some(&report(&adapters)), now_ms);
+                    continue;
+                }
                 Action::Load {
                     adapter,
                     expected_count,
--- a/crates/tinbay-gateway/src/orders/holder.rs
+++ b/crates/tinbay-gateway/src/orders/holder.rs
@@ -10,6 +10,7 @@
 use log::Level;
 use serde::Serialize;
 use tinbay_core::serving::contents::{Action, Look, ModelAllowance, OrderAnswer, adapter_key};
+use tinbay_core::serving::servers::Report;
 use tinbay_core::serving::wants::Want;
 use tinbay_core::units::Millis;
 
@@ -70,6 +71,7 @@
 struct ReportEvent<'a> {
     server: &'a str,
     order_count: u64,
+    is_busy: bool,
     adapters: usize,
     incoming: usize,
     at_hand: usize,
@@ -144,6 +146,7 @@
             let wants = self.held.wants.borrow_mut().current(now_ms);
             match self.next_action(&wants, now_ms) {
                 Some(Action::Learn) => self.learn().await,
+                Some(Action::Look) => self.look().await,
                 Some(action) => self.order(&action, token, &wants).await,
                 None => self.pause(&wants).await,
             }
@@ -188,26 +191,14 @@
     }
 
     async fn learn(&self) {
-        let path = self.node.dialect.report_path().to_string();
-        let reply = self
-            .caller
-            .call(&self.call(Method::GET, path, Bytes::new(), REPORT_TIMEOUT_MS))
-            .await;
-        let report = match reply {
-            Ok(reply) if reply.status == 200 => self.node.dialect.decode_report(&reply.body).ok(),
-            Ok(_) => None,
-            Err(error) => {
-                self.note_unreachable(error);
-                None
-            }
-        };
-        let Some(report) = report else {
+        let Some(report) = self.report().await else {
             self.held.contents.borrow_mut().unlearn(self.node.now_ms());
             return;
         };
         let event = ReportEvent {
             server: &self.server.record().id,
             order_count: report.order_count,
+            is_busy: report.is_busy,
             adapters: report.adapters.len(),
             incoming: report.incoming.len(),
             at_hand: report.at_hand.len(),
@@ -225,6 +216,34 @@
         });
     }
 
+    /// Sees by the server's report which loads and unloads are done.
+    async fn look(&self) {
+        let report = self.report().await;
+        let done = {
+            let mut contents = self.held.contents.borrow_mut();
+            contents.note_look(report.as_ref(), self.node.now_ms())
+        };
+        let mut wants = self.held.wants.borrow_mut();
+        for key in done {
+            wants.forget(key);
+        }
+        drop(wants);
+        self.publish(Reach::Concerned);
+    }
+
+    async fn report(&self) -> Option<Report> {
+        let path = self.node.dialect.report_path().to_string();
+        let call = self.call(Method::GET, path, Bytes::new(), REPORT_TIMEOUT_MS);
+        match self.caller.call(&call).await {
+            Ok(reply) if reply.status == 200 => self.node.dialect.decode_report(&reply.body).ok(),
+            Ok(_) => None,
+            Err(error) => {
+                self.note_unreachable(error);
+                None
+            }
+        }
+    }
+
     async fn order(&self, action: &Action, token: u64, wants: &[Want]) {
         let Some(order) = self.order_of(action, token) else {
             return;
@@ -309,7 +328,7 @@
 
     fn order_of(&self, action: &Action, token: u64) -> Option<Order> {
         let (action, adapter, expected_count) = match action {
-            Action::Learn => return None,
+            Action::Learn | Action::Look => return None,
             Action::Load {
                 adapter,
                 version,
