A box that closes takes no further connection, and counts one as it accepts it

Cause: where a connection and the end of a planned stop were due at once, chance decided which was seen first; a connection taken after the box had found none open lost its request 20 ms later, though its server ran it. Class: a choice among events of one moment left to chance, and a count that begins later than what it counts. Ruled out: the caller's old connection (it had been answered with close), a request that was not read. Change: the end goes first; a connection counts from its acceptance.

--- a/crates/tinbay-gateway/src/front/listener.rs
+++ b/crates/tinbay-gateway/src/front/listener.rs
@@ -55,23 +55,26 @@
 /// Takes callers' connections until the box closes.
 pub async fn listen(node: Rc<Node>, listener: TcpListener) {
     loop {
+        // The end goes first, and what is accepted counts at once: a box that finds no connection
+        // open ends, and one it took after that lost its request though its server ran it.
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+            biased;
             () = node.closing.wait() => return,
+            accepted = listener.accept() => accepted,
         };
         match accepted {
             Ok((stream, _)) => {
                 let _ = stream.set_nodelay(true);
                 end_when_silent(&stream, PROBED_REST);
-                tokio::task::spawn_local(serve(Rc::clone(&node), stream));
+                let open = Open::begin(&node);
+                tokio::task::spawn_local(serve(Rc::clone(&node), stream, open));
             }
             Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
         }
     }
 }
 
-async fn serve(node: Rc<Node>, stream: TcpStream) {
-    let _open = Open::begin(&node);
+async fn serve(node: Rc<Node>, stream: TcpStream, _open: Open) {
     let limits = node.limits();
     let service = {
         let node = Rc::clone(&node);
