An unload that was given up keeps its place, and late loads have theirs reckoned

Found by the case of lost orders with a server that goes on taking orders while an unload waits: an unload without an answer was taken, its adapter was still named by the report, and was ordered out once more; that was answered as done without counting, and the believed count ran ahead by one. Change: an unload whose count is over is waited for until a report no longer names its adapter; places are reckoned with loads that may still come at a higher count; one that was not taken is learnt anew.

--- a/crates/tinbay-core/src/serving/contents/doubts.rs
+++ b/crates/tinbay-core/src/serving/contents/doubts.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeMap;
 
 use super::{Action, OrderAnswer};
+use crate::serving::servers::AdapterName;
 use crate::units::Millis;
 
 /// How long an order without an answer may still be carried out; late ones were by 12 s after they
@@ -22,6 +23,8 @@
 struct Doubtful {
     action: Action,
     until_ms: Millis,
+    /// Whether it was taken, as far as is believed.
+    is_taken: bool,
 }
 
 /// Orders to one server that may still be carried out.
@@ -57,6 +60,7 @@
         let doubtful = Doubtful {
             action: action.clone(),
             until_ms: now_ms + DOUBT_LIFE_MS,
+            is_taken: false,
         };
         self.by_count.insert(count, doubtful);
     }
@@ -82,6 +86,37 @@
         (now_ms < doubtful.until_ms).then_some(&doubtful.action)
     }
 
+    /// Loads that may still be carried out once the server has taken more orders than so many.
+    pub fn loads_after(&self, count: u64, now_ms: Millis) -> usize {
+        let after = self.by_count.range(count + 1..);
+        let is_load = |doubtful: &&Doubtful| {
+            matches!(doubtful.action, Action::Load { .. }) && now_ms < doubtful.until_ms
+        };
+        after.map(|(_, doubtful)| doubtful).filter(is_load).count()
+    }
+
+    /// The server has taken so many orders: those that named a lower count are over. The adapters
+    /// of unloads among them of which it was not known.
+    pub fn note_count(&mut self, count: u64) -> Vec<AdapterName> {
+        let later = self.by_count.split_off(&count);
+        let over = std::mem::replace(&mut self.by_count, later);
+        over.into_iter()
+            .filter(|(count, doubtful)| !doubtful.is_taken && !self.looks.contains_key(count))
+            .filter_map(|(_, doubtful)| match doubtful.action {
+                Action::Unload { adapter, .. } => Some(adapter),
+                _ => None,
+            })
+            .collect()
+    }
+
+    /// An order is believed to have been taken.
+    pub fn note_taken(&mut self, action: &Action) {
+        let count = action.expected_count();
+        if let Some(doubtful) = count.and_then(|count| self.by_count.get_mut(&count)) {
+            doubtful.is_taken = true;
+        }
+    }
+
     /// Whether a conflict after sends of an order without an answer can only mean that one of them
     /// was taken: no order of another holder, and no look, may have been taken at its count.
     pub fn shows_taken(&self, action: &Action, now_ms: Millis) -> bool {
--- a/crates/tinbay-core/src/serving/contents/mod.rs
+++ b/crates/tinbay-core/src/serving/contents/mod.rs
@@ -24,6 +24,9 @@
 /// A report is some hundred milliseconds old; after this pause it shows the last order.
 const REPORT_LAG_MS: Millis = 600;
 
+/// How long an unload is taken to wait for its runs: they end within some seconds.
+const UNLOAD_LIFE_MS: Millis = 5_000;
+
 /// Pause between reports that are asked for to see loads and unloads done; they show what was some
 /// hundred milliseconds before.
 const LOOK_PAUSE_MS: Millis = 50;
@@ -132,9 +135,9 @@
     order_count: Option<u64>,
     was_learnt: bool,
     doubts: Doubts,
-    /// Adapters whose unload may wait for their runs: they take their places until a report no
-    /// longer names them, and the server takes no other order.
-    unloading: BTreeMap<AdapterKey, AdapterName>,
+    /// Adapters whose unload may wait for their runs, and since when: they take their places until
+    /// a report no longer names them.
+    unloading: BTreeMap<AdapterKey, Millis>,
     look_from_ms: Millis,
     learn_from_ms: Millis,
     fetches: FetchWindow,
@@ -199,7 +202,7 @@
             return false;
         }
         let can_give = |(key, held): (&AdapterKey, &Held)| held.is_idle(now_ms) && !is_in_use(*key);
-        self.has_room(self.models.largest_adapter_mb()) || self.held.iter().any(can_give)
+        self.has_room(self.models.largest_adapter_mb(), 0) || self.held.iter().any(can_give)
     }
 
     /// Adapters that may be on their way at the same time.
@@ -310,10 +313,12 @@
         self.held.values().map(size_mb).sum()
     }
 
-    /// Whether one more adapter has a place and memory.
-    fn has_room(&self, adapter_mb: f64) -> bool {
-        let has_memory = self.adapters_mb() + adapter_mb <= self.models.free_mb();
-        self.held.len() < self.adapter_slots && has_memory
+    /// Whether one more adapter has a place and memory, beside so many of its size that may come
+    /// late.
+    fn has_room(&self, adapter_mb: f64, late: usize) -> bool {
+        let more_mb = adapter_mb * (late + 1) as f64;
+        let has_memory = self.adapters_mb() + more_mb <= self.models.free_mb();
+        self.held.len() + late < self.adapter_slots && has_memory
     }
 
     fn has_load_due(&self, now_ms: Millis) -> bool {
@@ -350,7 +355,9 @@
         {
             return None;
         }
-        let needs_place = holding == Holding::None && !self.has_room(self.models.adapter_mb(model));
+        let late = self.doubts.loads_after(expected_count, look.now_ms);
+        let needs_place =
+            holding == Holding::None && !self.has_room(self.models.adapter_mb(model), late);
         if needs_place {
             let victim = self.victim(look)?;
             return Some(Action::Unload {
@@ -414,8 +421,12 @@
         }
         let is_conflict = answer == OrderAnswer::Conflict && unanswered > 0;
         if is_conflict && !is_look && self.doubts.shows_taken(action, now_ms) {
+            self.doubts.note_taken(action);
             return OrderAnswer::Accepted;
         }
+        if matches!(answer, OrderAnswer::Accepted | OrderAnswer::Done) {
+            self.doubts.note_taken(action);
+        }
         self.doubts.note_told(answer);
         answer
     }
@@ -455,7 +466,7 @@
                 self.note_ready(adapter, *version, now_ms);
             }
             (Action::Unload { adapter, .. }, OrderAnswer::Accepted) => {
-                self.unloading.insert(adapter_key(adapter), adapter.clone());
+                self.unloading.insert(adapter_key(adapter), now_ms);
                 self.look_from_ms = now_ms + LOOK_PAUSE_MS;
                 self.note_unloaded(adapter, now_ms);
             }
@@ -565,11 +576,9 @@
         let Some(report) = report else {
             return Vec::new();
         };
-        let is_named = |key: &AdapterKey| {
-            let mut all = report.adapters.iter().chain(&report.incoming);
-            all.any(|known| adapter_key(&known.adapter) == *key)
-        };
-        self.unloading.retain(|key, _| is_named(key));
+        if self.end_unloads(report, now_ms) {
+            self.unlearn(now_ms);
+        }
         let mut done = Vec::new();
         for known in &report.adapters {
             let key = adapter_key(&known.adapter);
@@ -584,11 +593,28 @@
         done
     }
 
+    /// Unloads are done whose adapters a report no longer names. Those of others that should be done
+    /// long since were not taken; whether there are such.
+    fn end_unloads(&mut self, report: &Report, now_ms: Millis) -> bool {
+        let is_named = |key: &AdapterKey| {
+            let mut all = report.adapters.iter().chain(&report.incoming);
+            all.any(|known| adapter_key(&known.adapter) == *key)
+        };
+        self.unloading.retain(|key, _| is_named(key));
+        let waiting = self.unloading.len();
+        self.unloading
+            .retain(|_, since_ms| now_ms < *since_ms + UNLOAD_LIFE_MS);
+        self.unloading.len() < waiting
+    }
+
     /// Takes the server's report; it must have been asked for after the pause that
     /// [`Action::Learn`] waits for.
     pub fn note_report(&mut self, report: &Report, now_ms: Millis) {
         self.was_learnt = true;
-        self.unloading.clear();
+        for adapter in self.doubts.note_count(report.order_count) {
+            self.unloading.insert(adapter_key(&adapter), now_ms);
+        }
+        self.end_unloads(report, now_ms);
         if report.is_busy {
             // What is under way changes the contents without a further order.
             self.order_count = None;
@@ -598,7 +624,9 @@
         }
         self.models.note_report(&report.models, now_ms);
         let mut held = BTreeMap::new();
-        for known in &report.adapters {
+        let unloading = &self.unloading;
+        let stays = |known: &&HeldAdapter| !unloading.contains_key(&adapter_key(&known.adapter));
+        for known in report.adapters.iter().filter(stays) {
             let mut entry = self.carried_over(known, now_ms);
             if self.is_being_replaced(known) {
                 entry.state = HeldState::Loading;
--- a/crates/tinbay-core/tests/serving_late_orders_test.rs
+++ b/crates/tinbay-core/tests/serving_late_orders_test.rs
@@ -52,11 +52,11 @@
 /// Runs.
 const SEEDS: u64 = 400;
 
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 struct ServerState {
     count: u64,
     held: Vec<String>,
-    unloading: Option<String>,
+    unloading: Vec<String>,
 }
 
 /// A request that runs.
@@ -78,13 +78,16 @@
     late: Vec<LateOrder>,
     loading: Vec<(String, Millis)>,
     running: Vec<Run>,
+    /// Whether it takes no order while an unload waits for its runs.
+    is_blocked_by_unloads: bool,
     most_held: usize,
     ever_held: HashSet<String>,
 }
 
 impl FakeServer {
-    fn new() -> Self {
+    fn new(is_blocked_by_unloads: bool) -> Self {
         Self {
+            is_blocked_by_unloads,
             state: ServerState::default(),
             history: Vec::new(),
             late: Vec::new(),
@@ -102,29 +105,38 @@
         }
         self.loading.retain(|(_, done_ms)| *done_ms > now_ms);
         self.running.retain(|run| run.end_ms > now_ms);
-        self.end_unload();
-        self.history.push((now_ms, self.state.clone()));
+        self.end_unloads();
+        if self
+            .history
+            .last()
+            .is_none_or(|(_, last)| *last != self.state)
+        {
+            self.history.push((now_ms, self.state.clone()));
+        }
     }
 
     fn is_running(&self, adapter: &str) -> bool {
         self.running.iter().any(|run| run.adapter == adapter)
     }
 
+    fn is_blocked(&self) -> bool {
+        self.is_blocked_by_unloads && !self.state.unloading.is_empty()
+    }
+
     /// Whether it begins requests for an adapter.
     fn serves(&self, adapter: &String) -> bool {
         let is_loading = self.loading.iter().any(|(loading, _)| loading == adapter);
-        let is_unloading = self.state.unloading.as_ref() == Some(adapter);
+        let is_unloading = self.state.unloading.contains(adapter);
         self.state.held.contains(adapter) && !is_loading && !is_unloading
     }
 
-    fn end_unload(&mut self) {
-        let Some(adapter) = self.state.unloading.clone() else {
-            return;
-        };
-        if !self.is_running(&adapter) {
-            self.state.held.retain(|held| *held != adapter);
-            self.state.unloading = None;
-        }
+    fn end_unloads(&mut self) {
+        let waiting = std::mem::take(&mut self.state.unloading);
+        let (waiting, done): (Vec<String>, Vec<String>) = waiting
+            .into_iter()
+            .partition(|adapter| self.is_running(adapter));
+        self.state.held.retain(|held| !done.contains(held));
+        self.state.unloading = waiting;
     }
 
     /// A late load of what is held already may count as an order.
@@ -151,7 +163,7 @@
             }
             Action::Unload { adapter, .. } if !is_held(adapter) => OrderAnswer::Done,
             Action::Load { expected_count, .. } | Action::Unload { expected_count, .. }
-                if self.state.unloading.is_some() || *expected_count != self.state.count =>
+                if self.is_blocked() || *expected_count != self.state.count =>
             {
                 OrderAnswer::Conflict
             }
@@ -165,9 +177,9 @@
             }
             Action::Unload { adapter, .. } => {
                 self.state.count += 1;
-                self.state.unloading = Some(adapter.clone());
-                self.end_unload();
-                if self.state.unloading.is_some() {
+                self.state.unloading.push(adapter.clone());
+                self.end_unloads();
+                if self.state.unloading.contains(adapter) {
                     OrderAnswer::Accepted
                 } else {
                     OrderAnswer::Done
@@ -189,7 +201,7 @@
         };
         Report {
             order_count: state.count,
-            is_busy: state.unloading.is_some(),
+            is_busy: self.is_blocked_by_unloads && !state.unloading.is_empty(),
 
             models: vec!["m".into()],
             adapters: state.held.iter().map(known).collect(),
@@ -235,9 +247,10 @@
     fn new(seed: u64) -> Self {
         let mut random = SmallRng::seed_from_u64(seed);
         let loss = random.random_range(0.5..0.95);
+        let is_blocked_by_unloads = random.random_bool(0.5);
         Self {
             random,
-            server: FakeServer::new(),
+            server: FakeServer::new(is_blocked_by_unloads),
             contents: Contents::new(&spec(), 0),
             wants: Wants::default(),
             now_ms: 0,
