A silent box is told from zone to zone; jobs for others go to boxes that can bear them

Ruled out: a shorter lease (boxes cut from the store alone would leave the directory sooner, and each renewal is paid for). Now the boxes that read the store for a zone speak for it: they tell a few of those of other zones which boxes nobody of their zone hears; each zone passes it on. A box that had a gap of its own, or misses most of its zone, says nothing; a word lapses after 2.5 s.

A box states its link and its share of a core in its record; relays are drawn among the strong ones.

Beside it: a relay that the store turns away asks relays of other zones before the store, and what a relay confirms counts from when it answered, not from when it was asked.

--- a/crates/tinbay-core/src/serving/mod.rs
+++ b/crates/tinbay-core/src/serving/mod.rs
@@ -4,6 +4,7 @@
 //! milliseconds of a monotonic clock, decisions go out as values.
 
 pub mod budget;
+pub mod capacity;
 pub mod claims;
 pub mod configuration;
 pub mod contents;
--- a/crates/tinbay-core/src/serving/relays.rs
+++ b/crates/tinbay-core/src/serving/relays.rs
@@ -6,6 +6,7 @@
 //! zones, and a box's share of passing on stays bounded.
 
 use crate::rendezvous;
+use crate::serving::capacity::{self, RankedBox};
 
 /// Boxes that one relay serves. Each relay makes four calls a second to the store, which are paid
 /// for, and passing on what it sees to 39 boxes left the busiest box at 0.010 of a core, measured
@@ -13,9 +14,9 @@
 const BOXES_A_RELAY: usize = 64;
 
 /// The relays of a zone among its boxes.
-pub fn relays_of<'a>(zone: &str, boxes: &[&'a str]) -> Vec<&'a str> {
+pub fn relays_of<'a>(zone: &str, boxes: &[RankedBox<'a>]) -> Vec<&'a str> {
     let count = 1 + boxes.len() / BOXES_A_RELAY;
-    rendezvous::rank(zone, boxes.iter().copied(), count)
+    capacity::draw(zone, boxes, count)
 }
 
 /// In which order a box asks relays: those of its own zone first, and different boxes
--- a/crates/tinbay-gateway/src/members.rs
+++ b/crates/tinbay-gateway/src/members.rs
@@ -1,4 +1,8 @@
 //! The boxes this box knows.
+//!
+//! A box of the own availability zone is judged by when any box of the zone last heard it. Of
+//! another zone only a few boxes are heard, those that read the store for it: what they say of
+//! their zone counts, and the entries in the store.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -11,6 +15,18 @@
 /// Silence after which a box of the own zone is no longer handed out: some rounds of gossip.
 const SILENT_AFTER_MS: Millis = 2_500;
 
+/// How long the word of another zone that a box there is silent holds unless it is said again,
+/// each half second: a box that is back is handed out that much later at most.
+const SILENT_WORD_LIFE_MS: Millis = 2_500;
+
+/// Time without a word of a zone after which its last speaker counts as silent: the words of
+/// zones are passed on in turns, which takes longer than to hear a box of the own zone.
+const ZONE_SILENT_AFTER_MS: Millis = 3_000;
+
+/// Gap without any sign of others after which this box may itself have been cut off or frozen,
+/// and judges nobody until it has heard others for as long as a silence takes.
+const OWN_GAP_MS: Millis = 1_500;
+
 /// What a box writes about itself into the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberRecord {
@@ -24,6 +40,9 @@
     pub zone: String,
     /// Whether it takes no new callers.
     pub is_leaving: bool,
+    /// What it can bear for others, compared with other boxes.
+    #[serde(default)]
+    pub capacity: u64,
 }
 
 /// A box and what is believed of it.
@@ -35,17 +54,40 @@
     pub listed: bool,
     /// When that changed last.
     pub listed_changed_ms: Millis,
-    /// When it was last heard.
+    /// When it was last heard; only boxes of the own zone are.
     pub heard_ms: Option<Millis>,
+    /// When its own zone last said that it is silent; only boxes of other zones are spoken of.
+    pub silent_word_ms: Option<Millis>,
+}
+
+/// The box that last spoke for another zone.
+#[derive(Debug, Clone)]
+struct Speaker {
+    id: Option<String>,
+    heard_ms: Millis,
+}
+
+/// Since when this box has been in touch with others without a gap.
+#[derive(Debug, Clone, Copy)]
+struct Contact {
+    since_ms: Millis,
+    last_ms: Millis,
 }
 
-/// The other boxes. Only those of the own availability zone are judged by when they were heard;
-/// others by their entries in the store.
+/// The other boxes.
 #[derive(Debug)]
 pub struct Members {
     zone: String,
     by_id: HashMap<String, Member>,
     ids: HashMap<Fingerprint, String>,
+    /// Who last spoke for the other zones, by the short form of their names.
+    speakers: HashMap<Fingerprint, Speaker>,
+    contact: Option<Contact>,
+}
+
+/// The short form of an availability zone's name in messages.
+pub fn zone_fingerprint(zone: &str) -> Fingerprint {
+    box_fingerprint(zone)
 }
 
 /// The short form of a box's name in messages.
@@ -60,12 +102,168 @@
             zone: zone.to_string(),
             by_id: HashMap::new(),
             ids: HashMap::new(),
+            speakers: HashMap::new(),
+            contact: None,
         }
     }
 
-    /// Notes a box's entry in the store.
+    /// Notes that this box is in touch with others: with another box, or with the store.
+    pub fn note_contact(&mut self, now_ms: Millis) {
+        let since_ms = match self.contact {
+            Some(contact) if now_ms < contact.last_ms + OWN_GAP_MS => contact.since_ms,
+            _ => now_ms,
+        };
+        let last_ms = now_ms;
+        self.contact = Some(Contact { since_ms, last_ms });
+    }
+
+    /// Whether this box has been in touch for so long that silence of others is theirs.
+    fn can_judge(&self, now_ms: Millis) -> bool {
+        self.contact.is_some_and(|contact| {
+            let is_in_touch = now_ms < contact.last_ms + OWN_GAP_MS;
+            is_in_touch && now_ms >= contact.since_ms + SILENT_AFTER_MS
+        })
+    }
+
+    /// Boxes of the own zone that nobody of the zone hears, for other zones; nothing from a box
+    /// that may have been cut off itself, or that misses more than half of its zone.
+    pub fn silent_near(&self, now_ms: Millis) -> Vec<Fingerprint> {
+        if !self.can_judge(now_ms) {
+            return Vec::new();
+        }
+        let near = || {
+            let members = self.by_id.iter();
+            members.filter(|(_, member)| member.listed && member.record.zone == self.zone)
+        };
+        let silent: Vec<Fingerprint> = near()
+            .filter(|(_, member)| member.is_silent(now_ms))
+            .map(|(id, _)| box_fingerprint(id))
+            .collect();
+        // This box is one of the zone as well, and hears itself.
+        if silent.len() * 2 > near().count() + 1 {
+            return Vec::new();
+        }
+        silent
+    }
+
+    /// Notes that a box spoke for its zone, and which boxes there it says are silent; those it
+    /// does not name are not silent any more. Whether a word is new is returned.
+    pub fn note_zone_word(
+        &mut self,
+        speaker: &str,
+        silent: &[Fingerprint],
+        now_ms: Millis,
+    ) -> bool {
+        let Some(zone) = self.zone_of(speaker) else {
+            return false;
+        };
+        let heard = Speaker {
+            id: Some(speaker.to_string()),
+            heard_ms: now_ms,
+        };
+        self.speakers.insert(zone_fingerprint(&zone), heard);
+        for (id, member) in &mut self.by_id {
+            if member.record.zone == zone && !silent.contains(&box_fingerprint(id)) {
+                member.silent_word_ms = None;
+            }
+        }
+        let mut is_news = false;
+        for fingerprint in silent {
+            is_news |= self.note_silent(*fingerprint, now_ms);
+        }
+        is_news
+    }
+
+    fn zone_of(&self, id: &str) -> Option<String> {
+        let zone = &self.by_id.get(id)?.record.zone;
+        (*zone != self.zone).then(|| zone.clone())
+    }
+
+    /// Notes that a zone was heard then by another box.
+    pub fn hear_zone_at(&mut self, zone: Fingerprint, heard_ms: Millis) {
+        if zone == zone_fingerprint(&self.zone) {
+            return;
+        }
+        let first = Speaker { id: None, heard_ms };
+        let speaker = self.speakers.entry(zone).or_insert(first);
+        speaker.heard_ms = speaker.heard_ms.max(heard_ms);
+    }
+
+    /// When other zones were last heard, and how long ago.
+    pub fn zones_heard(&self, now_ms: Millis) -> Vec<(Fingerprint, Millis)> {
+        let age_ms = |speaker: &Speaker| now_ms.saturating_sub(speaker.heard_ms);
+        let speakers = self.speakers.iter();
+        let recent = speakers.filter(|(_, speaker)| age_ms(speaker) < ZONE_SILENT_AFTER_MS);
+        recent
+            .map(|(zone, speaker)| (*zone, age_ms(speaker)))
+            .collect()
+    }
+
+    /// Notes who should speak for another zone, if nobody was heard speaking for it yet.
+    pub fn expect_speaker(&mut self, id: &str, now_ms: Millis) {
+        let Some(zone) = self.zone_of(id) else {
+            return;
+        };
+        let first = Speaker {
+            id: None,
+            heard_ms: now_ms,
+        };
+        let speaker = self
+            .speakers
+            .entry(zone_fingerprint(&zone))
+            .or_insert(first);
+        speaker.id.get_or_insert_with(|| id.to_string());
+    }
+
+    /// Judges the last speakers of zones of which nothing is heard any more: a zone of one box
+    /// has nobody else to say that it is silent.
+    pub fn judge_speakers(&mut self, now_ms: Millis) {
+        if !self.can_judge(now_ms) {
+            return;
+        }
+        let is_silent = |speaker: &&Speaker| now_ms >= speaker.heard_ms + ZONE_SILENT_AFTER_MS;
+        let silent: Vec<Fingerprint> = self
+            .speakers
+            .values()
+            .filter(is_silent)
+            .filter_map(|speaker| Some(box_fingerprint(speaker.id.as_deref()?)))
+            .collect();
+        for fingerprint in silent {
+            self.note_silent(fingerprint, now_ms);
+        }
+    }
+
+    /// Notes the word of another zone, given then, that a box there is silent; whether that is
+    /// new is returned.
+    pub fn note_silent(&mut self, fingerprint: Fingerprint, word_ms: Millis) -> bool {
+        let Some(id) = self.ids.get(&fingerprint) else {
+            return false;
+        };
+        let Some(member) = self.by_id.get_mut(id) else {
+            return false;
+        };
+        if member.record.zone == self.zone || word_ms < member.listed_changed_ms {
+            return false;
+        }
+        let is_news = !member.has_silent_word(word_ms);
+        member.silent_word_ms = member.silent_word_ms.max(Some(word_ms));
+        is_news
+    }
+
+    /// Boxes of other zones whose silence is known, and how old that word is.
+    pub fn silent_far(&self, now_ms: Millis) -> Vec<(Fingerprint, Millis)> {
+        let members = self.by_id.iter();
+        let spoken_of = members.filter_map(|(id, member)| {
+            let age_ms = now_ms.saturating_sub(member.silent_word_ms?);
+            (age_ms < SILENT_WORD_LIFE_MS).then(|| (box_fingerprint(id), age_ms))
+        });
+        spoken_of.collect()
+    }
+
+    /// Notes a box's entry in the store; who writes one is there.
     pub fn put(&mut self, id: &str, record: MemberRecord, now_ms: Millis) {
         let member = self.renew(id, record, now_ms);
+        member.silent_word_ms = None;
         if !member.listed {
             member.listed = true;
             member.listed_changed_ms = now_ms;
@@ -128,6 +326,7 @@
             listed: false,
             listed_changed_ms: now_ms,
             heard_ms: None,
+            silent_word_ms: None,
         });
         member.record = record;
         member
@@ -175,7 +374,22 @@
         }
         match self.heard_ms {
             Some(heard_ms) => now_ms.saturating_sub(heard_ms) < SILENT_AFTER_MS,
-            None => self.listed,
+            None => self.listed && !self.has_silent_word(now_ms),
         }
     }
+
+    /// Whether its own zone has said lately that it is silent.
+    ///
+    /// Where other zones went by its lease of 8 s alone, they handed out a box that was off for
+    /// up to 6.3 s and more after its end (two boxes of two zones, one killed).
+    fn has_silent_word(&self, now_ms: Millis) -> bool {
+        self.silent_word_ms
+            .is_some_and(|word_ms| now_ms < word_ms + SILENT_WORD_LIFE_MS)
+    }
+
+    /// Whether nobody of its zone has heard it for long.
+    fn is_silent(&self, now_ms: Millis) -> bool {
+        let last_ms = self.heard_ms.unwrap_or(self.listed_changed_ms);
+        now_ms >= last_ms + SILENT_AFTER_MS
+    }
 }
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -189,6 +189,7 @@
             control: settings.metrics,
             zone: settings.zone.clone(),
             is_leaving: self.is_leaving.get(),
+            capacity: settings.resources.capacity(),
         }
     }
 
--- a/crates/tinbay-gateway/src/peers/frame.rs
+++ b/crates/tinbay-gateway/src/peers/frame.rs
@@ -29,6 +29,12 @@
     Hello(MemberRecord),
     /// When boxes of its availability zone were last heard, and how long ago in ms.
     LastHeard(Vec<(Fingerprint, u16)>),
+    /// What the sender says to other zones, as one of the few that speak for its own.
+    ZoneWord(ZoneWordPart),
+    /// Boxes of other zones that are silent, and how old that word is in ms.
+    Silent(Vec<(Fingerprint, u16)>),
+    /// When other zones were last heard, and how long ago in ms.
+    ZonesHeard(Vec<(Fingerprint, u16)>),
     /// What a request needs of a server that the receiver holds.
     LoadRequest(LoadRequestPart),
     /// A request for the status of a server that the receiver holds.
@@ -45,6 +51,9 @@
         match self {
             FramePart::Hello(_) => "hello",
             FramePart::LastHeard(_) => "last_heard",
+            FramePart::ZoneWord(_) => "zone_word",
+            FramePart::Silent(_) => "silent",
+            FramePart::ZonesHeard(_) => "zones_heard",
             FramePart::LoadRequest(_) => "load_request",
             FramePart::StatusRequest(_) => "status_request",
             FramePart::Usage(_) => "usage",
@@ -53,6 +62,15 @@
     }
 }
 
+/// What one availability zone tells another.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneWordPart {
+    /// Boxes of the sender's zone that nobody there hears.
+    pub silent: Vec<Fingerprint>,
+    /// Other zones that the sender hears, and how long ago in ms.
+    pub zones_heard: Vec<(Fingerprint, u16)>,
+}
+
 /// What a request needs of a server.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadRequestPart {
--- a/crates/tinbay-gateway/src/peers/gossip.rs
+++ b/crates/tinbay-gateway/src/peers/gossip.rs
@@ -2,15 +2,18 @@
 //!
 //! Each box talks to a few others at a time and passes on how long ago it heard each one; so a
 //! box that falls silent is missed by its whole zone within some rounds, at a cost that does
-//! not grow with the zone. Boxes of other zones are judged by their entries in the store.
+//! not grow with the zone. The few boxes that read the store for a zone also speak for it: they
+//! tell some of those of other zones which of its boxes are silent, and each zone passes that on.
 //! Source: van Renesse, Minsky and Hayden, "A gossip-style failure detection service",
 //! Middleware 1998.
 
 use rand::seq::{IndexedRandom, SliceRandom};
 use tinbay_core::serving::servers::Fingerprint;
+use tinbay_core::units::Millis;
 
-use super::frame::FramePart;
+use super::frame::{FramePart, ZoneWordPart};
 use crate::node::Node;
+use crate::watch::relay;
 
 /// Boxes talked to in one round.
 const PEERS: usize = 3;
@@ -18,14 +21,84 @@
 /// Most boxes passed on in one message; what fits beside the sender's own record.
 const MOST_PASSED_ON: usize = 100;
 
+/// Most silent boxes named in one message.
+const MOST_SILENT: usize = 60;
+
+/// Zones that are spoken to in one round: with up to 12 zones each one hears each other one at
+/// least once in two seconds, directly or through a third one.
+const ZONES_SPOKEN_TO: usize = 3;
+
+/// Tells some boxes of the zone which boxes of other zones are silent.
+pub fn post_silent(node: &Node) {
+    let mut silent = to_ages(node.members.borrow().silent_far(node.now_ms()));
+    if silent.is_empty() {
+        return;
+    }
+    silent.truncate(MOST_SILENT);
+    let near = near_boxes(node);
+    for box_id in near.sample(&mut rand::rng(), PEERS) {
+        node.outbox.post(box_id, FramePart::Silent(silent.clone()));
+    }
+}
+
+/// Speaks to other zones, if this box is one of those that speak for its own.
+pub fn post_zone_word(node: &Node) {
+    let relays = relay::relays(node);
+    if !relays.is_one {
+        return;
+    }
+    let now_ms = node.now_ms();
+    {
+        let mut members = node.members.borrow_mut();
+        for speaker in relays
+            .far_by_zone
+            .iter()
+            .filter_map(|relays| relays.first())
+        {
+            members.expect_speaker(speaker, now_ms);
+        }
+        members.judge_speakers(now_ms);
+    }
+    let word = {
+        let members = node.members.borrow();
+        let mut silent = members.silent_near(now_ms);
+        silent.truncate(MOST_SILENT);
+        ZoneWordPart {
+            silent,
+            zones_heard: to_ages(members.zones_heard(now_ms)),
+        }
+    };
+    let mut rng = rand::rng();
+    let mut far = relays.far_by_zone;
+    far.shuffle(&mut rng);
+    for relays in far.iter().take(ZONES_SPOKEN_TO) {
+        if let Some(box_id) = relays.choose(&mut rng) {
+            node.outbox.post(box_id, FramePart::ZoneWord(word.clone()));
+        }
+    }
+}
+
+fn to_ages(ages: Vec<(Fingerprint, Millis)>) -> Vec<(Fingerprint, u16)> {
+    let short = |age_ms: Millis| age_ms.min(Millis::from(u16::MAX)) as u16;
+    let ages = ages.into_iter().map(|(key, age_ms)| (key, short(age_ms)));
+    ages.collect()
+}
+
 /// Posts one round of messages.
 pub fn post_round(node: &Node) {
+    post_zone_word(node);
+    post_silent(node);
     let near = near_boxes(node);
     let mut rng = rand::rng();
     let heard = heard(node);
+    let zones_heard = to_ages(node.members.borrow().zones_heard(node.now_ms()));
     for box_id in near.sample(&mut rng, PEERS) {
         let hello = FramePart::Hello(node.own_record());
         node.outbox.post(box_id, hello);
+        if !zones_heard.is_empty() {
+            let zones_heard = FramePart::ZonesHeard(zones_heard.clone());
+            node.outbox.post(box_id, zones_heard);
+        }
         node.outbox
             .post(box_id, FramePart::LastHeard(heard.clone()));
     }
@@ -52,10 +125,7 @@
 fn heard(node: &Node) -> Vec<(Fingerprint, u16)> {
     let now_ms = node.now_ms();
     let members = node.members.borrow();
-    let mut heard: Vec<(Fingerprint, u16)> = members
-        .heard(now_ms)
-        .map(|(fingerprint, age_ms)| (fingerprint, age_ms.min(u64::from(u16::MAX)) as u16))
-        .collect();
+    let mut heard = to_ages(members.heard(now_ms).collect());
     heard.shuffle(&mut rand::rng());
     heard.truncate(MOST_PASSED_ON);
     heard
--- a/crates/tinbay-gateway/src/peers/inbox.rs
+++ b/crates/tinbay-gateway/src/peers/inbox.rs
@@ -13,8 +13,10 @@
 use tokio::net::UdpSocket;
 
 use super::frame::{
-    AdapterPart, Frame, FramePart, LoadRequestPart, MOST_BYTES, StatusPart, UsagePart, from_percent,
+    AdapterPart, Frame, FramePart, LoadRequestPart, MOST_BYTES, StatusPart, UsagePart,
+    ZoneWordPart, from_percent,
 };
+use super::gossip;
 use crate::events::{self, part};
 use crate::node::Node;
 use crate::servers::usage::UsageReport;
@@ -75,7 +77,11 @@
         };
     }
     let now_ms = node.now_ms();
-    node.members.borrow_mut().hear(&frame.box_id, now_ms);
+    {
+        let mut members = node.members.borrow_mut();
+        members.note_contact(now_ms);
+        members.hear(&frame.box_id, now_ms);
+    }
     for part in frame.parts {
         match part {
             FramePart::Hello(record) => {
@@ -83,6 +89,9 @@
                 members.note_hello(&frame.box_id, record, now_ms);
             }
             FramePart::LastHeard(heard) => take_last_heard(node, &heard, now_ms),
+            FramePart::ZoneWord(word) => take_zone_word(node, &frame.box_id, &word, now_ms),
+            FramePart::Silent(silent) => take_silent(node, &silent, now_ms),
+            FramePart::ZonesHeard(zones) => take_zones_heard(node, &zones, now_ms),
             FramePart::LoadRequest(ask) => take_load_request(node, &frame.box_id, ask, now_ms),
             FramePart::StatusRequest(server) => {
                 take_status_request(node, &frame.box_id, server, now_ms)
@@ -118,6 +127,38 @@
     }
 }
 
+fn take_zone_word(node: &Node, speaker: &str, word: &ZoneWordPart, now_ms: Millis) {
+    take_zones_heard(node, &word.zones_heard, now_ms);
+    let mut members = node.members.borrow_mut();
+    let is_news = members.note_zone_word(speaker, &word.silent, now_ms);
+    drop(members);
+    if is_news {
+        gossip::post_silent(node);
+    }
+}
+
+fn take_zones_heard(node: &Node, zones: &[(Fingerprint, u16)], now_ms: Millis) {
+    let mut members = node.members.borrow_mut();
+    for (zone, age_ms) in zones {
+        members.hear_zone_at(*zone, now_ms.saturating_sub(Millis::from(*age_ms)));
+    }
+}
+
+fn take_silent(node: &Node, silent: &[(Fingerprint, u16)], now_ms: Millis) {
+    let is_news = {
+        let mut members = node.members.borrow_mut();
+        let mut is_news = false;
+        for (fingerprint, age_ms) in silent {
+            let word_ms = now_ms.saturating_sub(Millis::from(*age_ms));
+            is_news |= members.note_silent(*fingerprint, word_ms);
+        }
+        is_news
+    };
+    if is_news {
+        gossip::post_silent(node);
+    }
+}
+
 fn take_load_request(node: &Node, box_id: &str, ask: LoadRequestPart, now_ms: Millis) {
     let Some(server) = node.servers.borrow().by_fingerprint(ask.server) else {
         return;
--- a/crates/tinbay-gateway/src/settings.rs
+++ b/crates/tinbay-gateway/src/settings.rs
@@ -27,10 +27,32 @@
     pub seeds: Vec<IpAddr>,
     /// The key-value store.
     pub store: SocketAddr,
+    /// What the box has to work with.
+    pub resources: Resources,
     /// Bounds that the operators promise their users.
     pub bounds: Bounds,
 }
 
+/// What a box has to work with.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Resources {
+    /// What its link carries.
+    pub link_mbit_per_s: f64,
+    /// Its share of one core.
+    pub core_share: f64,
+}
+
+/// Capacity of a whole core behind a link of one Mbit/s.
+const CAPACITY_UNIT: f64 = 100.0;
+
+impl Resources {
+    /// What the box can bear for others, compared with other boxes: the job costs bytes and
+    /// processor time alike.
+    pub fn capacity(&self) -> u64 {
+        (self.link_mbit_per_s * self.core_share * CAPACITY_UNIT) as u64
+    }
+}
+
 /// Bounds that the operators promise their users.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Bounds {
--- a/crates/tinbay-gateway/src/watch/mod.rs
+++ b/crates/tinbay-gateway/src/watch/mod.rs
@@ -135,6 +135,7 @@
                 }
                 at = at.max(changes.at);
                 node.replica.confirm(prefix, at, evidence);
+                node.members.borrow_mut().note_contact(node.now_ms());
                 if !changes.changes.is_empty() {
                     let gap_ms = if evidence.passed_on_ms.is_some() {
                         pace.gap_ms
--- a/crates/tinbay-gateway/src/watch/relay.rs
+++ b/crates/tinbay-gateway/src/watch/relay.rs
@@ -1,5 +1,6 @@
 //! Boxes that read the store pass on what they see to those that ask.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -7,6 +8,7 @@
 use bytes::Bytes;
 use hyper::Method;
 use serde::{Deserialize, Serialize};
+use tinbay_core::serving::capacity::RankedBox;
 use tinbay_core::serving::relays::{order_for, relays_of};
 use tinbay_core::units::Millis;
 
@@ -69,6 +71,8 @@
         at: Revision,
         /// How old what the relay knows is.
         age_ms: Millis,
+        /// How long the relay held the question.
+        held_ms: Millis,
     },
     /// Too much has been forgotten: list again.
     HistoryGone,
@@ -155,16 +159,19 @@
             parts: listing.items.iter().map(ChangePart::of_item).collect(),
             at: listing.at,
             age_ms,
+            held_ms: 0,
         },
         _ => RelayAnswer::NotInTouch,
     }
 }
 
 async fn watch(node: &Node, prefix: &str, after: Revision, wait_ms: Millis) -> RelayAnswer {
+    let asked_ms = node.now_ms();
     let end = tokio::time::Instant::now() + Duration::from_millis(wait_ms);
     loop {
         let changed = node.replica.changed.notified();
-        let Some(age_ms) = node.replica.age_ms(prefix, node.now_ms()) else {
+        let now_ms = node.now_ms();
+        let Some(age_ms) = node.replica.age_ms(prefix, now_ms) else {
             return RelayAnswer::NotInTouch;
         };
         match node.replica.since(prefix, after) {
@@ -177,6 +184,7 @@
                         parts: changes.iter().map(ChangePart::of_change).collect(),
                         at,
                         age_ms,
+                        held_ms: now_ms - asked_ms,
                     };
                 }
             }
@@ -192,6 +200,8 @@
     pub is_one: bool,
     /// Those to ask, in order; without those that failed lately.
     pub to_ask: Vec<RelayBox>,
+    /// Names of the relays of other zones, zone by zone.
+    pub far_by_zone: Vec<Vec<String>>,
 }
 
 /// Which boxes read the store for this one.
@@ -199,37 +209,34 @@
     let now_ms = node.now_ms();
     let settings = node.settings.borrow();
     let members = node.members.borrow();
-    let own = (settings.box_id.as_str(), settings.zone.as_str());
-    let others = members
-        .others(&settings.box_id)
-        .filter(|(_, member)| member.listed && member.is_up(now_ms))
-        .map(|(id, member)| (id.as_str(), member.record.zone.as_str()));
-    let mut zones: Vec<(&str, Vec<&str>)> = Vec::new();
-    let is_own_up = !node.is_leaving.get();
-    for (id, zone) in others.chain(is_own_up.then_some(own)) {
-        match zones.iter_mut().find(|(name, _)| *name == zone) {
-            Some((_, boxes)) => boxes.push(id),
-            None => zones.push((zone, vec![id])),
+    let own_zone = settings.zone.as_str();
+    let own = RankedBox {
+        id: settings.box_id.as_str(),
+        capacity: settings.resources.capacity(),
+    };
+    let mut zones: HashMap<&str, Vec<RankedBox<'_>>> = HashMap::new();
+    for (id, member) in members.others(own.id) {
+        if member.listed && member.is_up(now_ms) {
+            let capacity = member.record.capacity;
+            let ranked = RankedBox { id, capacity };
+            zones.entry(&member.record.zone).or_default().push(ranked);
         }
     }
-    let (mut near, mut far) = (Vec::new(), Vec::new());
-    for (zone, boxes) in &zones {
-        let relays = relays_of(zone, boxes);
-        if *zone == own.1 {
-            near.extend(relays);
-        } else {
-            far.extend(relays);
-        }
-    }
-    if near.contains(&own.0) {
-        return Relays {
-            is_one: true,
-            to_ask: Vec::new(),
-        };
+    if !node.is_leaving.get() {
+        zones.entry(own_zone).or_default().push(own);
     }
+    let near = zones.remove(own_zone).unwrap_or_default();
+    let near = relays_of(own_zone, &near);
+    let far: Vec<Vec<&str>> = zones
+        .iter()
+        .map(|(zone, boxes)| relays_of(zone, boxes))
+        .collect();
+    let is_one = near.contains(&own.id);
+    let mut asked_near = near;
+    asked_near.retain(|id| *id != own.id);
     let failed = node.failed_relays.borrow();
     let is_tried = |id: &str| failed.get(id).is_some_and(|until_ms| now_ms < *until_ms);
-    let to_ask = order_for(own.0, &near, &far)
+    let to_ask = order_for(own.id, &asked_near, &far.concat())
         .into_iter()
         .filter(|id| !is_tried(id))
         .filter_map(|id| {
@@ -238,9 +245,11 @@
             Some(RelayBox { id, address })
         })
         .collect();
+    let to_names = |relays: Vec<&str>| relays.into_iter().map(str::to_string).collect();
     Relays {
-        is_one: false,
+        is_one,
         to_ask,
+        far_by_zone: far.into_iter().map(to_names).collect(),
     }
 }
 
@@ -297,9 +306,15 @@
     let asked_ms = node.now_ms();
     let answer = exchange(node, relay, question, timeout_ms).await;
     let result = match answer {
-        Some(RelayAnswer::Parts { parts, at, age_ms }) => {
+        Some(RelayAnswer::Parts {
+            parts,
+            at,
+            age_ms,
+            held_ms,
+        }) => {
+            // The relay answered no earlier than it was asked and had held the question.
             let evidence = Evidence {
-                confirmed_ms: asked_ms.saturating_sub(age_ms),
+                confirmed_ms: (asked_ms + held_ms).saturating_sub(age_ms),
                 passed_on_ms: None,
             };
             Ok((parts, at, evidence))
--- a/crates/tinbay-gateway/src/watch/source.rs
+++ b/crates/tinbay-gateway/src/watch/source.rs
@@ -9,7 +9,7 @@
 use serde::Serialize;
 use tinbay_core::units::Millis;
 
-use super::relay::{self, RelayError};
+use super::relay::{self, RelayError, Relays};
 use super::replica::Evidence;
 use super::{WatchPace, counted};
 use crate::events::{self, part};
@@ -35,6 +35,9 @@
 /// Pause between reads of the store by a box that should ask others, while none succeeds.
 const STORE_PAUSE_MS: Millis = 2_000;
 
+/// The same for a box that reads it for others, and waits for its return on their behalf.
+const RELAY_STORE_PAUSE_MS: Millis = 700;
+
 /// How long a read of the store that succeeded lets the other prefixes be read as well.
 const STORE_SEEN_LIFE_MS: Millis = 2_000;
 
@@ -50,8 +53,15 @@
 /// # Errors
 /// When neither another box nor the store gives it.
 pub async fn list(node: &Node, prefix: &str, pace: WatchPace) -> StoreResult<(Listing, Evidence)> {
+    let turn = node.store_turns.of(pace);
     let relays = relay::relays(node);
-    for relay in relays.to_ask.iter().take(MOST_RELAYS) {
+    let reads_itself = relays.is_one && !turn.is_failing();
+    let to_ask = if reads_itself {
+        &[]
+    } else {
+        relays.to_ask.as_slice()
+    };
+    for relay in to_ask.iter().take(MOST_RELAYS) {
         let asked = relay::ask_list(node, relay, prefix).await;
         count(node, "list", asked.as_ref().err());
         match asked {
@@ -59,13 +69,11 @@
             Err(error) => log_failure(&relay.id, prefix, error),
         }
     }
-    let turn = node.store_turns.of(pace);
-    check_turn(node, turn, relays.is_one)?;
+    check_turn(node, turn, &relays, reads_itself)?;
     let is_stale = pace.begins_stale && node.replica.confirmed_ms(prefix).is_none();
     let asked_ms = node.now_ms();
     let listed = node.store.list(prefix, is_stale).await;
-    let listing = counted(node, "list", listed)?;
-    turn.note_success(node.now_ms());
+    let listing = counted(node, "list", turn.note(listed, node.now_ms()))?;
     let evidence = if is_stale {
         OF_UNKNOWN_AGE
     } else {
@@ -84,8 +92,15 @@
     after: Revision,
     pace: WatchPace,
 ) -> StoreResult<(Changes, Evidence)> {
+    let turn = node.store_turns.of(pace);
     let relays = relay::relays(node);
-    for relay in relays.to_ask.iter().take(MOST_RELAYS) {
+    let reads_itself = relays.is_one && !turn.is_failing();
+    let to_ask = if reads_itself {
+        &[]
+    } else {
+        relays.to_ask.as_slice()
+    };
+    for relay in to_ask.iter().take(MOST_RELAYS) {
         let asked = relay::ask_watch(node, relay, prefix, after, RELAY_WAIT_MS).await;
         count(node, "watch", asked.as_ref().err());
         match asked {
@@ -94,12 +109,10 @@
             Err(error) => log_failure(&relay.id, prefix, error),
         }
     }
-    let turn = node.store_turns.of(pace);
-    check_turn(node, turn, relays.is_one)?;
+    check_turn(node, turn, &relays, reads_itself)?;
     let confirmed_ms = node.now_ms();
     let watched = node.store.watch(prefix, after, pace.wait_ms).await;
-    let changes = counted(node, "watch", watched)?;
-    turn.note_success(node.now_ms());
+    let changes = counted(node, "watch", turn.note(watched, node.now_ms()))?;
     Ok((changes, from_store(confirmed_ms, pace)))
 }
 
@@ -113,8 +126,18 @@
 }
 
 /// Whether this box may read the store itself now.
-fn check_turn(node: &Node, turn: &StoreTurn, is_relay: bool) -> StoreResult<()> {
-    if is_relay || turn.take(node.now_ms()) {
+fn check_turn(
+    node: &Node,
+    turn: &StoreTurn,
+    relays: &Relays,
+    reads_itself: bool,
+) -> StoreResult<()> {
+    let pause_ms = if relays.is_one {
+        RELAY_STORE_PAUSE_MS
+    } else {
+        STORE_PAUSE_MS
+    };
+    if reads_itself || turn.take(pause_ms, node.now_ms()) {
         return Ok(());
     }
     Err(StoreError::NotAsked)
@@ -148,25 +171,40 @@
 pub struct StoreTurn {
     tried_ms: Cell<Option<Millis>>,
     seen_ms: Cell<Option<Millis>>,
+    is_failing: Cell<bool>,
 }
 
 impl StoreTurn {
     /// Takes a turn, if one is left.
-    pub fn take(&self, now_ms: Millis) -> bool {
+    pub fn take(&self, pause_ms: Millis, now_ms: Millis) -> bool {
         let is_within = |since_ms: Option<Millis>, span_ms: Millis| {
             since_ms.is_some_and(|since_ms| now_ms < since_ms + span_ms)
         };
         let is_there = is_within(self.seen_ms.get(), STORE_SEEN_LIFE_MS);
-        if !is_there && is_within(self.tried_ms.get(), STORE_PAUSE_MS) {
+        if !is_there && is_within(self.tried_ms.get(), pause_ms) {
             return false;
         }
         self.tried_ms.set(Some(now_ms));
         true
     }
 
-    /// A read of the store succeeded.
-    pub fn note_success(&self, now_ms: Millis) {
-        self.seen_ms.set(Some(now_ms));
+    /// Notes how a read of the store ended.
+    pub fn note<T>(&self, result: StoreResult<T>, now_ms: Millis) -> StoreResult<T> {
+        match &result {
+            Ok(_) => {
+                self.seen_ms.set(Some(now_ms));
+                self.is_failing.set(false);
+            }
+            Err(StoreError::HistoryGone) => {}
+            Err(_) => self.is_failing.set(true),
+        }
+        result
+    }
+
+    /// Whether the last read of the store failed: it may turn this box away and serve others,
+    /// which are asked first then even by a box that reads the store for its zone.
+    pub fn is_failing(&self) -> bool {
+        self.is_failing.get()
     }
 }
 
--- a/crates/tinbay-gateway/tests/asking_test.rs
+++ b/crates/tinbay-gateway/tests/asking_test.rs
@@ -1,6 +1,7 @@
 //! When a box asks others: for loads, and the store while relays give nothing.
 
 use tinbay_gateway::front::choice::Asked;
+use tinbay_gateway::port::store::StoreError;
 use tinbay_gateway::watch::WatchPace;
 use tinbay_gateway::watch::source::{StoreTurn, StoreTurns};
 
@@ -43,13 +44,14 @@
 #[test]
 fn store_turn_one_call_until_one_succeeds() {
     let turn = StoreTurn::default();
-    assert!(turn.take(0));
-    assert!(!turn.take(0) && !turn.take(1_999));
-    assert!(turn.take(2_000));
-    assert!(!turn.take(2_100));
-    turn.note_success(2_100);
-    assert!(turn.take(2_100) && turn.take(2_200) && turn.take(4_099));
-    assert!(!turn.take(4_100));
+    let take = |now_ms| turn.take(2_000, now_ms);
+    assert!(take(0));
+    assert!(!take(0) && !take(1_999));
+    assert!(take(2_000));
+    assert!(!take(2_100));
+    assert_eq!(turn.note(Ok(()), 2_100), Ok(()));
+    assert!(take(2_100) && take(2_200) && take(4_099));
+    assert!(!take(4_100));
 }
 
 fn pace(has_own_turns: bool) -> WatchPace {
@@ -66,7 +68,20 @@
 #[test]
 fn store_turns_of_the_configuration_wait_for_no_other_prefix() {
     let turns = StoreTurns::default();
-    assert!(turns.of(pace(false)).take(0));
-    assert!(!turns.of(pace(false)).take(10));
-    assert!(turns.of(pace(true)).take(10));
+    assert!(turns.of(pace(false)).take(2_000, 0));
+    assert!(!turns.of(pace(false)).take(2_000, 10));
+    assert!(turns.of(pace(true)).take(2_000, 10));
+}
+
+/// A box that reads the store for its zone asks others first while the store turns it away.
+#[test]
+fn note_failure_until_a_read_succeeds() {
+    let turn = StoreTurn::default();
+    assert!(!turn.is_failing());
+    let _ = turn.note::<()>(Err(StoreError::NoAnswer), 100);
+    assert!(turn.is_failing());
+    let _ = turn.note::<()>(Err(StoreError::HistoryGone), 200);
+    assert!(turn.is_failing());
+    let _ = turn.note(Ok(()), 300);
+    assert!(!turn.is_failing());
 }
--- /dev/null
+++ b/crates/tinbay-gateway/tests/members_test.rs
@@ -0,0 +1,153 @@
+//! Which boxes count as up, by what is heard of them.
+
+use tinbay_core::units::Millis;
+use tinbay_gateway::members::{MemberRecord, Members, box_fingerprint, zone_fingerprint};
+
+fn record(zone: &str) -> MemberRecord {
+    let address = "127.0.0.1:1".parse().expect("an address");
+    MemberRecord {
+        front: address,
+        peer: address,
+        control: address,
+        zone: zone.to_string(),
+        is_leaving: false,
+        capacity: 1,
+    }
+}
+
+/// A box of zone z1 that knows `near-1` and `near-2` of its own zone and two of zone z2, all
+/// listed at 0.
+fn members() -> Members {
+    let mut members = Members::new("z1");
+    for id in ["near-1", "near-2"] {
+        members.put(id, record("z1"), 0);
+    }
+    for id in ["far-1", "far-2"] {
+        members.put(id, record("z2"), 0);
+    }
+    members
+}
+
+fn is_up(members: &Members, id: &str, now_ms: Millis) -> bool {
+    members.get(id).expect("a known box").is_up(now_ms)
+}
+
+/// In touch from `from_ms` on until `to_ms`.
+fn keep_in_touch(members: &mut Members, from_ms: Millis, to_ms: Millis) {
+    for now_ms in (from_ms..=to_ms).step_by(500) {
+        members.note_contact(now_ms);
+    }
+}
+
+#[test]
+fn note_zone_word_box_of_other_zone_is_not_up() {
+    let mut members = members();
+    let silent = [box_fingerprint("far-2")];
+    assert!(members.note_zone_word("far-1", &silent, 5_000));
+    assert!(!members.note_zone_word("far-1", &silent, 5_500));
+    assert!(!is_up(&members, "far-2", 5_500));
+    assert!(is_up(&members, "far-1", 5_500));
+    assert_eq!(members.silent_far(5_700), vec![(silent[0], 200)]);
+}
+
+#[test]
+fn note_zone_word_ends_with_the_next_that_does_not_name_it() {
+    let mut members = members();
+    members.note_zone_word("far-1", &[box_fingerprint("far-2")], 5_000);
+    members.note_zone_word("far-1", &[], 5_500);
+    assert!(is_up(&members, "far-2", 5_500));
+}
+
+/// A box whose zone is cut off from this one is not kept out by a word that nobody repeats.
+#[test]
+fn note_zone_word_lapses() {
+    let mut members = members();
+    members.note_zone_word("far-1", &[box_fingerprint("far-2")], 5_000);
+    assert!(!is_up(&members, "far-2", 7_400));
+    assert!(is_up(&members, "far-2", 7_500));
+    assert!(members.silent_far(7_500).is_empty());
+}
+
+#[test]
+fn put_entry_ends_the_word() {
+    let mut members = members();
+    members.note_zone_word("far-1", &[box_fingerprint("far-2")], 5_000);
+    members.put("far-2", record("z2"), 5_100);
+    assert!(is_up(&members, "far-2", 5_100));
+}
+
+/// Nobody else's word counts about a box of the own zone.
+#[test]
+fn note_silent_own_zone_is_ignored() {
+    let mut members = members();
+    assert!(!members.note_silent(box_fingerprint("near-1"), 5_000));
+    assert!(is_up(&members, "near-1", 5_000));
+}
+
+#[test]
+fn silent_near_names_who_was_not_heard() {
+    let mut members = members();
+    keep_in_touch(&mut members, 0, 6_000);
+    members.hear("near-1", 5_500);
+    members.hear("near-2", 3_000);
+    assert_eq!(members.silent_near(6_000), vec![box_fingerprint("near-2")]);
+}
+
+/// A box that was frozen or cut off itself has heard nobody for long, and says so of nobody.
+#[test]
+fn silent_near_nothing_after_a_gap_of_its_own() {
+    let mut members = members();
+    keep_in_touch(&mut members, 0, 3_000);
+    members.hear("near-1", 7_900);
+    members.note_contact(8_000);
+    assert!(members.silent_near(8_000).is_empty());
+    keep_in_touch(&mut members, 8_000, 10_500);
+    members.hear("near-1", 10_500);
+    assert_eq!(members.silent_near(10_500), vec![box_fingerprint("near-2")]);
+}
+
+/// A box that misses most of its zone is the one that is cut off.
+#[test]
+fn silent_near_nothing_where_most_are_missed() {
+    let mut members = members();
+    keep_in_touch(&mut members, 0, 6_000);
+    assert!(members.silent_near(6_000).is_empty());
+}
+
+/// A zone of one box has nobody else to say that it is off.
+#[test]
+fn judge_speakers_last_speaker_of_a_silent_zone() {
+    let mut members = members();
+    members.note_zone_word("far-1", &[], 1_000);
+    keep_in_touch(&mut members, 0, 4_000);
+    members.judge_speakers(3_900);
+    assert!(is_up(&members, "far-1", 3_900));
+    members.judge_speakers(4_000);
+    assert!(!is_up(&members, "far-1", 4_000));
+    assert!(is_up(&members, "far-2", 4_000));
+}
+
+/// A zone that a third one hears is not silent, though it does not speak to this box.
+#[test]
+fn judge_speakers_not_while_others_hear_the_zone() {
+    let mut members = members();
+    members.note_zone_word("far-1", &[], 1_000);
+    members.hear_zone_at(zone_fingerprint("z2"), 3_500);
+    keep_in_touch(&mut members, 0, 4_500);
+    members.judge_speakers(4_500);
+    assert!(is_up(&members, "far-1", 4_500));
+}
+
+/// A zone that never spoke to this box gets the same time as one that did.
+#[test]
+fn expect_speaker_zone_that_never_spoke() {
+    let mut members = members();
+    keep_in_touch(&mut members, 0, 4_000);
+    members.expect_speaker("far-1", 1_000);
+    members.expect_speaker("far-2", 1_500);
+    members.judge_speakers(3_900);
+    assert!(is_up(&members, "far-1", 3_900));
+    members.judge_speakers(4_000);
+    assert!(!is_up(&members, "far-1", 4_000));
+    assert!(is_up(&members, "far-2", 4_000));
+}
