Keys of client accounts: served on proof that they are in force, never kept or passed on

Now a request is served under a key only while the box's copy of the configuration is younger than the bound less the time for which a watch may be blind; an unknown key gets 401 only from a copy young enough to know a new one, else 503. The server is told the account's name; the account's priority goes before the route's. Keys become digests as the configuration comes from the store; errors of a configuration name the field alone.

A request now passes a chain of filters, one file each. Weighed: a check again before each send (adds nothing to the proof) and waiting for a fresh read (the copy is too old only while the store can't be read). Guards taken out, each failing a property: age of the copy, blind time of a watch.

--- a/crates/tinbay-core/src/lib.rs
+++ b/crates/tinbay-core/src/lib.rs
@@ -4,6 +4,7 @@
 //! socket, reads a clock, starts a thread or draws hidden randomness, so the same code
 //! runs inside a box, under a scripted test and in an experiment on virtual time.
 
+pub mod accounts;
 pub mod assemble;
 pub mod config;
 pub mod engine;
--- a/crates/tinbay-core/src/serving/configuration.rs
+++ b/crates/tinbay-core/src/serving/configuration.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 
+use crate::accounts::table::AccountTable;
 use crate::units::Millis;
 
 /// One whole configuration; a higher `version` replaces a lower one.
@@ -15,6 +16,8 @@
     pub services: HashMap<String, Service>,
     /// What a caller may send.
     pub limits: Limits,
+    /// Client accounts; without any, requests need no key.
+    pub accounts: AccountTable,
 }
 
 /// What decides whether a request may be sent again.
@@ -53,6 +56,8 @@
     pub most_attempts: u32,
     /// Whether a broken stream may go on at another server.
     pub resumable: bool,
+    /// Whether it may be asked without a key.
+    pub is_public: bool,
 }
 
 /// Silence after which callers give up any stream, however short its objective.
--- a/crates/tinbay-core/src/serving/prompt.rs
+++ b/crates/tinbay-core/src/serving/prompt.rs
@@ -20,6 +20,18 @@
     pub tokens: u32,
 }
 
+/// How many tokens a request says that it reads and may make together.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum TokenCount {
+    /// It does not say.
+    #[default]
+    NotSaid,
+    /// So many.
+    Said(u64),
+    /// What it says can't be read.
+    Unreadable,
+}
+
 /// What a request has an engine read; empty where it does not say.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Prompt {
@@ -27,6 +39,8 @@
     pub tokens: u32,
     /// Its parts in order; the last is the request's own.
     pub parts: Vec<PromptPart>,
+    /// Tokens read and made, which limits of client accounts count.
+    pub count: TokenCount,
 }
 
 impl Prompt {
--- a/crates/tinbay-core/tests/serving_routes_test.rs
+++ b/crates/tinbay-core/tests/serving_routes_test.rs
@@ -21,6 +21,7 @@
         }],
         most_attempts: 1,
         resumable: false,
+        is_public: false,
     }
 }
 
--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -28,9 +28,6 @@
 /// Shortest wait after which a refused caller comes back.
 const SHORTEST_RETRY_MS: Millis = 50;
 
-/// The last rank a server knows.
-const LEAST_URGENT: u8 = 9;
-
 /// Factor over the expected time to the head after which a server is taken not to answer: its
 /// connection may have gone silent, and the rest of the time is better spent at another server.
 const SILENCE_FACTOR: f64 = 4.0;
@@ -175,8 +172,9 @@
         headers: ServerHeaders {
             deadline_ms: sent.time_up_ms.saturating_sub(now_ms),
             server_id: &record.id,
-            priority: question.route.priority.min(LEAST_URGENT),
+            priority: question.rank(),
             version: sent.expected_version,
+            account: question.client_account().map(|account| &*account.name),
         },
         head_within: if is_last {
             Duration::from_millis(left_ms)
@@ -402,6 +400,10 @@
     route: &'a str,
     service: &'a str,
     configuration: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    account: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    proof_age_ms: Option<Millis>,
     model: Option<&'a str>,
     server: Option<&'a str>,
     status: u16,
@@ -439,7 +441,9 @@
         request: &question.id,
         route: &question.route.name,
         service: &question.service,
-        configuration: question.configuration_version,
+        configuration: question.in_force.configuration.version,
+        account: question.client_account().map(|account| &*account.name),
+        proof_age_ms: question.account.get().map(|shown| shown.proof_age_ms),
         model: question.model.as_deref(),
         server,
         status,
--- /dev/null
+++ b/crates/tinbay-gateway/src/front/filters/body.rs
@@ -0,0 +1,32 @@
+//! Reads a request's body, as far as it is kept for a second send.
+
+use std::rc::Rc;
+
+use super::{Exchange, Filter, Filtering, Step};
+use crate::front::refusal::Refusal;
+use crate::http::body::{BodyError, read_request_body};
+use crate::node::Node;
+
+/// Longest body that is kept whole, so that it can be sent a second time.
+const MOST_KEPT_BYTES: usize = 131_072;
+
+/// Reads a request's body.
+pub struct ReadBody;
+
+impl Filter for ReadBody {
+    fn apply<'a>(&'a self, node: &'a Rc<Node>, exchange: &'a mut Exchange) -> Filtering<'a> {
+        Box::pin(async move {
+            let Some(incoming) = exchange.incoming.take() else {
+                return Ok(Step::Next);
+            };
+            let most_bytes = node.limits().body_bytes;
+            let read = read_request_body(incoming, MOST_KEPT_BYTES, most_bytes).await;
+            let body = read.map_err(|error| match error {
+                BodyError::TooLong => Refusal::BodyTooLong,
+                _ => Refusal::CallerBrokeOff,
+            })?;
+            exchange.body = Some(body);
+            Ok(Step::Next)
+        })
+    }
+}
--- /dev/null
+++ b/crates/tinbay-gateway/src/front/filters/mod.rs
@@ -0,0 +1,73 @@
+//! The chain of filters that a routed request passes, each a file with one job.
+
+mod account_key;
+mod body;
+mod delivery;
+
+use std::pin::Pin;
+use std::rc::Rc;
+
+use hyper::Response;
+use hyper::body::Incoming;
+
+use super::question::Question;
+use super::refusal::Refusal;
+use crate::http::body::{AnswerBody, RequestBody};
+use crate::node::Node;
+
+/// A routed request on its way through the filters.
+pub struct Exchange {
+    /// The request's head and what was decided of it.
+    pub question: Rc<Question>,
+    /// Its body as it comes, until it is read.
+    pub incoming: Option<Incoming>,
+    /// Its body as it goes on to a server, once it is read.
+    pub body: Option<RequestBody>,
+}
+
+/// What a filter has a request do.
+pub enum Step {
+    /// Go on to the next filter.
+    Next,
+    /// Get this answer.
+    Answer(Response<AnswerBody>),
+}
+
+/// What a filter does, until it is done.
+pub type Filtering<'a> = Pin<Box<dyn Future<Output = Result<Step, Refusal>> + 'a>>;
+
+/// One stage of a request's way.
+pub trait Filter {
+    /// Takes a request; an error is what its caller is told.
+    fn apply<'a>(&'a self, node: &'a Rc<Node>, exchange: &'a mut Exchange) -> Filtering<'a>;
+}
+
+/// All filters, in the order in which a request passes them. Who may not ask is told before the
+/// rest of the request is read.
+const FILTERS: [&dyn Filter; 3] = [
+    &account_key::AccountKey,
+    &body::ReadBody,
+    &delivery::Delivery,
+];
+
+/// Takes a request through the filters.
+///
+/// # Errors
+/// What the caller is told instead of a server's answer.
+pub async fn pass(
+    node: &Rc<Node>,
+    question: &Rc<Question>,
+    incoming: Incoming,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let mut exchange = Exchange {
+        question: Rc::clone(question),
+        incoming: Some(incoming),
+        body: None,
+    };
+    for filter in FILTERS {
+        if let Step::Answer(response) = filter.apply(node, &mut exchange).await? {
+            return Ok(response);
+        }
+    }
+    Err(Refusal::NoServer)
+}
--- a/crates/tinbay-gateway/src/front/headers.rs
+++ b/crates/tinbay-gateway/src/front/headers.rs
@@ -25,6 +25,8 @@
     pub priority: u8,
     /// Version of the adapter that is meant.
     pub version: Option<u64>,
+    /// Client account on whose behalf it runs.
+    pub account: Option<&'a str>,
 }
 
 /// The headers of a request to a server.
@@ -34,10 +36,15 @@
     for name in &names.reserved {
         headers.remove(name);
     }
+    headers.remove(&names.key);
+    headers.remove(&names.account);
     headers.remove(&names.priority);
     headers.remove(&names.expect_version);
     headers.insert(names.deadline_ms.clone(), set.deadline_ms.into());
     insert_text(&mut headers, &names.expect_server, set.server_id);
+    if let Some(account) = set.account {
+        insert_text(&mut headers, &names.account, account);
+    }
     headers.insert(names.priority.clone(), u64::from(set.priority).into());
     if let Some(version) = set.version {
         headers.insert(names.expect_version.clone(), version.into());
--- a/crates/tinbay-gateway/src/front/listener.rs
+++ b/crates/tinbay-gateway/src/front/listener.rs
@@ -16,16 +16,14 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::deliver::{self, Ending};
+use super::filters;
 use super::question::Question;
 use super::refusal::{NotRunReason, Refusal};
 use crate::events::{self, part};
-use crate::http::body::{AnswerBody, BodyError, read_request_body};
+use crate::http::body::AnswerBody;
 use crate::http::silence::end_when_silent;
 use crate::node::Node;
 
-/// Longest body that is kept whole, so that it can be sent a second time.
-const MOST_KEPT_BYTES: usize = 131_072;
-
 /// Shortest read buffer that hyper takes.
 const LEAST_BUFFER_BYTES: usize = 8_192;
 
@@ -116,8 +114,8 @@
 
 async fn take(node: &Rc<Node>, question: Rc<Question>, body: Incoming) -> Response<AnswerBody> {
     let left = Duration::from_millis(question.time_up_ms - question.arrived_ms);
-    let delivering = read_and_deliver(node, &question, body);
-    let result = match tokio::time::timeout(left, delivering).await {
+    let passing = filters::pass(node, &question, body);
+    let result = match tokio::time::timeout(left, passing).await {
         Ok(result) => result,
         Err(_) if question.last_send.get().is_none() => Err(Refusal::NotRun {
             reason: NotRunReason::TimeUp,
@@ -143,31 +141,6 @@
     }
 }
 
-async fn read_and_deliver(
-    node: &Rc<Node>,
-    question: &Rc<Question>,
-    body: Incoming,
-) -> Result<Response<AnswerBody>, Refusal> {
-    let most_bytes = node.limits().body_bytes;
-    let body = read_request_body(body, MOST_KEPT_BYTES, most_bytes)
-        .await
-        .map_err(|error| match error {
-            BodyError::TooLong => Refusal::BodyTooLong,
-            _ => Refusal::CallerBrokeOff,
-        })?;
-    note_first_send(node, question);
-    deliver::deliver(node, question, body).await
-}
-
-fn note_first_send(node: &Node, question: &Question) {
-    let now_ms: Millis = node.now_ms();
-    let mut budgets = node.budgets.borrow_mut();
-    budgets
-        .entry(question.service.clone())
-        .or_default()
-        .note_first(now_ms);
-}
-
 fn log_refusal(refusal: Refusal) {
     #[derive(serde::Serialize)]
     struct RefusedEvent {
--- a/crates/tinbay-gateway/src/front/mod.rs
+++ b/crates/tinbay-gateway/src/front/mod.rs
@@ -4,6 +4,7 @@
 pub mod attempt;
 pub mod choice;
 pub mod deliver;
+pub mod filters;
 pub mod headers;
 pub mod listener;
 pub mod question;
--- a/crates/tinbay-gateway/src/front/question.rs
+++ b/crates/tinbay-gateway/src/front/question.rs
@@ -1,17 +1,20 @@
 //! A caller's request with all that decides its way.
 
-use std::cell::Cell;
+use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 
 use hyper::header::{HOST, HeaderMap, HeaderName};
 use hyper::http::request::Parts;
+use tinbay_core::accounts::account::Account;
+use tinbay_core::accounts::key::KeyDigest;
+use tinbay_core::accounts::key_check::ShownKey;
 use tinbay_core::serving::configuration::{Route, RouteKind};
 use tinbay_core::serving::contents::{AdapterKey, adapter_key};
 use tinbay_core::serving::prompt::Prompt;
 use tinbay_core::units::Millis;
 
 use super::refusal::Refusal;
-use crate::node::Node;
+use crate::node::{InForce, Node};
 
 /// Time a caller is taken to wait where it names none.
 const DEFAULT_DEADLINE_MS: Millis = 30_000;
@@ -31,19 +34,32 @@
     pub named_age_ms: Option<Millis>,
 }
 
+/// The client account of a request, and what that was decided by.
+#[derive(Debug, Clone)]
+pub struct ShownAccount {
+    /// The account; none where the request needs none.
+    pub account: Option<Rc<Account>>,
+    /// How long ago the accounts were certainly all there are.
+    pub proof_age_ms: Millis,
+}
+
 /// A caller's request with all that decides its way.
 #[derive(Debug)]
 pub struct Question {
     /// Id of the caller's try.
     pub id: String,
-    /// Method, path, query and headers as they came.
+    /// Method, path, query and headers as they came, but for the key.
     pub parts: Parts,
+    /// The key it shows, as a digest.
+    pub key: ShownKey,
+    /// Its client account, once that is decided.
+    pub account: OnceCell<ShownAccount>,
     /// The route.
     pub route: Rc<Route>,
     /// The service chosen among the route's.
     pub service: String,
-    /// Version of the configuration that gave the route.
-    pub configuration_version: u64,
+    /// The configuration that gave the route.
+    pub in_force: Rc<InForce>,
     /// The adapter asked for as `model/name`, or the model alone.
     pub model: Option<String>,
     /// The key of what it asks for.
@@ -65,8 +81,14 @@
     ///
     /// # Errors
     /// What the caller is told where there is no way.
-    pub fn read(node: &Node, parts: Parts, arrived_ms: Millis, draw: f64) -> Result<Self, Refusal> {
+    pub fn read(
+        node: &Node,
+        mut parts: Parts,
+        arrived_ms: Millis,
+        draw: f64,
+    ) -> Result<Self, Refusal> {
         let names = node.dialect.headers();
+        let key = take_key(&mut parts.headers, &names.key);
         let in_force = node.in_force().ok_or(Refusal::NoConfiguration)?;
         let host = text(&parts.headers, &HOST)
             .or_else(|| parts.uri.host())
@@ -95,7 +117,9 @@
             id,
             route,
             service,
-            configuration_version: in_force.configuration.version,
+            in_force,
+            key,
+            account: OnceCell::new(),
             model_key: model.as_deref().map(adapter_key),
             model,
             prompt: node.dialect.decode_prompt(&parts.headers),
@@ -112,6 +136,17 @@
         node.named_version(self.model.as_deref()?)
     }
 
+    /// Its client account, if it has one.
+    pub fn client_account(&self) -> Option<&Rc<Account>> {
+        self.account.get()?.account.as_ref()
+    }
+
+    /// Its rank at its server, 0 first.
+    pub fn rank(&self) -> u8 {
+        let account = self.client_account().map(|account| account.priority);
+        self.in_force.ranks.rank(account, self.route.priority)
+    }
+
     /// Whether the request may run more than once.
     pub fn is_repeatable(&self) -> bool {
         match self.route.kind {
@@ -132,6 +167,18 @@
     }
 }
 
+/// Takes the key off a request, so that it is not kept; given twice it is none.
+fn take_key(headers: &mut HeaderMap, name: &HeaderName) -> ShownKey {
+    let given = headers.get_all(name).iter().count();
+    let Some(key) = headers.remove(name) else {
+        return ShownKey::None;
+    };
+    match KeyDigest::of(key.as_bytes()) {
+        Some(digest) if given == 1 => ShownKey::Digest(digest),
+        _ => ShownKey::None,
+    }
+}
+
 /// A header's text.
 pub fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
--- a/crates/tinbay-gateway/src/front/refusal.rs
+++ b/crates/tinbay-gateway/src/front/refusal.rs
@@ -36,6 +36,15 @@
     /// The request names no id.
     #[error("the request names no id")]
     NoRequestId,
+    /// The route needs a key, and the request shows none.
+    #[error("a key is needed")]
+    NoKey,
+    /// No client account holds its key.
+    #[error("the key is not known")]
+    UnknownKey,
+    /// This box can't tell whether its key is in force.
+    #[error("not run: whether the key is in force is not known")]
+    KeyNotProved,
     /// The body is longer than allowed.
     #[error("the body is longer than allowed")]
     BodyTooLong,
@@ -71,6 +80,9 @@
             Refusal::NoConfiguration => "no_configuration",
             Refusal::NoRoute => "no_route",
             Refusal::NoRequestId => "no_request_id",
+            Refusal::NoKey => "no_key",
+            Refusal::UnknownKey => "unknown_key",
+            Refusal::KeyNotProved => "key_not_proved",
             Refusal::BodyTooLong => "body_too_long",
             Refusal::CallerBrokeOff => "caller_broke_off",
             Refusal::NoServer => "no_server",
@@ -82,9 +94,11 @@
 
     fn status(&self) -> StatusCode {
         match self {
-            Refusal::NoConfiguration | Refusal::NoServer | Refusal::NotRun { .. } => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Refusal::NoConfiguration
+            | Refusal::NoServer
+            | Refusal::KeyNotProved
+            | Refusal::NotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Refusal::NoKey | Refusal::UnknownKey => StatusCode::UNAUTHORIZED,
             Refusal::NoRoute => StatusCode::NOT_FOUND,
             Refusal::NoRequestId | Refusal::CallerBrokeOff => StatusCode::BAD_REQUEST,
             Refusal::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
@@ -96,7 +110,9 @@
     fn retry_after_ms(&self) -> Option<Millis> {
         match self {
             Refusal::NotRun { retry_after_ms, .. } => Some(*retry_after_ms),
-            Refusal::NoConfiguration | Refusal::NoServer => Some(RETRY_AFTER_UNKNOWN_MS),
+            Refusal::NoConfiguration | Refusal::NoServer | Refusal::KeyNotProved => {
+                Some(RETRY_AFTER_UNKNOWN_MS)
+            }
             _ => None,
         }
     }
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use tinbay_core::accounts::priority::PriorityRanks;
 use tinbay_core::serving::budget::SendBudget;
 use tinbay_core::serving::claims::{ClaimTable, ClaimTerms, Proof};
 use tinbay_core::serving::configuration::{Configuration, EngineSpec, Limits};
@@ -62,6 +63,21 @@
     pub configuration: Configuration,
     /// Its routes for look-ups.
     pub routes: RouteTable,
+    /// Ranks of requests at their servers.
+    pub ranks: PriorityRanks,
+}
+
+impl InForce {
+    /// A configuration with what is worked out of it once.
+    pub fn new(configuration: Configuration) -> Self {
+        let accounts = configuration.accounts.all().map(|account| account.priority);
+        let routes = configuration.routes.iter().map(|route| route.priority);
+        Self {
+            ranks: PriorityRanks::new(accounts, routes),
+            routes: RouteTable::new(&configuration),
+            configuration,
+        }
+    }
 }
 
 /// What all parts of a box share; all of it lives on one thread.
@@ -172,6 +188,14 @@
         self.in_force.borrow().clone()
     }
 
+    /// How long ago what this box knows of the operators' configuration was certainly complete.
+    pub fn configuration_age_ms(&self) -> Millis {
+        let confirmed_ms = self.replica.confirmed_ms(&self.dialect.keys().operator);
+        confirmed_ms.map_or(Millis::MAX, |confirmed_ms| {
+            self.now_ms().saturating_sub(confirmed_ms)
+        })
+    }
+
     /// Bounds on what callers send.
     pub fn limits(&self) -> Limits {
         match self.in_force() {
--- a/crates/tinbay-gateway/src/port/dialect.rs
+++ b/crates/tinbay-gateway/src/port/dialect.rs
@@ -36,6 +36,10 @@
     pub expect_version: HeaderName,
     /// Rank at the server.
     pub priority: HeaderName,
+    /// Key of a client account, a secret: no server is shown it.
+    pub key: HeaderName,
+    /// Name of the client account, for servers; whatever a caller sends is taken off.
+    pub account: HeaderName,
     /// Headers that only boxes may set; taken off callers' requests.
     pub reserved: Vec<HeaderName>,
 }
@@ -119,7 +123,14 @@
     /// Reads what a request has an engine read.
     fn decode_prompt(&self, headers: &HeaderMap) -> Prompt;
 
-    /// Reads a configuration.
+    /// Puts digests in place of the keys of client accounts in a configuration. It is done to
+    /// what comes from the store before anything else, so that no key is kept or passed on.
+    ///
+    /// # Errors
+    /// When it can't be read; the error names the field and shows nothing of its value.
+    fn conceal_keys(&self, value: &[u8]) -> Result<Vec<u8>, DecodeError>;
+
+    /// Reads a configuration whose keys were replaced by digests.
     ///
     /// # Errors
     /// When it can't be read.
--- a/crates/tinbay-gateway/src/settings.rs
+++ b/crates/tinbay-gateway/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::{IpAddr, SocketAddr};
 
+use tinbay_core::accounts::key_check::KeyTerms;
 use tinbay_core::serving::budget::BudgetTerms;
 use tinbay_core::serving::pacing::LoadBound;
 use tinbay_core::units::Millis;
@@ -64,6 +65,8 @@
     pub second_sends: BudgetTerms,
     /// Bound on loads from the weight store.
     pub loads: LoadBound,
+    /// Times by which keys that are added or taken away are in force.
+    pub keys: KeyTerms,
     /// Time after which no request may start on an older version of its adapter.
     pub version_within_ms: Millis,
     /// Longest time a caller may keep an answer of the directory.
--- a/crates/tinbay-gateway/src/watch/configuration.rs
+++ b/crates/tinbay-gateway/src/watch/configuration.rs
@@ -4,7 +4,6 @@
 
 use log::Level;
 use serde::Serialize;
-use tinbay_core::serving::routes::RouteTable;
 use tinbay_core::units::Millis;
 
 use super::Follower;
@@ -23,6 +22,7 @@
     revision: u64,
     routes: usize,
     services: usize,
+    accounts: usize,
 }
 
 #[derive(Serialize)]
@@ -68,17 +68,16 @@
         if current.is_some_and(|current| current >= configuration.version) {
             return;
         }
+        let accounts = configuration.accounts.all();
         let event = ConfigurationEvent {
+            accounts: accounts.count(),
             version: configuration.version,
             revision: item.revision,
             routes: configuration.routes.len(),
             services: configuration.services.len(),
         };
         events::emit(part::CONFIG, Level::Info, "configuration_in_force", &event);
-        *in_force = Some(Rc::new(InForce {
-            routes: RouteTable::new(&configuration),
-            configuration,
-        }));
+        *in_force = Some(Rc::new(InForce::new(configuration)));
     }
 
     fn take_version(&self, item: &Item) {
--- a/crates/tinbay-gateway/src/watch/source.rs
+++ b/crates/tinbay-gateway/src/watch/source.rs
@@ -14,7 +14,7 @@
 use super::{WatchPace, counted};
 use crate::events::{self, part};
 use crate::node::Node;
-use crate::port::store::{Changes, Listing, Revision, StoreError, StoreResult};
+use crate::port::store::{Change, Changes, Item, Listing, Revision, StoreError, StoreResult};
 
 /// Relays that are asked before the store.
 const MOST_RELAYS: usize = 4;
@@ -48,6 +48,13 @@
     error: String,
 }
 
+#[derive(Serialize)]
+struct UnreadableEvent<'a> {
+    key: &'a str,
+    revision: Revision,
+    error: String,
+}
+
 /// All there is below a prefix.
 ///
 /// # Errors
@@ -73,7 +80,10 @@
     let is_stale = pace.begins_stale && node.replica.confirmed_ms(prefix).is_none();
     let asked_ms = node.now_ms();
     let listed = node.store.list(prefix, is_stale).await;
-    let listing = counted(node, "list", turn.note(listed, node.now_ms()))?;
+    let mut listing = counted(node, "list", turn.note(listed, node.now_ms()))?;
+    for item in &mut listing.items {
+        conceal(node, item);
+    }
     let evidence = if is_stale {
         OF_UNKNOWN_AGE
     } else {
@@ -112,10 +122,35 @@
     check_turn(node, turn, &relays, reads_itself)?;
     let confirmed_ms = node.now_ms();
     let watched = node.store.watch(prefix, after, pace.wait_ms).await;
-    let changes = counted(node, "watch", turn.note(watched, node.now_ms()))?;
+    let mut changes = counted(node, "watch", turn.note(watched, node.now_ms()))?;
+    for change in &mut changes.changes {
+        if let Change::Put(item) = change {
+            conceal(node, item);
+        }
+    }
     Ok((changes, from_store(confirmed_ms, pace)))
 }
 
+/// Takes the keys of client accounts out of what comes from the store; a configuration of which
+/// they can't be taken out is kept as an empty one, which no box takes.
+fn conceal(node: &Node, item: &mut Item) {
+    if item.key != node.dialect.keys().configuration {
+        return;
+    }
+    item.value = match node.dialect.conceal_keys(&item.value) {
+        Ok(value) => value,
+        Err(error) => {
+            let event = UnreadableEvent {
+                key: &item.key,
+                revision: item.revision,
+                error: error.to_string(),
+            };
+            events::emit(part::CONFIG, Level::Error, "value_unreadable", &event);
+            Vec::new()
+        }
+    };
+}
+
 /// What one watch confirms is as old as the next one waits before that is over.
 fn from_store(confirmed_ms: Millis, pace: WatchPace) -> Evidence {
     let passed_on_ms = 2 * pace.wait_ms + 2 * pace.gap_ms + AGE_MARGIN_MS;
