--- a/crates/tinbay-core/tests/accounts_limit_test.rs
+++ b/crates/tinbay-core/tests/accounts_limit_test.rs
@@ -2,7 +2,7 @@
 
 use quickcheck::QuickCheck;
 use tinbay_core::accounts::account::Limit;
-use tinbay_core::accounts::limit_home::{DealTerms, LimitHome, UnitRequest};
+use tinbay_core::accounts::limit_home::{LimitHome, UnitRequest};
 use tinbay_core::accounts::limit_share::{LimitShare, ShareTerms};
 use tinbay_core::units::Millis;
 
@@ -35,14 +35,6 @@
     }
 }
 
-fn dealing(limit: Limit, reached: f64) -> DealTerms {
-    DealTerms {
-        limit,
-        window_ms: WINDOW_MS,
-        reached,
-    }
-}
-
 fn needs(needed: f64) -> UnitRequest {
     let ahead = 0.0;
     UnitRequest { needed, ahead }
@@ -92,7 +84,7 @@
     fn new(boxes: usize) -> Self {
         Self {
             boxes: vec![LimitShare::new(0); boxes],
-            homes: vec![LimitHome::new(); 2],
+            homes: vec![LimitHome::new(0); 2],
         }
     }
 
@@ -110,7 +102,7 @@
             needed: units,
             ahead: share.ahead(now_ms),
         };
-        let grant = self.homes[home].deal(dealing(LIMIT, reached), request, now_ms);
+        let grant = self.homes[home].deal(LIMIT, request, reached, now_ms);
         share.note_given(grant.units, now_ms);
         grant.room_in_ms.is_none() && share.take_given(units, now_ms)
     }
@@ -169,6 +161,7 @@
 #[test]
 fn deal_home_goes_and_another_one_comes() {
     let mut fleet = Fleet::new(74);
+    fleet.homes[1] = LimitHome::new(9_000);
     let mut admitted = Admitted::default();
     for number in 0..20_000_u64 {
         let now_ms = number;
@@ -232,60 +225,35 @@
 /// room for it.
 #[test]
 fn deal_tells_callers_to_come_back_in_turn() {
-    let mut home = LimitHome::new();
-    let terms = dealing(LIMIT, 1.0);
-    let deal = |home: &mut LimitHome, now_ms| home.deal(terms, needs(30_000.0), now_ms).room_in_ms;
-    assert_eq!(deal(&mut home, 0), None);
-    let waits: Vec<Millis> = (0..3).filter_map(|_| deal(&mut home, 0)).collect();
-    assert!(waits[0] >= 400 && waits[0] <= 600, "{waits:?}");
-    assert!(
-        waits[1] >= waits[0] + 400 && waits[2] >= waits[1] + 400,
-        "{waits:?}"
-    );
-    assert_eq!(deal(&mut home, waits[0]), None);
+    let mut home = LimitHome::new(0);
+    let deal = |home: &mut LimitHome| home.deal(LIMIT, needs(6_000.0), 1.0, 0).room_in_ms;
+    assert_eq!(deal(&mut home), Some(100));
+    assert_eq!(deal(&mut home), Some(200));
+    assert_eq!(deal(&mut home), Some(300));
+    assert_eq!(home.deal(LIMIT, needs(6_000.0), 1.0, 100).room_in_ms, None);
 }
 
-/// A request that counts more than a whole window gets in once nothing else is in it.
+/// A request that counts more than the whole bucket gets in once that is full.
 #[test]
-fn deal_request_larger_than_a_window() {
-    let mut home = LimitHome::new();
-    let terms = dealing(LIMIT, 1.0);
-    let large = needs(700_000.0);
-    for now_ms in (0..8_000).step_by(1_000) {
-        assert!(home.deal(terms, large, now_ms).room_in_ms.is_some());
-    }
-    assert_eq!(home.deal(terms, large, 8_200).units, 700_000.0);
-    assert_eq!(home.deal(terms, needs(661.0), 8_300).units, 0.0);
+fn deal_request_larger_than_the_bucket() {
+    let mut home = LimitHome::new(0);
+    let large = needs(100_000.0);
+    assert!(home.deal(LIMIT, large, 1.0, 900).room_in_ms.is_some());
+    assert_eq!(home.deal(LIMIT, large, 1.0, 1_000).units, 100_000.0);
+    let next = home.deal(LIMIT, needs(661.0), 1.0, 1_000);
+    assert_eq!(next.units, 0.0);
 }
 
-/// A limit that falls binds over the window that is running.
 #[test]
 fn deal_lowered_limit_binds_at_once() {
-    let mut home = LimitHome::new();
-    home.deal(dealing(LIMIT, 1.0), needs(1_000.0), 0);
+    let mut home = LimitHome::new(0);
     let low = Limit {
         per_s: 1_000.0,
         burst: 1_000.0,
     };
-    assert_eq!(home.deal(dealing(low, 1.0), needs(1.0), 100).units, 0.0);
-    for now_ms in (1_000..8_200).step_by(1_000) {
-        home.deal(dealing(low, 1.0), needs(661.0), now_ms);
-    }
-    assert_eq!(
-        home.deal(dealing(low, 1.0), needs(661.0), 8_400).units,
-        661.0
-    );
-}
-
-/// An account may use its window as it likes: what it did not ask for before is there.
-#[test]
-fn deal_rested_account_may_catch_up_within_the_window() {
-    let mut home = LimitHome::new();
-    let terms = dealing(LIMIT, 1.0);
-    for now_ms in (0..9_000).step_by(1_000) {
-        home.deal(terms, needs(6_000.0), now_ms);
-    }
-    assert_eq!(home.deal(terms, needs(400_000.0), 9_000).units, 400_000.0);
+    home.deal(LIMIT, needs(0.0), 1.0, 1_900);
+    assert_eq!(home.deal(low, needs(1_001.0), 1.0, 2_000).units, 1_001.0);
+    assert_eq!(home.deal(low, needs(500.0), 1.0, 2_100).units, 0.0);
 }
 
 /// What was given ahead and not used is over after a while.
--- a/crates/tinbay-gateway/src/settings.rs
+++ b/crates/tinbay-gateway/src/settings.rs
@@ -54,15 +54,6 @@
     }
 }
 
-/// How limits of client accounts are kept.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct AccountLimitTerms {
-    /// Window over which a limit binds.
-    pub window_ms: Millis,
-    /// Requests or tokens by which boxes without a home may overdraw their shares together.
-    pub overdraft: f64,
-}
-
 /// Bounds that the operators promise their users.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Bounds {
@@ -76,8 +67,8 @@
     pub loads: LoadBound,
     /// Times by which keys that are added or taken away are in force.
     pub keys: KeyTerms,
-    /// How limits of client accounts are kept.
-    pub account_limits: AccountLimitTerms,
+    /// Requests or tokens by which all boxes together may exceed an account's limit.
+    pub limit_overdraft: f64,
     /// Time after which no request may start on an older version of its adapter.
     pub version_within_ms: Millis,
     /// Longest time a caller may keep an answer of the directory.
