--- a/crates/tinbay-core/src/accounts/limit_home.rs
+++ b/crates/tinbay-core/src/accounts/limit_home.rs
@@ -44,18 +44,6 @@
     pub room_in_ms: Option<Millis>,
 }
 
-/// How much may be dealt.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct DealTerms {
-    /// The account's limit.
-    pub limit: Limit,
-    /// Units that are kept beyond the burst. A bucket of one burst refused 824 requests in 34 s of
-    /// one account that keeps its limit over 8 s, but not over each second.
-    pub saved: f64,
-    /// Part of the fleet that this box reaches, from 0 to 1.
-    pub reached: f64,
-}
-
 /// What is kept of an account at its home.
 #[derive(Debug, Clone)]
 pub struct LimitHome {
@@ -82,15 +70,21 @@
         self.bucket.empty_out(now_ms);
     }
 
-    /// Deals units.
+    /// Deals units. `reached` is the part of the fleet that this box reaches, from 0 to 1.
     ///
     /// A request that counts more than the bucket holds gets in when the bucket is full; what it
     /// counts beyond is paid back before the next one.
-    pub fn deal(&mut self, terms: DealTerms, request: UnitRequest, now_ms: Millis) -> UnitGrant {
-        let reached = terms.reached.clamp(0.0, 1.0);
+    pub fn deal(
+        &mut self,
+        limit: Limit,
+        request: UnitRequest,
+        reached: f64,
+        now_ms: Millis,
+    ) -> UnitGrant {
+        let reached = reached.clamp(0.0, 1.0);
         let filling = Filling {
-            per_s: terms.limit.per_s * reached,
-            most: ((terms.limit.burst + terms.saved) * reached).max(1.0),
+            per_s: limit.per_s * reached,
+            most: limit.burst.max(limit.per_s) * reached,
         };
         if now_ms >= self.dealt_ms + FORGOTTEN_AFTER_MS {
             self.bucket.empty_out(now_ms.saturating_sub(REMEMBERED_MS));
--- a/crates/tinbay-core/src/accounts/limit_share.rs
+++ b/crates/tinbay-core/src/accounts/limit_share.rs
@@ -17,9 +17,6 @@
 /// Time for which units are asked ahead: some round trips between zones with what may delay them.
 const AHEAD_MS: Millis = 250;
 
-/// Part of the burst that shares save up together: the home may just have dealt the whole of it.
-const SAVED_PART: f64 = 0.25;
-
 /// Time over which the usual use is averaged.
 const USUAL_MS: f64 = 1_000.0;
 
@@ -87,7 +84,7 @@
     ) -> Result<(), Millis> {
         let boxes = terms.boxes.max(1) as f64;
         let per_s = terms.limit.per_s / boxes;
-        let most = terms.limit.burst * SAVED_PART / boxes;
+        let most = terms.limit.burst.max(terms.limit.per_s) / boxes;
         self.share.fill(Filling { per_s, most }, now_ms);
         let needed = units - terms.overdraft / boxes;
         if self.share.level() < needed {
--- a/crates/tinbay-core/tests/accounts_limit_test.rs
+++ b/crates/tinbay-core/tests/accounts_limit_test.rs
@@ -2,7 +2,7 @@
 
 use quickcheck::QuickCheck;
 use tinbay_core::accounts::account::Limit;
-use tinbay_core::accounts::limit_home::{DealTerms, LimitHome, UnitRequest};
+use tinbay_core::accounts::limit_home::{LimitHome, UnitRequest};
 use tinbay_core::accounts::limit_share::{LimitShare, ShareTerms};
 use tinbay_core::units::Millis;
 
@@ -24,13 +24,8 @@
     }
 }
 
-/// Units by which the limit may be exceeded besides.
-const SLACK: f64 = 110_000.0;
-
-/// Units by which boxes may overdraw their shares together, and those that a home saves up beyond
-/// the burst: the parts that a box of the product takes.
-const OVERDRAFT: f64 = 0.45 * SLACK;
-const SAVED: f64 = 0.3 * (OVERSHOOT * 9.0 * LIMIT.per_s + SLACK);
+/// Units by which the tests' boxes may overdraw their shares together.
+const OVERDRAFT: f64 = 70_000.0;
 
 fn share_of(boxes: usize) -> ShareTerms {
     ShareTerms {
@@ -40,22 +35,6 @@
     }
 }
 
-fn dealing(limit: Limit, reached: f64) -> DealTerms {
-    DealTerms {
-        limit,
-        saved: 0.0,
-        reached,
-    }
-}
-
-/// As homes of the product deal.
-fn saving(reached: f64) -> DealTerms {
-    DealTerms {
-        saved: SAVED,
-        ..dealing(LIMIT, reached)
-    }
-}
-
 fn needs(needed: f64) -> UnitRequest {
     let ahead = 0.0;
     UnitRequest { needed, ahead }
@@ -123,7 +102,7 @@
             needed: units,
             ahead: share.ahead(now_ms),
         };
-        let grant = self.homes[home].deal(saving(reached), request, now_ms);
+        let grant = self.homes[home].deal(LIMIT, request, reached, now_ms);
         share.note_given(grant.units, now_ms);
         grant.room_in_ms.is_none() && share.take_given(units, now_ms)
     }
@@ -147,7 +126,7 @@
         at_ms += gap_ms;
     }
     assert!(
-        admitted.most() <= allowed(LIMIT, SLACK),
+        admitted.most() <= allowed(LIMIT, 0.0),
         "{}",
         admitted.most()
     );
@@ -196,8 +175,9 @@
             admitted.note(units, now_ms);
         }
     }
+    let overdrawn = 74.0 * 960.0;
     assert!(
-        admitted.most() <= allowed(LIMIT, SLACK),
+        admitted.most() <= allowed(LIMIT, overdrawn),
         "{}",
         admitted.most()
     );
@@ -235,7 +215,7 @@
             }
         }
         let most = admitted.most();
-        most <= allowed(LIMIT, SLACK)
+        most <= allowed(LIMIT, OVERDRAFT)
     }
     let property = property as fn(u32, u8, u8, u8) -> bool;
     QuickCheck::new().tests(150).quickcheck(property);
@@ -246,15 +226,11 @@
 #[test]
 fn deal_tells_callers_to_come_back_in_turn() {
     let mut home = LimitHome::new(0);
-    let deal = |home: &mut LimitHome| home.deal(dealing(LIMIT, 1.0), needs(6_000.0), 0).room_in_ms;
+    let deal = |home: &mut LimitHome| home.deal(LIMIT, needs(6_000.0), 1.0, 0).room_in_ms;
     assert_eq!(deal(&mut home), Some(100));
     assert_eq!(deal(&mut home), Some(200));
     assert_eq!(deal(&mut home), Some(300));
-    assert_eq!(
-        home.deal(dealing(LIMIT, 1.0), needs(6_000.0), 100)
-            .room_in_ms,
-        None
-    );
+    assert_eq!(home.deal(LIMIT, needs(6_000.0), 1.0, 100).room_in_ms, None);
 }
 
 /// A request that counts more than the whole bucket gets in once that is full.
@@ -262,16 +238,9 @@
 fn deal_request_larger_than_the_bucket() {
     let mut home = LimitHome::new(0);
     let large = needs(100_000.0);
-    assert!(
-        home.deal(dealing(LIMIT, 1.0), large, 900)
-            .room_in_ms
-            .is_some()
-    );
-    assert_eq!(
-        home.deal(dealing(LIMIT, 1.0), large, 1_000).units,
-        100_000.0
-    );
-    let next = home.deal(dealing(LIMIT, 1.0), needs(661.0), 1_000);
+    assert!(home.deal(LIMIT, large, 1.0, 900).room_in_ms.is_some());
+    assert_eq!(home.deal(LIMIT, large, 1.0, 1_000).units, 100_000.0);
+    let next = home.deal(LIMIT, needs(661.0), 1.0, 1_000);
     assert_eq!(next.units, 0.0);
 }
 
@@ -282,12 +251,9 @@
         per_s: 1_000.0,
         burst: 1_000.0,
     };
-    home.deal(dealing(LIMIT, 1.0), needs(0.0), 1_900);
-    assert_eq!(
-        home.deal(dealing(low, 1.0), needs(1_001.0), 2_000).units,
-        1_001.0
-    );
-    assert_eq!(home.deal(dealing(low, 1.0), needs(500.0), 2_100).units, 0.0);
+    home.deal(LIMIT, needs(0.0), 1.0, 1_900);
+    assert_eq!(home.deal(low, needs(1_001.0), 1.0, 2_000).units, 1_001.0);
+    assert_eq!(home.deal(low, needs(500.0), 1.0, 2_100).units, 0.0);
 }
 
 /// What was given ahead and not used is over after a while.
--- a/crates/tinbay-gateway/src/account_limits/home.rs
+++ b/crates/tinbay-gateway/src/account_limits/home.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use tinbay_core::accounts::account::{Account, Limit};
-use tinbay_core::accounts::limit_home::{DealTerms, LimitHome, UnitGrant, UnitRequest};
+use tinbay_core::accounts::limit_home::{LimitHome, UnitGrant, UnitRequest};
 use tinbay_core::serving::capacity::{self, RankedBox};
 use tinbay_core::units::Millis;
 
@@ -106,16 +106,11 @@
         return None;
     }
     let now_ms = node.now_ms();
-    let terms = DealTerms {
-        limit,
-        saved: node.settings.borrow().bounds.account_limits.saved(limit),
-        reached: fleet.reached,
-    };
     let mut homes = node.account_limits.homes.borrow_mut();
     let home = homes
         .entry(Rc::clone(&account.name))
         .or_insert_with(|| LimitHome::new(now_ms));
-    Some(home.deal(terms, request, now_ms))
+    Some(home.deal(limit, request, fleet.reached, now_ms))
 }
 
 /// The fleet as this box sees it.
--- a/crates/tinbay-gateway/src/account_limits/mod.rs
+++ b/crates/tinbay-gateway/src/account_limits/mod.rs
@@ -124,7 +124,7 @@
     let terms = ShareTerms {
         limit,
         boxes: home::fleet(node).boxes,
-        overdraft: node.settings.borrow().bounds.account_limits.overdraft(),
+        overdraft: node.settings.borrow().bounds.limit_overdraft,
     };
     with_share(node, account, |share, now_ms| {
         share.take_share(terms, units, now_ms)
--- a/crates/tinbay-gateway/src/settings.rs
+++ b/crates/tinbay-gateway/src/settings.rs
@@ -2,11 +2,10 @@
 
 use std::net::{IpAddr, SocketAddr};
 
-use tinbay_core::accounts::account::Limit;
 use tinbay_core::accounts::key_check::KeyTerms;
 use tinbay_core::serving::budget::BudgetTerms;
 use tinbay_core::serving::pacing::LoadBound;
-use tinbay_core::units::{MS_PER_SECOND, Millis};
+use tinbay_core::units::Millis;
 
 /// Everything a box is told at its start.
 #[derive(Debug, Clone, PartialEq)]
@@ -55,39 +54,6 @@
     }
 }
 
-/// By how much the limit of a client account may be exceeded over all boxes.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct AccountLimitBounds {
-    /// Window over which that is counted.
-    pub window_ms: Millis,
-    /// Part of what the limit allows in the window.
-    pub overshoot: f64,
-    /// Requests or tokens beyond that.
-    pub slack: f64,
-}
-
-/// Part of the slack by which boxes without a home overdraw their shares together. It leaves room
-/// for a short request at each of 74 boxes: 661 tokens of a slack of 110,000.
-const OVERDRAFT_PART: f64 = 0.45;
-
-/// Part of all that is allowed beyond a limit that a home saves up beyond the burst. With what
-/// shares overdraw and save, a third of it is left for units on their way and for two homes.
-const SAVED_PART: f64 = 0.3;
-
-impl AccountLimitBounds {
-    /// Units by which boxes without a home may overdraw their shares together.
-    pub fn overdraft(&self) -> f64 {
-        self.slack * OVERDRAFT_PART
-    }
-
-    /// Units that a home saves up beyond the burst of a limit.
-    pub fn saved(&self, limit: Limit) -> f64 {
-        let window_s = self.window_ms as f64 / MS_PER_SECOND as f64;
-        let in_window = limit.per_s * window_s + limit.burst;
-        SAVED_PART * (self.overshoot * in_window + self.slack)
-    }
-}
-
 /// Bounds that the operators promise their users.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Bounds {
@@ -101,8 +67,8 @@
     pub loads: LoadBound,
     /// Times by which keys that are added or taken away are in force.
     pub keys: KeyTerms,
-    /// By how much limits of client accounts may be exceeded.
-    pub account_limits: AccountLimitBounds,
+    /// Requests or tokens by which all boxes together may exceed an account's limit.
+    pub limit_overdraft: f64,
     /// Time after which no request may start on an older version of its adapter.
     pub version_within_ms: Millis,
     /// Longest time a caller may keep an answer of the directory.
