--- a/crates/tinbay-gateway/src/watch/mod.rs
+++ b/crates/tinbay-gateway/src/watch/mod.rs
@@ -30,13 +30,6 @@
 /// 195 boxes made 900 calls in their first four seconds.
 const ALONE_PAUSE_MS: Millis = 600;
 
-/// Longest wait for the first word of the entries of other boxes. Without it 74 boxes that started
-/// together made 550 watches in their first 14 s.
-const ALONE_WAIT_MS: Millis = 1_200;
-
-/// Pause between looks whether it has come.
-const ALONE_LOOK: Duration = Duration::from_millis(50);
-
 /// Pause after changes that another box passed on, so that several go together.
 const RELAY_GAP_MS: Millis = 40;
 
@@ -129,7 +122,7 @@
     *is_lost = false;
     *pause_ms = FIRST_PAUSE_MS;
     if node.members.borrow().is_empty() {
-        wait_for_boxes(node, prefix).await;
+        sleep_with_jitter(ALONE_PAUSE_MS).await;
     }
     let mut at = listing.at;
     let mut failures = 0;
@@ -163,20 +156,6 @@
     }
 }
 
-/// Waits until other boxes may be known, of which some read the store for this one: the entries of
-/// boxes are watched first, and all else once that has told something.
-async fn wait_for_boxes(node: &Node, prefix: &str) {
-    sleep_with_jitter(ALONE_PAUSE_MS).await;
-    if prefix == boxes::PREFIX {
-        return;
-    }
-    let end_ms = node.now_ms() + ALONE_WAIT_MS;
-    let is_seen = || node.replica.confirmed_ms(boxes::PREFIX) > Some(0);
-    while !is_seen() && node.now_ms() < end_ms {
-        tokio::time::sleep(ALONE_LOOK).await;
-    }
-}
-
 fn take(node: &Node, follower: &dyn Follower, change: &Change) {
     let prefix = follower.prefix();
     let is_passed_on = match change {
