--- a/crates/tinbay-cli/src/cli.rs
+++ b/crates/tinbay-cli/src/cli.rs
@@ -165,6 +165,9 @@
                  with fakes of engines and weight store, and compare. The policy stands beside \
                  the file with the ending .rhai. The same seeds give the same figures.",
             )
+            .args_conflicts_with_subcommands(true)
+            .subcommand_negates_reqs(true)
+            .subcommand(limits_command())
             .arg(files_arg())
             .arg(
                 Arg::new("judge")
@@ -328,3 +331,41 @@
                 .help("weights, engine: time of a load"),
         )
 }
+
+fn limits_command() -> Command {
+    let number = |name: &'static str, default: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .value_name("NUMBER")
+            .default_value(default)
+            .help(help)
+    };
+    Command::new("limits")
+        .about("Play limits of client accounts over many boxes, on virtual time")
+        .long_about(
+            "Play limits of client accounts over many boxes, on virtual time, with each way of \
+             keeping them. One account asks many times its usual for a third of the run, and a \
+             part of the boxes is killed in its middle. The same seed gives the same figures.",
+        )
+        .arg(number("boxes", "2200", "Boxes"))
+        .arg(number("accounts", "10000", "Client accounts"))
+        .arg(number(
+            "requests-per-s",
+            "120000",
+            "Requests a second at the usual",
+        ))
+        .arg(number("seconds", "15", "Length of the run"))
+        .arg(number(
+            "hot",
+            "6",
+            "How many times its usual the hot account asks",
+        ))
+        .arg(number("killed", "0.5", "Part of the boxes that is killed"))
+        .arg(number("seed", "1", "Seed of all random choices"))
+        .arg(
+            Arg::new("plot")
+                .long("plot")
+                .value_name("FILE")
+                .help("Draw the hot account second by second into an SVG file"),
+        )
+}
--- a/crates/tinbay-cli/src/commands/mod.rs
+++ b/crates/tinbay-cli/src/commands/mod.rs
@@ -9,6 +9,7 @@
 mod drain;
 mod experiment;
 mod get;
+mod limits;
 pub mod load;
 mod locate;
 mod policy;
@@ -47,6 +48,7 @@
         Action::Demo { stay } => demo::run(common, *stay),
         Action::Standin(standin) => standin::run(standin),
         Action::Experiment(experiment) => experiment::run(common, experiment),
+        Action::Limits(limits) => limits::run(common, limits),
         Action::Scenario { files, seed } => scenario::run(common, files, *seed),
     }
 }
--- a/crates/tinbay-cli/src/error.rs
+++ b/crates/tinbay-cli/src/error.rs
@@ -57,6 +57,17 @@
         /// What is wrong.
         source: WorkloadError,
     },
+    /// An experiment has nothing to play.
+    #[error("nothing to play: {0}")]
+    Demand(#[from] rand_distr::ZipfError),
+    /// A plot can't be drawn.
+    #[error("{path}: the plot can't be drawn: {reason}")]
+    Plot {
+        /// The file.
+        path: String,
+        /// The library's words.
+        reason: String,
+    },
     /// No box could be asked.
     #[error("no box answered: {0}")]
     Unreachable(#[from] CallError),
--- a/crates/tinbay-cli/src/options.rs
+++ b/crates/tinbay-cli/src/options.rs
@@ -8,6 +8,7 @@
 use tinbay_core::config::{ConfigKey, Kind};
 use tinbay_core::ids::ModelRef;
 use tinbay_core::units::Millis;
+use tinbay_experiment::limits::LimitTerms;
 use tinbay_standin::engine::EngineSettings;
 use tinbay_standin::weights::WeightSettings;
 use tinbay_standin::{Kind as StandinKind, StandinSettings};
@@ -96,6 +97,8 @@
     Standin(StandinOptions),
     /// Compare ways of deciding.
     Experiment(ExperimentOptions),
+    /// Compare ways of keeping limits.
+    Limits(LimitsOptions),
     /// Run scenarios.
     Scenario {
         /// The files.
@@ -168,6 +171,15 @@
     pub skew: Option<f64>,
 }
 
+/// Options of `experiment limits`.
+#[derive(Debug, Clone)]
+pub struct LimitsOptions {
+    /// What is played.
+    pub terms: LimitTerms,
+    /// File for the plot.
+    pub plot: Option<String>,
+}
+
 /// Options of `standin`.
 #[derive(Debug, Clone)]
 pub struct StandinOptions {
@@ -242,6 +254,7 @@
             stay: sub.get_flag("stay"),
         },
         "standin" => Action::Standin(read_standin(sub)?),
+        "experiment" if sub.subcommand_matches("limits").is_some() => read_limits(sub)?,
         "experiment" => Action::Experiment(ExperimentOptions {
             files: sub
                 .get_many::<String>("files")
@@ -257,6 +270,25 @@
     })
 }
 
+fn read_limits(matches: &ArgMatches) -> Result<Action, CliError> {
+    let Some(sub) = matches.subcommand_matches("limits") else {
+        return Ok(Action::Status);
+    };
+    let part = |name, most| ranged(sub, name, 0.0, most, "give a number that is not below 0");
+    Ok(Action::Limits(LimitsOptions {
+        terms: LimitTerms {
+            boxes: ranged(sub, "boxes", 1, 100_000, "give 1 to 100000")?,
+            accounts: ranged(sub, "accounts", 2, 1_000_000, "give 2 to 1000000")?,
+            requests_per_s: ranged(sub, "requests-per-s", 1.0, 1e7, "give 1 to 10000000")?,
+            seconds: ranged(sub, "seconds", 3, 3_600, "give 3 to 3600")?,
+            hot: part("hot", 1_000.0)?,
+            killed: ranged(sub, "killed", 0.0, 1.0, "give 0 to 1")?,
+            seed: ranged(sub, "seed", 0, u64::MAX, WHOLE_NUMBER)?,
+        },
+        plot: sub.get_one::<String>("plot").cloned(),
+    }))
+}
+
 fn read_policy(matches: &ArgMatches) -> Action {
     match matches.subcommand() {
         Some(("try", sub)) => Action::PolicyTry {
--- a/crates/tinbay-experiment/src/lib.rs
+++ b/crates/tinbay-experiment/src/lib.rs
@@ -8,6 +8,7 @@
 mod arrivals;
 mod bound;
 mod engines;
+pub mod limits;
 mod measures;
 mod run;
 mod strategy;
--- /dev/null
+++ b/crates/tinbay-experiment/src/limits/demand.rs
@@ -0,0 +1,126 @@
+//! Who asks, where, and how much.
+
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use rand_distr::{Distribution, Zipf};
+use tinbay_core::accounts::account::Limit;
+
+use super::{LEAST_LIMIT_PER_S, LIMIT_FACTOR, LimitTerms};
+
+/// Skew of the accounts' demand: a few of them are large.
+const SKEW: f64 = 1.0;
+
+/// What a short request counts, and a long one.
+const SHORT_UNITS: f64 = 661.0;
+const LONG_UNITS: f64 = 9_240.0;
+
+/// Part of the requests that is long.
+const LONG_PART: f64 = 0.03;
+
+/// The account that turns hot, by its rank: one of the large ones.
+pub const HOT_ACCOUNT: usize = 1;
+
+/// A request.
+#[derive(Debug, Clone, Copy)]
+pub struct Asked {
+    /// The account.
+    pub account: usize,
+    /// The box.
+    pub at: usize,
+    /// What it counts.
+    pub units: f64,
+}
+
+/// Requests by time.
+pub struct Demand {
+    random: SmallRng,
+    ranks: Zipf<f64>,
+    boxes: usize,
+    usual_per_ms: f64,
+    hot_per_ms: f64,
+    owed: f64,
+    owed_hot: f64,
+}
+
+/// Mean units of a request.
+fn mean_units() -> f64 {
+    LONG_PART * LONG_UNITS + (1.0 - LONG_PART) * SHORT_UNITS
+}
+
+/// Part of all requests that an account has.
+fn part(account: usize, accounts: usize) -> f64 {
+    let weight = |rank: usize| 1.0 / (rank as f64).powf(SKEW);
+    let all: f64 = (1..=accounts).map(weight).sum();
+    weight(account + 1) / all
+}
+
+/// Limits of all accounts.
+pub fn limits(terms: &LimitTerms) -> Vec<Limit> {
+    let all: f64 = (1..=terms.accounts)
+        .map(|rank| 1.0 / (rank as f64).powf(SKEW))
+        .sum();
+    (1..=terms.accounts)
+        .map(|rank| {
+            let part = 1.0 / (rank as f64).powf(SKEW) / all;
+            let usual = part * terms.requests_per_s * mean_units();
+            let per_s = (LIMIT_FACTOR * usual).max(LEAST_LIMIT_PER_S);
+            Limit {
+                per_s,
+                burst: per_s,
+            }
+        })
+        .collect()
+}
+
+impl Demand {
+    /// The demand of a run.
+    ///
+    /// # Errors
+    /// When there is no account.
+    pub fn new(terms: &LimitTerms) -> Result<Self, rand_distr::ZipfError> {
+        let hot_part = part(HOT_ACCOUNT.min(terms.accounts - 1), terms.accounts);
+        let usual_per_ms = terms.requests_per_s / 1_000.0;
+        Ok(Self {
+            random: SmallRng::seed_from_u64(terms.seed),
+            ranks: Zipf::new(terms.accounts as f64, SKEW)?,
+            boxes: terms.boxes,
+            usual_per_ms,
+            hot_per_ms: usual_per_ms * hot_part * (terms.hot - 1.0).max(0.0),
+            owed: 0.0,
+            owed_hot: 0.0,
+        })
+    }
+
+    /// The requests of one millisecond.
+    pub fn next_ms(&mut self, is_hot: bool) -> Vec<Asked> {
+        self.owed += self.usual_per_ms;
+        let mut asked = Vec::new();
+        while self.owed >= 1.0 {
+            self.owed -= 1.0;
+            let rank = self.ranks.sample(&mut self.random);
+            asked.push(self.request(rank as usize - 1));
+        }
+        if is_hot {
+            self.owed_hot += self.hot_per_ms;
+        }
+        while self.owed_hot >= 1.0 {
+            self.owed_hot -= 1.0;
+            asked.push(self.request(HOT_ACCOUNT));
+        }
+        asked
+    }
+
+    fn request(&mut self, account: usize) -> Asked {
+        let is_long = self.random.random_bool(LONG_PART);
+        Asked {
+            account,
+            at: self.random.random_range(0..self.boxes),
+            units: if is_long { LONG_UNITS } else { SHORT_UNITS },
+        }
+    }
+
+    /// Whether a box is among those that are killed.
+    pub fn draw(&mut self, part: f64) -> bool {
+        self.random.random_bool(part.clamp(0.0, 1.0))
+    }
+}
