--- a/crates/tinbay-gateway/src/account_limits/mod.rs
+++ b/crates/tinbay-gateway/src/account_limits/mod.rs
@@ -83,6 +83,17 @@
     fleet: Cell<Option<(FleetView, Millis)>>,
 }
 
+impl AccountLimits {
+    /// Forgets questions whose requests are gone, and failures that are over: a question that is
+    /// never answered would stay for ever else.
+    pub fn tidy(&self, now_ms: Millis) {
+        let mut waiting = self.waiting.borrow_mut();
+        waiting.retain(|_, sender| !sender.is_closed());
+        let mut failed = self.failed.borrow_mut();
+        failed.retain(|_, until_ms| now_ms < *until_ms);
+    }
+}
+
 #[derive(Serialize)]
 struct NoAnswerEvent<'a> {
     home: &'a str,
