--- a/crates/tinbay-core/src/accounts/limit_home.rs
+++ b/crates/tinbay-core/src/accounts/limit_home.rs
@@ -76,11 +76,6 @@
         }
     }
 
-    /// Begins anew, as a home does that may have been replaced meanwhile.
-    pub fn begin_anew(&mut self, now_ms: Millis) {
-        self.bucket.empty_out(now_ms);
-    }
-
     /// Deals units.
     ///
     /// An account that has more than half of its bucket is given more ahead than a box asks for: its
--- a/crates/tinbay-gateway/src/account_limits/home.rs
+++ b/crates/tinbay-gateway/src/account_limits/home.rs
@@ -36,10 +36,11 @@
 pub struct Drawn {
     /// The home.
     pub home: Home,
-    /// A box that said of itself that it is not the home, and was left out. What boxes know of the
-    /// fleet differs for some seconds; without this, boxes named each other in turn for 2 s and
-    /// more, and the worst two seconds of a day fell from 0.66 to 0.33 of their worth.
-    pub without: Option<Fingerprint>,
+    /// Boxes that said of themselves that they can't be a home, and were left out. What boxes know
+    /// of the fleet differs for some seconds; without this, boxes named each other in turn for 2 s
+    /// and more. A box that only takes another one for the home is not left out: it may deal to
+    /// others meanwhile, and two homes deal twice the limit.
+    pub without: Vec<Fingerprint>,
 }
 
 /// The home of an account as it was drawn lately.
@@ -67,7 +68,7 @@
     if let Some(kept) = kept.get(account).filter(|kept| now_ms < kept.until_ms) {
         return kept.drawn.clone();
     }
-    let drawn = draw(node, account, None);
+    let drawn = draw(node, account, Vec::new());
     let until_ms = now_ms + DRAWN_LIFE_MS;
     let entry = KeptHome {
         drawn: drawn.clone(),
@@ -87,24 +88,43 @@
     until_ms.is_some_and(|until_ms| node.now_ms() < *until_ms)
 }
 
-/// Draws an account's home anew, as a box said of itself that it is not the one.
-pub fn draw_without(node: &Node, account: &Rc<str>, without: &str) {
-    let drawn = draw(node, account, Some(box_fingerprint(without)));
+/// Draws an account's home anew, as the last one said that it can't be one.
+pub fn draw_without(node: &Node, account: &Rc<str>, last: &Drawn) {
+    let id = match &last.home {
+        Home::Own => node.settings.borrow().box_id.clone(),
+        Home::Other(id) => id.clone(),
+    };
+    let mut without = last.without.clone();
+    without.push(box_fingerprint(&id));
+    let drawn = draw(node, account, without);
+    keep(node, account, drawn);
+}
+
+/// Takes another box for an account's home, as the last one does that was asked.
+pub fn take_other(node: &Node, account: &Rc<str>, last: &Drawn, home: String) {
+    let is_own = home == node.settings.borrow().box_id;
+    let home = if is_own { Home::Own } else { Home::Other(home) };
+    let without = last.without.clone();
+    keep(node, account, Some(Drawn { home, without }));
+}
+
+fn keep(node: &Node, account: &Rc<str>, drawn: Option<Drawn>) {
     let until_ms = node.now_ms() + DRAWN_LIFE_MS;
     let mut kept = node.account_limits.drawn.borrow_mut();
     kept.insert(Rc::clone(account), KeptHome { drawn, until_ms });
 }
 
-/// Whether this box is an account's home, with one box left out.
-pub fn is_own(node: &Node, account: &Rc<str>, without: Option<Fingerprint>) -> bool {
-    let drawn = match without {
-        None => of(node, account),
-        Some(_) => draw(node, account, without),
+/// The home of an account as this box draws it, with some boxes left out.
+pub fn drawn_without(node: &Node, account: &Rc<str>, without: &[Fingerprint]) -> Option<Home> {
+    let drawn = if without.is_empty() {
+        of(node, account)
+    } else {
+        draw(node, account, without.to_vec())
     };
-    drawn.is_some_and(|drawn| drawn.home == Home::Own)
+    drawn.map(|drawn| drawn.home)
 }
 
-fn draw(node: &Node, account: &str, without: Option<Fingerprint>) -> Option<Drawn> {
+fn draw(node: &Node, account: &str, without: Vec<Fingerprint>) -> Option<Drawn> {
     let now_ms = node.now_ms();
     let settings = node.settings.borrow();
     let members = node.members.borrow();
@@ -119,7 +139,7 @@
         id: &settings.box_id,
         capacity: settings.resources.capacity(),
     });
-    let is_in = |ranked: &RankedBox<'_>| Some(box_fingerprint(ranked.id)) != without;
+    let is_in = |ranked: &RankedBox<'_>| !without.contains(&box_fingerprint(ranked.id));
     let boxes: Vec<RankedBox<'_>> = others.chain(own).filter(is_in).collect();
     let home = *capacity::draw(account, &boxes, 1).first()?;
     let home = if home == settings.box_id {
--- a/crates/tinbay-gateway/src/account_limits/mod.rs
+++ b/crates/tinbay-gateway/src/account_limits/mod.rs
@@ -36,7 +36,7 @@
 const MOST_ASKS: usize = 4;
 
 /// Homes that are asked one after the other, as one names another.
-const MOST_HOMES: usize = 3;
+const MOST_HOMES: usize = 5;
 
 /// How long a home that does not answer is not asked.
 const FAILED_LIFE_MS: Millis = 1_000;
@@ -101,10 +101,10 @@
 }
 
 /// What a home answers.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 enum Answer {
     Grant(UnitGrant),
-    NotHome,
+    NotHome(Option<String>),
 }
 
 /// Lets a request of an account in.
@@ -157,8 +157,12 @@
         let drawn = home::of(node, &account.name)?;
         let grant = match ask(node, account, limit, units, &drawn).await {
             Asked::Grant(grant) => grant,
-            Asked::NotHome => {
-                note_not_home(node, account, &drawn.home);
+            Asked::NotHome(Some(other)) => {
+                home::take_other(node, &account.name, &drawn, other);
+                continue;
+            }
+            Asked::NotHome(None) => {
+                home::draw_without(node, &account.name, &drawn);
                 continue;
             }
             Asked::Silence => {
@@ -207,8 +211,8 @@
 enum Asked {
     Grant(UnitGrant),
     Silence,
-    /// The box that was asked is not the home.
-    NotHome,
+    /// The box that was asked takes another one for the home, or can't be one itself.
+    NotHome(Option<String>),
 }
 
 /// Asks the home of an account.
@@ -221,7 +225,7 @@
     let home = match &drawn.home {
         Home::Own => {
             let Some(grant) = home::deal(node, account, limit, request) else {
-                return Asked::NotHome;
+                return Asked::NotHome(None);
             };
             note_grant(node, account, grant);
             return Asked::Grant(grant);
@@ -240,7 +244,7 @@
         .waiting
         .borrow_mut()
         .insert(number, sender);
-    let part = question(account, number, request, drawn.without);
+    let part = question(account, number, request, &drawn.without);
     let asked = repeat_question(node, home, &part, receiver).await;
     node.account_limits.waiting.borrow_mut().remove(&number);
     asked
@@ -258,7 +262,7 @@
         node.outbox.post(home, part);
         match tokio::time::timeout(ANSWER_WAIT, &mut receiver).await {
             Ok(Ok(Answer::Grant(grant))) => return Asked::Grant(grant),
-            Ok(Ok(Answer::NotHome)) => return Asked::NotHome,
+            Ok(Ok(Answer::NotHome(other))) => return Asked::NotHome(other),
             Ok(Err(_)) => return Asked::Silence,
             Err(_) => {}
         }
@@ -270,14 +274,14 @@
     account: &Account,
     number: u32,
     request: UnitRequest,
-    without: Option<Fingerprint>,
+    without: &[Fingerprint],
 ) -> LimitRequestPart {
     LimitRequestPart {
         account: box_fingerprint(&account.name),
         number,
         needed: request.needed.ceil() as u32,
         ahead: request.ahead.ceil() as u32,
-        without,
+        without: without.to_vec(),
     }
 }
 
@@ -299,7 +303,7 @@
             }
         }
         Home::Other(home) if !home::has_failed(node, &account.name) => {
-            let part = question(account, AHEAD, request, drawn.without);
+            let part = question(account, AHEAD, request, &drawn.without);
             node.outbox.post(home, FramePart::LimitRequest(part));
         }
         Home::Other(_) => {}
@@ -323,21 +327,6 @@
     });
 }
 
-/// A box that is not the home, by its own word, is left out for a while; this one, where it can't be
-/// sure.
-fn note_not_home(node: &Node, account: &Rc<Account>, home: &Home) {
-    let id = match home {
-        Home::Own => node.settings.borrow().box_id.clone(),
-        Home::Other(id) => id.clone(),
-    };
-    home::draw_without(node, &account.name, &id);
-    let event = NoAnswerEvent {
-        home: &id,
-        reason: "not_the_home",
-    };
-    events::emit(part::FRONT, Level::Debug, "limit_home_no_answer", &event);
-}
-
 /// Another box that does not answer is not asked for a while; requests would wait for it in vain.
 fn note_failed(node: &Node, home: &Home, reason: &'static str) {
     let Home::Other(home) = home else {
@@ -363,14 +352,19 @@
         needed: f64::from(part.needed),
         ahead: f64::from(part.ahead),
     };
-    let is_own = home::is_own(node, &account.name, part.without);
-    let limit = account.limit.filter(|_| is_own);
+    let home = home::drawn_without(node, &account.name, &part.without);
+    let limit = account.limit.filter(|_| home == Some(Home::Own));
     let grant = limit.and_then(|limit| home::deal(node, &account, limit, request));
+    let other = match home {
+        Some(Home::Other(other)) => Some(box_fingerprint(&other)),
+        Some(Home::Own) | None => None,
+    };
     let room_in_ms = grant.and_then(|grant| grant.room_in_ms);
     let answer = LimitGrantPart {
         account: part.account,
         number: part.number,
         is_home: grant.is_some(),
+        other,
         units: grant.map_or(0, |grant| grant.units as u32),
         room_in_ms: room_in_ms.map(|room_in_ms| room_in_ms.min(Millis::from(u16::MAX)) as u16),
     };
@@ -393,7 +387,9 @@
         note_grant(node, &account, grant);
         Answer::Grant(grant)
     } else {
-        Answer::NotHome
+        let members = node.members.borrow();
+        let other = part.other.and_then(|other| members.id_of(other));
+        Answer::NotHome(other.cloned())
     };
     if let Some(waiting) = node
         .account_limits
--- a/crates/tinbay-gateway/src/members.rs
+++ b/crates/tinbay-gateway/src/members.rs
@@ -363,6 +363,11 @@
         self.by_id.is_empty()
     }
 
+    /// The box of the short form of a name.
+    pub fn id_of(&self, fingerprint: Fingerprint) -> Option<&String> {
+        self.ids.get(&fingerprint)
+    }
+
     /// One box.
     pub fn get(&self, id: &str) -> Option<&Member> {
         self.by_id.get(id)
--- a/crates/tinbay-gateway/src/peers/frame.rs
+++ b/crates/tinbay-gateway/src/peers/frame.rs
@@ -88,8 +88,8 @@
     pub needed: u32,
     /// Units that the box would use soon besides.
     pub ahead: u32,
-    /// A box that said that it does not keep the account's limit.
-    pub without: Option<Fingerprint>,
+    /// Boxes that said of themselves that they can't keep the account's limit.
+    pub without: Vec<Fingerprint>,
 }
 
 /// What a box may let in of an account's limit.
@@ -101,6 +101,8 @@
     pub number: u32,
     /// Whether the sender keeps the account's limit; else it gives nothing.
     pub is_home: bool,
+    /// The box that the sender takes for the one that does; none where it can't be one itself.
+    pub other: Option<Fingerprint>,
     /// Units.
     pub units: u32,
     /// Where what was needed is not given: time until there is room for it, in ms.
