Only a box that sees its own entry in the store speaks for its zone

Cause, by logs of who deals and who judges: a box cut off from a part of the fleet whose entry had lapsed took itself for the relay of its zone, heard no word of other zones, as these speak to the boxes they see, and told its zone that their speakers were silent; its zone drew another home, and two dealt from 9 to 15 s. Ruled out: shares, questions sent again, boxes left out in turn.

--- a/crates/tinbay-gateway/src/account_limits/home.rs
+++ b/crates/tinbay-gateway/src/account_limits/home.rs
@@ -10,7 +10,6 @@
 
 use crate::members::box_fingerprint;
 use crate::node::Node;
-use crate::watch::boxes::{MEMBER_PREFIX, PREFIX};
 
 /// How long a home that was drawn is kept: to draw it takes time that grows with the boxes.
 const DRAWN_LIFE_MS: Millis = 500;
@@ -190,8 +189,7 @@
 
 fn look(node: &Node, now_ms: Millis) -> FleetView {
     let own_id = node.settings.borrow().box_id.clone();
-    let own_key = format!("{MEMBER_PREFIX}{own_id}");
-    let is_entered = node.replica.item(PREFIX, &own_key).is_some();
+    let is_entered = node.is_entered();
     let members = node.members.borrow();
     let others = members.others(&own_id).filter(|(_, member)| member.listed);
     let (mut listed, mut heard) = (1, 1);
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -36,6 +36,7 @@
 use crate::servers::{RunningRequest, Server, ServerTable};
 use crate::settings::Settings;
 use crate::waiters::Waiters;
+use crate::watch::boxes::{MEMBER_PREFIX, PREFIX as BOXES_PREFIX};
 use crate::watch::replica::Replica;
 use crate::watch::source::StoreTurns;
 
@@ -55,6 +56,9 @@
 /// servers.
 const DELAY_PART: f64 = 0.5;
 
+/// Time for which a box counts as entered after it saw its entry in the store: some watches.
+const ENTRY_SEEN_LIFE_MS: Millis = 4_000;
+
 /// Time of a load from the weight store at full speed, until the holder tells.
 const USUAL_LOAD_MS: f64 = 250.0;
 
@@ -233,6 +237,18 @@
         }
     }
 
+    /// Whether this box sees its own entry in the store, as other boxes do then.
+    pub fn is_entered(&self) -> bool {
+        let own_key = format!("{MEMBER_PREFIX}{}", self.settings.borrow().box_id);
+        self.replica.item(BOXES_PREFIX, &own_key).is_some()
+    }
+
+    /// Whether it has seen it lately.
+    pub fn is_surely_entered(&self) -> bool {
+        let seen_ms = self.replica.confirmed_ms(BOXES_PREFIX).unwrap_or_default();
+        self.is_entered() && self.now_ms() < seen_ms + ENTRY_SEEN_LIFE_MS
+    }
+
     /// Counts the boxes that are up, this one included.
     pub fn count_boxes(&self) {
         let now_ms = self.now_ms();
--- a/crates/tinbay-gateway/src/peers/gossip.rs
+++ b/crates/tinbay-gateway/src/peers/gossip.rs
@@ -44,7 +44,10 @@
 /// Speaks to other zones, if this box is one of those that speak for its own.
 pub fn post_zone_word(node: &Node) {
     let relays = relay::relays(node);
-    if !relays.is_one {
+    // Other zones speak to the boxes that they see in the store. One whose entry had lapsed heard no
+    // word of them, said that their speakers were silent, and two homes dealt an account twice its
+    // limit for 4 s.
+    if !relays.is_one || !node.is_surely_entered() {
         return;
     }
     let now_ms = node.now_ms();
