A relay that the store turned away looks for it again, also while other relays answer

Cause, by the log lines of relays: the store refused a-1 until 11.5 s; from then on it asked relays of other zones, which answered, and never the store again: it stayed out of touch, and its zone read through other zones. Case: takes_relay_looks_again_after_a_failure.

--- a/crates/tinbay-gateway/src/watch/source.rs
+++ b/crates/tinbay-gateway/src/watch/source.rs
@@ -35,8 +35,8 @@
 /// Pause between reads of the store by a box that should ask others, while none succeeds.
 const STORE_PAUSE_MS: Millis = 2_000;
 
-/// The same for a box that reads it for others, and waits for its return on their behalf.
-const RELAY_STORE_PAUSE_MS: Millis = 700;
+/// The same for a box that reads it for others, and looks for its return on their behalf.
+const RELAY_STORE_PAUSE_MS: Millis = 1_000;
 
 /// How long a read of the store that succeeded lets the other prefixes be read as well.
 const STORE_SEEN_LIFE_MS: Millis = 2_000;
@@ -62,7 +62,7 @@
 pub async fn list(node: &Node, prefix: &str, pace: WatchPace) -> StoreResult<(Listing, Evidence)> {
     let turn = node.store_turns.of(pace);
     let relays = relay::relays(node);
-    let reads_itself = relays.is_one && !turn.is_failing();
+    let reads_itself = relays.is_one && turn.takes_relay(node.now_ms());
     let to_ask = if reads_itself {
         &[]
     } else {
@@ -104,7 +104,7 @@
 ) -> StoreResult<(Changes, Evidence)> {
     let turn = node.store_turns.of(pace);
     let relays = relay::relays(node);
-    let reads_itself = relays.is_one && !turn.is_failing();
+    let reads_itself = relays.is_one && turn.takes_relay(node.now_ms());
     let to_ask = if reads_itself {
         &[]
     } else {
@@ -167,12 +167,8 @@
     relays: &Relays,
     reads_itself: bool,
 ) -> StoreResult<()> {
-    let pause_ms = if relays.is_one {
-        RELAY_STORE_PAUSE_MS
-    } else {
-        STORE_PAUSE_MS
-    };
-    if reads_itself || turn.take(pause_ms, node.now_ms()) {
+    let may_take = !relays.is_one && turn.take(STORE_PAUSE_MS, node.now_ms());
+    if reads_itself || may_take {
         return Ok(());
     }
     Err(StoreError::NotAsked)
@@ -223,6 +219,14 @@
         true
     }
 
+    /// Whether a box that reads the store for others reads it now: always while that succeeds, else
+    /// now and then, and asks the relays of other zones in between. One that only asked these stayed
+    /// out of touch for its zone after the store was back, and a leaving server was sent requests
+    /// for 2.2 s in place of 2.0.
+    pub fn takes_relay(&self, now_ms: Millis) -> bool {
+        !self.is_failing() || self.take(RELAY_STORE_PAUSE_MS, now_ms)
+    }
+
     /// Notes how a read of the store ended.
     pub fn note<T>(&self, result: StoreResult<T>, now_ms: Millis) -> StoreResult<T> {
         match &result {
--- a/crates/tinbay-gateway/tests/asking_test.rs
+++ b/crates/tinbay-gateway/tests/asking_test.rs
@@ -85,3 +85,17 @@
     let _ = turn.note(Ok(()), 300);
     assert!(!turn.is_failing());
 }
+
+/// A relay that the store turned away goes on looking for it, also while others answer: else it
+/// stays out of touch for its zone.
+#[test]
+fn takes_relay_looks_again_after_a_failure() {
+    let turn = StoreTurn::default();
+    assert!(turn.takes_relay(0) && turn.takes_relay(10));
+    let _ = turn.note::<()>(Err(StoreError::NoAnswer), 100);
+    assert!(turn.takes_relay(200));
+    assert!(!turn.takes_relay(300) && !turn.takes_relay(1_199));
+    assert!(turn.takes_relay(1_200));
+    let _ = turn.note(Ok(()), 1_210);
+    assert!(turn.takes_relay(1_220) && turn.takes_relay(1_230));
+}
