One piece says who is asked for a read; parts of accounts are worked out once; a dead look-up goes

Behaviour as it was: the shared lines of list and watch are a type now (Sources), the experiment's two sums of the same weights one function, AccountTable::by_name had no caller.

--- a/crates/tinbay-core/src/accounts/table.rs
+++ b/crates/tinbay-core/src/accounts/table.rs
@@ -74,11 +74,6 @@
         self.by_key.get(&key).cloned()
     }
 
-    /// The account of a name.
-    pub fn by_name(&self, name: &str) -> Option<Rc<Account>> {
-        self.by_name.get(name).cloned()
-    }
-
     /// All accounts.
     pub fn all(&self) -> impl Iterator<Item = &Rc<Account>> {
         self.by_name.values()
--- a/crates/tinbay-experiment/src/limits/demand.rs
+++ b/crates/tinbay-experiment/src/limits/demand.rs
@@ -47,29 +47,24 @@
     LONG_PART * LONG_UNITS + (1.0 - LONG_PART) * SHORT_UNITS
 }
 
-/// Part of all requests that an account has.
-fn part(account: usize, accounts: usize) -> f64 {
+/// Parts of all requests that the accounts have, the largest first.
+fn parts(accounts: usize) -> Vec<f64> {
     let weight = |rank: usize| 1.0 / (rank as f64).powf(SKEW);
     let all: f64 = (1..=accounts).map(weight).sum();
-    weight(account + 1) / all
+    (1..=accounts).map(|rank| weight(rank) / all).collect()
 }
 
 /// Limits of all accounts.
 pub fn limits(terms: &LimitTerms) -> Vec<Limit> {
-    let all: f64 = (1..=terms.accounts)
-        .map(|rank| 1.0 / (rank as f64).powf(SKEW))
-        .sum();
-    (1..=terms.accounts)
-        .map(|rank| {
-            let part = 1.0 / (rank as f64).powf(SKEW) / all;
-            let usual = part * terms.requests_per_s * mean_units();
-            let per_s = (LIMIT_FACTOR * usual).max(LEAST_LIMIT_PER_S);
-            Limit {
-                per_s,
-                burst: per_s,
-            }
-        })
-        .collect()
+    let to_limit = |part: f64| {
+        let usual = part * terms.requests_per_s * mean_units();
+        let per_s = (LIMIT_FACTOR * usual).max(LEAST_LIMIT_PER_S);
+        Limit {
+            per_s,
+            burst: per_s,
+        }
+    };
+    parts(terms.accounts).into_iter().map(to_limit).collect()
 }
 
 impl Demand {
@@ -78,7 +73,7 @@
     /// # Errors
     /// When there is no account.
     pub fn new(terms: &LimitTerms) -> Result<Self, rand_distr::ZipfError> {
-        let hot_part = part(HOT_ACCOUNT.min(terms.accounts - 1), terms.accounts);
+        let hot_part = parts(terms.accounts)[HOT_ACCOUNT.min(terms.accounts - 1)];
         let usual_per_ms = terms.requests_per_s / 1_000.0;
         Ok(Self {
             random: SmallRng::seed_from_u64(terms.seed),
--- a/crates/tinbay-gateway/src/watch/source.rs
+++ b/crates/tinbay-gateway/src/watch/source.rs
@@ -9,7 +9,7 @@
 use serde::Serialize;
 use tinbay_core::units::Millis;
 
-use super::relay::{self, RelayError, Relays};
+use super::relay::{self, RelayBox, RelayError, Relays};
 use super::replica::Evidence;
 use super::{WatchPace, counted};
 use crate::events::{self, part};
@@ -61,14 +61,8 @@
 /// When neither another box nor the store gives it.
 pub async fn list(node: &Node, prefix: &str, pace: WatchPace) -> StoreResult<(Listing, Evidence)> {
     let turn = node.store_turns.of(pace);
-    let relays = relay::relays(node);
-    let reads_itself = relays.is_one && turn.takes_relay(node.now_ms());
-    let to_ask = if reads_itself {
-        &[]
-    } else {
-        relays.to_ask.as_slice()
-    };
-    for relay in to_ask.iter().take(MOST_RELAYS) {
+    let sources = Sources::now(node, turn);
+    for relay in sources.to_ask() {
         let asked = relay::ask_list(node, relay, prefix).await;
         count(node, "list", asked.as_ref().err());
         match asked {
@@ -76,7 +70,7 @@
             Err(error) => log_failure(&relay.id, prefix, error),
         }
     }
-    check_turn(node, turn, &relays, reads_itself)?;
+    sources.check_turn(node, turn)?;
     let is_stale = pace.begins_stale && node.replica.confirmed_ms(prefix).is_none();
     let asked_ms = node.now_ms();
     let listed = node.store.list(prefix, is_stale).await;
@@ -103,14 +97,8 @@
     pace: WatchPace,
 ) -> StoreResult<(Changes, Evidence)> {
     let turn = node.store_turns.of(pace);
-    let relays = relay::relays(node);
-    let reads_itself = relays.is_one && turn.takes_relay(node.now_ms());
-    let to_ask = if reads_itself {
-        &[]
-    } else {
-        relays.to_ask.as_slice()
-    };
-    for relay in to_ask.iter().take(MOST_RELAYS) {
+    let sources = Sources::now(node, turn);
+    for relay in sources.to_ask() {
         let asked = relay::ask_watch(node, relay, prefix, after, RELAY_WAIT_MS).await;
         count(node, "watch", asked.as_ref().err());
         match asked {
@@ -119,7 +107,7 @@
             Err(error) => log_failure(&relay.id, prefix, error),
         }
     }
-    check_turn(node, turn, &relays, reads_itself)?;
+    sources.check_turn(node, turn)?;
     let confirmed_ms = node.now_ms();
     let watched = node.store.watch(prefix, after, pace.wait_ms).await;
     let mut changes = counted(node, "watch", turn.note(watched, node.now_ms()))?;
@@ -160,18 +148,40 @@
     }
 }
 
-/// Whether this box may read the store itself now.
-fn check_turn(
-    node: &Node,
-    turn: &StoreTurn,
-    relays: &Relays,
+/// Who is asked for one read, and in which order.
+struct Sources {
+    relays: Relays,
+    /// Whether this box reads the store for others, and does so now.
     reads_itself: bool,
-) -> StoreResult<()> {
-    let may_take = !relays.is_one && turn.take(STORE_PAUSE_MS, node.now_ms());
-    if reads_itself || may_take {
-        return Ok(());
+}
+
+impl Sources {
+    fn now(node: &Node, turn: &StoreTurn) -> Self {
+        let relays = relay::relays(node);
+        let reads_itself = relays.is_one && turn.takes_relay(node.now_ms());
+        Self {
+            relays,
+            reads_itself,
+        }
+    }
+
+    /// Relays that are asked before the store; none where this box reads that itself.
+    fn to_ask(&self) -> &[RelayBox] {
+        if self.reads_itself {
+            return &[];
+        }
+        let count = self.relays.to_ask.len().min(MOST_RELAYS);
+        &self.relays.to_ask[..count]
+    }
+
+    /// Whether this box may read the store itself now.
+    fn check_turn(&self, node: &Node, turn: &StoreTurn) -> StoreResult<()> {
+        let may_take = !self.relays.is_one && turn.take(STORE_PAUSE_MS, node.now_ms());
+        if self.reads_itself || may_take {
+            return Ok(());
+        }
+        Err(StoreError::NotAsked)
     }
-    Err(StoreError::NotAsked)
 }
 
 /// When a box that should ask others reads the store itself, by what it reads.
