Sight: digest of a request that is not served, why a try is unknown, whether its server is gone

Ruled out: nothing, no decision changes here. Conclusion: the hypotheses can be told apart by lines from here on.

--- /dev/null
+++ b/crates/tinbay-core/src/crashes/digest.rs
@@ -0,0 +1,65 @@
+//! What makes two requests the same one: who asks, where, and with which body.
+
+use std::fmt;
+use std::net::IpAddr;
+
+use sha2::{Digest, Sha256};
+
+/// Bytes of a digest: nobody finds a second request with the digest of a given one.
+const DIGEST_BYTES: usize = 16;
+
+/// Who sends a request, as far as that is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallerName<'a> {
+    /// A client account, shown by a key.
+    Account(&'a str),
+    /// An address, where the request needs no key.
+    Address(IpAddr),
+}
+
+/// The digest of a request's caller, path and body, alike for each time that it is sent.
+///
+/// The caller is part of it so that nobody can have another's request refused. The id of a try,
+/// its deadline and other headers are not: they differ from one time to the next.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestDigest([u8; DIGEST_BYTES]);
+
+impl RequestDigest {
+    /// The digest of a request with a path and query, and a body or the first part of a long one.
+    pub fn of(caller: CallerName<'_>, path: &str, body: &[u8]) -> Self {
+        let mut hasher = Sha256::new();
+        match caller {
+            CallerName::Account(name) => add(&mut hasher, b"account", name.as_bytes()),
+            CallerName::Address(address) => {
+                add(&mut hasher, b"address", address.to_string().as_bytes());
+            }
+        }
+        add(&mut hasher, b"path", path.as_bytes());
+        add(&mut hasher, b"body", body);
+        let whole = hasher.finalize();
+        let mut digest = [0; DIGEST_BYTES];
+        digest.copy_from_slice(&whole[..DIGEST_BYTES]);
+        Self(digest)
+    }
+}
+
+/// Adds one part with its length, so that no two lists of parts give the same bytes.
+fn add(hasher: &mut Sha256, name: &[u8], part: &[u8]) {
+    hasher.update(name);
+    hasher.update((part.len() as u64).to_le_bytes());
+    hasher.update(part);
+}
+
+impl fmt::Display for RequestDigest {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0
+            .iter()
+            .try_for_each(|byte| write!(formatter, "{byte:02x}"))
+    }
+}
+
+impl fmt::Debug for RequestDigest {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "RequestDigest({self})")
+    }
+}
--- a/crates/tinbay-core/src/lib.rs
+++ b/crates/tinbay-core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod accounts;
 pub mod assemble;
 pub mod config;
+pub mod crashes;
 pub mod engine;
 pub mod fence;
 pub mod ids;
--- /dev/null
+++ b/crates/tinbay-gateway/src/crashes/mod.rs
@@ -0,0 +1,3 @@
+//! Tells servers that crashed from connections that were only cut.
+
+pub mod check;
--- a/crates/tinbay-gateway/src/front/attempt.rs
+++ b/crates/tinbay-gateway/src/front/attempt.rs
@@ -29,7 +29,41 @@
         error: ConnectError,
     },
     /// It was sent, and the server may have run it.
-    Unknown,
+    Unknown {
+        /// Why that is not known.
+        cause: UnknownCause,
+    },
+}
+
+/// Why it is not known whether a request has run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UnknownCause {
+    /// The connection was closed before an answer.
+    Closed,
+    /// No answer came in time.
+    Silent,
+    /// The answer belongs to another request.
+    OtherAnswer,
+    /// The answer would tell that it did not run, without the server's word.
+    BarePromise,
+}
+
+impl UnknownCause {
+    /// Name for logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            UnknownCause::Closed => "closed",
+            UnknownCause::Silent => "silent",
+            UnknownCause::OtherAnswer => "other_answer",
+            UnknownCause::BarePromise => "bare_promise",
+        }
+    }
+}
+
+impl AttemptResult {
+    fn unknown(cause: UnknownCause) -> Self {
+        AttemptResult::Unknown { cause }
+    }
 }
 
 /// An answer whose head has come.
@@ -66,7 +100,7 @@
     let running = node.begin_request(terms.server, question);
     let exchange = exchange(node, question, body, &terms);
     match tokio::time::timeout(terms.head_within, exchange).await {
-        Err(_) => AttemptResult::Unknown,
+        Err(_) => AttemptResult::unknown(UnknownCause::Silent),
         Ok(Err(result)) => result,
         Ok(Ok((response, connection))) => judge(node, question, response, connection, running),
     }
@@ -92,7 +126,7 @@
                     let error = ConnectError::Refused;
                     return Err(AttemptResult::NotSent { error });
                 }
-                None => return Err(AttemptResult::Unknown),
+                None => return Err(AttemptResult::unknown(UnknownCause::Closed)),
             },
         }
     }
@@ -120,8 +154,11 @@
         return AttemptResult::Declined { status };
     }
     let is_own = text(response.headers(), &names.request_id) == Some(question.id.as_str());
-    if !is_own || is_promise(status) {
-        return AttemptResult::Unknown;
+    if !is_own {
+        return AttemptResult::unknown(UnknownCause::OtherAnswer);
+    }
+    if is_promise(status) {
+        return AttemptResult::unknown(UnknownCause::BarePromise);
     }
     AttemptResult::Begun(Box::new(BegunAnswer {
         response,
--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -10,11 +10,12 @@
 use tinbay_core::units::{MS_PER_SECOND, Millis};
 
 use super::adapters;
-use super::attempt::{AttemptResult, AttemptTerms, BegunAnswer, attempt};
+use super::attempt::{AttemptResult, AttemptTerms, BegunAnswer, UnknownCause, attempt};
 use super::choice::{self, Asked, Choice};
 use super::headers::{self, ServerHeaders};
 use super::question::{LastSend, Question};
 use super::refusal::{NotRunReason, Refusal};
+use crate::crashes::check;
 use crate::events::{self, part};
 use crate::http::body::{AnswerBody, BodyError, RequestBody};
 use crate::http::pool::Trust;
@@ -72,6 +73,8 @@
     request: &'a str,
     server: &'a str,
     outcome: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    cause: Option<&'static str>,
     status: Option<u16>,
     running: usize,
     age_ms: Millis,
@@ -125,7 +128,10 @@
                 server.add_mistrust(MISTRUST_CONNECT, node.now_ms());
                 AttemptEnd::NotRun
             }
-            AttemptResult::Unknown => {
+            AttemptResult::Unknown { cause } => {
+                if cause == UnknownCause::Closed {
+                    note_cut(node, question, &server);
+                }
                 server.add_mistrust(MISTRUST_UNKNOWN, node.now_ms());
                 AttemptEnd::Unknown
             }
@@ -145,6 +151,13 @@
     }
 }
 
+/// Has a server checked that broke off a request.
+fn note_cut(node: &Rc<Node>, question: &Question, server: &Rc<Server>) {
+    if let Some(digest) = question.digest.get() {
+        check::note_cut(node, server, *digest);
+    }
+}
+
 fn note_delay(node: &Node, question: &Question, server: &Server, sent_ms: Millis) {
     let now_ms = node.now_ms();
     let objective_ms = question.route.objective_ms.max(1) as f64;
@@ -312,6 +325,10 @@
 }
 
 fn log_try(node: &Node, question: &Question, server: &Server, result: &AttemptResult) {
+    let cause = match result {
+        AttemptResult::Unknown { cause } => Some(cause.name()),
+        _ => None,
+    };
     let (outcome, status, level) = match result {
         AttemptResult::Begun(answer) => {
             let status = answer.response.status();
@@ -324,13 +341,14 @@
         }
         AttemptResult::Declined { status } => ("declined", Some(status.as_u16()), Level::Info),
         AttemptResult::NotSent { .. } => ("not_sent", None, Level::Info),
-        AttemptResult::Unknown => ("unknown", None, Level::Info),
+        AttemptResult::Unknown { .. } => ("unknown", None, Level::Info),
     };
     let sent = question.last_send.get();
     let event = TryEvent {
         request: &question.id,
         server: &server.record().id,
         outcome,
+        cause,
         status,
         running: server.running(node.now_ms()),
         age_ms: node.now_ms() - question.arrived_ms,
@@ -371,7 +389,11 @@
             Ok(()) => Ending::Whole,
             Err(error) => Ending::Cut(error),
         };
-        let server = running.server().record().id.clone();
+        let server = running.server();
+        if end == Err(BodyError::ServerBrokeOff) {
+            note_cut(&node, &question, &server);
+        }
+        let server = server.record().id.clone();
         log_end(
             &node,
             &question,
@@ -414,6 +436,8 @@
     outcome: &'a str,
     #[serde(skip_serializing_if = "Option::is_none")]
     cause: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    digest: Option<String>,
     sent_after_ms: Option<Millis>,
     #[serde(skip_serializing_if = "Option::is_none")]
     expected_version: Option<u64>,
@@ -441,6 +465,8 @@
         Ending::Refused(refusal) => (refusal.name(), Some(refusal.to_string())),
     };
     let sent = question.last_send.get();
+    let is_served = matches!(ending, Ending::Whole);
+    let digest = question.digest.get().filter(|_| !is_served);
     let event = EndEvent {
         request: &question.id,
         route: &question.route.name,
@@ -454,6 +480,7 @@
         server,
         status,
         outcome,
+        digest: digest.map(ToString::to_string),
         cause,
         sent_after_ms: sent.map(|sent| sent.after_ms),
         expected_version: sent.and_then(|sent| sent.expected_version),
--- a/crates/tinbay-gateway/src/front/filters/body.rs
+++ b/crates/tinbay-gateway/src/front/filters/body.rs
@@ -25,6 +25,7 @@
                 BodyError::TooLong => Refusal::BodyTooLong,
                 _ => Refusal::CallerBrokeOff,
             })?;
+            exchange.question.note_body(body.first());
             exchange.body = Some(body);
             Ok(Step::Next)
         })
--- a/crates/tinbay-gateway/src/front/question.rs
+++ b/crates/tinbay-gateway/src/front/question.rs
@@ -1,6 +1,7 @@
 //! A caller's request with all that decides its way.
 
 use std::cell::{Cell, OnceCell};
+use std::net::IpAddr;
 use std::rc::Rc;
 
 use hyper::header::{HOST, HeaderMap, HeaderName};
@@ -8,6 +9,7 @@
 use tinbay_core::accounts::account::Account;
 use tinbay_core::accounts::key::KeyDigest;
 use tinbay_core::accounts::key_check::ShownKey;
+use tinbay_core::crashes::digest::{CallerName, RequestDigest};
 use tinbay_core::serving::configuration::{Route, RouteKind};
 use tinbay_core::serving::contents::{AdapterKey, adapter_key};
 use tinbay_core::serving::prompt::Prompt;
@@ -53,6 +55,17 @@
     pub by: AdmittedBy,
 }
 
+/// How a request came.
+#[derive(Debug, Clone, Copy)]
+pub struct Arrival {
+    /// Address of its caller.
+    pub caller: IpAddr,
+    /// When it came.
+    pub arrived_ms: Millis,
+    /// A random number from 0 to 1, which chooses among the services of a route.
+    pub draw: f64,
+}
+
 /// A caller's request with all that decides its way.
 #[derive(Debug)]
 pub struct Question {
@@ -60,6 +73,10 @@
     pub id: String,
     /// Method, path, query and headers as they came, but for the key.
     pub parts: Parts,
+    /// Address of its caller.
+    pub caller: IpAddr,
+    /// What it has in common with others that are the same, once its body is read.
+    pub digest: OnceCell<RequestDigest>,
     /// The key it shows, as a digest.
     pub key: ShownKey,
     /// Its client account, once that is decided.
@@ -93,12 +110,12 @@
     ///
     /// # Errors
     /// What the caller is told where there is no way.
-    pub fn read(
-        node: &Node,
-        mut parts: Parts,
-        arrived_ms: Millis,
-        draw: f64,
-    ) -> Result<Self, Refusal> {
+    pub fn read(node: &Node, mut parts: Parts, arrival: Arrival) -> Result<Self, Refusal> {
+        let Arrival {
+            caller,
+            arrived_ms,
+            draw,
+        } = arrival;
         let names = node.dialect.headers();
         let key = take_key(&mut parts.headers, &names.key);
         let in_force = node.in_force().ok_or(Refusal::NoConfiguration)?;
@@ -130,6 +147,8 @@
             route,
             service,
             in_force,
+            caller,
+            digest: OnceCell::new(),
             key,
             account: OnceCell::new(),
             admitted: Cell::default(),
@@ -154,6 +173,19 @@
         self.account.get()?.account.as_ref()
     }
 
+    /// Notes its body, or the first part of a long one: with it, requests that are the same one
+    /// can be told.
+    pub fn note_body(&self, body: &[u8]) {
+        let caller = match self.client_account() {
+            Some(account) => CallerName::Account(&account.name),
+            None => CallerName::Address(self.caller),
+        };
+        let path = self.parts.uri.path_and_query();
+        let path = path.map_or("", |path| path.as_str());
+        let digest = RequestDigest::of(caller, path, body);
+        let _ = self.digest.set(digest);
+    }
+
     /// Its rank at its server, 0 first.
     pub fn rank(&self) -> u8 {
         let account = self.client_account().map(|account| account.priority);
--- a/crates/tinbay-gateway/src/http/body.rs
+++ b/crates/tinbay-gateway/src/http/body.rs
@@ -50,6 +50,11 @@
         }
     }
 
+    /// What is there of it: all, or the first part of a long one.
+    pub fn first(&self) -> &[u8] {
+        &self.first
+    }
+
     /// The same body once more, if all of it is there.
     pub fn repeat(&self) -> Option<Self> {
         match self.rest {
--- a/crates/tinbay-gateway/src/http/connect.rs
+++ b/crates/tinbay-gateway/src/http/connect.rs
@@ -1,6 +1,7 @@
 //! Opens a connection with a handle of its own.
 
 use std::error::Error;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -16,6 +17,37 @@
 /// about as long.
 const PROBED_REST: Duration = Duration::from_millis(1_000);
 
+/// What an address does with a new connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reach {
+    /// It takes it.
+    Takes,
+    /// It refuses it: no process listens there.
+    Refuses,
+    /// Nothing is heard of it, or the way there fails.
+    Silent,
+}
+
+impl Reach {
+    /// Name for logs and measures.
+    pub fn name(self) -> &'static str {
+        match self {
+            Reach::Takes => "takes_connections",
+            Reach::Refuses => "refuses_connections",
+            Reach::Silent => "silent",
+        }
+    }
+}
+
+/// Tries a connection and closes it again.
+pub async fn probe(address: SocketAddr, within: Duration) -> Reach {
+    match tokio::time::timeout(within, TcpStream::connect(address)).await {
+        Ok(Ok(_)) => Reach::Takes,
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Reach::Refuses,
+        Ok(Err(_)) | Err(_) => Reach::Silent,
+    }
+}
+
 /// Opens a connection; none when it does not stand in time. Its driver runs until the
 /// connection ends or the handle aborts it.
 pub async fn connect<B>(
--- a/crates/tinbay-gateway/src/http/pool.rs
+++ b/crates/tinbay-gateway/src/http/pool.rs
@@ -166,6 +166,13 @@
         self.idle.borrow_mut().retain(keeps);
     }
 
+    /// Whether a resting connection still stands.
+    pub fn has_live_rest(&self) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|kept| !kept.connection.sender.is_closed());
+        !idle.is_empty()
+    }
+
     /// Closes all resting connections.
     pub fn clear(&self) {
         self.idle.borrow_mut().clear();
--- a/crates/tinbay-gateway/src/lib.rs
+++ b/crates/tinbay-gateway/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod account_limits;
 pub mod clock;
+pub mod crashes;
 pub mod directory;
 pub mod error;
 pub mod events;
--- a/crates/tinbay-gateway/src/metrics.rs
+++ b/crates/tinbay-gateway/src/metrics.rs
@@ -36,6 +36,8 @@
     pub relay_calls: IntCounterVec,
     /// Orders to servers, by action and outcome.
     pub orders: IntCounterVec,
+    /// Checks of servers that broke off answers, by outcome.
+    pub server_checks: IntCounterVec,
     /// Messages between boxes, by outcome.
     pub frames: IntCounterVec,
     /// Bytes of messages between boxes, by outcome.
@@ -92,6 +94,11 @@
                 "Orders to servers",
                 &["action", "outcome"],
             )?,
+            server_checks: counter(
+                "tinbay_server_checks_total",
+                "Checks of servers that broke off answers",
+                &["outcome"],
+            )?,
             frames: counter(
                 "tinbay_frames_total",
                 "Messages between boxes",
--- a/crates/tinbay-gateway/src/servers/server.rs
+++ b/crates/tinbay-gateway/src/servers/server.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
+use tinbay_core::crashes::digest::RequestDigest;
 use tinbay_core::serving::contents::AdapterKey;
 use tinbay_core::serving::fading::faded;
 use tinbay_core::serving::servers::{Fingerprint, ServerKey, ServerRecord, ServerState};
@@ -39,6 +40,8 @@
     pub view: RefCell<View>,
     /// What this box has running there.
     pub usage: RefCell<Usage>,
+    /// Requests that it broke off and that it is to be checked for.
+    pub cut: RefCell<Vec<RequestDigest>>,
     /// Connections to it.
     pub pool: Rc<Pool>,
     pub(super) record: RefCell<Rc<ServerRecord>>,
@@ -80,6 +83,7 @@
             status_came: Notify::new(),
             view: RefCell::default(),
             usage: RefCell::default(),
+            cut: RefCell::default(),
             pool: Rc::new(Pool::new(record.address)),
             record: RefCell::new(Rc::new(record)),
             mistrust: Cell::default(),
