A request under which three servers crashed is refused by all boxes

Cause: a box took a cut answer as the end of one try. It did not ask whether the server was gone, did not know that it had seen the request before, and told nobody; so a caller that sent it again and again ended a server each time. Class: a failure with a cause in the input is taken for one of the place, and is met by trying another place. Ruled out: second sends within a try (no request's id stands at two servers), orders beyond a server's room (the request alone is common to all ends), resets (servers refuse connections after it). Change: a server that broke off answers is checked by a connection; if it refuses that and had not said that it leaves, it has crashed, and each request that it ran is told to two boxes drawn by the digest of caller, path and body. Three crashes of different servers, and the request is refused by every box (400, which callers don't come back for): told at once within the zone and to one relay of each other zone, passed on by gossip, written into the store for boxes that start later. A request that a box has seen end well is never held for the cause. Nothing is sent while a server that cut the same request is still being checked.

--- a/crates/tinbay-core/src/crashes/digest.rs
+++ b/crates/tinbay-core/src/crashes/digest.rs
@@ -2,7 +2,9 @@
 
 use std::fmt;
 use std::net::IpAddr;
+use std::str::FromStr;
 
+use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
 /// Bytes of a digest: nobody finds a second request with the digest of a given one.
@@ -21,7 +23,7 @@
 ///
 /// The caller is part of it so that nobody can have another's request refused. The id of a try,
 /// its deadline and other headers are not: they differ from one time to the next.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct RequestDigest([u8; DIGEST_BYTES]);
 
 impl RequestDigest {
@@ -43,6 +45,28 @@
     }
 }
 
+/// A text that is no digest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("not a digest of {} hexadecimal digits", 2 * DIGEST_BYTES)]
+pub struct NoDigest;
+
+impl FromStr for RequestDigest {
+    type Err = NoDigest;
+
+    fn from_str(text: &str) -> Result<Self, NoDigest> {
+        let is_hex = text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        if text.len() != 2 * DIGEST_BYTES || !is_hex {
+            return Err(NoDigest);
+        }
+        let mut digest = [0; DIGEST_BYTES];
+        for (position, byte) in digest.iter_mut().enumerate() {
+            let digits = &text[2 * position..2 * position + 2];
+            *byte = u8::from_str_radix(digits, 16).map_err(|_| NoDigest)?;
+        }
+        Ok(Self(digest))
+    }
+}
+
 /// Adds one part with its length, so that no two lists of parts give the same bytes.
 fn add(hasher: &mut Sha256, name: &[u8], part: &[u8]) {
     hasher.update(name);
--- a/crates/tinbay-core/src/serving/servers.rs
+++ b/crates/tinbay-core/src/serving/servers.rs
@@ -26,8 +26,10 @@
 /// One incarnation of a server.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ServerRecord {
-    /// Name of the incarnation; a restart gives another.
+    /// Its name; it may have the same one after a restart.
     pub id: String,
+    /// When this incarnation of it started, on its own clock; none where it does not say.
+    pub born_ms: Option<u64>,
     /// Service it belongs to.
     pub service: String,
     /// Where it listens.
--- a/crates/tinbay-gateway/src/crashes/check.rs
+++ b/crates/tinbay-gateway/src/crashes/check.rs
@@ -1,4 +1,4 @@
-//! Finds out whether a server that broke off answers is gone.
+//! Finds out whether a server that broke off answers has crashed.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -6,7 +6,11 @@
 use log::Level;
 use serde::Serialize;
 use tinbay_core::crashes::digest::RequestDigest;
+use tinbay_core::crashes::ledger::CrashKey;
+use tinbay_core::serving::servers::{ServerRecord, ServerState};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::spread;
 use crate::events::{self, part};
 use crate::http::connect::{Reach, probe};
 use crate::node::Node;
@@ -14,30 +18,51 @@
 
 /// Pause before the check: a process that ends closes its connections one after the other, within
 /// a few milliseconds.
-const GATHER_PAUSE: Duration = Duration::from_millis(5);
+const GATHER_PAUSE: Duration = Duration::from_millis(2);
 
-/// Longest time until a connection stands; a server is at most a few milliseconds away.
-const PROBE_WITHIN: Duration = Duration::from_millis(400);
+/// Longest time until a connection stands; a server is at most a few milliseconds away, and the
+/// request may be waiting to be sent again.
+const PROBE_WITHIN: Duration = Duration::from_millis(100);
+
+/// A request that a server broke off.
+#[derive(Debug, Clone)]
+pub struct CutRequest {
+    /// Id of the caller's try.
+    pub id: String,
+    /// What it has in common with others that are the same.
+    pub digest: RequestDigest,
+}
 
 #[derive(Serialize)]
 struct CheckEvent<'a> {
     server: &'a str,
     outcome: &'static str,
+    is_planned: bool,
     cut: usize,
 }
 
+#[derive(Serialize)]
+struct SuspectEvent<'a> {
+    request: &'a str,
+    digest: String,
+    server: &'a str,
+}
+
 /// Notes that a server broke off an answer or closed without one, and has it checked.
-pub fn note_cut(node: &Rc<Node>, server: &Rc<Server>, digest: RequestDigest) {
+pub fn note_cut(node: &Rc<Node>, server: &Rc<Server>, request: CutRequest) {
+    node.crashes.begin_check(request.digest);
     let mut cut = server.cut.borrow_mut();
-    cut.push(digest);
+    cut.push(request);
     if cut.len() == 1 {
         let checking = check(Rc::clone(node), Rc::clone(server));
         tokio::task::spawn_local(checking);
     }
 }
 
-/// A process that ended takes no connection; one that only closed a few still does.
+/// A process that ended takes no connection; one that only closed a few still does. One that said
+/// before that it leaves has not crashed.
 async fn check(node: Rc<Node>, server: Rc<Server>) {
+    let is_planned = !is_expected_to_run(&node, &server);
     tokio::time::sleep(GATHER_PAUSE).await;
     let reach = if server.pool.has_live_rest() {
         Reach::Takes
@@ -45,12 +70,48 @@
         probe(server.record().address, PROBE_WITHIN).await
     };
     let cut = server.cut.take();
+    let record = server.record();
     let event = CheckEvent {
-        server: &server.record().id,
+        server: &record.id,
         outcome: reach.name(),
+        is_planned,
         cut: cut.len(),
     };
     events::emit(part::SERVERS, Level::Info, "server_checked", &event);
     let labels = [reach.name()];
     node.metrics.server_checks.with_label_values(&labels).inc();
+    if reach == Reach::Refuses && !is_planned {
+        note_crash(&node, &record, &cut);
+    }
+    for request in &cut {
+        node.crashes.end_check(request.digest);
+    }
+}
+
+/// Whether a server is entered in the store, and not as leaving.
+fn is_expected_to_run(node: &Node, server: &Rc<Server>) -> bool {
+    let record = server.record();
+    let entered = node.servers.borrow().get(&record.id);
+    let is_entered = entered.is_some_and(|entered| Rc::ptr_eq(&entered, server));
+    is_entered && record.state == ServerState::Ready
+}
+
+fn note_crash(node: &Rc<Node>, record: &ServerRecord, cut: &[CutRequest]) {
+    let crash = crash_key(record);
+    for request in cut {
+        let event = SuspectEvent {
+            request: &request.id,
+            digest: request.digest.to_string(),
+            server: &record.id,
+        };
+        events::emit(part::FRONT, Level::Info, "crash_suspect", &event);
+        super::count(node, request.digest, crash);
+    }
+    let digests = cut.iter().map(|request| request.digest).collect();
+    spread::report(node, digests, crash);
+}
+
+/// Each incarnation of a server crashes once.
+fn crash_key(record: &ServerRecord) -> CrashKey {
+    xxh3_64_with_seed(record.id.as_bytes(), record.born_ms.unwrap_or_default())
 }
--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -15,7 +15,7 @@
 use super::headers::{self, ServerHeaders};
 use super::question::{LastSend, Question};
 use super::refusal::{NotRunReason, Refusal};
-use crate::crashes::check;
+use crate::crashes::{self, check, check::CutRequest};
 use crate::events::{self, part};
 use crate::http::body::{AnswerBody, BodyError, RequestBody};
 use crate::http::pool::Trust;
@@ -100,6 +100,11 @@
             Err(refusal) if tries.tried.is_empty() => return Err(refusal),
             Err(_) => return Err(give_up(node, question, &tries)),
         };
+        // Its last server may have been the one too many, and it may have waited for an adapter:
+        // only what is known now keeps the next server from it.
+        if is_refused(node, question).await {
+            return Err(give_up_crashing(node, question, &tries));
+        }
         let Some(sent) = body.take() else {
             return Err(give_up(node, question, &tries));
         };
@@ -154,10 +159,30 @@
 /// Has a server checked that broke off a request.
 fn note_cut(node: &Rc<Node>, question: &Question, server: &Rc<Server>) {
     if let Some(digest) = question.digest.get() {
-        check::note_cut(node, server, *digest);
+        let request = CutRequest {
+            id: question.id.clone(),
+            digest: *digest,
+        };
+        check::note_cut(node, server, request);
     }
 }
 
+async fn is_refused(node: &Node, question: &Question) -> bool {
+    let Some(digest) = question.digest.get() else {
+        return false;
+    };
+    crashes::wait_for_checks(node, *digest).await;
+    crashes::is_refused(node, *digest)
+}
+
+/// What the caller is told of a request under which servers crash.
+fn give_up_crashing(node: &Node, question: &Question, tries: &Tries) -> Refusal {
+    if tries.ends.are_all_not_run() {
+        return Refusal::CrashesServers;
+    }
+    give_up(node, question, tries)
+}
+
 fn note_delay(node: &Node, question: &Question, server: &Server, sent_ms: Millis) {
     let now_ms = node.now_ms();
     let objective_ms = question.route.objective_ms.max(1) as f64;
@@ -390,8 +415,10 @@
             Err(error) => Ending::Cut(error),
         };
         let server = running.server();
-        if end == Err(BodyError::ServerBrokeOff) {
-            note_cut(&node, &question, &server);
+        match (end, question.digest.get()) {
+            (Err(BodyError::ServerBrokeOff), _) => note_cut(&node, &question, &server),
+            (Ok(()), Some(digest)) if is_success(status) => crashes::note_proven(&node, *digest),
+            _ => {}
         }
         let server = server.record().id.clone();
         log_end(
@@ -406,6 +433,10 @@
     })
 }
 
+fn is_success(status: u16) -> bool {
+    StatusCode::from_u16(status).is_ok_and(|status| status.is_success())
+}
+
 /// How an answer ended.
 pub enum Ending {
     /// Whole.
--- a/crates/tinbay-gateway/src/front/filters/mod.rs
+++ b/crates/tinbay-gateway/src/front/filters/mod.rs
@@ -4,6 +4,7 @@
 mod account_limit;
 mod body;
 mod delivery;
+mod quarantine;
 
 use std::pin::Pin;
 use std::rc::Rc;
@@ -48,9 +49,10 @@
 
 /// All filters, in the order in which a request passes them. Who may not ask is told before the
 /// rest of the request is read.
-const FILTERS: [&dyn Filter; 4] = [
+const FILTERS: [&dyn Filter; 5] = [
     &account_key::AccountKey,
     &body::ReadBody,
+    &quarantine::Quarantine,
     &account_limit::AccountLimit,
     &delivery::Delivery,
 ];
--- a/crates/tinbay-gateway/src/front/refusal.rs
+++ b/crates/tinbay-gateway/src/front/refusal.rs
@@ -60,6 +60,9 @@
     /// The caller broke off its request.
     #[error("the caller broke off its request")]
     CallerBrokeOff,
+    /// Servers crash under it: it has not run now, and to send it again is of no use.
+    #[error("not run: servers crash under this request")]
+    CrashesServers,
     /// No server of the service takes work.
     #[error("no server takes work")]
     NoServer,
@@ -96,6 +99,7 @@
             Refusal::LimitReached { .. } => "limit_reached",
             Refusal::BodyTooLong => "body_too_long",
             Refusal::CallerBrokeOff => "caller_broke_off",
+            Refusal::CrashesServers => "crashes_servers",
             Refusal::NoServer => "no_server",
             Refusal::NotRun { .. } => "not_run",
             Refusal::MayHaveRun => "may_have_run",
@@ -112,9 +116,11 @@
             Refusal::NoKey | Refusal::UnknownKey => StatusCode::UNAUTHORIZED,
             Refusal::NoRoute => StatusCode::NOT_FOUND,
             Refusal::LimitReached { .. } => StatusCode::TOO_MANY_REQUESTS,
-            Refusal::NoRequestId | Refusal::TokensUnreadable | Refusal::CallerBrokeOff => {
-                StatusCode::BAD_REQUEST
-            }
+            // Of the statuses that callers don't come back for, the one for what a request itself is.
+            Refusal::NoRequestId
+            | Refusal::TokensUnreadable
+            | Refusal::CallerBrokeOff
+            | Refusal::CrashesServers => StatusCode::BAD_REQUEST,
             Refusal::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::MayHaveRun => StatusCode::BAD_GATEWAY,
             Refusal::TimeUp => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/tinbay-gateway/src/housekeeping.rs
+++ b/crates/tinbay-gateway/src/housekeeping.rs
@@ -28,6 +28,7 @@
         }
         node.waiters.tidy();
         node.account_limits.tidy(node.now_ms());
+        node.crashes.tidy(node.now_ms());
         show_beliefs(&node);
     }
 }
@@ -47,4 +48,7 @@
     show("servers_held", node.held_servers.borrow().len());
     show("can_order", usize::from(node.can_order()));
     show("connections", node.connections.get());
+    let (refused, suspected) = node.crashes.counts(node.now_ms());
+    show("requests_refused", refused);
+    show("crash_suspects", suspected);
 }
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -22,6 +22,7 @@
 
 use crate::account_limits::AccountLimits;
 use crate::clock::Clock;
+use crate::crashes::Crashes;
 use crate::front::question::Question;
 use crate::http::call::Caller;
 use crate::latch::Latch;
@@ -149,6 +150,8 @@
     pub connections: Cell<usize>,
     /// How fast engines read prompts, by service.
     pub reading: RefCell<HashMap<String, ReadingPace>>,
+    /// Requests under which servers crash.
+    pub crashes: Crashes,
     /// Limits of client accounts.
     pub account_limits: AccountLimits,
     /// Second sends by service.
@@ -192,6 +195,7 @@
             closing: Latch::default(),
             connections: Cell::default(),
             reading: RefCell::default(),
+            crashes: Crashes::default(),
             account_limits: AccountLimits::default(),
             budgets: RefCell::default(),
             box_count: Cell::new(1),
--- a/crates/tinbay-gateway/src/peers/frame.rs
+++ b/crates/tinbay-gateway/src/peers/frame.rs
@@ -1,6 +1,8 @@
 //! The message between boxes.
 
 use serde::{Deserialize, Serialize};
+use tinbay_core::crashes::digest::RequestDigest;
+use tinbay_core::crashes::ledger::CrashKey;
 use tinbay_core::serving::servers::Fingerprint;
 use tinbay_core::serving::subscribers::AdapterUse;
 
@@ -35,6 +37,10 @@
     Silent(Vec<(Fingerprint, u16)>),
     /// When other zones were last heard, and how long ago in ms.
     ZonesHeard(Vec<(Fingerprint, u16)>),
+    /// A crash under a request that the receiver judges.
+    CrashReport(CrashReportPart),
+    /// Requests that are refused, as servers crash under them.
+    Refused(Vec<RefusedPart>),
     /// What the sender wants of an account's limit that the receiver keeps for all boxes.
     LimitRequest(LimitRequestPart),
     /// What the receiver may let in of an account's limit.
@@ -58,6 +64,8 @@
             FramePart::ZoneWord(_) => "zone_word",
             FramePart::Silent(_) => "silent",
             FramePart::ZonesHeard(_) => "zones_heard",
+            FramePart::CrashReport(_) => "crash_report",
+            FramePart::Refused(_) => "refused",
             FramePart::LimitRequest(_) => "limit_request",
             FramePart::LimitGrant(_) => "limit_grant",
             FramePart::LoadRequest(_) => "load_request",
@@ -77,6 +85,24 @@
     pub zones_heard: Vec<(Fingerprint, u16)>,
 }
 
+/// A crash under a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashReportPart {
+    /// The request.
+    pub digest: RequestDigest,
+    /// The crash.
+    pub crash: CrashKey,
+}
+
+/// A request that is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RefusedPart {
+    /// The request.
+    pub digest: RequestDigest,
+    /// For how long it has been, in s.
+    pub age_s: u16,
+}
+
 /// What a box wants of an account's limit.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LimitRequestPart {
--- a/crates/tinbay-gateway/src/peers/gossip.rs
+++ b/crates/tinbay-gateway/src/peers/gossip.rs
@@ -12,6 +12,7 @@
 use tinbay_core::units::Millis;
 
 use super::frame::{FramePart, ZoneWordPart};
+use crate::crashes::spread;
 use crate::node::Node;
 use crate::watch::relay;
 
@@ -72,11 +73,15 @@
         }
     };
     let mut rng = rand::rng();
+    let refused = spread::refused_part(node);
     let mut far = relays.far_by_zone;
     far.shuffle(&mut rng);
     for relays in far.iter().take(ZONES_SPOKEN_TO) {
         if let Some(box_id) = relays.choose(&mut rng) {
             node.outbox.post(box_id, FramePart::ZoneWord(word.clone()));
+            if let Some(refused) = &refused {
+                node.outbox.post(box_id, refused.clone());
+            }
         }
     }
 }
@@ -95,7 +100,11 @@
     let mut rng = rand::rng();
     let heard = heard(node);
     let zones_heard = to_ages(node.members.borrow().zones_heard(node.now_ms()));
+    let refused = spread::refused_part(node);
     for box_id in near.sample(&mut rng, PEERS) {
+        if let Some(refused) = &refused {
+            node.outbox.post(box_id, refused.clone());
+        }
         let hello = FramePart::Hello(node.own_record());
         node.outbox.post(box_id, hello);
         if !zones_heard.is_empty() {
@@ -115,7 +124,8 @@
     }
 }
 
-fn near_boxes(node: &Node) -> Vec<String> {
+/// The other boxes of the zone.
+pub fn near_boxes(node: &Node) -> Vec<String> {
     let settings = node.settings.borrow();
     let members = node.members.borrow();
     members
--- a/crates/tinbay-gateway/src/peers/inbox.rs
+++ b/crates/tinbay-gateway/src/peers/inbox.rs
@@ -18,6 +18,7 @@
 };
 use super::gossip;
 use crate::account_limits;
+use crate::crashes::spread;
 use crate::events::{self, part};
 use crate::node::Node;
 use crate::servers::usage::UsageReport;
@@ -93,6 +94,8 @@
             FramePart::ZoneWord(word) => take_zone_word(node, &frame.box_id, &word, now_ms),
             FramePart::Silent(silent) => take_silent(node, &silent, now_ms),
             FramePart::ZonesHeard(zones) => take_zones_heard(node, &zones, now_ms),
+            FramePart::CrashReport(part) => spread::take_report(node, &part),
+            FramePart::Refused(parts) => spread::take_refused(node, &parts),
             FramePart::LimitRequest(part) => {
                 account_limits::take_request(node, &frame.box_id, &part)
             }
--- a/crates/tinbay-gateway/src/run.rs
+++ b/crates/tinbay-gateway/src/run.rs
@@ -12,6 +12,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::LocalSet;
 
+use crate::crashes::entries;
 use crate::directory;
 use crate::error::GatewayError;
 use crate::events::{self, part};
@@ -141,6 +142,7 @@
     start_exchange(&node, settings.peer).await?;
     tokio::task::spawn_local(membership::keep(Rc::clone(&node)));
     tokio::task::spawn_local(claiming::run(Rc::clone(&node)));
+    tokio::task::spawn_local(entries::keep(Rc::clone(&node)));
     tokio::task::spawn_local(housekeeping::run(Rc::clone(&node)));
     log_start(&settings);
     tokio::select! {
--- a/crates/tinbay-gateway/src/servers/server.rs
+++ b/crates/tinbay-gateway/src/servers/server.rs
@@ -3,7 +3,6 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
-use tinbay_core::crashes::digest::RequestDigest;
 use tinbay_core::serving::contents::AdapterKey;
 use tinbay_core::serving::fading::faded;
 use tinbay_core::serving::servers::{Fingerprint, ServerKey, ServerRecord, ServerState};
@@ -14,6 +13,7 @@
 
 use super::usage::Usage;
 use super::view::{View, ViewEntry};
+use crate::crashes::check::CutRequest;
 use crate::http::pool::Pool;
 
 /// Weight of a new head's time.
@@ -41,7 +41,7 @@
     /// What this box has running there.
     pub usage: RefCell<Usage>,
     /// Requests that it broke off and that it is to be checked for.
-    pub cut: RefCell<Vec<RequestDigest>>,
+    pub cut: RefCell<Vec<CutRequest>>,
     /// Connections to it.
     pub pool: Rc<Pool>,
     pub(super) record: RefCell<Rc<ServerRecord>>,
--- a/crates/tinbay-gateway/src/watch/boxes.rs
+++ b/crates/tinbay-gateway/src/watch/boxes.rs
@@ -1,4 +1,5 @@
-//! Follows what boxes write into the store: their own entries and their claims on servers.
+//! Follows what boxes write into the store: their own entries, their claims on
+//! servers, and requests that are refused.
 
 use std::collections::HashSet;
 use std::rc::Rc;
@@ -7,6 +8,7 @@
 use serde::Serialize;
 
 use super::Follower;
+use crate::crashes::entries;
 use crate::events::{self, part};
 use crate::members::MemberRecord;
 use crate::node::Node;
@@ -50,6 +52,8 @@
                 item.revision,
                 self.node.now_ms(),
             );
+        } else {
+            entries::take(&self.node, item);
         }
     }
 
