A request without a key is the same one from whatever address it comes

Its caller comes from several addresses, and with the address in the digest it was several requests. Ruled out: checks that miss crashes, reports that get lost. Change: the digest has the client account where there is one, and no address.

--- a/crates/tinbay-core/src/crashes/digest.rs
+++ b/crates/tinbay-core/src/crashes/digest.rs
@@ -1,7 +1,6 @@
 //! What makes two requests the same one: who asks, where, and with which body.
 
 use std::fmt;
-use std::net::IpAddr;
 use std::str::FromStr;
 
 use serde::{Deserialize, Serialize};
@@ -10,31 +9,22 @@
 /// Bytes of a digest: nobody finds a second request with the digest of a given one.
 const DIGEST_BYTES: usize = 16;
 
-/// Who sends a request, as far as that is known.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum CallerName<'a> {
-    /// A client account, shown by a key.
-    Account(&'a str),
-    /// An address, where the request needs no key.
-    Address(IpAddr),
-}
-
-/// The digest of a request's caller, path and body, alike for each time that it is sent.
+/// The digest of a request's client account, path and body, alike for each time that it is sent.
 ///
-/// The caller is part of it so that nobody can have another's request refused. The id of a try,
-/// its deadline and other headers are not: they differ from one time to the next.
+/// The account is part of it so that nobody can have another's request refused. Where requests need
+/// no key nobody is told apart: one caller comes from many addresses, and with these a request that
+/// came back through three of them was taken for three. The id of a try, its deadline and other
+/// headers differ from one time to the next.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct RequestDigest([u8; DIGEST_BYTES]);
 
 impl RequestDigest {
-    /// The digest of a request with a path and query, and a body or the first part of a long one.
-    pub fn of(caller: CallerName<'_>, path: &str, body: &[u8]) -> Self {
+    /// The digest of a request under a client account, with a path and query, and a body or the first
+    /// part of a long one.
+    pub fn of(account: Option<&str>, path: &str, body: &[u8]) -> Self {
         let mut hasher = Sha256::new();
-        match caller {
-            CallerName::Account(name) => add(&mut hasher, b"account", name.as_bytes()),
-            CallerName::Address(address) => {
-                add(&mut hasher, b"address", address.to_string().as_bytes());
-            }
+        if let Some(account) = account {
+            add(&mut hasher, b"account", account.as_bytes());
         }
         add(&mut hasher, b"path", path.as_bytes());
         add(&mut hasher, b"body", body);
--- a/crates/tinbay-core/tests/crashes_test.rs
+++ b/crates/tinbay-core/tests/crashes_test.rs
@@ -1,14 +1,12 @@
 //! Requests under which servers crash: what makes them the same, and when one is refused.
 
-use std::net::IpAddr;
-
 use quickcheck::{QuickCheck, TestResult};
-use tinbay_core::crashes::digest::{CallerName, RequestDigest};
+use tinbay_core::crashes::digest::RequestDigest;
 use tinbay_core::crashes::ledger::{CRASHES_TO_REFUSE, CrashLedger};
 use tinbay_core::crashes::proven::ProvenRequests;
 use tinbay_core::crashes::quarantine::{QUARANTINE_LIFE_MS, Quarantine};
 
-const HERE: CallerName<'_> = CallerName::Address(IpAddr::V4(std::net::Ipv4Addr::LOCALHOST));
+const HERE: Option<&str> = Some("account");
 
 fn digest(name: u32) -> RequestDigest {
     RequestDigest::of(HERE, "/route/", &name.to_le_bytes())
@@ -21,11 +19,11 @@
 }
 
 #[test]
-fn digest_differs_by_caller_path_and_body() {
+fn digest_differs_by_account_path_and_body() {
     let first = RequestDigest::of(HERE, "/a", b"body");
     let others = [
-        RequestDigest::of(CallerName::Account("127.0.0.1"), "/a", b"body"),
-        RequestDigest::of(CallerName::Account("other"), "/a", b"body"),
+        RequestDigest::of(None, "/a", b"body"),
+        RequestDigest::of(Some("other"), "/a", b"body"),
         RequestDigest::of(HERE, "/b", b"body"),
         RequestDigest::of(HERE, "/a", b"bodz"),
         RequestDigest::of(HERE, "/abody", b""),
--- a/crates/tinbay-gateway/src/front/listener.rs
+++ b/crates/tinbay-gateway/src/front/listener.rs
@@ -1,7 +1,6 @@
 //! Takes callers' connections.
 
 use std::convert::Infallible;
-use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -18,7 +17,7 @@
 
 use super::deliver::{self, Ending};
 use super::filters;
-use super::question::{Arrival, Question};
+use super::question::Question;
 use super::refusal::{NotRunReason, Refusal};
 use crate::events::{self, part};
 use crate::http::body::AnswerBody;
@@ -62,22 +61,22 @@
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, caller)) => {
+            Ok((stream, _)) => {
                 let _ = stream.set_nodelay(true);
                 end_when_silent(&stream, PROBED_REST);
                 let open = Open::begin(&node);
-                tokio::task::spawn_local(serve(Rc::clone(&node), stream, caller.ip(), open));
+                tokio::task::spawn_local(serve(Rc::clone(&node), stream, open));
             }
             Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
         }
     }
 }
 
-async fn serve(node: Rc<Node>, stream: TcpStream, caller: IpAddr, _open: Open) {
+async fn serve(node: Rc<Node>, stream: TcpStream, _open: Open) {
     let limits = node.limits();
     let service = {
         let node = Rc::clone(&node);
-        service_fn(move |request| answer(Rc::clone(&node), request, caller))
+        service_fn(move |request| answer(Rc::clone(&node), request))
     };
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -95,17 +94,11 @@
 async fn answer(
     node: Rc<Node>,
     request: Request<Incoming>,
-    caller: IpAddr,
 ) -> Result<Response<AnswerBody>, Infallible> {
     let arrived_ms = node.now_ms();
     let (parts, body) = request.into_parts();
     let draw = rand::rng().random_range(0.0..1.0);
-    let arrival = Arrival {
-        caller,
-        arrived_ms,
-        draw,
-    };
-    let mut response = match Question::read(&node, parts, arrival) {
+    let mut response = match Question::read(&node, parts, arrived_ms, draw) {
         Ok(question) => take(&node, Rc::new(question), body).await,
         Err(refusal) => {
             log_refusal(refusal);
--- a/crates/tinbay-gateway/src/front/question.rs
+++ b/crates/tinbay-gateway/src/front/question.rs
@@ -1,7 +1,6 @@
 //! A caller's request with all that decides its way.
 
 use std::cell::{Cell, OnceCell};
-use std::net::IpAddr;
 use std::rc::Rc;
 
 use hyper::header::{HOST, HeaderMap, HeaderName};
@@ -9,7 +8,7 @@
 use tinbay_core::accounts::account::Account;
 use tinbay_core::accounts::key::KeyDigest;
 use tinbay_core::accounts::key_check::ShownKey;
-use tinbay_core::crashes::digest::{CallerName, RequestDigest};
+use tinbay_core::crashes::digest::RequestDigest;
 use tinbay_core::serving::configuration::{Route, RouteKind};
 use tinbay_core::serving::contents::{AdapterKey, adapter_key};
 use tinbay_core::serving::prompt::Prompt;
@@ -55,17 +54,6 @@
     pub by: AdmittedBy,
 }
 
-/// How a request came.
-#[derive(Debug, Clone, Copy)]
-pub struct Arrival {
-    /// Address of its caller.
-    pub caller: IpAddr,
-    /// When it came.
-    pub arrived_ms: Millis,
-    /// A random number from 0 to 1, which chooses among the services of a route.
-    pub draw: f64,
-}
-
 /// A caller's request with all that decides its way.
 #[derive(Debug)]
 pub struct Question {
@@ -73,8 +61,6 @@
     pub id: String,
     /// Method, path, query and headers as they came, but for the key.
     pub parts: Parts,
-    /// Address of its caller.
-    pub caller: IpAddr,
     /// What it has in common with others that are the same, once its body is read.
     pub digest: OnceCell<RequestDigest>,
     /// The key it shows, as a digest.
@@ -110,12 +96,12 @@
     ///
     /// # Errors
     /// What the caller is told where there is no way.
-    pub fn read(node: &Node, mut parts: Parts, arrival: Arrival) -> Result<Self, Refusal> {
-        let Arrival {
-            caller,
-            arrived_ms,
-            draw,
-        } = arrival;
+    pub fn read(
+        node: &Node,
+        mut parts: Parts,
+        arrived_ms: Millis,
+        draw: f64,
+    ) -> Result<Self, Refusal> {
         let names = node.dialect.headers();
         let key = take_key(&mut parts.headers, &names.key);
         let in_force = node.in_force().ok_or(Refusal::NoConfiguration)?;
@@ -147,7 +133,6 @@
             route,
             service,
             in_force,
-            caller,
             digest: OnceCell::new(),
             key,
             account: OnceCell::new(),
@@ -176,13 +161,10 @@
     /// Notes its body, or the first part of a long one: with it, requests that are the same one
     /// can be told.
     pub fn note_body(&self, body: &[u8]) {
-        let caller = match self.client_account() {
-            Some(account) => CallerName::Account(&account.name),
-            None => CallerName::Address(self.caller),
-        };
+        let account = self.client_account().map(|account| &*account.name);
         let path = self.parts.uri.path_and_query();
         let path = path.map_or("", |path| path.as_str());
-        let digest = RequestDigest::of(caller, path, body);
+        let digest = RequestDigest::of(account, path, body);
         let _ = self.digest.set(digest);
     }
 
