A relay whose store falls silent is believed 1.1 s less

Ruled out: the gap between watches alone (0.6 s). Change: an answer that is later than the wait by 0.4 s is given up, the prefix counts as lost at once and the boxes that ask this one turn to others. The patience doubles where nothing came and follows what came last, up to the old 1.5 s, so that a slow store is heard.

--- a/crates/tinbay-gateway/src/port/store.rs
+++ b/crates/tinbay-gateway/src/port/store.rs
@@ -123,12 +123,14 @@
     fn list<'a>(&'a self, prefix: &'a str, stale: bool)
     -> LocalBoxFuture<'a, StoreResult<Listing>>;
 
-    /// Waits for changes below a prefix after a revision.
+    /// Waits for changes below a prefix after a revision; an answer that is later than the wait by
+    /// `late_ms` is given up.
     fn watch<'a>(
         &'a self,
         prefix: &'a str,
         after: Revision,
         wait_ms: Millis,
+        late_ms: Millis,
     ) -> LocalBoxFuture<'a, StoreResult<Changes>>;
 
     /// Does a transaction and gives its revision.
--- a/crates/tinbay-gateway/src/watch/mod.rs
+++ b/crates/tinbay-gateway/src/watch/mod.rs
@@ -147,10 +147,14 @@
             }
             Err(StoreError::HistoryGone) => return Ok(()),
             Err(error) if failures >= 1 => return Err(error),
-            Err(_) => {
+            Err(error) => {
                 failures += 1;
                 node.replica.lose(prefix);
-                sleep_with_jitter(FIRST_PAUSE_MS).await;
+                // One that was not answered took its time already, and what it would have brought
+                // may be known to another box.
+                if error != StoreError::NoAnswer {
+                    sleep_with_jitter(FIRST_PAUSE_MS).await;
+                }
             }
         }
     }
--- a/crates/tinbay-gateway/src/watch/source.rs
+++ b/crates/tinbay-gateway/src/watch/source.rs
@@ -41,6 +41,17 @@
 /// How long a read of the store that succeeded lets the other prefixes be read as well.
 const STORE_SEEN_LIFE_MS: Millis = 2_000;
 
+/// How much later than its wait an answer to a watch may be at least: a store that takes 60 times
+/// its usual 4 ms is heard. Until then a zone believes a relay whose store fell silent; with 1,500 ms
+/// a leaving server was sent requests for up to 2.2 s where 2.0 are allowed.
+const LEAST_PATIENCE_MS: Millis = 400;
+
+/// The same at most, for a store that is slower still.
+const MOST_PATIENCE_MS: Millis = 1_500;
+
+/// How much later than the last one an answer may be.
+const PATIENCE_FACTOR: f64 = 3.0;
+
 #[derive(Serialize)]
 struct RelayEvent<'a> {
     relay: &'a str,
@@ -109,7 +120,12 @@
     }
     sources.check_turn(node, turn)?;
     let confirmed_ms = node.now_ms();
-    let watched = node.store.watch(prefix, after, pace.wait_ms).await;
+    let late_ms = turn.patience_ms();
+    let watched = node.store.watch(prefix, after, pace.wait_ms, late_ms).await;
+    if watched.is_ok() {
+        let took_ms = node.now_ms() - confirmed_ms;
+        turn.note_late(took_ms.saturating_sub(pace.wait_ms));
+    }
     let mut changes = counted(node, "watch", turn.note(watched, node.now_ms()))?;
     for change in &mut changes.changes {
         if let Change::Put(item) = change {
@@ -208,14 +224,41 @@
 
 /// One call at a time shows whether the store is there; while it is, all that share the turns
 /// read it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct StoreTurn {
     tried_ms: Cell<Option<Millis>>,
     seen_ms: Cell<Option<Millis>>,
     is_failing: Cell<bool>,
+    patience_ms: Cell<Millis>,
+}
+
+impl Default for StoreTurn {
+    fn default() -> Self {
+        Self {
+            tried_ms: Cell::default(),
+            seen_ms: Cell::default(),
+            is_failing: Cell::default(),
+            patience_ms: Cell::new(LEAST_PATIENCE_MS),
+        }
+    }
 }
 
 impl StoreTurn {
+    /// How much later than its wait an answer to a watch may be before it is given up.
+    pub fn patience_ms(&self) -> Millis {
+        self.patience_ms.get()
+    }
+
+    /// Notes how much later than its wait an answer came; one that brought changes came early and
+    /// tells nothing.
+    pub fn note_late(&self, late_ms: Millis) {
+        if late_ms > 0 {
+            let patience_ms = (late_ms as f64 * PATIENCE_FACTOR) as Millis;
+            let patience_ms = patience_ms.clamp(LEAST_PATIENCE_MS, MOST_PATIENCE_MS);
+            self.patience_ms.set(patience_ms);
+        }
+    }
+
     /// Takes a turn, if one is left.
     pub fn take(&self, pause_ms: Millis, now_ms: Millis) -> bool {
         let is_within = |since_ms: Option<Millis>, span_ms: Millis| {
@@ -245,7 +288,13 @@
                 self.is_failing.set(false);
             }
             Err(StoreError::HistoryGone) => {}
-            Err(_) => self.is_failing.set(true),
+            Err(error) => {
+                self.is_failing.set(true);
+                if *error == StoreError::NoAnswer {
+                    let patience_ms = self.patience_ms.get() * 2;
+                    self.patience_ms.set(patience_ms.min(MOST_PATIENCE_MS));
+                }
+            }
         }
         result
     }
--- a/crates/tinbay-gateway/tests/asking_test.rs
+++ b/crates/tinbay-gateway/tests/asking_test.rs
@@ -99,3 +99,19 @@
     let _ = turn.note(Ok(()), 1_210);
     assert!(turn.takes_relay(1_220) && turn.takes_relay(1_230));
 }
+
+/// A store that is slow is still heard: the first answer that is given up makes room for the next.
+#[test]
+fn patience_grows_with_a_slow_store_and_falls_again() {
+    let turn = StoreTurn::default();
+    let least_ms = turn.patience_ms();
+    let no_answer = || turn.note::<()>(Err(StoreError::NoAnswer), 0);
+    assert!(no_answer().is_err());
+    assert_eq!(turn.patience_ms(), 2 * least_ms);
+    turn.note_late(600);
+    assert!(turn.patience_ms() > 1_200);
+    turn.note_late(0);
+    assert!(turn.patience_ms() > 1_200, "an early answer tells nothing");
+    turn.note_late(3);
+    assert_eq!(turn.patience_ms(), least_ms);
+}
