Entries of other writers name no server, and the others hold

Each such entry is told once (256 at most) and counted (tinbay_unreadable_total); one that becomes unreadable takes its server away, one that is readable again brings it back.

--- a/crates/tinbay-gateway/src/metrics.rs
+++ b/crates/tinbay-gateway/src/metrics.rs
@@ -36,6 +36,8 @@
     pub relay_calls: IntCounterVec,
     /// Orders to servers, by action and outcome.
     pub orders: IntCounterVec,
+    /// What others wrote and this box can't read, by what it is.
+    pub unreadable: IntCounterVec,
     /// Checks of servers that broke off answers, by outcome.
     pub server_checks: IntCounterVec,
     /// Messages between boxes, by outcome.
@@ -94,6 +96,11 @@
                 "Orders to servers",
                 &["action", "outcome"],
             )?,
+            unreadable: counter(
+                "tinbay_unreadable_total",
+                "What others wrote and this box can't read",
+                &["what"],
+            )?,
             server_checks: counter(
                 "tinbay_server_checks_total",
                 "Checks of servers that broke off answers",
--- a/crates/tinbay-gateway/src/orders/holder.rs
+++ b/crates/tinbay-gateway/src/orders/holder.rs
@@ -297,6 +297,8 @@
     }
 
     fn log_unreadable(&self, error: &DecodeError) {
+        let unreadable = &self.node.metrics.unreadable;
+        unreadable.with_label_values(&["report"]).inc();
         let event = UnreadableEvent {
             server: &self.server.record().id,
             error: error.to_string(),
--- a/crates/tinbay-gateway/src/watch/boxes.rs
+++ b/crates/tinbay-gateway/src/watch/boxes.rs
@@ -36,6 +36,13 @@
     is_leaving: Option<bool>,
 }
 
+#[derive(Serialize)]
+struct UnreadableEvent<'a> {
+    key: &'a str,
+    revision: u64,
+    error: String,
+}
+
 impl BoxFollower {
     /// A follower that changes `node`.
     pub fn new(node: Rc<Node>) -> Self {
@@ -58,8 +65,9 @@
     }
 
     fn take_member(&self, id: &str, item: &Item) {
-        let Ok(record) = serde_json::from_slice::<MemberRecord>(&item.value) else {
-            return;
+        let record = match serde_json::from_slice::<MemberRecord>(&item.value) {
+            Ok(record) => record,
+            Err(error) => return self.tell_unreadable(item, &error),
         };
         let event = MemberEvent {
             box_id: id,
@@ -73,6 +81,18 @@
             .put(id, record, self.node.now_ms());
     }
 
+    /// An entry that can't be read changes nothing: what is known of the box holds.
+    fn tell_unreadable(&self, item: &Item, error: &serde_json::Error) {
+        let unreadable = &self.node.metrics.unreadable;
+        unreadable.with_label_values(&["box_entry"]).inc();
+        let event = UnreadableEvent {
+            key: &item.key,
+            revision: item.revision,
+            error: error.to_string(),
+        };
+        events::emit(part::MEMBERS, Level::Warn, "box_unreadable", &event);
+    }
+
     fn drop_member(&self, id: &str, revision: u64) {
         let event = MemberEvent {
             box_id: id,
--- a/crates/tinbay-gateway/src/watch/servers.rs
+++ b/crates/tinbay-gateway/src/watch/servers.rs
@@ -1,5 +1,6 @@
 //! Follows the servers' own entries.
 
+use std::cell::RefCell;
 use std::collections::HashSet;
 use std::rc::Rc;
 
@@ -10,12 +11,18 @@
 use super::Follower;
 use crate::events::{self, part};
 use crate::node::Node;
+use crate::port::dialect::DecodeError;
 use crate::port::store::{Change, Item};
 use crate::servers::ServerChange;
 
+/// Most entries that are told one by one to be unreadable; all are counted.
+const MOST_UNREADABLE: usize = 256;
+
 /// Follows the servers' own entries.
 pub struct ServerFollower {
     node: Rc<Node>,
+    /// Names of entries that were told to be unreadable.
+    unreadable: RefCell<HashSet<String>>,
 }
 
 #[derive(Serialize)]
@@ -35,10 +42,20 @@
     server: &'a str,
 }
 
+#[derive(Serialize)]
+struct UnreadableEvent<'a> {
+    key: &'a str,
+    revision: u64,
+    error: String,
+}
+
 impl ServerFollower {
     /// A follower that changes `node`.
     pub fn new(node: Rc<Node>) -> Self {
-        Self { node }
+        Self {
+            node,
+            unreadable: RefCell::default(),
+        }
     }
 
     fn id_of<'a>(&self, key: &'a str) -> Option<&'a str> {
@@ -51,14 +68,35 @@
         };
         let record = match self.node.dialect.decode_server(id, &item.value) {
             Ok(record) => record,
-            Err(_) => return self.forget(id),
+            Err(error) => {
+                self.tell_unreadable(item, &error);
+                return self.forget(id);
+            }
         };
+        self.unreadable.borrow_mut().remove(id);
         let change = self.node.servers.borrow_mut().put(record.clone());
         if change != ServerChange::Same {
             log_change(&record, change);
         }
     }
 
+    /// Says once of an entry that it can't be read; its writer may write it every second.
+    fn tell_unreadable(&self, item: &Item, error: &DecodeError) {
+        let unreadable = &self.node.metrics.unreadable;
+        unreadable.with_label_values(&["server_entry"]).inc();
+        let mut told = self.unreadable.borrow_mut();
+        let id = self.id_of(&item.key).unwrap_or_default();
+        if told.len() >= MOST_UNREADABLE || !told.insert(id.to_string()) {
+            return;
+        }
+        let event = UnreadableEvent {
+            key: &item.key,
+            revision: item.revision,
+            error: error.to_string(),
+        };
+        events::emit(part::SERVERS, Level::Warn, "server_unreadable", &event);
+    }
+
     fn forget(&self, id: &str) {
         if self.node.servers.borrow_mut().remove(id) {
             events::emit(
@@ -105,6 +143,9 @@
                 .map(|server| server.record().id.clone())
                 .collect()
         };
+        self.unreadable
+            .borrow_mut()
+            .retain(|id| listed.contains(id.as_str()));
         for id in known.iter().filter(|id| !listed.contains(id.as_str())) {
             self.forget(id);
         }
@@ -130,6 +171,7 @@
             Change::Put(item) => self.take(item),
             Change::Gone { key, .. } => {
                 if let Some(id) = self.id_of(key) {
+                    self.unreadable.borrow_mut().remove(id);
                     self.forget(id);
                 }
             }
