--- a/crates/tinbay-gateway/src/crashes/check.rs
+++ b/crates/tinbay-gateway/src/crashes/check.rs
@@ -10,7 +10,7 @@
 
 use super::spread;
 use crate::events::{self, part};
-use crate::http::connect::{Reach, probe};
+use crate::http::connect::{ProbeOutcome, probe};
 use crate::node::Node;
 use crate::servers::Server;
 
@@ -62,8 +62,8 @@
 async fn check(node: Rc<Node>, server: Rc<Server>) {
     let is_planned = !is_expected_to_run(&node, &server);
     tokio::time::sleep(GATHER_PAUSE).await;
-    let reach = if server.pool.has_live_rest() {
-        Reach::Takes
+    let outcome = if server.pool.has_live_rest() {
+        ProbeOutcome::Takes
     } else {
         probe(server.record().address, PROBE_WITHIN).await
     };
@@ -71,14 +71,14 @@
     let record = server.record();
     let event = CheckEvent {
         server: &record.id,
-        outcome: reach.name(),
+        outcome: outcome.name(),
         is_planned,
         cut: cut.len(),
     };
     events::emit(part::SERVERS, Level::Info, "server_checked", &event);
-    let labels = [reach.name()];
+    let labels = [outcome.name()];
     node.metrics.server_checks.with_label_values(&labels).inc();
-    if reach == Reach::Refuses && !is_planned {
+    if outcome == ProbeOutcome::Refuses && !is_planned {
         note_crash(&node, &server, &cut);
     }
     for request in &cut {
--- a/crates/tinbay-gateway/src/crashes/mod.rs
+++ b/crates/tinbay-gateway/src/crashes/mod.rs
@@ -133,14 +133,14 @@
     if crashes >= CRASHES_TO_REFUSE && refuse(node, digest, 0, Source::Counted) {
         node.crashes.unsaved.borrow_mut().push_back(digest);
         node.crashes.save_due.notify_one();
-        spread::post_news(node, digest, spread::Reach::AllZones);
+        spread::post_news(node, digest, spread::Audience::AllZones);
     }
 }
 
 /// Takes another box's word on a request that is refused.
 pub fn take_word(node: &Node, digest: RequestDigest, age_ms: Millis) {
     if refuse(node, digest, age_ms, Source::Told) {
-        spread::post_news(node, digest, spread::Reach::AsRelay);
+        spread::post_news(node, digest, spread::Audience::AsRelay);
     }
 }
 
--- a/crates/tinbay-gateway/src/crashes/spread.rs
+++ b/crates/tinbay-gateway/src/crashes/spread.rs
@@ -31,7 +31,7 @@
 
 /// Who is told at once what is refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Reach {
+pub enum Audience {
     /// All zones: this box has found it.
     AllZones,
     /// Other zones only where this box reads the store for its own.
@@ -85,13 +85,13 @@
 }
 
 /// Tells some boxes at once that a request is refused.
-pub fn post_news(node: &Node, digest: RequestDigest, reach: Reach) {
+pub fn post_news(node: &Node, digest: RequestDigest, audience: Audience) {
     let news = vec![RefusedPart { digest, age_s: 0 }];
     for box_id in near_boxes(node).sample(&mut rand::rng(), NEWS_PEERS) {
         node.outbox.post(box_id, FramePart::Refused(news.clone()));
     }
     let relays = relay::relays(node);
-    if reach == Reach::AsRelay && !relays.is_one {
+    if audience == Audience::AsRelay && !relays.is_one {
         return;
     }
     for zone in relays.far_by_zone {
--- a/crates/tinbay-gateway/src/http/connect.rs
+++ b/crates/tinbay-gateway/src/http/connect.rs
@@ -19,7 +19,7 @@
 
 /// What an address does with a new connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Reach {
+pub enum ProbeOutcome {
     /// It takes it.
     Takes,
     /// It refuses it: no process listens there.
@@ -28,23 +28,23 @@
     Silent,
 }
 
-impl Reach {
+impl ProbeOutcome {
     /// Name for logs and measures.
     pub fn name(self) -> &'static str {
         match self {
-            Reach::Takes => "takes_connections",
-            Reach::Refuses => "refuses_connections",
-            Reach::Silent => "silent",
+            ProbeOutcome::Takes => "takes_connections",
+            ProbeOutcome::Refuses => "refuses_connections",
+            ProbeOutcome::Silent => "silent",
         }
     }
 }
 
 /// Tries a connection and closes it again.
-pub async fn probe(address: SocketAddr, within: Duration) -> Reach {
+pub async fn probe(address: SocketAddr, within: Duration) -> ProbeOutcome {
     match tokio::time::timeout(within, TcpStream::connect(address)).await {
-        Ok(Ok(_)) => Reach::Takes,
-        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Reach::Refuses,
-        Ok(Err(_)) | Err(_) => Reach::Silent,
+        Ok(Ok(_)) => ProbeOutcome::Takes,
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => ProbeOutcome::Refuses,
+        Ok(Err(_)) | Err(_) => ProbeOutcome::Silent,
     }
 }
 
