An order is taken for another server's only by that server's word; boxes that do jobs are listed in one place

Cause: read again: a 421 to an order was taken as the sign that another server has the address, though the status may mean that something is not there; an entry without its start, after a report with one, would have been passed over for good, its draining with it; the boxes that may do a job for others were worked out in two places with the same lines. Change: the name in the answer decides; an entry without a start tells nothing of a restart; one function lists the candidates.

--- a/crates/tinbay-gateway/src/account_limits/home.rs
+++ b/crates/tinbay-gateway/src/account_limits/home.rs
@@ -127,13 +127,7 @@
     let now_ms = node.now_ms();
     let settings = node.settings.borrow();
     let members = node.members.borrow();
-    let others = members
-        .others(&settings.box_id)
-        .filter(|(_, member)| member.listed && member.is_up(now_ms))
-        .map(|(id, member)| RankedBox {
-            id,
-            capacity: member.record.capacity,
-        });
+    let others = members.candidates(&settings.box_id, now_ms);
     let own = (!node.is_leaving.get()).then(|| RankedBox {
         id: &settings.box_id,
         capacity: settings.resources.capacity(),
--- a/crates/tinbay-gateway/src/crashes/spread.rs
+++ b/crates/tinbay-gateway/src/crashes/spread.rs
@@ -65,13 +65,7 @@
     let now_ms = node.now_ms();
     let settings = node.settings.borrow();
     let members = node.members.borrow();
-    let others = members
-        .others(&settings.box_id)
-        .filter(|(_, member)| member.listed && member.is_up(now_ms))
-        .map(|(id, member)| RankedBox {
-            id,
-            capacity: member.record.capacity,
-        });
+    let others = members.candidates(&settings.box_id, now_ms);
     let own = RankedBox {
         id: &settings.box_id,
         capacity: settings.resources.capacity(),
--- a/crates/tinbay-gateway/src/http/call.rs
+++ b/crates/tinbay-gateway/src/http/call.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::SendRequest;
-use hyper::header::{CONTENT_TYPE, HOST, HeaderName};
+use hyper::header::{CONTENT_TYPE, HOST, HeaderMap, HeaderName};
 use hyper::{Method, Request};
 use tinbay_core::units::Millis;
 
@@ -39,6 +39,8 @@
 pub struct Reply {
     /// HTTP status.
     pub status: u16,
+    /// Headers.
+    pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
 }
@@ -92,15 +94,18 @@
             .send_request(self.request(call))
             .await
             .map_err(|_| CallError::NoAnswer)?;
-        let status = response.status().as_u16();
-        let body = response
-            .into_body()
+        let (head, body) = response.into_parts();
+        let body = body
             .collect()
             .await
             .map_err(|_| CallError::NoAnswer)?
             .to_bytes();
         self.keep(sender);
-        Ok(Reply { status, body })
+        Ok(Reply {
+            status: head.status.as_u16(),
+            headers: head.headers,
+            body,
+        })
     }
 
     fn request(&self, call: &Call) -> Request<Full<Bytes>> {
--- a/crates/tinbay-gateway/src/members.rs
+++ b/crates/tinbay-gateway/src/members.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
+use tinbay_core::serving::capacity::RankedBox;
 use tinbay_core::serving::servers::Fingerprint;
 use tinbay_core::units::Millis;
 use xxhash_rust::xxh3::xxh3_64;
@@ -383,6 +384,20 @@
         self.all().filter(move |(id, _)| *id != own_id)
     }
 
+    /// The boxes but `own_id` that do jobs for others: listed ones that are up.
+    pub fn candidates<'a>(
+        &'a self,
+        own_id: &'a str,
+        now_ms: Millis,
+    ) -> impl Iterator<Item = RankedBox<'a>> {
+        self.others(own_id)
+            .filter(move |(_, member)| member.listed && member.is_up(now_ms))
+            .map(|(id, member)| RankedBox {
+                id,
+                capacity: member.record.capacity,
+            })
+    }
+
     /// Forgets boxes that are neither listed nor heard for long.
     pub fn tidy(&mut self, oldest_ms: Millis) {
         self.by_id.retain(|_, member| {
--- a/crates/tinbay-gateway/src/orders/holder.rs
+++ b/crates/tinbay-gateway/src/orders/holder.rs
@@ -18,7 +18,8 @@
 use super::held_server::HeldServer;
 use super::quota;
 use crate::events::{self, part};
-use crate::http::call::{Call, CallError, Caller};
+use crate::front::question::text;
+use crate::http::call::{Call, CallError, Caller, Reply};
 use crate::node::Node;
 use crate::port::dialect::{DecodeError, Order, OrderAction};
 use crate::servers::view::ServerStatus;
@@ -50,9 +51,6 @@
 /// Pause between looks while something is wanted that can't be loaded yet.
 const WANTED_PAUSE_MS: Millis = 30;
 
-/// Status of an answer to an order that was meant for another server.
-const DISPLACED: u16 = 421;
-
 /// Pause while there is no proof or another server has the address.
 const IDLE_PAUSE: Duration = Duration::from_millis(50);
 
@@ -278,7 +276,8 @@
             }
         };
         let record = self.server.record();
-        if report.born_ms.is_none() || report.born_ms == record.born_ms {
+        if report.born_ms.is_none() || record.born_ms.is_none() || report.born_ms == record.born_ms
+        {
             return Some(report);
         }
         // The server has started again under its name, and its entry does not show it yet.
@@ -364,16 +363,17 @@
         let path = self.node.dialect.order_path().to_string();
         let call = self.call(Method::POST, path, body, ORDER_TIMEOUT_MS);
         match self.caller.call(&call).await {
-            Ok(reply) => match reply.status {
-                200 => OrderAnswer::Done,
-                202 => OrderAnswer::Accepted,
-                409 => OrderAnswer::Conflict,
-                DISPLACED => {
+            Ok(reply) => {
+                if self.is_of_another(&reply) {
                     self.note_displaced();
-                    OrderAnswer::Refused
                 }
-                _ => OrderAnswer::Refused,
-            },
+                match reply.status {
+                    200 => OrderAnswer::Done,
+                    202 => OrderAnswer::Accepted,
+                    409 => OrderAnswer::Conflict,
+                    _ => OrderAnswer::Refused,
+                }
+            }
             Err(error) => {
                 self.note_unreachable(error);
                 match error {
@@ -384,6 +384,13 @@
         }
     }
 
+    /// Whether another server answered an order that was meant for this one.
+    fn is_of_another(&self, reply: &Reply) -> bool {
+        let name = &self.node.dialect.headers().server_id;
+        let answering = text(&reply.headers, name);
+        answering.is_some_and(|id| id != self.server.record().id)
+    }
+
     /// Another server has the address: its reports were taken for this one's.
     fn note_displaced(&self) {
         let now_ms = self.node.now_ms();
--- a/crates/tinbay-gateway/src/servers/mod.rs
+++ b/crates/tinbay-gateway/src/servers/mod.rs
@@ -68,10 +68,14 @@
             return ServerChange::Arrived;
         };
         let known = server.record();
-        if record.born_ms < known.born_ms {
+        // An entry that does not say when its server started tells nothing of a restart.
+        let born_ms = record.born_ms.or(known.born_ms);
+        let known_born_ms = known.born_ms.or(born_ms);
+        if born_ms < known_born_ms {
             return ServerChange::Same;
         }
-        if record.born_ms != known.born_ms || record.address != known.address {
+        let record = ServerRecord { born_ms, ..record };
+        if born_ms != known_born_ms || record.address != known.address {
             self.remove(&record.id);
             self.insert(record);
             return ServerChange::Restarted;
--- a/crates/tinbay-gateway/tests/servers_test.rs
+++ b/crates/tinbay-gateway/tests/servers_test.rs
@@ -43,6 +43,19 @@
     assert_eq!(server.address_text, "127.0.0.1:2");
 }
 
+#[test]
+fn put_without_a_start_changes_no_incarnation() {
+    let mut table = ServerTable::new(Clock::start());
+    table.put(record(Some(5), 1));
+    let leaving = ServerRecord {
+        state: ServerState::Draining,
+        ..record(None, 1)
+    };
+    assert_eq!(table.put(leaving), ServerChange::StateChanged);
+    assert_eq!(table.put(record(Some(4), 1)), ServerChange::Same);
+    assert_eq!(table.put(record(Some(6), 1)), ServerChange::Restarted);
+}
+
 /// In whatever order entries come, the newest incarnation stands, and no key of an older one leads
 /// anywhere.
 #[test]
