An order that is misdirected counts by two entries with one address where its answer names nobody

Change: a misdirected order whose server shares its address with another entry is another server's as well.

--- a/crates/tinbay-gateway/src/orders/holder.rs
+++ b/crates/tinbay-gateway/src/orders/holder.rs
@@ -51,6 +51,9 @@
 /// Pause between looks while something is wanted that can't be loaded yet.
 const WANTED_PAUSE_MS: Millis = 30;
 
+/// Status by which a server refuses what was meant for another one, or is not there.
+const MISDIRECTED: u16 = 421;
+
 /// Pause while there is no proof or another server has the address.
 const IDLE_PAUSE: Duration = Duration::from_millis(50);
 
@@ -384,11 +387,17 @@
         }
     }
 
-    /// Whether another server answered an order that was meant for this one.
+    /// Whether another server answered an order that was meant for this one: it says so, or it refused
+    /// what was misdirected and another entry has the same address.
     fn is_of_another(&self, reply: &Reply) -> bool {
         let name = &self.node.dialect.headers().server_id;
-        let answering = text(&reply.headers, name);
-        answering.is_some_and(|id| id != self.server.record().id)
+        match text(&reply.headers, name) {
+            Some(id) => id != self.server.record().id,
+            None => {
+                let servers = self.node.servers.borrow();
+                reply.status == MISDIRECTED && servers.shares_address(&self.server)
+            }
+        }
     }
 
     /// Another server has the address: its reports were taken for this one's.
--- a/crates/tinbay-gateway/src/servers/mod.rs
+++ b/crates/tinbay-gateway/src/servers/mod.rs
@@ -123,6 +123,13 @@
         self.by_key(*self.keys.get(&fingerprint)?)
     }
 
+    /// Whether another server is entered with the same address.
+    pub fn shares_address(&self, server: &Server) -> bool {
+        let address = server.record().address;
+        let mut others = self.by_id.values().filter(|other| other.key != server.key);
+        others.any(|other| other.record.borrow().address == address)
+    }
+
     /// All servers.
     pub fn all(&self) -> impl Iterator<Item = &Rc<Server>> {
         self.by_id.values()
