Sight: what a server says of itself in the head of an answer, and what this box believed until then

Cause: the incidents' lines can't tell whether an answer said that its server leaves or wants rest, nor what the box believed of it. Ruled out: nothing, no decision changes here. Change: heads of answers to requests, orders and questions for reports are read for both, decoded once with typed errors; the line server_notice, tinbay_server_notices_total and tinbay_unreadable_total{what="answer_head"} tell it. Conclusion: the hypotheses can be told apart by lines from here on.

--- a/crates/tinbay-core/src/serving/servers.rs
+++ b/crates/tinbay-core/src/serving/servers.rs
@@ -23,6 +23,16 @@
     Draining,
 }
 
+impl ServerState {
+    /// Name for logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            ServerState::Ready => "ready",
+            ServerState::Draining => "draining",
+        }
+    }
+}
+
 /// One incarnation of a server.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ServerRecord {
--- a/crates/tinbay-gateway/src/front/attempt.rs
+++ b/crates/tinbay-gateway/src/front/attempt.rs
@@ -13,6 +13,7 @@
 use crate::http::pool::{ConnectError, Connection, Trust};
 use crate::node::Node;
 use crate::port::dialect::HeaderNames;
+use crate::servers::notices::{self, AskedFor};
 use crate::servers::{RunningRequest, Server};
 
 /// How a try ended.
@@ -158,6 +159,16 @@
     if is_displaced(&response, names, terms) {
         return AttemptResult::Displaced;
     }
+    if text(response.headers(), &names.request_id) == Some(question.id.as_str()) {
+        let asked_for = AskedFor::Request(&question.id);
+        notices::take(
+            node,
+            terms.server,
+            asked_for,
+            status.as_u16(),
+            response.headers(),
+        );
+    }
     if response.headers().contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST
     {
         return AttemptResult::Declined { status };
--- a/crates/tinbay-gateway/src/metrics.rs
+++ b/crates/tinbay-gateway/src/metrics.rs
@@ -38,6 +38,8 @@
     pub orders: IntCounterVec,
     /// What others wrote and this box can't read, by what it is.
     pub unreadable: IntCounterVec,
+    /// What servers said of themselves in their answers, by what it is.
+    pub server_notices: IntCounterVec,
     /// Checks of servers that broke off answers, by outcome.
     pub server_checks: IntCounterVec,
     /// Messages between boxes, by outcome.
@@ -101,6 +103,11 @@
                 "What others wrote and this box can't read",
                 &["what"],
             )?,
+            server_notices: counter(
+                "tinbay_server_notices_total",
+                "What servers said of themselves in their answers",
+                &["notice"],
+            )?,
             server_checks: counter(
                 "tinbay_server_checks_total",
                 "Checks of servers that broke off answers",
--- a/crates/tinbay-gateway/src/orders/holder.rs
+++ b/crates/tinbay-gateway/src/orders/holder.rs
@@ -22,6 +22,7 @@
 use crate::http::call::{Call, CallError, Caller, Reply};
 use crate::node::Node;
 use crate::port::dialect::{DecodeError, Order, OrderAction};
+use crate::servers::notices::{self, AskedFor};
 use crate::servers::view::ServerStatus;
 use crate::servers::{Server, ServerChange};
 use crate::watch::servers::log_change;
@@ -260,8 +261,7 @@
         let path = self.node.dialect.report_path().to_string();
         let call = self.call(Method::GET, path, Bytes::new(), REPORT_TIMEOUT_MS);
         match self.caller.call(&call).await {
-            Ok(reply) if reply.status == 200 => self.read_report(&reply.body),
-            Ok(_) => None,
+            Ok(reply) => self.read_reply(&reply),
             Err(error) => {
                 self.note_unreachable(error);
                 None
@@ -269,6 +269,30 @@
         }
     }
 
+    /// Reads the answer to a question for a report, with what its head says of the server.
+    fn read_reply(&self, reply: &Reply) -> Option<Report> {
+        if reply.status != 200 {
+            self.take_notice(AskedFor::Report, reply);
+            return None;
+        }
+        let report = self.read_report(&reply.body)?;
+        self.take_notice(AskedFor::Report, reply);
+        Some(report)
+    }
+
+    fn take_notice(&self, asked_for: AskedFor<'_>, reply: &Reply) {
+        if self.is_of_another(reply) {
+            return;
+        }
+        notices::take(
+            &self.node,
+            &self.server,
+            asked_for,
+            reply.status,
+            &reply.headers,
+        );
+    }
+
     /// Reads a report; one of another incarnation says nothing of this one.
     fn read_report(&self, body: &[u8]) -> Option<Report> {
         let report = match self.node.dialect.decode_report(body) {
@@ -370,6 +394,7 @@
                 if self.is_of_another(&reply) {
                     self.note_displaced();
                 }
+                self.take_notice(AskedFor::Order, &reply);
                 match reply.status {
                     200 => OrderAnswer::Done,
                     202 => OrderAnswer::Accepted,
--- a/crates/tinbay-gateway/src/port/dialect.rs
+++ b/crates/tinbay-gateway/src/port/dialect.rs
@@ -156,6 +156,19 @@
     /// When it can't be read.
     fn decode_report(&self, value: &[u8]) -> Result<Report, DecodeError>;
 
+    /// Reads from the head of a server's answer whether it leaves.
+    ///
+    /// # Errors
+    /// When it can't be read.
+    fn decode_leaving(&self, headers: &HeaderMap) -> Result<bool, DecodeError>;
+
+    /// Reads from the head of an answer for how long its server wants nothing from the box that
+    /// asked; none where it does not say.
+    ///
+    /// # Errors
+    /// When it can't be read.
+    fn decode_rest(&self, status: u16, headers: &HeaderMap) -> Result<Option<Millis>, DecodeError>;
+
     /// Writes an order.
     fn encode_order(&self, order: &Order) -> Bytes;
 
--- a/crates/tinbay-gateway/src/servers/mod.rs
+++ b/crates/tinbay-gateway/src/servers/mod.rs
@@ -1,5 +1,6 @@
 //! The servers this box knows, and what it has running at each.
 
+pub mod notices;
 pub mod server;
 pub mod usage;
 pub mod view;
--- a/crates/tinbay-gateway/src/watch/servers.rs
+++ b/crates/tinbay-gateway/src/watch/servers.rs
@@ -6,7 +6,7 @@
 
 use log::Level;
 use serde::Serialize;
-use tinbay_core::serving::servers::{ServerRecord, ServerState};
+use tinbay_core::serving::servers::ServerRecord;
 
 use super::Follower;
 use crate::events::{self, part};
@@ -115,10 +115,7 @@
         server: &record.id,
         service: &record.service,
         address: record.address.to_string(),
-        state: match record.state {
-            ServerState::Ready => "ready",
-            ServerState::Draining => "draining",
-        },
+        state: record.state.name(),
         change: change.name(),
         born_ms: record.born_ms,
         remaining_ms: record.remaining_ms,
