--- a/crates/tinbay-gateway/tests/servers_test.rs
+++ b/crates/tinbay-gateway/tests/servers_test.rs
@@ -80,3 +80,23 @@
         .tests(500)
         .quickcheck(keeps as fn(Vec<u8>) -> bool);
 }
+
+/// An entry that says `ready` comes after one that says `draining`, from a listing through a box that
+/// was behind, or after the entry was gone for a while: the incarnation leaves all the same. Its state
+/// was that of the entry seen last.
+#[test]
+fn put_leaving_is_final_for_an_incarnation() {
+    let leaving = ServerRecord {
+        state: ServerState::Draining,
+        ..record(Some(5), 1)
+    };
+    let mut table = ServerTable::new(Clock::start());
+    table.put(leaving);
+    assert_eq!(table.put(record(Some(5), 1)), ServerChange::Same);
+    assert!(table.ready("engine").is_empty(), "an older entry came late");
+    table.remove("i-1");
+    table.put(record(Some(5), 1));
+    assert!(table.ready("engine").is_empty(), "its entry came back");
+    table.put(record(Some(6), 1));
+    assert_eq!(table.ready("engine").len(), 1, "it has started again");
+}
