--- a/crates/tinbay-core/src/serving/notices.rs
+++ b/crates/tinbay-core/src/serving/notices.rs
@@ -6,6 +6,10 @@
 
 use crate::units::Millis;
 
+/// What a time in whole milliseconds may be behind the true one. A rest that was counted from such a
+/// time alone ended up to that much early.
+const CLOCK_STEP_MS: Millis = 1;
+
 /// What a server says of itself in the head of one answer.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct AnswerNotice {
@@ -34,8 +38,10 @@
     /// lengthen a rest, and no answer makes a server stay that leaves.
     pub fn note(&mut self, notice: AnswerNotice, now_ms: Millis) {
         self.is_leaving |= notice.is_leaving;
-        let until_ms = now_ms.saturating_add(notice.rest_ms.unwrap_or_default());
-        self.rest_until_ms = self.rest_until_ms.max(until_ms);
+        if let Some(rest_ms) = notice.rest_ms.filter(|rest_ms| *rest_ms > 0) {
+            let until_ms = now_ms.saturating_add(rest_ms).saturating_add(CLOCK_STEP_MS);
+            self.rest_until_ms = self.rest_until_ms.max(until_ms);
+        }
     }
 
     /// Notes that it leaves, by its entry.
--- a/crates/tinbay-gateway/src/servers/server.rs
+++ b/crates/tinbay-gateway/src/servers/server.rs
@@ -121,7 +121,7 @@
     }
 
     /// Notes what it says of itself in an answer of its own.
-    pub(super) fn note_said(&self, notice: AnswerNotice, now_ms: Millis) {
+    pub fn note_said(&self, notice: AnswerNotice, now_ms: Millis) {
         self.said.borrow_mut().note(notice, now_ms);
         let record = ServerRecord::clone(&self.record());
         self.set_record(record);
--- a/crates/tinbay-gateway/tests/servers_test.rs
+++ b/crates/tinbay-gateway/tests/servers_test.rs
@@ -1,9 +1,10 @@
 //! Servers and their incarnations, as a box keeps them.
 
 use quickcheck::QuickCheck;
+use tinbay_core::serving::notices::AnswerNotice;
 use tinbay_core::serving::servers::{ServerRecord, ServerState};
 use tinbay_gateway::clock::Clock;
-use tinbay_gateway::servers::{ServerChange, ServerTable};
+use tinbay_gateway::servers::{Server, ServerChange, ServerTable};
 
 fn record(born_ms: Option<u64>, port: u16) -> ServerRecord {
     ServerRecord {
@@ -100,3 +101,77 @@
     table.put(record(Some(6), 1));
     assert_eq!(table.ready("engine").len(), 1, "it has started again");
 }
+
+/// A server that says that it leaves and wants rest, noted on what a request under way holds.
+fn say_all(server: &Server) {
+    let notice = AnswerNotice {
+        is_leaving: true,
+        rest_ms: Some(60_000),
+    };
+    server.note_said(notice, 1);
+}
+
+#[test]
+fn said_outlasts_an_entry_that_goes_and_comes_back() {
+    let mut table = ServerTable::new(Clock::start());
+    table.put(record(None, 1));
+    let server = table.get("i-1").expect("it is there");
+    table.remove("i-1");
+    say_all(&server);
+    table.put(record(None, 1));
+    let again = table.get("i-1").expect("it is there again");
+    assert!(again.is_leaving());
+    assert!(again.rest_until_ms(2).is_some());
+    table.remove("i-1");
+    table.put(record(Some(5), 1));
+    assert!(
+        table.ready("engine").is_empty(),
+        "nothing says that it started"
+    );
+}
+
+#[test]
+fn said_does_not_bind_a_later_incarnation() {
+    let mut table = ServerTable::new(Clock::start());
+    table.put(record(Some(5), 1));
+    let server = table.get("i-1").expect("it is there");
+    say_all(&server);
+    assert!(table.ready("engine").is_empty());
+    assert_eq!(table.put(record(Some(6), 1)), ServerChange::Restarted);
+    assert_eq!(table.ready("engine").len(), 1);
+    say_all(&server);
+    assert_eq!(
+        table.ready("engine").len(),
+        1,
+        "a late word of the earlier one"
+    );
+}
+
+/// Entries of an incarnation come back after those of the next one have gone: it has ended.
+#[test]
+fn put_earlier_incarnation_takes_no_work() {
+    let mut table = ServerTable::new(Clock::start());
+    table.put(record(Some(6), 1));
+    table.remove("i-1");
+    table.put(record(Some(5), 1));
+    assert!(table.ready("engine").is_empty());
+    table.put(record(Some(6), 1));
+    assert_eq!(table.ready("engine").len(), 1);
+}
+
+#[test]
+fn ready_leaves_out_who_rests_until_the_end() {
+    let mut table = ServerTable::new(Clock::start());
+    table.put(record(Some(5), 1));
+    let server = table.get("i-1").expect("it is there");
+    let notice = AnswerNotice {
+        is_leaving: false,
+        rest_ms: Some(60_000),
+    };
+    server.note_said(notice, 1);
+    assert!(table.ready("engine").is_empty());
+    let end_ms = table.first_rest_end_ms("engine");
+    assert_eq!(end_ms, server.rest_until_ms(1));
+    assert!(server.takes_work(end_ms.expect("it rests")));
+    assert_eq!(table.first_rest_end_ms("plain"), None);
+}
