--- a/crates/tinbay-core/src/serving/mod.rs
+++ b/crates/tinbay-core/src/serving/mod.rs
@@ -12,6 +12,7 @@
 pub mod homes;
 pub mod notices;
 pub mod pacing;
+pub mod position;
 pub mod prompt;
 pub mod reading;
 pub mod relays;
--- a/crates/tinbay-core/tests/serving_claims_test.rs
+++ b/crates/tinbay-core/tests/serving_claims_test.rs
@@ -1,9 +1,8 @@
 //! Claims on servers: never two holders within the gap, whatever the store and clocks do.
 
 use quickcheck::{QuickCheck, TestResult};
-use tinbay_core::serving::claims::{
-    Claim, ClaimTable, ClaimTerms, ClaimValue, HolderEntry, Proof, may_take,
-};
+use tinbay_core::serving::claims::{ClaimTable, ClaimTerms, ClaimValue, HolderEntry, Proof};
+use tinbay_core::serving::position::{Era, Position};
 
 const TERMS: ClaimTerms = ClaimTerms {
     proof_life_ms: 10_000,
@@ -11,87 +10,140 @@
     margin_ms: 500,
 };
 
-fn claim(holder: &str, is_released: bool, seen_ms: u64) -> Claim {
-    Claim {
-        value: ClaimValue {
-            holder: holder.into(),
-            is_released,
-        },
-        token: 7,
-        seen_ms,
-    }
+const SERVER: &str = "s";
+
+/// A position in the era of most cases.
+fn at(revision: u64) -> Position {
+    Position::new(Era(1), revision)
+}
+
+fn value(holder: &str, is_released: bool, era: u64) -> Vec<u8> {
+    let value = ClaimValue {
+        holder: holder.into(),
+        is_released,
+        era: Era(era),
+    };
+    serde_json::to_vec(&value).expect("a value")
+}
+
+/// A table in the first era of a system, with one claim seen at a time.
+fn table(holder: &str, is_released: bool, seen_ms: u64) -> ClaimTable {
+    let mut table = ClaimTable::default();
+    table.begin_era(Era(1), 0, 0);
+    table.note_settled(Era(1));
+    table.note(SERVER, &value(holder, is_released, 1), at(7), seen_ms);
+    table
 }
 
 #[test]
 fn may_take_unclaimed() {
-    assert!(may_take(None, "a", HolderEntry::Listed, &TERMS, 0));
+    let table = ClaimTable::default();
+    assert!(table.may_take(SERVER, "a", HolderEntry::Listed, &TERMS, 0));
 }
 
 #[test]
 fn may_take_not_from_listed_holder() {
-    let held = claim("b", false, 0);
-    assert!(!may_take(
-        Some(&held),
-        "a",
-        HolderEntry::Listed,
-        &TERMS,
-        1_000_000
-    ));
+    let held = table("b", false, 0);
+    assert!(!held.may_take(SERVER, "a", HolderEntry::Listed, &TERMS, 1_000_000));
 }
 
 #[test]
 fn may_take_after_proof_gap_and_margin() {
-    let held = claim("b", false, 0);
+    let held = table("b", false, 0);
     let entry = HolderEntry::MissingSince(1_000);
-    assert!(!may_take(Some(&held), "a", entry, &TERMS, 14_499));
-    assert!(may_take(Some(&held), "a", entry, &TERMS, 14_500));
+    assert!(!held.may_take(SERVER, "a", entry, &TERMS, 14_499));
+    assert!(held.may_take(SERVER, "a", entry, &TERMS, 14_500));
 }
 
 #[test]
 fn may_take_released_after_gap() {
-    let released = claim("b", true, 1_000);
-    assert!(!may_take(
-        Some(&released),
-        "a",
-        HolderEntry::Listed,
-        &TERMS,
-        4_499
-    ));
-    assert!(may_take(
-        Some(&released),
-        "a",
-        HolderEntry::Listed,
-        &TERMS,
-        4_500
-    ));
+    let released = table("b", true, 1_000);
+    let entry = HolderEntry::Listed;
+    assert!(!released.may_take(SERVER, "a", entry, &TERMS, 4_499));
+    assert!(released.may_take(SERVER, "a", entry, &TERMS, 4_500));
 }
 
 #[test]
 fn may_take_own_released_at_once() {
-    let released = claim("a", true, 1_000);
-    assert!(may_take(
-        Some(&released),
-        "a",
-        HolderEntry::Listed,
-        &TERMS,
-        1_001
-    ));
+    let released = table("a", true, 1_000);
+    assert!(released.may_take(SERVER, "a", HolderEntry::Listed, &TERMS, 1_001));
 }
 
 #[test]
 fn note_passes_over_older_revision() {
-    let mut table = ClaimTable::default();
-    table.note("s", br#"{"holder":"b","is_released":false}"#, 9, 0);
-    table.note("s", br#"{"holder":"a","is_released":false}"#, 8, 1);
-    assert_eq!(table.token_of("s", "b"), Some(9));
-    assert_eq!(table.token_of("s", "a"), None);
+    let mut table = table("b", false, 0);
+    table.note(SERVER, &value("a", false, 1), at(6), 1);
+    assert_eq!(table.token_of(SERVER, "b", 2), Some(at(7).fencing_token()));
+    assert_eq!(table.token_of(SERVER, "a", 2), None);
 }
 
 #[test]
 fn token_of_released_is_none() {
-    let mut table = ClaimTable::default();
-    table.note("s", br#"{"holder":"a","is_released":true}"#, 9, 0);
-    assert_eq!(table.token_of("s", "a"), None);
+    assert_eq!(table("a", true, 0).token_of(SERVER, "a", 1), None);
+}
+
+#[test]
+fn fencing_token_rises_over_returns() {
+    let before = Position::new(Era(1), 5_000_000_000);
+    let after = Position::new(Era(2), 1);
+    assert!(before.fencing_token() < after.fencing_token());
+}
+
+/// The store came back without the claim: its holder goes on until its proof ends and writes it again,
+/// and nobody else takes it before every proof of the former era is over.
+#[test]
+fn begin_era_holder_goes_on_and_others_wait() {
+    let mut held = table("a", false, 0);
+    held.begin_era(Era(2), 9_000, 1_000);
+    assert!(held.is_to_be_renewed(SERVER, "a", 8_999));
+    assert!(held.token_of(SERVER, "a", 8_999).is_some());
+    assert_eq!(held.token_of(SERVER, "a", 9_000), None);
+    assert_eq!(held.stored_position(SERVER), Position::missing(Era(2)));
+    let entry = HolderEntry::MissingSince(0);
+    assert!(!held.may_take(SERVER, "b", entry, &TERMS, 14_499));
+    assert!(held.may_take(SERVER, "b", entry, &TERMS, 14_500));
+    held.note(
+        SERVER,
+        &value("a", false, 2),
+        Position::new(Era(2), 3),
+        2_000,
+    );
+    assert!(!held.may_take(SERVER, "b", HolderEntry::Listed, &TERMS, 50_000));
+    assert!(held.token_of(SERVER, "a", 50_000).is_some());
+}
+
+/// The store came back with an older claim, of a box that had lost the server since: that box does not
+/// take it for its own, whether it lived through the return or starts after it.
+#[test]
+fn note_claim_of_a_former_era_binds_nobody() {
+    let mut lived = table("b", false, 0);
+    lived.begin_era(Era(2), 9_000, 1_000);
+    lived.note(
+        SERVER,
+        &value("a", false, 1),
+        Position::new(Era(2), 3),
+        1_100,
+    );
+    assert_eq!(lived.holder_of(SERVER), Some("b"));
+    assert_eq!(lived.token_of(SERVER, "a", 1_200), None);
+    assert_eq!(lived.stored_position(SERVER), Position::new(Era(2), 3));
+    let mut started = ClaimTable::default();
+    started.begin_era(Era(2), 0, 500);
+    started.note(SERVER, &value("a", false, 1), Position::new(Era(2), 3), 600);
+    assert_eq!(started.token_of(SERVER, "a", 700), None);
+    let entry = HolderEntry::Listed;
+    assert!(!started.may_take(SERVER, "a", entry, &TERMS, 13_999));
+    assert!(started.may_take(SERVER, "a", entry, &TERMS, 14_000));
+    started.note_settled(Era(2));
+    assert!(started.may_take(SERVER, "a", entry, &TERMS, 700));
+}
+
+#[test]
+fn note_claim_of_a_late_answer_is_passed_over() {
+    let mut table = table("b", false, 0);
+    table.begin_era(Era(2), 0, 1_000);
+    table.note(SERVER, &value("a", false, 1), at(9), 1_100);
+    assert_eq!(table.stored_position(SERVER), Position::missing(Era(2)));
 }
 
 #[test]
@@ -124,14 +176,14 @@
         let Some(last_order_ms) = last_order_ms else {
             return TestResult::discard();
         };
-        let held = claim("holder", false, 0);
+        let held = table("holder", false, 0);
         let offset_ms = u64::from(offset);
         let since_ms = gone_ms + u64::from(seen_later) + offset_ms;
         let first_order_ms = (since_ms..)
             .step_by(50)
             .find(|now_ms| {
                 let entry = HolderEntry::MissingSince(since_ms);
-                may_take(Some(&held), "taker", entry, &TERMS, *now_ms)
+                held.may_take(SERVER, "taker", entry, &TERMS, *now_ms)
             })
             .unwrap_or_default()
             - offset_ms;
--- a/crates/tinbay-gateway/src/crashes/entries.rs
+++ b/crates/tinbay-gateway/src/crashes/entries.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 use tinbay_core::crashes::digest::RequestDigest;
 use tinbay_core::crashes::quarantine::QUARANTINE_LIFE_MS;
+use tinbay_core::serving::position::Position;
 use tinbay_core::units::Millis;
 
 use crate::events::{self, part};
@@ -64,10 +65,11 @@
 /// Writes one entry, unless there is one.
 async fn write(node: &Node, digest: RequestDigest) -> StoreResult<()> {
     let lease = counted(node, "grant", node.store.grant(QUARANTINE_LIFE_MS).await)?;
+    let missing = Position::missing(lease.era);
     let key = format!("{PREFIX}{digest}");
     let transaction = Transaction {
-        expected: vec![(key.clone(), 0)],
-        put: vec![(key, Vec::new(), lease)],
+        expected: vec![(key.clone(), missing)],
+        put: vec![(key, Vec::new(), Some(lease))],
         ..Transaction::default()
     };
     match counted(node, "commit", node.store.commit(&transaction).await) {
--- a/crates/tinbay-gateway/src/crashes/mod.rs
+++ b/crates/tinbay-gateway/src/crashes/mod.rs
@@ -137,6 +137,19 @@
     }
 }
 
+/// Has the entries of all refused requests written again: the store has lost them. How many there are.
+pub fn save_again(node: &Node) -> usize {
+    let refused = node.crashes.quarantine.borrow().ages(node.now_ms());
+    let mut unsaved = node.crashes.unsaved.borrow_mut();
+    for (digest, _) in &refused {
+        if !unsaved.contains(digest) {
+            unsaved.push_back(*digest);
+        }
+    }
+    node.crashes.save_due.notify_one();
+    refused.len()
+}
+
 /// Takes another box's word on a request that is refused.
 pub fn take_word(node: &Node, digest: RequestDigest, age_ms: Millis) {
     if refuse(node, digest, age_ms, Source::Told) {
--- a/crates/tinbay-gateway/src/metrics.rs
+++ b/crates/tinbay-gateway/src/metrics.rs
@@ -4,7 +4,8 @@
 use std::collections::HashSet;
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGaugeVec, Opts, Registry,
+    TextEncoder,
 };
 
 use crate::error::GatewayError;
@@ -36,6 +37,8 @@
     pub relay_calls: IntCounterVec,
     /// Orders to servers, by action and outcome.
     pub orders: IntCounterVec,
+    /// Returns of the store from a backup.
+    pub store_returns: IntCounter,
     /// What others wrote and this box can't read, by what it is.
     pub unreadable: IntCounterVec,
     /// What servers said of themselves in their answers, by what it is.
@@ -73,6 +76,11 @@
             registry.register(Box::new(histogram.clone()))?;
             Ok::<_, GatewayError>(histogram)
         };
+        let store_returns = IntCounter::new(
+            "tinbay_store_returns_total",
+            "Returns of the store from a backup",
+        )?;
+        registry.register(Box::new(store_returns.clone()))?;
         let beliefs = IntGaugeVec::new(
             Opts::new("tinbay_belief", "What the box believes"),
             &["what"],
@@ -135,6 +143,7 @@
             )?,
             accounts_shown: RefCell::default(),
             beliefs,
+            store_returns,
             registry,
         })
     }
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -32,11 +32,12 @@
 use crate::peers::frame::{FramePart, LoadRequestPart};
 use crate::peers::outbox::Outbox;
 use crate::port::dialect::Dialect;
-use crate::port::store::Store;
+use crate::port::store::{Item, Store};
 use crate::servers::view::ViewEntry;
 use crate::servers::{RunningRequest, Server, ServerTable};
 use crate::settings::Settings;
 use crate::waiters::Waiters;
+use crate::watch::access::StoreAccess;
 use crate::watch::boxes::{MEMBER_PREFIX, PREFIX as BOXES_PREFIX};
 use crate::watch::replica::Replica;
 use crate::watch::source::StoreTurns;
@@ -105,7 +106,9 @@
     /// Spellings of the surrounding.
     pub dialect: Box<dyn Dialect>,
     /// The key-value store.
-    pub store: Box<dyn Store>,
+    pub store: StoreAccess,
+    /// What operators wrote and the store lacks since it came back from a backup, by key.
+    pub kept_items: RefCell<HashMap<String, Item>>,
     /// What was seen of the store, to pass it on.
     pub replica: Replica,
     /// Boxes that failed to pass on what they see of the store, and until when they are not asked.
@@ -173,7 +176,8 @@
         Self {
             settings: RefCell::new(settings),
             dialect,
-            store,
+            store: StoreAccess::new(store, clock),
+            kept_items: RefCell::default(),
             replica: Replica::default(),
             failed_relays: RefCell::default(),
             store_turns: StoreTurns::default(),
@@ -215,9 +219,9 @@
 
     /// How long ago what this box knows of the operators' configuration was certainly complete.
     pub fn configuration_age_ms(&self) -> Millis {
-        let confirmed_ms = self.replica.confirmed_ms(&self.dialect.keys().operator);
-        confirmed_ms.map_or(Millis::MAX, |confirmed_ms| {
-            self.now_ms().saturating_sub(confirmed_ms)
+        let complete_ms = self.replica.complete_ms(&self.dialect.keys().operator);
+        complete_ms.map_or(Millis::MAX, |complete_ms| {
+            self.now_ms().saturating_sub(complete_ms)
         })
     }
 
@@ -298,6 +302,25 @@
         begin_by_ms.is_none_or(|begin_by_ms| self.now_ms() + kept_ms < begin_by_ms)
     }
 
+    /// Has the claims follow the store into another era, before anything of that is taken.
+    pub fn sync_era(&self) {
+        let Some(era) = self.store.era() else {
+            return;
+        };
+        let mut claims = self.claims.borrow_mut();
+        if claims.era() != Some(era) {
+            let proof_end_ms = self.proof.get().end_ms(&self.claim_terms());
+            claims.begin_era(era, proof_end_ms, self.now_ms());
+        }
+    }
+
+    /// Notes a claim as the store shows it.
+    pub fn note_claim(&self, address: &str, item: &Item) {
+        self.sync_era();
+        let mut claims = self.claims.borrow_mut();
+        claims.note(address, &item.value, item.position, self.now_ms());
+    }
+
     /// Spans that holders and takers of claims keep.
     pub fn claim_terms(&self) -> ClaimTerms {
         ClaimTerms {
@@ -318,7 +341,9 @@
             return None;
         }
         let own_id = &self.settings.borrow().box_id;
-        self.claims.borrow().token_of(&server.address_text, own_id)
+        self.sync_era();
+        let claims = self.claims.borrow();
+        claims.token_of(&server.address_text, own_id, self.now_ms())
     }
 
     /// What the engines of a service have room for.
--- a/crates/tinbay-gateway/src/orders/claiming.rs
+++ b/crates/tinbay-gateway/src/orders/claiming.rs
@@ -7,13 +7,14 @@
 use log::Level;
 use serde::Serialize;
 use tinbay_core::rendezvous;
-use tinbay_core::serving::claims::{ClaimValue, HolderEntry, may_take};
+use tinbay_core::serving::claims::{ClaimValue, HolderEntry, Standing};
+use tinbay_core::serving::position::{Era, Position};
 use tinbay_core::units::Millis;
 
-use super::holder;
+use super::{era_mark, holder};
 use crate::events::{self, part};
 use crate::node::Node;
-use crate::port::store::{Revision, StoreError, Transaction};
+use crate::port::store::{Item, StoreError, Transaction};
 use crate::servers::Server;
 use crate::watch::boxes::{CLAIM_PREFIX, MEMBER_PREFIX};
 use crate::watch::counted;
@@ -46,6 +47,7 @@
         if node.is_leaving.get() {
             continue;
         }
+        era_mark::write_if_due(&node).await;
         for server in engine_servers(&node) {
             look_after(&node, &server, &mut free_since_ms).await;
         }
@@ -75,6 +77,10 @@
     server: &Rc<Server>,
     free_since_ms: &mut HashMap<String, Millis>,
 ) {
+    if is_to_be_renewed(node, server) {
+        take(node, server).await;
+        return;
+    }
     if node.order_token(server).is_some() {
         free_since_ms.remove(&server.address_text);
         holder::ensure(node, server);
@@ -96,13 +102,22 @@
     }
 }
 
+/// Whether this box holds a server by its last proof before the store came back, and is to write its
+/// claim again.
+fn is_to_be_renewed(node: &Node, server: &Server) -> bool {
+    let own_id = &node.settings.borrow().box_id;
+    let claims = node.claims.borrow();
+    claims.is_to_be_renewed(&server.address_text, own_id, node.now_ms())
+}
+
 fn is_free(node: &Node, server: &Server, now_ms: Millis) -> bool {
     let claims = node.claims.borrow();
     let claim = claims.get(&server.address_text);
     let holder = claim.map(|claim| claim.value.holder.as_str());
     let entry = holder.map_or(HolderEntry::Listed, |holder| holder_entry(node, holder));
     let own_id = &node.settings.borrow().box_id;
-    may_take(claim, own_id, entry, &node.claim_terms(), now_ms)
+    let terms = node.claim_terms();
+    claims.may_take(&server.address_text, own_id, entry, &terms, now_ms)
 }
 
 fn holder_entry(node: &Node, holder: &str) -> HolderEntry {
@@ -135,65 +150,77 @@
 
 async fn take(node: &Rc<Node>, server: &Rc<Server>) {
     let own_id = node.settings.borrow().box_id.clone();
-    let before = node.claims.borrow().get(&server.address_text).cloned();
+    node.sync_era();
+    let (before, stored) = {
+        let claims = node.claims.borrow();
+        let before = claims.get(&server.address_text).cloned();
+        (before, claims.stored_position(&server.address_text))
+    };
     let key = format!("{CLAIM_PREFIX}{}", server.address_text);
-    let mut expected = vec![(key.clone(), before.as_ref().map_or(0, |claim| claim.token))];
+    let mut expected = vec![(key.clone(), stored)];
     if let Some(claim) = &before
         && claim.value.holder != own_id
         && !claim.value.is_released
+        && claim.standing == Standing::Current
     {
-        expected.push((format!("{MEMBER_PREFIX}{}", claim.value.holder), 0));
+        let holder = format!("{MEMBER_PREFIX}{}", claim.value.holder);
+        expected.push((holder, Position::missing(stored.era)));
     }
-    let value = encode(&own_id, false);
+    let value = encode(&own_id, false, stored.era);
     let transaction = Transaction {
         expected,
-        put: vec![(key.clone(), value.clone(), 0)],
+        put: vec![(key.clone(), value.clone(), None)],
         remove: Vec::new(),
     };
-    let now_ms = node.now_ms();
     match counted(node, "commit", node.store.commit(&transaction).await) {
-        Ok(token) => {
-            node.claims
-                .borrow_mut()
-                .note(&server.address_text, &value, token, now_ms);
+        Ok(position) => {
+            let item = Item {
+                key,
+                value,
+                position,
+            };
+            node.note_claim(&server.address_text, &item);
             let event = ClaimEvent {
                 server: &server.record().id,
                 address: &server.address_text,
-                token,
+                token: position.fencing_token(),
                 before: before.as_ref().map(|claim| claim.value.holder.as_str()),
             };
             events::emit(part::ORDERS, Level::Info, "claim_taken", &event);
             holder::ensure(node, server);
         }
         Err(StoreError::Conflict { items }) => {
-            let mut claims = node.claims.borrow_mut();
             for item in items.iter().filter(|item| item.key == key) {
-                claims.note(&server.address_text, &item.value, item.revision, now_ms);
+                node.note_claim(&server.address_text, item);
             }
         }
         Err(_) => {}
     }
 }
 
-fn encode(holder: &str, is_released: bool) -> Vec<u8> {
+fn encode(holder: &str, is_released: bool, era: Era) -> Vec<u8> {
     let value = ClaimValue {
         holder: holder.to_string(),
         is_released,
+        era,
     };
     serde_json::to_vec(&value).unwrap_or_default()
 }
 
 /// The transaction that releases claims.
-pub fn release(own_id: &str, held: &[(String, Revision)]) -> Transaction {
+pub fn release(own_id: &str, held: &[(String, Position)]) -> Transaction {
     let key = |address: &str| format!("{CLAIM_PREFIX}{address}");
     Transaction {
         expected: held
             .iter()
-            .map(|(address, token)| (key(address), *token))
+            .map(|(address, position)| (key(address), *position))
             .collect(),
         put: held
             .iter()
-            .map(|(address, _)| (key(address), encode(own_id, true), 0))
+            .map(|(address, position)| {
+                let value = encode(own_id, true, position.era);
+                (key(address), value, None)
+            })
             .collect(),
         remove: Vec::new(),
     }
--- a/crates/tinbay-gateway/src/orders/membership.rs
+++ b/crates/tinbay-gateway/src/orders/membership.rs
@@ -6,11 +6,12 @@
 use log::Level;
 use rand::RngExt;
 use serde::Serialize;
+use tinbay_core::serving::position::Position;
 use tinbay_core::units::Millis;
 
 use crate::events::{self, part};
 use crate::node::Node;
-use crate::port::store::{LeaseId, MOST_ENTRIES, Revision, StoreError, StoreResult, Transaction};
+use crate::port::store::{Lease, MOST_ENTRIES, StoreError, StoreResult, Transaction};
 use crate::watch::boxes::{CLAIM_PREFIX, MEMBER_PREFIX, PREFIX as BOXES_PREFIX};
 use crate::watch::{counted, sleep_with_jitter};
 
@@ -47,10 +48,10 @@
 /// The box's entry as it last wrote it.
 #[derive(Debug, Default)]
 struct Entry {
-    lease: Option<LeaseId>,
+    lease: Option<Lease>,
     is_written: bool,
     written_as_leaving: bool,
-    written_at: Revision,
+    written_at: Position,
 }
 
 /// Keeps the entry until the box stops.
@@ -100,6 +101,13 @@
 }
 
 async fn renew(node: &Node, entry: &mut Entry) -> StoreResult<()> {
+    if entry
+        .lease
+        .is_some_and(|lease| !node.store.is_present(lease.era))
+    {
+        // The store came back without it.
+        *entry = Entry::default();
+    }
     let lease = match entry.lease {
         Some(lease) => lease,
         None => grant(node, entry).await?,
@@ -117,7 +125,7 @@
     prove(node, entry).await
 }
 
-async fn grant(node: &Node, entry: &mut Entry) -> StoreResult<LeaseId> {
+async fn grant(node: &Node, entry: &mut Entry) -> StoreResult<Lease> {
     let shortest_ms = node.settings.borrow().bounds.shortest_lease_ms;
     let life_ms = LEASE_LIFE_MS.max(shortest_ms);
     let lease = counted(node, "grant", node.store.grant(life_ms).await)?;
@@ -126,21 +134,21 @@
     Ok(lease)
 }
 
-async fn write(node: &Node, entry: &mut Entry, lease: LeaseId) -> StoreResult<()> {
+async fn write(node: &Node, entry: &mut Entry, lease: Lease) -> StoreResult<()> {
     let record = node.own_record();
     let value = serde_json::to_vec(&record).unwrap_or_default();
     let transaction = Transaction {
-        put: vec![(own_key(node), value, lease)],
+        put: vec![(own_key(node), value, Some(lease))],
         ..Transaction::default()
     };
     match counted(node, "commit", node.store.commit(&transaction).await) {
-        Err(StoreError::LeaseOver) => {
+        Err(StoreError::LeaseOver | StoreError::EraOver) => {
             *entry = Entry::default();
             Err(StoreError::LeaseOver)
         }
         Err(error) => Err(error),
-        Ok(revision) => {
-            entry.written_at = revision;
+        Ok(position) => {
+            entry.written_at = position;
             entry.is_written = true;
             entry.written_as_leaving = record.is_leaving;
             Ok(())
@@ -166,6 +174,8 @@
 }
 
 fn set_proof(node: &Node, seen_ms: Millis) {
+    // What was held before a return is held by the proof of then.
+    node.sync_era();
     let mut proof = node.proof.get();
     if !proof.holds(&node.claim_terms(), node.now_ms()) {
         let event = ProofEvent { error: None };
@@ -182,7 +192,7 @@
     let item = node.replica.item(BOXES_PREFIX, &own_key(node))?;
     let seen_ms = confirmed_ms.saturating_sub(WATCH_BLIND_MS);
     let is_recent = node.now_ms() < seen_ms + MOST_EVIDENCE_AGE_MS;
-    (is_recent && item.revision >= entry.written_at).then_some(seen_ms)
+    (is_recent && item.position.covers(entry.written_at)).then_some(seen_ms)
 }
 
 /// Reads the own entry back from the store.
@@ -203,11 +213,9 @@
 /// Reads all claims: some may have gone to others while there was no proof.
 async fn read_claims(node: &Node) -> StoreResult<()> {
     let listing = counted(node, "list", node.store.list(CLAIM_PREFIX, false).await)?;
-    let now_ms = node.now_ms();
-    let mut claims = node.claims.borrow_mut();
     for item in &listing.items {
         if let Some(address) = item.key.strip_prefix(CLAIM_PREFIX) {
-            claims.note(address, &item.value, item.revision, now_ms);
+            node.note_claim(address, item);
         }
     }
     Ok(())
@@ -220,12 +228,12 @@
 /// Marks all own claims released; no order may be given after this begins.
 pub async fn release_claims(node: &Node) {
     let own_id = node.settings.borrow().box_id.clone();
-    let held: Vec<(String, Revision)> = {
+    let held: Vec<(String, Position)> = {
         let claims = node.claims.borrow();
         let addresses = claims.held_by(&own_id);
         addresses
             .into_iter()
-            .filter_map(|address| Some((address.clone(), claims.get(&address)?.token)))
+            .map(|address| (address.clone(), claims.stored_position(&address)))
             .collect()
     };
     for chunk in held.chunks(MOST_ENTRIES) {
--- a/crates/tinbay-gateway/src/orders/mod.rs
+++ b/crates/tinbay-gateway/src/orders/mod.rs
@@ -1,6 +1,7 @@
 //! Claims on servers, and orders to them.
 
 pub mod claiming;
+pub mod era_mark;
 pub mod held_server;
 pub mod holder;
 pub mod membership;
--- a/crates/tinbay-gateway/src/port/store.rs
+++ b/crates/tinbay-gateway/src/port/store.rs
@@ -1,13 +1,17 @@
 //! The key-value store as the direct path needs it.
 
 use futures_util::future::LocalBoxFuture;
+use tinbay_core::serving::position::{Era, Position, Revision};
 use tinbay_core::units::Millis;
 
-/// A revision of the store; every change raises it.
-pub type Revision = u64;
-
-/// A lease of the store; 0 means none.
-pub type LeaseId = u64;
+/// A lease of the store. It ends with the era that granted it, and its number is given out again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Lease {
+    /// The era that granted it.
+    pub era: Era,
+    /// Its number; never 0.
+    pub id: u64,
+}
 
 /// One key and its value.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -17,7 +21,7 @@
     /// The value.
     pub value: Vec<u8>,
     /// Its last change.
-    pub revision: Revision,
+    pub position: Position,
 }
 
 /// A change of one key.
@@ -30,16 +34,16 @@
         /// The key.
         key: String,
         /// When.
-        revision: Revision,
+        position: Position,
     },
 }
 
 impl Change {
     /// When it was made.
-    pub fn revision(&self) -> Revision {
+    pub fn position(&self) -> Position {
         match self {
-            Self::Put(item) => item.revision,
-            Self::Gone { revision, .. } => *revision,
+            Self::Put(item) => item.position,
+            Self::Gone { position, .. } => *position,
         }
     }
 }
@@ -49,8 +53,8 @@
 pub struct Listing {
     /// The items, over all pages.
     pub items: Vec<Item>,
-    /// Revision of the first page; changes after it may be missing.
-    pub at: Revision,
+    /// Position of the first page; changes after it may be missing.
+    pub at: Position,
 }
 
 /// What a watch brought.
@@ -59,16 +63,16 @@
     /// The changes, oldest first.
     pub changes: Vec<Change>,
     /// Where to go on.
-    pub at: Revision,
+    pub at: Position,
 }
 
 /// A change of several keys, done whole or not at all.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Transaction {
-    /// Keys and the revisions they must have; 0 for none.
-    pub expected: Vec<(String, Revision)>,
-    /// Keys to write, with a lease or 0.
-    pub put: Vec<(String, Vec<u8>, LeaseId)>,
+    /// Keys and where they must stand.
+    pub expected: Vec<(String, Position)>,
+    /// Keys to write, with a lease or none.
+    pub put: Vec<(String, Vec<u8>, Option<Lease>)>,
     /// Keys to take away.
     pub remove: Vec<String>,
 }
@@ -103,6 +107,15 @@
     /// The lease is over.
     #[error("the lease is over")]
     LeaseOver,
+    /// The store has come back from a backup since what the call rests on was read.
+    #[error("the store has come back from a backup")]
+    EraOver,
+    /// The answer was given before the store came back from a backup.
+    #[error("the answer is of an era that is over: {}", era.0)]
+    LateAnswer {
+        /// Its era.
+        era: Era,
+    },
     /// The answer could not be read.
     #[error("the store's answer could not be read: {reason}")]
     Malformed {
@@ -114,14 +127,24 @@
 /// What a store call gives.
 pub type StoreResult<T> = Result<T, StoreError>;
 
-/// The key-value store.
+/// What one call to the store gave, and the era that its answer named.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answered<T> {
+    /// The era; none where no answer came, or one that names none.
+    pub era: Option<Era>,
+    /// What it gave.
+    pub result: StoreResult<T>,
+}
+
+/// The key-value store, call by call. All answers name the era in which they were given, refusals as
+/// well; positions in an answer are of its era.
 pub trait Store {
     /// Reads one key; no answer may be stale.
-    fn read<'a>(&'a self, key: &'a str) -> LocalBoxFuture<'a, StoreResult<Option<Item>>>;
+    fn read<'a>(&'a self, key: &'a str) -> LocalBoxFuture<'a, Answered<Option<Item>>>;
 
-    /// Reads all keys below a prefix; `stale` allows an answer some seconds old.
-    fn list<'a>(&'a self, prefix: &'a str, stale: bool)
-    -> LocalBoxFuture<'a, StoreResult<Listing>>;
+    /// Reads all keys below a prefix; `stale` allows an answer some seconds old. Pages of two eras
+    /// are no listing.
+    fn list<'a>(&'a self, prefix: &'a str, stale: bool) -> LocalBoxFuture<'a, Answered<Listing>>;
 
     /// Waits for changes below a prefix after a revision; an answer that is later than the wait by
     /// `late_ms` is given up.
@@ -131,17 +154,15 @@
         after: Revision,
         wait_ms: Millis,
         late_ms: Millis,
-    ) -> LocalBoxFuture<'a, StoreResult<Changes>>;
+    ) -> LocalBoxFuture<'a, Answered<Changes>>;
 
-    /// Does a transaction and gives its revision.
-    fn commit<'a>(
-        &'a self,
-        transaction: &'a Transaction,
-    ) -> LocalBoxFuture<'a, StoreResult<Revision>>;
+    /// Does a transaction and gives its position.
+    fn commit<'a>(&'a self, transaction: &'a Transaction)
+    -> LocalBoxFuture<'a, Answered<Position>>;
 
     /// Grants a lease.
-    fn grant(&self, life_ms: Millis) -> LocalBoxFuture<'_, StoreResult<LeaseId>>;
+    fn grant(&self, life_ms: Millis) -> LocalBoxFuture<'_, Answered<Lease>>;
 
-    /// Renews a lease.
-    fn keep(&self, lease: LeaseId) -> LocalBoxFuture<'_, StoreResult<()>>;
+    /// Renews a lease by its number.
+    fn keep(&self, lease: u64) -> LocalBoxFuture<'_, Answered<()>>;
 }
--- a/crates/tinbay-gateway/src/run.rs
+++ b/crates/tinbay-gateway/src/run.rs
@@ -27,6 +27,8 @@
 use crate::settings::Settings;
 use crate::watch::boxes::BoxFollower;
 use crate::watch::configuration::ConfigurationFollower;
+use crate::watch::newcomer;
+use crate::watch::returns;
 use crate::watch::servers::ServerFollower;
 use crate::watch::{WatchPace, follow};
 
@@ -143,6 +145,7 @@
     tokio::task::spawn_local(membership::keep(Rc::clone(&node)));
     tokio::task::spawn_local(claiming::run(Rc::clone(&node)));
     tokio::task::spawn_local(entries::keep(Rc::clone(&node)));
+    tokio::task::spawn_local(returns::run(Rc::clone(&node)));
     tokio::task::spawn_local(housekeeping::run(Rc::clone(&node)));
     log_start(&settings);
     tokio::select! {
@@ -177,6 +180,7 @@
     let configuration = Rc::new(ConfigurationFollower::new(Rc::clone(node)));
     let servers = Rc::new(ServerFollower::new(Rc::clone(node)));
     let boxes = Rc::new(BoxFollower::new(Rc::clone(node)));
+    tokio::task::spawn_local(newcomer::learn(Rc::clone(node), Rc::clone(&configuration)));
     tokio::task::spawn_local(follow(Rc::clone(node), configuration, CONFIGURATION_PACE));
     tokio::task::spawn_local(follow(Rc::clone(node), servers, SERVER_PACE));
     tokio::task::spawn_local(follow(Rc::clone(node), boxes, BOX_PACE));
--- a/crates/tinbay-gateway/src/settings.rs
+++ b/crates/tinbay-gateway/src/settings.rs
@@ -26,6 +26,8 @@
     pub peer: SocketAddr,
     /// Boxes that may be up at the start; none of them must be.
     pub seeds: Vec<IpAddr>,
+    /// Whether the whole system starts for the first time: nobody has ever given an order.
+    pub is_first_start: bool,
     /// The key-value store.
     pub store: SocketAddr,
     /// What the box has to work with.
--- a/crates/tinbay-gateway/src/watch/boxes.rs
+++ b/crates/tinbay-gateway/src/watch/boxes.rs
@@ -3,16 +3,19 @@
 
 use std::collections::HashSet;
 use std::rc::Rc;
+use std::time::Duration;
 
 use log::Level;
 use serde::Serialize;
 
 use super::Follower;
+use super::access::REWRITTEN_WITHIN_MS;
 use crate::crashes::entries;
 use crate::events::{self, part};
 use crate::members::MemberRecord;
 use crate::node::Node;
-use crate::port::store::{Change, Item};
+use crate::orders::era_mark;
+use crate::port::store::{Change, Item, Listing};
 
 /// Prefix of all that boxes write.
 pub const PREFIX: &str = "tinbay/";
@@ -53,12 +56,9 @@
         if let Some(id) = item.key.strip_prefix(MEMBER_PREFIX) {
             self.take_member(id, item);
         } else if let Some(address) = item.key.strip_prefix(CLAIM_PREFIX) {
-            self.node.claims.borrow_mut().note(
-                address,
-                &item.value,
-                item.revision,
-                self.node.now_ms(),
-            );
+            self.node.note_claim(address, item);
+        } else if item.key == era_mark::KEY {
+            era_mark::take(&self.node, item);
         } else {
             entries::take(&self.node, item);
         }
@@ -71,7 +71,7 @@
         };
         let event = MemberEvent {
             box_id: id,
-            revision: item.revision,
+            revision: item.position.revision,
             is_leaving: Some(record.is_leaving),
         };
         events::emit(part::MEMBERS, Level::Info, "box_listed", &event);
@@ -87,23 +87,31 @@
         unreadable.with_label_values(&["box_entry"]).inc();
         let event = UnreadableEvent {
             key: &item.key,
-            revision: item.revision,
+            revision: item.position.revision,
             error: error.to_string(),
         };
         events::emit(part::MEMBERS, Level::Warn, "box_unreadable", &event);
     }
+}
 
-    fn drop_member(&self, id: &str, revision: u64) {
-        let event = MemberEvent {
-            box_id: id,
-            revision,
-            is_leaving: None,
-        };
-        events::emit(part::MEMBERS, Level::Info, "box_unlisted", &event);
-        self.node
-            .members
-            .borrow_mut()
-            .unlist(id, self.node.now_ms());
+fn drop_member(node: &Node, id: &str, revision: u64) {
+    let event = MemberEvent {
+        box_id: id,
+        revision,
+        is_leaving: None,
+    };
+    events::emit(part::MEMBERS, Level::Info, "box_unlisted", &event);
+    node.members.borrow_mut().unlist(id, node.now_ms());
+}
+
+/// Drops the boxes whose entries are still missing some time after the store came back.
+async fn drop_unless_written(node: Rc<Node>, missing: Vec<String>) {
+    tokio::time::sleep(Duration::from_millis(REWRITTEN_WITHIN_MS)).await;
+    for id in missing {
+        let key = format!("{MEMBER_PREFIX}{id}");
+        if node.replica.item(PREFIX, &key).is_none() {
+            drop_member(&node, &id, 0);
+        }
     }
 }
 
@@ -112,7 +120,8 @@
         PREFIX
     }
 
-    fn reset(&self, items: &[Item]) {
+    fn reset(&self, listing: &Listing) {
+        let items = &listing.items;
         let listed: HashSet<&str> = items
             .iter()
             .filter_map(|item| item.key.strip_prefix(MEMBER_PREFIX))
@@ -125,8 +134,14 @@
                 .map(|(id, _)| id.clone())
                 .collect()
         };
-        for id in gone {
-            self.drop_member(&id, 0);
+        if self.node.store.is_being_rewritten() {
+            // Their leases went with the return, and those that live write their entries again.
+            let waiting = drop_unless_written(Rc::clone(&self.node), gone);
+            tokio::task::spawn_local(waiting);
+        } else {
+            for id in gone {
+                drop_member(&self.node, &id, 0);
+            }
         }
         let now_ms = self.node.now_ms();
         self.node.members.borrow_mut().note_break(now_ms);
@@ -139,9 +154,9 @@
     fn apply(&self, change: &Change) {
         match change {
             Change::Put(item) => self.take(item),
-            Change::Gone { key, revision } => {
+            Change::Gone { key, position } => {
                 if let Some(id) = key.strip_prefix(MEMBER_PREFIX) {
-                    self.drop_member(id, *revision);
+                    drop_member(&self.node, id, position.revision);
                 }
             }
         }
--- a/crates/tinbay-gateway/src/watch/configuration.rs
+++ b/crates/tinbay-gateway/src/watch/configuration.rs
@@ -9,7 +9,7 @@
 use super::Follower;
 use crate::events::{self, part};
 use crate::node::{InForce, Node};
-use crate::port::store::{Change, Item};
+use crate::port::store::{Change, Item, Listing};
 
 /// Follows what operators write.
 pub struct ConfigurationFollower {
@@ -48,6 +48,7 @@
     }
 
     fn take(&self, item: &Item) {
+        self.drop_kept(item);
         let keys = self.node.dialect.keys();
         if item.key == keys.configuration {
             self.take_configuration(item);
@@ -56,6 +57,61 @@
         }
     }
 
+    /// Keeps what the store lacks since it came back from a backup: newer versions than it shows.
+    fn keep_what_is_lacking(&self, listing: &Listing) {
+        let Some(before) = self.node.replica.listing(self.prefix()) else {
+            return;
+        };
+        if before.at.era == listing.at.era {
+            return;
+        }
+        let kept = std::mem::take(&mut *self.node.kept_items.borrow_mut());
+        let known = before.items.into_iter().chain(kept.into_values());
+        for item in known {
+            let stored = listing.items.iter().find(|stored| stored.key == item.key);
+            self.keep(item, stored);
+        }
+    }
+
+    /// Keeps an item that another box or an earlier era had, if the store has none as new.
+    pub fn keep(&self, item: Item, stored: Option<&Item>) {
+        let version = self.version_of(&item);
+        let stored_version = stored.and_then(|stored| self.version_of(stored));
+        if version.is_none() || version <= stored_version {
+            return;
+        }
+        let mut kept_items = self.node.kept_items.borrow_mut();
+        let is_newest = kept_items
+            .get(&item.key)
+            .is_none_or(|kept| self.version_of(kept) < version);
+        if is_newest {
+            kept_items.insert(item.key.clone(), item);
+        }
+    }
+
+    /// Drops what was kept for a key once the store has it.
+    fn drop_kept(&self, item: &Item) {
+        let mut kept_items = self.node.kept_items.borrow_mut();
+        let is_as_new = kept_items
+            .get(&item.key)
+            .is_some_and(|kept| self.version_of(item) >= self.version_of(kept));
+        if is_as_new {
+            kept_items.remove(&item.key);
+        }
+    }
+
+    fn version_of(&self, item: &Item) -> Option<u64> {
+        let keys = self.node.dialect.keys();
+        if item.key == keys.configuration {
+            let configuration = self.node.dialect.decode_configuration(&item.value);
+            return configuration
+                .ok()
+                .map(|configuration| configuration.version);
+        }
+        let named = self.node.dialect.decode_version(&item.value);
+        named.ok().map(|named| named.version)
+    }
+
     fn take_configuration(&self, item: &Item) {
         let configuration = match self.node.dialect.decode_configuration(&item.value) {
             Ok(configuration) => configuration,
@@ -72,7 +128,7 @@
         let event = ConfigurationEvent {
             accounts: accounts.count(),
             version: configuration.version,
-            revision: item.revision,
+            revision: item.position.revision,
             routes: configuration.routes.len(),
             services: configuration.services.len(),
         };
@@ -88,7 +144,7 @@
         let allowed_ms = self.node.settings.borrow().bounds.version_within_ms;
         // The version had not been named when this box last knew all that the operators wrote.
         // Counted from when it is learnt, the time of a late watch would be lost to the callers.
-        let earliest_ms = self.node.replica.confirmed_ms(self.prefix());
+        let earliest_ms = self.node.replica.complete_ms(self.prefix());
         let now_ms = self.node.now_ms();
         let mut versions = self.node.versions.borrow_mut();
         let known = versions.entry(named.adapter.clone()).or_default();
@@ -98,7 +154,7 @@
         let event = VersionEvent {
             adapter: &named.adapter,
             version: named.version,
-            revision: item.revision,
+            revision: item.position.revision,
             earliest_age_ms: earliest_ms.map(|earliest_ms| now_ms.saturating_sub(earliest_ms)),
         };
         events::emit(part::CONFIG, Level::Info, "version_named", &event);
@@ -111,7 +167,7 @@
 fn reject(item: &Item, error: String) {
     let event = RejectedEvent {
         key: &item.key,
-        revision: item.revision,
+        revision: item.position.revision,
         error,
     };
     events::emit(part::CONFIG, Level::Error, "value_rejected", &event);
@@ -122,12 +178,17 @@
         &self.node.dialect.keys().operator
     }
 
-    fn reset(&self, items: &[Item]) {
-        for item in items {
+    fn reset(&self, listing: &Listing) {
+        self.keep_what_is_lacking(listing);
+        for item in &listing.items {
             self.take(item);
         }
     }
 
+    fn is_complete(&self) -> bool {
+        self.node.kept_items.borrow().is_empty()
+    }
+
     fn apply(&self, change: &Change) {
         if let Change::Put(item) = change {
             self.take(item);
--- a/crates/tinbay-gateway/src/watch/mod.rs
+++ b/crates/tinbay-gateway/src/watch/mod.rs
@@ -1,9 +1,12 @@
 //! Keeps beliefs in step with the store: a listing first, then changes as they come.
 
+pub mod access;
 pub mod boxes;
 pub mod configuration;
+pub mod newcomer;
 pub mod relay;
 pub mod replica;
+pub mod returns;
 pub mod servers;
 pub mod source;
 
@@ -17,7 +20,7 @@
 
 use crate::events::{self, part};
 use crate::node::Node;
-use crate::port::store::{Change, Item, StoreError};
+use crate::port::store::{Change, Item, Listing, StoreError};
 
 /// First pause after a failed call.
 const FIRST_PAUSE_MS: Millis = 100;
@@ -39,11 +42,17 @@
     fn prefix(&self) -> &str;
 
     /// Takes all there is; what is not in it is gone.
-    fn reset(&self, items: &[Item]);
+    fn reset(&self, listing: &Listing);
 
     /// Takes one change.
     fn apply(&self, change: &Change);
 
+    /// Whether what it has taken is all that was ever written: not while the store, come back from a
+    /// backup, lacks what this box knew before.
+    fn is_complete(&self) -> bool {
+        true
+    }
+
     /// Whether a new value of a key is to be passed on to other boxes.
     fn is_passed_on(&self, _before: &Item, _after: &Item) -> bool {
         true
@@ -73,6 +82,8 @@
     #[serde(skip_serializing_if = "Option::is_none")]
     revision: Option<u64>,
     #[serde(skip_serializing_if = "Option::is_none")]
+    era: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
     items: Option<usize>,
 }
 
@@ -92,6 +103,7 @@
                 prefix: follower.prefix(),
                 error: Some(error.to_string()),
                 revision: None,
+                era: None,
                 items: None,
             };
             events::emit(part::STORE, Level::Warn, "store_lost", &event);
@@ -110,12 +122,15 @@
 ) -> Result<(), StoreError> {
     let prefix = follower.prefix();
     let (listing, evidence) = source::list(node, prefix, pace).await?;
-    follower.reset(&listing.items);
+    node.sync_era();
+    follower.reset(&listing);
+    let evidence = evidence.of(follower);
     node.replica.note_listing(prefix, &listing, evidence);
     let event = StoreEvent {
         prefix,
         error: None,
-        revision: Some(listing.at),
+        revision: Some(listing.at.revision),
+        era: node.store.era().map(|era| era.0),
         items: Some(listing.items.len()),
     };
     events::emit(part::STORE, Level::Info, "store_listed", &event);
@@ -130,10 +145,15 @@
         match source::watch(node, prefix, at, pace).await {
             Ok((changes, evidence)) => {
                 failures = 0;
+                // Positions of another era are no changes since this one: all is read again.
+                let Some(later) = at.later_of(changes.at) else {
+                    return Ok(());
+                };
+                at = later;
                 for change in &changes.changes {
                     take(node, follower, change);
                 }
-                at = at.max(changes.at);
+                let evidence = evidence.of(follower);
                 node.replica.confirm(prefix, at, evidence);
                 node.members.borrow_mut().note_contact(node.now_ms());
                 if !changes.changes.is_empty() {
@@ -183,6 +203,8 @@
         Err(StoreError::HistoryGone) => "history_gone",
         Err(StoreError::Conflict { .. }) => "conflict",
         Err(StoreError::LeaseOver) => "lease_over",
+        Err(StoreError::EraOver) => "era_over",
+        Err(StoreError::LateAnswer { .. }) => "late_answer",
         Err(StoreError::Malformed { .. }) => "malformed",
     };
     node.metrics
--- a/crates/tinbay-gateway/src/watch/relay.rs
+++ b/crates/tinbay-gateway/src/watch/relay.rs
@@ -9,13 +9,14 @@
 use hyper::Method;
 use serde::{Deserialize, Serialize};
 use tinbay_core::serving::capacity::RankedBox;
+use tinbay_core::serving::position::{Era, Position, Revision};
 use tinbay_core::serving::relays::{order_for, relays_of};
 use tinbay_core::units::Millis;
 
 use super::replica::{Evidence, Since};
 use crate::http::call::{Call, Caller};
 use crate::node::Node;
-use crate::port::store::{Change, Changes, Item, Listing, Revision};
+use crate::port::store::{Change, Changes, Item, Listing};
 
 /// Path where a box passes on what it sees of the store.
 pub const PATH: &str = "/relay";
@@ -49,17 +50,24 @@
     Watch {
         /// The prefix.
         prefix: String,
-        /// The revision.
-        after: Revision,
+        /// The position.
+        after: Position,
         /// How long to wait for a change.
         wait_ms: Millis,
     },
+    /// All below a prefix that the relay knows, where the store lacks some of it after it came back
+    /// from a backup.
+    Kept {
+        /// The prefix.
+        prefix: String,
+    },
 }
 
 /// A change of one key, as it is passed on.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ChangePart {
     key: String,
+    /// Its revision, of the era of the whole answer.
     revision: Revision,
     value: Option<Vec<u8>>,
 }
@@ -72,11 +80,13 @@
         /// What there is, or what changed, oldest first.
         parts: Vec<ChangePart>,
         /// Where to go on.
-        at: Revision,
+        at: Position,
         /// How old what the relay knows is.
         age_ms: Millis,
         /// How long the relay held the question.
         held_ms: Millis,
+        /// Whether it is all that was ever written.
+        is_complete: bool,
     },
     /// Too much has been forgotten: list again.
     HistoryGone,
@@ -111,7 +121,7 @@
     fn of_item(item: &Item) -> Self {
         Self {
             key: item.key.clone(),
-            revision: item.revision,
+            revision: item.position.revision,
             value: Some(item.value.clone()),
         }
     }
@@ -119,24 +129,25 @@
     fn of_change(change: &Change) -> Self {
         match change {
             Change::Put(item) => Self::of_item(item),
-            Change::Gone { key, revision } => Self {
+            Change::Gone { key, position } => Self {
                 key: key.clone(),
-                revision: *revision,
+                revision: position.revision,
                 value: None,
             },
         }
     }
 
-    fn into_change(self) -> Change {
+    fn into_change(self, era: Era) -> Change {
+        let position = Position::new(era, self.revision);
         match self.value {
             Some(value) => Change::Put(Item {
                 key: self.key,
                 value,
-                revision: self.revision,
+                position,
             }),
             None => Change::Gone {
                 key: self.key,
-                revision: self.revision,
+                position,
             },
         }
     }
@@ -151,6 +162,7 @@
             after,
             wait_ms,
         }) => watch(node, &prefix, after, wait_ms.min(MOST_WAIT_MS)).await,
+        Ok(RelayQuestion::Kept { prefix }) => kept(node, &prefix),
         Err(_) => RelayAnswer::NotInTouch,
     };
     postcard::to_stdvec(&answer).unwrap_or_default()
@@ -160,16 +172,47 @@
     let age_ms = node.replica.age_ms(prefix, node.now_ms());
     match (age_ms, node.replica.listing(prefix)) {
         (Some(age_ms), Some(listing)) => RelayAnswer::Parts {
-            parts: listing.items.iter().map(ChangePart::of_item).collect(),
+            parts: with_kept(node, listing.items)
+                .iter()
+                .map(ChangePart::of_item)
+                .collect(),
             at: listing.at,
             age_ms,
             held_ms: 0,
+            is_complete: node.replica.is_complete(prefix),
         },
         _ => RelayAnswer::NotInTouch,
     }
 }
 
-async fn watch(node: &Node, prefix: &str, after: Revision, wait_ms: Millis) -> RelayAnswer {
+/// Items with what the store lacks that this box knew before it came back.
+fn with_kept(node: &Node, mut items: Vec<Item>) -> Vec<Item> {
+    let kept = node.kept_items.borrow();
+    for item in kept.values() {
+        items.retain(|stored| stored.key != item.key);
+        items.push(item.clone());
+    }
+    items
+}
+
+/// What a box that starts needs to know while the store lacks what it had before it came back.
+fn kept(node: &Node, prefix: &str) -> RelayAnswer {
+    let listing = node.replica.listing(prefix);
+    let Some(listing) = listing.filter(|_| !node.replica.is_complete(prefix)) else {
+        return RelayAnswer::NotInTouch;
+    };
+    let items = with_kept(node, listing.items);
+    RelayAnswer::Parts {
+        parts: items.iter().map(ChangePart::of_item).collect(),
+        at: listing.at,
+        age_ms: 0,
+        held_ms: 0,
+        is_complete: false,
+    }
+}
+
+async fn watch(node: &Node, prefix: &str, after: Position, wait_ms: Millis) -> RelayAnswer {
+    node.store.note_told_era(after.era);
     let asked_ms = node.now_ms();
     let end = tokio::time::Instant::now() + Duration::from_millis(wait_ms);
     loop {
@@ -189,6 +232,7 @@
                         at,
                         age_ms,
                         held_ms: now_ms - asked_ms,
+                        is_complete: node.replica.is_complete(prefix),
                     };
                 }
             }
@@ -271,7 +315,7 @@
     let (parts, at, evidence) = ask(node, relay, &question, LISTING_TIMEOUT_MS).await?;
     let items = parts
         .into_iter()
-        .filter_map(|part| match part.into_change() {
+        .filter_map(|part| match part.into_change(at.era) {
             Change::Put(item) => Some(item),
             Change::Gone { .. } => None,
         });
@@ -279,6 +323,23 @@
     Ok((Listing { items, at }, evidence))
 }
 
+/// Asks another box for what it knows below a prefix and the store lacks; nothing where it lacks
+/// nothing, or the box does not answer.
+pub async fn ask_kept(node: &Node, other: &RelayBox, prefix: &str) -> Vec<Item> {
+    let prefix = prefix.to_string();
+    let question = RelayQuestion::Kept { prefix };
+    let answer = exchange(node, other, &question, LISTING_TIMEOUT_MS).await;
+    let Some(RelayAnswer::Parts { parts, at, .. }) = answer else {
+        return Vec::new();
+    };
+    let changes = parts.into_iter().map(|part| part.into_change(at.era));
+    let items = changes.filter_map(|change| match change {
+        Change::Put(item) => Some(item),
+        Change::Gone { .. } => None,
+    });
+    items.collect()
+}
+
 /// Asks a relay for what changes below a prefix.
 ///
 /// # Errors
@@ -287,7 +348,7 @@
     node: &Node,
     relay: &RelayBox,
     prefix: &str,
-    after: Revision,
+    after: Position,
     wait_ms: Millis,
 ) -> Result<(Changes, Evidence), RelayError> {
     let question = RelayQuestion::Watch {
@@ -297,7 +358,11 @@
     };
     let timeout_ms = wait_ms + ANSWER_MARGIN_MS;
     let (parts, at, evidence) = ask(node, relay, &question, timeout_ms).await?;
-    let changes = parts.into_iter().map(ChangePart::into_change).collect();
+    if at.era != after.era {
+        return Err(RelayError::HistoryGone);
+    }
+    let changes = parts.into_iter().map(|part| part.into_change(at.era));
+    let changes = changes.collect();
     Ok((Changes { changes, at }, evidence))
 }
 
@@ -306,20 +371,26 @@
     relay: &RelayBox,
     question: &RelayQuestion,
     timeout_ms: Millis,
-) -> Result<(Vec<ChangePart>, Revision, Evidence), RelayError> {
+) -> Result<(Vec<ChangePart>, Position, Evidence), RelayError> {
     let asked_ms = node.now_ms();
     let answer = exchange(node, relay, question, timeout_ms).await;
     let result = match answer {
+        // A relay that has not seen yet that the store came back tells of an era that is over.
+        Some(RelayAnswer::Parts { at, .. }) if !node.store.note_told_era(at.era) => {
+            Err(RelayError::NotInTouch)
+        }
         Some(RelayAnswer::Parts {
             parts,
             at,
             age_ms,
             held_ms,
+            is_complete,
         }) => {
             // The relay answered no earlier than it was asked and had held the question.
             let evidence = Evidence {
                 confirmed_ms: (asked_ms + held_ms).saturating_sub(age_ms),
                 passed_on_ms: None,
+                is_complete,
             };
             Ok((parts, at, evidence))
         }
--- a/crates/tinbay-gateway/src/watch/replica.rs
+++ b/crates/tinbay-gateway/src/watch/replica.rs
@@ -3,10 +3,12 @@
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
+use tinbay_core::serving::position::Position;
 use tinbay_core::units::Millis;
 use tokio::sync::Notify;
 
-use crate::port::store::{Change, Item, Listing, Revision};
+use super::Follower;
+use crate::port::store::{Change, Item, Listing};
 
 /// Changes kept for boxes that are behind; older ones make them read all again.
 const MOST_CHANGES: usize = 4_000;
@@ -15,11 +17,14 @@
 #[derive(Debug, Default)]
 struct Copy {
     items: BTreeMap<String, Item>,
-    listed_at: Revision,
-    at: Revision,
+    listed_at: Position,
+    at: Position,
     log: VecDeque<Change>,
     confirmed_ms: Millis,
     passed_on_ms: Option<Millis>,
+    /// When it was last known to be all that was ever written.
+    complete_ms: Millis,
+    is_complete: bool,
 }
 
 /// What this box has seen of the store.
@@ -39,6 +44,19 @@
     pub confirmed_ms: Millis,
     /// Age up to which it is passed on; none where it came from another box, not from the store.
     pub passed_on_ms: Option<Millis>,
+    /// Whether it is all that was ever written; not while the store lacks what it had before it
+    /// came back from a backup.
+    pub is_complete: bool,
+}
+
+impl Evidence {
+    /// The same for what a follower has made of it.
+    pub fn of(self, follower: &dyn Follower) -> Self {
+        Self {
+            is_complete: self.is_complete && follower.is_complete(),
+            ..self
+        }
+    }
 }
 
 /// What a box that asks for changes is told.
@@ -49,7 +67,7 @@
         /// The changes, oldest first.
         changes: Vec<Change>,
         /// Where to go on.
-        at: Revision,
+        at: Position,
     },
     /// Too much has been forgotten.
     HistoryGone,
@@ -59,7 +77,15 @@
     /// Takes all there is below a prefix.
     pub fn note_listing(&self, prefix: &str, listing: &Listing, evidence: Evidence) {
         let items = listing.items.iter();
+        let mut by_prefix = self.by_prefix.borrow_mut();
+        let before = by_prefix.get(prefix);
+        let complete_ms = match evidence.is_complete {
+            true => evidence.confirmed_ms,
+            false => before.map_or(0, |before| before.complete_ms),
+        };
         let copy = Copy {
+            complete_ms,
+            is_complete: evidence.is_complete,
             items: items.map(|item| (item.key.clone(), item.clone())).collect(),
             listed_at: listing.at,
             at: listing.at,
@@ -67,7 +93,6 @@
             confirmed_ms: evidence.confirmed_ms,
             passed_on_ms: evidence.passed_on_ms,
         };
-        let mut by_prefix = self.by_prefix.borrow_mut();
         by_prefix.insert(prefix.to_string(), copy);
         self.changed.notify_waiters();
         self.confirmed.notify_waiters();
@@ -90,20 +115,31 @@
         if copy.log.len() > MOST_CHANGES
             && let Some(oldest) = copy.log.pop_front()
         {
-            copy.listed_at = copy.listed_at.max(oldest.revision());
+            copy.listed_at = copy
+                .listed_at
+                .later_of(oldest.position())
+                .unwrap_or(copy.listed_at);
         }
         self.changed.notify_waiters();
     }
 
-    /// All changes up to a revision have been taken.
-    pub fn confirm(&self, prefix: &str, at: Revision, evidence: Evidence) {
+    /// All changes up to a position have been taken. One of another era than the listing confirms
+    /// nothing of it.
+    pub fn confirm(&self, prefix: &str, at: Position, evidence: Evidence) {
         let mut by_prefix = self.by_prefix.borrow_mut();
         let Some(copy) = by_prefix.get_mut(prefix) else {
             return;
         };
-        copy.at = copy.at.max(at);
+        let Some(later) = copy.at.later_of(at) else {
+            return;
+        };
+        copy.at = later;
         copy.confirmed_ms = copy.confirmed_ms.max(evidence.confirmed_ms);
         copy.passed_on_ms = evidence.passed_on_ms;
+        copy.is_complete = evidence.is_complete;
+        if evidence.is_complete {
+            copy.complete_ms = copy.complete_ms.max(evidence.confirmed_ms);
+        }
         self.confirmed.notify_waiters();
     }
 
@@ -128,6 +164,24 @@
         by_prefix.get(prefix).map(|copy| copy.confirmed_ms)
     }
 
+    /// When what is known below a prefix was certainly all that was ever written there.
+    pub fn complete_ms(&self, prefix: &str) -> Option<Millis> {
+        let by_prefix = self.by_prefix.borrow();
+        by_prefix.get(prefix).map(|copy| copy.complete_ms)
+    }
+
+    /// Whether what is known below a prefix is all that was ever written there, as last seen.
+    pub fn is_complete(&self, prefix: &str) -> bool {
+        let by_prefix = self.by_prefix.borrow();
+        by_prefix.get(prefix).is_none_or(|copy| copy.is_complete)
+    }
+
+    /// The position up to which this box has seen a prefix.
+    pub fn at(&self, prefix: &str) -> Option<Position> {
+        let by_prefix = self.by_prefix.borrow();
+        by_prefix.get(prefix).map(|copy| copy.at)
+    }
+
     /// How old what is known below a prefix is, if this box has it from the store itself and
     /// is in touch with it.
     pub fn age_ms(&self, prefix: &str, now_ms: Millis) -> Option<Millis> {
@@ -147,17 +201,27 @@
         })
     }
 
-    /// What has changed below a prefix after a revision.
-    pub fn since(&self, prefix: &str, after: Revision) -> Option<Since> {
+    /// What has changed below a prefix after a position; nothing where this box has not seen the
+    /// era of the one that asks.
+    ///
+    /// Answering one of another era by its number alone left it on an older configuration for good.
+    pub fn since(&self, prefix: &str, after: Position) -> Option<Since> {
         let by_prefix = self.by_prefix.borrow();
         let copy = by_prefix.get(prefix)?;
-        if after < copy.listed_at {
+        let Some(at) = copy.at.later_of(after) else {
+            let is_behind = copy.at.era < after.era;
+            return (!is_behind).then_some(Since::HistoryGone);
+        };
+        if !after.covers(copy.listed_at) {
             return Some(Since::HistoryGone);
         }
-        let newer = copy.log.iter().filter(|change| change.revision() > after);
+        let newer = copy
+            .log
+            .iter()
+            .filter(|change| !after.covers(change.position()));
         Some(Since::Changes {
             changes: newer.cloned().collect(),
-            at: copy.at.max(after),
+            at,
         })
     }
 }
--- a/crates/tinbay-gateway/src/watch/servers.rs
+++ b/crates/tinbay-gateway/src/watch/servers.rs
@@ -3,16 +3,18 @@
 use std::cell::RefCell;
 use std::collections::HashSet;
 use std::rc::Rc;
+use std::time::Duration;
 
 use log::Level;
 use serde::Serialize;
 use tinbay_core::serving::servers::ServerRecord;
 
 use super::Follower;
+use super::access::REWRITTEN_WITHIN_MS;
 use crate::events::{self, part};
 use crate::node::Node;
 use crate::port::dialect::DecodeError;
-use crate::port::store::{Change, Item};
+use crate::port::store::{Change, Item, Listing};
 use crate::servers::ServerChange;
 
 /// Most entries that are told one by one to be unreadable; all are counted.
@@ -70,7 +72,7 @@
             Ok(record) => record,
             Err(error) => {
                 self.tell_unreadable(item, &error);
-                return self.forget(id);
+                return forget(&self.node, id);
             }
         };
         self.unreadable.borrow_mut().remove(id);
@@ -91,20 +93,31 @@
         }
         let event = UnreadableEvent {
             key: &item.key,
-            revision: item.revision,
+            revision: item.position.revision,
             error: error.to_string(),
         };
         events::emit(part::SERVERS, Level::Warn, "server_unreadable", &event);
     }
+}
+
+fn forget(node: &Node, id: &str) {
+    if node.servers.borrow_mut().remove(id) {
+        let event = GoneEvent { server: id };
+        events::emit(part::SERVERS, Level::Info, "server_gone", &event);
+    }
+}
 
-    fn forget(&self, id: &str) {
-        if self.node.servers.borrow_mut().remove(id) {
-            events::emit(
-                part::SERVERS,
-                Level::Info,
-                "server_gone",
-                &GoneEvent { server: id },
-            );
+/// Forgets the servers whose entries are still missing some time after the store came back.
+async fn forget_unless_written(node: Rc<Node>, missing: Vec<String>) {
+    tokio::time::sleep(Duration::from_millis(REWRITTEN_WITHIN_MS)).await;
+    let prefix = node.dialect.keys().servers.clone();
+    for id in missing {
+        if node
+            .replica
+            .item(&prefix, &format!("{prefix}{id}"))
+            .is_none()
+        {
+            forget(&node, &id);
         }
     }
 }
@@ -128,7 +141,8 @@
         &self.node.dialect.keys().servers
     }
 
-    fn reset(&self, items: &[Item]) {
+    fn reset(&self, listing: &Listing) {
+        let items = &listing.items;
         let listed: HashSet<&str> = items
             .iter()
             .filter_map(|item| self.id_of(&item.key))
@@ -143,8 +157,13 @@
         self.unreadable
             .borrow_mut()
             .retain(|id| listed.contains(id.as_str()));
-        for id in known.iter().filter(|id| !listed.contains(id.as_str())) {
-            self.forget(id);
+        let gone = known.into_iter().filter(|id| !listed.contains(id.as_str()));
+        if self.node.store.is_being_rewritten() {
+            // A store that came back from a backup has no entry of those that came since.
+            let waiting = forget_unless_written(Rc::clone(&self.node), gone.collect());
+            tokio::task::spawn_local(waiting);
+        } else {
+            gone.for_each(|id| forget(&self.node, &id));
         }
         for item in items {
             self.take(item);
@@ -169,7 +188,7 @@
             Change::Gone { key, .. } => {
                 if let Some(id) = self.id_of(key) {
                     self.unreadable.borrow_mut().remove(id);
-                    self.forget(id);
+                    forget(&self.node, id);
                 }
             }
         }
--- a/crates/tinbay-gateway/src/watch/source.rs
+++ b/crates/tinbay-gateway/src/watch/source.rs
@@ -7,6 +7,7 @@
 
 use log::Level;
 use serde::Serialize;
+use tinbay_core::serving::position::{Position, Revision};
 use tinbay_core::units::Millis;
 
 use super::relay::{self, RelayBox, RelayError, Relays};
@@ -14,7 +15,7 @@
 use super::{WatchPace, counted};
 use crate::events::{self, part};
 use crate::node::Node;
-use crate::port::store::{Change, Changes, Item, Listing, Revision, StoreError, StoreResult};
+use crate::port::store::{Change, Changes, Item, Listing, StoreError, StoreResult};
 
 /// Relays that are asked before the store.
 const MOST_RELAYS: usize = 4;
@@ -30,6 +31,7 @@
 const OF_UNKNOWN_AGE: Evidence = Evidence {
     confirmed_ms: 0,
     passed_on_ms: None,
+    is_complete: true,
 };
 
 /// Pause between reads of the store by a box that should ask others, while none succeeds.
@@ -97,14 +99,14 @@
     Ok((listing, evidence))
 }
 
-/// What changes below a prefix after a revision.
+/// What changes below a prefix after a position.
 ///
 /// # Errors
 /// When neither another box nor the store tells.
 pub async fn watch(
     node: &Node,
     prefix: &str,
-    after: Revision,
+    after: Position,
     pace: WatchPace,
 ) -> StoreResult<(Changes, Evidence)> {
     let turn = node.store_turns.of(pace);
@@ -146,7 +148,7 @@
         Err(error) => {
             let event = UnreadableEvent {
                 key: &item.key,
-                revision: item.revision,
+                revision: item.position.revision,
                 error: error.to_string(),
             };
             events::emit(part::CONFIG, Level::Error, "value_unreadable", &event);
@@ -161,6 +163,7 @@
     Evidence {
         confirmed_ms,
         passed_on_ms: Some(passed_on_ms),
+        is_complete: true,
     }
 }
 
--- a/crates/tinbay-gateway/tests/replica_test.rs
+++ b/crates/tinbay-gateway/tests/replica_test.rs
@@ -1,15 +1,21 @@
 //! What a box passes on of the store.
 
+use tinbay_core::serving::position::{Era, Position};
 use tinbay_gateway::port::store::{Change, Item, Listing};
 use tinbay_gateway::watch::replica::{Evidence, Replica, Since};
 
 const PREFIX: &str = "a/";
 
+/// A position in the era of most cases.
+fn at(revision: u64) -> Position {
+    Position::new(Era(1), revision)
+}
+
 fn item(key: &str, revision: u64) -> Item {
     Item {
         key: key.into(),
         value: vec![1],
-        revision,
+        position: at(revision),
     }
 }
 
@@ -17,6 +23,7 @@
     Evidence {
         confirmed_ms,
         passed_on_ms: is_from_store.then_some(2_000),
+        is_complete: true,
     }
 }
 
@@ -24,7 +31,7 @@
     let replica = Replica::default();
     let listing = Listing {
         items: vec![item("a/1", 5), item("a/2", 6)],
-        at: 10,
+        at: at(10),
     };
     replica.note_listing(PREFIX, &listing, evidence(1_000, is_from_store));
     replica
@@ -32,17 +39,21 @@
 
 fn changes(since: Option<Since>) -> Option<(Vec<u64>, u64)> {
     match since? {
-        Since::Changes { changes, at } => {
-            Some((changes.iter().map(Change::revision).collect(), at))
-        }
+        Since::Changes { changes, at } => Some((
+            changes
+                .iter()
+                .map(|change| change.position().revision)
+                .collect(),
+            at.revision,
+        )),
         Since::HistoryGone => None,
     }
 }
 
 #[test]
 fn since_before_the_listing_is_gone() {
-    assert_eq!(listed(true).since(PREFIX, 9), Some(Since::HistoryGone));
-    assert_eq!(listed(true).since("b/", 9), None);
+    assert_eq!(listed(true).since(PREFIX, at(9)), Some(Since::HistoryGone));
+    assert_eq!(listed(true).since("b/", at(9)), None);
 }
 
 #[test]
@@ -51,12 +62,15 @@
     replica.note_change(PREFIX, &Change::Put(item("a/1", 11)), true);
     let gone = Change::Gone {
         key: "a/2".into(),
-        revision: 12,
+        position: at(12),
     };
     replica.note_change(PREFIX, &gone, true);
-    replica.confirm(PREFIX, 12, evidence(1_500, true));
-    assert_eq!(changes(replica.since(PREFIX, 10)), Some((vec![11, 12], 12)));
-    assert_eq!(changes(replica.since(PREFIX, 11)), Some((vec![12], 12)));
+    replica.confirm(PREFIX, at(12), evidence(1_500, true));
+    assert_eq!(
+        changes(replica.since(PREFIX, at(10))),
+        Some((vec![11, 12], 12))
+    );
+    assert_eq!(changes(replica.since(PREFIX, at(11))), Some((vec![12], 12)));
     let keys: Vec<String> = replica
         .listing(PREFIX)
         .expect("a listing")
@@ -70,15 +84,18 @@
 /// A box that knows more than this one must not be sent back.
 #[test]
 fn since_never_goes_back() {
-    assert_eq!(changes(listed(true).since(PREFIX, 20)), Some((vec![], 20)));
+    assert_eq!(
+        changes(listed(true).since(PREFIX, at(20))),
+        Some((vec![], 20))
+    );
 }
 
 #[test]
 fn note_change_not_passed_on_stands_in_the_listing_alone() {
     let replica = listed(true);
     replica.note_change(PREFIX, &Change::Put(item("a/1", 11)), false);
-    replica.confirm(PREFIX, 11, evidence(1_500, true));
-    assert_eq!(changes(replica.since(PREFIX, 10)), Some((vec![], 11)));
+    replica.confirm(PREFIX, at(11), evidence(1_500, true));
+    assert_eq!(changes(replica.since(PREFIX, at(10))), Some((vec![], 11)));
     assert_eq!(replica.item(PREFIX, "a/1"), Some(item("a/1", 11)));
 }
 
@@ -94,6 +111,47 @@
     let replica = listed(true);
     replica.lose(PREFIX);
     assert_eq!(replica.age_ms(PREFIX, 1_200), None);
-    replica.confirm(PREFIX, 10, evidence(1_300, true));
+    replica.confirm(PREFIX, at(10), evidence(1_300, true));
     assert_eq!(replica.age_ms(PREFIX, 1_400), Some(100));
 }
+
+/// The store came back: one that asks from the era before must read all again, and this box can tell
+/// nothing to one that has seen a later era than itself.
+#[test]
+fn since_of_another_era_compares_no_numbers() {
+    let replica = listed(true);
+    let before = Position::new(Era(0), 10);
+    let after = Position::new(Era(2), 10);
+    assert_eq!(replica.since(PREFIX, before), Some(Since::HistoryGone));
+    assert_eq!(replica.since(PREFIX, after), None);
+}
+
+#[test]
+fn confirm_of_another_era_confirms_nothing() {
+    let replica = listed(true);
+    let next = Position::new(Era(2), 50);
+    replica.confirm(PREFIX, next, evidence(9_000, true));
+    assert_eq!(replica.confirmed_ms(PREFIX), Some(1_000));
+    assert_eq!(replica.at(PREFIX), Some(at(10)));
+}
+
+/// The store lacks what this box knew: what it confirms is no proof that all is known.
+#[test]
+fn complete_stays_behind_while_the_store_lacks_something() {
+    let replica = listed(true);
+    let lacking = Evidence {
+        is_complete: false,
+        ..evidence(4_000, true)
+    };
+    let listing = Listing {
+        items: vec![item("a/1", 5)],
+        at: Position::new(Era(2), 7),
+    };
+    replica.note_listing(PREFIX, &listing, lacking);
+    assert_eq!(replica.confirmed_ms(PREFIX), Some(4_000));
+    assert_eq!(replica.complete_ms(PREFIX), Some(1_000));
+    assert!(!replica.is_complete(PREFIX));
+    let next = Position::new(Era(2), 8);
+    replica.confirm(PREFIX, next, evidence(5_000, true));
+    assert_eq!(replica.complete_ms(PREFIX), Some(5_000));
+}
