A box that starts asks others for what the store forgot; unknown ages prove nothing

Cause: a box that started just after a return read an older configuration in good faith and served a key that the forgotten one had taken away (2,859 requests in 5 s in a case). Two reasons: it asked nobody, and an age that was not known stood as 0, the start of its own clock, so that in its first 5 s anything counted as fresh. The second held for any first listing that may be seconds old. Ruled out: that the other box, which lived through the return, served the key (it answered 401).

--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -12,6 +12,7 @@
 use tinbay_core::serving::configuration::{Configuration, EngineSpec, Limits};
 use tinbay_core::serving::contents::AdapterKey;
 use tinbay_core::serving::pacing::LoadPace;
+use tinbay_core::serving::position::Era;
 use tinbay_core::serving::reading::ReadingPace;
 use tinbay_core::serving::routes::RouteTable;
 use tinbay_core::serving::servers::{Fingerprint, ServerKey};
@@ -107,6 +108,8 @@
     pub dialect: Box<dyn Dialect>,
     /// The key-value store.
     pub store: StoreAccess,
+    /// Whether other boxes were asked, since this one started, for what the store lacks.
+    pub has_asked_others: Cell<bool>,
     /// What operators wrote and the store lacks since it came back from a backup, by key.
     pub kept_items: RefCell<HashMap<String, Item>>,
     /// What was seen of the store, to pass it on.
@@ -177,6 +180,7 @@
             settings: RefCell::new(settings),
             dialect,
             store: StoreAccess::new(store, clock),
+            has_asked_others: Cell::default(),
             kept_items: RefCell::default(),
             replica: Replica::default(),
             failed_relays: RefCell::default(),
@@ -314,6 +318,13 @@
         }
     }
 
+    /// The era of the store, unless a mark there says that it has lasted for long.
+    pub fn unsettled_era(&self) -> Option<Era> {
+        let era = self.store.era()?;
+        let settled = self.claims.borrow().settled_era();
+        (settled != Some(era)).then_some(era)
+    }
+
     /// Notes a claim as the store shows it.
     pub fn note_claim(&self, address: &str, item: &Item) {
         self.sync_era();
--- a/crates/tinbay-gateway/src/watch/configuration.rs
+++ b/crates/tinbay-gateway/src/watch/configuration.rs
@@ -186,7 +186,8 @@
     }
 
     fn is_complete(&self) -> bool {
-        self.node.kept_items.borrow().is_empty()
+        let is_sure = self.node.has_asked_others.get() || self.node.unsettled_era().is_none();
+        is_sure && self.node.kept_items.borrow().is_empty()
     }
 
     fn apply(&self, change: &Change) {
--- a/crates/tinbay-gateway/src/watch/relay.rs
+++ b/crates/tinbay-gateway/src/watch/relay.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use hyper::Method;
+use log::Level;
 use serde::{Deserialize, Serialize};
 use tinbay_core::serving::capacity::RankedBox;
 use tinbay_core::serving::position::{Era, Position, Revision};
@@ -14,6 +15,7 @@
 use tinbay_core::units::Millis;
 
 use super::replica::{Evidence, Since};
+use crate::events::{self, part};
 use crate::http::call::{Call, Caller};
 use crate::node::Node;
 use crate::port::store::{Change, Changes, Item, Listing};
@@ -38,6 +40,13 @@
 /// Longest wait that another box may ask for.
 const MOST_WAIT_MS: Millis = 10_000;
 
+#[derive(Serialize)]
+struct RelayEvent<'a> {
+    relay: &'a str,
+    prefix: &'a str,
+    error: String,
+}
+
 /// A question to a relay.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RelayQuestion {
@@ -60,6 +69,8 @@
     Kept {
         /// The prefix.
         prefix: String,
+        /// The era that the store is in.
+        era: Era,
     },
 }
 
@@ -92,6 +103,8 @@
     HistoryGone,
     /// The relay does not read the store, or is not in touch with it.
     NotInTouch,
+    /// The store lacks nothing that the relay knows.
+    NothingKept,
 }
 
 /// Why a relay gave nothing.
@@ -162,7 +175,7 @@
             after,
             wait_ms,
         }) => watch(node, &prefix, after, wait_ms.min(MOST_WAIT_MS)).await,
-        Ok(RelayQuestion::Kept { prefix }) => kept(node, &prefix),
+        Ok(RelayQuestion::Kept { prefix, era }) => kept(node, &prefix, era),
         Err(_) => RelayAnswer::NotInTouch,
     };
     postcard::to_stdvec(&answer).unwrap_or_default()
@@ -195,12 +208,16 @@
     items
 }
 
-/// What a box that starts needs to know while the store lacks what it had before it came back.
-fn kept(node: &Node, prefix: &str) -> RelayAnswer {
-    let listing = node.replica.listing(prefix);
-    let Some(listing) = listing.filter(|_| !node.replica.is_complete(prefix)) else {
+/// What a box that starts needs to know while the store lacks what it had before it came back; all
+/// that is known where this box has yet to read it anew.
+fn kept(node: &Node, prefix: &str, era: Era) -> RelayAnswer {
+    node.store.note_told_era(era);
+    let Some(listing) = node.replica.listing(prefix) else {
         return RelayAnswer::NotInTouch;
     };
+    if listing.at.era == era && node.replica.is_complete(prefix) {
+        return RelayAnswer::NothingKept;
+    }
     let items = with_kept(node, listing.items);
     RelayAnswer::Parts {
         parts: items.iter().map(ChangePart::of_item).collect(),
@@ -323,21 +340,31 @@
     Ok((Listing { items, at }, evidence))
 }
 
-/// Asks another box for what it knows below a prefix and the store lacks; nothing where it lacks
-/// nothing, or the box does not answer.
-pub async fn ask_kept(node: &Node, other: &RelayBox, prefix: &str) -> Vec<Item> {
+/// Asks another box for what it knows below a prefix and the store lacks.
+///
+/// # Errors
+/// When it does not answer, or knows nothing itself yet.
+pub async fn ask_kept(
+    node: &Node,
+    other: &RelayBox,
+    prefix: &str,
+    era: Era,
+) -> Result<Vec<Item>, RelayError> {
     let prefix = prefix.to_string();
-    let question = RelayQuestion::Kept { prefix };
+    let question = RelayQuestion::Kept { prefix, era };
     let answer = exchange(node, other, &question, LISTING_TIMEOUT_MS).await;
-    let Some(RelayAnswer::Parts { parts, at, .. }) = answer else {
-        return Vec::new();
+    let (parts, at) = match answer {
+        Some(RelayAnswer::Parts { parts, at, .. }) => (parts, at),
+        Some(RelayAnswer::NothingKept) => return Ok(Vec::new()),
+        Some(_) => return Err(RelayError::NotInTouch),
+        None => return Err(RelayError::NoAnswer),
     };
     let changes = parts.into_iter().map(|part| part.into_change(at.era));
     let items = changes.filter_map(|change| match change {
         Change::Put(item) => Some(item),
         Change::Gone { .. } => None,
     });
-    items.collect()
+    Ok(items.collect())
 }
 
 /// Asks a relay for what changes below a prefix.
@@ -395,7 +422,7 @@
             Ok((parts, at, evidence))
         }
         Some(RelayAnswer::HistoryGone) => Err(RelayError::HistoryGone),
-        Some(RelayAnswer::NotInTouch) => Err(RelayError::NotInTouch),
+        Some(RelayAnswer::NotInTouch | RelayAnswer::NothingKept) => Err(RelayError::NotInTouch),
         None => Err(RelayError::NoAnswer),
     };
     let passed_over_ms = match result {
@@ -437,3 +464,13 @@
         .or_insert_with(|| Rc::new(Caller::new(address)));
     Rc::clone(caller)
 }
+
+/// Says that a box gave nothing.
+pub fn log_failure(relay: &str, prefix: &str, error: RelayError) {
+    let event = RelayEvent {
+        relay,
+        prefix,
+        error: error.to_string(),
+    };
+    events::emit(part::STORE, Level::Info, "relay_failed", &event);
+}
--- a/crates/tinbay-gateway/src/watch/replica.rs
+++ b/crates/tinbay-gateway/src/watch/replica.rs
@@ -23,7 +23,7 @@
     confirmed_ms: Millis,
     passed_on_ms: Option<Millis>,
     /// When it was last known to be all that was ever written.
-    complete_ms: Millis,
+    complete_ms: Option<Millis>,
     is_complete: bool,
 }
 
@@ -80,8 +80,8 @@
         let mut by_prefix = self.by_prefix.borrow_mut();
         let before = by_prefix.get(prefix);
         let complete_ms = match evidence.is_complete {
-            true => evidence.confirmed_ms,
-            false => before.map_or(0, |before| before.complete_ms),
+            true => Some(evidence.confirmed_ms),
+            false => before.and_then(|before| before.complete_ms),
         };
         let copy = Copy {
             complete_ms,
@@ -138,7 +138,7 @@
         copy.passed_on_ms = evidence.passed_on_ms;
         copy.is_complete = evidence.is_complete;
         if evidence.is_complete {
-            copy.complete_ms = copy.complete_ms.max(evidence.confirmed_ms);
+            copy.complete_ms = copy.complete_ms.max(Some(evidence.confirmed_ms));
         }
         self.confirmed.notify_waiters();
     }
@@ -167,7 +167,7 @@
     /// When what is known below a prefix was certainly all that was ever written there.
     pub fn complete_ms(&self, prefix: &str) -> Option<Millis> {
         let by_prefix = self.by_prefix.borrow();
-        by_prefix.get(prefix).map(|copy| copy.complete_ms)
+        by_prefix.get(prefix)?.complete_ms
     }
 
     /// Whether what is known below a prefix is all that was ever written there, as last seen.
--- a/crates/tinbay-gateway/src/watch/source.rs
+++ b/crates/tinbay-gateway/src/watch/source.rs
@@ -31,7 +31,7 @@
 const OF_UNKNOWN_AGE: Evidence = Evidence {
     confirmed_ms: 0,
     passed_on_ms: None,
-    is_complete: true,
+    is_complete: false,
 };
 
 /// Pause between reads of the store by a box that should ask others, while none succeeds.
@@ -54,13 +54,6 @@
 /// How much later than the last one an answer may be.
 const PATIENCE_FACTOR: f64 = 3.0;
 
-#[derive(Serialize)]
-struct RelayEvent<'a> {
-    relay: &'a str,
-    prefix: &'a str,
-    error: String,
-}
-
 #[derive(Serialize)]
 struct UnreadableEvent<'a> {
     key: &'a str,
@@ -80,7 +73,7 @@
         count(node, "list", asked.as_ref().err());
         match asked {
             Ok(listed) => return Ok(listed),
-            Err(error) => log_failure(&relay.id, prefix, error),
+            Err(error) => relay::log_failure(&relay.id, prefix, error),
         }
     }
     sources.check_turn(node, turn)?;
@@ -117,7 +110,7 @@
         match asked {
             Ok(changes) => return Ok(changes),
             Err(RelayError::HistoryGone) => return Err(StoreError::HistoryGone),
-            Err(error) => log_failure(&relay.id, prefix, error),
+            Err(error) => relay::log_failure(&relay.id, prefix, error),
         }
     }
     sources.check_turn(node, turn)?;
@@ -318,12 +311,3 @@
     let labels = [call, outcome];
     node.metrics.relay_calls.with_label_values(&labels).inc();
 }
-
-fn log_failure(relay: &str, prefix: &str, error: RelayError) {
-    let event = RelayEvent {
-        relay,
-        prefix,
-        error: error.to_string(),
-    };
-    events::emit(part::STORE, Level::Info, "relay_failed", &event);
-}
