After a return nothing is proof of a key until the operators wrote again, or 5 s are over; soaked over returns

Ruled out: that a box forgot what it had known (none had ever known it). Change: in an era that is not settled, what is known of the configuration is complete once a configuration was seen to be written in it, or 5 s after it was first seen and others were asked.

--- a/crates/tinbay-core/src/serving/claims.rs
+++ b/crates/tinbay-core/src/serving/claims.rs
@@ -184,6 +184,11 @@
         self.era_seen_ms.map(|_| self.era)
     }
 
+    /// When this box first saw the present era.
+    pub fn era_seen_ms(&self) -> Option<Millis> {
+        self.era_seen_ms
+    }
+
     /// The box that holds the claim on a server and has not released it.
     pub fn holder_of(&self, address: &str) -> Option<&str> {
         let claim = self.by_address.get(address)?;
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -325,6 +325,12 @@
         (settled != Some(era)).then_some(era)
     }
 
+    /// How long ago this box first saw the store in its present era.
+    pub fn era_age_ms(&self) -> Millis {
+        let seen_ms = self.claims.borrow().era_seen_ms().unwrap_or_default();
+        self.now_ms().saturating_sub(seen_ms)
+    }
+
     /// Notes a claim as the store shows it.
     pub fn note_claim(&self, address: &str, item: &Item) {
         self.sync_era();
--- a/crates/tinbay-gateway/src/watch/configuration.rs
+++ b/crates/tinbay-gateway/src/watch/configuration.rs
@@ -1,12 +1,15 @@
 //! Follows the operators' configuration and the versions they name.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use log::Level;
 use serde::Serialize;
+use tinbay_core::serving::position::Era;
 use tinbay_core::units::Millis;
 
 use super::Follower;
+use super::access::REWRITTEN_WITHIN_MS;
 use crate::events::{self, part};
 use crate::node::{InForce, Node};
 use crate::port::store::{Change, Item, Listing};
@@ -14,6 +17,8 @@
 /// Follows what operators write.
 pub struct ConfigurationFollower {
     node: Rc<Node>,
+    /// Era in which the operators were last seen to write a configuration.
+    written_in: Cell<Option<Era>>,
 }
 
 #[derive(Serialize)]
@@ -44,10 +49,14 @@
 impl ConfigurationFollower {
     /// A follower that changes `node`.
     pub fn new(node: Rc<Node>) -> Self {
-        Self { node }
+        Self {
+            node,
+            written_in: Cell::default(),
+        }
     }
 
-    fn take(&self, item: &Item) {
+    /// Takes an item, unless a newer one of its key was taken.
+    pub fn take(&self, item: &Item) {
         self.drop_kept(item);
         let keys = self.node.dialect.keys();
         if item.key == keys.configuration {
@@ -112,6 +121,21 @@
         named.ok().map(|named| named.version)
     }
 
+    /// Whether the operators have certainly written again what the store forgot as it came back: not
+    /// for some seconds, unless they were seen to write since. A version that was written while no
+    /// box read the store is known to nobody else; without this, a key that it had taken away was
+    /// served 5.02 s later (5.0 allowed, soaked).
+    fn is_rewritten(&self) -> bool {
+        let Some(era) = self.node.unsettled_era() else {
+            return true;
+        };
+        if self.written_in.get() == Some(era) {
+            return true;
+        }
+        let is_over = self.node.era_age_ms() >= REWRITTEN_WITHIN_MS;
+        is_over && self.node.has_asked_others.get()
+    }
+
     fn take_configuration(&self, item: &Item) {
         let configuration = match self.node.dialect.decode_configuration(&item.value) {
             Ok(configuration) => configuration,
@@ -186,12 +210,14 @@
     }
 
     fn is_complete(&self) -> bool {
-        let is_sure = self.node.has_asked_others.get() || self.node.unsettled_era().is_none();
-        is_sure && self.node.kept_items.borrow().is_empty()
+        self.is_rewritten() && self.node.kept_items.borrow().is_empty()
     }
 
     fn apply(&self, change: &Change) {
         if let Change::Put(item) = change {
+            if item.key == self.node.dialect.keys().configuration {
+                self.written_in.set(Some(item.position.era));
+            }
             self.take(item);
         }
     }
--- a/crates/tinbay-gateway/src/watch/newcomer.rs
+++ b/crates/tinbay-gateway/src/watch/newcomer.rs
@@ -17,7 +17,7 @@
 use super::relay::{self, RelayBox};
 use crate::events::{self, part};
 use crate::node::Node;
-use crate::port::store::{Change, Item};
+use crate::port::store::Item;
 
 /// Boxes that are asked.
 const ASKED: usize = 2;
@@ -75,7 +75,7 @@
 /// Takes an item that another box knew, and keeps it where the store has none as new.
 fn take(node: &Node, follower: &ConfigurationFollower, item: Item) {
     let stored = node.replica.item(follower.prefix(), &item.key);
-    follower.apply(&Change::Put(item.clone()));
+    follower.take(&item);
     follower.keep(item, stored.as_ref());
 }
 
