A later era told by another box is looked after at the store; what the store lacks is found by key; boxes read again one after the other

Cause: found while reading: an era that one box tells by mistake would have been taken by all, and every answer of the store dropped as late from then on; what the store lacks was looked for item by item, 121 million comparisons with 11,000 named versions; and 64 boxes would list at one relay at once. Change: a told later era is confirmed by the cheapest read, and counts unconfirmed only while the store gives no answer, until it does; a look-up by key; non-relays wait up to 1 ms for each box, at most 2 s, before they read all again after a return.

--- a/crates/tinbay-gateway/src/watch/access.rs
+++ b/crates/tinbay-gateway/src/watch/access.rs
@@ -19,6 +19,9 @@
 /// writers take some seconds.
 pub const REWRITTEN_WITHIN_MS: Millis = 5_000;
 
+/// Key that is read to learn the era alone.
+const LOOK_KEY: &str = "tinbay/settled";
+
 /// A return of the store from a backup.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Return {
@@ -35,6 +38,8 @@
     inner: Box<dyn Store>,
     clock: Clock,
     era: Cell<Option<Era>>,
+    /// Whether that is another box's word alone.
+    is_told: Cell<bool>,
     /// Whether an answer that named no era was taken.
     was_unnamed: Cell<bool>,
     last_return: Cell<Option<Return>>,
@@ -51,6 +56,7 @@
             inner,
             clock,
             era: Cell::default(),
+            is_told: Cell::default(),
             was_unnamed: Cell::default(),
             last_return: Cell::default(),
             unhandled: RefCell::default(),
@@ -77,18 +83,32 @@
         (!unhandled.is_empty()).then(|| unhandled.remove(0))
     }
 
-    /// Notes the era of positions that another box tells; whether it is not over. All are of the
-    /// lowest one where answers name none.
-    pub fn note_told_era(&self, era: Era) -> bool {
-        if self.era.get().is_none() && era == Era::default() {
+    /// Whether positions that another box tells are of the present era. A later one is looked after
+    /// at the store by the cheapest read; where that gives no answer, the other box's word counts until
+    /// the store says otherwise.
+    pub async fn confirm_told(&self, era: Era) -> bool {
+        if self.is_present(era) {
             return true;
         }
-        self.note_era(era)
+        let known = self.era.get().unwrap_or_default();
+        if era < known {
+            return false;
+        }
+        let looked = self.list(LOOK_KEY, true).await;
+        if looked == Err(StoreError::NoAnswer) && self.era.get().unwrap_or_default() == known {
+            self.note_return(known, era);
+            self.era.set(Some(era));
+            self.is_told.set(true);
+        }
+        self.is_present(era)
     }
 
-    /// Notes the era that an answer names; whether it is not over.
+    /// Notes the era that an answer of the store names; whether it is not over.
     fn note_era(&self, era: Era) -> bool {
+        let is_told = self.is_told.replace(false);
         match self.known_era() {
+            // Another box was wrong, or this is a late answer; the next one tells.
+            Some(known) if era < known && is_told => self.note_return(known, era),
             Some(known) if era < known => return false,
             Some(known) if era > known => self.note_return(known, era),
             _ => {}
--- a/crates/tinbay-gateway/src/watch/configuration.rs
+++ b/crates/tinbay-gateway/src/watch/configuration.rs
@@ -1,6 +1,7 @@
 //! Follows the operators' configuration and the versions they name.
 
 use std::cell::Cell;
+use std::collections::HashMap;
 use std::rc::Rc;
 
 use log::Level;
@@ -75,9 +76,11 @@
             return;
         }
         let kept = std::mem::take(&mut *self.node.kept_items.borrow_mut());
+        let stored = listing.items.iter().map(|item| (item.key.as_str(), item));
+        let stored: HashMap<&str, &Item> = stored.collect();
         let known = before.items.into_iter().chain(kept.into_values());
         for item in known {
-            let stored = listing.items.iter().find(|stored| stored.key == item.key);
+            let stored = stored.get(item.key.as_str()).copied();
             self.keep(item, stored);
         }
     }
--- a/crates/tinbay-gateway/src/watch/mod.rs
+++ b/crates/tinbay-gateway/src/watch/mod.rs
@@ -33,6 +33,12 @@
 /// 195 boxes made 900 calls in their first four seconds.
 const ALONE_PAUSE_MS: Millis = 600;
 
+/// Time by which each box more lengthens the one over which boxes read all again after a return.
+const LISTING_SPREAD_A_BOX_MS: Millis = 1;
+
+/// Longest such time: a configuration is to be in force 5 s after it is written again.
+const MOST_LISTING_SPREAD_MS: Millis = 2_000;
+
 /// Pause after changes that another box passed on, so that several go together.
 const RELAY_GAP_MS: Millis = 40;
 
@@ -147,6 +153,7 @@
                 failures = 0;
                 // Positions of another era are no changes since this one: all is read again.
                 let Some(later) = at.later_of(changes.at) else {
+                    spread_listings(node).await;
                     return Ok(());
                 };
                 at = later;
@@ -165,7 +172,10 @@
                     sleep_with_jitter(gap_ms).await;
                 }
             }
-            Err(StoreError::HistoryGone) => return Ok(()),
+            Err(StoreError::HistoryGone) => {
+                spread_listings(node).await;
+                return Ok(());
+            }
             Err(error) if failures >= 1 => return Err(error),
             Err(error) => {
                 failures += 1;
@@ -180,6 +190,17 @@
     }
 }
 
+/// After a return all boxes read all again: those that others ask go first, and these have it then.
+async fn spread_listings(node: &Node) {
+    if !node.store.is_being_rewritten() || relay::relays(node).is_one {
+        return;
+    }
+    let boxes = node.box_count.get() as Millis;
+    let spread_ms = (LISTING_SPREAD_A_BOX_MS * boxes).min(MOST_LISTING_SPREAD_MS);
+    let pause_ms = rand::rng().random_range(0..=spread_ms);
+    tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+}
+
 fn take(node: &Node, follower: &dyn Follower, change: &Change) {
     let prefix = follower.prefix();
     let is_passed_on = match change {
--- a/crates/tinbay-gateway/src/watch/newcomer.rs
+++ b/crates/tinbay-gateway/src/watch/newcomer.rs
@@ -8,7 +8,6 @@
 use log::Level;
 use rand::seq::IteratorRandom;
 use serde::Serialize;
-
 use tinbay_core::serving::position::Era;
 
 use super::Follower;
--- a/crates/tinbay-gateway/src/watch/relay/answer.rs
+++ b/crates/tinbay-gateway/src/watch/relay/answer.rs
@@ -58,7 +58,6 @@
 /// What a box that starts needs to know while the store lacks what it had before it came back; all
 /// that is known where this box has yet to read it anew.
 fn kept(node: &Node, prefix: &str, era: Era) -> RelayAnswer {
-    node.store.note_told_era(era);
     let Some(listing) = node.replica.listing(prefix) else {
         return RelayAnswer::NotInTouch;
     };
@@ -76,7 +75,6 @@
 }
 
 async fn watch(node: &Node, prefix: &str, after: Position, wait_ms: Millis) -> RelayAnswer {
-    node.store.note_told_era(after.era);
     let asked_ms = node.now_ms();
     let end = tokio::time::Instant::now() + Duration::from_millis(wait_ms);
     loop {
--- a/crates/tinbay-gateway/src/watch/relay/ask.rs
+++ b/crates/tinbay-gateway/src/watch/relay/ask.rs
@@ -145,9 +145,12 @@
 ) -> Result<(Vec<ChangePart>, Position, Evidence), RelayError> {
     let asked_ms = node.now_ms();
     let answer = exchange(node, relay, question, timeout_ms).await;
+    if let Some(RelayAnswer::Parts { at, .. }) = &answer {
+        node.store.confirm_told(at.era).await;
+    }
     let result = match answer {
         // A relay that has not seen yet that the store came back tells of an era that is over.
-        Some(RelayAnswer::Parts { at, .. }) if !node.store.note_told_era(at.era) => {
+        Some(RelayAnswer::Parts { at, .. }) if !node.store.is_present(at.era) => {
             Err(RelayError::NotInTouch)
         }
         Some(RelayAnswer::Parts {
--- a/crates/tinbay-gateway/tests/access_test.rs
+++ b/crates/tinbay-gateway/tests/access_test.rs
@@ -14,18 +14,37 @@
 };
 use tinbay_gateway::watch::access::StoreAccess;
 
-/// Eras that the next answers name; one that is used up names none.
+/// What the next answers name; one beyond them names no era.
 #[derive(Debug, Clone, Default)]
-struct Eras(Rc<RefCell<VecDeque<Option<Era>>>>);
+struct Eras(Rc<RefCell<VecDeque<Next>>>);
+
+/// The next answer.
+#[derive(Debug, Clone, Copy)]
+enum Next {
+    Names(Option<Era>),
+    IsLost,
+}
 
 impl Eras {
     fn name(&self, eras: &[Option<u64>]) {
-        let eras = eras.iter().map(|era| era.map(Era));
+        let eras = eras.iter().map(|era| Next::Names(era.map(Era)));
         self.0.borrow_mut().extend(eras);
     }
 
+    fn lose(&self, count: usize) {
+        let lost = std::iter::repeat_n(Next::IsLost, count);
+        self.0.borrow_mut().extend(lost);
+    }
+
     fn answer<T>(&self, value: impl FnOnce(Era) -> T) -> Answered<T> {
-        let era = self.0.borrow_mut().pop_front().flatten();
+        let next = self.0.borrow_mut().pop_front();
+        let era = match next.unwrap_or(Next::Names(None)) {
+            Next::Names(era) => era,
+            Next::IsLost => {
+                let result = Err(StoreError::NoAnswer);
+                return Answered { era: None, result };
+            }
+        };
         let result = Ok(value(era.unwrap_or_default()));
         Answered { era, result }
     }
@@ -197,3 +216,43 @@
     assert_eq!(now(access.keep(lease)), Err(StoreError::LeaseOver));
     assert_eq!(now(access.keep(lease)), Err(StoreError::LeaseOver));
 }
+
+/// Another box saw a later era: the store is asked, and says so too.
+#[test]
+fn confirm_told_later_era_that_the_store_names() {
+    let (access, eras) = access();
+    see(&access, &eras, 1);
+    eras.name(&[Some(2)]);
+    let is_present = access.confirm_told(Era(2)).now_or_never();
+    assert_eq!(is_present, Some(true));
+    assert!(access.take_return().is_some());
+}
+
+/// One box's mistake moves no other one while the store can be asked.
+#[test]
+fn confirm_told_later_era_that_the_store_does_not_name() {
+    let (access, eras) = access();
+    see(&access, &eras, 1);
+    eras.name(&[Some(1)]);
+    let is_present = access.confirm_told(Era(9)).now_or_never();
+    assert_eq!(is_present, Some(false));
+    assert_eq!(access.era(), Some(Era(1)));
+}
+
+#[test]
+fn confirm_told_earlier_era_is_over() {
+    let (access, eras) = access();
+    see(&access, &eras, 2);
+    assert_eq!(access.confirm_told(Era(1)).now_or_never(), Some(false));
+}
+
+/// The store is out of reach, and the other box's word counts until it answers.
+#[test]
+fn confirm_told_counts_without_an_answer_until_there_is_one() {
+    let (access, eras) = access();
+    see(&access, &eras, 1);
+    eras.lose(1);
+    assert_eq!(access.confirm_told(Era(9)).now_or_never(), Some(true));
+    see(&access, &eras, 1);
+    assert_eq!(access.era(), Some(Era(1)));
+}
