--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -314,7 +314,11 @@
         let mut claims = self.claims.borrow_mut();
         if claims.era() != Some(era) {
             let proof_end_ms = self.proof.get().end_ms(&self.claim_terms());
+            let is_first = claims.era().is_none();
             claims.begin_era(era, proof_end_ms, self.now_ms());
+            if is_first && self.settings.borrow().is_first_start {
+                claims.note_settled(era);
+            }
         }
     }
 
--- a/crates/tinbay-gateway/src/orders/era_mark.rs
+++ b/crates/tinbay-gateway/src/orders/era_mark.rs
@@ -26,6 +26,15 @@
 pub fn take(node: &Node, item: &Item) {
     if let Ok(mark) = serde_json::from_slice::<Mark>(&item.value) {
         node.claims.borrow_mut().note_settled(mark.era);
+        note_complete(node);
+    }
+}
+
+/// What was read in this era is all there is once that is known to have lasted for long. Without this a
+/// box that starts would refuse all keys until its next read of the configuration, up to 2 s.
+fn note_complete(node: &Node) {
+    if node.unsettled_era().is_none() && node.kept_items.borrow().is_empty() {
+        node.replica.note_complete(&node.dialect.keys().operator);
     }
 }
 
@@ -36,9 +45,6 @@
     let Some(era) = node.store.era() else {
         return;
     };
-    if node.settings.borrow().is_first_start && node.claims.borrow().settled_era().is_none() {
-        node.claims.borrow_mut().note_settled(era);
-    }
     let is_settled = {
         let claims = node.claims.borrow();
         claims.is_settled(&node.claim_terms(), node.now_ms())
--- a/crates/tinbay-gateway/src/watch/relay/ask.rs
+++ b/crates/tinbay-gateway/src/watch/relay/ask.rs
@@ -165,6 +165,7 @@
                 confirmed_ms: (asked_ms + held_ms).saturating_sub(age_ms),
                 passed_on_ms: None,
                 is_complete,
+                is_told_complete: is_complete,
             };
             Ok((parts, at, evidence))
         }
--- a/crates/tinbay-gateway/src/watch/replica.rs
+++ b/crates/tinbay-gateway/src/watch/replica.rs
@@ -25,6 +25,8 @@
     /// When it was last known to be all that was ever written.
     complete_ms: Option<Millis>,
     is_complete: bool,
+    /// Whether whoever told it to this box said so.
+    is_told_complete: bool,
 }
 
 /// What this box has seen of the store.
@@ -47,6 +49,8 @@
     /// Whether it is all that was ever written; not while the store lacks what it had before it
     /// came back from a backup.
     pub is_complete: bool,
+    /// The same by the word of whoever told it, whatever this box makes of it.
+    pub is_told_complete: bool,
 }
 
 impl Evidence {
@@ -86,6 +90,7 @@
         let copy = Copy {
             complete_ms,
             is_complete: evidence.is_complete,
+            is_told_complete: evidence.is_told_complete,
             items: items.map(|item| (item.key.clone(), item.clone())).collect(),
             listed_at: listing.at,
             at: listing.at,
@@ -137,6 +142,7 @@
         copy.confirmed_ms = copy.confirmed_ms.max(evidence.confirmed_ms);
         copy.passed_on_ms = evidence.passed_on_ms;
         copy.is_complete = evidence.is_complete;
+        copy.is_told_complete = evidence.is_told_complete;
         if evidence.is_complete {
             copy.complete_ms = copy.complete_ms.max(Some(evidence.confirmed_ms));
         }
@@ -164,6 +170,18 @@
         by_prefix.get(prefix).map(|copy| copy.confirmed_ms)
     }
 
+    /// Notes that what was last seen is all that was ever written, if whoever told it knows no better.
+    pub fn note_complete(&self, prefix: &str) {
+        let mut by_prefix = self.by_prefix.borrow_mut();
+        if let Some(copy) = by_prefix
+            .get_mut(prefix)
+            .filter(|copy| copy.is_told_complete)
+        {
+            copy.is_complete = true;
+            copy.complete_ms = copy.complete_ms.max(Some(copy.confirmed_ms));
+        }
+    }
+
     /// When what is known below a prefix was certainly all that was ever written there.
     pub fn complete_ms(&self, prefix: &str) -> Option<Millis> {
         let by_prefix = self.by_prefix.borrow();
--- a/crates/tinbay-gateway/src/watch/source.rs
+++ b/crates/tinbay-gateway/src/watch/source.rs
@@ -32,6 +32,7 @@
     confirmed_ms: 0,
     passed_on_ms: None,
     is_complete: false,
+    is_told_complete: false,
 };
 
 /// Pause between reads of the store by a box that should ask others, while none succeeds.
@@ -157,6 +158,7 @@
         confirmed_ms,
         passed_on_ms: Some(passed_on_ms),
         is_complete: true,
+        is_told_complete: true,
     }
 }
 
--- a/crates/tinbay-gateway/tests/replica_test.rs
+++ b/crates/tinbay-gateway/tests/replica_test.rs
@@ -24,6 +24,7 @@
         confirmed_ms,
         passed_on_ms: is_from_store.then_some(2_000),
         is_complete: true,
+        is_told_complete: true,
     }
 }
 
@@ -155,3 +156,30 @@
     replica.confirm(PREFIX, next, evidence(5_000, true));
     assert_eq!(replica.complete_ms(PREFIX), Some(5_000));
 }
+
+/// It is learnt later that the store has been in its era for long: what was read in it is all there is,
+/// unless the box it came from said otherwise.
+#[test]
+fn note_complete_counts_from_what_was_last_seen() {
+    let unsure = Evidence {
+        is_complete: false,
+        ..evidence(4_000, true)
+    };
+    let listing = Listing {
+        items: Vec::new(),
+        at: at(7),
+    };
+    let replica = Replica::default();
+    replica.note_listing(PREFIX, &listing, unsure);
+    assert_eq!(replica.complete_ms(PREFIX), None);
+    replica.note_complete(PREFIX);
+    assert_eq!(replica.complete_ms(PREFIX), Some(4_000));
+    let told = Evidence {
+        is_told_complete: false,
+        ..unsure
+    };
+    let replica = Replica::default();
+    replica.note_listing(PREFIX, &listing, told);
+    replica.note_complete(PREFIX);
+    assert_eq!(replica.complete_ms(PREFIX), None);
+}
