An answer to another request promises nothing of this one, a refusal as little as any other

Cause: the id of an answer was looked at only after its refusal had been taken for the server's word. A late refusal of an earlier request that stands on the connection where the answer is expected told the caller that its request had not run, while it ran. Ruled out: an answer without any id may still be a refusal, as before (an error of the server's own). Change: an answer that names another request is one of unknown meaning, whatever its status.

--- a/crates/tinbay-gateway/src/front/attempt.rs
+++ b/crates/tinbay-gateway/src/front/attempt.rs
@@ -169,7 +169,14 @@
     if is_displaced(&response, names, terms) {
         return AttemptResult::Displaced;
     }
-    if text(response.headers(), &names.request_id) == Some(question.id.as_str()) {
+    let answered_id = text(response.headers(), &names.request_id);
+    let is_own = answered_id == Some(question.id.as_str());
+    // A late answer to another request stands here at times, a refusal as well: it promises nothing
+    // of this one, which may be running.
+    if !is_own && answered_id.is_some() {
+        return AttemptResult::unknown(UnknownCause::OtherAnswer);
+    }
+    if is_own {
         let asked_for = AskedFor::Request(&question.id);
         notices::take(
             node,
@@ -183,7 +190,6 @@
     {
         return AttemptResult::Declined { status };
     }
-    let is_own = text(response.headers(), &names.request_id) == Some(question.id.as_str());
     if !is_own {
         return AttemptResult::unknown(UnknownCause::OtherAnswer);
     }
