Explorer: absence counts without a break in watching alone, as in the boxes

Boxes don't: their watch brings what came in between, or they list anew, which begins the span again. So the check was of a box that does not exist; the model does as boxes do, the bound is unchanged, and the sequence stays as a case.

--- a/crates/tinbay-core/tests/serving_returns_test.rs
+++ b/crates/tinbay-core/tests/serving_returns_test.rs
@@ -97,6 +97,7 @@
     era: Option<u64>,
     entry_era: Option<u64>,
     missing_since_ms: HashMap<usize, u64>,
+    read_ms: u64,
     cut_until_ms: u64,
     still_until_ms: u64,
     is_leaving: bool,
@@ -206,6 +207,12 @@
             let position = Position::new(Era(era), *revision);
             member.claims.note(SERVER, &encode(value), position, now_ms);
         }
+        // Absence counts without a break in watching alone: what a box did not see in between, its
+        // watch brings it now, and a listing begins anew.
+        if now_ms > member.read_ms + STEP_MS {
+            member.missing_since_ms.clear();
+        }
+        member.read_ms = now_ms;
         for other in 0..BOXES {
             if self.store.entries.contains_key(&other) {
                 member.missing_since_ms.remove(&other);
@@ -327,6 +334,25 @@
         .quickcheck(keeps as fn(Vec<Event>) -> bool);
 }
 
+/// One box was frozen, seen to be missing, came back and was cut off in turn, while another one that was
+/// cut off meanwhile saw it missing before and after: it must not count that as one absence.
+#[test]
+fn absence_counts_without_a_break_in_watching_alone() {
+    let event = |pause_ms, what, place, lasts_ms| Event {
+        pause_ms,
+        what,
+        place,
+        lasts_ms,
+    };
+    let events = [
+        event(199, What::Freeze, 2, 4_944),
+        event(3_715, What::Cut, 3, 5_962),
+        event(1_916, What::Cut, 2, 5_516),
+    ];
+    let closest_ms = play(&events).closest_turn_ms();
+    assert!(closest_ms.is_none_or(|closest_ms| closest_ms >= TERMS.holder_gap_ms));
+}
+
 /// Whatever happened, some box orders the server again once it is over.
 #[test]
 fn somebody_orders_again_in_the_end() {
