--- a/crates/tinbay-core/src/serving/mod.rs
+++ b/crates/tinbay-core/src/serving/mod.rs
@@ -17,6 +17,7 @@
 pub mod reading;
 pub mod relays;
 pub mod routes;
+pub mod server_limit;
 pub mod servers;
 pub mod spread;
 pub mod subscribers;
--- /dev/null
+++ b/crates/tinbay-core/src/serving/server_limit.rs
@@ -0,0 +1,61 @@
+//! What a server says of its own limit: how many requests a second it takes from all boxes together.
+//!
+//! A server in need names it in its answers, for as long as they do. Answers overtake each other, and one
+//! without it may have been made before one with it. What is certain of an answer is that it was made after
+//! what it answers was sent, and before it came.
+
+use crate::units::Millis;
+
+/// What one answer of a server says of its limit.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LimitWord {
+    /// Requests a second that it takes from all boxes together; none where it names no limit.
+    pub per_s: Option<f64>,
+    /// When what it answers was sent: it was said later.
+    pub after_ms: Millis,
+    /// When it came: it was said earlier.
+    pub before_ms: Millis,
+}
+
+impl LimitWord {
+    fn is_tighter_than(&self, other: &LimitWord) -> bool {
+        match (self.per_s, other.per_s) {
+            (Some(own), Some(other)) => own < other,
+            (Some(_), None) => true,
+            (None, _) => false,
+        }
+    }
+}
+
+/// The limit of one incarnation of a server, by all that it has said so far.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct SaidLimit {
+    word: Option<LimitWord>,
+}
+
+impl SaidLimit {
+    /// Notes a word. One that was certainly said later replaces what is known; of two that may have been
+    /// said in either order the tighter one holds, until something is sent after it came and answered.
+    pub fn note(&mut self, word: LimitWord) {
+        let Some(known) = self.word else {
+            self.word = Some(word);
+            return;
+        };
+        let is_later = word.after_ms >= known.before_ms;
+        let is_earlier = known.after_ms >= word.before_ms;
+        let is_newer_of_same = word.per_s == known.per_s && word.before_ms >= known.before_ms;
+        if is_later || is_newer_of_same || (!is_earlier && word.is_tighter_than(&known)) {
+            self.word = Some(word);
+        }
+    }
+
+    /// Requests a second that the server takes from all boxes together; none where it has no limit.
+    pub fn per_s(&self) -> Option<f64> {
+        self.word?.per_s
+    }
+
+    /// What is known, to tell others; none where the server has never said anything.
+    pub fn word(&self) -> Option<LimitWord> {
+        self.word
+    }
+}
--- a/crates/tinbay-core/tests/serving_notices_test.rs
+++ b/crates/tinbay-core/tests/serving_notices_test.rs
@@ -7,6 +7,7 @@
     AnswerNotice {
         is_leaving: false,
         rest_ms: Some(rest_ms),
+        ..AnswerNotice::default()
     }
 }
 
@@ -52,6 +53,7 @@
             let notice = AnswerNotice {
                 is_leaving: *is_leaving,
                 rest_ms: rest_ms.map(u64::from),
+                ..AnswerNotice::default()
             };
             said.note(notice, now_ms);
             let rests = said.rest_until_ms(now_ms);
--- a/crates/tinbay-gateway/src/front/attempt.rs
+++ b/crates/tinbay-gateway/src/front/attempt.rs
@@ -6,6 +6,7 @@
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 use hyper::{Request, Response, StatusCode};
+use tinbay_core::units::Millis;
 
 use super::headers::{self, ServerHeaders};
 use super::question::{Question, text};
@@ -13,7 +14,7 @@
 use crate::http::pool::{ConnectError, Connection, Trust};
 use crate::node::Node;
 use crate::port::dialect::HeaderNames;
-use crate::servers::notices::{self, AskedFor};
+use crate::servers::notices::{self, AnswerHead, AskedFor};
 use crate::servers::{RunningRequest, Server};
 
 /// How a try ended.
@@ -111,18 +112,24 @@
     match tokio::time::timeout(terms.head_within, exchange).await {
         Err(_) => AttemptResult::unknown(UnknownCause::Silent),
         Ok(Err(result)) => result,
-        Ok(Ok((response, connection))) => {
-            judge(node, question, &terms, response, connection, running)
-        }
+        Ok(Ok(exchanged)) => judge(node, question, &terms, exchanged, running),
     }
 }
 
+/// The head of an answer, with where it came from.
+struct Exchanged {
+    response: Response<Incoming>,
+    connection: Connection,
+    /// When the request was sent.
+    sent_ms: Millis,
+}
+
 async fn exchange(
     node: &Node,
     question: &Question,
     body: RequestBody,
     terms: &AttemptTerms<'_>,
-) -> Result<(Response<Incoming>, Connection), AttemptResult> {
+) -> Result<Exchanged, AttemptResult> {
     let names = node.dialect.headers();
     let headers = headers::for_server(&question.parts.headers, names, &terms.headers);
     let mut request = build(question, body, headers);
@@ -134,8 +141,15 @@
             let body = request.into_body();
             return Err(AttemptResult::Withdrawn { body });
         }
+        let sent_ms = node.now_ms();
         match connection.sender.try_send_request(request).await {
-            Ok(response) => return Ok((response, connection)),
+            Ok(response) => {
+                return Ok(Exchanged {
+                    response,
+                    connection,
+                    sent_ms,
+                });
+            }
             Err(mut error) => match error.take_message() {
                 Some(unsent) if connection.is_reused => request = unsent,
                 Some(_) => {
@@ -160,10 +174,14 @@
     node: &Node,
     question: &Question,
     terms: &AttemptTerms<'_>,
-    response: Response<Incoming>,
-    connection: Connection,
+    exchanged: Exchanged,
     running: RunningRequest,
 ) -> AttemptResult {
+    let Exchanged {
+        response,
+        connection,
+        sent_ms,
+    } = exchanged;
     let names = node.dialect.headers();
     let status = response.status();
     if is_displaced(&response, names, terms) {
@@ -176,18 +194,19 @@
     if !is_own && answered_id.is_some() {
         return AttemptResult::unknown(UnknownCause::OtherAnswer);
     }
+    let is_not_run = response.headers().contains_key(&names.not_run)
+        || status == StatusCode::MISDIRECTED_REQUEST;
     if is_own {
-        let asked_for = AskedFor::Request(&question.id);
-        notices::take(
-            node,
-            terms.server,
-            asked_for,
-            status.as_u16(),
-            response.headers(),
-        );
+        let head = AnswerHead {
+            asked_for: AskedFor::Request(&question.id),
+            asked_ms: sent_ms,
+            status: status.as_u16(),
+            headers: response.headers(),
+            has_run: !is_not_run,
+        };
+        notices::take(node, terms.server, &head);
     }
-    if response.headers().contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST
-    {
+    if is_not_run {
         return AttemptResult::Declined { status };
     }
     if !is_own {
--- a/crates/tinbay-gateway/src/orders/holder.rs
+++ b/crates/tinbay-gateway/src/orders/holder.rs
@@ -22,7 +22,7 @@
 use crate::http::call::{Call, CallError, Caller, Reply};
 use crate::node::Node;
 use crate::port::dialect::{DecodeError, Order, OrderAction};
-use crate::servers::notices::{self, AskedFor};
+use crate::servers::notices::{self, AnswerHead, AskedFor};
 use crate::servers::view::ServerStatus;
 use crate::servers::{Server, ServerChange};
 use crate::watch::servers::log_change;
@@ -265,8 +265,9 @@
     async fn report(&self) -> Option<Report> {
         let path = self.node.dialect.report_path().to_string();
         let call = self.call(Method::GET, path, Bytes::new(), REPORT_TIMEOUT_MS);
+        let asked_ms = self.node.now_ms();
         match self.caller.call(&call).await {
-            Ok(reply) => self.read_reply(&reply),
+            Ok(reply) => self.read_reply(&reply, asked_ms),
             Err(error) => {
                 self.note_unreachable(error);
                 None
@@ -275,28 +276,28 @@
     }
 
     /// Reads the answer to a question for a report, with what its head says of the server.
-    fn read_reply(&self, reply: &Reply) -> Option<Report> {
+    fn read_reply(&self, reply: &Reply, asked_ms: Millis) -> Option<Report> {
         if reply.status != 200 {
-            self.take_notice(AskedFor::Report, reply);
+            self.take_notice(AskedFor::Report, asked_ms, reply);
             return None;
         }
         let report = self.read_report(&reply.body)?;
-        self.take_notice(AskedFor::Report, reply);
+        self.take_notice(AskedFor::Report, asked_ms, reply);
         Some(report)
     }
 
-    fn take_notice(&self, asked_for: AskedFor<'_>, reply: &Reply) {
+    fn take_notice(&self, asked_for: AskedFor<'_>, asked_ms: Millis, reply: &Reply) {
         if self.is_of_another(reply) {
             return;
         }
-        let has_said = notices::take(
-            &self.node,
-            &self.server,
+        let head = AnswerHead {
             asked_for,
-            reply.status,
-            &reply.headers,
-        );
-        if has_said {
+            asked_ms,
+            status: reply.status,
+            headers: &reply.headers,
+            has_run: false,
+        };
+        if notices::take(&self.node, &self.server, &head) {
             // Others ask for no load at a server that leaves or rests.
             self.publish(Reach::Users);
         }
@@ -398,12 +399,13 @@
         let body = self.node.dialect.encode_order(order);
         let path = self.node.dialect.order_path().to_string();
         let call = self.call(Method::POST, path, body, ORDER_TIMEOUT_MS);
+        let asked_ms = self.node.now_ms();
         match self.caller.call(&call).await {
             Ok(reply) => {
                 if self.is_of_another(&reply) {
                     self.note_displaced();
                 }
-                self.take_notice(AskedFor::Order, &reply);
+                self.take_notice(AskedFor::Order, asked_ms, &reply);
                 match reply.status {
                     200 => OrderAnswer::Done,
                     202 => OrderAnswer::Accepted,
--- a/crates/tinbay-gateway/src/port/dialect.rs
+++ b/crates/tinbay-gateway/src/port/dialect.rs
@@ -169,6 +169,13 @@
     /// When it can't be read.
     fn decode_rest(&self, status: u16, headers: &HeaderMap) -> Result<Option<Millis>, DecodeError>;
 
+    /// Reads from the head of an answer how many requests a second its server takes from all boxes
+    /// together; none where it names no limit.
+    ///
+    /// # Errors
+    /// When it can't be read.
+    fn decode_limit(&self, headers: &HeaderMap) -> Result<Option<f64>, DecodeError>;
+
     /// Writes an order.
     fn encode_order(&self, order: &Order) -> Bytes;
 
--- a/crates/tinbay-gateway/src/servers/server.rs
+++ b/crates/tinbay-gateway/src/servers/server.rs
@@ -123,8 +123,15 @@
     /// Notes what it says of itself in an answer of its own.
     pub fn note_said(&self, notice: AnswerNotice, now_ms: Millis) {
         self.said.borrow_mut().note(notice, now_ms);
-        let record = ServerRecord::clone(&self.record());
-        self.set_record(record);
+        if notice.is_leaving {
+            let record = ServerRecord::clone(&self.record());
+            self.set_record(record);
+        }
+    }
+
+    /// Requests a second that it takes from all boxes together; none where it named no limit.
+    pub fn limit_per_s(&self) -> Option<f64> {
+        self.said.borrow().limit().per_s()
     }
 
     /// What it says about itself.
--- a/crates/tinbay-gateway/tests/servers_test.rs
+++ b/crates/tinbay-gateway/tests/servers_test.rs
@@ -107,6 +107,7 @@
     let notice = AnswerNotice {
         is_leaving: true,
         rest_ms: Some(60_000),
+        limit: None,
     };
     server.note_said(notice, 1);
 }
@@ -167,6 +168,7 @@
     let notice = AnswerNotice {
         is_leaving: false,
         rest_ms: Some(60_000),
+        limit: None,
     };
     server.note_said(notice, 1);
     assert!(table.ready("engine").is_empty());
