A box alone in its zone is left out by all others: failing tests, listed

Symptom: three zones with a box each; from their fourth second on each of them hands out itself alone, for good. Found while limits over all boxes were reproduced: homes reached the half or a third of the fleet.

--- a/crates/tinbay-gateway/tests/members_test.rs
+++ b/crates/tinbay-gateway/tests/members_test.rs
@@ -114,6 +114,16 @@
     assert!(members.silent_near(6_000).is_empty());
 }
 
+/// Three zones with a box each: all three counted the other two as off from their fourth second on, for
+/// good, and a limit over all boxes was dealt to the half or the third of them.
+#[test]
+fn silent_near_never_names_the_box_itself() {
+    let mut members = Members::new("z1");
+    members.put("own", record("z1"), 0);
+    keep_in_touch(&mut members, 0, 6_000);
+    assert!(members.silent_near(6_000).is_empty());
+}
+
 /// A zone of one box has nobody else to say that it is off.
 #[test]
 fn judge_speakers_last_speaker_of_a_silent_zone() {
