--- a/crates/tinbay-core/src/accounts/account.rs
+++ b/crates/tinbay-core/src/accounts/account.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use super::key::KeyDigest;
+use crate::limits::terms::Limit;
 
 /// A client account.
 #[derive(Debug, Clone, PartialEq)]
@@ -31,15 +32,6 @@
     },
 }
 
-/// What an account may ask for over all boxes.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Limit {
-    /// Units a second.
-    pub per_s: f64,
-    /// Units beyond that at once.
-    pub burst: f64,
-}
-
 impl LimitUnit {
     /// What one request counts; `tokens` are those it says that it reads and makes.
     pub fn cost(self, tokens: Option<u64>) -> f64 {
--- a/crates/tinbay-core/src/accounts/mod.rs
+++ b/crates/tinbay-core/src/accounts/mod.rs
@@ -4,10 +4,7 @@
 //! milliseconds of a monotonic clock, decisions go out as values.
 
 pub mod account;
-pub mod bucket;
 pub mod key;
 pub mod key_check;
-pub mod limit_home;
-pub mod limit_share;
 pub mod priority;
 pub mod table;
--- a/crates/tinbay-core/src/lib.rs
+++ b/crates/tinbay-core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod fence;
 pub mod ids;
 pub mod keys;
+pub mod limits;
 pub mod loads;
 pub mod naive;
 pub mod policy;
--- a/crates/tinbay-core/src/accounts/limit_home.rs
+++ b/crates/tinbay-core/src/limits/home.rs
@@ -1,8 +1,8 @@
-//! The limit of one client account where one box keeps it for all.
+//! A limit where one box keeps it for all.
 //!
-//! All boxes draw the same box for an account, its home, and ask it for units before they let
-//! requests of the account in. Load it answers: one account that asks for many times its usual at
-//! all boxes at once, while others keep within theirs.
+//! All boxes draw the same box for a limit, its home, and ask it for units before they let requests in.
+//! Load it answers: one account that asks for many times its usual at all boxes at once, while others keep
+//! within theirs; a server in need that all boxes go on to use.
 //!
 //! Where a part of the fleet can't be reached, each side may take another box for the home. So a
 //! home deals only the part of the rate that belongs to the boxes it reaches: a fleet that is cut
@@ -10,22 +10,17 @@
 
 use crate::units::{MS_PER_SECOND, Millis};
 
-use super::account::Limit;
 use super::bucket::{Bucket, Filling};
+use super::terms::LimitTerms;
+use super::turns::Turns;
 
 /// Part of the bucket that is kept for requests that wait: above it boxes are given units ahead.
 const KEPT_PART: f64 = 0.5;
 
-/// Pause in dealing after which another box may have been the home meanwhile.
-const FORGOTTEN_AFTER_MS: Millis = 2_000;
-
-/// Time for which units have come then: some, as an account may just have rested, but not all, as
-/// another home may have dealt them.
+/// Time for which units have come after a pause in dealing: some, as an account may just have rested, but
+/// not all, as another home may have dealt them.
 const REMEMBERED_MS: Millis = 500;
 
-/// Longest time that callers are told to stay away.
-const LONGEST_AWAY_MS: Millis = 30_000;
-
 /// What a box asks for.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct UnitRequest {
@@ -47,21 +42,20 @@
 /// How much may be dealt.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct DealTerms {
-    /// The account's limit.
-    pub limit: Limit,
+    /// How the limit is kept.
+    pub limit: LimitTerms,
     /// Part of the fleet that this box reaches, from 0 to 1.
     pub reached: f64,
     /// Boxes of the fleet.
     pub boxes: usize,
 }
 
-/// What is kept of an account at its home.
+/// What is kept of a limit at its home.
 #[derive(Debug, Clone)]
 pub struct LimitHome {
     bucket: Bucket,
-    /// Until when the room to come is promised to callers that were turned away. They are told
-    /// one after the other to come back, each when there is room for it.
-    promised_until_ms: Millis,
+    /// Who is turned away is told to come back when there is room for it.
+    turns: Turns,
     /// When units were last dealt.
     dealt_ms: Millis,
 }
@@ -71,11 +65,18 @@
     pub fn new(now_ms: Millis) -> Self {
         Self {
             bucket: Bucket::empty(now_ms),
-            promised_until_ms: now_ms,
+            turns: Turns::default(),
             dealt_ms: now_ms,
         }
     }
 
+    /// The same, where units are held back first.
+    pub fn in_debt(debt: f64, now_ms: Millis) -> Self {
+        let mut home = Self::new(now_ms);
+        home.bucket.take(debt);
+        home
+    }
+
     /// Deals units.
     ///
     /// An account that has more than half of its bucket is given more ahead than a box asks for: its
@@ -87,37 +88,42 @@
     /// for the same worth (0.775 against 0.777; 0.56 against 0.59 where two accounts asked six
     /// times their usual).
     pub fn deal(&mut self, terms: DealTerms, request: UnitRequest, now_ms: Millis) -> UnitGrant {
-        let limit = terms.limit;
+        let limit = terms.limit.limit;
         let reached = terms.reached.clamp(0.0, 1.0);
         let filling = Filling {
             per_s: limit.per_s * reached,
             most: (limit.burst * reached).max(1.0),
         };
-        if now_ms >= self.dealt_ms + FORGOTTEN_AFTER_MS {
+        if now_ms >= self.dealt_ms.saturating_add(terms.limit.forgotten_after_ms) {
             self.bucket.empty_out(now_ms.saturating_sub(REMEMBERED_MS));
         }
         self.dealt_ms = now_ms;
         self.bucket.fill(filling, now_ms);
         if self.bucket.level() < request.needed.min(filling.most) {
-            let room_in_ms = Some(self.promise_room(request.needed, filling, now_ms));
+            let longest_ms = terms.limit.longest_away_ms;
+            let room_in_ms = Some(self.promise_room(request.needed, filling, longest_ms, now_ms));
             let units = 0.0;
             return UnitGrant { units, room_in_ms };
         }
         let spare = self.bucket.level() - request.needed - KEPT_PART * filling.most;
         let ahead = request.ahead.max(spare / terms.boxes.max(1) as f64);
-        let units = request.needed + ahead.min(spare).max(0.0);
+        // Messages carry whole units: a part of one would be lost.
+        let units = request.needed + ahead.min(spare).max(0.0).floor();
         self.bucket.take(units);
         let room_in_ms = None;
         UnitGrant { units, room_in_ms }
     }
 
-    fn promise_room(&mut self, needed: f64, filling: Filling, now_ms: Millis) -> Millis {
+    fn promise_room(
+        &mut self,
+        needed: f64,
+        filling: Filling,
+        longest_ms: Millis,
+        now_ms: Millis,
+    ) -> Millis {
         let needed = needed.min(filling.most);
         let first_ms = now_ms.saturating_add(self.bucket.time_to_ms(needed, filling.per_s));
         let own_ms = (needed / filling.per_s * MS_PER_SECOND as f64).ceil() as Millis;
-        let next_ms = self.promised_until_ms.saturating_add(own_ms);
-        let room_ms = first_ms.max(next_ms);
-        self.promised_until_ms = room_ms.min(now_ms + LONGEST_AWAY_MS);
-        (room_ms - now_ms).min(LONGEST_AWAY_MS)
+        self.turns.next_ms(first_ms, own_ms, longest_ms, now_ms)
     }
 }
--- a/crates/tinbay-core/src/accounts/limit_share.rs
+++ b/crates/tinbay-core/src/limits/share.rs
@@ -1,18 +1,18 @@
-//! The limit of one client account at a box that lets requests in.
+//! A limit at a box that lets requests in.
 //!
-//! What the account's home has given is used first. A box whose home does not answer uses its own
+//! What the limit's home has given is used first. A box whose home does not answer uses its own
 //! share, the limit divided by the boxes of the fleet. A share may be too small for one request:
 //! of 29,000 tokens a second 392 are left to each of 74 boxes. So it may be overdrawn by the box's
 //! part of what operators allow beyond the limit; that is paid back before the next request.
 
 use crate::units::Millis;
 
-use super::account::Limit;
 use super::bucket::{Bucket, Filling};
+use super::terms::LimitTerms;
 
-/// How long units last that were given ahead; what is not used by then is lost to the account, so
+/// How long units last that were given ahead; what is not used by then is lost, so
 /// that many boxes can't save them up and use them at once.
-const GRANT_LIFE_MS: Millis = 1_000;
+pub const GRANT_LIFE_MS: Millis = 1_000;
 
 /// Time for which units are asked ahead: some round trips between zones with what may delay them.
 const AHEAD_MS: Millis = 250;
@@ -27,15 +27,13 @@
 /// What the share of one box is worked out from.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ShareTerms {
-    /// The account's limit.
-    pub limit: Limit,
+    /// How the limit is kept.
+    pub limit: LimitTerms,
     /// Boxes of the fleet.
     pub boxes: usize,
-    /// Units by which all boxes together may overdraw their shares.
-    pub overdraft: f64,
 }
 
-/// What is kept of an account at one box.
+/// What is kept of a limit at one box.
 #[derive(Debug, Clone)]
 pub struct LimitShare {
     given: f64,
@@ -60,6 +58,13 @@
         }
     }
 
+    /// The same, where units are held back first.
+    pub fn in_debt(debt: f64, now_ms: Millis) -> Self {
+        let mut share = Self::new(now_ms);
+        share.share.take(debt);
+        share
+    }
+
     /// Notes that the home had no room for a request. An account at its limit does not live on
     /// shares while its home is not found: together with what that still deals, an account that
     /// asked six times its limit got 1.15 times of it over 8 s.
@@ -97,10 +102,11 @@
         now_ms: Millis,
     ) -> Result<(), Millis> {
         let boxes = terms.boxes.max(1) as f64;
-        let per_s = terms.limit.per_s / boxes;
-        let most = terms.limit.burst.max(terms.limit.per_s) / boxes;
+        let limit = terms.limit.limit;
+        let per_s = limit.per_s / boxes;
+        let most = limit.burst.max(limit.per_s) / boxes;
         self.share.fill(Filling { per_s, most }, now_ms);
-        let needed = units - terms.overdraft / boxes;
+        let needed = units - terms.limit.overdraft / boxes;
         if now_ms < self.at_limit_until_ms {
             return Err(self.at_limit_until_ms - now_ms);
         }
--- a/crates/tinbay-core/src/serving/server_limit.rs
+++ b/crates/tinbay-core/src/serving/server_limit.rs
@@ -6,6 +6,18 @@
 
 use crate::units::Millis;
 
+/// Part of a limit by which it must change to be worth a line and a message. A server that works its limit
+/// out anew for each answer would have one for each of them else.
+const NEWS_PART: f64 = 0.1;
+
+/// Whether a limit has changed so much since it was last told that others should know.
+pub fn is_news(told: Option<f64>, now: Option<f64>) -> bool {
+    match (told, now) {
+        (Some(told), Some(now)) => (now - told).abs() > NEWS_PART * told,
+        (told, now) => told.is_some() != now.is_some(),
+    }
+}
+
 /// What one answer of a server says of its limit.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LimitWord {
@@ -31,22 +43,22 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct SaidLimit {
     word: Option<LimitWord>,
+    /// Since when a limit has been known without a break.
+    since_ms: Option<Millis>,
 }
 
 impl SaidLimit {
     /// Notes a word. One that was certainly said later replaces what is known; of two that may have been
     /// said in either order the tighter one holds, until something is sent after it came and answered.
     pub fn note(&mut self, word: LimitWord) {
-        let Some(known) = self.word else {
-            self.word = Some(word);
+        if self.word.is_some_and(|known| !replaces(&word, &known)) {
             return;
-        };
-        let is_later = word.after_ms >= known.before_ms;
-        let is_earlier = known.after_ms >= word.before_ms;
-        let is_newer_of_same = word.per_s == known.per_s && word.before_ms >= known.before_ms;
-        if is_later || is_newer_of_same || (!is_earlier && word.is_tighter_than(&known)) {
-            self.word = Some(word);
         }
+        self.word = Some(word);
+        self.since_ms = match word.per_s {
+            Some(_) => self.since_ms.or(Some(word.before_ms)),
+            None => None,
+        };
     }
 
     /// Requests a second that the server takes from all boxes together; none where it has no limit.
@@ -54,8 +66,22 @@
         self.word?.per_s
     }
 
+    /// For how long a limit has been known.
+    pub fn known_for_ms(&self, now_ms: Millis) -> Millis {
+        let since_ms = self.since_ms.unwrap_or(now_ms);
+        now_ms.saturating_sub(since_ms)
+    }
+
     /// What is known, to tell others; none where the server has never said anything.
     pub fn word(&self) -> Option<LimitWord> {
         self.word
     }
 }
+
+/// Whether a word replaces what is known.
+fn replaces(word: &LimitWord, known: &LimitWord) -> bool {
+    let is_later = word.after_ms >= known.before_ms;
+    let is_earlier = known.after_ms >= word.before_ms;
+    let is_newer_of_same = word.per_s == known.per_s && word.before_ms >= known.before_ms;
+    is_later || is_newer_of_same || (!is_earlier && word.is_tighter_than(known))
+}
--- a/crates/tinbay-core/tests/accounts_key_test.rs
+++ b/crates/tinbay-core/tests/accounts_key_test.rs
@@ -3,11 +3,12 @@
 use std::rc::Rc;
 
 use quickcheck::QuickCheck;
-use tinbay_core::accounts::account::{Account, Limit, LimitUnit};
+use tinbay_core::accounts::account::{Account, LimitUnit};
 use tinbay_core::accounts::key::KeyDigest;
 use tinbay_core::accounts::key_check::{KeyDecision, KeyTerms, ShownKey, check};
 use tinbay_core::accounts::priority::PriorityRanks;
 use tinbay_core::accounts::table::{AccountError, AccountTable};
+use tinbay_core::limits::terms::Limit;
 use tinbay_core::units::Millis;
 
 const TERMS: KeyTerms = KeyTerms {
--- a/crates/tinbay-core/tests/accounts_limit_test.rs
+++ b/crates/tinbay-core/tests/limits_test.rs
@@ -1,9 +1,9 @@
 //! The limit of a client account over many boxes, in virtual time.
 
 use quickcheck::QuickCheck;
-use tinbay_core::accounts::account::Limit;
-use tinbay_core::accounts::limit_home::{DealTerms, LimitHome, UnitRequest};
-use tinbay_core::accounts::limit_share::{LimitShare, ShareTerms};
+use tinbay_core::limits::home::{DealTerms, LimitHome, UnitRequest};
+use tinbay_core::limits::share::{LimitShare, ShareTerms};
+use tinbay_core::limits::terms::{Limit, LimitTerms};
 use tinbay_core::units::Millis;
 
 /// Window over which the limit binds, and what it may be exceeded by.
@@ -29,15 +29,14 @@
 
 fn share_of(boxes: usize) -> ShareTerms {
     ShareTerms {
-        limit: LIMIT,
+        limit: LimitTerms::of_account(LIMIT, OVERDRAFT),
         boxes,
-        overdraft: OVERDRAFT,
     }
 }
 
 fn dealing(limit: Limit, reached: f64, boxes: usize) -> DealTerms {
     DealTerms {
-        limit,
+        limit: LimitTerms::of_account(limit, OVERDRAFT),
         reached,
         boxes,
     }
@@ -304,7 +303,7 @@
 fn take_share_overdrawn_once_then_paid_back() {
     let mut share = LimitShare::new(0);
     let terms = ShareTerms {
-        overdraft: 60_000.0,
+        limit: LimitTerms::of_account(LIMIT, 60_000.0),
         ..share_of(60)
     };
     let take = |share: &mut LimitShare, now_ms| share.take_share(terms, 1_200.0, now_ms);
--- /dev/null
+++ b/crates/tinbay-core/tests/serving_server_limit_test.rs
@@ -0,0 +1,442 @@
+//! What a server says of its limit, and what it gets from many boxes, in virtual time.
+
+use std::collections::{BTreeMap, HashMap};
+
+use quickcheck::QuickCheck;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use tinbay_core::limits::home::{DealTerms, LimitHome, UnitRequest};
+use tinbay_core::limits::share::{LimitShare, ShareTerms};
+use tinbay_core::limits::terms::LimitTerms;
+use tinbay_core::serving::server_limit::{LimitWord, SaidLimit};
+use tinbay_core::units::Millis;
+
+fn word(per_s: Option<f64>, after_ms: Millis, before_ms: Millis) -> LimitWord {
+    LimitWord {
+        per_s,
+        after_ms,
+        before_ms,
+    }
+}
+
+fn said(words: &[LimitWord]) -> Option<f64> {
+    let mut limit = SaidLimit::default();
+    for word in words {
+        limit.note(*word);
+    }
+    limit.per_s()
+}
+
+#[test]
+fn note_answer_to_a_later_request_ends_a_limit() {
+    let named = word(Some(4.0), 0, 100);
+    assert_eq!(said(&[named]), Some(4.0));
+    assert_eq!(said(&[named, word(None, 100, 200)]), None);
+}
+
+/// The answer without a limit was sent for before the one with it had come: it may be the older one.
+#[test]
+fn note_answer_that_may_be_older_ends_no_limit() {
+    let named = word(Some(4.0), 0, 100);
+    assert_eq!(said(&[named, word(None, 99, 200)]), Some(4.0));
+    assert_eq!(said(&[word(None, 0, 150), named]), Some(4.0));
+}
+
+/// Requests of which one is always under way do not keep a limit that is over.
+#[test]
+fn note_answers_that_overlap_end_a_limit() {
+    let named = word(Some(4.0), 0, 100);
+    let (first, second) = (word(None, 60, 160), word(None, 120, 220));
+    assert_eq!(said(&[named, first, second]), None);
+}
+
+#[test]
+fn note_of_two_limits_in_either_order_the_lower_one_holds() {
+    let (high, low) = (word(Some(8.0), 0, 200), word(Some(2.0), 50, 150));
+    assert_eq!(said(&[high, low]), Some(2.0));
+    assert_eq!(said(&[low, high]), Some(2.0));
+    assert_eq!(said(&[high, low, word(Some(8.0), 200, 300)]), Some(8.0));
+}
+
+#[test]
+fn note_word_that_is_certainly_older_changes_nothing() {
+    let named = word(Some(4.0), 500, 600);
+    assert_eq!(said(&[named, word(Some(1.0), 100, 400)]), Some(4.0));
+    assert_eq!(
+        said(&[word(None, 500, 600), word(Some(1.0), 100, 400)]),
+        None
+    );
+}
+
+/// Span over which requests are counted, and what may come beyond one and a half times the limit.
+const WINDOW_MS: Millis = 4_000;
+const BEYOND: f64 = 5.0;
+
+/// Time after which a limit binds that a server first named.
+const BINDS_AFTER_MS: Millis = 3_000;
+
+/// Longest time of an answer of the server.
+const LONGEST_ANSWER_MS: Millis = 300;
+
+/// Longest time until other boxes are told of a limit.
+const LONGEST_TELLING_MS: Millis = 200;
+
+/// Time in which a limit that falls is known to all that use the server.
+const KNOWN_MS: Millis = 1_000;
+
+/// What the server usually gets against its limit, as seen of servers in need.
+const USUAL_OVER_LIMIT: f64 = 4.0;
+
+const BOXES: usize = 12;
+const FIRST_MS: Millis = 2_000;
+const END_MS: Millis = 22_000;
+
+/// A run: limits by the time from which on they hold, and troubles of the boxes.
+struct Plan {
+    limits: BTreeMap<Millis, Option<f64>>,
+    /// From when to when a part of the boxes is cut off from the others, and how many.
+    cut: (Millis, Millis, usize),
+    /// When the home is killed, and another one drawn after a while.
+    kill_ms: Millis,
+    redrawn_ms: Millis,
+}
+
+impl Plan {
+    fn draw(random: &mut SmallRng) -> Self {
+        let mut limits = BTreeMap::new();
+        limits.insert(0, None);
+        let mut at_ms = FIRST_MS;
+        while at_ms < END_MS {
+            let is_over = at_ms > FIRST_MS && random.random_bool(0.2);
+            let per_s = 0.3 * 10_f64.powf(random.random_range(0.0..2.0));
+            limits.insert(at_ms, (!is_over).then_some(per_s));
+            at_ms += random.random_range(1_000..9_000);
+        }
+        let cut_ms = random.random_range(0..END_MS);
+        let kill_ms = random.random_range(0..END_MS);
+        Self {
+            limits,
+            cut: (
+                cut_ms,
+                cut_ms + random.random_range(0..8_000),
+                random.random_range(0..=BOXES),
+            ),
+            kill_ms,
+            redrawn_ms: kill_ms + random.random_range(0..3_000),
+        }
+    }
+
+    fn limit_at(&self, at_ms: Millis) -> Option<f64> {
+        let (_, per_s) = self.limits.range(..=at_ms).next_back()?;
+        *per_s
+    }
+}
+
+/// Boxes before one server, and what is on its way.
+struct Fleet {
+    plan: Plan,
+    random: SmallRng,
+    said: Vec<SaidLimit>,
+    shares: Vec<LimitShare>,
+    passed_over_until_ms: Vec<Millis>,
+    homes: HashMap<usize, (SaidLimit, LimitHome)>,
+    answers: BTreeMap<(Millis, u64), (usize, LimitWord)>,
+    told: BTreeMap<(Millis, u64), (usize, LimitWord)>,
+    arrivals: Vec<Millis>,
+    number: u64,
+    /// When a box first heard of a limit.
+    first_heard_ms: Option<Millis>,
+    /// What the server said in its answers, by when.
+    named: BTreeMap<Millis, Option<f64>>,
+}
+
+impl Fleet {
+    fn new(seed: u64) -> Self {
+        let mut random = SmallRng::seed_from_u64(seed);
+        Self {
+            plan: Plan::draw(&mut random),
+            random,
+            said: vec![SaidLimit::default(); BOXES],
+            shares: vec![LimitShare::new(0); BOXES],
+            passed_over_until_ms: vec![0; BOXES],
+            homes: HashMap::new(),
+            answers: BTreeMap::new(),
+            told: BTreeMap::new(),
+            arrivals: Vec::new(),
+            number: 0,
+            first_heard_ms: None,
+            named: BTreeMap::new(),
+        }
+    }
+
+    fn is_cut_off(&self, at: usize, now_ms: Millis) -> bool {
+        let (from_ms, until_ms, cut_off) = self.plan.cut;
+        at < cut_off && (from_ms..until_ms).contains(&now_ms)
+    }
+
+    /// The box that a box takes for the home and reaches, and the part of the fleet that this one reaches.
+    fn home_of(&self, at: usize, now_ms: Millis) -> Option<(usize, f64)> {
+        let (from_ms, until_ms, cut_off) = self.plan.cut;
+        let is_cut = (from_ms..until_ms).contains(&now_ms);
+        let is_second = self.is_cut_off(at, now_ms);
+        let reached = match (is_cut, is_second) {
+            (false, _) => 1.0,
+            (true, true) => cut_off as f64 / BOXES as f64,
+            (true, false) => (BOXES - cut_off) as f64 / BOXES as f64,
+        };
+        if is_second {
+            return Some((0, reached));
+        }
+        // Of the others the last one is the home until it is killed.
+        if now_ms < self.plan.kill_ms {
+            return Some((BOXES - 1, reached));
+        }
+        (now_ms >= self.plan.redrawn_ms).then_some((BOXES - 2, reached))
+    }
+
+    /// How a box keeps the limit that it knows.
+    fn terms(&self, at: usize, per_s: f64, now_ms: Millis) -> LimitTerms {
+        let known_for_ms = self.said[at].known_for_ms(now_ms);
+        LimitTerms::of_server(per_s, BINDS_AFTER_MS, known_for_ms)
+    }
+
+    /// Whether a request of a box may be sent.
+    fn admit(&mut self, at: usize, now_ms: Millis) -> bool {
+        let Some(per_s) = self.said[at].per_s() else {
+            return true;
+        };
+        if now_ms < self.passed_over_until_ms[at] {
+            return false;
+        }
+        if self.shares[at].take_given(1.0, now_ms) {
+            return true;
+        }
+        let Some((home, reached)) = self.home_of(at, now_ms) else {
+            let terms = ShareTerms {
+                limit: self.terms(at, per_s, now_ms),
+                boxes: BOXES,
+            };
+            return self.shares[at].take_share(terms, 1.0, now_ms).is_ok();
+        };
+        self.ask(at, home, reached, now_ms)
+    }
+
+    fn ask(&mut self, at: usize, home: usize, reached: f64, now_ms: Millis) -> bool {
+        let ahead = self.shares[at].ahead(now_ms);
+        // A home knows what its own box heard and what it is told with questions.
+        let mut known = self.said[home];
+        let own = self.said[at].word();
+        own.into_iter().for_each(|word| known.note(word));
+        self.said[home] = known;
+        let Some(per_s) = known.per_s() else {
+            self.homes.remove(&home);
+            known
+                .word()
+                .into_iter()
+                .for_each(|word| self.said[at].note(word));
+            return self.said[at].per_s().is_none();
+        };
+        let terms = self.terms(home, per_s, now_ms);
+        let (_, dealer) = self
+            .homes
+            .entry(home)
+            .or_insert_with(|| (known, LimitHome::in_debt(terms.first_debt, now_ms)));
+        let deal = DealTerms {
+            limit: terms,
+            reached,
+            boxes: BOXES,
+        };
+        let request = UnitRequest { needed: 1.0, ahead };
+        let grant = dealer.deal(deal, request, now_ms);
+        known
+            .word()
+            .into_iter()
+            .for_each(|word| self.said[at].note(word));
+        self.shares[at].note_given(grant.units, now_ms);
+        match grant.room_in_ms {
+            Some(room_in_ms) => {
+                self.shares[at].note_denied(now_ms);
+                self.passed_over_until_ms[at] = now_ms + room_in_ms.min(terms.longest_away_ms);
+                false
+            }
+            None => self.shares[at].take_given(1.0, now_ms),
+        }
+    }
+
+    fn send(&mut self, at: usize, now_ms: Millis) {
+        self.arrivals.push(now_ms);
+        let answer_ms = now_ms + self.random.random_range(1..LONGEST_ANSWER_MS);
+        // The server says what holds at some time before its answer comes.
+        let said_ms = self.random.random_range(now_ms..answer_ms);
+        let per_s = self.plan.limit_at(said_ms);
+        let word = word(per_s, now_ms, answer_ms);
+        self.named.insert(said_ms, per_s);
+        self.number += 1;
+        self.answers.insert((answer_ms, self.number), (at, word));
+    }
+
+    fn take_answers(&mut self, now_ms: Millis) {
+        while let Some(entry) = self.answers.first_entry() {
+            if entry.key().0 > now_ms {
+                return;
+            }
+            let (at, word) = entry.remove();
+            let before = self.said[at].per_s();
+            self.said[at].note(word);
+            let after = self.said[at].per_s();
+            if before == after {
+                continue;
+            }
+            self.begin_share(at, before, now_ms);
+            self.first_heard_ms.get_or_insert(now_ms);
+            self.tell(at, now_ms);
+        }
+    }
+
+    /// Tells the other boxes that it reaches what a box heard from the server itself: the home, and those
+    /// that use the server, by its holder or from one to the next.
+    fn tell(&mut self, at: usize, now_ms: Millis) {
+        let Some(word) = self.said[at].word() else {
+            return;
+        };
+        if let Some((home, _)) = self.home_of(at, now_ms) {
+            self.said[home].note(word);
+            if self.said[home].per_s().is_none() {
+                self.homes.remove(&home);
+            }
+        }
+        if word.per_s.is_none() {
+            return;
+        }
+        for other in 0..BOXES {
+            if self.is_cut_off(other, now_ms) != self.is_cut_off(at, now_ms) {
+                continue;
+            }
+            let told_ms = now_ms + self.random.random_range(1..LONGEST_TELLING_MS);
+            self.number += 1;
+            self.told.insert((told_ms, self.number), (other, word));
+        }
+    }
+
+    fn take_told(&mut self, now_ms: Millis) {
+        while let Some(entry) = self.told.first_entry() {
+            if entry.key().0 > now_ms {
+                return;
+            }
+            let (at, word) = entry.remove();
+            let before = self.said[at].per_s();
+            self.said[at].note(word);
+            self.begin_share(at, before, now_ms);
+        }
+    }
+
+    /// A box that learns of a limit where it knew none begins its share anew.
+    fn begin_share(&mut self, at: usize, before: Option<f64>, now_ms: Millis) {
+        if let (None, Some(per_s)) = (before, self.said[at].per_s()) {
+            let debt = self.terms(at, per_s, now_ms).first_debt / BOXES as f64;
+            self.shares[at] = LimitShare::in_debt(debt, now_ms);
+        }
+    }
+
+    /// What is asked for: of the first limit until it is known, then of the highest one.
+    fn usual(&self, now_ms: Millis) -> f64 {
+        let is_known = self
+            .first_heard_ms
+            .is_some_and(|heard_ms| now_ms > heard_ms + KNOWN_MS);
+        if !is_known {
+            return self.plan.limit_at(FIRST_MS).unwrap_or_default();
+        }
+        let limits = self.plan.limits.values().flatten();
+        limits.copied().fold(0.0, f64::max)
+    }
+
+    fn play(&mut self) {
+        for now_ms in 0..END_MS {
+            self.take_answers(now_ms);
+            self.take_told(now_ms);
+            let per_ms = (USUAL_OVER_LIMIT * self.usual(now_ms) / 1_000.0).min(1.0);
+            if !self.random.random_bool(per_ms) {
+                continue;
+            }
+            let at = self.random.random_range(0..BOXES);
+            if self.admit(at, now_ms) {
+                self.send(at, now_ms);
+            }
+        }
+    }
+
+    /// What the highest limit that is known allows until each millisecond, and for how long until then the
+    /// server had named none.
+    fn allowed_until(&self) -> Vec<(f64, u64)> {
+        let (mut sum, mut without_ms) = (0.0, 0);
+        let mut all = vec![(sum, without_ms)];
+        for at_ms in 0..END_MS {
+            match self.highest_known(at_ms) {
+                Some(per_s) => sum += per_s / 1_000.0,
+                None => without_ms += 1,
+            }
+            all.push((sum, without_ms));
+        }
+        all
+    }
+
+    /// The highest limit that a box may still know then, of those that the server has named in an answer;
+    /// before the first one, that one. A limit that fell while all boxes waited for their turns is known
+    /// to nobody before the first request after that.
+    fn highest_known(&self, at_ms: Millis) -> Option<f64> {
+        let first_ms = *self.named.keys().find(|at_ms| **at_ms >= FIRST_MS)?;
+        let from_ms = at_ms.saturating_sub(KNOWN_MS).max(first_ms);
+        let since = self.named.range(from_ms..=at_ms.max(first_ms));
+        let (_, before) = self.named.range(..=from_ms).next_back()?;
+        let mut highest = (*before)?;
+        for (_, per_s) in since {
+            highest = highest.max((*per_s)?);
+        }
+        Some(highest)
+    }
+
+    /// The first window that holds more than is allowed.
+    fn broken(&self) -> Option<(Millis, usize, f64)> {
+        let until = self.allowed_until();
+        let mut first = 0;
+        for (last, end_ms) in self.arrivals.iter().enumerate() {
+            while self.arrivals[first] + WINDOW_MS <= *end_ms {
+                first += 1;
+            }
+            if *end_ms < FIRST_MS + BINDS_AFTER_MS {
+                continue;
+            }
+            let (from, to) = (
+                until[(end_ms - WINDOW_MS) as usize],
+                until[*end_ms as usize],
+            );
+            let came = last + 1 - first;
+            let allowed = 1.5 * (to.0 - from.0) + BEYOND;
+            if from.1 == to.1 && came as f64 > allowed {
+                return Some((*end_ms, came, allowed));
+            }
+        }
+        None
+    }
+}
+
+/// Limits of 0.3 to 30 a second fall, rise, end and begin; answers overtake each other; the fleet is cut in
+/// two, its home is killed, another one comes at once or seconds later.
+#[test]
+fn server_gets_no_more_than_it_names_whatever_happens_to_boxes() {
+    fn property(seed: u64) -> bool {
+        let mut fleet = Fleet::new(seed);
+        fleet.play();
+        let broken = fleet.broken();
+        if let Some((end_ms, came, allowed)) = broken {
+            println!(
+                "seed {seed}: {came} in the window to {end_ms} ms, {allowed:.1} allowed; limits {:?}, cut {:?}, killed {} redrawn {}",
+                fleet.plan.limits, fleet.plan.cut, fleet.plan.kill_ms, fleet.plan.redrawn_ms
+            );
+        }
+        broken.is_none()
+    }
+    QuickCheck::new()
+        .tests(400)
+        .quickcheck(property as fn(u64) -> bool);
+}
--- a/crates/tinbay-experiment/src/limits/demand.rs
+++ b/crates/tinbay-experiment/src/limits/demand.rs
@@ -3,7 +3,7 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use rand_distr::{Distribution, Zipf};
-use tinbay_core::accounts::account::Limit;
+use tinbay_core::limits::terms::Limit;
 
 use super::{LEAST_LIMIT_PER_S, LIMIT_FACTOR, LimitTerms};
 
--- a/crates/tinbay-experiment/src/limits/measures.rs
+++ b/crates/tinbay-experiment/src/limits/measures.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use serde::Serialize;
-use tinbay_core::accounts::account::Limit;
+use tinbay_core::limits::terms::Limit;
 
 use super::{OVERSHOOT, SLACK, WINDOW_MS};
 
--- a/crates/tinbay-experiment/src/limits/play.rs
+++ b/crates/tinbay-experiment/src/limits/play.rs
@@ -2,9 +2,9 @@
 
 use std::collections::{HashMap, VecDeque};
 
-use tinbay_core::accounts::account::Limit;
-use tinbay_core::accounts::limit_home::{DealTerms, LimitHome, UnitGrant, UnitRequest};
-use tinbay_core::accounts::limit_share::{LimitShare, ShareTerms};
+use tinbay_core::limits::home::{DealTerms, LimitHome, UnitGrant, UnitRequest};
+use tinbay_core::limits::share::{LimitShare, ShareTerms};
+use tinbay_core::limits::terms::{self, Limit};
 
 use super::demand::{self, Asked, Demand, HOT_ACCOUNT};
 use super::measures::{LimitMeasures, Second, Window, allowed, in_window};
@@ -73,6 +73,10 @@
         }
     }
 
+    fn limit_terms(&self, account: usize) -> terms::LimitTerms {
+        terms::LimitTerms::of_account(self.limits[account], SLACK * OVERDRAFT_PART)
+    }
+
     /// The box that keeps an account's limit.
     fn home_of(&self, account: usize) -> usize {
         account.wrapping_mul(0x9e37_79b9) % self.terms.boxes
@@ -116,9 +120,8 @@
 
     fn ask_share(&mut self, asked: Asked, now_ms: u64) {
         let terms = ShareTerms {
-            limit: self.limits[asked.account],
+            limit: self.limit_terms(asked.account),
             boxes: self.terms.boxes,
-            overdraft: SLACK * OVERDRAFT_PART,
         };
         let taken = self
             .share(asked, now_ms)
@@ -168,7 +171,7 @@
             ahead,
         };
         let terms = DealTerms {
-            limit: self.limits[asked.account],
+            limit: self.limit_terms(asked.account),
             reached: 1.0,
             boxes: self.terms.boxes,
         };
--- a/crates/tinbay-gateway/src/front/attempt.rs
+++ b/crates/tinbay-gateway/src/front/attempt.rs
@@ -12,6 +12,7 @@
 use super::question::{Question, text};
 use crate::http::body::RequestBody;
 use crate::http::pool::{ConnectError, Connection, Trust};
+use crate::limits::servers::Permit;
 use crate::node::Node;
 use crate::port::dialect::HeaderNames;
 use crate::servers::notices::{self, AnswerHead, AskedFor};
@@ -28,7 +29,8 @@
     },
     /// Another server has its address.
     Displaced,
-    /// It was not sent, as the server was found to leave or to rest while a connection was awaited.
+    /// It was not sent, as the server was found to leave, to rest or to be at its limit while a connection
+    /// was awaited.
     Withdrawn {
         /// The body, as it was.
         body: RequestBody,
@@ -96,6 +98,8 @@
     pub trust: Trust,
     /// What is set besides the caller's headers.
     pub headers: ServerHeaders<'a>,
+    /// Leave to send it within the server's limit.
+    pub permit: Permit,
     /// Longest wait for the head.
     pub head_within: Duration,
 }
@@ -137,7 +141,8 @@
         let connected = terms.server.pool.get(terms.most_open, terms.trust).await;
         let mut connection = connected.map_err(|error| AttemptResult::NotSent { error })?;
         // The choice is older than this send by all that was waited for since.
-        if !terms.server.takes_work(node.now_ms()) {
+        let now_ms = node.now_ms();
+        if !terms.server.may_be_sent(now_ms) || !terms.permit.holds(terms.server, now_ms) {
             let body = request.into_body();
             return Err(AttemptResult::Withdrawn { body });
         }
--- a/crates/tinbay-gateway/src/front/choice.rs
+++ b/crates/tinbay-gateway/src/front/choice.rs
@@ -43,6 +43,10 @@
 /// Mistrust at which a server does not count among those over which an adapter is spread.
 const MISTRUSTED: f64 = 1.5;
 
+/// Servers without room in their limits after which a request looks at none that has a limit: to ask for
+/// room takes some milliseconds each time.
+const MOST_AT_LIMITS: u32 = 3;
+
 /// Pause after which a holder is asked for a load again, as messages may be lost.
 const ASK_AGAIN_MS: Millis = 200;
 
@@ -133,7 +137,11 @@
 /// Where a request should run, among servers not tried yet.
 pub fn choose(node: &Node, question: &Question, tried: &[String], asked: &Asked) -> Choice {
     let mut ready = node.servers.borrow().ready(&question.service);
-    ready.retain(|server| !tried.contains(&server.record().id));
+    let is_asked_enough = question.at_limits.get() >= MOST_AT_LIMITS;
+    ready.retain(|server| {
+        let is_passed_over = is_asked_enough && server.limit_per_s().is_some();
+        !is_passed_over && !tried.contains(&server.record().id)
+    });
     let objective_ms = question.route.objective_ms;
     match question.model.as_deref() {
         Some(model) if model.contains('/') => choose_for_adapter(node, question, &ready, asked),
@@ -188,6 +196,8 @@
     is_older: Vec<bool>,
     /// Servers over which the adapter is spread.
     copies: usize,
+    /// Whether the service has servers that name no limit.
+    has_unlimited: bool,
 }
 
 impl Survey {
@@ -198,6 +208,7 @@
             candidates: Vec::new(),
             is_older: Vec::new(),
             copies: 1,
+            has_unlimited: ready.iter().any(|server| server.limit_per_s().is_none()),
         };
         let mut counted = 0;
         let mut is_home_found = false;
@@ -289,13 +300,19 @@
         self.candidates.push(Candidate {
             presence,
             load: load(node, server, question.route.objective_ms),
-            takes_loads: node.takes_loads(server),
+            takes_loads: node.takes_loads(server) && !self.spares(server),
             load_wait: node.load_wait_ms(server) / question.route.objective_ms.max(1) as f64,
         });
         self.is_older.push(is_older);
         self.servers.push(Rc::clone(server));
     }
 
+    /// Whether a server is given nothing more to hold: one in need serves what it holds as far as its
+    /// limit allows, and what it would load next asks for more than that.
+    fn spares(&self, server: &Server) -> bool {
+        self.has_unlimited && server.limit_per_s().is_some()
+    }
+
     /// What to make of a server that is not known to hold the adapter. One that was asked will
     /// load it; one of several over which it is spread, of which nothing is known, is presumed
     /// to hold it, as its holder is asked before anything is sent.
--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -18,6 +18,7 @@
 use crate::http::body::{AnswerBody, BodyError, RequestBody};
 use crate::http::pool::Trust;
 use crate::http::relay::{EndObserver, Relay, RelayTerms};
+use crate::limits::servers::{self as limits, Permit};
 use crate::node::Node;
 use crate::servers::{RunningRequest, Server};
 
@@ -88,13 +89,17 @@
         if is_refused(node, question).await {
             return Err(give_up_crashing(node, question, &tries));
         }
+        let Some(permit) = limits::admit(node, &server).await else {
+            question.note_at_limit();
+            continue;
+        };
         let Some(sent) = body.take() else {
             return Err(give_up(node, question, &tries));
         };
         body = sent.repeat();
         let sent_ms = node.now_ms();
         let before_ms = node.backlog_ms(&server);
-        let result = try_server(node, question, &tries, sent, &server).await;
+        let result = try_server(node, question, &tries, sent, &server, permit).await;
         if matches!(result, AttemptResult::Begun(_)) {
             node.note_reading(question, before_ms, node.now_ms() - sent_ms);
         }
@@ -109,6 +114,7 @@
                 continue;
             }
             AttemptResult::Withdrawn { body: unsent } => {
+                permit.give_back(node, &server);
                 body = Some(unsent);
                 continue;
             }
@@ -121,6 +127,7 @@
                 AttemptEnd::NotRun
             }
             AttemptResult::NotSent { .. } => {
+                permit.give_back(node, &server);
                 server.add_mistrust(MISTRUST_CONNECT, node.now_ms());
                 AttemptEnd::NotRun
             }
@@ -189,6 +196,7 @@
     tries: &Tries,
     body: RequestBody,
     server: &Rc<Server>,
+    permit: Permit,
 ) -> AttemptResult {
     let now_ms = node.now_ms();
     let sent = last_send(node, question, server, now_ms);
@@ -208,6 +216,7 @@
             version: sent.expected_version,
             account: question.client_account().map(|account| &*account.name),
         },
+        permit,
         head_within: if is_last {
             Duration::from_millis(left_ms)
         } else {
@@ -339,7 +348,7 @@
     }
     Refusal::NotRun {
         reason: NotRunReason::Declined,
-        retry_after_ms: node.rest_ms(&question.service).unwrap_or(SHORTEST_RETRY_MS),
+        retry_after_ms: limits::return_in_ms(node, &question.service).unwrap_or(SHORTEST_RETRY_MS),
     }
 }
 
--- a/crates/tinbay-gateway/src/front/filters/account_limit.rs
+++ b/crates/tinbay-gateway/src/front/filters/account_limit.rs
@@ -6,9 +6,9 @@
 use tinbay_core::serving::prompt::TokenCount;
 
 use super::{Exchange, Filter, Filtering, Step};
-use crate::account_limits;
 use crate::front::question::{AdmittedUnits, Question};
 use crate::front::refusal::Refusal;
+use crate::limits::{self, limited::Limited};
 use crate::node::Node;
 
 /// Lets a request in within the limit of its client account over all boxes.
@@ -25,8 +25,10 @@
     /// A request that was not run counts nothing.
     fn take_back(&self, node: &Rc<Node>, question: &Question) {
         let admitted = question.admitted.take();
-        if let (Some(admitted), Some(account)) = (admitted, question.client_account()) {
-            account_limits::give_back(node, account, admitted.units);
+        let account = question.client_account();
+        let limited = account.and_then(|account| Limited::of_account(node, account));
+        if let (Some(admitted), Some(limited)) = (admitted, limited) {
+            limits::give_back(node, &limited, admitted.units);
         }
     }
 }
@@ -35,11 +37,11 @@
     let Some(account) = question.client_account() else {
         return Ok(());
     };
-    let Some(limit) = account.limit else {
+    let Some(limited) = Limited::of_account(node, account) else {
         return Ok(());
     };
     let units = units(account, question.prompt.count)?;
-    let admitted = account_limits::admit(node, account, limit, units).await;
+    let admitted = limits::admit(node, &limited, units).await;
     let by = admitted.map_or("refused", |by| by.name());
     node.metrics.count_limit(&account.name, by);
     let by = admitted.map_err(|retry_after_ms| Refusal::LimitReached { retry_after_ms })?;
--- a/crates/tinbay-gateway/src/front/question.rs
+++ b/crates/tinbay-gateway/src/front/question.rs
@@ -15,7 +15,7 @@
 use tinbay_core::units::Millis;
 
 use super::refusal::Refusal;
-use crate::account_limits::AdmittedBy;
+use crate::limits::AdmittedBy;
 use crate::node::{InForce, Node};
 
 /// Time a caller is taken to wait where it names none.
@@ -69,6 +69,8 @@
     pub account: OnceCell<ShownAccount>,
     /// What it counted against its account's limit; nothing where that does not bind.
     pub admitted: Cell<Option<AdmittedUnits>>,
+    /// Servers that were passed over as their limits had no room.
+    pub at_limits: Cell<u32>,
     /// The route.
     pub route: Rc<Route>,
     /// The service chosen among the route's.
@@ -137,6 +139,7 @@
             key,
             account: OnceCell::new(),
             admitted: Cell::default(),
+            at_limits: Cell::default(),
             model_key: model.as_deref().map(adapter_key),
             model,
             prompt: node.dialect.decode_prompt(&parts.headers),
@@ -174,6 +177,11 @@
         self.in_force.ranks.rank(account, self.route.priority)
     }
 
+    /// Notes that a server was passed over as its limit had no room.
+    pub fn note_at_limit(&self) {
+        self.at_limits.set(self.at_limits.get() + 1);
+    }
+
     /// Whether the request may run more than once.
     pub fn is_repeatable(&self) -> bool {
         match self.route.kind {
--- a/crates/tinbay-gateway/src/housekeeping.rs
+++ b/crates/tinbay-gateway/src/housekeeping.rs
@@ -27,7 +27,7 @@
             held.tidy(node.now_ms());
         }
         node.waiters.tidy();
-        node.account_limits.tidy(node.now_ms());
+        node.limits.tidy(&node);
         node.crashes.tidy(node.now_ms());
         show_beliefs(&node);
     }
--- a/crates/tinbay-gateway/src/lib.rs
+++ b/crates/tinbay-gateway/src/lib.rs
@@ -4,7 +4,6 @@
 //! from one surrounding to another (names, formats, calls) stands behind the traits of
 //! [`port`]; what is decided stands in `tinbay_core::serving`.
 
-pub mod account_limits;
 pub mod clock;
 pub mod crashes;
 pub mod directory;
@@ -14,6 +13,7 @@
 pub mod housekeeping;
 pub mod http;
 pub mod latch;
+pub mod limits;
 pub mod members;
 pub mod metrics;
 pub mod node;
--- a/crates/tinbay-gateway/src/account_limits/home.rs
+++ b/crates/tinbay-gateway/src/limits/home.rs
@@ -1,13 +1,11 @@
-//! Which box keeps an account's limit for all, and the dealing where it is this one.
+//! Which box keeps a limit for all, and the dealing where it is this one.
 
-use std::rc::Rc;
-
-use tinbay_core::accounts::account::{Account, Limit};
-use tinbay_core::accounts::limit_home::{DealTerms, LimitHome, UnitGrant, UnitRequest};
+use tinbay_core::limits::home::{DealTerms, LimitHome, UnitGrant, UnitRequest};
 use tinbay_core::serving::capacity::{self, RankedBox};
 use tinbay_core::serving::servers::Fingerprint;
 use tinbay_core::units::Millis;
 
+use super::limited::{LimitKey, Limited};
 use crate::members::box_fingerprint;
 use crate::node::Node;
 
@@ -21,7 +19,7 @@
 /// store: it may know few of the others.
 const UNKNOWN_FLEET: usize = 100;
 
-/// The home of an account.
+/// The home of a limit.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Home {
     /// This box.
@@ -30,7 +28,7 @@
     Other(String),
 }
 
-/// The home of an account and how it was drawn.
+/// The home of a limit and how it was drawn.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Drawn {
     /// The home.
@@ -42,7 +40,7 @@
     pub without: Vec<Fingerprint>,
 }
 
-/// The home of an account as it was drawn lately.
+/// The home of a limit as it was drawn lately.
 #[derive(Debug)]
 pub struct KeptHome {
     drawn: Option<Drawn>,
@@ -60,70 +58,75 @@
     pub is_sure: bool,
 }
 
-/// The home of an account; none where no box can be one.
-pub fn of(node: &Node, account: &Rc<str>) -> Option<Drawn> {
+/// The home of a limit; none where no box can be one.
+pub fn of(node: &Node, limited: &Limited) -> Option<Drawn> {
+    of_name(node, limited.key, &limited.name)
+}
+
+/// The same by the limit's names.
+pub fn of_name(node: &Node, key: LimitKey, name: &str) -> Option<Drawn> {
     let now_ms = node.now_ms();
-    let mut kept = node.account_limits.drawn.borrow_mut();
-    if let Some(kept) = kept.get(account).filter(|kept| now_ms < kept.until_ms) {
+    let mut kept = node.limits.drawn.borrow_mut();
+    if let Some(kept) = kept.get(&key).filter(|kept| now_ms < kept.until_ms) {
         return kept.drawn.clone();
     }
-    let drawn = draw(node, account, Vec::new());
+    let drawn = draw(node, name, Vec::new());
     let until_ms = now_ms + DRAWN_LIFE_MS;
     let entry = KeptHome {
         drawn: drawn.clone(),
         until_ms,
     };
-    kept.insert(Rc::clone(account), entry);
+    kept.insert(key, entry);
     drawn
 }
 
-/// Whether the home of an account did not answer lately.
-pub fn has_failed(node: &Node, account: &Rc<str>) -> bool {
-    let Some(Home::Other(home)) = of(node, account).map(|drawn| drawn.home) else {
+/// Whether the home of a limit did not answer lately.
+pub fn has_failed(node: &Node, limited: &Limited) -> bool {
+    let Some(Home::Other(home)) = of(node, limited).map(|drawn| drawn.home) else {
         return false;
     };
-    let failed = node.account_limits.failed.borrow();
+    let failed = node.limits.failed.borrow();
     let until_ms = failed.get(&home);
     until_ms.is_some_and(|until_ms| node.now_ms() < *until_ms)
 }
 
-/// Draws an account's home anew, as the last one said that it can't be one.
-pub fn draw_without(node: &Node, account: &Rc<str>, last: &Drawn) {
+/// Draws a limit's home anew, as the last one said that it can't be one.
+pub fn draw_without(node: &Node, limited: &Limited, last: &Drawn) {
     let id = match &last.home {
         Home::Own => node.settings.borrow().box_id.clone(),
         Home::Other(id) => id.clone(),
     };
     let mut without = last.without.clone();
     without.push(box_fingerprint(&id));
-    let drawn = draw(node, account, without);
-    keep(node, account, drawn);
+    let drawn = draw(node, &limited.name, without);
+    keep(node, limited, drawn);
 }
 
-/// Takes another box for an account's home, as the last one does that was asked.
-pub fn take_other(node: &Node, account: &Rc<str>, last: &Drawn, home: String) {
+/// Takes another box for a limit's home, as the last one does that was asked.
+pub fn take_other(node: &Node, limited: &Limited, last: &Drawn, home: String) {
     let is_own = home == node.settings.borrow().box_id;
     let home = if is_own { Home::Own } else { Home::Other(home) };
     let without = last.without.clone();
-    keep(node, account, Some(Drawn { home, without }));
+    keep(node, limited, Some(Drawn { home, without }));
 }
 
-fn keep(node: &Node, account: &Rc<str>, drawn: Option<Drawn>) {
+fn keep(node: &Node, limited: &Limited, drawn: Option<Drawn>) {
     let until_ms = node.now_ms() + DRAWN_LIFE_MS;
-    let mut kept = node.account_limits.drawn.borrow_mut();
-    kept.insert(Rc::clone(account), KeptHome { drawn, until_ms });
+    let mut kept = node.limits.drawn.borrow_mut();
+    kept.insert(limited.key, KeptHome { drawn, until_ms });
 }
 
-/// The home of an account as this box draws it, with some boxes left out.
-pub fn drawn_without(node: &Node, account: &Rc<str>, without: &[Fingerprint]) -> Option<Home> {
+/// The home of a limit as this box draws it, with some boxes left out.
+pub fn drawn_without(node: &Node, limited: &Limited, without: &[Fingerprint]) -> Option<Home> {
     let drawn = if without.is_empty() {
-        of(node, account)
+        of(node, limited)
     } else {
-        draw(node, account, without.to_vec())
+        draw(node, &limited.name, without.to_vec())
     };
     drawn.map(|drawn| drawn.home)
 }
 
-fn draw(node: &Node, account: &str, without: Vec<Fingerprint>) -> Option<Drawn> {
+fn draw(node: &Node, name: &str, without: Vec<Fingerprint>) -> Option<Drawn> {
     let now_ms = node.now_ms();
     let settings = node.settings.borrow();
     let members = node.members.borrow();
@@ -134,7 +137,7 @@
     });
     let is_in = |ranked: &RankedBox<'_>| !without.contains(&box_fingerprint(ranked.id));
     let boxes: Vec<RankedBox<'_>> = others.chain(own).filter(is_in).collect();
-    let home = *capacity::draw(account, &boxes, 1).first()?;
+    let home = *capacity::draw(name, &boxes, 1).first()?;
     let home = if home == settings.box_id {
         Home::Own
     } else {
@@ -143,41 +146,36 @@
     Some(Drawn { home, without })
 }
 
-/// Deals units of an account; none where this box can't be sure to be its home.
-pub fn deal(
-    node: &Node,
-    account: &Account,
-    limit: Limit,
-    request: UnitRequest,
-) -> Option<UnitGrant> {
+/// Deals units of a limit; none where this box can't be sure to be its home.
+pub fn deal(node: &Node, limited: &Limited, request: UnitRequest) -> Option<UnitGrant> {
     let fleet = fleet(node);
     if !fleet.is_sure {
         return None;
     }
     let now_ms = node.now_ms();
     let terms = DealTerms {
-        limit,
+        limit: limited.terms,
         reached: fleet.reached,
         boxes: fleet.boxes,
     };
-    let mut homes = node.account_limits.homes.borrow_mut();
+    let mut homes = node.limits.homes.borrow_mut();
     let home = homes
-        .entry(Rc::clone(&account.name))
-        .or_insert_with(|| LimitHome::new(now_ms));
+        .entry(limited.key)
+        .or_insert_with(|| LimitHome::in_debt(limited.terms.first_debt, now_ms));
     Some(home.deal(terms, request, now_ms))
 }
 
 /// The fleet as this box saw it lately: to look takes time that grows with the boxes.
 pub fn fleet(node: &Node) -> FleetView {
     let now_ms = node.now_ms();
-    if let Some((view, until_ms)) = node.account_limits.fleet.get()
+    if let Some((view, until_ms)) = node.limits.fleet.get()
         && now_ms < until_ms
     {
         return view;
     }
     let view = look(node, now_ms);
     let until_ms = now_ms + FLEET_LIFE_MS;
-    node.account_limits.fleet.set(Some((view, until_ms)));
+    node.limits.fleet.set(Some((view, until_ms)));
     view
 }
 
--- a/crates/tinbay-gateway/src/account_limits/mod.rs
+++ b/crates/tinbay-gateway/src/limits/mod.rs
@@ -1,27 +1,30 @@
-//! Limits of client accounts over all boxes: asks an account's home for units, deals them where
-//! this box is the home, and lives on the own share where no home answers.
+//! Limits over all boxes, of client accounts and of servers: asks a limit's home for units, deals them
+//! where this box is the home, and lives on the own share where no home answers.
 //!
 //! Two ways were measured side by side. Shares alone need no message, but refuse requests within
-//! the limit wherever an account's requests are uneven over the boxes. A home sees all of them and
-//! costs one round trip for the first request of a quarter of a second.
+//! the limit wherever its requests are uneven over the boxes. A home sees all of them and costs one round
+//! trip for the first request of a quarter of a second.
 
 pub mod home;
+pub mod limited;
+pub mod servers;
+pub mod words;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::rc::Rc;
 use std::time::Duration;
 
 use log::Level;
 use serde::Serialize;
-use tinbay_core::accounts::account::{Account, Limit};
-use tinbay_core::accounts::limit_home::{LimitHome, UnitGrant, UnitRequest};
-use tinbay_core::accounts::limit_share::{LimitShare, ShareTerms};
+use tinbay_core::limits::home::{LimitHome, UnitGrant, UnitRequest};
+use tinbay_core::limits::share::{LimitShare, ShareTerms};
+use tinbay_core::limits::turns::Turns;
 use tinbay_core::serving::servers::Fingerprint;
 use tinbay_core::units::Millis;
 use tokio::sync::oneshot;
 
 use self::home::{Drawn, FleetView, Home, KeptHome};
+use self::limited::{LimitKey, Limited};
 use crate::events::{self, part};
 use crate::members::box_fingerprint;
 use crate::node::Node;
@@ -69,28 +72,44 @@
     }
 }
 
-/// What this box keeps of the limits of client accounts, by the accounts' names.
+/// What this box keeps of limits.
 #[derive(Debug, Default)]
-pub struct AccountLimits {
-    shares: RefCell<HashMap<Rc<str>, LimitShare>>,
-    homes: RefCell<HashMap<Rc<str>, LimitHome>>,
-    drawn: RefCell<HashMap<Rc<str>, KeptHome>>,
+pub struct Limits {
+    shares: RefCell<HashMap<LimitKey, LimitShare>>,
+    homes: RefCell<HashMap<LimitKey, LimitHome>>,
+    drawn: RefCell<HashMap<LimitKey, KeptHome>>,
     failed: RefCell<HashMap<String, Millis>>,
-    asked_ahead: RefCell<HashMap<Rc<str>, Millis>>,
+    asked_ahead: RefCell<HashMap<LimitKey, Millis>>,
+    /// When callers come back that find all servers of a service at their limits, by service.
+    turns: RefCell<HashMap<String, Turns>>,
     waiting: RefCell<HashMap<u32, oneshot::Sender<Answer>>>,
     last_ask: Cell<u32>,
     /// The fleet as it was seen, and until when that counts.
     fleet: Cell<Option<(FleetView, Millis)>>,
 }
 
-impl AccountLimits {
-    /// Forgets questions whose requests are gone, and failures that are over: a question that is
-    /// never answered would stay for ever else.
-    pub fn tidy(&self, now_ms: Millis) {
+impl Limits {
+    /// Forgets questions whose requests are gone, failures that are over, and limits that servers name no
+    /// more: a question that is never answered would stay for ever else.
+    pub fn tidy(&self, node: &Node) {
+        let now_ms = node.now_ms();
         let mut waiting = self.waiting.borrow_mut();
         waiting.retain(|_, sender| !sender.is_closed());
         let mut failed = self.failed.borrow_mut();
         failed.retain(|_, until_ms| now_ms < *until_ms);
+        let is_kept = |key: &LimitKey| {
+            matches!(key, LimitKey::Account(_)) || Limited::find(node, *key).is_some()
+        };
+        self.shares.borrow_mut().retain(|key, _| is_kept(key));
+        self.homes.borrow_mut().retain(|key, _| is_kept(key));
+        self.drawn.borrow_mut().retain(|key, _| is_kept(key));
+        self.asked_ahead.borrow_mut().retain(|key, _| is_kept(key));
+    }
+
+    /// Forgets what was dealt and given of a limit that is over: the next one begins anew.
+    pub fn forget(&self, key: LimitKey) {
+        self.shares.borrow_mut().remove(&key);
+        self.homes.borrow_mut().remove(&key);
     }
 }
 
@@ -107,62 +126,60 @@
     NotHome(Option<String>),
 }
 
-/// Lets a request of an account in.
+/// Lets a request in within a limit.
 ///
 /// # Errors
 /// The time until there is room for it.
-pub async fn admit(
-    node: &Node,
-    account: &Rc<Account>,
-    limit: Limit,
-    units: f64,
-) -> Result<AdmittedBy, Millis> {
-    if take_given(node, account, units) {
-        ask_ahead(node, account, limit);
+pub async fn admit(node: &Node, limited: &Limited, units: f64) -> Result<AdmittedBy, Millis> {
+    if take_given(node, limited, units) {
+        ask_ahead(node, limited);
         return Ok(AdmittedBy::Given);
     }
-    let has_failed = home::has_failed(node, &account.name);
-    if !has_failed && let Some(asked) = ask_home(node, account, limit, units).await {
+    let has_failed = home::has_failed(node, limited);
+    if !has_failed && let Some(asked) = ask_home(node, limited, units).await {
         return asked;
     }
-    let room_in_ms = match take_share(node, account, limit, units) {
+    let room_in_ms = match take_share(node, limited, units) {
         Ok(()) => return Ok(AdmittedBy::Share),
         Err(room_in_ms) => room_in_ms,
     };
-    if has_failed && let Some(asked) = ask_home(node, account, limit, units).await {
+    // Other servers may take what one does not; what an account may not ask for is refused.
+    let is_last_way = matches!(limited.key, LimitKey::Account(_));
+    if has_failed
+        && is_last_way
+        && let Some(asked) = ask_home(node, limited, units).await
+    {
         return asked;
     }
     Err(room_in_ms)
 }
 
-fn take_share(node: &Node, account: &Rc<Account>, limit: Limit, units: f64) -> Result<(), Millis> {
+fn take_share(node: &Node, limited: &Limited, units: f64) -> Result<(), Millis> {
     let terms = ShareTerms {
-        limit,
+        limit: limited.terms,
         boxes: home::fleet(node).boxes,
-        overdraft: node.settings.borrow().bounds.limit_overdraft,
     };
-    with_share(node, account, |share, now_ms| {
+    with_share(node, limited, |share, now_ms| {
         share.take_share(terms, units, now_ms)
     })
 }
 
-/// Asks the home of an account to let a request in; nothing where no home answers.
+/// Asks the home of a limit to let a request in; nothing where no home answers.
 async fn ask_home(
     node: &Node,
-    account: &Rc<Account>,
-    limit: Limit,
+    limited: &Limited,
     units: f64,
 ) -> Option<Result<AdmittedBy, Millis>> {
     for _ in 0..MOST_HOMES {
-        let drawn = home::of(node, &account.name)?;
-        let grant = match ask(node, account, limit, units, &drawn).await {
+        let drawn = home::of(node, limited)?;
+        let grant = match ask(node, limited, units, &drawn).await {
             Asked::Grant(grant) => grant,
             Asked::NotHome(Some(other)) => {
-                home::take_other(node, &account.name, &drawn, other);
+                home::take_other(node, limited, &drawn, other);
                 continue;
             }
             Asked::NotHome(None) => {
-                home::draw_without(node, &account.name, &drawn);
+                home::draw_without(node, limited, &drawn);
                 continue;
             }
             Asked::Silence => {
@@ -171,10 +188,10 @@
             }
         };
         if let Some(room_in_ms) = grant.room_in_ms {
-            with_share(node, account, |share, now_ms| share.note_denied(now_ms));
+            with_share(node, limited, |share, now_ms| share.note_denied(now_ms));
             return Some(Err(room_in_ms));
         }
-        if take_given(node, account, units) {
+        if take_given(node, limited, units) {
             return Some(Ok(AdmittedBy::Asked));
         }
     }
@@ -182,28 +199,29 @@
 }
 
 /// Gives back what a request counted that was not run.
-pub fn give_back(node: &Node, account: &Rc<Account>, units: f64) {
-    with_share(node, account, |share, now_ms| {
+pub fn give_back(node: &Node, limited: &Limited, units: f64) {
+    with_share(node, limited, |share, now_ms| {
         share.give_back(units, now_ms)
     });
 }
 
-fn take_given(node: &Node, account: &Rc<Account>, units: f64) -> bool {
-    with_share(node, account, |share, now_ms| {
+fn take_given(node: &Node, limited: &Limited, units: f64) -> bool {
+    with_share(node, limited, |share, now_ms| {
         share.take_given(units, now_ms)
     })
 }
 
 fn with_share<T>(
     node: &Node,
-    account: &Rc<Account>,
+    limited: &Limited,
     change: impl FnOnce(&mut LimitShare, Millis) -> T,
 ) -> T {
     let now_ms = node.now_ms();
-    let mut shares = node.account_limits.shares.borrow_mut();
-    let share = shares
-        .entry(Rc::clone(&account.name))
-        .or_insert_with(|| LimitShare::new(now_ms));
+    let mut shares = node.limits.shares.borrow_mut();
+    let share = shares.entry(limited.key).or_insert_with(|| {
+        let boxes = home::fleet(node).boxes.max(1);
+        LimitShare::in_debt(limited.terms.first_debt / boxes as f64, now_ms)
+    });
     change(share, now_ms)
 }
 
@@ -215,38 +233,30 @@
     NotHome(Option<String>),
 }
 
-/// Asks the home of an account.
-async fn ask(node: &Node, account: &Rc<Account>, limit: Limit, units: f64, drawn: &Drawn) -> Asked {
-    let ahead = with_share(node, account, |share, now_ms| share.ahead(now_ms));
+/// Asks the home of a limit.
+async fn ask(node: &Node, limited: &Limited, units: f64, drawn: &Drawn) -> Asked {
+    let ahead = with_share(node, limited, |share, now_ms| share.ahead(now_ms));
     let request = UnitRequest {
         needed: units,
         ahead,
     };
     let home = match &drawn.home {
         Home::Own => {
-            let Some(grant) = home::deal(node, account, limit, request) else {
+            let Some(grant) = home::deal(node, limited, request) else {
                 return Asked::NotHome(None);
             };
-            note_grant(node, account, grant);
+            note_grant(node, limited.key, grant);
             return Asked::Grant(grant);
         }
         Home::Other(home) => home,
     };
-    let number = node
-        .account_limits
-        .last_ask
-        .get()
-        .wrapping_add(1)
-        .max(AHEAD + 1);
-    node.account_limits.last_ask.set(number);
+    let number = node.limits.last_ask.get().wrapping_add(1).max(AHEAD + 1);
+    node.limits.last_ask.set(number);
     let (sender, receiver) = oneshot::channel();
-    node.account_limits
-        .waiting
-        .borrow_mut()
-        .insert(number, sender);
-    let part = question(account, number, request, &drawn.without);
+    node.limits.waiting.borrow_mut().insert(number, sender);
+    let part = question(node, limited.key, number, request, &drawn.without);
     let asked = repeat_question(node, home, &part, receiver).await;
-    node.account_limits.waiting.borrow_mut().remove(&number);
+    node.limits.waiting.borrow_mut().remove(&number);
     asked
 }
 
@@ -271,60 +281,64 @@
 }
 
 fn question(
-    account: &Account,
+    node: &Node,
+    key: LimitKey,
     number: u32,
     request: UnitRequest,
     without: &[Fingerprint],
 ) -> LimitRequestPart {
     LimitRequestPart {
-        account: box_fingerprint(&account.name),
+        key,
         number,
         needed: request.needed.ceil() as u32,
         ahead: request.ahead.ceil() as u32,
         without: without.to_vec(),
+        word: words::of(node, key),
     }
 }
 
 /// Asks for more before what is there is used up; nobody waits for the answer.
-fn ask_ahead(node: &Node, account: &Rc<Account>, limit: Limit) {
-    let ahead = with_share(node, account, |share, now_ms| share.ahead(now_ms));
-    if ahead < 1.0 || !may_ask_ahead(node, account) {
+fn ask_ahead(node: &Node, limited: &Limited) {
+    let ahead = with_share(node, limited, |share, now_ms| share.ahead(now_ms));
+    if ahead < 1.0 || !may_ask_ahead(node, limited.key) {
         return;
     }
     let needed = 0.0;
     let request = UnitRequest { needed, ahead };
-    let Some(drawn) = home::of(node, &account.name) else {
+    let Some(drawn) = home::of(node, limited) else {
         return;
     };
     match &drawn.home {
         Home::Own => {
-            if let Some(grant) = home::deal(node, account, limit, request) {
-                note_grant(node, account, grant);
+            if let Some(grant) = home::deal(node, limited, request) {
+                note_grant(node, limited.key, grant);
             }
         }
-        Home::Other(home) if !home::has_failed(node, &account.name) => {
-            let part = question(account, AHEAD, request, &drawn.without);
+        Home::Other(home) if !home::has_failed(node, limited) => {
+            let part = question(node, limited.key, AHEAD, request, &drawn.without);
             node.outbox.post(home, FramePart::LimitRequest(part));
         }
         Home::Other(_) => {}
     }
 }
 
-fn may_ask_ahead(node: &Node, account: &Account) -> bool {
+fn may_ask_ahead(node: &Node, key: LimitKey) -> bool {
     let now_ms = node.now_ms();
-    let mut asked = node.account_limits.asked_ahead.borrow_mut();
-    let last_ms = asked.get(&account.name);
+    let mut asked = node.limits.asked_ahead.borrow_mut();
+    let last_ms = asked.get(&key);
     if last_ms.is_some_and(|last_ms| now_ms < last_ms + AHEAD_PAUSE_MS) {
         return false;
     }
-    asked.insert(Rc::clone(&account.name), now_ms);
+    asked.insert(key, now_ms);
     true
 }
 
-fn note_grant(node: &Node, account: &Rc<Account>, grant: UnitGrant) {
-    with_share(node, account, |share, now_ms| {
-        share.note_given(grant.units, now_ms)
-    });
+/// Notes what a home gave. Who asked has a share; units of a limit that is over by now are worth nothing.
+fn note_grant(node: &Node, key: LimitKey, grant: UnitGrant) {
+    let now_ms = node.now_ms();
+    if let Some(share) = node.limits.shares.borrow_mut().get_mut(&key) {
+        share.note_given(grant.units, now_ms);
+    }
 }
 
 /// Another box that does not answer is not asked for a while; requests would wait for it in vain.
@@ -333,70 +347,65 @@
         return;
     };
     let until_ms = node.now_ms() + FAILED_LIFE_MS;
-    let mut failed = node.account_limits.failed.borrow_mut();
+    let mut failed = node.limits.failed.borrow_mut();
     failed.insert(home.clone(), until_ms);
     drop(failed);
     let event = NoAnswerEvent { home, reason };
     events::emit(part::FRONT, Level::Info, "limit_home_no_answer", &event);
 }
 
-/// Answers another box that takes this one for an account's home.
+/// Answers another box that takes this one for a limit's home.
 pub fn take_request(node: &Node, box_id: &str, part: &LimitRequestPart) {
-    let account = node
-        .in_force()
-        .and_then(|in_force| in_force.account_of(part.account));
-    let Some(account) = account else {
+    words::take(node, part.key, part.word.as_ref());
+    let limited = Limited::find(node, part.key);
+    if limited.is_none() && matches!(part.key, LimitKey::Account(_)) {
         return;
-    };
+    }
     let request = UnitRequest {
         needed: f64::from(part.needed),
         ahead: f64::from(part.ahead),
     };
-    let home = home::drawn_without(node, &account.name, &part.without);
-    let limit = account.limit.filter(|_| home == Some(Home::Own));
-    let grant = limit.and_then(|limit| home::deal(node, &account, limit, request));
+    let home = limited
+        .as_ref()
+        .and_then(|limited| home::drawn_without(node, limited, &part.without));
+    let limited = limited.filter(|_| home == Some(Home::Own));
+    let grant = limited.and_then(|limited| home::deal(node, &limited, request));
     let other = match home {
         Some(Home::Other(other)) => Some(box_fingerprint(&other)),
         Some(Home::Own) | None => None,
     };
     let room_in_ms = grant.and_then(|grant| grant.room_in_ms);
     let answer = LimitGrantPart {
-        account: part.account,
+        key: part.key,
         number: part.number,
         is_home: grant.is_some(),
         other,
         units: grant.map_or(0, |grant| grant.units as u32),
         room_in_ms: room_in_ms.map(|room_in_ms| room_in_ms.min(Millis::from(u16::MAX)) as u16),
+        word: words::of(node, part.key),
     };
     node.outbox.post(box_id, FramePart::LimitGrant(answer));
 }
 
 /// Takes a home's answer; one that comes late still brings its units.
 pub fn take_grant(node: &Node, part: &LimitGrantPart) {
-    let account = node
-        .in_force()
-        .and_then(|in_force| in_force.account_of(part.account));
-    let Some(account) = account else {
+    words::take(node, part.key, part.word.as_ref());
+    if Limited::find(node, part.key).is_none() && matches!(part.key, LimitKey::Account(_)) {
         return;
-    };
+    }
     let grant = UnitGrant {
         units: f64::from(part.units),
         room_in_ms: part.room_in_ms.map(Millis::from),
     };
     let answer = if part.is_home {
-        note_grant(node, &account, grant);
+        note_grant(node, part.key, grant);
         Answer::Grant(grant)
     } else {
         let members = node.members.borrow();
         let other = part.other.and_then(|other| members.id_of(other));
         Answer::NotHome(other.cloned())
     };
-    if let Some(waiting) = node
-        .account_limits
-        .waiting
-        .borrow_mut()
-        .remove(&part.number)
-    {
+    if let Some(waiting) = node.limits.waiting.borrow_mut().remove(&part.number) {
         // A request that is gone meanwhile leaves its units to the next one.
         let _ = waiting.send(answer);
     }
--- a/crates/tinbay-gateway/src/metrics.rs
+++ b/crates/tinbay-gateway/src/metrics.rs
@@ -43,6 +43,8 @@
     pub unreadable: IntCounterVec,
     /// What servers said of themselves in their answers, by what it is.
     pub server_notices: IntCounterVec,
+    /// Requests to servers that name limits, by what let them in, or refused.
+    server_limits: IntCounterVec,
     /// Checks of servers that broke off answers, by outcome.
     pub server_checks: IntCounterVec,
     /// Messages between boxes, by outcome.
@@ -116,6 +118,11 @@
                 "What servers said of themselves in their answers",
                 &["notice"],
             )?,
+            server_limits: counter(
+                "tinbay_server_limit_total",
+                "Requests to servers that name limits",
+                &["outcome"],
+            )?,
             server_checks: counter(
                 "tinbay_server_checks_total",
                 "Checks of servers that broke off answers",
@@ -148,6 +155,11 @@
         })
     }
 
+    /// Counts what the limit of a server decided.
+    pub fn count_server_limit(&self, outcome: &str) {
+        self.server_limits.with_label_values(&[outcome]).inc();
+    }
+
     /// Counts what the limit of a client account decided; accounts beyond some are shown together.
     pub fn count_limit(&self, account: &str, outcome: &str) {
         let mut shown = self.accounts_shown.borrow_mut();
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -21,12 +21,12 @@
 use tinbay_core::units::Millis;
 use tokio::sync::Notify;
 
-use crate::account_limits::AccountLimits;
 use crate::clock::Clock;
 use crate::crashes::Crashes;
 use crate::front::question::Question;
 use crate::http::call::Caller;
 use crate::latch::Latch;
+use crate::limits::Limits as BoxLimits;
 use crate::members::{MemberRecord, Members, box_fingerprint};
 use crate::metrics::Metrics;
 use crate::orders::held_server::{Busyness, HeldServer};
@@ -158,8 +158,8 @@
     pub reading: RefCell<HashMap<String, ReadingPace>>,
     /// Requests under which servers crash.
     pub crashes: Crashes,
-    /// Limits of client accounts.
-    pub account_limits: AccountLimits,
+    /// Limits over all boxes.
+    pub limits: BoxLimits,
     /// Second sends by service.
     pub budgets: RefCell<HashMap<String, SendBudget>>,
     /// Boxes that are up, this one included, as counted lately.
@@ -205,7 +205,7 @@
             connections: Cell::default(),
             reading: RefCell::default(),
             crashes: Crashes::default(),
-            account_limits: AccountLimits::default(),
+            limits: BoxLimits::default(),
             budgets: RefCell::default(),
             box_count: Cell::new(1),
         }
@@ -385,7 +385,7 @@
         Some(engine.loads_per_s)
     }
 
-    /// Time until a server of a service takes work again, where all that stay rest.
+    /// Time until a server of a service takes work again, where all that stay rest or are at their limits.
     pub fn rest_ms(&self, service: &str) -> Option<Millis> {
         let servers = self.servers.borrow();
         if !servers.ready(service).is_empty() {
--- a/crates/tinbay-gateway/src/orders/held_server.rs
+++ b/crates/tinbay-gateway/src/orders/held_server.rs
@@ -11,6 +11,7 @@
 use tinbay_core::serving::wants::{Want, Wants};
 use tinbay_core::units::Millis;
 
+use crate::limits::words;
 use crate::node::Node;
 use crate::peers::frame::{AdapterPart, StatusPart, to_percent};
 use crate::servers::Server;
@@ -46,6 +47,8 @@
     pub wants: RefCell<Wants>,
     /// Whether the server refused a request for what it should hold.
     pub is_contradicted: Cell<bool>,
+    /// Whether those that use the server are to be told of its limit.
+    pub has_limit_news: Cell<bool>,
     checked_ms: Cell<Millis>,
     subscribers: RefCell<Subscribers>,
     spreads: RefCell<Spreads>,
@@ -58,6 +61,7 @@
             contents: RefCell::new(Contents::new(spec, now_ms)),
             wants: RefCell::default(),
             is_contradicted: Cell::default(),
+            has_limit_news: Cell::default(),
             checked_ms: Cell::default(),
             subscribers: RefCell::default(),
             spreads: RefCell::default(),
@@ -188,6 +192,7 @@
         subscribers.note_told(box_id, now_ms);
         let running = subscribers.running_of_others(box_id, now_ms);
         Some(StatusPart {
+            limit: words::of_server(node, &server),
             server: server.fingerprint(),
             running_elsewhere: running.min(usize::from(u16::MAX)) as u16,
             delay_percent: to_percent(subscribers.delay(now_ms)),
--- a/crates/tinbay-gateway/src/orders/holder.rs
+++ b/crates/tinbay-gateway/src/orders/holder.rs
@@ -155,6 +155,9 @@
                 tokio::time::sleep(IDLE_PAUSE).await;
                 continue;
             };
+            if self.held.has_limit_news.take() {
+                self.publish(Reach::Users);
+            }
             let now_ms = self.node.now_ms();
             if !self.may_ask(now_ms) {
                 tokio::time::sleep(IDLE_PAUSE).await;
--- a/crates/tinbay-gateway/src/peers/frame.rs
+++ b/crates/tinbay-gateway/src/peers/frame.rs
@@ -6,6 +6,8 @@
 use tinbay_core::serving::servers::Fingerprint;
 use tinbay_core::serving::subscribers::AdapterUse;
 
+use crate::limits::limited::LimitKey;
+use crate::limits::words::LimitWordPart;
 use crate::members::MemberRecord;
 
 /// Longest datagram: what fits into one packet of any usual link.
@@ -41,10 +43,12 @@
     CrashReport(CrashReportPart),
     /// Requests that are refused, as servers crash under them.
     Refused(Vec<RefusedPart>),
-    /// What the sender wants of an account's limit that the receiver keeps for all boxes.
+    /// What the sender wants of a limit that the receiver keeps for all boxes.
     LimitRequest(LimitRequestPart),
-    /// What the receiver may let in of an account's limit.
+    /// What the receiver may let in of a limit.
     LimitGrant(LimitGrantPart),
+    /// What a server told the sender of its limit, which the receiver keeps, or whose server it holds.
+    ServerLimit(ServerLimitPart),
     /// What a request needs of a server that the receiver holds.
     LoadRequest(LoadRequestPart),
     /// A request for the status of a server that the receiver holds.
@@ -70,6 +74,7 @@
             FramePart::Refused(_) => "refused",
             FramePart::LimitRequest(_) => "limit_request",
             FramePart::LimitGrant(_) => "limit_grant",
+            FramePart::ServerLimit(_) => "server_limit",
             FramePart::LoadRequest(_) => "load_request",
             FramePart::StatusRequest(_) => "status_request",
             FramePart::Contradiction(_) => "contradiction",
@@ -106,29 +111,40 @@
     pub age_s: u16,
 }
 
-/// What a box wants of an account's limit.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+/// What a box wants of a limit.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct LimitRequestPart {
-    /// The account.
-    pub account: Fingerprint,
+    /// The limit.
+    pub key: LimitKey,
     /// Number of the question, which the answer repeats.
     pub number: u32,
     /// Units that a request waits for; 0 where none does.
     pub needed: u32,
     /// Units that the box would use soon besides.
     pub ahead: u32,
-    /// Boxes that said of themselves that they can't keep the account's limit.
+    /// Boxes that said of themselves that they can't keep the limit.
     pub without: Vec<Fingerprint>,
+    /// What the sender knows of a server's limit.
+    pub word: Option<LimitWordPart>,
 }
 
-/// What a box may let in of an account's limit.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+/// What a server told a box of its limit.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct ServerLimitPart {
+    /// The server.
+    pub server: Fingerprint,
+    /// What it said.
+    pub word: LimitWordPart,
+}
+
+/// What a box may let in of a limit.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct LimitGrantPart {
-    /// The account.
-    pub account: Fingerprint,
+    /// The limit.
+    pub key: LimitKey,
     /// Number of the question.
     pub number: u32,
-    /// Whether the sender keeps the account's limit; else it gives nothing.
+    /// Whether the sender keeps the limit; else it gives nothing.
     pub is_home: bool,
     /// The box that the sender takes for the one that does; none where it can't be one itself.
     pub other: Option<Fingerprint>,
@@ -136,6 +152,8 @@
     pub units: u32,
     /// Where what was needed is not given: time until there is room for it, in ms.
     pub room_in_ms: Option<u16>,
+    /// What the sender knows of a server's limit.
+    pub word: Option<LimitWordPart>,
 }
 
 /// What a request needs of a server.
@@ -165,7 +183,7 @@
 }
 
 /// What a server's holder believes of it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct StatusPart {
     /// The server.
     pub server: Fingerprint,
@@ -181,6 +199,8 @@
     pub takes_loads: bool,
     /// Expected time until a load that is asked for now is done, in ms.
     pub load_wait_ms: u16,
+    /// What is known of the server's limit.
+    pub limit: Option<LimitWordPart>,
     /// All adapters that take a place.
     pub adapters: Vec<AdapterPart>,
 }
--- a/crates/tinbay-gateway/src/peers/gossip.rs
+++ b/crates/tinbay-gateway/src/peers/gossip.rs
@@ -135,6 +135,17 @@
         .collect()
 }
 
+/// The boxes of other zones.
+pub fn far_boxes(node: &Node) -> Vec<String> {
+    let settings = node.settings.borrow();
+    let members = node.members.borrow();
+    members
+        .others(&settings.box_id)
+        .filter(|(_, member)| member.listed && member.record.zone != settings.zone)
+        .map(|(id, _)| id.clone())
+        .collect()
+}
+
 fn heard(node: &Node) -> Vec<(Fingerprint, u16)> {
     let now_ms = node.now_ms();
     let members = node.members.borrow();
--- a/crates/tinbay-gateway/src/peers/inbox.rs
+++ b/crates/tinbay-gateway/src/peers/inbox.rs
@@ -17,9 +17,10 @@
     ZoneWordPart, from_percent,
 };
 use super::gossip;
-use crate::account_limits;
 use crate::crashes::spread;
 use crate::events::{self, part};
+use crate::limits::limited::LimitKey;
+use crate::limits::{self, words};
 use crate::node::Node;
 use crate::servers::usage::UsageReport;
 use crate::servers::view::{ServerStatus, ViewEntry};
@@ -96,10 +97,9 @@
             FramePart::ZonesHeard(zones) => take_zones_heard(node, &zones, now_ms),
             FramePart::CrashReport(part) => spread::take_report(node, &part),
             FramePart::Refused(parts) => spread::take_refused(node, &parts),
-            FramePart::LimitRequest(part) => {
-                account_limits::take_request(node, &frame.box_id, &part)
-            }
-            FramePart::LimitGrant(part) => account_limits::take_grant(node, &part),
+            FramePart::LimitRequest(part) => limits::take_request(node, &frame.box_id, &part),
+            FramePart::LimitGrant(part) => limits::take_grant(node, &part),
+            FramePart::ServerLimit(part) => words::take_told(node, &part),
             FramePart::LoadRequest(ask) => take_load_request(node, &frame.box_id, ask, now_ms),
             FramePart::StatusRequest(server) => {
                 take_status_request(node, &frame.box_id, server, now_ms)
@@ -223,6 +223,7 @@
     let Some(server) = node.servers.borrow().by_fingerprint(part.server) else {
         return;
     };
+    words::take(node, LimitKey::Server(part.server), part.limit.as_ref());
     let status = ServerStatus {
         entries: part.adapters.iter().map(to_entry).collect(),
         running_elsewhere: usize::from(part.running_elsewhere),
--- a/crates/tinbay-gateway/src/servers/mod.rs
+++ b/crates/tinbay-gateway/src/servers/mod.rs
@@ -151,15 +151,29 @@
             .collect()
     }
 
-    /// When the first of a service's servers that rest takes work again; none where none rests.
+    /// When the first of a service's servers that rest or are at their limits takes work again; none where
+    /// there is no such one.
     pub fn first_rest_end_ms(&self, service: &str) -> Option<Millis> {
         let now_ms = self.clock.now_ms();
+        let end_ms = |server: &Rc<Server>| {
+            let rest_ms = server.rest_until_ms(now_ms);
+            rest_ms.max(server.at_limit_until_ms(now_ms))
+        };
         self.of_service(service)
             .filter(|server| server.is_ready(now_ms))
-            .filter_map(|server| server.rest_until_ms(now_ms))
+            .filter_map(end_ms)
             .min()
     }
 
+    /// Requests a second that the servers of a service take which name limits.
+    pub fn limits_per_s(&self, service: &str) -> f64 {
+        let now_ms = self.clock.now_ms();
+        self.of_service(service)
+            .filter(|server| server.is_ready(now_ms))
+            .filter_map(|server| server.limit_per_s())
+            .sum()
+    }
+
     fn of_service(&self, service: &str) -> impl Iterator<Item = &Rc<Server>> {
         let servers = self.by_id.values();
         servers.filter(move |server| server.record.borrow().service == service)
--- a/crates/tinbay-gateway/src/servers/notices.rs
+++ b/crates/tinbay-gateway/src/servers/notices.rs
@@ -11,6 +11,7 @@
 
 use super::Server;
 use crate::events::{self, part};
+use crate::limits::words;
 use crate::node::Node;
 use crate::port::dialect::DecodeError;
 
@@ -95,17 +96,17 @@
 /// new.
 pub fn take(node: &Node, server: &Rc<Server>, head: &AnswerHead<'_>) -> bool {
     let notice = read(node, server, head);
-    let before_per_s = server.limit_per_s();
     server.note_said(notice, node.now_ms());
-    let is_limit_new = server.limit_per_s() != before_per_s;
-    if is_limit_new {
+    let limit_before = server.take_limit_news();
+    if let Some(before_per_s) = limit_before {
         tell_limit(node, server, head, before_per_s);
+        words::tell(node, server);
     }
     let turns_away = notice.is_leaving || notice.rest_ms.is_some();
     if turns_away {
         tell(node, server, head, notice);
     }
-    turns_away || is_limit_new
+    turns_away || limit_before.is_some()
 }
 
 /// What the head says; what can't be read in it is told and says nothing.
--- a/crates/tinbay-gateway/src/servers/server.rs
+++ b/crates/tinbay-gateway/src/servers/server.rs
@@ -6,6 +6,7 @@
 use tinbay_core::serving::contents::AdapterKey;
 use tinbay_core::serving::fading::faded;
 use tinbay_core::serving::notices::AnswerNotice;
+use tinbay_core::serving::server_limit::{LimitWord, is_news};
 use tinbay_core::serving::servers::{Fingerprint, ServerKey, ServerRecord, ServerState};
 use tinbay_core::serving::subscribers::{MISTRUST_HALF_LIFE_MS, MOST_MISTRUST};
 use tinbay_core::units::Millis;
@@ -56,6 +57,10 @@
     pub(super) said: SharedSaid,
     mistrust: Cell<(f64, Millis)>,
     displaced_until_ms: Cell<Millis>,
+    /// Its limit as it was last told, by a line and to others.
+    limit_told: Cell<Option<f64>>,
+    /// Until when its limit is taken to have no room.
+    at_limit_until_ms: Cell<Millis>,
     delay: Cell<(f64, Millis)>,
 }
 
@@ -100,6 +105,8 @@
             said,
             mistrust: Cell::default(),
             displaced_until_ms: Cell::default(),
+            limit_told: Cell::default(),
+            at_limit_until_ms: Cell::default(),
             delay: Cell::default(),
         };
         server.set_record(record);
@@ -166,9 +173,42 @@
 
     /// Whether it takes work from this box now.
     pub fn takes_work(&self, now_ms: Millis) -> bool {
+        self.may_be_sent(now_ms) && self.at_limit_until_ms(now_ms).is_none()
+    }
+
+    /// The same for a request that has leave to be sent within the server's limit.
+    pub fn may_be_sent(&self, now_ms: Millis) -> bool {
         self.is_ready(now_ms) && self.rest_until_ms(now_ms).is_none()
     }
 
+    /// Notes that its limit has no room until then.
+    pub fn pass_over_until(&self, until_ms: Millis) {
+        self.at_limit_until_ms.set(until_ms);
+    }
+
+    /// Until when its limit is taken to have no room; none where it may have some.
+    pub fn at_limit_until_ms(&self, now_ms: Millis) -> Option<Millis> {
+        let until_ms = self.at_limit_until_ms.get();
+        (now_ms < until_ms && self.limit_per_s().is_some()).then_some(until_ms)
+    }
+
+    /// For how long it has been known to have a limit.
+    pub fn limit_known_for_ms(&self, now_ms: Millis) -> Millis {
+        self.said.borrow().limit().known_for_ms(now_ms)
+    }
+
+    /// Whether its limit has changed so much that others should know; and what it was when they were last
+    /// told.
+    pub fn take_limit_news(&self) -> Option<Option<f64>> {
+        let (told, now) = (self.limit_told.get(), self.limit_per_s());
+        is_news(told, now).then(|| self.limit_told.replace(now))
+    }
+
+    /// What is known of its limit, to tell others.
+    pub fn limit_word(&self) -> Option<LimitWord> {
+        self.said.borrow().limit().word()
+    }
+
     /// Notes that another server answers at its address: it has ended, whatever its entry says. Entries
     /// of servers that ended come back at times, beside those of the ones that took their addresses.
     pub fn note_displaced(&self, now_ms: Millis) {
--- a/crates/tinbay-gateway/src/settings.rs
+++ b/crates/tinbay-gateway/src/settings.rs
@@ -71,6 +71,8 @@
     pub keys: KeyTerms,
     /// Requests or tokens by which all boxes together may exceed an account's limit.
     pub limit_overdraft: f64,
+    /// Time after a server first named a limit from which on that binds.
+    pub server_limit_binds_after_ms: Millis,
     /// Time after which no request may start on an older version of its adapter.
     pub version_within_ms: Millis,
     /// Longest time a caller may keep an answer of the directory.
