Names in the sharing of limits: notices, permits; nothing is told of servers that never named a limit

A status message carried what was known of its server's limit even where that was nothing, some 10 bytes each. It is left out until a server has named a limit once. LimitNotice and permits replace names of our own making; no other change.

--- a/crates/tinbay-core/src/serving/notices.rs
+++ b/crates/tinbay-core/src/serving/notices.rs
@@ -4,7 +4,7 @@
 //! It comes sooner than their entries in the store, which may be away, and it is final where an
 //! entry is not: a listing may be old, and an entry may go and come back.
 
-use super::server_limit::{LimitWord, SaidLimit};
+use super::server_limit::{LimitNotice, SaidLimit};
 use crate::units::Millis;
 
 /// What a time in whole milliseconds may be behind the true one. A rest that was counted from such a
@@ -19,7 +19,7 @@
     /// It turned this away, and wants nothing from the box that asked for so long.
     pub rest_ms: Option<Millis>,
     /// What it says of its limit; nothing where that can't be told from this answer.
-    pub limit: Option<LimitWord>,
+    pub limit: Option<LimitNotice>,
 }
 
 /// What one incarnation of a server has said of itself so far.
--- a/crates/tinbay-core/src/serving/server_limit.rs
+++ b/crates/tinbay-core/src/serving/server_limit.rs
@@ -6,8 +6,8 @@
 
 use crate::units::Millis;
 
-/// Part of a limit by which it must change to be worth a line and a message. A server that works its limit
-/// out anew for each answer would have one for each of them else.
+/// Part of a limit by which it must change to be worth a line and a message: a server may work it out anew
+/// for each answer.
 const NEWS_PART: f64 = 0.1;
 
 /// Whether a limit has changed so much since it was last told that others should know.
@@ -20,17 +20,17 @@
 
 /// What one answer of a server says of its limit.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct LimitWord {
+pub struct LimitNotice {
     /// Requests a second that it takes from all boxes together; none where it names no limit.
     pub per_s: Option<f64>,
     /// When what it answers was sent: it was said later.
-    pub after_ms: Millis,
+    pub said_after_ms: Millis,
     /// When it came: it was said earlier.
-    pub before_ms: Millis,
+    pub said_before_ms: Millis,
 }
 
-impl LimitWord {
-    fn is_tighter_than(&self, other: &LimitWord) -> bool {
+impl LimitNotice {
+    fn is_tighter_than(&self, other: &LimitNotice) -> bool {
         match (self.per_s, other.per_s) {
             (Some(own), Some(other)) => own < other,
             (Some(_), None) => true,
@@ -42,28 +42,31 @@
 /// The limit of one incarnation of a server, by all that it has said so far.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct SaidLimit {
-    word: Option<LimitWord>,
+    notice: Option<LimitNotice>,
     /// Since when a limit has been known without a break.
     since_ms: Option<Millis>,
+    /// Whether there ever was one.
+    was_limited: bool,
 }
 
 impl SaidLimit {
-    /// Notes a word. One that was certainly said later replaces what is known; of two that may have been
+    /// Takes a notice. One that was certainly said later replaces what is known; of two that may have been
     /// said in either order the tighter one holds, until something is sent after it came and answered.
-    pub fn note(&mut self, word: LimitWord) {
-        if self.word.is_some_and(|known| !replaces(&word, &known)) {
+    pub fn note(&mut self, notice: LimitNotice) {
+        if self.notice.is_some_and(|known| !replaces(&notice, &known)) {
             return;
         }
-        self.word = Some(word);
-        self.since_ms = match word.per_s {
-            Some(_) => self.since_ms.or(Some(word.before_ms)),
+        self.notice = Some(notice);
+        self.was_limited |= notice.per_s.is_some();
+        self.since_ms = match notice.per_s {
+            Some(_) => self.since_ms.or(Some(notice.said_before_ms)),
             None => None,
         };
     }
 
     /// Requests a second that the server takes from all boxes together; none where it has no limit.
     pub fn per_s(&self) -> Option<f64> {
-        self.word?.per_s
+        self.notice?.per_s
     }
 
     /// For how long a limit has been known.
@@ -72,16 +75,18 @@
         now_ms.saturating_sub(since_ms)
     }
 
-    /// What is known, to tell others; none where the server has never said anything.
-    pub fn word(&self) -> Option<LimitWord> {
-        self.word
+    /// What is known, to tell others; none of a server that has never named a limit, so that messages grow
+    /// only where there is something to say.
+    pub fn notice(&self) -> Option<LimitNotice> {
+        self.notice.filter(|_| self.was_limited)
     }
 }
 
-/// Whether a word replaces what is known.
-fn replaces(word: &LimitWord, known: &LimitWord) -> bool {
-    let is_later = word.after_ms >= known.before_ms;
-    let is_earlier = known.after_ms >= word.before_ms;
-    let is_newer_of_same = word.per_s == known.per_s && word.before_ms >= known.before_ms;
-    is_later || is_newer_of_same || (!is_earlier && word.is_tighter_than(known))
+/// Whether a notice replaces what is known.
+fn replaces(notice: &LimitNotice, known: &LimitNotice) -> bool {
+    let is_later = notice.said_after_ms >= known.said_before_ms;
+    let is_earlier = known.said_after_ms >= notice.said_before_ms;
+    let is_newer_of_same =
+        notice.per_s == known.per_s && notice.said_before_ms >= known.said_before_ms;
+    is_later || is_newer_of_same || (!is_earlier && notice.is_tighter_than(known))
 }
--- a/crates/tinbay-core/tests/serving_server_limit_test.rs
+++ b/crates/tinbay-core/tests/serving_server_limit_test.rs
@@ -8,62 +8,62 @@
 use tinbay_core::limits::home::{DealTerms, LimitHome, UnitRequest};
 use tinbay_core::limits::share::{LimitShare, ShareTerms};
 use tinbay_core::limits::terms::LimitTerms;
-use tinbay_core::serving::server_limit::{LimitWord, SaidLimit};
+use tinbay_core::serving::server_limit::{LimitNotice, SaidLimit};
 use tinbay_core::units::Millis;
 
-fn word(per_s: Option<f64>, after_ms: Millis, before_ms: Millis) -> LimitWord {
-    LimitWord {
+fn notice(per_s: Option<f64>, said_after_ms: Millis, said_before_ms: Millis) -> LimitNotice {
+    LimitNotice {
         per_s,
-        after_ms,
-        before_ms,
+        said_after_ms,
+        said_before_ms,
     }
 }
 
-fn said(words: &[LimitWord]) -> Option<f64> {
+fn said(notices: &[LimitNotice]) -> Option<f64> {
     let mut limit = SaidLimit::default();
-    for word in words {
-        limit.note(*word);
+    for notice in notices {
+        limit.note(*notice);
     }
     limit.per_s()
 }
 
 #[test]
 fn note_answer_to_a_later_request_ends_a_limit() {
-    let named = word(Some(4.0), 0, 100);
+    let named = notice(Some(4.0), 0, 100);
     assert_eq!(said(&[named]), Some(4.0));
-    assert_eq!(said(&[named, word(None, 100, 200)]), None);
+    assert_eq!(said(&[named, notice(None, 100, 200)]), None);
 }
 
 /// The answer without a limit was sent for before the one with it had come: it may be the older one.
 #[test]
 fn note_answer_that_may_be_older_ends_no_limit() {
-    let named = word(Some(4.0), 0, 100);
-    assert_eq!(said(&[named, word(None, 99, 200)]), Some(4.0));
-    assert_eq!(said(&[word(None, 0, 150), named]), Some(4.0));
+    let named = notice(Some(4.0), 0, 100);
+    assert_eq!(said(&[named, notice(None, 99, 200)]), Some(4.0));
+    assert_eq!(said(&[notice(None, 0, 150), named]), Some(4.0));
 }
 
 /// Requests of which one is always under way do not keep a limit that is over.
 #[test]
 fn note_answers_that_overlap_end_a_limit() {
-    let named = word(Some(4.0), 0, 100);
-    let (first, second) = (word(None, 60, 160), word(None, 120, 220));
+    let named = notice(Some(4.0), 0, 100);
+    let (first, second) = (notice(None, 60, 160), notice(None, 120, 220));
     assert_eq!(said(&[named, first, second]), None);
 }
 
 #[test]
 fn note_of_two_limits_in_either_order_the_lower_one_holds() {
-    let (high, low) = (word(Some(8.0), 0, 200), word(Some(2.0), 50, 150));
+    let (high, low) = (notice(Some(8.0), 0, 200), notice(Some(2.0), 50, 150));
     assert_eq!(said(&[high, low]), Some(2.0));
     assert_eq!(said(&[low, high]), Some(2.0));
-    assert_eq!(said(&[high, low, word(Some(8.0), 200, 300)]), Some(8.0));
+    assert_eq!(said(&[high, low, notice(Some(8.0), 200, 300)]), Some(8.0));
 }
 
 #[test]
 fn note_word_that_is_certainly_older_changes_nothing() {
-    let named = word(Some(4.0), 500, 600);
-    assert_eq!(said(&[named, word(Some(1.0), 100, 400)]), Some(4.0));
+    let named = notice(Some(4.0), 500, 600);
+    assert_eq!(said(&[named, notice(Some(1.0), 100, 400)]), Some(4.0));
     assert_eq!(
-        said(&[word(None, 500, 600), word(Some(1.0), 100, 400)]),
+        said(&[notice(None, 500, 600), notice(Some(1.0), 100, 400)]),
         None
     );
 }
@@ -140,8 +140,8 @@
     shares: Vec<LimitShare>,
     passed_over_until_ms: Vec<Millis>,
     homes: HashMap<usize, (SaidLimit, LimitHome)>,
-    answers: BTreeMap<(Millis, u64), (usize, LimitWord)>,
-    told: BTreeMap<(Millis, u64), (usize, LimitWord)>,
+    answers: BTreeMap<(Millis, u64), (usize, LimitNotice)>,
+    told: BTreeMap<(Millis, u64), (usize, LimitNotice)>,
     arrivals: Vec<Millis>,
     number: u64,
     /// When a box first heard of a limit.
@@ -225,15 +225,15 @@
         let ahead = self.shares[at].ahead(now_ms);
         // A home knows what its own box heard and what it is told with questions.
         let mut known = self.said[home];
-        let own = self.said[at].word();
-        own.into_iter().for_each(|word| known.note(word));
+        let own = self.said[at].notice();
+        own.into_iter().for_each(|notice| known.note(notice));
         self.said[home] = known;
         let Some(per_s) = known.per_s() else {
             self.homes.remove(&home);
             known
-                .word()
+                .notice()
                 .into_iter()
-                .for_each(|word| self.said[at].note(word));
+                .for_each(|notice| self.said[at].note(notice));
             return self.said[at].per_s().is_none();
         };
         let terms = self.terms(home, per_s, now_ms);
@@ -249,9 +249,9 @@
         let request = UnitRequest { needed: 1.0, ahead };
         let grant = dealer.deal(deal, request, now_ms);
         known
-            .word()
+            .notice()
             .into_iter()
-            .for_each(|word| self.said[at].note(word));
+            .for_each(|notice| self.said[at].note(notice));
         self.shares[at].note_given(grant.units, now_ms);
         match grant.room_in_ms {
             Some(room_in_ms) => {
@@ -269,10 +269,10 @@
         // The server says what holds at some time before its answer comes.
         let said_ms = self.random.random_range(now_ms..answer_ms);
         let per_s = self.plan.limit_at(said_ms);
-        let word = word(per_s, now_ms, answer_ms);
+        let notice = notice(per_s, now_ms, answer_ms);
         self.named.insert(said_ms, per_s);
         self.number += 1;
-        self.answers.insert((answer_ms, self.number), (at, word));
+        self.answers.insert((answer_ms, self.number), (at, notice));
     }
 
     fn take_answers(&mut self, now_ms: Millis) {
@@ -280,9 +280,9 @@
             if entry.key().0 > now_ms {
                 return;
             }
-            let (at, word) = entry.remove();
+            let (at, notice) = entry.remove();
             let before = self.said[at].per_s();
-            self.said[at].note(word);
+            self.said[at].note(notice);
             let after = self.said[at].per_s();
             if before == after {
                 continue;
@@ -296,16 +296,16 @@
     /// Tells the other boxes that it reaches what a box heard from the server itself: the home, and those
     /// that use the server, by its holder or from one to the next.
     fn tell(&mut self, at: usize, now_ms: Millis) {
-        let Some(word) = self.said[at].word() else {
+        let Some(notice) = self.said[at].notice() else {
             return;
         };
         if let Some((home, _)) = self.home_of(at, now_ms) {
-            self.said[home].note(word);
+            self.said[home].note(notice);
             if self.said[home].per_s().is_none() {
                 self.homes.remove(&home);
             }
         }
-        if word.per_s.is_none() {
+        if notice.per_s.is_none() {
             return;
         }
         for other in 0..BOXES {
@@ -314,7 +314,7 @@
             }
             let told_ms = now_ms + self.random.random_range(1..LONGEST_TELLING_MS);
             self.number += 1;
-            self.told.insert((told_ms, self.number), (other, word));
+            self.told.insert((told_ms, self.number), (other, notice));
         }
     }
 
@@ -323,9 +323,9 @@
             if entry.key().0 > now_ms {
                 return;
             }
-            let (at, word) = entry.remove();
+            let (at, notice) = entry.remove();
             let before = self.said[at].per_s();
-            self.said[at].note(word);
+            self.said[at].note(notice);
             self.begin_share(at, before, now_ms);
         }
     }
@@ -440,3 +440,14 @@
         .tests(400)
         .quickcheck(property as fn(u64) -> bool);
 }
+
+/// Nothing is told of servers that never named a limit, but the end of one is.
+#[test]
+fn notice_only_of_a_server_that_has_named_a_limit() {
+    let mut limit = SaidLimit::default();
+    limit.note(notice(None, 0, 10));
+    assert_eq!(limit.notice(), None);
+    limit.note(notice(Some(4.0), 10, 20));
+    limit.note(notice(None, 20, 30));
+    assert_eq!(limit.notice(), Some(notice(None, 20, 30)));
+}
--- a/crates/tinbay-gateway/src/front/adapters.rs
+++ b/crates/tinbay-gateway/src/front/adapters.rs
@@ -12,7 +12,7 @@
 use super::question::Question;
 use super::refusal::{NotRunReason, Refusal};
 use crate::events::{self, part};
-use crate::limits::servers as limits;
+use crate::limits::permits;
 use crate::node::Node;
 use crate::servers::Server;
 
@@ -57,7 +57,7 @@
                 wait_for_load(node, question, &server, LOOK_PAUSE.min(left), &mut asked).await;
             }
             Choice::Nowhere => {
-                let retry_after_ms = limits::return_in_ms(node, &question.service);
+                let retry_after_ms = permits::return_in_ms(node, &question.service);
                 return Err(Refusal::NoServer { retry_after_ms });
             }
         }
--- a/crates/tinbay-gateway/src/front/attempt.rs
+++ b/crates/tinbay-gateway/src/front/attempt.rs
@@ -12,7 +12,7 @@
 use super::question::{Question, text};
 use crate::http::body::RequestBody;
 use crate::http::pool::{ConnectError, Connection, Trust};
-use crate::limits::servers::Permit;
+use crate::limits::permits::Permit;
 use crate::node::Node;
 use crate::port::dialect::HeaderNames;
 use crate::servers::notices::{self, AnswerHead, AskedFor};
--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -18,7 +18,7 @@
 use crate::http::body::{AnswerBody, BodyError, RequestBody};
 use crate::http::pool::Trust;
 use crate::http::relay::{EndObserver, Relay, RelayTerms};
-use crate::limits::servers::{self as limits, Permit};
+use crate::limits::permits::{self, Permit};
 use crate::node::Node;
 use crate::servers::{RunningRequest, Server};
 
@@ -89,7 +89,7 @@
         if is_refused(node, question).await {
             return Err(give_up_crashing(node, question, &tries));
         }
-        let Some(permit) = limits::admit(node, &server).await else {
+        let Some(permit) = permits::take(node, &server).await else {
             question.note_at_limit();
             continue;
         };
@@ -348,7 +348,7 @@
     }
     Refusal::NotRun {
         reason: NotRunReason::Declined,
-        retry_after_ms: limits::return_in_ms(node, &question.service).unwrap_or(SHORTEST_RETRY_MS),
+        retry_after_ms: permits::return_in_ms(node, &question.service).unwrap_or(SHORTEST_RETRY_MS),
     }
 }
 
--- a/crates/tinbay-gateway/src/limits/limited.rs
+++ b/crates/tinbay-gateway/src/limits/limited.rs
@@ -44,8 +44,8 @@
 
     /// The limit that a server names; none while it names none.
     pub fn of_server(node: &Node, server: &Server) -> Option<Self> {
-        let binds_after_ms = node.settings.borrow().bounds.server_limit_binds_after_ms;
         let per_s = server.limit_per_s()?;
+        let binds_after_ms = node.settings.borrow().bounds.server_limit_binds_after_ms;
         let known_for_ms = server.limit_known_for_ms(node.now_ms());
         Some(Self {
             key: LimitKey::Server(server.fingerprint()),
--- a/crates/tinbay-gateway/src/limits/mod.rs
+++ b/crates/tinbay-gateway/src/limits/mod.rs
@@ -7,8 +7,8 @@
 
 pub mod home;
 pub mod limited;
-pub mod servers;
-pub mod words;
+pub mod notices;
+pub mod permits;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -293,7 +293,7 @@
         needed: request.needed.ceil() as u32,
         ahead: request.ahead.ceil() as u32,
         without: without.to_vec(),
-        word: words::of(node, key),
+        notice: notices::of(node, key),
     }
 }
 
@@ -356,7 +356,7 @@
 
 /// Answers another box that takes this one for a limit's home.
 pub fn take_request(node: &Node, box_id: &str, part: &LimitRequestPart) {
-    words::take(node, part.key, part.word.as_ref());
+    notices::take(node, part.key, part.notice.as_ref());
     let limited = Limited::find(node, part.key);
     if limited.is_none() && matches!(part.key, LimitKey::Account(_)) {
         return;
@@ -382,14 +382,14 @@
         other,
         units: grant.map_or(0, |grant| grant.units as u32),
         room_in_ms: room_in_ms.map(|room_in_ms| room_in_ms.min(Millis::from(u16::MAX)) as u16),
-        word: words::of(node, part.key),
+        notice: notices::of(node, part.key),
     };
     node.outbox.post(box_id, FramePart::LimitGrant(answer));
 }
 
 /// Takes a home's answer; one that comes late still brings its units.
 pub fn take_grant(node: &Node, part: &LimitGrantPart) {
-    words::take(node, part.key, part.word.as_ref());
+    notices::take(node, part.key, part.notice.as_ref());
     if Limited::find(node, part.key).is_none() && matches!(part.key, LimitKey::Account(_)) {
         return;
     }
--- a/crates/tinbay-gateway/src/limits/words.rs
+++ b/crates/tinbay-gateway/src/limits/notices.rs
@@ -10,7 +10,7 @@
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 use tinbay_core::serving::notices::AnswerNotice;
-use tinbay_core::serving::server_limit::LimitWord;
+use tinbay_core::serving::server_limit::LimitNotice;
 use tinbay_core::units::Millis;
 
 use super::home::{self, Home};
@@ -26,7 +26,7 @@
 
 /// What a server said of its limit, as one box tells another.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct LimitWordPart {
+pub struct LimitNoticePart {
     /// Requests a second; none where it names no limit.
     pub per_s: Option<f64>,
     /// How long ago it said so at most, in ms.
@@ -35,28 +35,28 @@
     pub least_age_ms: u32,
 }
 
-impl LimitWordPart {
-    fn new(word: LimitWord, now_ms: Millis) -> Self {
+impl LimitNoticePart {
+    fn new(notice: LimitNotice, now_ms: Millis) -> Self {
         let age_ms = |at_ms: Millis| u32::try_from(now_ms - at_ms.min(now_ms)).unwrap_or(u32::MAX);
         Self {
-            per_s: word.per_s,
-            most_age_ms: age_ms(word.after_ms),
-            least_age_ms: age_ms(word.before_ms),
+            per_s: notice.per_s,
+            most_age_ms: age_ms(notice.said_after_ms),
+            least_age_ms: age_ms(notice.said_before_ms),
         }
     }
 
-    /// Taken as just sent; what it took to come makes the word seem later, by milliseconds.
-    fn to_word(self, now_ms: Millis) -> LimitWord {
-        LimitWord {
+    /// Taken as just sent; what it took to come makes the notice seem later, by milliseconds.
+    fn to_notice(self, now_ms: Millis) -> LimitNotice {
+        LimitNotice {
             per_s: self.per_s,
-            after_ms: now_ms.saturating_sub(Millis::from(self.most_age_ms)),
-            before_ms: now_ms.saturating_sub(Millis::from(self.least_age_ms)),
+            said_after_ms: now_ms.saturating_sub(Millis::from(self.most_age_ms)),
+            said_before_ms: now_ms.saturating_sub(Millis::from(self.least_age_ms)),
         }
     }
 }
 
-/// What this box knows of a server's limit, to tell another box; none where that is nothing.
-pub fn of(node: &Node, key: LimitKey) -> Option<LimitWordPart> {
+/// What this box knows of a server's limit, to tell another box; none where there is nothing to tell.
+pub fn of(node: &Node, key: LimitKey) -> Option<LimitNoticePart> {
     let LimitKey::Server(server) = key else {
         return None;
     };
@@ -65,13 +65,13 @@
 }
 
 /// The same of a server.
-pub fn of_server(node: &Node, server: &Server) -> Option<LimitWordPart> {
-    let word = server.limit_word()?;
-    Some(LimitWordPart::new(word, node.now_ms()))
+pub fn of_server(node: &Node, server: &Server) -> Option<LimitNoticePart> {
+    let notice = server.limit_notice()?;
+    Some(LimitNoticePart::new(notice, node.now_ms()))
 }
 
 /// Takes what another box knows of a server's limit.
-pub fn take(node: &Node, key: LimitKey, part: Option<&LimitWordPart>) {
+pub fn take(node: &Node, key: LimitKey, part: Option<&LimitNoticePart>) {
     let (LimitKey::Server(server), Some(part)) = (key, part) else {
         return;
     };
@@ -81,7 +81,7 @@
     };
     let now_ms = node.now_ms();
     let notice = AnswerNotice {
-        limit: Some(part.to_word(now_ms)),
+        limit: Some(part.to_notice(now_ms)),
         ..AnswerNotice::default()
     };
     server.note_said(notice, now_ms);
@@ -90,24 +90,18 @@
     }
 }
 
-/// Takes what another box heard from a server itself.
-pub fn take_told(node: &Node, part: &ServerLimitPart) {
-    take(node, LimitKey::Server(part.server), Some(&part.word));
-}
-
 /// Tells the limit's home and the server's holder what this box heard from the server itself.
 pub fn tell(node: &Node, server: &Rc<Server>) {
     note_change(node, server);
-    let Some(word) = of_server(node, server) else {
+    let Some(notice) = of_server(node, server) else {
         return;
     };
-    let fingerprint = server.fingerprint();
     let part = ServerLimitPart {
-        server: fingerprint,
-        word,
+        server: server.fingerprint(),
+        notice,
     };
     let own_id = node.settings.borrow().box_id.clone();
-    let drawn = home::of_name(node, LimitKey::Server(fingerprint), &server.record().id);
+    let drawn = home::of_name(node, LimitKey::Server(part.server), &server.record().id);
     let home = match drawn.map(|drawn| drawn.home) {
         Some(Home::Other(home)) => Some(home),
         Some(Home::Own) | None => None,
@@ -138,17 +132,18 @@
 
 /// Tells some boxes of the zone, and some of others; who did not know passes it on.
 fn pass_on(node: &Node, server: &Server) {
-    let Some(word) = of_server(node, server) else {
+    let Some(notice) = of_server(node, server) else {
         return;
     };
     let part = ServerLimitPart {
         server: server.fingerprint(),
-        word,
+        notice,
     };
     let mut rng = rand::rng();
-    let (near, far) = (gossip::near_boxes(node), gossip::far_boxes(node));
-    let near = near.sample(&mut rng, PEERS);
-    for box_id in near.chain(far.sample(&mut rand::rng(), FAR_PEERS)) {
-        node.outbox.post(box_id, FramePart::ServerLimit(part));
+    let mut boxes = Vec::new();
+    boxes.extend(gossip::near_boxes(node).sample(&mut rng, PEERS).cloned());
+    boxes.extend(gossip::far_boxes(node).sample(&mut rng, FAR_PEERS).cloned());
+    for box_id in boxes {
+        node.outbox.post(&box_id, FramePart::ServerLimit(part));
     }
 }
--- a/crates/tinbay-gateway/src/limits/servers.rs
+++ b/crates/tinbay-gateway/src/limits/permits.rs
@@ -47,7 +47,7 @@
 /// What a server in need takes is a sum over boxes, so no box can tell by itself: where each went on until
 /// it had heard the limit from the server, seven boxes sent 57 requests in 4 s, none of them more than 12,
 /// to a server that takes 3.4 a second.
-pub async fn admit(node: &Node, server: &Rc<Server>) -> Option<Permit> {
+pub async fn take(node: &Node, server: &Rc<Server>) -> Option<Permit> {
     let Some(limited) = Limited::of_server(node, server) else {
         let unit_until_ms = None;
         return Some(Permit { unit_until_ms });
--- a/crates/tinbay-gateway/src/orders/held_server.rs
+++ b/crates/tinbay-gateway/src/orders/held_server.rs
@@ -11,7 +11,7 @@
 use tinbay_core::serving::wants::{Want, Wants};
 use tinbay_core::units::Millis;
 
-use crate::limits::words;
+use crate::limits::notices;
 use crate::node::Node;
 use crate::peers::frame::{AdapterPart, StatusPart, to_percent};
 use crate::servers::Server;
@@ -192,7 +192,7 @@
         subscribers.note_told(box_id, now_ms);
         let running = subscribers.running_of_others(box_id, now_ms);
         Some(StatusPart {
-            limit: words::of_server(node, &server),
+            limit: notices::of_server(node, &server),
             server: server.fingerprint(),
             running_elsewhere: running.min(usize::from(u16::MAX)) as u16,
             delay_percent: to_percent(subscribers.delay(now_ms)),
--- a/crates/tinbay-gateway/src/peers/frame.rs
+++ b/crates/tinbay-gateway/src/peers/frame.rs
@@ -7,7 +7,7 @@
 use tinbay_core::serving::subscribers::AdapterUse;
 
 use crate::limits::limited::LimitKey;
-use crate::limits::words::LimitWordPart;
+use crate::limits::notices::LimitNoticePart;
 use crate::members::MemberRecord;
 
 /// Longest datagram: what fits into one packet of any usual link.
@@ -125,7 +125,7 @@
     /// Boxes that said of themselves that they can't keep the limit.
     pub without: Vec<Fingerprint>,
     /// What the sender knows of a server's limit.
-    pub word: Option<LimitWordPart>,
+    pub notice: Option<LimitNoticePart>,
 }
 
 /// What a server told a box of its limit.
@@ -134,7 +134,7 @@
     /// The server.
     pub server: Fingerprint,
     /// What it said.
-    pub word: LimitWordPart,
+    pub notice: LimitNoticePart,
 }
 
 /// What a box may let in of a limit.
@@ -153,7 +153,7 @@
     /// Where what was needed is not given: time until there is room for it, in ms.
     pub room_in_ms: Option<u16>,
     /// What the sender knows of a server's limit.
-    pub word: Option<LimitWordPart>,
+    pub notice: Option<LimitNoticePart>,
 }
 
 /// What a request needs of a server.
@@ -200,7 +200,7 @@
     /// Expected time until a load that is asked for now is done, in ms.
     pub load_wait_ms: u16,
     /// What is known of the server's limit.
-    pub limit: Option<LimitWordPart>,
+    pub limit: Option<LimitNoticePart>,
     /// All adapters that take a place.
     pub adapters: Vec<AdapterPart>,
 }
--- a/crates/tinbay-gateway/src/peers/inbox.rs
+++ b/crates/tinbay-gateway/src/peers/inbox.rs
@@ -20,7 +20,7 @@
 use crate::crashes::spread;
 use crate::events::{self, part};
 use crate::limits::limited::LimitKey;
-use crate::limits::{self, words};
+use crate::limits::{self, notices};
 use crate::node::Node;
 use crate::servers::usage::UsageReport;
 use crate::servers::view::{ServerStatus, ViewEntry};
@@ -99,7 +99,9 @@
             FramePart::Refused(parts) => spread::take_refused(node, &parts),
             FramePart::LimitRequest(part) => limits::take_request(node, &frame.box_id, &part),
             FramePart::LimitGrant(part) => limits::take_grant(node, &part),
-            FramePart::ServerLimit(part) => words::take_told(node, &part),
+            FramePart::ServerLimit(part) => {
+                notices::take(node, LimitKey::Server(part.server), Some(&part.notice));
+            }
             FramePart::LoadRequest(ask) => take_load_request(node, &frame.box_id, ask, now_ms),
             FramePart::StatusRequest(server) => {
                 take_status_request(node, &frame.box_id, server, now_ms)
@@ -223,7 +225,7 @@
     let Some(server) = node.servers.borrow().by_fingerprint(part.server) else {
         return;
     };
-    words::take(node, LimitKey::Server(part.server), part.limit.as_ref());
+    notices::take(node, LimitKey::Server(part.server), part.limit.as_ref());
     let status = ServerStatus {
         entries: part.adapters.iter().map(to_entry).collect(),
         running_elsewhere: usize::from(part.running_elsewhere),
--- a/crates/tinbay-gateway/src/servers/notices.rs
+++ b/crates/tinbay-gateway/src/servers/notices.rs
@@ -6,12 +6,12 @@
 use log::Level;
 use serde::Serialize;
 use tinbay_core::serving::notices::AnswerNotice;
-use tinbay_core::serving::server_limit::LimitWord;
+use tinbay_core::serving::server_limit::LimitNotice;
 use tinbay_core::units::Millis;
 
 use super::Server;
 use crate::events::{self, part};
-use crate::limits::words;
+use crate::limits::notices as limit_notices;
 use crate::node::Node;
 use crate::port::dialect::DecodeError;
 
@@ -100,7 +100,7 @@
     let limit_before = server.take_limit_news();
     if let Some(before_per_s) = limit_before {
         tell_limit(node, server, head, before_per_s);
-        words::tell(node, server);
+        limit_notices::tell(node, server);
     }
     let turns_away = notice.is_leaving || notice.rest_ms.is_some();
     if turns_away {
@@ -125,10 +125,10 @@
             .map_err(|error| tell_unreadable(node, server, &error))
             .ok()
             .filter(|per_s| per_s.is_some() || head.has_run)
-            .map(|per_s| LimitWord {
+            .map(|per_s| LimitNotice {
                 per_s,
-                after_ms: head.asked_ms,
-                before_ms: node.now_ms(),
+                said_after_ms: head.asked_ms,
+                said_before_ms: node.now_ms(),
             }),
     }
 }
--- a/crates/tinbay-gateway/src/servers/server.rs
+++ b/crates/tinbay-gateway/src/servers/server.rs
@@ -6,7 +6,7 @@
 use tinbay_core::serving::contents::AdapterKey;
 use tinbay_core::serving::fading::faded;
 use tinbay_core::serving::notices::AnswerNotice;
-use tinbay_core::serving::server_limit::{LimitWord, is_news};
+use tinbay_core::serving::server_limit::{LimitNotice, is_news};
 use tinbay_core::serving::servers::{Fingerprint, ServerKey, ServerRecord, ServerState};
 use tinbay_core::serving::subscribers::{MISTRUST_HALF_LIFE_MS, MOST_MISTRUST};
 use tinbay_core::units::Millis;
@@ -205,8 +205,8 @@
     }
 
     /// What is known of its limit, to tell others.
-    pub fn limit_word(&self) -> Option<LimitWord> {
-        self.said.borrow().limit().word()
+    pub fn limit_notice(&self) -> Option<LimitNotice> {
+        self.said.borrow().limit().notice()
     }
 
     /// Notes that another server answers at its address: it has ended, whatever its entry says. Entries
