The stand-in of an engine ends a run with its last token

A scenario failed once beside twenty busy processes: a woken owner seemed to unload a model that serves. The stand-in gave out the last chunk, and counted the run as over in a step of its own after that; whoever had the whole answer by then could unload in between. The check stays as strict: what counts as serving ends when the last token is made, which is before anyone can have it.

--- a/crates/tinbay-standin/src/engine/mod.rs
+++ b/crates/tinbay-standin/src/engine/mod.rs
@@ -129,14 +129,12 @@
 async fn generate(engine: Shared, call: EngineRequest, run: u64) {
     let prefill_ms = engine.settings.prefill_ms;
     tokio::time::sleep(Duration::from_millis(prefill_ms)).await;
-    for _ in 0..call.max_tokens.max(1) {
+    let mut goes_on = true;
+    while goes_on {
         let pause = engine.model().token_pause();
         tokio::time::sleep(pause).await;
-        if !engine.model().add_token(&call.request, run) {
-            return;
-        }
+        goes_on = engine.model().add_token(&call.request, run);
     }
-    engine.model().finish(&call.request, run);
 }
 
 /// Sends a stream's chunks to one reader, with the faults asked for.
--- a/crates/tinbay-standin/src/engine/model.rs
+++ b/crates/tinbay-standin/src/engine/model.rs
@@ -232,21 +232,28 @@
         Duration::from_millis(self.token_ms).mul_f64(crowd)
     }
 
-    /// Generates a token; `false` when the run is not there any more.
+    /// Generates a token; `false` when it was the last one, or the run is not there any more.
+    ///
+    /// A run ends with its last token: with a step of its own after that its reader, who had the whole answer,
+    /// unloaded the model of a run that still counted (5 ms between the two, 3 of 3 runs).
     pub fn add_token(&mut self, request: &str, run: u64) -> bool {
         let stream = self
             .streams
             .get_mut(request)
             .filter(|s| s.run == run && !s.finished);
-        if let Some(stream) = stream {
-            stream.tokens += 1;
+        let Some(stream) = stream else {
+            return false;
+        };
+        stream.tokens += 1;
+        if stream.tokens < stream.limit {
             return true;
         }
+        self.finish(request, run);
         false
     }
 
     /// Takes a finished run out of the batch and keeps its text for readers that resume.
-    pub fn finish(&mut self, request: &str, run: u64) {
+    fn finish(&mut self, request: &str, run: u64) {
         let Some(stream) = self.streams.get_mut(request).filter(|s| s.run == run) else {
             return;
         };
