--- a/crates/tinbay-core/src/limits/home.rs
+++ b/crates/tinbay-core/src/limits/home.rs
@@ -43,7 +43,7 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct DealTerms {
     /// How the limit is kept.
-    pub limit: LimitTerms,
+    pub limit_terms: LimitTerms,
     /// Part of the fleet that this box reaches, from 0 to 1.
     pub reached: f64,
     /// Boxes of the fleet.
@@ -79,7 +79,7 @@
 
     /// Deals units.
     ///
-    /// An account that has more than half of its bucket is given more ahead than a box asks for: its
+    /// Of a bucket that is more than half full more is given ahead than a box asks for: its
     /// part of the rest, were all boxes to ask.
     ///
     /// A request gets in when all that it counts is there, or the bucket is full. Of an account at
@@ -88,19 +88,23 @@
     /// for the same worth (0.775 against 0.777; 0.56 against 0.59 where two accounts asked six
     /// times their usual).
     pub fn deal(&mut self, terms: DealTerms, request: UnitRequest, now_ms: Millis) -> UnitGrant {
-        let limit = terms.limit.limit;
+        let limit = terms.limit_terms.limit;
         let reached = terms.reached.clamp(0.0, 1.0);
         let filling = Filling {
             per_s: limit.per_s * reached,
             most: (limit.burst * reached).max(1.0),
         };
-        if now_ms >= self.dealt_ms.saturating_add(terms.limit.forgotten_after_ms) {
+        if now_ms
+            >= self
+                .dealt_ms
+                .saturating_add(terms.limit_terms.forgotten_after_ms)
+        {
             self.bucket.empty_out(now_ms.saturating_sub(REMEMBERED_MS));
         }
         self.dealt_ms = now_ms;
         self.bucket.fill(filling, now_ms);
         if self.bucket.level() < request.needed.min(filling.most) {
-            let longest_ms = terms.limit.longest_away_ms;
+            let longest_ms = terms.limit_terms.longest_away_ms;
             let room_in_ms = Some(self.promise_room(request.needed, filling, longest_ms, now_ms));
             let units = 0.0;
             return UnitGrant { units, room_in_ms };
--- a/crates/tinbay-core/src/limits/share.rs
+++ b/crates/tinbay-core/src/limits/share.rs
@@ -17,7 +17,7 @@
 /// Time for which units are asked ahead: some round trips between zones with what may delay them.
 const AHEAD_MS: Millis = 250;
 
-/// Time for which an account is taken to be at its limit after its home had no room: about as long
+/// Time for which a limit is taken to be reached after its home had no room: about as long
 /// as boxes take to agree on another home.
 const AT_LIMIT_MS: Millis = 1_500;
 
@@ -28,7 +28,7 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ShareTerms {
     /// How the limit is kept.
-    pub limit: LimitTerms,
+    pub limit_terms: LimitTerms,
     /// Boxes of the fleet.
     pub boxes: usize,
 }
@@ -41,7 +41,7 @@
     share: Bucket,
     used_per_ms: f64,
     used_ms: Millis,
-    /// Until when the account is taken to be at its limit.
+    /// Until when the limit is taken to be reached.
     at_limit_until_ms: Millis,
 }
 
@@ -102,11 +102,11 @@
         now_ms: Millis,
     ) -> Result<(), Millis> {
         let boxes = terms.boxes.max(1) as f64;
-        let limit = terms.limit.limit;
+        let limit = terms.limit_terms.limit;
         let per_s = limit.per_s / boxes;
         let most = limit.burst.max(limit.per_s) / boxes;
         self.share.fill(Filling { per_s, most }, now_ms);
-        let needed = units - terms.limit.overdraft / boxes;
+        let needed = units - terms.limit_terms.overdraft / boxes;
         if now_ms < self.at_limit_until_ms {
             return Err(self.at_limit_until_ms - now_ms);
         }
--- a/crates/tinbay-core/src/limits/terms.rs
+++ b/crates/tinbay-core/src/limits/terms.rs
@@ -27,8 +27,11 @@
     pub longest_away_ms: Millis,
 }
 
-/// The same for accounts.
+/// Pause in dealing after which the home of an account forgets what it saved: another box may have dealt all
+/// of it meanwhile.
 const ACCOUNT_FORGOTTEN_AFTER_MS: Millis = 2_000;
+
+/// Longest time that callers of an account at its limit are told to stay away.
 const ACCOUNT_LONGEST_AWAY_MS: Millis = 30_000;
 
 /// Span over which a server's limit binds.
@@ -44,13 +47,13 @@
 const SERVER_OVERDRAFT: f64 = 2.0;
 const SERVER_OVERDRAFT_S: f64 = 0.5;
 
-/// What servers usually got, against the limits that they named: two got 11 to 20 requests a second before
-/// they named 3.4 and 3.8. So much longer than the window reaches back before the limit is known, nothing
-/// is sent.
+/// What servers usually got, against the limits that they named: two got 9 to 19 requests a second before
+/// they named 3.4 and 3.8. Nothing is sent for so many times as long as the window reaches back to before
+/// the limit was known.
 const USUAL_OVER_LIMIT: f64 = 3.0;
 
-/// A server is told of as a limit of its own for as long as it names one, and its bucket is small: nothing
-/// saved there is worth forgetting.
+/// The home of a server's limit forgets nothing: its bucket holds a request or two, and at a limit of 0.3 a
+/// second nobody may ask for longer than that of an account is remembered.
 const SERVER_FORGOTTEN_AFTER_MS: Millis = Millis::MAX;
 
 /// Longest time for which a box does not ask for units of a server's limit after it got none. It is also the
@@ -69,11 +72,11 @@
         }
     }
 
-    /// The limit of a server, in requests a second, which binds some time after the server first named it
-    /// and has been known for a while.
+    /// The limit of a server, in requests a second, that binds some time after the server first named it;
+    /// `known_for_ms` says for how long it has been known.
     ///
-    /// A window that ends then reaches back before the server named it, where that time is shorter than the
-    /// window, and what came there counts as well.
+    /// Where that time is shorter than the window, the first windows reach back to before the server named
+    /// its limit, and what came there counts as well.
     pub fn of_server(per_s: f64, binds_after_ms: Millis, known_for_ms: Millis) -> Self {
         let reaches_back_ms = SERVER_WINDOW_MS.saturating_sub(binds_after_ms) as f64;
         let held_back_ms = (reaches_back_ms * USUAL_OVER_LIMIT).min(binds_after_ms as f64);
--- a/crates/tinbay-core/tests/limits_test.rs
+++ b/crates/tinbay-core/tests/limits_test.rs
@@ -29,14 +29,14 @@
 
 fn share_of(boxes: usize) -> ShareTerms {
     ShareTerms {
-        limit: LimitTerms::of_account(LIMIT, OVERDRAFT),
+        limit_terms: LimitTerms::of_account(LIMIT, OVERDRAFT),
         boxes,
     }
 }
 
 fn dealing(limit: Limit, reached: f64, boxes: usize) -> DealTerms {
     DealTerms {
-        limit: LimitTerms::of_account(limit, OVERDRAFT),
+        limit_terms: LimitTerms::of_account(limit, OVERDRAFT),
         reached,
         boxes,
     }
@@ -303,7 +303,7 @@
 fn take_share_overdrawn_once_then_paid_back() {
     let mut share = LimitShare::new(0);
     let terms = ShareTerms {
-        limit: LimitTerms::of_account(LIMIT, 60_000.0),
+        limit_terms: LimitTerms::of_account(LIMIT, 60_000.0),
         ..share_of(60)
     };
     let take = |share: &mut LimitShare, now_ms| share.take_share(terms, 1_200.0, now_ms);
--- a/crates/tinbay-core/tests/serving_server_limit_test.rs
+++ b/crates/tinbay-core/tests/serving_server_limit_test.rs
@@ -213,7 +213,7 @@
         }
         let Some((home, reached)) = self.home_of(at, now_ms) else {
             let terms = ShareTerms {
-                limit: self.terms(at, per_s, now_ms),
+                limit_terms: self.terms(at, per_s, now_ms),
                 boxes: BOXES,
             };
             return self.shares[at].take_share(terms, 1.0, now_ms).is_ok();
@@ -242,7 +242,7 @@
             .entry(home)
             .or_insert_with(|| (known, LimitHome::in_debt(terms.first_debt, now_ms)));
         let deal = DealTerms {
-            limit: terms,
+            limit_terms: terms,
             reached,
             boxes: BOXES,
         };
--- a/crates/tinbay-experiment/src/limits/play.rs
+++ b/crates/tinbay-experiment/src/limits/play.rs
@@ -120,7 +120,7 @@
 
     fn ask_share(&mut self, asked: Asked, now_ms: u64) {
         let terms = ShareTerms {
-            limit: self.limit_terms(asked.account),
+            limit_terms: self.limit_terms(asked.account),
             boxes: self.terms.boxes,
         };
         let taken = self
@@ -171,7 +171,7 @@
             ahead,
         };
         let terms = DealTerms {
-            limit: self.limit_terms(asked.account),
+            limit_terms: self.limit_terms(asked.account),
             reached: 1.0,
             boxes: self.terms.boxes,
         };
--- a/crates/tinbay-gateway/src/limits/home.rs
+++ b/crates/tinbay-gateway/src/limits/home.rs
@@ -154,7 +154,7 @@
     }
     let now_ms = node.now_ms();
     let terms = DealTerms {
-        limit: limited.terms,
+        limit_terms: limited.terms,
         reached: fleet.reached,
         boxes: fleet.boxes,
     };
--- a/crates/tinbay-gateway/src/limits/mod.rs
+++ b/crates/tinbay-gateway/src/limits/mod.rs
@@ -156,7 +156,7 @@
 
 fn take_share(node: &Node, limited: &Limited, units: f64) -> Result<(), Millis> {
     let terms = ShareTerms {
-        limit: limited.terms,
+        limit_terms: limited.terms,
         boxes: home::fleet(node).boxes,
     };
     with_share(node, limited, |share, now_ms| {
