A request's line tells when the pieces of its answer came from the server

Half of the model answers of a deployment are late by a pause and not by their first event, and no line told so. Relays note each piece; the line has the first one and the longest pause.

--- a/crates/tinbay-core/src/serving/mod.rs
+++ b/crates/tinbay-core/src/serving/mod.rs
@@ -20,6 +20,7 @@
 pub mod server_limit;
 pub mod servers;
 pub mod spread;
+pub mod stream_sight;
 pub mod subscribers;
 pub mod versions;
 pub mod wants;
--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -361,6 +361,7 @@
         rest: headers::allowed_rest(&parts.headers),
         may_keep: headers::keeps_connection(&parts.headers),
         time_up: node.clock.instant(question.time_up_ms),
+        clock: node.clock,
         end: observe_end(node, question, answer.running, parts.status.as_u16()),
     };
     headers::drop_hop_headers(&mut parts.headers);
@@ -377,7 +378,8 @@
     let node = Rc::clone(node);
     let question = Rc::clone(question);
     let head_ms = node.now_ms() - question.arrived_ms;
-    Box::new(move |end| {
+    Box::new(move |end, sight| {
+        question.sight.set(sight);
         let ending = match end {
             Ok(()) => Ending::Whole,
             Err(error) => Ending::Cut(error),
--- a/crates/tinbay-gateway/src/front/question.rs
+++ b/crates/tinbay-gateway/src/front/question.rs
@@ -12,6 +12,7 @@
 use tinbay_core::serving::configuration::{Route, RouteKind};
 use tinbay_core::serving::contents::{AdapterKey, adapter_key};
 use tinbay_core::serving::prompt::Prompt;
+use tinbay_core::serving::stream_sight::StreamSight;
 use tinbay_core::units::Millis;
 
 use super::refusal::Refusal;
@@ -69,6 +70,8 @@
     pub account: OnceCell<ShownAccount>,
     /// What it counted against its account's limit; nothing where that does not bind.
     pub admitted: Cell<Option<AdmittedUnits>>,
+    /// When the pieces of its answer came; nothing before its end.
+    pub sight: Cell<StreamSight>,
     /// Servers that were passed over as their limits had no room.
     pub at_limits: Cell<u32>,
     /// The route.
@@ -139,6 +142,7 @@
             key,
             account: OnceCell::new(),
             admitted: Cell::default(),
+            sight: Cell::default(),
             at_limits: Cell::default(),
             model_key: model.as_deref().map(adapter_key),
             model,
--- a/crates/tinbay-gateway/src/http/relay.rs
+++ b/crates/tinbay-gateway/src/http/relay.rs
@@ -8,27 +8,41 @@
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
+use tinbay_core::serving::stream_sight::StreamSight;
+use tinbay_core::units::Millis;
 use tokio::time::Sleep;
 
 use super::body::BodyError;
 use super::pool::{Connection, Pool};
+use crate::clock::Clock;
 
-/// Told how a relayed answer ended: nothing, or why it was cut.
-pub type EndObserver = Box<dyn FnOnce(Result<(), BodyError>)>;
+/// Told how a relayed answer ended, nothing or why it was cut, and when its pieces came.
+pub type EndObserver = Box<dyn FnOnce(Result<(), BodyError>, StreamSight)>;
 
 /// Tells its observer once, also when it is dropped: the caller left then.
-pub struct EndNotice(Option<EndObserver>);
+pub struct EndNotice {
+    observer: Option<EndObserver>,
+    sight: StreamSight,
+}
 
 impl EndNotice {
     /// A notice for `observer`.
     pub fn new(observer: EndObserver) -> Self {
-        Self(Some(observer))
+        Self {
+            observer: Some(observer),
+            sight: StreamSight::default(),
+        }
+    }
+
+    /// Notes that a piece came from the server.
+    pub fn note_piece(&mut self, now_ms: Millis) {
+        self.sight.note_piece(now_ms);
     }
 
     /// Tells the end.
     pub fn tell(&mut self, end: Result<(), BodyError>) {
-        if let Some(observer) = self.0.take() {
-            observer(end);
+        if let Some(observer) = self.observer.take() {
+            observer(end, self.sight);
         }
     }
 }
@@ -55,6 +69,7 @@
     may_keep: bool,
     time_up: Pin<Box<Sleep>>,
     is_done: bool,
+    clock: Clock,
     end: EndNotice,
 }
 
@@ -70,6 +85,8 @@
     pub may_keep: bool,
     /// When the request's time is up.
     pub time_up: Instant,
+    /// The clock of the box.
+    pub clock: Clock,
     /// Told how it ended.
     pub end: EndObserver,
 }
@@ -86,6 +103,7 @@
             may_keep: terms.may_keep,
             time_up: Box::pin(tokio::time::sleep_until(terms.time_up.into())),
             is_done: false,
+            clock: terms.clock,
             end: EndNotice::new(terms.end),
         };
         if is_empty {
@@ -104,6 +122,7 @@
         }
         match Pin::new(&mut self.incoming).poll_frame(context) {
             Poll::Ready(Some(Ok(frame))) => {
+                self.end.note_piece(self.clock.now_ms());
                 if self.incoming.is_end_stream() {
                     self.finish();
                 }
