Runs move from engines that read prompts to engines that make the answer (first form)

Half of the streams of a deployment were late by a pause, as engines read prompts in pieces between tokens. Engines of a service are parted where streams are late by pauses; the run moves after its first event, within one answer. To be measured and tested.

--- /dev/null
+++ b/crates/tinbay-core/src/handover/events.rs
@@ -0,0 +1,77 @@
+//! The events of a stream as its bytes pass.
+//!
+//! Source: WHATWG, "HTML Living Standard", section "Server-sent events": an event ends with an empty
+//! line, and a line `id: ...` names it.
+
+/// Longest line that is looked at; what is longer is no line with an id.
+const MOST_LINE_BYTES: usize = 64;
+
+/// What the name of an event begins with.
+const ID_FIELD: &str = "id:";
+
+/// Reads the events of a stream, however its bytes are cut.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct EventScanner {
+    line: Vec<u8>,
+    line_bytes: usize,
+    id_in_event: Option<u64>,
+    last_id: Option<u64>,
+    events: u64,
+}
+
+impl EventScanner {
+    /// Takes the next bytes; how many of them belong to events that are whole by then.
+    pub fn scan(&mut self, bytes: &[u8]) -> usize {
+        let mut whole = 0;
+        for (position, byte) in bytes.iter().enumerate() {
+            match byte {
+                b'\n' if self.end_line() => whole = position + 1,
+                b'\n' | b'\r' => {}
+                _ => self.extend_line(*byte),
+            }
+        }
+        whole
+    }
+
+    /// Forgets an event that has begun: it comes again, from another server.
+    pub fn drop_partial(&mut self) {
+        self.line.clear();
+        self.line_bytes = 0;
+        self.id_in_event = None;
+    }
+
+    /// Number of the last whole event that had one.
+    pub fn last_id(&self) -> Option<u64> {
+        self.last_id
+    }
+
+    /// Events that are whole.
+    pub fn events(&self) -> u64 {
+        self.events
+    }
+
+    fn extend_line(&mut self, byte: u8) {
+        self.line_bytes += 1;
+        if self.line.len() < MOST_LINE_BYTES {
+            self.line.push(byte);
+        }
+    }
+
+    /// Ends a line; whether that ends an event.
+    fn end_line(&mut self) -> bool {
+        if self.line_bytes > 0 {
+            self.id_in_event = read_id(&self.line).or(self.id_in_event);
+            self.line.clear();
+            self.line_bytes = 0;
+            return false;
+        }
+        self.events += 1;
+        self.last_id = self.id_in_event.take().or(self.last_id);
+        true
+    }
+}
+
+fn read_id(line: &[u8]) -> Option<u64> {
+    let text = std::str::from_utf8(line).ok()?;
+    text.strip_prefix(ID_FIELD)?.trim().parse().ok()
+}
--- a/crates/tinbay-core/src/serving/configuration.rs
+++ b/crates/tinbay-core/src/serving/configuration.rs
@@ -106,6 +106,8 @@
     pub batch_slots: usize,
     /// Adapters held at once.
     pub adapter_slots: usize,
+    /// Whether they hand running requests over to each other.
+    pub moves_runs: bool,
     /// Loads a second that the weight store allows over all engines.
     pub loads_per_s: f64,
     /// Memory for weights and adapters together.
--- a/crates/tinbay-gateway/src/front/adapters.rs
+++ b/crates/tinbay-gateway/src/front/adapters.rs
@@ -41,8 +41,7 @@
                 if let Some(copy) = copy {
                     node.request_load(&copy, want(node, question, true));
                 }
-                let is_refreshed = asked.status_requests.contains_key(&server.key);
-                if question.model_key.is_none() || is_refreshed || !node.should_ask(&server) {
+                if question.model_key.is_none() || !is_to_ask(node, &server, &asked) {
                     return Ok(server);
                 }
                 refresh_status(node, &server, &mut asked).await;
@@ -64,8 +63,14 @@
     }
 }
 
+/// Whether a server's holder is to be asked how it stands before a request goes there.
+pub(super) fn is_to_ask(node: &Node, server: &Server, asked: &Asked) -> bool {
+    let is_refreshed = asked.status_requests.contains_key(&server.key);
+    !is_refreshed && node.should_ask(server)
+}
+
 /// Asks the server's holder for its status, and waits a moment for the answer.
-async fn refresh_status(node: &Node, server: &Server, asked: &mut Asked) {
+pub(super) async fn refresh_status(node: &Node, server: &Server, asked: &mut Asked) {
     let status_came = server.status_came.notified();
     node.request_status(server);
     asked.status_requests.insert(server.key, node.now_ms());
@@ -116,7 +121,7 @@
 
 /// Has the server's holder load the adapter, unless it was asked lately, and waits until its status
 /// comes or the adapter can serve somewhere.
-async fn wait_for_load(
+pub(super) async fn wait_for_load(
     node: &Node,
     question: &Question,
     server: &Server,
@@ -137,7 +142,7 @@
     }
 }
 
-fn want(node: &Node, question: &Question, is_copy: bool) -> Want {
+pub(super) fn want(node: &Node, question: &Question, is_copy: bool) -> Want {
     Want {
         adapter: question.model.clone().unwrap_or_default(),
         version: question.named_version(node),
--- /dev/null
+++ b/crates/tinbay-gateway/src/front/apart.rs
@@ -0,0 +1,75 @@
+//! Chooses the server for a prompt where some engines read for others.
+//!
+//! A prompt goes to an engine that reads for others, and its run moves on from there. One that is short
+//! enough to be read beside running streams goes to its home at once, where it stays.
+
+use std::rc::Rc;
+
+use tinbay_core::handover::reading_room::reads_beside;
+use tinbay_core::serving::homes::Pick;
+
+use super::adapters::is_to_ask;
+use super::choice::{Asked, Choice, Survey};
+use super::question::Question;
+use crate::handover::split::Split;
+use crate::node::Node;
+use crate::servers::Server;
+
+/// Where a request for an adapter should run.
+pub fn choose_for_adapter(
+    node: &Node,
+    question: &Question,
+    split: &Split,
+    asked: &Asked,
+) -> Choice {
+    let is_short = reads_beside_streams(node, question, 0.0);
+    if is_short && let Some(choice) = choose_home(node, question, split, asked) {
+        return choice;
+    }
+    let readers = Survey::make(node, question, &split.readers, asked);
+    match readers.pick() {
+        Pick::Nowhere => {
+            let homes = Survey::make(node, question, &split.homes, asked);
+            homes.to_choice(homes.pick())
+        }
+        pick => readers.to_choice(pick),
+    }
+}
+
+/// The home of a request, if its prompt holds up no stream there.
+fn choose_home(node: &Node, question: &Question, split: &Split, asked: &Asked) -> Option<Choice> {
+    let homes = Survey::make(node, question, &split.homes, asked);
+    let pick = homes.pick();
+    let position = match pick {
+        Pick::Send { to, .. } => to,
+        Pick::Load { at } => at,
+        Pick::Nowhere => return None,
+    };
+    let home = homes.server(position);
+    let is_fine = is_to_ask(node, &home, asked)
+        || reads_beside_streams(node, question, node.backlog_ms(&home));
+    is_fine.then(|| homes.to_choice(pick))
+}
+
+/// Where a request for a base model alone should run.
+pub fn choose_for_model(
+    node: &Node,
+    question: &Question,
+    home: Option<Rc<Server>>,
+    reader: Option<Rc<Server>>,
+) -> Option<Rc<Server>> {
+    match (home, reader) {
+        (Some(home), Some(reader)) => {
+            let is_fine = reads_beside_streams(node, question, node.backlog_ms(&home));
+            Some(if is_fine { home } else { reader })
+        }
+        (home, reader) => home.or(reader),
+    }
+}
+
+/// Whether a prompt holds up no stream at an engine that has so much to read already.
+fn reads_beside_streams(node: &Node, question: &Question, backlog_ms: f64) -> bool {
+    let own_ms = node.reading_ms(&question.service, question.prompt.tokens);
+    let pause_ms = question.route.objective_gap_ms;
+    pause_ms.is_none_or(|pause_ms| reads_beside(backlog_ms + own_ms, pause_ms))
+}
--- a/crates/tinbay-gateway/src/front/attempt.rs
+++ b/crates/tinbay-gateway/src/front/attempt.rs
@@ -100,6 +100,8 @@
     pub headers: ServerHeaders<'a>,
     /// Leave to send it within the server's limit.
     pub permit: Permit,
+    /// Tokens that the server has to read for it.
+    pub reading_tokens: u32,
     /// Longest wait for the head.
     pub head_within: Duration,
 }
@@ -111,7 +113,7 @@
     body: RequestBody,
     terms: AttemptTerms<'_>,
 ) -> AttemptResult {
-    let running = node.begin_request(terms.server, question);
+    let running = node.begin_request(terms.server, question, terms.reading_tokens);
     let exchange = exchange(node, question, body, &terms);
     match tokio::time::timeout(terms.head_within, exchange).await {
         Err(_) => AttemptResult::unknown(UnknownCause::Silent),
--- a/crates/tinbay-gateway/src/front/choice.rs
+++ b/crates/tinbay-gateway/src/front/choice.rs
@@ -10,6 +10,7 @@
 use tinbay_core::serving::servers::ServerKey;
 use tinbay_core::units::Millis;
 
+use super::apart;
 use super::question::Question;
 use crate::node::Node;
 use crate::servers::Server;
@@ -143,9 +144,30 @@
         !is_passed_over && !tried.contains(&server.record().id)
     });
     let objective_ms = question.route.objective_ms;
+    let now_ms = node.now_ms();
+    let split = || {
+        let service = &question.service;
+        node.splits.split(&node.servers, service, &ready, now_ms)
+    };
     match question.model.as_deref() {
-        Some(model) if model.contains('/') => choose_for_adapter(node, question, &ready, asked),
-        Some(model) => choose_for_model(node, model, &ready, objective_ms),
+        Some(model) if model.contains('/') => match split() {
+            Some(split) => apart::choose_for_adapter(node, question, &split, asked),
+            None => {
+                let survey = Survey::make(node, question, &ready, asked);
+                survey.to_choice(survey.pick())
+            }
+        },
+        Some(model) => match split() {
+            Some(split) => {
+                let home = least_loaded(node, &holding(model, &split.homes), objective_ms);
+                let reader = least_loaded(node, &holding(model, &split.readers), objective_ms);
+                match apart::choose_for_model(node, question, home, reader) {
+                    Some(server) => send(server),
+                    None => choose_for_model(node, model, &ready, objective_ms),
+                }
+            }
+            None => choose_for_model(node, model, &ready, objective_ms),
+        },
         None => least_loaded(node, &ready, objective_ms).map_or(Choice::Nowhere, send),
     }
 }
@@ -160,16 +182,24 @@
     ready: &[Rc<Server>],
     objective_ms: Millis,
 ) -> Choice {
-    let holds = |server: &&Rc<Server>| server.record().models.iter().any(|held| held == model);
-    let holding: Vec<Rc<Server>> = ready.iter().filter(holds).cloned().collect();
-    if let Some(server) = least_loaded(node, &holding, objective_ms) {
+    if let Some(server) = least_loaded(node, &holding(model, ready), objective_ms) {
         return send(server);
     }
     let home = in_order(model, ready).into_iter().next();
     home.map_or(Choice::Nowhere, Choice::Load)
 }
 
-fn least_loaded(node: &Node, servers: &[Rc<Server>], objective_ms: Millis) -> Option<Rc<Server>> {
+/// Servers that hold a base model.
+pub(super) fn holding(model: &str, servers: &[Rc<Server>]) -> Vec<Rc<Server>> {
+    let holds = |server: &&Rc<Server>| server.record().models.iter().any(|held| held == model);
+    servers.iter().filter(holds).cloned().collect()
+}
+
+pub(super) fn least_loaded(
+    node: &Node,
+    servers: &[Rc<Server>],
+    objective_ms: Millis,
+) -> Option<Rc<Server>> {
     servers
         .iter()
         .map(|server| (load(node, server, objective_ms), server))
@@ -190,7 +220,7 @@
 }
 
 /// What one request needs to know of the servers that should hold its adapter.
-struct Survey {
+pub(super) struct Survey {
     servers: Vec<Rc<Server>>,
     candidates: Vec<Candidate>,
     is_older: Vec<bool>,
@@ -201,7 +231,8 @@
 }
 
 impl Survey {
-    fn make(node: &Node, question: &Question, ready: &[Rc<Server>], asked: &Asked) -> Self {
+    /// Looks at the servers that should hold a request's adapter, among those given.
+    pub fn make(node: &Node, question: &Question, ready: &[Rc<Server>], asked: &Asked) -> Self {
         let adapter = question.model.as_deref().unwrap_or_default();
         let mut survey = Self {
             servers: Vec::new(),
@@ -359,33 +390,34 @@
         self.candidates.iter().position(takes_it)
     }
 
-    fn server(&self, position: usize) -> Rc<Server> {
+    /// A server of the survey.
+    pub fn server(&self, position: usize) -> Rc<Server> {
         Rc::clone(&self.servers[position])
     }
-}
 
-fn choose_for_adapter(
-    node: &Node,
-    question: &Question,
-    ready: &[Rc<Server>],
-    asked: &Asked,
-) -> Choice {
-    let survey = Survey::make(node, question, ready, asked);
-    match pick(&survey.candidates, survey.copies) {
-        Pick::Send { to, copy } => {
-            let newer = || survey.place_for_newer();
-            let copy = if survey.is_older[to] { newer() } else { copy };
-            Choice::Send {
-                server: survey.server(to),
-                copy: copy.map(|position| survey.server(position)),
+    /// The best of its servers.
+    pub fn pick(&self) -> Pick {
+        pick(&self.candidates, self.copies)
+    }
+
+    /// What a pick among its servers comes to.
+    pub fn to_choice(&self, pick: Pick) -> Choice {
+        match pick {
+            Pick::Send { to, copy } => {
+                let newer = || self.place_for_newer();
+                let copy = if self.is_older[to] { newer() } else { copy };
+                Choice::Send {
+                    server: self.server(to),
+                    copy: copy.map(|position| self.server(position)),
+                }
             }
+            Pick::Load { at } => Choice::Load(self.server(at)),
+            // Places become free within moments: the holder of the first is asked again.
+            Pick::Nowhere => match self.servers.first() {
+                Some(first) => Choice::Load(Rc::clone(first)),
+                None => Choice::Nowhere,
+            },
         }
-        Pick::Load { at } => Choice::Load(survey.server(at)),
-        // Places become free within moments: the holder of the first is asked again.
-        Pick::Nowhere => match survey.servers.first() {
-            Some(first) => Choice::Load(Rc::clone(first)),
-            None => Choice::Nowhere,
-        },
     }
 }
 
--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -1,5 +1,6 @@
 //! Brings a request to a server, to another one where that is allowed, and back.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 use super::attempt::{AttemptResult, AttemptTerms, BegunAnswer, UnknownCause, attempt};
 use super::choice::{self, Asked, Choice};
 use super::headers::{self, ServerHeaders};
+use super::moving;
 use super::question::{LastSend, Question};
 use super::refusal::{NotRunReason, Refusal};
 use super::request_log::{Ending, log_end, log_try};
@@ -99,6 +101,7 @@
         body = sent.repeat();
         let sent_ms = node.now_ms();
         let before_ms = node.backlog_ms(&server);
+        moving::prepare(node, question, &server);
         let result = try_server(node, question, &tries, sent, &server, permit).await;
         if matches!(result, AttemptResult::Begun(_)) {
             node.note_reading(question, before_ms, node.now_ms() - sent_ms);
@@ -108,7 +111,7 @@
         let end = match result {
             AttemptResult::Begun(answer) => {
                 if body.is_none() || !repeats(node, question, &tries, &server, &answer) {
-                    return Ok(relay(node, question, *answer));
+                    return Ok(relay(node, question, *answer, body));
                 }
                 tries.note(&server, AttemptEnd::Unknown);
                 continue;
@@ -215,8 +218,10 @@
             priority: question.rank(),
             version: sent.expected_version,
             account: question.client_account().map(|account| &*account.name),
+            resumption: None,
         },
         permit,
+        reading_tokens: question.prompt.tokens,
         head_within: if is_last {
             Duration::from_millis(left_ms)
         } else {
@@ -279,7 +284,7 @@
 }
 
 /// Connections this box may open to one server: its part of what the server accepts.
-fn most_open(node: &Node, question: &Question) -> usize {
+pub(super) fn most_open(node: &Node, question: &Question) -> usize {
     let accepted = node
         .in_force()
         .and_then(|in_force| {
@@ -352,17 +357,25 @@
     }
 }
 
-fn relay(node: &Rc<Node>, question: &Rc<Question>, answer: BegunAnswer) -> Response<AnswerBody> {
+fn relay(
+    node: &Rc<Node>,
+    question: &Rc<Question>,
+    answer: BegunAnswer,
+    body: Option<RequestBody>,
+) -> Response<AnswerBody> {
     let server = answer.running.server();
     let (mut parts, incoming) = answer.response.into_parts();
+    let running = Rc::new(RefCell::new(answer.running));
+    let successor = moving::successor(node, question, &parts, &running, body);
     let terms = RelayTerms {
         connection: answer.connection,
         pool: Rc::clone(&server.pool),
         rest: headers::allowed_rest(&parts.headers),
         may_keep: headers::keeps_connection(&parts.headers),
         time_up: node.clock.instant(question.time_up_ms),
+        successor,
         clock: node.clock,
-        end: observe_end(node, question, answer.running, parts.status.as_u16()),
+        end: observe_end(node, question, running, parts.status.as_u16()),
     };
     headers::drop_hop_headers(&mut parts.headers);
     let relay = Relay::new(incoming, terms);
@@ -372,7 +385,7 @@
 fn observe_end(
     node: &Rc<Node>,
     question: &Rc<Question>,
-    running: RunningRequest,
+    running: Rc<RefCell<RunningRequest>>,
     status: u16,
 ) -> EndObserver {
     let node = Rc::clone(node);
@@ -384,7 +397,8 @@
             Ok(()) => Ending::Whole,
             Err(error) => Ending::Cut(error),
         };
-        let server = running.server();
+        let server = running.borrow().server();
+        moving::note_stream(&node, &question, sight, end);
         match (end, question.digest.get()) {
             (Err(BodyError::ServerBrokeOff), _) => note_cut(&node, &question, &server),
             (Ok(()), Some(digest)) if is_success(status) => crashes::note_proven(&node, *digest),
--- a/crates/tinbay-gateway/src/front/headers.rs
+++ b/crates/tinbay-gateway/src/front/headers.rs
@@ -27,6 +27,17 @@
     pub version: Option<u64>,
     /// Client account on whose behalf it runs.
     pub account: Option<&'a str>,
+    /// Where it goes on, if it was begun by another server.
+    pub resumption: Option<Resumption<'a>>,
+}
+
+/// Where a run goes on that was handed over.
+#[derive(Debug, Clone, Copy)]
+pub struct Resumption<'a> {
+    /// Names the copy and the server that made it.
+    pub copy_source: &'a str,
+    /// The last event that the caller has.
+    pub last_event_id: u64,
 }
 
 /// The headers of a request to a server.
@@ -49,6 +60,10 @@
     if let Some(version) = set.version {
         headers.insert(names.expect_version.clone(), version.into());
     }
+    if let Some(resumption) = &set.resumption {
+        insert_text(&mut headers, &names.copy_source, resumption.copy_source);
+        headers.insert(names.last_event_id.clone(), resumption.last_event_id.into());
+    }
     headers
 }
 
--- a/crates/tinbay-gateway/src/front/mod.rs
+++ b/crates/tinbay-gateway/src/front/mod.rs
@@ -1,12 +1,14 @@
 //! Takes callers' requests and brings them their answers.
 
 pub mod adapters;
+mod apart;
 pub mod attempt;
 pub mod choice;
 pub mod deliver;
 pub mod filters;
 pub mod headers;
 pub mod listener;
+pub mod moving;
 pub mod question;
 pub mod refusal;
 pub mod request_log;
--- /dev/null
+++ b/crates/tinbay-gateway/src/front/moving/mod.rs
@@ -0,0 +1,104 @@
+//! Hands runs of this box's requests over to other servers.
+
+mod mover;
+mod successor;
+mod target;
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use hyper::StatusCode;
+use hyper::header::CONTENT_LENGTH;
+use hyper::http::response::Parts;
+use log::Level;
+use serde::Serialize;
+use tinbay_core::serving::configuration::RouteKind;
+use tinbay_core::serving::stream_sight::StreamSight;
+
+use self::mover::NodeMover;
+use self::successor::RunSuccessor;
+use self::target::Target;
+use super::adapters;
+use super::choice::Asked;
+use super::question::{Handover, Question};
+use crate::events::{self, part};
+use crate::http::body::{BodyError, RequestBody};
+use crate::http::relay::Successor;
+use crate::node::Node;
+use crate::servers::{RunningRequest, Server};
+
+/// What may go on with an answer that has begun; none where it stays with its server.
+pub fn successor(
+    node: &Rc<Node>,
+    question: &Rc<Question>,
+    head: &Parts,
+    running: &Rc<RefCell<RunningRequest>>,
+    body: Option<RequestBody>,
+) -> Option<Box<dyn Successor>> {
+    let is_stream = question.route.kind == RouteKind::Streaming;
+    let is_whole_known = head.headers.contains_key(CONTENT_LENGTH);
+    if !is_stream || is_whole_known || head.status != StatusCode::OK {
+        return None;
+    }
+    if !moves_runs(node, &question.service) {
+        return None;
+    }
+    let source = running.borrow().server();
+    if !node.splits.is_reader(&node.servers, &source, node.now_ms()) {
+        return None;
+    }
+    let mover = NodeMover::new(node, question, running, body?);
+    Some(Box::new(RunSuccessor::new(mover)))
+}
+
+/// Has the server that will go on with a run load its adapter while another one reads the prompt.
+pub fn prepare(node: &Node, question: &Question, reader: &Server) {
+    let is_reader = node.splits.is_reader(&node.servers, reader, node.now_ms());
+    if !is_reader || question.route.kind != RouteKind::Streaming {
+        return;
+    }
+    if let Target::Later(home) = target::choose(node, question, &Asked::default(), 0) {
+        node.request_load(&home, adapters::want(node, question, false));
+    }
+}
+
+/// Notes a stream that has ended, by which it is judged whether engines should read for others.
+pub fn note_stream(
+    node: &Node,
+    question: &Question,
+    sight: StreamSight,
+    end: Result<(), BodyError>,
+) {
+    let is_moved = question.handover.get() == Some(Handover::Moved);
+    let allowed_ms = question.route.objective_gap_ms;
+    if end.is_err() || is_moved || sight.pieces() < 2 || allowed_ms.is_none() {
+        return;
+    }
+    if !moves_runs(node, &question.service) {
+        return;
+    }
+    let is_late = sight.has_long_pause(allowed_ms);
+    let now_ms = node.now_ms();
+    if node.splits.note_stream(&question.service, is_late, now_ms) {
+        log_split(&question.service);
+    }
+}
+
+fn moves_runs(node: &Node, service: &str) -> bool {
+    let in_force = node.in_force();
+    let engine = in_force.as_ref().and_then(|in_force| {
+        let service = in_force.configuration.services.get(service)?;
+        service.engine.as_ref()
+    });
+    engine.is_some_and(|engine| engine.moves_runs)
+}
+
+#[derive(Serialize)]
+struct SplitEvent<'a> {
+    service: &'a str,
+}
+
+fn log_split(service: &str) {
+    let event = SplitEvent { service };
+    events::emit(part::FRONT, Level::Info, "engines_read_for_others", &event);
+}
--- /dev/null
+++ b/crates/tinbay-gateway/src/front/moving/mover.rs
@@ -0,0 +1,281 @@
+//! Moves one run between servers, by calls to them.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
+use hyper::{Method, Request, StatusCode};
+use log::Level;
+use serde::Serialize;
+use tinbay_core::handover::course::{MoveAnswer, Place};
+use tinbay_core::units::Millis;
+
+use super::target::{self, Target};
+use crate::events::{self, part};
+use crate::front::adapters;
+use crate::front::attempt::{AttemptResult, AttemptTerms, attempt};
+use crate::front::choice::Asked;
+use crate::front::deliver::most_open;
+use crate::front::headers::{self, Resumption, ServerHeaders};
+use crate::front::question::{Handover, Question};
+use crate::handover::drive::{Doing, Outcome, Resumed, RunMover};
+use crate::http::body::RequestBody;
+use crate::http::call::CallError;
+use crate::http::pool::Trust;
+use crate::http::pooled::call_pooled;
+use crate::http::relay::ContinuedAnswer;
+use crate::limits::permits;
+use crate::node::Node;
+use crate::servers::{RunningRequest, Server};
+
+/// Longest time for which a run waits for a server that can go on with it.
+const LONGEST_SEARCH_MS: Millis = 1_500;
+
+/// Pause between looks for one.
+const LOOK_PAUSE: Duration = Duration::from_millis(100);
+
+/// Longest time of a copy; most take some tens of milliseconds.
+const MOVE_WITHIN: Duration = Duration::from_millis(1_000);
+
+/// Longest time until a server goes on.
+const RESUME_WITHIN: Duration = Duration::from_millis(1_500);
+
+/// Longest time of the call that frees a copy.
+const FREE_WITHIN: Duration = Duration::from_millis(500);
+
+/// Moves one run.
+pub struct NodeMover {
+    node: Rc<Node>,
+    question: Rc<Question>,
+    running: Rc<RefCell<RunningRequest>>,
+    body: RequestBody,
+    source: Rc<Server>,
+    target: RefCell<Option<Rc<Server>>>,
+    /// Version of the adapter at the source.
+    version: u64,
+    begun_ms: Cell<Millis>,
+}
+
+impl NodeMover {
+    /// A mover of the run of a request.
+    pub fn new(
+        node: &Rc<Node>,
+        question: &Rc<Question>,
+        running: &Rc<RefCell<RunningRequest>>,
+        body: RequestBody,
+    ) -> Self {
+        let source = running.borrow().server();
+        let key = target::adapter_of(question);
+        let entry = key.and_then(|key| node.entry(&source, key));
+        Self {
+            node: Rc::clone(node),
+            question: Rc::clone(question),
+            running: Rc::clone(running),
+            body,
+            source,
+            target: RefCell::default(),
+            version: entry.map_or(0, |entry| entry.version),
+            begun_ms: Cell::default(),
+        }
+    }
+
+    async fn search(&self) -> bool {
+        let end_ms = self.node.now_ms() + LONGEST_SEARCH_MS;
+        let mut asked = Asked::default();
+        while self.node.now_ms() < end_ms {
+            match target::choose(&self.node, &self.question, &asked, self.version) {
+                Target::At(server) if adapters::is_to_ask(&self.node, &server, &asked) => {
+                    adapters::refresh_status(&self.node, &server, &mut asked).await;
+                }
+                Target::At(server) => {
+                    *self.target.borrow_mut() = Some(server);
+                    return true;
+                }
+                Target::Later(server) => {
+                    adapters::wait_for_load(
+                        &self.node,
+                        &self.question,
+                        &server,
+                        LOOK_PAUSE,
+                        &mut asked,
+                    )
+                    .await;
+                }
+                Target::Nowhere => tokio::time::sleep(LOOK_PAUSE).await,
+            }
+        }
+        false
+    }
+
+    async fn move_run(&self) -> MoveAnswer {
+        let Some(target) = self.target.borrow().clone() else {
+            return MoveAnswer::NotStopped;
+        };
+        self.begun_ms.set(self.node.now_ms());
+        self.question.handover.set(Some(Handover::Begun));
+        let dialect = &self.node.dialect;
+        let body = dialect.encode_move(&self.question.id, target.record().address);
+        let request = self.call(Method::POST, dialect.move_path(), body);
+        let most_open = most_open(&self.node, &self.question);
+        let call = call_pooled(&self.source.pool, most_open, request, MOVE_WITHIN);
+        let reply = match call.await {
+            Ok(reply) => reply,
+            Err(CallError::NotConnected) => return MoveAnswer::NotStopped,
+            Err(CallError::NoAnswer) => return MoveAnswer::Unknown,
+        };
+        let decoded = dialect.decode_move(&reply.body).unwrap_or_default();
+        match (StatusCode::from_u16(reply.status), decoded.handle) {
+            (Ok(StatusCode::OK), Some(handle)) => MoveAnswer::Copied { handle },
+            (Ok(StatusCode::SERVICE_UNAVAILABLE), Some(handle)) => MoveAnswer::Kept { handle },
+            _ => MoveAnswer::NotStopped,
+        }
+    }
+
+    fn call(&self, method: Method, path: &str, body: Bytes) -> Request<RequestBody> {
+        let record = self.source.record();
+        let mut request = Request::new(RequestBody::whole(body));
+        *request.method_mut() = method;
+        *request.uri_mut() = path.parse().unwrap_or_default();
+        let headers = request.headers_mut();
+        let name = &self.node.dialect.headers().expect_server;
+        if let Ok(id) = HeaderValue::from_str(&record.id) {
+            headers.insert(name.clone(), id);
+        }
+        if let Ok(host) = HeaderValue::from_str(&self.source.address_text) {
+            headers.insert(HOST, host);
+        }
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        request
+    }
+
+    async fn resume_at(&self, at: Place, handle: &str, last_id: u64) -> Resumed<ContinuedAnswer> {
+        let server = match at {
+            Place::Source => Some(Rc::clone(&self.source)),
+            Place::Target => self.target.borrow().clone(),
+        };
+        let (Some(server), Some(body)) = (server, self.body.repeat()) else {
+            return Resumed::Not;
+        };
+        let Some(permit) = permits::take(&self.node, &server).await else {
+            return Resumed::Not;
+        };
+        let source = self.source.record().address;
+        let copy_source = self.node.dialect.encode_copy_source(source, handle);
+        let record = server.record();
+        let now_ms = self.node.now_ms();
+        let left_ms = self.question.time_up_ms.saturating_sub(now_ms);
+        let terms = AttemptTerms {
+            server: &server,
+            most_open: most_open(&self.node, &self.question),
+            trust: Trust::JustUsed,
+            headers: ServerHeaders {
+                deadline_ms: left_ms,
+                server_id: &record.id,
+                priority: self.question.rank(),
+                version: Some(self.version).filter(|version| *version > 0),
+                account: self.question.client_account().map(|account| &*account.name),
+                resumption: Some(Resumption {
+                    copy_source: &copy_source,
+                    last_event_id: last_id,
+                }),
+            },
+            permit,
+            reading_tokens: 0,
+            head_within: RESUME_WITHIN.min(Duration::from_millis(left_ms)),
+        };
+        match attempt(&self.node, &self.question, body, terms).await {
+            AttemptResult::Begun(answer) if answer.response.status() == StatusCode::OK => {
+                *self.running.borrow_mut() = answer.running;
+                let (parts, incoming) = answer.response.into_parts();
+                Resumed::Goes(ContinuedAnswer {
+                    incoming,
+                    connection: answer.connection,
+                    pool: Rc::clone(&server.pool),
+                    rest: headers::allowed_rest(&parts.headers),
+                    may_keep: headers::keeps_connection(&parts.headers),
+                })
+            }
+            AttemptResult::Begun(_) | AttemptResult::Unknown { .. } => Resumed::Unknown,
+            AttemptResult::Declined { .. }
+            | AttemptResult::Displaced
+            | AttemptResult::Withdrawn { .. }
+            | AttemptResult::NotSent { .. } => Resumed::Not,
+        }
+    }
+
+    /// Notes how it ended.
+    pub fn note_outcome(&self, outcome: &Outcome<ContinuedAnswer>) {
+        let handover = match outcome {
+            Outcome::Stays => Handover::Stayed,
+            Outcome::GoesOn { at, .. } => match at {
+                Place::Target => Handover::Moved,
+                Place::Source => Handover::TakenBack,
+            },
+            Outcome::Lost => Handover::Lost,
+        };
+        self.question.handover.set(Some(handover));
+        let outcome = handover.name();
+        let handovers = &self.node.metrics.handovers;
+        handovers.with_label_values(&[outcome]).inc();
+        let target = self.target.borrow();
+        let target = target.as_ref().map(|server| server.record());
+        let now_ms = self.node.now_ms();
+        let event = HandoverEvent {
+            request: &self.question.id,
+            source: &self.source.record().id,
+            target: target.as_ref().map(|record| record.id.as_str()),
+            outcome,
+            took_ms: target.as_ref().map(|_| now_ms - self.begun_ms.get()),
+            age_ms: now_ms - self.question.arrived_ms,
+        };
+        let level = match handover {
+            Handover::Moved => Level::Debug,
+            _ => Level::Info,
+        };
+        events::emit(part::FRONT, level, "handover", &event);
+    }
+}
+
+#[derive(Serialize)]
+struct HandoverEvent<'a> {
+    request: &'a str,
+    source: &'a str,
+    target: Option<&'a str>,
+    outcome: &'static str,
+    took_ms: Option<Millis>,
+    age_ms: Millis,
+}
+
+impl RunMover for NodeMover {
+    type Answer = ContinuedAnswer;
+
+    fn find_target(&self) -> Doing<'_, bool> {
+        Box::pin(self.search())
+    }
+
+    fn ask_move(&self) -> Doing<'_, MoveAnswer> {
+        Box::pin(self.move_run())
+    }
+
+    fn resume<'a>(
+        &'a self,
+        at: Place,
+        handle: &'a str,
+        last_id: u64,
+    ) -> Doing<'a, Resumed<ContinuedAnswer>> {
+        Box::pin(self.resume_at(at, handle, last_id))
+    }
+
+    fn free(&self, handle: &str) {
+        let path = self.node.dialect.copy_path(handle);
+        let request = self.call(Method::DELETE, &path, Bytes::new());
+        let pool = Rc::clone(&self.source.pool);
+        let most_open = most_open(&self.node, &self.question);
+        // Servers free it by themselves where this call is lost.
+        tokio::task::spawn_local(async move {
+            let _ = call_pooled(&pool, most_open, request, FREE_WITHIN).await;
+        });
+    }
+}
--- /dev/null
+++ b/crates/tinbay-gateway/src/front/moving/target.rs
@@ -0,0 +1,78 @@
+//! Chooses the server that goes on with a run.
+
+use std::rc::Rc;
+
+use tinbay_core::serving::contents::{AdapterKey, HeldState};
+use tinbay_core::serving::homes::Pick;
+
+use crate::front::choice::{self, Asked, Survey};
+use crate::front::question::Question;
+use crate::node::Node;
+use crate::servers::Server;
+
+/// Where a run should go on.
+pub enum Target {
+    /// There.
+    At(Rc<Server>),
+    /// There, once it holds the adapter.
+    Later(Rc<Server>),
+    /// Nowhere now.
+    Nowhere,
+}
+
+/// The server that should go on with a run; `version` is that of its adapter at the source.
+pub fn choose(node: &Node, question: &Question, asked: &Asked, version: u64) -> Target {
+    let now_ms = node.now_ms();
+    let ready = node.servers.borrow().ready(&question.service);
+    let split = node
+        .splits
+        .split(&node.servers, &question.service, &ready, now_ms);
+    let Some(split) = split else {
+        return Target::Nowhere;
+    };
+    if adapter_of(question).is_none() {
+        return choose_for_model(node, question, &split.homes);
+    }
+    let homes = Survey::make(node, question, &split.homes, asked);
+    match homes.pick() {
+        Pick::Send { to, .. } => {
+            let server = homes.server(to);
+            if is_fit(node, &server) && holds(node, question, &server, version) {
+                Target::At(server)
+            } else {
+                Target::Nowhere
+            }
+        }
+        Pick::Load { at } => Target::Later(homes.server(at)),
+        Pick::Nowhere => Target::Nowhere,
+    }
+}
+
+fn choose_for_model(node: &Node, question: &Question, homes: &[Rc<Server>]) -> Target {
+    let model = question.model.as_deref().unwrap_or_default();
+    let holding = choice::holding(model, homes);
+    let server = choice::least_loaded(node, &holding, question.route.objective_ms);
+    match server.filter(|server| is_fit(node, server)) {
+        Some(server) => Target::At(server),
+        None => Target::Nowhere,
+    }
+}
+
+/// Whether a server has a place for a run, and takes it without leave.
+fn is_fit(node: &Node, server: &Server) -> bool {
+    server.limit_per_s().is_none() && node.running(server) < server.record().slots
+}
+
+fn holds(node: &Node, question: &Question, server: &Server, version: u64) -> bool {
+    let Some(key) = adapter_of(question) else {
+        return true;
+    };
+    node.entry(server, key)
+        .is_some_and(|entry| entry.state == HeldState::Ready && entry.version == version)
+}
+
+/// The key of a request's adapter; none where it names a base model alone.
+pub fn adapter_of(question: &Question) -> Option<AdapterKey> {
+    let model = question.model.as_deref()?;
+    model.contains('/').then_some(question.model_key).flatten()
+}
--- a/crates/tinbay-gateway/src/front/question.rs
+++ b/crates/tinbay-gateway/src/front/question.rs
@@ -55,6 +55,34 @@
     pub by: AdmittedBy,
 }
 
+/// How the run of a request was handed over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Handover {
+    /// The server that reads it is asked to stop it.
+    Begun,
+    /// It stayed where it was.
+    Stayed,
+    /// Another server goes on with it.
+    Moved,
+    /// The server that began it went on, as the other one did not.
+    TakenBack,
+    /// Nobody went on with it.
+    Lost,
+}
+
+impl Handover {
+    /// Name for logs and measures.
+    pub fn name(self) -> &'static str {
+        match self {
+            Handover::Begun => "begun",
+            Handover::Stayed => "stayed",
+            Handover::Moved => "moved",
+            Handover::TakenBack => "taken_back",
+            Handover::Lost => "lost",
+        }
+    }
+}
+
 /// A caller's request with all that decides its way.
 #[derive(Debug)]
 pub struct Question {
@@ -72,6 +100,8 @@
     pub admitted: Cell<Option<AdmittedUnits>>,
     /// When the pieces of its answer came; nothing before its end.
     pub sight: Cell<StreamSight>,
+    /// How its run was handed over to another server; nothing where that was not begun.
+    pub handover: Cell<Option<Handover>>,
     /// Servers that were passed over as their limits had no room.
     pub at_limits: Cell<u32>,
     /// The route.
@@ -143,6 +173,7 @@
             account: OnceCell::new(),
             admitted: Cell::default(),
             sight: Cell::default(),
+            handover: Cell::default(),
             at_limits: Cell::default(),
             model_key: model.as_deref().map(adapter_key),
             model,
--- a/crates/tinbay-gateway/src/front/request_log.rs
+++ b/crates/tinbay-gateway/src/front/request_log.rs
@@ -90,6 +90,9 @@
     admitted_by: Option<&'static str>,
     #[serde(skip_serializing_if = "Option::is_none")]
     units: Option<f64>,
+    /// How its run was handed over.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    handover: Option<&'static str>,
     /// Servers passed over as their limits had no room.
     #[serde(skip_serializing_if = "Option::is_none")]
     at_limits: Option<u32>,
@@ -152,6 +155,7 @@
         account: question.client_account().map(|account| &*account.name),
         admitted_by: question.admitted.get().map(|admitted| admitted.by.name()),
         units: question.admitted.get().map(|admitted| admitted.units),
+        handover: question.handover.get().map(|handover| handover.name()),
         at_limits: Some(question.at_limits.get()).filter(|count| *count > 0),
         proof_age_ms: question.account.get().map(|shown| shown.proof_age_ms),
         model: question.model.as_deref(),
--- a/crates/tinbay-gateway/src/http/body.rs
+++ b/crates/tinbay-gateway/src/http/body.rs
@@ -24,6 +24,9 @@
     /// The body is longer than allowed.
     #[error("the body is too long")]
     TooLong,
+    /// The server stopped its run to hand it over, and no server went on with it.
+    #[error("no server went on with a run that was handed over")]
+    NotHandedOver,
 }
 
 /// The body of a caller's request: what was read so far, then what still comes.
--- a/crates/tinbay-gateway/src/http/mod.rs
+++ b/crates/tinbay-gateway/src/http/mod.rs
@@ -4,5 +4,6 @@
 pub mod call;
 pub mod connect;
 pub mod pool;
+pub mod pooled;
 pub mod relay;
 pub mod silence;
--- /dev/null
+++ b/crates/tinbay-gateway/src/http/pooled.rs
@@ -0,0 +1,56 @@
+//! Single calls over the kept connections to a server.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use hyper::Request;
+
+use super::body::RequestBody;
+use super::call::{CallError, Reply};
+use super::pool::{Pool, Trust};
+
+/// Makes one call; its connection is kept if the whole answer came.
+///
+/// # Errors
+/// When no whole answer came in time.
+pub async fn call_pooled(
+    pool: &Rc<Pool>,
+    most_open: usize,
+    request: Request<RequestBody>,
+    within: Duration,
+) -> Result<Reply, CallError> {
+    let exchange = exchange(pool, most_open, request);
+    let result = tokio::time::timeout(within, exchange).await;
+    result.unwrap_or(Err(CallError::NoAnswer))
+}
+
+async fn exchange(
+    pool: &Rc<Pool>,
+    most_open: usize,
+    mut request: Request<RequestBody>,
+) -> Result<Reply, CallError> {
+    loop {
+        let connected = pool.get(most_open, Trust::JustUsed).await;
+        let mut connection = connected.map_err(|_| CallError::NotConnected)?;
+        let response = match connection.sender.try_send_request(request).await {
+            Ok(response) => response,
+            Err(mut error) => match error.take_message() {
+                Some(unsent) if connection.is_reused => {
+                    request = unsent;
+                    continue;
+                }
+                Some(_) => return Err(CallError::NotConnected),
+                None => return Err(CallError::NoAnswer),
+            },
+        };
+        let (head, body) = response.into_parts();
+        let body = body.collect().await.map_err(|_| CallError::NoAnswer)?;
+        pool.give_back(connection, None);
+        return Ok(Reply {
+            status: head.status.as_u16(),
+            headers: head.headers,
+            body: body.to_bytes(),
+        });
+    }
+}
--- a/crates/tinbay-gateway/src/http/relay.rs
+++ b/crates/tinbay-gateway/src/http/relay.rs
@@ -6,7 +6,7 @@
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tinbay_core::serving::stream_sight::StreamSight;
 use tinbay_core::units::Millis;
@@ -15,6 +15,7 @@
 use super::body::BodyError;
 use super::pool::{Connection, Pool};
 use crate::clock::Clock;
+use crate::handover::drive::Outcome;
 
 /// Told how a relayed answer ended, nothing or why it was cut, and when its pieces came.
 pub type EndObserver = Box<dyn FnOnce(Result<(), BodyError>, StreamSight)>;
@@ -59,10 +60,42 @@
     }
 }
 
-/// A server's answer on its way to the caller.
+/// The rest of an answer, from the server that goes on with its run.
 #[derive(Debug)]
+pub struct ContinuedAnswer {
+    /// The events that are left.
+    pub incoming: Incoming,
+    /// Connection they come on.
+    pub connection: Connection,
+    /// Where the connection goes back to.
+    pub pool: Rc<Pool>,
+    /// Longest rest the server allows.
+    pub rest: Option<Duration>,
+    /// Whether the server keeps the connection.
+    pub may_keep: bool,
+}
+
+/// What may take the place of the server whose answer is relayed.
+pub trait Successor {
+    /// Takes bytes from the server; those that may go on to the caller now.
+    fn pass(&self, bytes: Bytes) -> Bytes;
+
+    /// Works on the hand-over until it has ended.
+    fn poll_outcome(&mut self, context: &mut Context<'_>) -> Poll<Outcome<ContinuedAnswer>>;
+
+    /// Notes that the server's answer broke off; whether that is part of the hand-over.
+    fn note_broken_off(&self) -> bool;
+
+    /// Lets all pass from now on; what was held back until then.
+    fn open(&self) -> Bytes;
+}
+
+/// A server's answer on its way to the caller.
 pub struct Relay {
     incoming: Incoming,
+    successor: Option<Box<dyn Successor>>,
+    /// Whether the server has broken off as part of a hand-over.
+    has_stopped: bool,
     connection: Option<Connection>,
     pool: Rc<Pool>,
     rest: Option<Duration>,
@@ -85,6 +118,8 @@
     pub may_keep: bool,
     /// When the request's time is up.
     pub time_up: Instant,
+    /// What may go on in place of the server.
+    pub successor: Option<Box<dyn Successor>>,
     /// The clock of the box.
     pub clock: Clock,
     /// Told how it ended.
@@ -97,6 +132,8 @@
         let is_empty = incoming.is_end_stream();
         let mut relay = Self {
             incoming,
+            successor: terms.successor,
+            has_stopped: false,
             connection: Some(terms.connection),
             pool: terms.pool,
             rest: terms.rest,
@@ -120,30 +157,112 @@
         if self.is_done {
             return Poll::Ready(None);
         }
-        match Pin::new(&mut self.incoming).poll_frame(context) {
-            Poll::Ready(Some(Ok(frame))) => {
-                self.end.note_piece(self.clock.now_ms());
-                if self.incoming.is_end_stream() {
-                    self.finish();
-                }
-                Poll::Ready(Some(Ok(frame)))
-            }
-            Poll::Ready(Some(Err(_))) => {
-                Poll::Ready(Some(Err(self.cut(BodyError::ServerBrokeOff))))
+        loop {
+            if let Some(next) = self.poll_successor(context) {
+                return Poll::Ready(Some(next));
             }
-            Poll::Ready(None) => {
-                self.finish();
-                Poll::Ready(None)
+            if self.has_stopped {
+                return self.poll_time_up(context);
             }
-            Poll::Pending => {
-                if self.time_up.as_mut().poll(context).is_ready() {
-                    return Poll::Ready(Some(Err(self.cut(BodyError::TimeUp))));
+            match Pin::new(&mut self.incoming).poll_frame(context) {
+                Poll::Ready(Some(Ok(frame))) => {
+                    if let Some(passed) = self.pass(frame) {
+                        return Poll::Ready(Some(Ok(passed)));
+                    }
+                }
+                Poll::Ready(Some(Err(_))) if self.is_handed_over() => self.has_stopped = true,
+                Poll::Ready(Some(Err(_))) => {
+                    return Poll::Ready(Some(Err(self.cut(BodyError::ServerBrokeOff))));
+                }
+                Poll::Ready(None) => {
+                    let kept = self.release();
+                    self.finish();
+                    return Poll::Ready(kept.map(Ok));
                 }
-                Poll::Pending
+                Poll::Pending => return self.poll_time_up(context),
+            }
+        }
+    }
+
+    /// Takes what the hand-over came to, if it has ended: bytes that were held back, or a cut.
+    fn poll_successor(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Option<Result<Frame<Bytes>, BodyError>> {
+        let successor = self.successor.as_mut()?;
+        let Poll::Ready(outcome) = successor.poll_outcome(context) else {
+            return None;
+        };
+        match outcome {
+            Outcome::Stays if self.has_stopped => Some(Err(self.cut(BodyError::ServerBrokeOff))),
+            Outcome::Stays => self.release().map(Ok),
+            Outcome::Lost => Some(Err(self.cut(BodyError::NotHandedOver))),
+            Outcome::GoesOn { answer, .. } => {
+                self.go_on(answer);
+                None
             }
         }
     }
 
+    /// Goes on with the answer of another server.
+    fn go_on(&mut self, answer: ContinuedAnswer) {
+        self.successor = None;
+        self.has_stopped = false;
+        self.incoming = answer.incoming;
+        self.connection = Some(answer.connection);
+        self.pool = answer.pool;
+        self.rest = answer.rest;
+        self.may_keep = answer.may_keep;
+    }
+
+    fn is_handed_over(&self) -> bool {
+        let successor = self.successor.as_ref();
+        successor.is_some_and(|successor| successor.note_broken_off())
+    }
+
+    /// Hands a frame on; none where all of it is held back.
+    fn pass(&mut self, frame: Frame<Bytes>) -> Option<Frame<Bytes>> {
+        self.end.note_piece(self.clock.now_ms());
+        let is_end = self.incoming.is_end_stream();
+        let Some(successor) = &self.successor else {
+            return self.pass_on(frame, is_end);
+        };
+        let mut passed = match frame.into_data() {
+            Ok(bytes) => successor.pass(bytes),
+            Err(other) => return self.pass_on(other, is_end),
+        };
+        if is_end {
+            passed = join(passed, successor.open());
+        }
+        if passed.is_empty() && !is_end {
+            return None;
+        }
+        self.pass_on(Frame::data(passed), is_end)
+    }
+
+    fn pass_on(&mut self, frame: Frame<Bytes>, is_end: bool) -> Option<Frame<Bytes>> {
+        if is_end {
+            self.finish();
+        }
+        Some(frame)
+    }
+
+    /// Lets all pass from now on; what was held back.
+    fn release(&mut self) -> Option<Frame<Bytes>> {
+        let kept = self.successor.take()?.open();
+        (!kept.is_empty()).then(|| Frame::data(kept))
+    }
+
+    fn poll_time_up(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if self.time_up.as_mut().poll(context).is_ready() {
+            return Poll::Ready(Some(Err(self.cut(BodyError::TimeUp))));
+        }
+        Poll::Pending
+    }
+
     fn finish(&mut self) {
         self.is_done = true;
         if let Some(connection) = self.connection.take()
@@ -163,7 +282,7 @@
 
     /// Whether all bytes were handed on.
     pub fn is_at_end(&self) -> bool {
-        self.is_done || self.incoming.is_end_stream()
+        self.is_done || (self.successor.is_none() && self.incoming.is_end_stream())
     }
 
     /// Bytes still to come, where the server told.
@@ -171,3 +290,21 @@
         self.incoming.size_hint()
     }
 }
+
+fn join(first: Bytes, rest: Bytes) -> Bytes {
+    if rest.is_empty() {
+        return first;
+    }
+    let mut joined = BytesMut::with_capacity(first.len() + rest.len());
+    joined.extend_from_slice(&first);
+    joined.extend_from_slice(&rest);
+    joined.freeze()
+}
+
+impl std::fmt::Debug for Relay {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Relay")
+            .field("is_done", &self.is_done)
+            .finish_non_exhaustive()
+    }
+}
--- a/crates/tinbay-gateway/src/lib.rs
+++ b/crates/tinbay-gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod error;
 pub mod events;
 pub mod front;
+pub mod handover;
 pub mod housekeeping;
 pub mod http;
 pub mod latch;
--- a/crates/tinbay-gateway/src/metrics.rs
+++ b/crates/tinbay-gateway/src/metrics.rs
@@ -45,6 +45,8 @@
     pub server_notices: IntCounterVec,
     /// Requests to servers that name limits, by what let them in, or refused.
     server_limits: IntCounterVec,
+    /// Runs that were to be handed over to another server, by outcome.
+    pub handovers: IntCounterVec,
     /// Checks of servers that broke off answers, by outcome.
     pub server_checks: IntCounterVec,
     /// Messages between boxes, by outcome.
@@ -123,6 +125,11 @@
                 "Requests to servers that name limits",
                 &["outcome"],
             )?,
+            handovers: counter(
+                "tinbay_handovers_total",
+                "Runs that were to be handed over to another server",
+                &["outcome"],
+            )?,
             server_checks: counter(
                 "tinbay_server_checks_total",
                 "Checks of servers that broke off answers",
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -24,6 +24,7 @@
 use crate::clock::Clock;
 use crate::crashes::Crashes;
 use crate::front::question::Question;
+use crate::handover::split::Splits;
 use crate::http::call::Caller;
 use crate::latch::Latch;
 use crate::limits::Limits as BoxLimits;
@@ -160,6 +161,8 @@
     pub crashes: Crashes,
     /// Limits over all boxes.
     pub limits: BoxLimits,
+    /// Services whose engines read for each other.
+    pub splits: Splits,
     /// Second sends by service.
     pub budgets: RefCell<HashMap<String, SendBudget>>,
     /// Boxes that are up, this one included, as counted lately.
@@ -206,6 +209,7 @@
             reading: RefCell::default(),
             crashes: Crashes::default(),
             limits: BoxLimits::default(),
+            splits: Splits::default(),
             budgets: RefCell::default(),
             box_count: Cell::new(1),
         }
@@ -482,12 +486,17 @@
     pub fn load(&self, server: &Server, objective_ms: Millis) -> f64 {
         let now_ms = self.now_ms();
         let busyness = self.busyness(server, now_ms);
-        let running = server.usage.borrow().running() + busyness.running_elsewhere;
-        let fullness = running as f64 / server.record().slots.max(1) as f64;
+        let fullness = self.running(server) as f64 / server.record().slots.max(1) as f64;
         let backlog = busyness.backlog_ms / objective_ms.max(1) as f64;
         fullness + backlog + DELAY_PART * busyness.delay.max(server.delay(now_ms))
     }
 
+    /// Requests of all boxes that run at a server, as far as this box knows.
+    pub fn running(&self, server: &Server) -> usize {
+        let elsewhere = self.busyness(server, self.now_ms()).running_elsewhere;
+        server.usage.borrow().running() + elsewhere
+    }
+
     fn busyness(&self, server: &Server, now_ms: Millis) -> Busyness {
         if let Some(held) = self.held_server(server.key) {
             let own_id = &self.settings.borrow().box_id;
@@ -543,8 +552,12 @@
     }
 
     /// Counts a request that is sent to a server.
-    pub fn begin_request(&self, server: &Rc<Server>, question: &Question) -> RunningRequest {
-        let tokens = question.prompt.tokens;
+    pub fn begin_request(
+        &self,
+        server: &Rc<Server>,
+        question: &Question,
+        tokens: u32,
+    ) -> RunningRequest {
         if question.model_key.is_some() {
             let reading_ms = self.reading_ms(&question.service, tokens);
             let mut view = server.view.borrow_mut();
--- a/crates/tinbay-gateway/src/port/dialect.rs
+++ b/crates/tinbay-gateway/src/port/dialect.rs
@@ -42,6 +42,12 @@
     pub key: HeaderName,
     /// Name of the client account, for servers; whatever a caller sends is taken off.
     pub account: HeaderName,
+    /// Copy of a run from which a server goes on, with the server that made it.
+    pub copy_source: HeaderName,
+    /// Number of the last event after which a stream goes on.
+    pub last_event_id: HeaderName,
+    /// Version of the weights that an answer was made with.
+    pub weights_version: HeaderName,
     /// Headers that only boxes may set; taken off callers' requests.
     pub reserved: Vec<HeaderName>,
 }
@@ -95,6 +101,13 @@
     pub token: u64,
 }
 
+/// What a server says when it was asked to stop a run and copy it.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct MoveReply {
+    /// Names the copy; none where the run was not stopped.
+    pub handle: Option<String>,
+}
+
 /// A caller's question which boxes to use.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct DirectoryQuestion {
@@ -179,6 +192,24 @@
     /// Writes an order.
     fn encode_order(&self, order: &Order) -> Bytes;
 
+    /// Path of the call that has a server stop a run and copy it to another one.
+    fn move_path(&self) -> &str;
+
+    /// Writes that call, for the run of a request.
+    fn encode_move(&self, request_id: &str, target: SocketAddr) -> Bytes;
+
+    /// Reads the answer to it.
+    ///
+    /// # Errors
+    /// When it can't be read.
+    fn decode_move(&self, value: &[u8]) -> Result<MoveReply, DecodeError>;
+
+    /// Path that frees a copy nobody goes on with, where it was made.
+    fn copy_path(&self, handle: &str) -> String;
+
+    /// Value of the header that names the copy from which a server goes on.
+    fn encode_copy_source(&self, source: SocketAddr, handle: &str) -> String;
+
     /// Reads the query of a directory question.
     fn decode_question(&self, query: &str) -> DirectoryQuestion;
 
--- a/crates/tinbay-gateway/src/servers/mod.rs
+++ b/crates/tinbay-gateway/src/servers/mod.rs
@@ -151,6 +151,15 @@
             .collect()
     }
 
+    /// Servers of a service that are there to stay.
+    pub fn staying(&self, service: &str) -> Vec<Rc<Server>> {
+        let now_ms = self.clock.now_ms();
+        self.of_service(service)
+            .filter(|server| server.is_ready(now_ms))
+            .cloned()
+            .collect()
+    }
+
     /// When the first of a service's servers that rest or are at their limits takes work again; none where
     /// there is no such one.
     pub fn first_rest_end_ms(&self, service: &str) -> Option<Millis> {
