--- a/crates/tinbay-core/src/handover/need.rs
+++ b/crates/tinbay-core/src/handover/need.rs
@@ -14,9 +14,9 @@
 /// Streams that must have been seen lately: fewer say little.
 const LEAST_SEEN: f64 = 8.0;
 
-/// Part of the streams that are late by a pause above which others are to read: callers are promised
-/// that nine in ten are in time.
-const MOST_LATE: f64 = 0.1;
+/// Part of the streams that are late by a pause above which others are to read: below that, servers
+/// that fail or turn slow explain it, and callers have more of engines that serve alike.
+const MOST_LATE: f64 = 0.2;
 
 /// Time for which others read after it was last seen to be needed. While they do, little is late, so
 /// that need shows again only when they stop.
--- /dev/null
+++ b/crates/tinbay-core/tests/handover_test.rs
@@ -0,0 +1,227 @@
+//! Hand-over of running streams: the events that pass, when it is needed, who reads, what follows.
+
+use quickcheck::quickcheck;
+use tinbay_core::handover::course::{
+    MoveAnswer, Place, ResumeAnswer, Step, after_move, after_resume,
+};
+use tinbay_core::handover::events::EventScanner;
+use tinbay_core::handover::need::ReadingNeed;
+use tinbay_core::handover::reading_room::reads_beside;
+use tinbay_core::handover::roles::{Engine, Role, draw_roles};
+
+const STREAM: &str = "id: 1\ndata: a\n\nweight-versions: 2\nid: 2\ndata: b\n\n";
+
+#[test]
+fn scan_whole_events() {
+    let mut scanner = EventScanner::default();
+    assert_eq!(scanner.scan(STREAM.as_bytes()), STREAM.len());
+    assert_eq!(scanner.last_id(), Some(2));
+    assert_eq!(scanner.events(), 2);
+}
+
+#[test]
+fn scan_part_of_an_event() {
+    let mut scanner = EventScanner::default();
+    assert_eq!(scanner.scan(b"id: 1\ndata: a\n\nid: 2\nda"), 15);
+    assert_eq!(scanner.last_id(), Some(1));
+    assert_eq!(scanner.scan(b"ta: b\n\n"), 7);
+    assert_eq!(scanner.last_id(), Some(2));
+}
+
+#[test]
+fn scan_drops_the_part_that_comes_again() {
+    let mut scanner = EventScanner::default();
+    scanner.scan(b"id: 1\ndata: a\n\nid: 7\nda");
+    scanner.drop_partial();
+    assert_eq!(scanner.scan(b"id: 2\r\ndata: b\r\n\r\n"), 18);
+    assert_eq!(scanner.last_id(), Some(2));
+}
+
+#[test]
+fn scan_line_that_never_ends_takes_no_memory() {
+    let mut scanner = EventScanner::default();
+    for _ in 0..10_000 {
+        assert_eq!(scanner.scan(&[b'x'; 1_000]), 0);
+    }
+    assert_eq!(scanner.scan(b"\n\n"), 2);
+    assert_eq!(scanner.last_id(), None);
+}
+
+quickcheck! {
+    fn scan_does_not_depend_on_cuts(cuts: Vec<u8>) -> bool {
+        let mut scanner = EventScanner::default();
+        let mut rest = STREAM.as_bytes();
+        for cut in cuts {
+            let (first, left) = rest.split_at(usize::from(cut).min(rest.len()));
+            scanner.scan(first);
+            rest = left;
+        }
+        scanner.scan(rest);
+        scanner.last_id() == Some(2) && scanner.events() == 2
+    }
+}
+
+fn need_after(streams: usize, late_one_of: usize) -> ReadingNeed {
+    let mut need = ReadingNeed::default();
+    for number in 0..streams {
+        need.note_stream(number % late_one_of == 0, 1_000 + number as u64 * 50);
+    }
+    need
+}
+
+/// Load: prompts beside streams make every second stream late.
+#[test]
+fn need_shows_when_many_are_late() {
+    let need = need_after(40, 2);
+    assert!(need.is_needed(3_000));
+}
+
+/// Load: single streams are late, as servers fail at times.
+#[test]
+fn need_does_not_show_when_few_are_late() {
+    let need = need_after(200, 10);
+    assert!(!need.is_needed(11_000));
+}
+
+#[test]
+fn need_does_not_show_by_a_few_streams() {
+    let need = need_after(3, 1);
+    assert!(!need.is_needed(1_200));
+}
+
+#[test]
+fn need_ends_when_nothing_is_late_any_more() {
+    let mut need = need_after(40, 2);
+    for number in 0..1_300 {
+        need.note_stream(false, 3_000 + number * 50);
+    }
+    assert!(!need.is_needed(68_000));
+}
+
+#[test]
+fn reads_beside_short_prompts_alone() {
+    assert!(reads_beside(40.0, 300));
+    assert!(!reads_beside(110.0, 300));
+    assert!(!reads_beside(f64::NAN, 300));
+}
+
+fn addresses(count: usize) -> Vec<String> {
+    (0..count)
+        .map(|number| format!("10.0.0.{number}:80"))
+        .collect()
+}
+
+fn engines(addresses: &[String]) -> Vec<Engine<'_>> {
+    let zones = ["a", "b", "c", "d"];
+    let engine = |(position, address)| Engine {
+        address,
+        zone: zones[position % zones.len()],
+    };
+    addresses
+        .iter()
+        .map(String::as_str)
+        .enumerate()
+        .map(engine)
+        .collect()
+}
+
+fn count(roles: &[Role], role: Role) -> usize {
+    roles.iter().filter(|of| **of == role).count()
+}
+
+#[test]
+fn roles_each_zone_has_all_of_them() {
+    let addresses = addresses(90);
+    let engines = engines(&addresses);
+    let roles = draw_roles(&engines);
+    for zone in ["a", "b", "c", "d"] {
+        for role in [Role::Reader, Role::Home, Role::Whole] {
+            let mut of_zone = engines.iter().zip(&roles);
+            assert!(of_zone.any(|(engine, of)| engine.zone == zone && *of == role));
+        }
+    }
+}
+
+/// All boxes draw alike, in whatever order they know the servers.
+#[test]
+fn roles_do_not_depend_on_order() {
+    let addresses = addresses(90);
+    let engines = engines(&addresses);
+    let mut reversed = engines.clone();
+    reversed.reverse();
+    let mut roles = draw_roles(&reversed);
+    roles.reverse();
+    assert_eq!(roles, draw_roles(&engines));
+}
+
+/// Half of the servers are lost: the others share the roles anew.
+#[test]
+fn roles_after_half_of_the_servers_are_lost() {
+    let addresses = addresses(44);
+    let roles = draw_roles(&engines(&addresses));
+    assert!(count(&roles, Role::Reader) >= 8);
+    assert!(count(&roles, Role::Home) >= 8);
+    assert!(count(&roles, Role::Whole) >= 12);
+}
+
+#[test]
+fn roles_one_server_that_goes_moves_few() {
+    let addresses = addresses(88);
+    let engines = engines(&addresses);
+    let before = draw_roles(&engines);
+    let after = draw_roles(&engines[1..]);
+    let moved = before[1..]
+        .iter()
+        .zip(&after)
+        .filter(|(left, right)| left != right);
+    assert!(moved.count() <= 3);
+}
+
+#[test]
+fn roles_few_servers_serve_alike() {
+    let addresses = addresses(8);
+    let roles = draw_roles(&engines(&addresses));
+    assert_eq!(count(&roles, Role::Whole), 8);
+}
+
+fn resume(at: Place) -> Step {
+    Step::Resume {
+        at,
+        handle: "h".into(),
+    }
+}
+
+#[test]
+fn course_copy_goes_on_at_the_target() {
+    let step = after_move(MoveAnswer::Copied { handle: "h".into() });
+    assert_eq!(step, resume(Place::Target));
+    let step = after_resume(Place::Target, "h", ResumeAnswer::Resumed);
+    assert_eq!(step, Step::Done(Place::Target));
+}
+
+#[test]
+fn course_no_room_at_the_target_goes_back() {
+    let step = after_move(MoveAnswer::Kept { handle: "h".into() });
+    assert_eq!(step, resume(Place::Source));
+}
+
+#[test]
+fn course_target_that_declines_goes_back() {
+    let step = after_resume(Place::Target, "h", ResumeAnswer::NotResumed);
+    assert_eq!(step, resume(Place::Source));
+}
+
+/// A run that may go on somewhere is asked for nowhere else.
+#[test]
+fn course_lost_answer_is_never_asked_for_again() {
+    for at in [Place::Target, Place::Source] {
+        assert_eq!(after_resume(at, "h", ResumeAnswer::Unknown), Step::Lost);
+    }
+    assert_eq!(after_move(MoveAnswer::Unknown), Step::GoOn);
+}
+
+#[test]
+fn course_nobody_takes_it_up() {
+    let step = after_resume(Place::Source, "h", ResumeAnswer::NotResumed);
+    assert_eq!(step, Step::Lost);
+}
--- a/crates/tinbay-gateway/src/front/apart.rs
+++ b/crates/tinbay-gateway/src/front/apart.rs
@@ -1,7 +1,8 @@
 //! Chooses the server for a prompt where some engines read for others.
 //!
-//! A prompt goes to an engine that reads for others, and its run moves on from there. One that is short
-//! enough to be read beside running streams goes to its home at once, where it stays.
+//! A prompt for an adapter that is much asked for goes to an engine that reads for others, and its run
+//! moves on from there. One that is short enough to be read beside running streams goes to its home at
+//! once, where it stays. Requests for rare adapters run at engines that serve them whole.
 
 use std::rc::Rc;
 
@@ -22,30 +23,51 @@
     split: &Split,
     asked: &Asked,
 ) -> Choice {
-    let is_short = reads_beside_streams(node, question, 0.0);
-    if is_short && let Some(choice) = choose_home(node, question, split, asked) {
+    if let Some(choice) = choose_home(node, question, split, asked) {
         return choice;
     }
     let readers = Survey::make(node, question, &split.readers, asked);
-    match readers.pick() {
-        Pick::Nowhere => {
-            let homes = Survey::make(node, question, &split.homes, asked);
-            homes.to_choice(homes.pick())
-        }
-        pick => readers.to_choice(pick),
+    let reading = readers.pick();
+    let reader = match reading {
+        Pick::Send { .. } => return readers.to_choice(reading),
+        Pick::Load { at } => Some(readers.server(at)),
+        Pick::Nowhere => None,
+    };
+    if let Some(reader) = reader
+        .clone()
+        .filter(|reader| is_to_ask(node, reader, asked))
+    {
+        return Choice::Send {
+            server: reader,
+            copy: None,
+        };
+    }
+    let whole = Survey::make(node, question, &split.whole, asked);
+    match whole.to_choice(whole.pick()) {
+        Choice::Send { server, .. } if is_much_used(node, question, &server) => Choice::Send {
+            server,
+            copy: reader,
+        },
+        choice => choice,
     }
 }
 
-/// The home of a request, if its prompt holds up no stream there.
+fn is_much_used(node: &Node, question: &Question, server: &Server) -> bool {
+    let entry = question.model_key.and_then(|key| node.entry(server, key));
+    entry.is_some_and(|entry| entry.is_much_used)
+}
+
+/// The home of a request that holds its adapter, if its prompt holds up no stream there.
 fn choose_home(node: &Node, question: &Question, split: &Split, asked: &Asked) -> Option<Choice> {
+    if !reads_beside_streams(node, question, 0.0) {
+        return None;
+    }
     let homes = Survey::make(node, question, &split.homes, asked);
     let pick = homes.pick();
-    let position = match pick {
-        Pick::Send { to, .. } => to,
-        Pick::Load { at } => at,
-        Pick::Nowhere => return None,
+    let Pick::Send { to, .. } = pick else {
+        return None;
     };
-    let home = homes.server(position);
+    let home = homes.server(to);
     let is_fine = is_to_ask(node, &home, asked)
         || reads_beside_streams(node, question, node.backlog_ms(&home));
     is_fine.then(|| homes.to_choice(pick))
--- a/crates/tinbay-gateway/src/handover/split.rs
+++ b/crates/tinbay-gateway/src/handover/split.rs
@@ -1,11 +1,11 @@
 //! The engines of a service, parted into those that read for others and the rest.
 
 use std::cell::RefCell;
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::rc::Rc;
 
 use tinbay_core::handover::need::ReadingNeed;
-use tinbay_core::handover::roles::{Engine, draw_readers};
+use tinbay_core::handover::roles::{Engine, Role, draw_roles};
 use tinbay_core::serving::servers::ServerKey;
 use tinbay_core::units::Millis;
 
@@ -17,15 +17,17 @@
 /// Engines of a service.
 #[derive(Debug, Default)]
 pub struct Split {
-    /// Those where streams run to their end.
-    pub homes: Vec<Rc<Server>>,
-    /// Those that read for them.
+    /// Those that read prompts, whose runs move on.
     pub readers: Vec<Rc<Server>>,
+    /// Those where such runs go on.
+    pub homes: Vec<Rc<Server>>,
+    /// Those that serve requests from the first token to the last.
+    pub whole: Vec<Rc<Server>>,
 }
 
 #[derive(Debug)]
 struct Drawn {
-    readers: Rc<HashSet<ServerKey>>,
+    roles: Rc<HashMap<ServerKey, Role>>,
     until_ms: Millis,
 }
 
@@ -65,16 +67,18 @@
         if !self.is_needed(service, now_ms) {
             return None;
         }
-        let readers = self.readers(servers, service, now_ms);
-        let is_reader = |server: &&Rc<Server>| readers.contains(&server.key);
-        let (readers, homes): (Vec<_>, Vec<_>) = among.iter().partition(is_reader);
-        if readers.is_empty() || homes.is_empty() {
-            return None;
+        let roles = self.roles(servers, service, now_ms);
+        let mut split = Split::default();
+        for server in among {
+            let part = match roles.get(&server.key) {
+                Some(Role::Reader) => &mut split.readers,
+                Some(Role::Home) => &mut split.homes,
+                Some(Role::Whole) | None => &mut split.whole,
+            };
+            part.push(Rc::clone(server));
         }
-        Some(Split {
-            homes: homes.into_iter().cloned().collect(),
-            readers: readers.into_iter().cloned().collect(),
-        })
+        let is_whole = split.readers.is_empty() || split.homes.is_empty() || split.whole.is_empty();
+        (!is_whole).then_some(split)
     }
 
     /// Whether an engine reads for others.
@@ -85,32 +89,34 @@
         now_ms: Millis,
     ) -> bool {
         let service = &server.record().service;
-        let is_needed = self.is_needed(service, now_ms);
-        is_needed && self.readers(servers, service, now_ms).contains(&server.key)
+        if !self.is_needed(service, now_ms) {
+            return false;
+        }
+        let roles = self.roles(servers, service, now_ms);
+        roles.get(&server.key) == Some(&Role::Reader)
     }
 
-    fn readers(
+    fn roles(
         &self,
         servers: &RefCell<ServerTable>,
         service: &str,
         now_ms: Millis,
-    ) -> Rc<HashSet<ServerKey>> {
+    ) -> Rc<HashMap<ServerKey, Role>> {
         let mut drawn = self.drawn.borrow_mut();
         if let Some(drawn) = drawn.get(service).filter(|drawn| now_ms < drawn.until_ms) {
-            return Rc::clone(&drawn.readers);
+            return Rc::clone(&drawn.roles);
         }
-        let readers = Rc::new(draw(&servers.borrow().staying(service)));
-        let until_ms = now_ms + DRAWN_LIFE_MS;
+        let roles = Rc::new(draw(&servers.borrow().staying(service)));
         let kept = Drawn {
-            readers: Rc::clone(&readers),
-            until_ms,
+            roles: Rc::clone(&roles),
+            until_ms: now_ms + DRAWN_LIFE_MS,
         };
         drawn.insert(service.to_string(), kept);
-        readers
+        roles
     }
 }
 
-fn draw(servers: &[Rc<Server>]) -> HashSet<ServerKey> {
+fn draw(servers: &[Rc<Server>]) -> HashMap<ServerKey, Role> {
     let records: Vec<_> = servers.iter().map(|server| server.record()).collect();
     let engines: Vec<Engine<'_>> = servers
         .iter()
@@ -120,6 +126,6 @@
             zone: &record.zone,
         })
         .collect();
-    let readers = draw_readers(&engines);
-    readers.into_iter().map(|at| servers[at].key).collect()
+    let keys = servers.iter().map(|server| server.key);
+    keys.zip(draw_roles(&engines)).collect()
 }
--- a/crates/tinbay-gateway/src/peers/frame.rs
+++ b/crates/tinbay-gateway/src/peers/frame.rs
@@ -216,6 +216,8 @@
     pub is_ready: bool,
     /// Servers of its order over which it is spread.
     pub copies: u8,
+    /// Whether it is asked for so much that it may be held at two servers.
+    pub is_much_used: bool,
 }
 
 /// A part of an objective as hundredths.
--- a/crates/tinbay-gateway/src/peers/inbox.rs
+++ b/crates/tinbay-gateway/src/peers/inbox.rs
@@ -250,6 +250,7 @@
         version: u64::from(adapter.version),
         state,
         copies: usize::from(adapter.copies),
+        is_much_used: adapter.is_much_used,
     };
     (adapter.adapter, entry)
 }
