--- a/crates/tinbay-core/src/serving/spread.rs
+++ b/crates/tinbay-core/src/serving/spread.rs
@@ -15,10 +15,6 @@
 /// above that requests queue.
 const MOST_PART: f64 = 0.4;
 
-/// Part of a server's time that the prompts of an adapter take which may be held at two servers: about
-/// two requests within a second, so that a load more serves several of them.
-const MUCH_USED_PART: f64 = 0.05;
-
 /// Half-life of what an adapter had read; some seconds of requests tell its demand.
 const READING_HALF_LIFE_MS: f64 = 1_000.0;
 
@@ -74,13 +70,6 @@
         spread.copies.floor() as usize
     }
 
-    /// Whether an adapter is asked for so much that it may be held at two servers, one that reads its
-    /// prompts and one that goes on.
-    pub fn is_much_used(&self, adapter: Fingerprint, now_ms: Millis) -> bool {
-        let spread = self.by_adapter.get(&adapter);
-        spread.is_some_and(|spread| spread.reading_part(now_ms) > MUCH_USED_PART)
-    }
-
     /// Forgets adapters that nobody asks for any more.
     pub fn tidy(&mut self, now_ms: Millis) {
         self.by_adapter
--- a/crates/tinbay-core/tests/serving_contents_test.rs
+++ b/crates/tinbay-core/tests/serving_contents_test.rs
@@ -47,6 +47,7 @@
         adapter: adapter.into(),
         version: None,
         is_copy: false,
+        least_asks: 1,
     }
 }
 
@@ -394,6 +395,7 @@
     }
     let copy = Want {
         is_copy: true,
+        least_asks: 1,
         ..want("m/copy")
     };
     assert_eq!(next(&mut contents, &[copy], true, now_ms), None);
--- a/crates/tinbay-core/tests/serving_late_orders_test.rs
+++ b/crates/tinbay-core/tests/serving_late_orders_test.rs
@@ -322,6 +322,7 @@
             adapter,
             version: None,
             is_copy: false,
+            least_asks: 1,
         };
         self.wants.ask(want, self.now_ms);
     }
--- a/crates/tinbay-gateway/src/front/apart.rs
+++ b/crates/tinbay-gateway/src/front/apart.rs
@@ -33,28 +33,11 @@
         Pick::Load { at } => Some(readers.server(at)),
         Pick::Nowhere => None,
     };
-    if let Some(reader) = reader
-        .clone()
-        .filter(|reader| is_to_ask(node, reader, asked))
-    {
-        return Choice::Send {
-            server: reader,
-            copy: None,
-        };
+    if let Some(reader) = reader.filter(|reader| is_to_ask(node, reader, asked)) {
+        return Choice::Ask(reader);
     }
     let whole = Survey::make(node, question, &split.whole, asked);
-    match whole.to_choice(whole.pick()) {
-        Choice::Send { server, .. } if is_much_used(node, question, &server) => Choice::Send {
-            server,
-            copy: reader,
-        },
-        choice => choice,
-    }
-}
-
-fn is_much_used(node: &Node, question: &Question, server: &Server) -> bool {
-    let entry = question.model_key.and_then(|key| node.entry(server, key));
-    entry.is_some_and(|entry| entry.is_much_used)
+    whole.to_choice(whole.pick())
 }
 
 /// The home of a request that holds its adapter, if its prompt holds up no stream there.
--- a/crates/tinbay-gateway/src/front/choice.rs
+++ b/crates/tinbay-gateway/src/front/choice.rs
@@ -68,6 +68,8 @@
     },
     /// Wait until the server holds what it needs.
     Load(Rc<Server>),
+    /// Ask for a copy at a server that reads for others, and how that stands.
+    Ask(Rc<Server>),
     /// No server is left.
     Nowhere,
 }
--- a/crates/tinbay-gateway/src/front/moving/mod.rs
+++ b/crates/tinbay-gateway/src/front/moving/mod.rs
@@ -57,8 +57,17 @@
     if !is_reader || question.route.kind != RouteKind::Streaming {
         return;
     }
-    if let Target::Later(home) = target::choose(node, question, &Asked::default(), 0) {
-        node.request_load(&home, adapters::want(node, question, false));
+    let version = version_at(node, question, reader);
+    match target::choose(node, question, &Asked::default(), version) {
+        Target::Later(home) => {
+            node.request_load(&home, adapters::want(node, question, false));
+        }
+        Target::At {
+            copy: Some(copy), ..
+        } => {
+            node.request_load(&copy, adapters::want(node, question, true));
+        }
+        Target::At { .. } | Target::Nowhere => {}
     }
 }
 
@@ -84,6 +93,13 @@
     }
 }
 
+/// Version of a request's adapter at a server; 0 where it is not known.
+fn version_at(node: &Node, question: &Question, server: &Server) -> u64 {
+    let key = target::adapter_of(question);
+    let entry = key.and_then(|key| node.entry(server, key));
+    entry.map_or(0, |entry| entry.version)
+}
+
 fn moves_runs(node: &Node, service: &str) -> bool {
     let in_force = node.in_force();
     let engine = in_force.as_ref().and_then(|in_force| {
--- a/crates/tinbay-gateway/src/front/moving/mover.rs
+++ b/crates/tinbay-gateway/src/front/moving/mover.rs
@@ -67,8 +67,7 @@
         body: RequestBody,
     ) -> Self {
         let source = running.borrow().server();
-        let key = target::adapter_of(question);
-        let entry = key.and_then(|key| node.entry(&source, key));
+        let version = super::version_at(node, question, &source);
         Self {
             node: Rc::clone(node),
             question: Rc::clone(question),
@@ -76,7 +75,7 @@
             body,
             source,
             target: RefCell::default(),
-            version: entry.map_or(0, |entry| entry.version),
+            version,
             begun_ms: Cell::default(),
         }
     }
@@ -86,10 +85,10 @@
         let mut asked = Asked::default();
         while self.node.now_ms() < end_ms {
             match target::choose(&self.node, &self.question, &asked, self.version) {
-                Target::At(server) if adapters::is_to_ask(&self.node, &server, &asked) => {
+                Target::At { server, .. } if adapters::is_to_ask(&self.node, &server, &asked) => {
                     adapters::refresh_status(&self.node, &server, &mut asked).await;
                 }
-                Target::At(server) => {
+                Target::At { server, .. } => {
                     *self.target.borrow_mut() = Some(server);
                     return true;
                 }
--- a/crates/tinbay-gateway/src/front/moving/target.rs
+++ b/crates/tinbay-gateway/src/front/moving/target.rs
@@ -3,9 +3,8 @@
 use std::rc::Rc;
 
 use tinbay_core::serving::contents::{AdapterKey, HeldState};
-use tinbay_core::serving::homes::Pick;
 
-use crate::front::choice::{self, Asked, Survey};
+use crate::front::choice::{self, Asked, Choice, Survey};
 use crate::front::question::Question;
 use crate::node::Node;
 use crate::servers::Server;
@@ -13,7 +12,12 @@
 /// Where a run should go on.
 pub enum Target {
     /// There.
-    At(Rc<Server>),
+    At {
+        /// The server.
+        server: Rc<Server>,
+        /// A server that should load the adapter as well.
+        copy: Option<Rc<Server>>,
+    },
     /// There, once it holds the adapter.
     Later(Rc<Server>),
     /// Nowhere now.
@@ -34,17 +38,17 @@
         return choose_for_model(node, question, &split.homes);
     }
     let homes = Survey::make(node, question, &split.homes, asked);
-    match homes.pick() {
-        Pick::Send { to, .. } => {
-            let server = homes.server(to);
-            if is_fit(node, &server) && holds(node, question, &server, version) {
-                Target::At(server)
-            } else {
-                Target::Nowhere
+    match homes.to_choice(homes.pick()) {
+        Choice::Send { server, copy } => {
+            let is_there = is_fit(node, &server) && holds(node, question, &server, version);
+            match copy {
+                _ if is_there => Target::At { server, copy },
+                Some(copy) => Target::Later(copy),
+                None => Target::Nowhere,
             }
         }
-        Pick::Load { at } => Target::Later(homes.server(at)),
-        Pick::Nowhere => Target::Nowhere,
+        Choice::Load(server) => Target::Later(server),
+        Choice::Ask(_) | Choice::Nowhere => Target::Nowhere,
     }
 }
 
@@ -53,7 +57,7 @@
     let holding = choice::holding(model, homes);
     let server = choice::least_loaded(node, &holding, question.route.objective_ms);
     match server.filter(|server| is_fit(node, server)) {
-        Some(server) => Target::At(server),
+        Some(server) => Target::At { server, copy: None },
         None => Target::Nowhere,
     }
 }
--- a/crates/tinbay-gateway/src/orders/held_server.rs
+++ b/crates/tinbay-gateway/src/orders/held_server.rs
@@ -186,11 +186,7 @@
         let slots = server.record().slots;
         let adapters = contents
             .held()
-            .map(|(key, held)| AdapterPart {
-                copies: self.copies(*key, slots, now_ms).min(usize::from(u8::MAX)) as u8,
-                is_much_used: self.is_much_used(*key, now_ms),
-                ..adapter_part(*key, held)
-            })
+            .map(|(key, held)| adapter_part(*key, held, self.copies(*key, slots, now_ms)))
             .collect();
         let mut subscribers = self.subscribers.borrow_mut();
         subscribers.note_told(box_id, now_ms);
@@ -228,12 +224,6 @@
         spreads.copies(adapter, places_part, now_ms)
     }
 
-    /// Whether an adapter of the server is asked for so much that it may be held at two servers.
-    fn is_much_used(&self, key: AdapterKey, now_ms: Millis) -> bool {
-        let spreads = self.spreads.borrow();
-        spreads.is_much_used(key as Fingerprint, now_ms)
-    }
-
     /// What the server holds of an adapter.
     pub fn entry(&self, server: &Server, key: AdapterKey, now_ms: Millis) -> Option<ViewEntry> {
         let contents = self.contents.borrow();
@@ -242,7 +232,6 @@
             version: held.version.unwrap_or_default(),
             state: held.state,
             copies: self.copies(key, server.record().slots, now_ms),
-            is_much_used: self.is_much_used(key, now_ms),
         })
     }
 
@@ -264,12 +253,11 @@
     }
 }
 
-fn adapter_part(key: AdapterKey, held: &Held) -> AdapterPart {
+fn adapter_part(key: AdapterKey, held: &Held, copies: usize) -> AdapterPart {
     AdapterPart {
         adapter: key as Fingerprint,
         version: held.version.unwrap_or_default() as u32,
         is_ready: held.state == HeldState::Ready,
-        copies: 1,
-        is_much_used: false,
+        copies: copies.min(usize::from(u8::MAX)) as u8,
     }
 }
--- a/crates/tinbay-gateway/src/peers/frame.rs
+++ b/crates/tinbay-gateway/src/peers/frame.rs
@@ -167,6 +167,8 @@
     pub version: Option<u64>,
     /// Whether no request waits for it.
     pub is_copy: bool,
+    /// How often it must be asked for before it is wanted.
+    pub least_asks: u8,
 }
 
 /// All that a box has running at a server.
@@ -216,8 +218,6 @@
     pub is_ready: bool,
     /// Servers of its order over which it is spread.
     pub copies: u8,
-    /// Whether it is asked for so much that it may be held at two servers.
-    pub is_much_used: bool,
 }
 
 /// A part of an objective as hundredths.
--- a/crates/tinbay-gateway/src/peers/inbox.rs
+++ b/crates/tinbay-gateway/src/peers/inbox.rs
@@ -181,6 +181,7 @@
         adapter: ask.adapter,
         version: ask.version,
         is_copy: ask.is_copy,
+        least_asks: ask.least_asks,
     };
     held.note_load_request(box_id, want, now_ms);
     server.order_due.notify_one();
@@ -250,7 +251,6 @@
         version: u64::from(adapter.version),
         state,
         copies: usize::from(adapter.copies),
-        is_much_used: adapter.is_much_used,
     };
     (adapter.adapter, entry)
 }
--- a/crates/tinbay-gateway/src/servers/view.rs
+++ b/crates/tinbay-gateway/src/servers/view.rs
@@ -27,8 +27,6 @@
     pub state: HeldState,
     /// Servers of its order over which it is spread.
     pub copies: usize,
-    /// Whether it is asked for so much that it may be held at two servers.
-    pub is_much_used: bool,
 }
 
 /// The status of a server, as its holder sent it.
--- a/crates/tinbay-gateway/tests/server_view_test.rs
+++ b/crates/tinbay-gateway/tests/server_view_test.rs
@@ -12,7 +12,6 @@
         version,
         state,
         copies: 1,
-        is_much_used: false,
     }
 }
 
