--- a/crates/tinbay-core/src/handover/roles.rs
+++ b/crates/tinbay-core/src/handover/roles.rs
@@ -8,11 +8,9 @@
 
 use crate::rendezvous;
 
-/// Part of a zone's engines that read for others, and part where the runs that they begin go on. The
-/// rest serve rare adapters from the first token to the last: to hold these at two engines would cost
-/// more loads than it saves.
-const READERS_PART: f64 = 0.3;
-const HOMES_PART: f64 = 0.3;
+/// Part of a zone's engines that read for the others. Too few are worse than none, as prompts wait for
+/// them; more leave too little room for running streams.
+const READERS_PART: f64 = 0.35;
 
 /// Least engines of a zone of which some read for others.
 const LEAST_ENGINES: usize = 3;
@@ -23,12 +21,11 @@
 /// What an engine does for its service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Role {
-    /// Reads prompts, whose runs move on.
+    /// Reads prompts for adapters that are much asked for; their runs move on.
     Reader,
-    /// Goes on with runs that readers began.
+    /// Goes on with such runs, and serves requests for rare adapters whole: to hold these at two
+    /// engines would cost more loads than it saves.
     Home,
-    /// Serves requests from the first token to the last.
-    Whole,
 }
 
 /// An engine.
@@ -48,7 +45,7 @@
         let zone = by_zone.entry(engine.zone).or_default();
         zone.push((score, position));
     }
-    let mut roles = vec![Role::Whole; engines.len()];
+    let mut roles = vec![Role::Home; engines.len()];
     for mut zone in by_zone.into_values() {
         zone.sort_unstable();
         for (rank, (_, position)) in zone.iter().enumerate() {
@@ -60,16 +57,10 @@
 
 /// The role of the engine of that rank among those of its zone.
 fn role_of(rank: usize, engines: usize) -> Role {
-    if engines < LEAST_ENGINES {
-        return Role::Whole;
-    }
-    let count = |part: f64| ((engines as f64 * part).round() as usize).max(1);
-    let readers = count(READERS_PART);
-    if rank < readers {
+    let readers = (engines as f64 * READERS_PART).round() as usize;
+    if engines >= LEAST_ENGINES && rank < readers {
         Role::Reader
-    } else if rank < readers + count(HOMES_PART) {
-        Role::Home
     } else {
-        Role::Whole
+        Role::Home
     }
 }
--- a/crates/tinbay-gateway/src/front/apart.rs
+++ b/crates/tinbay-gateway/src/front/apart.rs
@@ -1,12 +1,12 @@
 //! Chooses the server for a prompt where some engines read for others.
 //!
 //! A prompt for an adapter that is much asked for goes to an engine that reads for others, and its run
-//! moves on from there. One that is short enough to be read beside running streams goes to its home at
-//! once, where it stays. Requests for rare adapters run at engines that serve them whole.
+//! moves on from there. One that is short enough to be read beside running streams, or that is for a
+//! rare adapter, goes to its home at once and stays there.
 
 use std::rc::Rc;
 
-use tinbay_core::handover::reading_room::reads_beside;
+use tinbay_core::handover::reading_room::{begins_in_time, reads_beside};
 use tinbay_core::serving::homes::Pick;
 
 use super::adapters::is_to_ask;
@@ -23,37 +23,40 @@
     split: &Split,
     asked: &Asked,
 ) -> Choice {
-    if let Some(choice) = choose_home(node, question, split, asked) {
-        return choice;
+    if reads_beside_streams(node, question, 0.0) {
+        let homes = Survey::make(node, question, &split.homes, asked);
+        return homes.to_choice(homes.pick());
     }
     let readers = Survey::make(node, question, &split.readers, asked);
-    let reading = readers.pick();
-    let reader = match reading {
-        Pick::Send { .. } => return readers.to_choice(reading),
-        Pick::Load { at } => Some(readers.server(at)),
-        Pick::Nowhere => None,
-    };
-    if let Some(reader) = reader.filter(|reader| is_to_ask(node, reader, asked)) {
+    if let Some(reader) = readers.best_ready()
+        && (is_to_ask(node, &reader, asked) || reads_in_time(node, question, &reader))
+    {
+        let copy = match readers.pick() {
+            Pick::Send { copy, .. } => copy.map(|position| readers.server(position)),
+            Pick::Load { at } => Some(readers.server(at)),
+            Pick::Nowhere => None,
+        };
+        return Choice::Send {
+            server: reader,
+            copy,
+        };
+    }
+    if let Some(reader) = readers.place_for_copy()
+        && is_to_ask(node, &reader, asked)
+    {
         return Choice::Ask(reader);
     }
-    let whole = Survey::make(node, question, &split.whole, asked);
-    whole.to_choice(whole.pick())
+    let homes = Survey::make(node, question, &split.homes, asked);
+    homes.to_choice(homes.pick())
 }
 
-/// The home of a request that holds its adapter, if its prompt holds up no stream there.
-fn choose_home(node: &Node, question: &Question, split: &Split, asked: &Asked) -> Option<Choice> {
-    if !reads_beside_streams(node, question, 0.0) {
-        return None;
-    }
-    let homes = Survey::make(node, question, &split.homes, asked);
-    let pick = homes.pick();
-    let Pick::Send { to, .. } = pick else {
-        return None;
-    };
-    let home = homes.server(to);
-    let is_fine = is_to_ask(node, &home, asked)
-        || reads_beside_streams(node, question, node.backlog_ms(&home));
-    is_fine.then(|| homes.to_choice(pick))
+/// Whether an engine that reads for others begins a prompt in time.
+fn reads_in_time(node: &Node, question: &Question, server: &Server) -> bool {
+    let own_ms = node.reading_ms(&question.service, question.prompt.tokens);
+    begins_in_time(
+        node.backlog_ms(server) + own_ms,
+        question.route.objective_ms,
+    )
 }
 
 /// Where a request for a base model alone should run.
--- a/crates/tinbay-gateway/src/handover/split.rs
+++ b/crates/tinbay-gateway/src/handover/split.rs
@@ -19,10 +19,8 @@
 pub struct Split {
     /// Those that read prompts, whose runs move on.
     pub readers: Vec<Rc<Server>>,
-    /// Those where such runs go on.
+    /// Those where such runs go on, and that serve rare adapters whole.
     pub homes: Vec<Rc<Server>>,
-    /// Those that serve requests from the first token to the last.
-    pub whole: Vec<Rc<Server>>,
 }
 
 #[derive(Debug)]
@@ -72,13 +70,12 @@
         for server in among {
             let part = match roles.get(&server.key) {
                 Some(Role::Reader) => &mut split.readers,
-                Some(Role::Home) => &mut split.homes,
-                Some(Role::Whole) | None => &mut split.whole,
+                Some(Role::Home) | None => &mut split.homes,
             };
             part.push(Rc::clone(server));
         }
-        let is_whole = split.readers.is_empty() || split.homes.is_empty() || split.whole.is_empty();
-        (!is_whole).then_some(split)
+        let is_parted = !split.readers.is_empty() && !split.homes.is_empty();
+        is_parted.then_some(split)
     }
 
     /// Whether an engine reads for others.
