--- a/crates/tinbay-core/src/serving/mod.rs
+++ b/crates/tinbay-core/src/serving/mod.rs
@@ -10,6 +10,7 @@
 pub mod contents;
 pub mod fading;
 pub mod homes;
+pub mod lateness;
 pub mod notices;
 pub mod pacing;
 pub mod position;
