Request lines and measures tell by which part an answer was late

Lines told times but not against what, so that each reader had to know the routes. They now hold the objective, the class, time at the server and in pauses, and the part of a pause in which the caller's side took nothing (seen between a piece handed on and the next one asked for: no other module has to know of it). First pieces and longest pauses by kind and service, answers by class, by service and by client account; names beyond 64 are shown together, by one rule for both.

--- a/crates/tinbay-gateway/src/front/mod.rs
+++ b/crates/tinbay-gateway/src/front/mod.rs
@@ -1,6 +1,7 @@
 //! Takes callers' requests and brings them their answers.
 
 pub mod adapters;
+pub mod answer_sight;
 pub mod attempt;
 pub mod choice;
 pub mod deliver;
--- a/crates/tinbay-gateway/src/front/request_log.rs
+++ b/crates/tinbay-gateway/src/front/request_log.rs
@@ -5,6 +5,7 @@
 use serde::Serialize;
 use tinbay_core::units::{MS_PER_SECOND, Millis};
 
+use super::answer_sight::{AnswerEnd, AnswerSight};
 use super::attempt::AttemptResult;
 use super::question::Question;
 use super::refusal::Refusal;
@@ -109,17 +110,8 @@
     #[serde(skip_serializing_if = "Option::is_none")]
     named_age_ms: Option<Millis>,
     head_ms: Option<Millis>,
-    /// Time to the first piece of the answer.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    first_piece_ms: Option<Millis>,
-    /// Longest pause between two pieces, as they came from the server.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    longest_pause_ms: Option<Millis>,
-    /// Pieces that had come before that pause.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    longest_pause_at: Option<u32>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pieces: Option<u32>,
+    #[serde(flatten)]
+    sight: AnswerSight,
     total_ms: Millis,
 }
 
@@ -139,9 +131,8 @@
         Ending::Refused(refusal) => (refusal.name(), Some(refusal.to_string())),
     };
     let sent = question.last_send.get();
-    let sight = question.sight.get();
-    let first_piece_ms = sight.first_ms();
-    let stream = Some(sight).filter(|sight| sight.pieces() > 1);
+    let now_ms = node.now_ms();
+    let sight = AnswerSight::new(question, answer_end(status, ending), now_ms);
     let is_served = matches!(ending, Ending::Whole);
     let digest = question.digest.get().filter(|_| !is_served);
     let event = EndEvent {
@@ -165,11 +156,8 @@
         named_version: sent.and_then(|sent| sent.named_version),
         named_age_ms: sent.and_then(|sent| sent.named_age_ms),
         head_ms,
-        first_piece_ms: first_piece_ms.map(|first_ms| first_ms - question.arrived_ms),
-        longest_pause_ms: stream.map(|sight| sight.longest_pause_ms()),
-        longest_pause_at: stream.map(|sight| sight.longest_pause_at()),
-        pieces: stream.map(|sight| sight.pieces()),
-        total_ms: node.now_ms() - question.arrived_ms,
+        sight,
+        total_ms: now_ms - question.arrived_ms,
     };
     node.metrics
         .requests
@@ -190,5 +178,16 @@
             .with_label_values(&[question.kind()]);
         stalls.observe(seconds(sent.after_ms));
     }
+    if let Some(answer) = sight.measured(question) {
+        node.metrics.count_answer(answer);
+    }
     events::emit(part::FRONT, Level::Info, "request", &event);
 }
+
+fn answer_end(status: u16, ending: &Ending) -> AnswerEnd {
+    match ending {
+        Ending::Whole if status < 400 => AnswerEnd::Served,
+        Ending::Cut(_) => AnswerEnd::Cut,
+        Ending::Whole | Ending::Refused(_) => AnswerEnd::Other,
+    }
+}
--- a/crates/tinbay-gateway/src/http/relay.rs
+++ b/crates/tinbay-gateway/src/http/relay.rs
@@ -39,6 +39,11 @@
         self.sight.note_piece(now_ms);
     }
 
+    /// Notes that the caller's side asks for the next piece.
+    pub fn note_asked(&mut self, now_ms: Millis) {
+        self.sight.note_asked(now_ms);
+    }
+
     /// Tells the end.
     pub fn tell(&mut self, end: Result<(), BodyError>) {
         if let Some(observer) = self.observer.take() {
@@ -120,6 +125,7 @@
         if self.is_done {
             return Poll::Ready(None);
         }
+        self.end.note_asked(self.clock.now_ms());
         match Pin::new(&mut self.incoming).poll_frame(context) {
             Poll::Ready(Some(Ok(frame))) => {
                 self.end.note_piece(self.clock.now_ms());
--- a/crates/tinbay-gateway/src/lib.rs
+++ b/crates/tinbay-gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! from one surrounding to another (names, formats, calls) stands behind the traits of
 //! [`port`]; what is decided stands in `tinbay_core::serving`.
 
+pub mod answer_metrics;
 pub mod clock;
 pub mod crashes;
 pub mod directory;
@@ -23,5 +24,6 @@
 pub mod run;
 pub mod servers;
 pub mod settings;
+pub mod shown_labels;
 pub mod waiters;
 pub mod watch;
--- a/crates/tinbay-gateway/src/metrics.rs
+++ b/crates/tinbay-gateway/src/metrics.rs
@@ -1,14 +1,13 @@
 //! What a box on the direct path measures.
 
-use std::cell::RefCell;
-use std::collections::HashSet;
-
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGaugeVec, Opts, Registry,
     TextEncoder,
 };
 
+use crate::answer_metrics::{AnswerMetrics, MeasuredAnswer};
 use crate::error::GatewayError;
+use crate::shown_labels::ShownLabels;
 
 /// Bounds in seconds, around objectives of 150 ms to a second.
 const SECONDS_BOUNDS: [f64; 11] = [0.005, 0.02, 0.05, 0.1, 0.15, 0.3, 0.6, 0.8, 1.0, 2.0, 5.0];
@@ -55,7 +54,8 @@
     pub part_bytes: IntCounterVec,
     /// Requests of client accounts by what their limits decided.
     account_limits: IntCounterVec,
-    accounts_shown: RefCell<HashSet<String>>,
+    accounts: ShownLabels,
+    answers: AnswerMetrics,
     /// What is believed: versions, counts and ages by name.
     pub beliefs: IntGaugeVec,
 }
@@ -148,7 +148,8 @@
                 "Requests of client accounts, by what their limits decided",
                 &["account", "outcome"],
             )?,
-            accounts_shown: RefCell::default(),
+            accounts: ShownLabels::new(MOST_ACCOUNTS_SHOWN, OTHER_ACCOUNTS),
+            answers: AnswerMetrics::new(&registry)?,
             beliefs,
             store_returns,
             registry,
@@ -162,16 +163,16 @@
 
     /// Counts what the limit of a client account decided; accounts beyond some are shown together.
     pub fn count_limit(&self, account: &str, outcome: &str) {
-        let mut shown = self.accounts_shown.borrow_mut();
-        let is_shown = shown.contains(account) || shown.len() < MOST_ACCOUNTS_SHOWN;
-        let account = if is_shown { account } else { OTHER_ACCOUNTS };
-        if is_shown && !shown.contains(account) {
-            shown.insert(account.to_string());
-        }
-        let labels = [account, outcome];
+        let labels = [self.accounts.label(account), outcome];
         self.account_limits.with_label_values(&labels).inc();
     }
 
+    /// Counts an answer that came whole; accounts beyond some are shown together.
+    pub fn count_answer(&self, answer: MeasuredAnswer<'_>) {
+        let account_label = answer.account.map(|account| self.accounts.label(account));
+        self.answers.count(&answer, account_label);
+    }
+
     /// Counts one part of a message that is sent to another box.
     pub fn count_part(&self, kind: &str, bytes: usize) {
         let sum = self.part_bytes.with_label_values(&[kind]);
