tinbay report: what became of the requests of many boxes' logs, and by what

The report counts requests in time, late by the first piece, by a pause, by both, failed and refused, by cause, service and route, client account, server and time, with the time before the send and at the server. Logs are read a line at a time, from files or standard input; names, steps of time and the length of a line are bounded, so that logs of any length fit. Bad lines are counted by reason and the first ones named; a log that can't be read is told after what could be. Widths of tables are worked out once a table, not once a cell.

--- a/crates/tinbay-cli/src/cli.rs
+++ b/crates/tinbay-cli/src/cli.rs
@@ -135,6 +135,7 @@
         Command::new("locate")
             .about("Ask which addresses a caller should use")
             .arg(Arg::new("model").value_name("ADAPTER@VERSION")),
+        report_command(),
         Command::new("completions")
             .about("Print a shell completion script")
             .arg(
@@ -146,6 +147,47 @@
     ]
 }
 
+fn report_command() -> Command {
+    Command::new("report")
+        .about("Sum up logs of boxes: requests in time, late, failed and refused, and by what")
+        .long_about(
+            "Sum up the request lines in logs of any number of boxes on the prepared platform: how \
+             many were answered in time, late by their first piece, late by a pause, failed or \
+             refused, by cause, service and route, client account, server and time, and where \
+             their time went. A line may have the box's name before it; lines that can't be read \
+             are counted and named. Each try of a caller is a request of its own. The time of a \
+             request is that of its line, at its end, by the clock of its box.",
+        )
+        .after_help(
+            "LATE_FIRST: the first piece came too late. LATE_PAUSE: a pause was too long. LATE_BOTH: \
+             both. LATE_END: a plain answer began in time and ended late. UNJUDGED: the line does \
+             not tell. BEFORE_SEND_MS, AT_SERVER_MS: mean time before the last send, and from there \
+             to the first piece.",
+        )
+        .arg(
+            Arg::new("logs")
+                .value_name("LOG")
+                .num_args(1..)
+                .default_value("-")
+                .value_hint(ValueHint::FilePath)
+                .help("Logs to read, - for standard input"),
+        )
+        .arg(
+            Arg::new("worst")
+                .long("worst")
+                .value_name("N")
+                .default_value("10")
+                .help("Client accounts and servers to show, those with most requests not in time first"),
+        )
+        .arg(
+            Arg::new("steps")
+                .long("steps")
+                .value_name("N")
+                .default_value("60")
+                .help("Most steps of time to show; they begin at one second and double as needed"),
+        )
+}
+
 fn try_commands() -> Vec<Command> {
     vec![
         load_command(),
--- a/crates/tinbay-cli/src/commands/mod.rs
+++ b/crates/tinbay-cli/src/commands/mod.rs
@@ -13,6 +13,7 @@
 pub mod load;
 mod locate;
 mod policy;
+mod report;
 mod scenario;
 mod standin;
 mod status;
@@ -49,6 +50,7 @@
         Action::Standin(standin) => standin::run(standin),
         Action::Experiment(experiment) => experiment::run(common, experiment),
         Action::Limits(limits) => limits::run(common, limits),
+        Action::Report(report) => report::run(common, report),
         Action::Scenario { files, seed } => scenario::run(common, files, *seed),
     }
 }
--- a/crates/tinbay-cli/src/error.rs
+++ b/crates/tinbay-cli/src/error.rs
@@ -60,6 +60,18 @@
     /// An experiment has nothing to play.
     #[error("nothing to play: {0}")]
     Demand(#[from] rand_distr::ZipfError),
+    /// Logs can't be read, or not to their end.
+    #[error("{}", join(.0))]
+    UnreadLogs(Vec<CliError>),
+    /// Logs hold no request.
+    #[error("no request ends in {lines} line(s)")]
+    NoRequests {
+        /// Lines that were read.
+        lines: u64,
+    },
+    /// Times can't be counted.
+    #[error("times can't be counted: {0}")]
+    Times(#[from] hdrhistogram::CreationError),
     /// A plot can't be drawn.
     #[error("{path}: the plot can't be drawn: {reason}")]
     Plot {
@@ -119,6 +131,7 @@
             | CliError::ConfigFile { .. }
             | CliError::Model(_)
             | CliError::Policy { .. }
+            | CliError::UnreadLogs(_)
             | CliError::Workload { .. } => 2,
             CliError::Unreachable(_) => 3,
             CliError::Refused(_) => 4,
@@ -131,6 +144,11 @@
     }
 }
 
+fn join(errors: &[CliError]) -> String {
+    let texts: Vec<String> = errors.iter().map(ToString::to_string).collect();
+    texts.join("; ")
+}
+
 fn code_name(code: ErrorCode) -> String {
     let name = serde_json::to_value(code).unwrap_or_default();
     name.as_str().unwrap_or_default().to_owned()
--- a/crates/tinbay-cli/src/lib.rs
+++ b/crates/tinbay-cli/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod error;
 pub mod options;
 pub mod report;
+pub mod request_report;
 pub mod scenario;
 pub mod util;
--- a/crates/tinbay-cli/src/options.rs
+++ b/crates/tinbay-cli/src/options.rs
@@ -1,5 +1,6 @@
 //! The command line's options, typed and checked.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::str::FromStr;
 
@@ -99,6 +100,8 @@
     Experiment(ExperimentOptions),
     /// Compare ways of keeping limits.
     Limits(LimitsOptions),
+    /// Sum up logs.
+    Report(ReportOptions),
     /// Run scenarios.
     Scenario {
         /// The files.
@@ -180,6 +183,35 @@
     pub plot: Option<String>,
 }
 
+/// Options of `report`.
+#[derive(Debug, Clone)]
+pub struct ReportOptions {
+    /// What is read.
+    pub logs: Vec<LogSource>,
+    /// Client accounts and servers that are shown.
+    pub worst: usize,
+    /// Most steps that time is told in.
+    pub most_steps: usize,
+}
+
+/// Where a log comes from.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LogSource {
+    /// Standard input.
+    StandardInput,
+    /// A file.
+    File(String),
+}
+
+impl fmt::Display for LogSource {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            LogSource::StandardInput => f.write_str("standard input"),
+            LogSource::File(path) => f.write_str(path),
+        }
+    }
+}
+
 /// Options of `standin`.
 #[derive(Debug, Clone)]
 pub struct StandinOptions {
@@ -265,6 +297,7 @@
             judge: sub.get_flag("judge"),
             skew: optional(sub, "skew", "give a number")?,
         }),
+        "report" => Action::Report(read_report(sub)?),
         "scenario" => read_scenario(sub)?,
         _ => Action::Status,
     })
@@ -372,6 +405,37 @@
     })
 }
 
+/// Name of a log that stands for standard input.
+const STANDARD_INPUT: &str = "-";
+
+fn read_report(matches: &ArgMatches) -> Result<ReportOptions, CliError> {
+    let logs = matches.get_many::<String>("logs").into_iter().flatten();
+    let logs: Vec<LogSource> = logs.map(|log| read_log_source(log)).collect();
+    let from_input = logs
+        .iter()
+        .filter(|log| **log == LogSource::StandardInput)
+        .count();
+    if from_input > 1 {
+        return Err(CliError::Option {
+            option: "logs",
+            value: STANDARD_INPUT.to_owned(),
+            allowed: "standard input can be read once",
+        });
+    }
+    Ok(ReportOptions {
+        logs,
+        worst: ranged(matches, "worst", 1, 1_000, "give 1 to 1000")?,
+        most_steps: ranged(matches, "steps", 1, 3_600, "give 1 to 3600")?,
+    })
+}
+
+fn read_log_source(log: &str) -> LogSource {
+    match log {
+        STANDARD_INPUT => LogSource::StandardInput,
+        path => LogSource::File(path.to_owned()),
+    }
+}
+
 fn read_scenario(matches: &ArgMatches) -> Result<Action, CliError> {
     let Some((_, sub)) = matches.subcommand() else {
         return Ok(Action::Status);
--- a/crates/tinbay-cli/src/report/table.rs
+++ b/crates/tinbay-cli/src/report/table.rs
@@ -39,11 +39,13 @@
 
 impl fmt::Display for Table {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let columns: Vec<(usize, bool)> = (0..self.heading.len())
+            .map(|column| (self.width(column), self.is_numeric(column)))
+            .collect();
         for row in std::iter::once(&self.heading).chain(&self.rows) {
             let mut line = String::new();
-            for (column, cell) in row.iter().enumerate() {
-                let width = self.width(column);
-                let padded = if self.is_numeric(column) {
+            for (cell, (width, is_numeric)) in row.iter().zip(&columns) {
+                let padded = if *is_numeric {
                     format!("{cell:>width$}  ")
                 } else {
                     format!("{cell:<width$}  ")
