--- a/crates/tinbay-cli/src/report/table.rs
+++ b/crates/tinbay-cli/src/report/table.rs
@@ -23,6 +23,11 @@
         self.rows.push(row);
     }
 
+    /// Whether it has no rows.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
     fn width(&self, column: usize) -> usize {
         let all = std::iter::once(&self.heading).chain(&self.rows);
         let widths = all
--- a/crates/tinbay-cli/src/request_report/print.rs
+++ b/crates/tinbay-cli/src/request_report/print.rs
@@ -84,7 +84,11 @@
     text
 }
 
+/// Adds a table unless it has no rows.
 fn add_table(text: &mut String, title: &str, table: &Table) {
+    if table.is_empty() {
+        return;
+    }
     let _ = write!(text, "\n{title}\n{table}");
 }
 
--- a/crates/tinbay-core/src/serving/lateness.rs
+++ b/crates/tinbay-core/src/serving/lateness.rs
@@ -7,8 +7,9 @@
 /// The times within which an answer is in time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AnswerObjective {
-    /// Longest time from the request's arrival to the part that the objective counts to.
-    pub within_ms: Millis,
+    /// Longest time from the request's arrival to the part that the objective counts to; none where
+    /// any time is allowed.
+    pub within_ms: Option<Millis>,
     /// That part.
     pub counts_to: ObjectivePart,
     /// Longest pause between two pieces; none where any pause is allowed.
@@ -25,17 +26,18 @@
 }
 
 impl AnswerObjective {
-    /// The objective of answers on `route`.
+    /// The objective of answers on `route`; a time of 0 is none.
     pub fn of_route(route: &Route) -> Self {
         let is_stream = route.kind == RouteKind::Streaming;
+        let pause_ms = route.objective_gap_ms.filter(|_| is_stream);
         Self {
-            within_ms: route.objective_ms,
+            within_ms: Some(route.objective_ms).filter(|within_ms| *within_ms > 0),
             counts_to: if is_stream {
                 ObjectivePart::FirstPiece
             } else {
                 ObjectivePart::End
             },
-            pause_ms: route.objective_gap_ms.filter(|_| is_stream),
+            pause_ms: pause_ms.filter(|pause_ms| *pause_ms > 0),
         }
     }
 }
@@ -90,19 +92,19 @@
 
     /// Decides how late a whole answer was.
     pub fn judge(times: &AnswerTimes, objective: &AnswerObjective) -> Self {
-        let allowed_ms = objective.within_ms;
+        let is_over =
+            |time_ms: Millis, allowed: Option<Millis>| allowed.is_some_and(|ms| time_ms > ms);
         // An answer without a body is there with its end.
         let first_ms = times.first_piece_ms.unwrap_or(times.end_ms);
-        let is_first_late = first_ms > allowed_ms;
-        let is_pause_long = objective
-            .pause_ms
-            .is_some_and(|pause_ms| times.longest_pause_ms > pause_ms);
+        let is_first_late = is_over(first_ms, objective.within_ms);
+        let is_pause_long = is_over(times.longest_pause_ms, objective.pause_ms);
+        let is_end_late = is_over(times.end_ms, objective.within_ms);
         let counts_to_end = objective.counts_to == ObjectivePart::End;
         match (is_first_late, is_pause_long) {
             (true, true) => Self::FirstPieceAndPause,
             (true, false) => Self::FirstPiece,
             (false, true) => Self::Pause,
-            (false, false) if counts_to_end && times.end_ms > allowed_ms => Self::End,
+            (false, false) if counts_to_end && is_end_late => Self::End,
             (false, false) => Self::InTime,
         }
     }
--- a/crates/tinbay-gateway/src/front/answer_sight.rs
+++ b/crates/tinbay-gateway/src/front/answer_sight.rs
@@ -24,7 +24,8 @@
 pub struct AnswerSight {
     kind: &'static str,
     /// Time within which the answer is in time.
-    objective_ms: Millis,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    objective_ms: Option<Millis>,
     /// Longest pause of a stream that is in time.
     #[serde(skip_serializing_if = "Option::is_none")]
     objective_gap_ms: Option<Millis>,
