--- a/crates/tinbay-cli/src/cli.rs
+++ b/crates/tinbay-cli/src/cli.rs
@@ -153,7 +153,7 @@
         .long_about(
             "Sum up the request lines in logs of any number of boxes on the prepared platform: how \
              many were answered in time, late by their first piece, late by a pause, failed or \
-             refused, by cause, service and route, client account, server and time, and where \
+             refused, by cause, service and route, client account, server, box and time, and where \
              their time went. A line may have the box's name before it; lines that can't be read \
              are counted and named. Each try of a caller is a request of its own. The time of a \
              request is that of its line, at its end, by the clock of its box.",
@@ -177,7 +177,7 @@
                 .long("worst")
                 .value_name("N")
                 .default_value("10")
-                .help("Client accounts and servers to show, those with most requests not in time first"),
+                .help("Client accounts, servers and boxes to show, those with most requests not in time first"),
         )
         .arg(
             Arg::new("steps")
--- a/crates/tinbay-cli/src/options.rs
+++ b/crates/tinbay-cli/src/options.rs
@@ -188,7 +188,7 @@
 pub struct ReportOptions {
     /// What is read.
     pub logs: Vec<LogSource>,
-    /// Client accounts and servers that are shown.
+    /// Client accounts, servers and boxes that are shown.
     pub worst: usize,
     /// Most steps that time is told in.
     pub most_steps: usize,
--- a/crates/tinbay-cli/src/request_report/analysis.rs
+++ b/crates/tinbay-cli/src/request_report/analysis.rs
@@ -78,6 +78,7 @@
     by_service: KeyedTally<ServiceRoute>,
     by_account: KeyedTally<Name>,
     by_server: KeyedTally<Name>,
+    by_box: KeyedTally<Name>,
     by_cause: KeyedTally<Name>,
     seconds: SecondsTally,
 }
@@ -95,6 +96,7 @@
             by_service: KeyedTally::new(ServiceRoute::new(OTHERS, OTHERS)),
             by_account: KeyedTally::new(Name::new(OTHERS)),
             by_server: KeyedTally::new(Name::new(OTHERS)),
+            by_box: KeyedTally::new(Name::new(OTHERS)),
             by_cause: KeyedTally::new(Name::new(OTHERS)),
             seconds: SecondsTally::new(most_steps),
         })
@@ -109,14 +111,14 @@
         let mut number = 0;
         while let Some(line) = lines.next_line()? {
             number += 1;
-            if let Err(bad) = self.take_line(line) {
+            if let Err(bad) = self.take_line(log, line) {
                 self.count_bad(log, number, &bad);
             }
         }
         Ok(())
     }
 
-    fn take_line(&mut self, line: LineRead<'_>) -> Result<(), BadLine> {
+    fn take_line(&mut self, log: &str, line: LineRead<'_>) -> Result<(), BadLine> {
         let line = match line {
             LineRead::Whole(line) if line.trim_ascii().is_empty() => return Ok(()),
             LineRead::Whole(line) => line,
@@ -129,13 +131,16 @@
         let entry = read_entry(line)?;
         self.lines.dropped = self.lines.dropped.saturating_add(entry.dropped_lines);
         match entry.request {
-            Some(request) => self.count(&request),
+            Some(request) => {
+                let box_name = entry.box_name.as_deref().unwrap_or(log);
+                self.count(box_name, &request);
+            }
             None => self.lines.others += 1,
         }
         Ok(())
     }
 
-    fn count(&mut self, request: &RequestEntry<'_>) {
+    fn count(&mut self, box_name: &str, request: &RequestEntry<'_>) {
         self.lines.requests += 1;
         let class = RequestClass::of(request);
         let cause = RequestCause::of(request, class);
@@ -147,6 +152,7 @@
         self.by_service.add(service, request, class);
         self.by_account.add(Name::new(account), request, class);
         self.by_server.add(Name::new(server), request, class);
+        self.by_box.add(Name::new(box_name), request, class);
         self.by_cause.add(Name::new(cause.name()), request, class);
         self.seconds.add(request, class);
     }
@@ -178,6 +184,7 @@
             by_service: self.by_service.rows(),
             by_account: self.by_account.worst_first(),
             by_server: self.by_server.worst_first(),
+            by_box: self.by_box.worst_first(),
             by_second: self.seconds.report(),
         }
     }
@@ -200,6 +207,8 @@
     pub by_account: Vec<Row<Name>>,
     /// By the server that answered, the one with most requests not in time first.
     pub by_server: Vec<Row<Name>>,
+    /// By the box whose line it is, or else by the log, the one with most requests not in time first.
+    pub by_box: Vec<Row<Name>>,
     /// By time.
     pub by_second: SecondsReport,
 }
--- a/crates/tinbay-cli/src/request_report/entry.rs
+++ b/crates/tinbay-cli/src/request_report/entry.rs
@@ -44,6 +44,8 @@
 /// What a line of a log holds.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Entry<'a> {
+    /// Name of the box, where one stands before the line.
+    pub box_name: Option<Cow<'a, str>>,
     /// Lines that the box dropped before this one.
     pub dropped_lines: u64,
     /// The end of a request; none where the line is of something else.
@@ -134,6 +136,19 @@
     }
 }
 
+/// Signs that programs which gather logs put around a name.
+const SIGNS_AROUND_NAMES: [char; 4] = ['[', ']', ':', '|'];
+
+/// The first word of what stands before a line.
+fn box_name(prefix: &[u8]) -> Option<Cow<'_, str>> {
+    let word = prefix
+        .split(u8::is_ascii_whitespace)
+        .find(|word| !word.is_empty())?;
+    let word = String::from_utf8_lossy(word);
+    let name = word.trim_matches(SIGNS_AROUND_NAMES);
+    (!name.is_empty()).then(|| Cow::Owned(name.to_owned()))
+}
+
 /// Reads a line; the box's name may stand before its JSON object.
 ///
 /// # Errors
@@ -152,6 +167,7 @@
         None
     };
     Ok(Entry {
+        box_name: box_name(&line[..begin]),
         dropped_lines: envelope.dropped_lines,
         request,
     })
--- a/crates/tinbay-cli/src/request_report/print.rs
+++ b/crates/tinbay-cli/src/request_report/print.rs
@@ -23,7 +23,7 @@
     "AT_SERVER_MS",
 ];
 
-/// The report as text; of client accounts and servers the `worst` first.
+/// The report as text; of client accounts, servers and boxes the `worst` ones.
 pub fn to_text(report: &Report, worst: usize) -> String {
     let mut text = lines_text(&report.lines);
     add_table(&mut text, "where time goes", &times_table(&report.times));
@@ -33,14 +33,16 @@
         vec![key.service.clone(), key.route.clone()]
     });
     add_table(&mut text, "by service and route", &by_service);
-    let accounts = first(&report.by_account, worst);
-    let by_account = counts_table(&["ACCOUNT"], accounts, |key| vec![key.name.clone()]);
-    let title = worst_title("client account", accounts.len(), report.by_account.len());
-    add_table(&mut text, &title, &by_account);
-    let servers = first(&report.by_server, worst);
-    let by_server = counts_table(&["SERVER"], servers, |key| vec![key.name.clone()]);
-    let title = worst_title("server", servers.len(), report.by_server.len());
-    add_table(&mut text, &title, &by_server);
+    for (heading, what, rows) in [
+        ("ACCOUNT", "client account", &report.by_account),
+        ("SERVER", "server", &report.by_server),
+        ("BOX", "box", &report.by_box),
+    ] {
+        let shown = &rows[..rows.len().min(worst)];
+        let title = format!("by {what}, the worst {} of {}", shown.len(), rows.len());
+        let table = counts_table(&[heading], shown, |key| vec![key.name.clone()]);
+        add_table(&mut text, &title, &table);
+    }
     let seconds = &report.by_second;
     let by_second = counts_table(&["TIME"], &seconds.rows, |key| vec![key.time.clone()]);
     let title = format!(
@@ -51,14 +53,6 @@
     text
 }
 
-fn first<T>(rows: &[T], most: usize) -> &[T] {
-    &rows[..rows.len().min(most)]
-}
-
-fn worst_title(what: &str, shown: usize, all: usize) -> String {
-    format!("by {what}, the worst {shown} of {all}")
-}
-
 fn lines_text(lines: &LineCounts) -> String {
     let bad = &lines.bad;
     let mut text = format!(
--- a/crates/tinbay-cli/tests/report_test.rs
+++ b/crates/tinbay-cli/tests/report_test.rs
@@ -313,6 +313,20 @@
     assert_eq!(report.lines.bad.total(), 0);
 }
 
+#[test]
+fn box_name_is_the_first_word_or_the_log() {
+    let name = |prefix: &str| {
+        let report = analyse(&format!("{prefix}{}", line(&json!({}))));
+        report.by_box[0].key.name.clone()
+    };
+    assert_eq!(name("front-hall-a-1 "), "front-hall-a-1");
+    assert_eq!(name("box-2  | "), "box-2");
+    assert_eq!(name("[box-3] app: "), "box-3");
+    assert_eq!(name("box-4:"), "box-4");
+    assert_eq!(name(""), "all.log");
+    assert_eq!(name(" : "), "all.log");
+}
+
 #[test]
 fn lines_of_something_else_are_no_requests() {
     let text = r#"
@@ -498,6 +512,7 @@
         "by service and route",
         "by client account, the worst 2 of 2",
         "by server, the worst 3 of 3",
+        "by box, the worst 1 of 1",
         "by time, steps of 1 s",
     ] {
         assert!(text.contains(part), "{part}\n{text}");
--- a/crates/tinbay-gateway/src/answer_metrics.rs
+++ b/crates/tinbay-gateway/src/answer_metrics.rs
@@ -32,6 +32,8 @@
     pub first_piece_ms: Option<Millis>,
     /// Longest pause between its pieces, if it is a stream of several.
     pub longest_pause_ms: Option<Millis>,
+    /// Time in which the caller's side asked for nothing, if it has a first piece.
+    pub untaken_ms: Option<Millis>,
     /// Whether it was late.
     pub lateness: Lateness,
 }
@@ -41,6 +43,7 @@
 pub struct AnswerMetrics {
     first_piece_seconds: HistogramVec,
     longest_pause_seconds: HistogramVec,
+    untaken_seconds: HistogramVec,
     answers: IntCounterVec,
     account_answers: IntCounterVec,
     services: ShownLabels,
@@ -74,6 +77,11 @@
                 "Longest pause of a whole stream",
                 &PAUSE_BOUNDS,
             )?,
+            untaken_seconds: histogram(
+                "tinbay_untaken_seconds",
+                "Time of a whole answer in which the caller's side asked for nothing",
+                &PAUSE_BOUNDS,
+            )?,
             answers: counter(
                 "tinbay_answers_total",
                 "Whole answers, by whether they were late",
@@ -92,14 +100,14 @@
     pub fn count(&self, answer: &MeasuredAnswer<'_>, account_label: Option<&str>) {
         let service = self.services.label(answer.service);
         let labels = [answer.kind, service];
-        if let Some(first_piece_ms) = answer.first_piece_ms {
-            let times = self.first_piece_seconds.with_label_values(&labels);
-            times.observe(seconds(first_piece_ms));
-        }
-        if let Some(pause_ms) = answer.longest_pause_ms {
-            let pauses = self.longest_pause_seconds.with_label_values(&labels);
-            pauses.observe(seconds(pause_ms));
-        }
+        let observe = |times: &HistogramVec, time_ms: Option<Millis>| {
+            if let Some(time_ms) = time_ms {
+                times.with_label_values(&labels).observe(seconds(time_ms));
+            }
+        };
+        observe(&self.first_piece_seconds, answer.first_piece_ms);
+        observe(&self.longest_pause_seconds, answer.longest_pause_ms);
+        observe(&self.untaken_seconds, answer.untaken_ms);
         let lateness = answer.lateness.name();
         self.answers
             .with_label_values(&[answer.kind, service, lateness])
--- a/crates/tinbay-gateway/src/front/answer_sight.rs
+++ b/crates/tinbay-gateway/src/front/answer_sight.rs
@@ -97,6 +97,7 @@
             account: question.client_account().map(|account| &*account.name),
             first_piece_ms: self.first_piece_ms,
             longest_pause_ms: self.longest_pause_ms,
+            untaken_ms: self.untaken_ms,
             lateness: self.judged?,
         })
     }
--- a/crates/tinbay-gateway/tests/answer_metrics_test.rs
+++ b/crates/tinbay-gateway/tests/answer_metrics_test.rs
@@ -12,6 +12,7 @@
         account: Some(account),
         first_piece_ms: Some(250),
         longest_pause_ms: Some(450),
+        untaken_ms: Some(30),
         lateness,
     }
 }
@@ -34,6 +35,8 @@
         r#"tinbay_first_piece_seconds_bucket{kind="streaming",service="chat",le="0.15"} 0"#,
         r#"tinbay_longest_pause_seconds_bucket{kind="streaming",service="chat",le="0.4"} 0"#,
         r#"tinbay_longest_pause_seconds_bucket{kind="streaming",service="chat",le="0.5"} 2"#,
+        r#"tinbay_untaken_seconds_bucket{kind="streaming",service="chat",le="0.02"} 0"#,
+        r#"tinbay_untaken_seconds_bucket{kind="streaming",service="chat",le="0.05"} 2"#,
     ] {
         assert!(text.contains(line), "{line}\n{text}");
     }
@@ -46,6 +49,7 @@
         account: None,
         first_piece_ms: None,
         longest_pause_ms: None,
+        untaken_ms: None,
         ..answer("chat", "acme", Lateness::InTime)
     });
     let text = metrics.to_text();
@@ -53,6 +57,7 @@
     assert_eq!(lines_of(&text, "tinbay_account_answers_total"), 0);
     assert_eq!(lines_of(&text, "tinbay_first_piece_seconds_count"), 0);
     assert_eq!(lines_of(&text, "tinbay_longest_pause_seconds_count"), 0);
+    assert_eq!(lines_of(&text, "tinbay_untaken_seconds_count"), 0);
 }
 
 #[test]
