--- a/crates/tinbay-gateway/src/front/request_log.rs
+++ b/crates/tinbay-gateway/src/front/request_log.rs
@@ -91,6 +91,9 @@
     admitted_by: Option<&'static str>,
     #[serde(skip_serializing_if = "Option::is_none")]
     units: Option<f64>,
+    /// How its run was handed over.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    handover: Option<&'static str>,
     /// Servers passed over as their limits had no room.
     #[serde(skip_serializing_if = "Option::is_none")]
     at_limits: Option<u32>,
@@ -143,6 +146,7 @@
         account: question.client_account().map(|account| &*account.name),
         admitted_by: question.admitted.get().map(|admitted| admitted.by.name()),
         units: question.admitted.get().map(|admitted| admitted.units),
+        handover: question.handover.get().map(|handover| handover.name()),
         at_limits: Some(question.at_limits.get()).filter(|count| *count > 0),
         proof_age_ms: question.account.get().map(|shown| shown.proof_age_ms),
         model: question.model.as_deref(),
@@ -159,29 +163,32 @@
         sight,
         total_ms: now_ms - question.arrived_ms,
     };
-    node.metrics
-        .requests
-        .with_label_values(&[question.kind(), outcome])
-        .inc();
+    measure(node, question, outcome, head_ms, &sight);
+    events::emit(part::FRONT, Level::Info, "request", &event);
+}
+
+fn measure(
+    node: &Node,
+    question: &Question,
+    outcome: &str,
+    head_ms: Option<Millis>,
+    sight: &AnswerSight,
+) {
+    let metrics = &node.metrics;
+    let kind = question.kind();
     let seconds = |time_ms: Millis| time_ms as f64 / MS_PER_SECOND as f64;
+    metrics.requests.with_label_values(&[kind, outcome]).inc();
     if let Some(head_ms) = head_ms {
-        let heads = node
-            .metrics
-            .head_seconds
-            .with_label_values(&[question.kind()]);
+        let heads = metrics.head_seconds.with_label_values(&[kind]);
         heads.observe(seconds(head_ms));
     }
-    if let Some(sent) = sent {
-        let stalls = node
-            .metrics
-            .stall_seconds
-            .with_label_values(&[question.kind()]);
+    if let Some(sent) = question.last_send.get() {
+        let stalls = metrics.stall_seconds.with_label_values(&[kind]);
         stalls.observe(seconds(sent.after_ms));
     }
     if let Some(answer) = sight.measured(question) {
-        node.metrics.count_answer(answer);
+        metrics.count_answer(answer);
     }
-    events::emit(part::FRONT, Level::Info, "request", &event);
 }
 
 fn answer_end(status: u16, ending: &Ending) -> AnswerEnd {
