--- a/crates/tinbay-gateway/src/http/relay.rs
+++ b/crates/tinbay-gateway/src/http/relay.rs
@@ -40,6 +40,11 @@
         self.sight.note_piece(now_ms);
     }
 
+    /// Notes that the caller's side asks for the next piece.
+    pub fn note_asked(&mut self, now_ms: Millis) {
+        self.sight.note_asked(now_ms);
+    }
+
     /// Tells the end.
     pub fn tell(&mut self, end: Result<(), BodyError>) {
         if let Some(observer) = self.observer.take() {
@@ -158,6 +163,8 @@
             return Poll::Ready(None);
         }
         loop {
+            // Also after bytes that are held back: the caller's side has not been given them.
+            self.end.note_asked(self.clock.now_ms());
             if let Some(next) = self.poll_successor(context) {
                 return Poll::Ready(Some(next));
             }
