Kept connections are trusted by what became of those of their service

Cause: one fixed rest, 500 ms, for all servers, however long they keep theirs. Change: a learner a service (tinbay-core, no clock) doubles the trusted rest after four reuses near it that went well, halves the rest that broke at once, and falls to 100 ms after a second loss within a thousand reuses. At most four requests that may run only once are unanswered on connections that rested over 500 ms; a head that is overdue on a kept connection distrusts all that rest at its server, and two servers that fall silent within 2 s count as a loss. Kept for 3/4 of what the server allows. Weighed: a fixed longer rest (loses without bound where servers forget sooner); a learner a server (each of 90 costs a loss a box); resets later than 50 ms after the send don't count, as servers that had begun to work and died say nothing of rests. A turn of the scheduler before use has a close that has reached the machine be seen.

--- a/crates/tinbay-core/src/serving/mod.rs
+++ b/crates/tinbay-core/src/serving/mod.rs
@@ -22,5 +22,6 @@
 pub mod spread;
 pub mod stream_sight;
 pub mod subscribers;
+pub mod trusted_rest;
 pub mod versions;
 pub mod wants;
--- /dev/null
+++ b/crates/tinbay-core/tests/trusted_rest_test.rs
@@ -0,0 +1,205 @@
+//! Which rested connections take a request that may run only once, in virtual time.
+
+use quickcheck::QuickCheck;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use tinbay_core::serving::servers::ServerKey;
+use tinbay_core::serving::trusted_rest::{
+    LEAST_MS, MOST_AT_STAKE, MOST_MS, REUSES_A_LOSS, Reuse, ReuseEnd, START_MS, TrustedRest,
+};
+use tinbay_core::units::Millis;
+
+/// Reuses of a box that uses 90 servers some 25 times a second, over five minutes.
+const REUSES: u32 = 4_000;
+
+fn reuse(rested_ms: Millis, end: ReuseEnd) -> Reuse {
+    Reuse {
+        server: 1,
+        rested_ms,
+        end,
+    }
+}
+
+fn note(learner: &mut TrustedRest, rested_ms: Millis, end: ReuseEnd) -> bool {
+    learner.note(&reuse(rested_ms, end), 0)
+}
+
+fn grow(learner: &mut TrustedRest, to_ms: Millis) {
+    while learner.trusted_ms() < to_ms {
+        let rested_ms = learner.trusted_ms();
+        note(learner, rested_ms, ReuseEnd::Answered);
+    }
+}
+
+/// Uses connections that rested for any time up to some seconds, and opens a new one where the rest
+/// is not trusted; what was reused, and what was lost.
+fn play(forgotten_after_ms: Millis, seed: u64) -> (u32, u32) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut learner = TrustedRest::default();
+    let (mut reused, mut lost) = (0, 0);
+    for _ in 0..REUSES {
+        let rested_ms = rng.random_range(0..4_000);
+        if rested_ms > learner.trusted_ms() {
+            continue;
+        }
+        let is_lost = rested_ms > forgotten_after_ms;
+        let end = if is_lost {
+            ReuseEnd::Broken
+        } else {
+            ReuseEnd::Answered
+        };
+        reused += 1;
+        lost += u32::from(is_lost);
+        note(&mut learner, rested_ms, end);
+    }
+    (reused, lost)
+}
+
+#[test]
+fn trusted_before_anything_is_learnt_is_the_start() {
+    assert_eq!(TrustedRest::default().trusted_ms(), START_MS);
+}
+
+/// One box meets one of 90 servers every three seconds: with half a second trusted, six connections
+/// of seven are new ones.
+#[test]
+fn trusted_grows_where_reuse_goes_well() {
+    let mut learner = TrustedRest::default();
+    for _ in 0..16 {
+        let rested_ms = learner.trusted_ms();
+        note(&mut learner, rested_ms, ReuseEnd::Answered);
+    }
+    assert!(learner.trusted_ms() >= 4_000);
+}
+
+#[test]
+fn trusted_grows_by_long_rests_alone() {
+    let mut learner = TrustedRest::default();
+    for _ in 0..100 {
+        note(&mut learner, 20, ReuseEnd::Answered);
+    }
+    assert_eq!(learner.trusted_ms(), START_MS);
+}
+
+#[test]
+fn trusted_shrinks_at_once_below_a_rest_that_broke() {
+    let mut learner = TrustedRest::default();
+    grow(&mut learner, 4_000);
+    assert!(note(&mut learner, 3_000, ReuseEnd::Broken));
+    assert_eq!(learner.trusted_ms(), 1_500);
+}
+
+#[test]
+fn trusted_shrinks_below_the_start_where_servers_forget_sooner() {
+    let mut learner = TrustedRest::default();
+    note(&mut learner, 400, ReuseEnd::Broken);
+    assert_eq!(learner.trusted_ms(), 200);
+}
+
+#[test]
+fn trusted_is_the_least_after_a_second_loss() {
+    let mut learner = TrustedRest::default();
+    grow(&mut learner, 4_000);
+    note(&mut learner, 3_000, ReuseEnd::Broken);
+    note(&mut learner, 1_400, ReuseEnd::Broken);
+    assert_eq!(learner.trusted_ms(), LEAST_MS);
+}
+
+#[test]
+fn trusted_grows_again_only_after_many_reuses() {
+    let mut learner = TrustedRest::default();
+    note(&mut learner, 400, ReuseEnd::Broken);
+    for _ in 1..REUSES_A_LOSS {
+        note(&mut learner, 200, ReuseEnd::Answered);
+    }
+    assert_eq!(learner.trusted_ms(), 200);
+    grow(&mut learner, 1_000);
+}
+
+/// What breaks while it is in constant use is a server that dies, and says nothing of rests.
+#[test]
+fn trusted_stays_where_a_connection_just_used_breaks() {
+    let mut learner = TrustedRest::default();
+    assert!(!note(&mut learner, LEAST_MS, ReuseEnd::Broken));
+    assert_eq!(learner.trusted_ms(), START_MS);
+}
+
+/// A server that goes dark leaves the connections of the others as they are.
+#[test]
+fn silence_of_one_server_says_nothing_of_others() {
+    let mut learner = TrustedRest::default();
+    grow(&mut learner, 4_000);
+    for _ in 0..3 {
+        assert!(!note(&mut learner, 2_000, ReuseEnd::Silent));
+    }
+}
+
+/// A link drops all connections at once.
+#[test]
+fn silence_of_two_servers_at_once_shrinks() {
+    let mut learner = TrustedRest::default();
+    grow(&mut learner, 4_000);
+    let silent = |server: ServerKey| Reuse {
+        server,
+        rested_ms: 2_000,
+        end: ReuseEnd::Silent,
+    };
+    assert!(!learner.note(&silent(1), 10_000));
+    assert!(learner.note(&silent(2), 10_500));
+    assert_eq!(learner.trusted_ms(), 1_000);
+}
+
+#[test]
+fn silence_of_two_servers_long_apart_says_nothing() {
+    let mut learner = TrustedRest::default();
+    grow(&mut learner, 4_000);
+    let mut is_shrunk = false;
+    for (server, now_ms) in [(1, 10_000), (2, 20_000)] {
+        let silent = Reuse {
+            server,
+            ..reuse(2_000, ReuseEnd::Silent)
+        };
+        is_shrunk |= learner.note(&silent, now_ms);
+    }
+    assert!(!is_shrunk);
+}
+
+/// All connections go silent at once: few requests are under way before the first one shows it.
+#[test]
+fn stake_is_bounded_while_answers_are_due() {
+    let mut learner = TrustedRest::default();
+    grow(&mut learner, 4_000);
+    let mut sent = 0;
+    while learner.trusted_ms() >= 2_000 {
+        assert!(learner.stake(2_000));
+        sent += 1;
+    }
+    assert_eq!(sent, MOST_AT_STAKE);
+    assert_eq!(learner.trusted_ms(), START_MS);
+    learner.release();
+    assert!(learner.trusted_ms() >= 2_000);
+}
+
+#[test]
+fn stake_of_a_short_rest_is_none() {
+    let mut learner = TrustedRest::default();
+    assert!(!learner.stake(START_MS));
+}
+
+/// Servers forget after any time: two in a thousand are lost at most, beyond the first.
+#[test]
+fn play_any_forgetting_keeps_the_bound() {
+    fn holds(forgotten_after_ms: u16, seed: u64) -> bool {
+        let forgotten_after_ms = Millis::from(forgotten_after_ms).max(LEAST_MS);
+        let (reused, lost) = play(forgotten_after_ms, seed);
+        lost <= 2 * (1 + reused / REUSES_A_LOSS)
+    }
+    QuickCheck::new().quickcheck(holds as fn(u16, u64) -> bool);
+}
+
+#[test]
+fn play_servers_that_forget_nothing_reuses_most() {
+    let (reused, lost) = play(MOST_MS, 1);
+    assert_eq!(lost, 0);
+    assert!(reused >= REUSES * 9 / 10);
+}
--- a/crates/tinbay-gateway/src/front/attempt.rs
+++ b/crates/tinbay-gateway/src/front/attempt.rs
@@ -1,9 +1,12 @@
 //! One try to have a server run a request.
 
+use std::cell::Cell;
+use std::pin::pin;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::header::HeaderMap;
 use hyper::{Request, Response, StatusCode};
 use tinbay_core::units::Millis;
@@ -12,6 +15,7 @@
 use super::question::{Question, text};
 use crate::http::body::RequestBody;
 use crate::http::pool::{ConnectError, Connection, Trust};
+use crate::http::reuse::Reuse;
 use crate::limits::permits::Permit;
 use crate::node::Node;
 use crate::port::dialect::HeaderNames;
@@ -102,6 +106,8 @@
     pub permit: Permit,
     /// Longest wait for the head.
     pub head_within: Duration,
+    /// When a head is overdue: a kept connection that has not brought one may have gone silent.
+    pub silent_after: Duration,
 }
 
 /// Sends a request to a server and waits for the head of the answer.
@@ -112,14 +118,29 @@
     terms: AttemptTerms<'_>,
 ) -> AttemptResult {
     let running = node.begin_request(terms.server, question);
-    let exchange = exchange(node, question, body, &terms);
+    let waiting = Cell::default();
+    let exchange = exchange(node, question, body, &terms, &waiting);
     match tokio::time::timeout(terms.head_within, exchange).await {
-        Err(_) => AttemptResult::unknown(UnknownCause::Silent),
+        Err(_) => {
+            if terms.head_within >= terms.silent_after {
+                note_silent(&waiting);
+            }
+            AttemptResult::unknown(UnknownCause::Silent)
+        }
         Ok(Err(result)) => result,
         Ok(Ok(exchanged)) => judge(node, question, &terms, exchanged, running),
     }
 }
 
+/// A kept connection that has taken a request and not yet answered.
+type WaitingReuse = Cell<Option<Reuse>>;
+
+fn note_silent(waiting: &WaitingReuse) {
+    if let Some(reuse) = waiting.take() {
+        reuse.note_silent();
+    }
+}
+
 /// The head of an answer, with where it came from.
 struct Exchanged {
     response: Response<Incoming>,
@@ -133,6 +154,7 @@
     question: &Question,
     body: RequestBody,
     terms: &AttemptTerms<'_>,
+    waiting: &WaitingReuse,
 ) -> Result<Exchanged, AttemptResult> {
     let names = node.dialect.headers();
     let headers = headers::for_server(&question.parts.headers, names, &terms.headers);
@@ -147,7 +169,7 @@
             return Err(AttemptResult::Withdrawn { body });
         }
         let sent_ms = node.now_ms();
-        match connection.sender.try_send_request(request).await {
+        match send(&mut connection, request, terms, waiting).await {
             Ok(response) => {
                 return Ok(Exchanged {
                     response,
@@ -167,6 +189,37 @@
     }
 }
 
+/// Sends a request on a connection, and notes how a kept one takes it.
+async fn send(
+    connection: &mut Connection,
+    request: Request<RequestBody>,
+    terms: &AttemptTerms<'_>,
+    waiting: &WaitingReuse,
+) -> Result<Response<Incoming>, TrySendError<Request<RequestBody>>> {
+    if connection.reuse.is_none() {
+        return connection.sender.try_send_request(request).await;
+    }
+    waiting.set(connection.reuse.take());
+    let sent = Instant::now();
+    let mut sending = pin!(connection.sender.try_send_request(request));
+    let overdue = tokio::time::timeout(terms.silent_after, &mut sending).await;
+    let result = match overdue {
+        Ok(result) => result,
+        Err(_) => {
+            note_silent(waiting);
+            sending.await
+        }
+    };
+    if let Some(reuse) = waiting.take() {
+        match &result {
+            Ok(_) => reuse.note_answered(),
+            Err(error) if error.message().is_some() => reuse.note_found_closed(),
+            Err(_) => reuse.note_closed(sent.elapsed().as_millis() as Millis),
+        }
+    }
+    result
+}
+
 fn build(question: &Question, body: RequestBody, headers: HeaderMap) -> Request<RequestBody> {
     let mut request = Request::new(body);
     *request.method_mut() = question.parts.method.clone();
--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -204,11 +204,12 @@
     let head_by_ms = question.time_up_ms.min(sent.time_up_ms + BEGIN_MARGIN_MS);
     let left_ms = head_by_ms.saturating_sub(now_ms);
     let is_last = !may_run_again(question, tries);
+    let silent_after_ms = silent_after_ms(node, question, server);
     let record = server.record();
     let terms = AttemptTerms {
         server,
         most_open: most_open(node, question),
-        trust: if is_last { Trust::JustUsed } else { Trust::Any },
+        trust: if is_last { Trust::RunsOnce } else { Trust::Any },
         headers: ServerHeaders {
             deadline_ms: sent.time_up_ms.saturating_sub(now_ms),
             server_id: &record.id,
@@ -220,8 +221,9 @@
         head_within: if is_last {
             Duration::from_millis(left_ms)
         } else {
-            Duration::from_millis(left_ms.min(silent_after_ms(node, question, server)))
+            Duration::from_millis(left_ms.min(silent_after_ms))
         },
+        silent_after: Duration::from_millis(silent_after_ms),
     };
     attempt(node, question, body, terms).await
 }
--- a/crates/tinbay-gateway/src/http/mod.rs
+++ b/crates/tinbay-gateway/src/http/mod.rs
@@ -5,4 +5,5 @@
 pub mod connect;
 pub mod pool;
 pub mod relay;
+pub mod reuse;
 pub mod silence;
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -176,6 +176,7 @@
     ) -> Self {
         let members = Members::new(&settings.zone);
         let clock = Clock::start();
+        let servers = ServerTable::new(clock).with_measure(metrics.server_connections.clone());
         Self {
             settings: RefCell::new(settings),
             dialect,
@@ -190,7 +191,7 @@
             metrics,
             in_force: RefCell::default(),
             versions: RefCell::default(),
-            servers: RefCell::new(ServerTable::new(clock)),
+            servers: RefCell::new(servers),
             members: RefCell::new(members),
             claims: RefCell::default(),
             proof: Cell::default(),
--- a/crates/tinbay-gateway/src/servers/mod.rs
+++ b/crates/tinbay-gateway/src/servers/mod.rs
@@ -9,12 +9,14 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
+use prometheus::IntCounterVec;
 pub use server::{RunningRequest, Server};
 use tinbay_core::serving::servers::{Fingerprint, ServerKey, ServerRecord};
 use tinbay_core::units::Millis;
 
 use self::departed::Departed;
 use crate::clock::Clock;
+use crate::http::reuse::ReuseLedger;
 
 /// All servers known, each in its newest incarnation.
 #[derive(Debug)]
@@ -24,6 +26,9 @@
     ids: HashMap<ServerKey, String>,
     keys: HashMap<Fingerprint, ServerKey>,
     departed: Departed,
+    /// What the kept connections of each service are trusted with.
+    ledgers: HashMap<String, Rc<ReuseLedger>>,
+    connections_measure: Option<IntCounterVec>,
 }
 
 /// What a record changed.
@@ -60,9 +65,26 @@
             ids: HashMap::new(),
             keys: HashMap::new(),
             departed: Departed::default(),
+            ledgers: HashMap::new(),
+            connections_measure: None,
         }
     }
 
+    /// The same with a measure of what becomes of connections to servers.
+    pub fn with_measure(self, measure: IntCounterVec) -> Self {
+        Self {
+            connections_measure: Some(measure),
+            ..self
+        }
+    }
+
+    fn ledger(&mut self, service: &str) -> Rc<ReuseLedger> {
+        let measure = &self.connections_measure;
+        let new = || Rc::new(ReuseLedger::new(service, self.clock, measure.clone()));
+        let ledger = self.ledgers.entry(service.to_string()).or_insert_with(new);
+        Rc::clone(ledger)
+    }
+
     /// Notes a server's entry. One of an earlier incarnation that comes late changes nothing.
     ///
     /// A new incarnation is another server under the same name: it gets a key, a view and connections
@@ -97,7 +119,8 @@
     fn insert(&mut self, record: ServerRecord) {
         let id = record.id.clone();
         let said = self.departed.said_by(&record);
-        let server = Server::new(record, said, self.clock);
+        let ledger = self.ledger(&record.service);
+        let server = Server::new(record, said, self.clock, ledger);
         self.keys.insert(server.fingerprint(), server.key);
         self.ids.insert(server.key, id.clone());
         self.by_id.insert(id, Rc::new(server));
--- a/crates/tinbay-gateway/src/servers/server.rs
+++ b/crates/tinbay-gateway/src/servers/server.rs
@@ -19,6 +19,7 @@
 use crate::clock::Clock;
 use crate::crashes::check::CutRequest;
 use crate::http::pool::Pool;
+use crate::http::reuse::ReuseLedger;
 
 /// Weight of a new head's time.
 const DELAY_WEIGHT: f64 = 0.15;
@@ -91,16 +92,22 @@
 }
 
 impl Server {
-    pub(super) fn new(record: ServerRecord, said: SharedSaid, clock: Clock) -> Self {
+    pub(super) fn new(
+        record: ServerRecord,
+        said: SharedSaid,
+        clock: Clock,
+        ledger: Rc<ReuseLedger>,
+    ) -> Self {
+        let key = server_key(&record);
         let server = Self {
-            key: server_key(&record),
+            key,
             address_text: record.address.to_string(),
             order_due: Notify::new(),
             status_came: Notify::new(),
             view: RefCell::default(),
             usage: RefCell::default(),
             cut: RefCell::default(),
-            pool: Rc::new(Pool::new(record.address, clock)),
+            pool: Rc::new(Pool::new(key, record.address, clock, ledger)),
             record: RefCell::new(Rc::new(record.clone())),
             said,
             mistrust: Cell::default(),
