Where work goes counts how fast a server is now, and that it is slow from its start

Change: tinbay-core pace: answer times of a service over a fading window (logarithmic buckets, 500 bytes a service), a server's slowness against its service's median, as a weighted mean of logarithms with a half-life of 250 ms, and the load that follows: everything there takes that much longer, and the request's own work too. A server like the others counts as before. An entry's slow start counts as a factor of 2 until it is over; the same entry again does not begin it anew. Weighed: a plain mean of times (one wild answer decides for seconds); telling other boxes (plain services have few servers and each box sees them often; not for engines yet).

--- a/crates/tinbay-core/src/lib.rs
+++ b/crates/tinbay-core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod limits;
 pub mod loads;
 pub mod naive;
+pub mod pace;
 pub mod policy;
 pub mod rendezvous;
 pub mod retry;
--- /dev/null
+++ b/crates/tinbay-core/src/pace/answer_times.rs
@@ -0,0 +1,81 @@
+//! Answer times of a service over a fading window.
+
+use crate::units::Millis;
+
+/// Length of each half of the window: at a few answers a second some hundred are in it.
+const HALF_WINDOW_MS: Millis = 15_000;
+
+/// Ratio between the bounds of neighbouring buckets.
+const BUCKET_RATIO: f64 = 1.1;
+
+/// Buckets; the last one begins beyond a minute.
+const BUCKETS: usize = 120;
+
+/// Answers before anything is told of them.
+pub const LEAST_ANSWERS: u32 = 20;
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Half {
+    counts: [u16; BUCKETS],
+    sum: u32,
+}
+
+impl Default for Half {
+    fn default() -> Self {
+        Self {
+            counts: [0; BUCKETS],
+            sum: 0,
+        }
+    }
+}
+
+/// Answer times of a service, the newest half of the window and the one before.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct AnswerTimes {
+    newest: Half,
+    before: Half,
+    began_ms: Millis,
+}
+
+impl AnswerTimes {
+    /// Notes how long an answer took, or how long one had taken that was not awaited any more.
+    pub fn note(&mut self, took_ms: f64, now_ms: Millis) {
+        if now_ms >= self.began_ms + 2 * HALF_WINDOW_MS {
+            *self = Self::default();
+            self.began_ms = now_ms;
+        } else if now_ms >= self.began_ms + HALF_WINDOW_MS {
+            self.before = std::mem::take(&mut self.newest);
+            self.began_ms = now_ms;
+        }
+        let count = &mut self.newest.counts[bucket(took_ms)];
+        *count = count.saturating_add(1);
+        self.newest.sum += 1;
+    }
+
+    /// Time within which this part of the answers came; none while too few are known.
+    pub fn quantile_ms(&self, part: f64) -> Option<f64> {
+        let sum = self.newest.sum + self.before.sum;
+        if sum < LEAST_ANSWERS {
+            return None;
+        }
+        let wanted = part * f64::from(sum);
+        let halves = self.newest.counts.iter().zip(&self.before.counts);
+        let mut seen = 0.0;
+        for (position, (newest, before)) in halves.enumerate() {
+            seen += f64::from(*newest) + f64::from(*before);
+            if seen >= wanted {
+                return Some(upper_bound_ms(position));
+            }
+        }
+        Some(upper_bound_ms(BUCKETS - 1))
+    }
+}
+
+fn bucket(took_ms: f64) -> usize {
+    let position = took_ms.max(1.0).ln() / BUCKET_RATIO.ln();
+    (position as usize).min(BUCKETS - 1)
+}
+
+fn upper_bound_ms(position: usize) -> f64 {
+    BUCKET_RATIO.powf(position as f64 + 1.0)
+}
--- a/crates/tinbay-core/src/serving/servers.rs
+++ b/crates/tinbay-core/src/serving/servers.rs
@@ -52,6 +52,8 @@
     pub state: ServerState,
     /// Time it has left, when it is taken away at short notice.
     pub remaining_ms: Option<Millis>,
+    /// How much longer it is slow from its start.
+    pub slow_for_ms: Millis,
     /// Orders it has taken.
     pub order_count: u64,
     /// Base models it holds.
--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -102,6 +102,7 @@
         let result = try_server(node, question, &tries, sent, &server, permit).await;
         if matches!(result, AttemptResult::Begun(_)) {
             node.note_reading(question, before_ms, node.now_ms() - sent_ms);
+            note_pace(node, question, &server, sent_ms);
         }
         note_delay(node, question, &server, sent_ms);
         log_try(node, question, &server, &result);
@@ -184,6 +185,14 @@
     give_up(node, question, tries)
 }
 
+/// The speed of a server that does the same work as the others of its service.
+fn note_pace(node: &Node, question: &Question, server: &Server, sent_ms: Millis) {
+    if question.model.is_none() {
+        let now_ms = node.now_ms();
+        server.note_answer_time((now_ms - sent_ms) as f64, now_ms);
+    }
+}
+
 fn note_delay(node: &Node, question: &Question, server: &Server, sent_ms: Millis) {
     let now_ms = node.now_ms();
     let objective_ms = question.route.objective_ms.max(1) as f64;
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -486,7 +486,8 @@
         let running = server.usage.borrow().running() + busyness.running_elsewhere;
         let fullness = running as f64 / server.record().slots.max(1) as f64;
         let backlog = busyness.backlog_ms / objective_ms.max(1) as f64;
-        fullness + backlog + DELAY_PART * busyness.delay.max(server.delay(now_ms))
+        let slowed = server.slowed_load(fullness + backlog, objective_ms, now_ms);
+        slowed + DELAY_PART * busyness.delay.max(server.delay(now_ms))
     }
 
     fn busyness(&self, server: &Server, now_ms: Millis) -> Busyness {
--- a/crates/tinbay-gateway/src/servers/mod.rs
+++ b/crates/tinbay-gateway/src/servers/mod.rs
@@ -3,6 +3,7 @@
 mod departed;
 pub mod notices;
 pub mod server;
+pub mod service;
 pub mod usage;
 pub mod view;
 
@@ -15,6 +16,7 @@
 use tinbay_core::units::Millis;
 
 use self::departed::Departed;
+use self::service::ServiceSight;
 use crate::clock::Clock;
 use crate::http::reuse::ReuseLedger;
 
@@ -26,8 +28,7 @@
     ids: HashMap<ServerKey, String>,
     keys: HashMap<Fingerprint, ServerKey>,
     departed: Departed,
-    /// What the kept connections of each service are trusted with.
-    ledgers: HashMap<String, Rc<ReuseLedger>>,
+    services: HashMap<String, Rc<ServiceSight>>,
     connections_measure: Option<IntCounterVec>,
 }
 
@@ -65,7 +66,7 @@
             ids: HashMap::new(),
             keys: HashMap::new(),
             departed: Departed::default(),
-            ledgers: HashMap::new(),
+            services: HashMap::new(),
             connections_measure: None,
         }
     }
@@ -78,11 +79,14 @@
         }
     }
 
-    fn ledger(&mut self, service: &str) -> Rc<ReuseLedger> {
-        let measure = &self.connections_measure;
-        let new = || Rc::new(ReuseLedger::new(service, self.clock, measure.clone()));
-        let ledger = self.ledgers.entry(service.to_string()).or_insert_with(new);
-        Rc::clone(ledger)
+    fn service(&mut self, name: &str) -> Rc<ServiceSight> {
+        if let Some(service) = self.services.get(name) {
+            return Rc::clone(service);
+        }
+        let reuse = ReuseLedger::new(name, self.clock, self.connections_measure.clone());
+        let service = Rc::new(ServiceSight::new(reuse));
+        self.services.insert(name.to_string(), Rc::clone(&service));
+        service
     }
 
     /// Notes a server's entry. One of an earlier incarnation that comes late changes nothing.
@@ -119,8 +123,8 @@
     fn insert(&mut self, record: ServerRecord) {
         let id = record.id.clone();
         let said = self.departed.said_by(&record);
-        let ledger = self.ledger(&record.service);
-        let server = Server::new(record, said, self.clock, ledger);
+        let service = self.service(&record.service);
+        let server = Server::new(record, said, self.clock, service);
         self.keys.insert(server.fingerprint(), server.key);
         self.ids.insert(server.key, id.clone());
         self.by_id.insert(id, Rc::new(server));
--- a/crates/tinbay-gateway/src/servers/server.rs
+++ b/crates/tinbay-gateway/src/servers/server.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
+use tinbay_core::pace::slowness::{MOST_SLOW_START_MS, SLOW_START, Slowness, slowed_load};
 use tinbay_core::serving::contents::AdapterKey;
 use tinbay_core::serving::fading::faded;
 use tinbay_core::serving::notices::AnswerNotice;
@@ -14,12 +15,12 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::departed::SharedSaid;
+use super::service::ServiceSight;
 use super::usage::Usage;
 use super::view::{View, ViewEntry};
 use crate::clock::Clock;
 use crate::crashes::check::CutRequest;
 use crate::http::pool::Pool;
-use crate::http::reuse::ReuseLedger;
 
 /// Weight of a new head's time.
 const DELAY_WEIGHT: f64 = 0.15;
@@ -34,6 +35,12 @@
 /// then, and one request shows whether it is there after all.
 const DISPLACED_LIFE_MS: Millis = 10_000;
 
+/// Part of the answers of a service that are no slower than the usual one.
+const USUAL_PART: f64 = 0.5;
+
+/// Part of the objective that a request takes at an idle server, until answers tell.
+const OWN_PART: f64 = 0.2;
+
 /// One incarnation of a server.
 #[derive(Debug)]
 pub struct Server {
@@ -56,6 +63,12 @@
     pub(super) record: RefCell<Rc<ServerRecord>>,
     /// What it said of itself, which outlasts its entry.
     pub(super) said: SharedSaid,
+    clock: Clock,
+    service: Rc<ServiceSight>,
+    /// Its speed against the service's, by answers of this box.
+    slowness: Cell<Slowness>,
+    /// Until when it is slow from its start.
+    slow_until_ms: Cell<Millis>,
     mistrust: Cell<(f64, Millis)>,
     displaced_until_ms: Cell<Millis>,
     /// Its limit as it was last told, by a line and to others.
@@ -96,7 +109,7 @@
         record: ServerRecord,
         said: SharedSaid,
         clock: Clock,
-        ledger: Rc<ReuseLedger>,
+        service: Rc<ServiceSight>,
     ) -> Self {
         let key = server_key(&record);
         let server = Self {
@@ -107,7 +120,16 @@
             view: RefCell::default(),
             usage: RefCell::default(),
             cut: RefCell::default(),
-            pool: Rc::new(Pool::new(key, record.address, clock, ledger)),
+            pool: Rc::new(Pool::new(
+                key,
+                record.address,
+                clock,
+                Rc::clone(&service.reuse),
+            )),
+            clock,
+            service,
+            slowness: Cell::default(),
+            slow_until_ms: Cell::default(),
             record: RefCell::new(Rc::new(record.clone())),
             said,
             mistrust: Cell::default(),
@@ -116,6 +138,7 @@
             at_limit_until_ms: Cell::default(),
             delay: Cell::default(),
         };
+        server.note_slow_start(record.slow_for_ms);
         server.set_record(record);
         server
     }
@@ -126,6 +149,10 @@
         if record.state == ServerState::Draining {
             self.said.borrow_mut().note_leaving();
         }
+        // An entry that comes again, as it was, tells nothing new of the time that is left.
+        if record.slow_for_ms != self.record().slow_for_ms {
+            self.note_slow_start(record.slow_for_ms);
+        }
         let state = if self.is_leaving() {
             ServerState::Draining
         } else {
@@ -134,6 +161,42 @@
         *self.record.borrow_mut() = Rc::new(ServerRecord { state, ..record });
     }
 
+    fn note_slow_start(&self, slow_for_ms: Millis) {
+        let slow_for_ms = slow_for_ms.min(MOST_SLOW_START_MS);
+        self.slow_until_ms.set(self.clock.now_ms() + slow_for_ms);
+    }
+
+    /// Notes how long an answer took that needed nothing special of the server.
+    pub fn note_answer_time(&self, took_ms: f64, now_ms: Millis) {
+        let mut times = self.service.times.borrow_mut();
+        if let Some(usual_ms) = times.quantile_ms(USUAL_PART) {
+            let mut slowness = self.slowness.get();
+            slowness.note(usual_ms, took_ms, now_ms);
+            self.slowness.set(slowness);
+        }
+        times.note(took_ms, now_ms);
+    }
+
+    /// How busy it counts with such a load, by its speed against its service's.
+    pub fn slowed_load(&self, load: f64, objective_ms: Millis, now_ms: Millis) -> f64 {
+        let usual_ms = self.service.times.borrow().quantile_ms(USUAL_PART);
+        let own_part = usual_ms.map_or(OWN_PART, |usual_ms| usual_ms / objective_ms.max(1) as f64);
+        slowed_load(load, own_part, self.slowness_factor(now_ms))
+    }
+
+    fn slowness_factor(&self, now_ms: Millis) -> f64 {
+        let seen = self.slowness.get().factor(now_ms);
+        if now_ms < self.slow_until_ms.get() {
+            return seen.max(SLOW_START);
+        }
+        seen
+    }
+
+    /// What the servers of its service have in common.
+    pub fn service(&self) -> &ServiceSight {
+        &self.service
+    }
+
     /// Notes what it says of itself in an answer of its own.
     pub fn note_said(&self, notice: AnswerNotice, now_ms: Millis) {
         self.said.borrow_mut().note(notice, now_ms);
--- a/crates/tinbay-gateway/tests/servers_test.rs
+++ b/crates/tinbay-gateway/tests/servers_test.rs
@@ -16,6 +16,7 @@
         slots: 8,
         state: ServerState::Ready,
         remaining_ms: None,
+        slow_for_ms: 0,
         order_count: 0,
         models: Vec::new(),
         adapters: Vec::new(),
