Plain requests that may be repeated go to a second server after their service's late answers

What callers saw: at a server that was silent or slow for moments, a request that may run twice waited for four times the expected time, 100 ms at least, before it was sent elsewhere; where an answer must come within 100 to 150 ms that is too late. Change: after the 95th percentile of its service's answer times (pace), such a request goes to a second server as well, on a connection that is trusted; the first answer that begins without a server error is taken and the other send ends with its connection. Never for requests that may run once, for adapters, beyond the route's servers, before 20 answers are known, where the second could not answer in time, or at servers that name limits. Half of the budget of second sends at most, the rest is for failures. A send that is not awaited any more is noted with its wait, or slow answers would vanish from the window. Weighed: awaiting the whole body before a winner is named: plain answers come in one piece, and both bodies would have to be kept. Lines hedge, measure tinbay_hedged_sends_total (first_won, second_won, failed, no_server, no_budget).

--- a/crates/tinbay-core/src/lib.rs
+++ b/crates/tinbay-core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod crashes;
 pub mod engine;
 pub mod fence;
+pub mod hedge;
 pub mod ids;
 pub mod keys;
 pub mod limits;
--- /dev/null
+++ b/crates/tinbay-core/tests/hedge_test.rs
@@ -0,0 +1,113 @@
+//! When a request is sent to a second server, and what is left of the budget for failures.
+
+use quickcheck::QuickCheck;
+use tinbay_core::hedge::{HedgeCase, hedge_after_ms};
+use tinbay_core::pace::answer_times::AnswerTimes;
+use tinbay_core::serving::budget::{BudgetTerms, SendBudget};
+use tinbay_core::units::Millis;
+
+const TERMS: BudgetTerms = BudgetTerms {
+    ratio: 0.2,
+    extra: 180.0,
+    window_ms: 10_000,
+};
+
+fn case() -> HedgeCase {
+    HedgeCase {
+        is_repeatable: true,
+        is_plain: true,
+        sends_left: 1,
+        left_ms: 600,
+    }
+}
+
+/// Answers of 20 ms, one in ten of 60 ms.
+fn times() -> AnswerTimes {
+    let mut times = AnswerTimes::default();
+    for number in 0..100 {
+        let took_ms = if number % 10 == 0 { 60.0 } else { 20.0 };
+        times.note(took_ms, 0);
+    }
+    times
+}
+
+/// A server is silent for moments, and the objective is 100 ms.
+#[test]
+fn hedge_after_the_services_own_late_answers() {
+    let after_ms = hedge_after_ms(&case(), &times()).expect("it may run twice");
+    assert!((60..=67).contains(&after_ms), "{after_ms}");
+}
+
+#[test]
+fn hedge_of_what_may_run_once_is_none() {
+    let once = HedgeCase {
+        is_repeatable: false,
+        ..case()
+    };
+    assert_eq!(hedge_after_ms(&once, &times()), None);
+}
+
+#[test]
+fn hedge_of_what_needs_an_adapter_is_none() {
+    let adapter = HedgeCase {
+        is_plain: false,
+        ..case()
+    };
+    assert_eq!(hedge_after_ms(&adapter, &times()), None);
+}
+
+#[test]
+fn hedge_beyond_the_routes_servers_is_none() {
+    let last = HedgeCase {
+        sends_left: 0,
+        ..case()
+    };
+    assert_eq!(hedge_after_ms(&last, &times()), None);
+}
+
+#[test]
+fn hedge_that_would_come_too_late_is_none() {
+    let late = HedgeCase {
+        left_ms: 70,
+        ..case()
+    };
+    assert_eq!(hedge_after_ms(&late, &times()), None);
+}
+
+#[test]
+fn hedge_before_answers_are_known_is_none() {
+    assert_eq!(hedge_after_ms(&case(), &AnswerTimes::default()), None);
+}
+
+#[test]
+fn hedge_of_any_case_waits_and_leaves_time() {
+    fn holds(is_repeatable: bool, is_plain: bool, sends_left: u32, left_ms: u16) -> bool {
+        let case = HedgeCase {
+            is_repeatable,
+            is_plain,
+            sends_left,
+            left_ms: Millis::from(left_ms),
+        };
+        let may = is_repeatable && is_plain && sends_left > 0;
+        hedge_after_ms(&case, &times())
+            .is_none_or(|after_ms| may && after_ms > 0 && after_ms < case.left_ms)
+    }
+    QuickCheck::new().quickcheck(holds as fn(bool, bool, u32, u16) -> bool);
+}
+
+/// All servers slow down at once, and every request would be sent twice: half of what may be sent a
+/// second time is left for servers that fail.
+#[test]
+fn budget_of_hedges_leaves_half_for_failures() {
+    let mut budget = SendBudget::default();
+    for now_ms in 0..1_000 {
+        budget.note_first(now_ms);
+    }
+    let count = |is_taken: &mut dyn FnMut() -> bool| (0..1_000).filter(|_| is_taken()).count();
+    let hedged = count(&mut || budget.take_hedge(&TERMS, 1, 1_000));
+    let failed = count(&mut || budget.take_second(&TERMS, 1, 1_000));
+    assert!(hedged > 0);
+    assert!(failed >= hedged);
+    let allowed = TERMS.ratio * 1_000.0 + TERMS.extra;
+    assert!((hedged + failed) as f64 <= allowed);
+}
--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -11,6 +11,7 @@
 use super::attempt::{AttemptResult, AttemptTerms, BegunAnswer, UnknownCause, attempt};
 use super::choice::{self, Asked, Choice};
 use super::headers::{self, ServerHeaders};
+use super::hedge::{self, HedgeTerms, Outgoing};
 use super::question::{LastSend, Question};
 use super::refusal::{NotRunReason, Refusal};
 use super::request_log::{Ending, log_end, log_try};
@@ -50,7 +51,7 @@
 const MISTRUST_DECLINED: f64 = 0.5;
 
 /// What is known of a request's tries so far.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 struct Tries {
     tried: Vec<String>,
     ends: AttemptEnds,
@@ -97,9 +98,14 @@
             return Err(give_up(node, question, &tries));
         };
         body = sent.repeat();
-        let sent_ms = node.now_ms();
         let before_ms = node.backlog_ms(&server);
-        let result = try_server(node, question, &tries, sent, &server, permit).await;
+        let outgoing = Outgoing {
+            server,
+            body: sent,
+            permit,
+        };
+        let sent = send_hedged(node, question, &mut tries, outgoing).await;
+        let (server, sent_ms, result) = (sent.server, sent.sent_ms, sent.result);
         if matches!(result, AttemptResult::Begun(_)) {
             node.note_reading(question, before_ms, node.now_ms() - sent_ms);
             note_pace(node, question, &server, sent_ms);
@@ -147,6 +153,39 @@
     }
 }
 
+/// Sends a request to a server, and to a second one where it may run twice and the first is late.
+async fn send_hedged(
+    node: &Node,
+    question: &Question,
+    tries: &mut Tries,
+    outgoing: Outgoing,
+) -> hedge::Sent {
+    let most_sends = question.route.most_attempts.saturating_sub(tries.runs);
+    let terms = HedgeTerms {
+        tried: &tries.tried,
+        sends_left: most_sends.saturating_sub(1),
+    };
+    let send_to = async |outgoing: Outgoing, sends_under_way: u32| {
+        let runs = tries.runs + sends_under_way;
+        let tries = Tries {
+            runs,
+            ..tries.clone()
+        };
+        let Outgoing {
+            server,
+            body,
+            permit,
+        } = outgoing;
+        try_server(node, question, &tries, body, &server, permit).await
+    };
+    let sent = hedge::send(node, question, terms, outgoing, send_to).await;
+    if let Some(failed) = &sent.failed {
+        failed.server.add_mistrust(MISTRUST_UNKNOWN, node.now_ms());
+        tries.note(&failed.server, failed.end);
+    }
+    sent
+}
+
 /// A full server is left alone for a while; one that lacks the adapter is known to lack it.
 fn note_declined(node: &Node, question: &Question, server: &Server, status: StatusCode) {
     match question.model_key {
--- /dev/null
+++ b/crates/tinbay-gateway/src/front/hedge.rs
@@ -0,0 +1,290 @@
+//! Sends a request that may be repeated to a second server where the first one is late, and takes
+//! the answer that begins first; the other send ends with its connection.
+
+use std::pin::{Pin, pin};
+use std::rc::Rc;
+use std::time::Duration;
+
+use log::Level;
+use serde::Serialize;
+use tinbay_core::hedge::{HedgeCase, hedge_after_ms};
+use tinbay_core::retry::AttemptEnd;
+use tinbay_core::units::Millis;
+
+use super::attempt::AttemptResult;
+use super::choice::{self, Asked, Choice};
+use super::question::Question;
+use crate::events::{self, part};
+use crate::http::body::RequestBody;
+use crate::limits::permits::{self, Permit};
+use crate::node::Node;
+use crate::servers::Server;
+
+/// A send that is about to be made.
+pub struct Outgoing {
+    /// To which server.
+    pub server: Rc<Server>,
+    /// The caller's body.
+    pub body: RequestBody,
+    /// Leave to send it.
+    pub permit: Permit,
+}
+
+/// What came of a request at one server, or at two.
+pub struct Sent {
+    /// The server that the result is of.
+    pub server: Rc<Server>,
+    /// When it was sent there.
+    pub sent_ms: Millis,
+    /// The result.
+    pub result: AttemptResult,
+    /// The other server, where that one failed before.
+    pub failed: Option<FailedSend>,
+}
+
+/// One of two sends that failed before the other one ended.
+pub struct FailedSend {
+    /// To which server.
+    pub server: Rc<Server>,
+    /// How it ended.
+    pub end: AttemptEnd,
+}
+
+/// What a request's sends before this one leave to it.
+#[derive(Debug, Clone, Copy)]
+pub struct HedgeTerms<'a> {
+    /// Servers that it was sent to before.
+    pub tried: &'a [String],
+    /// Servers that it may be sent to beyond the first of these.
+    pub sends_left: u32,
+}
+
+/// What became of a second send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum HedgeOutcome {
+    FirstWon,
+    SecondWon,
+    Failed,
+    NoServer,
+    NoBudget,
+}
+
+impl HedgeOutcome {
+    fn won_by(is_first: bool) -> Self {
+        if is_first {
+            HedgeOutcome::FirstWon
+        } else {
+            HedgeOutcome::SecondWon
+        }
+    }
+
+    fn name(self) -> &'static str {
+        match self {
+            HedgeOutcome::FirstWon => "first_won",
+            HedgeOutcome::SecondWon => "second_won",
+            HedgeOutcome::Failed => "failed",
+            HedgeOutcome::NoServer => "no_server",
+            HedgeOutcome::NoBudget => "no_budget",
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct HedgeEvent<'a> {
+    request: &'a str,
+    first: &'a str,
+    second: &'a str,
+    after_ms: Millis,
+    outcome: &'static str,
+}
+
+/// One of two sends, as it ended.
+struct Ended {
+    server: Rc<Server>,
+    sent_ms: Millis,
+    result: AttemptResult,
+}
+
+impl Ended {
+    fn alone(self) -> Sent {
+        Sent {
+            server: self.server,
+            sent_ms: self.sent_ms,
+            result: self.result,
+            failed: None,
+        }
+    }
+
+    fn after(self, failed: FailedSend) -> Sent {
+        Sent {
+            failed: Some(failed),
+            ..self.alone()
+        }
+    }
+
+    /// Whether it is an answer for the caller, so that the other one need not be awaited.
+    fn is_answer(&self) -> bool {
+        match &self.result {
+            AttemptResult::Begun(answer) => !answer.response.status().is_server_error(),
+            _ => false,
+        }
+    }
+
+    fn failure(&self) -> FailedSend {
+        let end = match &self.result {
+            AttemptResult::Begun(_) | AttemptResult::Unknown { .. } => AttemptEnd::Unknown,
+            AttemptResult::Declined { .. }
+            | AttemptResult::Displaced
+            | AttemptResult::Withdrawn { .. }
+            | AttemptResult::NotSent { .. } => AttemptEnd::NotRun,
+        };
+        FailedSend {
+            server: Rc::clone(&self.server),
+            end,
+        }
+    }
+}
+
+/// Sends a request by `send_to`, which is told how many sends of it are under way; to a second
+/// server as well where that is allowed and the first one is late.
+pub async fn send(
+    node: &Node,
+    question: &Question,
+    terms: HedgeTerms<'_>,
+    first: Outgoing,
+    send_to: impl AsyncFn(Outgoing, u32) -> AttemptResult,
+) -> Sent {
+    let spare = first.body.repeat();
+    let after_ms = after_ms(node, question, &terms, &first.server);
+    let server = Rc::clone(&first.server);
+    let mut sending = pin!(end_of(node, first, 0, &send_to));
+    let Some((after_ms, body)) = after_ms.zip(spare) else {
+        return sending.await.alone();
+    };
+    let wait = Duration::from_millis(after_ms);
+    if let Ok(ended) = tokio::time::timeout(wait, &mut sending).await {
+        return ended.alone();
+    }
+    let second = match second_send(node, question, &terms, &server, body).await {
+        Ok(second) => second,
+        Err(outcome) => {
+            count(node, outcome);
+            return sending.await.alone();
+        }
+    };
+    let second_server = Rc::clone(&second.server);
+    let second_sending = pin!(end_of(node, second, 1, &send_to));
+    let (sent, outcome) = race(sending, second_sending).await;
+    if outcome == HedgeOutcome::SecondWon && sent.failed.is_none() {
+        // The first one is not awaited any more: it is noted with the slow ones, or all that is slow
+        // would vanish from what is known of answer times.
+        server.note_answer_time(after_ms as f64, node.now_ms());
+    }
+    count(node, outcome);
+    let event = HedgeEvent {
+        request: &question.id,
+        first: &server.record().id,
+        second: &second_server.record().id,
+        after_ms,
+        outcome: outcome.name(),
+    };
+    events::emit(part::FRONT, Level::Info, "hedge", &event);
+    sent
+}
+
+async fn end_of(
+    node: &Node,
+    outgoing: Outgoing,
+    sends_under_way: u32,
+    send_to: &impl AsyncFn(Outgoing, u32) -> AttemptResult,
+) -> Ended {
+    let server = Rc::clone(&outgoing.server);
+    let sent_ms = node.now_ms();
+    let result = send_to(outgoing, sends_under_way).await;
+    Ended {
+        server,
+        sent_ms,
+        result,
+    }
+}
+
+/// The first of two sends that is an answer, or the last one to fail.
+async fn race(
+    mut first: Pin<&mut impl Future<Output = Ended>>,
+    mut second: Pin<&mut impl Future<Output = Ended>>,
+) -> (Sent, HedgeOutcome) {
+    let (ended, is_first) = tokio::select! {
+        biased;
+        ended = &mut first => (ended, true),
+        ended = &mut second => (ended, false),
+    };
+    if ended.is_answer() {
+        return (ended.alone(), HedgeOutcome::won_by(is_first));
+    }
+    let failed = ended.failure();
+    let other = if is_first { second.await } else { first.await };
+    let outcome = if other.is_answer() {
+        HedgeOutcome::won_by(!is_first)
+    } else {
+        HedgeOutcome::Failed
+    };
+    (other.after(failed), outcome)
+}
+
+/// Wait after which a second server gets the request too. One that names a limit is not hurried: it
+/// is in need, and so may the others be.
+fn after_ms(
+    node: &Node,
+    question: &Question,
+    terms: &HedgeTerms<'_>,
+    first: &Server,
+) -> Option<Millis> {
+    let case = HedgeCase {
+        is_repeatable: question.is_repeatable(),
+        is_plain: question.model.is_none(),
+        sends_left: terms.sends_left,
+        left_ms: question.time_up_ms.saturating_sub(node.now_ms()),
+    };
+    if first.limit_per_s().is_some() {
+        return None;
+    }
+    hedge_after_ms(&case, &first.service().times.borrow())
+}
+
+/// The second send, if there is a server for it and the budget holds one.
+async fn second_send(
+    node: &Node,
+    question: &Question,
+    terms: &HedgeTerms<'_>,
+    first: &Server,
+    body: RequestBody,
+) -> Result<Outgoing, HedgeOutcome> {
+    let mut tried = terms.tried.to_vec();
+    tried.push(first.record().id.clone());
+    let server = match choice::choose(node, question, &tried, &Asked::default()) {
+        Choice::Send { server, .. } if server.limit_per_s().is_none() => server,
+        _ => return Err(HedgeOutcome::NoServer),
+    };
+    let permit = permits::take(node, &server).await;
+    let permit = permit.ok_or(HedgeOutcome::NoServer)?;
+    if !takes_budget(node, question) {
+        return Err(HedgeOutcome::NoBudget);
+    }
+    Ok(Outgoing {
+        server,
+        body,
+        permit,
+    })
+}
+
+fn takes_budget(node: &Node, question: &Question) -> bool {
+    let terms = node.settings.borrow().bounds.second_sends;
+    let mut budgets = node.budgets.borrow_mut();
+    let budget = budgets.entry(question.service.clone()).or_default();
+    budget.take_hedge(&terms, node.box_count.get(), node.now_ms())
+}
+
+fn count(node: &Node, outcome: HedgeOutcome) {
+    let measure = &node.metrics.hedged_sends;
+    measure.with_label_values(&[outcome.name()]).inc();
+}
--- a/crates/tinbay-gateway/src/front/mod.rs
+++ b/crates/tinbay-gateway/src/front/mod.rs
@@ -6,6 +6,7 @@
 pub mod deliver;
 pub mod filters;
 pub mod headers;
+pub mod hedge;
 pub mod listener;
 pub mod question;
 pub mod refusal;
--- a/crates/tinbay-gateway/src/metrics.rs
+++ b/crates/tinbay-gateway/src/metrics.rs
@@ -31,6 +31,8 @@
     pub stall_seconds: HistogramVec,
     /// Sends beyond a request's first, by outcome.
     pub second_sends: IntCounterVec,
+    /// Requests sent to a second server as the first was late, by outcome.
+    pub hedged_sends: IntCounterVec,
     /// Connections to servers: opened, and what became of kept ones.
     pub server_connections: IntCounterVec,
     /// Calls to the store, by call and outcome.
@@ -95,6 +97,11 @@
             head_seconds: histogram("tinbay_head_seconds", "Time to the head", &["kind"])?,
             stall_seconds: histogram("tinbay_stall_seconds", "Time until sent", &["kind"])?,
             second_sends: counter("tinbay_second_sends_total", "Second sends", &["outcome"])?,
+            hedged_sends: counter(
+                "tinbay_hedged_sends_total",
+                "Requests sent to a second server as the first was late",
+                &["outcome"],
+            )?,
             server_connections: counter(
                 "tinbay_server_connections_total",
                 "Connections to servers",
