--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -12,6 +12,7 @@
 use super::attempt::{AttemptResult, AttemptTerms, BegunAnswer, UnknownCause, attempt};
 use super::choice::{self, Asked, Choice};
 use super::headers::{self, ServerHeaders};
+use super::hedge::{self, HedgeTerms, Outgoing};
 use super::moving;
 use super::question::{LastSend, Question};
 use super::refusal::{NotRunReason, Refusal};
@@ -52,7 +53,7 @@
 const MISTRUST_DECLINED: f64 = 0.5;
 
 /// What is known of a request's tries so far.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 struct Tries {
     tried: Vec<String>,
     ends: AttemptEnds,
@@ -99,12 +100,18 @@
             return Err(give_up(node, question, &tries));
         };
         body = sent.repeat();
-        let sent_ms = node.now_ms();
         let before_ms = node.backlog_ms(&server);
         moving::prepare(node, question, &server);
-        let result = try_server(node, question, &tries, sent, &server, permit).await;
+        let outgoing = Outgoing {
+            server,
+            body: sent,
+            permit,
+        };
+        let sent = send_hedged(node, question, &mut tries, outgoing).await;
+        let (server, sent_ms, result) = (sent.server, sent.sent_ms, sent.result);
         if matches!(result, AttemptResult::Begun(_)) {
             node.note_reading(question, before_ms, node.now_ms() - sent_ms);
+            note_pace(node, question, &server, sent_ms);
         }
         note_delay(node, question, &server, sent_ms);
         log_try(node, question, &server, &result);
@@ -149,6 +156,39 @@
     }
 }
 
+/// Sends a request to a server, and to a second one where it may run twice and the first is late.
+async fn send_hedged(
+    node: &Node,
+    question: &Question,
+    tries: &mut Tries,
+    outgoing: Outgoing,
+) -> hedge::Sent {
+    let most_sends = question.route.most_attempts.saturating_sub(tries.runs);
+    let terms = HedgeTerms {
+        tried: &tries.tried,
+        sends_left: most_sends.saturating_sub(1),
+    };
+    let send_to = async |outgoing: Outgoing, sends_under_way: u32| {
+        let runs = tries.runs + sends_under_way;
+        let tries = Tries {
+            runs,
+            ..tries.clone()
+        };
+        let Outgoing {
+            server,
+            body,
+            permit,
+        } = outgoing;
+        try_server(node, question, &tries, body, &server, permit).await
+    };
+    let sent = hedge::send(node, question, terms, outgoing, send_to).await;
+    if let Some(failed) = &sent.failed {
+        failed.server.add_mistrust(MISTRUST_UNKNOWN, node.now_ms());
+        tries.note(&failed.server, failed.end);
+    }
+    sent
+}
+
 /// A full server is left alone for a while; one that lacks the adapter is known to lack it.
 fn note_declined(node: &Node, question: &Question, server: &Server, status: StatusCode) {
     match question.model_key {
@@ -187,6 +227,14 @@
     give_up(node, question, tries)
 }
 
+/// The speed of a server that does the same work as the others of its service.
+fn note_pace(node: &Node, question: &Question, server: &Server, sent_ms: Millis) {
+    if question.model.is_none() {
+        let now_ms = node.now_ms();
+        server.note_answer_time((now_ms - sent_ms) as f64, now_ms);
+    }
+}
+
 fn note_delay(node: &Node, question: &Question, server: &Server, sent_ms: Millis) {
     let now_ms = node.now_ms();
     let objective_ms = question.route.objective_ms.max(1) as f64;
@@ -207,11 +255,12 @@
     let head_by_ms = question.time_up_ms.min(sent.time_up_ms + BEGIN_MARGIN_MS);
     let left_ms = head_by_ms.saturating_sub(now_ms);
     let is_last = !may_run_again(question, tries);
+    let silent_after_ms = silent_after_ms(node, question, server);
     let record = server.record();
     let terms = AttemptTerms {
         server,
         most_open: most_open(node, question),
-        trust: if is_last { Trust::JustUsed } else { Trust::Any },
+        trust: if is_last { Trust::RunsOnce } else { Trust::Any },
         headers: ServerHeaders {
             deadline_ms: sent.time_up_ms.saturating_sub(now_ms),
             server_id: &record.id,
@@ -225,8 +274,9 @@
         head_within: if is_last {
             Duration::from_millis(left_ms)
         } else {
-            Duration::from_millis(left_ms.min(silent_after_ms(node, question, server)))
+            Duration::from_millis(left_ms.min(silent_after_ms))
         },
+        silent_after: Duration::from_millis(silent_after_ms),
     };
     attempt(node, question, body, terms).await
 }
--- a/crates/tinbay-gateway/src/front/mod.rs
+++ b/crates/tinbay-gateway/src/front/mod.rs
@@ -8,6 +8,7 @@
 pub mod deliver;
 pub mod filters;
 pub mod headers;
+pub mod hedge;
 pub mod listener;
 pub mod moving;
 pub mod question;
--- a/crates/tinbay-gateway/src/front/moving/mover.rs
+++ b/crates/tinbay-gateway/src/front/moving/mover.rs
@@ -168,7 +168,7 @@
         let terms = AttemptTerms {
             server: &server,
             most_open: most_open(&self.node, &self.question),
-            trust: Trust::JustUsed,
+            trust: Trust::RunsOnce,
             headers: ServerHeaders {
                 deadline_ms: left_ms,
                 server_id: &record.id,
@@ -183,6 +183,7 @@
             permit,
             reading_tokens: 0,
             head_within: RESUME_WITHIN.min(Duration::from_millis(left_ms)),
+            silent_after: RESUME_WITHIN,
         };
         match attempt(&self.node, &self.question, body, terms).await {
             AttemptResult::Begun(answer) if answer.response.status() == StatusCode::OK => {
--- a/crates/tinbay-gateway/src/http/mod.rs
+++ b/crates/tinbay-gateway/src/http/mod.rs
@@ -6,4 +6,5 @@
 pub mod pool;
 pub mod pooled;
 pub mod relay;
+pub mod reuse;
 pub mod silence;
--- a/crates/tinbay-gateway/src/http/pooled.rs
+++ b/crates/tinbay-gateway/src/http/pooled.rs
@@ -31,7 +31,7 @@
     mut request: Request<RequestBody>,
 ) -> Result<Reply, CallError> {
     loop {
-        let connected = pool.get(most_open, Trust::JustUsed).await;
+        let connected = pool.get(most_open, Trust::RunsOnce).await;
         let mut connection = connected.map_err(|_| CallError::NotConnected)?;
         let response = match connection.sender.try_send_request(request).await {
             Ok(response) => response,
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -179,6 +179,7 @@
     ) -> Self {
         let members = Members::new(&settings.zone);
         let clock = Clock::start();
+        let servers = ServerTable::new(clock).with_measure(metrics.server_connections.clone());
         Self {
             settings: RefCell::new(settings),
             dialect,
@@ -193,7 +194,7 @@
             metrics,
             in_force: RefCell::default(),
             versions: RefCell::default(),
-            servers: RefCell::new(ServerTable::new(clock)),
+            servers: RefCell::new(servers),
             members: RefCell::new(members),
             claims: RefCell::default(),
             proof: Cell::default(),
@@ -489,7 +490,8 @@
         let busyness = self.busyness(server, now_ms);
         let fullness = self.running(server) as f64 / server.record().slots.max(1) as f64;
         let backlog = busyness.backlog_ms / objective_ms.max(1) as f64;
-        fullness + backlog + DELAY_PART * busyness.delay.max(server.delay(now_ms))
+        let slowed = server.slowed_load(fullness + backlog, objective_ms, now_ms);
+        slowed + DELAY_PART * busyness.delay.max(server.delay(now_ms))
     }
 
     /// Requests of all boxes that run at a server, as far as this box knows.
--- a/crates/tinbay-gateway/src/servers/mod.rs
+++ b/crates/tinbay-gateway/src/servers/mod.rs
@@ -3,18 +3,22 @@
 mod departed;
 pub mod notices;
 pub mod server;
+pub mod service;
 pub mod usage;
 pub mod view;
 
 use std::collections::HashMap;
 use std::rc::Rc;
 
+use prometheus::IntCounterVec;
 pub use server::{RunningRequest, Server};
 use tinbay_core::serving::servers::{Fingerprint, ServerKey, ServerRecord};
 use tinbay_core::units::Millis;
 
 use self::departed::Departed;
+use self::service::ServiceSight;
 use crate::clock::Clock;
+use crate::http::reuse::ReuseLedger;
 
 /// All servers known, each in its newest incarnation.
 #[derive(Debug)]
@@ -24,6 +28,8 @@
     ids: HashMap<ServerKey, String>,
     keys: HashMap<Fingerprint, ServerKey>,
     departed: Departed,
+    services: HashMap<String, Rc<ServiceSight>>,
+    connections_measure: Option<IntCounterVec>,
 }
 
 /// What a record changed.
@@ -60,9 +66,29 @@
             ids: HashMap::new(),
             keys: HashMap::new(),
             departed: Departed::default(),
+            services: HashMap::new(),
+            connections_measure: None,
         }
     }
 
+    /// The same with a measure of what becomes of connections to servers.
+    pub fn with_measure(self, measure: IntCounterVec) -> Self {
+        Self {
+            connections_measure: Some(measure),
+            ..self
+        }
+    }
+
+    fn service(&mut self, name: &str) -> Rc<ServiceSight> {
+        if let Some(service) = self.services.get(name) {
+            return Rc::clone(service);
+        }
+        let reuse = ReuseLedger::new(name, self.clock, self.connections_measure.clone());
+        let service = Rc::new(ServiceSight::new(reuse));
+        self.services.insert(name.to_string(), Rc::clone(&service));
+        service
+    }
+
     /// Notes a server's entry. One of an earlier incarnation that comes late changes nothing.
     ///
     /// A new incarnation is another server under the same name: it gets a key, a view and connections
@@ -97,7 +123,8 @@
     fn insert(&mut self, record: ServerRecord) {
         let id = record.id.clone();
         let said = self.departed.said_by(&record);
-        let server = Server::new(record, said, self.clock);
+        let service = self.service(&record.service);
+        let server = Server::new(record, said, self.clock, service);
         self.keys.insert(server.fingerprint(), server.key);
         self.ids.insert(server.key, id.clone());
         self.by_id.insert(id, Rc::new(server));
