Runs are handed over where adapters have places at two engines each

Ruled out: too few or too many readers (0.3 to 0.5), homes that are not spread, loads for rare adapters. So engines are parted only where half of the places hold all adapters.

--- a/crates/tinbay-core/src/handover/roles.rs
+++ b/crates/tinbay-core/src/handover/roles.rs
@@ -8,23 +8,33 @@
 
 use crate::rendezvous;
 
-/// Part of a zone's engines that read for the others. Too few are worse than none, as prompts wait for
-/// them; more leave too little room for running streams.
-const READERS_PART: f64 = 0.35;
+/// Part of a zone's engines that read for the others. Too few are worse than none, as all prompts wait
+/// for them; more leave too little room for running streams.
+const READERS_PART: f64 = 0.45;
 
 /// Least engines of a zone of which some read for others.
 const LEAST_ENGINES: usize = 3;
 
+/// Part of all places for adapters that the adapters of a service may take where its engines are parted:
+/// each has to be held at two engines. Where places are short, what is loaded twice costs more than
+/// streams gain.
+const MOST_PLACES_PART: f64 = 0.5;
+
+/// Whether adapters have places enough to be held at two engines each.
+pub fn has_places_for_two(adapters: usize, engines: usize, places_an_engine: usize) -> bool {
+    let places = engines.saturating_mul(places_an_engine);
+    adapters as f64 <= MOST_PLACES_PART * places as f64
+}
+
 /// Name by which roles are drawn.
 const DRAW: &str = "readers";
 
 /// What an engine does for its service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Role {
-    /// Reads prompts for adapters that are much asked for; their runs move on.
+    /// Reads prompts; their runs move on.
     Reader,
-    /// Goes on with such runs, and serves requests for rare adapters whole: to hold these at two
-    /// engines would cost more loads than it saves.
+    /// Goes on with runs that readers began.
     Home,
 }
 
--- a/crates/tinbay-core/src/serving/configuration.rs
+++ b/crates/tinbay-core/src/serving/configuration.rs
@@ -125,6 +125,15 @@
     pub weights_mb: f64,
     /// Memory of one adapter.
     pub adapter_mb: f64,
+    /// Adapters that it has.
+    pub adapters: usize,
+}
+
+impl EngineSpec {
+    /// Adapters of all its models.
+    pub fn adapters(&self) -> usize {
+        self.models.iter().map(|model| model.adapters).sum()
+    }
 }
 
 /// Bounds on what callers send.
--- a/crates/tinbay-core/src/serving/wants.rs
+++ b/crates/tinbay-core/src/serving/wants.rs
@@ -21,9 +21,6 @@
     pub version: Option<u64>,
     /// Whether no request waits for it: it is for one more server of a busy adapter.
     pub is_copy: bool,
-    /// How often it must be asked for, one time soon after the other, before it is wanted: a copy that
-    /// only serves while others ask for it as well is not worth a load for one request.
-    pub least_asks: u8,
 }
 
 #[derive(Debug)]
@@ -31,7 +28,6 @@
     want: Want,
     first_ms: Millis,
     last_ms: Millis,
-    asks: u8,
 }
 
 /// What boxes ask of one server.
@@ -49,15 +45,12 @@
                 want,
                 first_ms: now_ms,
                 last_ms: now_ms,
-                asks: 1,
             };
             self.by_adapter.insert(key, asked);
             return;
         };
         asked.want.version = asked.want.version.max(want.version);
         asked.want.is_copy &= want.is_copy;
-        asked.want.least_asks = asked.want.least_asks.min(want.least_asks);
-        asked.asks = asked.asks.saturating_add(1);
         asked.last_ms = now_ms;
     }
 
@@ -81,8 +74,7 @@
     pub fn current(&mut self, now_ms: Millis) -> Vec<Want> {
         self.by_adapter
             .retain(|_, asked| now_ms < asked.last_ms + ASK_LIFE_MS);
-        let is_wanted = |asked: &&Asked| asked.asks >= asked.want.least_asks;
-        let mut asked: Vec<&Asked> = self.by_adapter.values().filter(is_wanted).collect();
+        let mut asked: Vec<&Asked> = self.by_adapter.values().collect();
         asked.sort_by(|left, right| {
             let order = |asked: &Asked| (asked.want.is_copy, asked.first_ms);
             let by_order = order(left).cmp(&order(right));
--- a/crates/tinbay-core/tests/handover_test.rs
+++ b/crates/tinbay-core/tests/handover_test.rs
@@ -7,7 +7,7 @@
 use tinbay_core::handover::events::EventScanner;
 use tinbay_core::handover::need::ReadingNeed;
 use tinbay_core::handover::reading_room::reads_beside;
-use tinbay_core::handover::roles::{Engine, Role, draw_roles};
+use tinbay_core::handover::roles::{Engine, Role, draw_roles, has_places_for_two};
 
 const STREAM: &str = "id: 1\ndata: a\n\nweight-versions: 2\nid: 2\ndata: b\n\n";
 
@@ -183,6 +183,15 @@
     assert_eq!(count(&roles, Role::Home), 8);
 }
 
+#[test]
+fn roles_need_places_for_adapters_at_two_engines() {
+    assert!(has_places_for_two(0, 90, 11));
+    assert!(has_places_for_two(495, 90, 11));
+    assert!(!has_places_for_two(496, 90, 11));
+    assert!(!has_places_for_two(10_000, 90, 11));
+    assert!(!has_places_for_two(1, 0, 11));
+}
+
 fn resume(at: Place) -> Step {
     Step::Resume {
         at,
--- a/crates/tinbay-core/tests/serving_contents_test.rs
+++ b/crates/tinbay-core/tests/serving_contents_test.rs
@@ -19,6 +19,7 @@
             name: "m".into(),
             weights_mb: 65_100.0,
             adapter_mb: 12.0,
+            adapters: 100,
         }],
     }
 }
@@ -47,7 +48,6 @@
         adapter: adapter.into(),
         version: None,
         is_copy: false,
-        least_asks: 1,
     }
 }
 
@@ -395,7 +395,6 @@
     }
     let copy = Want {
         is_copy: true,
-        least_asks: 1,
         ..want("m/copy")
     };
     assert_eq!(next(&mut contents, &[copy], true, now_ms), None);
--- a/crates/tinbay-core/tests/serving_homes_test.rs
+++ b/crates/tinbay-core/tests/serving_homes_test.rs
@@ -149,7 +149,6 @@
         adapter: adapter.into(),
         version: None,
         is_copy,
-        least_asks: 1,
     }
 }
 
--- a/crates/tinbay-core/tests/serving_late_orders_test.rs
+++ b/crates/tinbay-core/tests/serving_late_orders_test.rs
@@ -229,6 +229,7 @@
             name: "m".into(),
             weights_mb: 65_100.0,
             adapter_mb: 12.0,
+            adapters: 100,
         }],
     }
 }
@@ -322,7 +323,6 @@
             adapter,
             version: None,
             is_copy: false,
-            least_asks: 1,
         };
         self.wants.ask(want, self.now_ms);
     }
--- a/crates/tinbay-gateway/src/front/adapters.rs
+++ b/crates/tinbay-gateway/src/front/adapters.rs
@@ -22,10 +22,6 @@
 /// Longest wait for a server's status where the request could be sent without it.
 const ANSWER_WAIT: Duration = Duration::from_millis(20);
 
-/// How often an adapter must be asked for, one time within a second of the other, before an engine that
-/// reads for others loads it: a load costs a part of a request, and only those that come after gain.
-const LEAST_ASKS_TO_READ: u8 = 3;
-
 /// When a caller comes back that should use another box.
 const RETRY_ELSEWHERE_MS: Millis = 20;
 
@@ -59,10 +55,6 @@
                 let left = Duration::from_millis(last_send_ms.saturating_sub(node.now_ms()));
                 wait_for_load(node, question, &server, LOOK_PAUSE.min(left), &mut asked).await;
             }
-            Choice::Ask(server) => {
-                node.request_load(&server, want_to_read(node, question));
-                refresh_status(node, &server, &mut asked).await;
-            }
             Choice::Nowhere => {
                 let retry_after_ms = permits::return_in_ms(node, &question.service);
                 return Err(Refusal::NoServer { retry_after_ms });
@@ -155,15 +147,6 @@
         adapter: question.model.clone().unwrap_or_default(),
         version: question.named_version(node),
         is_copy,
-        least_asks: 1,
-    }
-}
-
-/// The same for an engine that reads for others: it holds what is asked for again and again.
-pub(super) fn want_to_read(node: &Node, question: &Question) -> Want {
-    Want {
-        least_asks: LEAST_ASKS_TO_READ,
-        ..want(node, question, true)
     }
 }
 
--- a/crates/tinbay-gateway/src/front/apart.rs
+++ b/crates/tinbay-gateway/src/front/apart.rs
@@ -1,12 +1,11 @@
 //! Chooses the server for a prompt where some engines read for others.
 //!
-//! A prompt for an adapter that is much asked for goes to an engine that reads for others, and its run
-//! moves on from there. One that is short enough to be read beside running streams, or that is for a
-//! rare adapter, goes to its home at once and stays there.
+//! A prompt goes to an engine that reads for others, and its run moves on to its home. One that is short
+//! enough to be read beside running streams goes home at once.
 
 use std::rc::Rc;
 
-use tinbay_core::handover::reading_room::{begins_in_time, reads_beside};
+use tinbay_core::handover::reading_room::reads_beside;
 use tinbay_core::serving::homes::Pick;
 
 use super::adapters::is_to_ask;
@@ -23,40 +22,35 @@
     split: &Split,
     asked: &Asked,
 ) -> Choice {
-    if reads_beside_streams(node, question, 0.0) {
-        let homes = Survey::make(node, question, &split.homes, asked);
-        return homes.to_choice(homes.pick());
+    if let Some(choice) = choose_home(node, question, split, asked) {
+        return choice;
     }
     let readers = Survey::make(node, question, &split.readers, asked);
-    if let Some(reader) = readers.best_ready()
-        && (is_to_ask(node, &reader, asked) || reads_in_time(node, question, &reader))
-    {
-        let copy = match readers.pick() {
-            Pick::Send { copy, .. } => copy.map(|position| readers.server(position)),
-            Pick::Load { at } => Some(readers.server(at)),
-            Pick::Nowhere => None,
-        };
-        return Choice::Send {
-            server: reader,
-            copy,
-        };
-    }
-    if let Some(reader) = readers.place_for_copy()
-        && is_to_ask(node, &reader, asked)
-    {
-        return Choice::Ask(reader);
+    match readers.pick() {
+        Pick::Nowhere => {
+            let homes = Survey::make(node, question, &split.homes, asked);
+            homes.to_choice(homes.pick())
+        }
+        pick => readers.to_choice(pick),
     }
-    let homes = Survey::make(node, question, &split.homes, asked);
-    homes.to_choice(homes.pick())
 }
 
-/// Whether an engine that reads for others begins a prompt in time.
-fn reads_in_time(node: &Node, question: &Question, server: &Server) -> bool {
-    let own_ms = node.reading_ms(&question.service, question.prompt.tokens);
-    begins_in_time(
-        node.backlog_ms(server) + own_ms,
-        question.route.objective_ms,
-    )
+/// The home of a request, if its prompt holds up no stream there.
+fn choose_home(node: &Node, question: &Question, split: &Split, asked: &Asked) -> Option<Choice> {
+    if !reads_beside_streams(node, question, 0.0) {
+        return None;
+    }
+    let homes = Survey::make(node, question, &split.homes, asked);
+    let choice = homes.to_choice(homes.pick());
+    let is_fine = match &choice {
+        Choice::Send { server, .. } => {
+            is_to_ask(node, server, asked)
+                || reads_beside_streams(node, question, node.backlog_ms(server))
+        }
+        Choice::Load(_) => true,
+        Choice::Nowhere => false,
+    };
+    is_fine.then_some(choice)
 }
 
 /// Where a request for a base model alone should run.
--- a/crates/tinbay-gateway/src/front/choice.rs
+++ b/crates/tinbay-gateway/src/front/choice.rs
@@ -68,8 +68,6 @@
     },
     /// Wait until the server holds what it needs.
     Load(Rc<Server>),
-    /// Ask for a copy at a server that reads for others, and how that stands.
-    Ask(Rc<Server>),
     /// No server is left.
     Nowhere,
 }
@@ -397,23 +395,6 @@
         Rc::clone(&self.servers[position])
     }
 
-    /// The least busy of its servers that can serve now.
-    pub fn best_ready(&self) -> Option<Rc<Server>> {
-        let ready = self
-            .servers
-            .iter()
-            .zip(&self.candidates)
-            .filter(|(_, candidate)| candidate.presence == Presence::Ready);
-        ready
-            .min_by(|left, right| left.1.load.total_cmp(&right.1.load))
-            .map(|(server, _)| Rc::clone(server))
-    }
-
-    /// The first of its servers, where a copy should be.
-    pub fn place_for_copy(&self) -> Option<Rc<Server>> {
-        self.servers.first().cloned()
-    }
-
     /// The best of its servers.
     pub fn pick(&self) -> Pick {
         pick(&self.candidates, self.copies)
--- a/crates/tinbay-gateway/src/front/moving/mod.rs
+++ b/crates/tinbay-gateway/src/front/moving/mod.rs
@@ -12,6 +12,7 @@
 use hyper::http::response::Parts;
 use log::Level;
 use serde::Serialize;
+use tinbay_core::handover::roles::has_places_for_two;
 use tinbay_core::serving::configuration::RouteKind;
 use tinbay_core::serving::stream_sight::StreamSight;
 
@@ -100,13 +101,13 @@
     entry.map_or(0, |entry| entry.version)
 }
 
+/// Whether runs of a service may move: its engines offer it, and its adapters have places enough.
 fn moves_runs(node: &Node, service: &str) -> bool {
-    let in_force = node.in_force();
-    let engine = in_force.as_ref().and_then(|in_force| {
-        let service = in_force.configuration.services.get(service)?;
-        service.engine.as_ref()
-    });
-    engine.is_some_and(|engine| engine.moves_runs)
+    let Some(engine) = node.engine_spec(service).filter(|engine| engine.moves_runs) else {
+        return false;
+    };
+    let engines = node.splits.engines(&node.servers, service, node.now_ms());
+    has_places_for_two(engine.adapters(), engines, engine.adapter_slots)
 }
 
 #[derive(Serialize)]
--- a/crates/tinbay-gateway/src/front/moving/target.rs
+++ b/crates/tinbay-gateway/src/front/moving/target.rs
@@ -48,7 +48,7 @@
             }
         }
         Choice::Load(server) => Target::Later(server),
-        Choice::Ask(_) | Choice::Nowhere => Target::Nowhere,
+        Choice::Nowhere => Target::Nowhere,
     }
 }
 
--- a/crates/tinbay-gateway/src/handover/split.rs
+++ b/crates/tinbay-gateway/src/handover/split.rs
@@ -34,6 +34,14 @@
 pub struct Splits {
     needs: RefCell<HashMap<String, ReadingNeed>>,
     drawn: RefCell<HashMap<String, Drawn>>,
+    counts: RefCell<HashMap<String, Counted>>,
+}
+
+/// Engines of a service as they were counted lately.
+#[derive(Debug, Clone, Copy)]
+struct Counted {
+    engines: usize,
+    until_ms: Millis,
 }
 
 impl Splits {
@@ -46,6 +54,18 @@
         need.is_needed(now_ms) && !was_needed
     }
 
+    /// Engines of a service that are there to stay, as counted lately.
+    pub fn engines(&self, servers: &RefCell<ServerTable>, service: &str, now_ms: Millis) -> usize {
+        let mut counts = self.counts.borrow_mut();
+        if let Some(counted) = counts.get(service).filter(|kept| now_ms < kept.until_ms) {
+            return counted.engines;
+        }
+        let engines = servers.borrow().staying(service).len();
+        let until_ms = now_ms + DRAWN_LIFE_MS;
+        counts.insert(service.to_string(), Counted { engines, until_ms });
+        engines
+    }
+
     /// Whether some engines of a service read for the others.
     pub fn is_needed(&self, service: &str, now_ms: Millis) -> bool {
         let needs = self.needs.borrow();
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -423,7 +423,6 @@
             adapter: want.adapter,
             version: want.version,
             is_copy: want.is_copy,
-            least_asks: want.least_asks,
         };
         self.outbox.post(&holder, FramePart::LoadRequest(part));
     }
--- a/crates/tinbay-gateway/src/peers/frame.rs
+++ b/crates/tinbay-gateway/src/peers/frame.rs
@@ -167,8 +167,6 @@
     pub version: Option<u64>,
     /// Whether no request waits for it.
     pub is_copy: bool,
-    /// How often it must be asked for before it is wanted.
-    pub least_asks: u8,
 }
 
 /// All that a box has running at a server.
--- a/crates/tinbay-gateway/src/peers/inbox.rs
+++ b/crates/tinbay-gateway/src/peers/inbox.rs
@@ -181,7 +181,6 @@
         adapter: ask.adapter,
         version: ask.version,
         is_copy: ask.is_copy,
-        least_asks: ask.least_asks,
     };
     held.note_load_request(box_id, want, now_ms);
     server.order_due.notify_one();
