Scarce room of a model server is shared among client accounts

Callers of all accounts were late while one asked many times its usual: every request within its account's limit went straight into a server's queue, and arrival decided who waits.

While a server's places are all taken, the box that holds it now lets requests in one by one: the next is of the account that has had the fewest tokens for its weight (its limit), within an account the urgent first, then who came first. The server is given what it works on and what it begins next; what can't begin in time is refused at once, not run, with a turn, and goes first when it comes back. The server's status says that room is scarce; only then is anything asked. Without client accounts nothing changes. A holder that does not answer: each box has one request at a time there.

Weighed: shares dealt by a home (needs the rate of a whole service, which nobody knows, and says nothing of the few servers that hold an adapter); a weighted queue in each box (a box sees too little). A hook in deliver.rs and one line in choice.rs take room for a request.

--- a/crates/tinbay-core/src/crashes/digest.rs
+++ b/crates/tinbay-core/src/crashes/digest.rs
@@ -33,6 +33,13 @@
         digest.copy_from_slice(&whole[..DIGEST_BYTES]);
         Self(digest)
     }
+
+    /// Its first part, where it need only tell some hundred requests apart.
+    pub fn short(&self) -> u64 {
+        let mut first = [0; size_of::<u64>()];
+        first.copy_from_slice(&self.0[..size_of::<u64>()]);
+        u64::from_le_bytes(first)
+    }
 }
 
 /// A text that is no digest.
--- a/crates/tinbay-core/src/lib.rs
+++ b/crates/tinbay-core/src/lib.rs
@@ -20,5 +20,6 @@
 pub mod retry;
 pub mod route;
 pub mod serving;
+pub mod sharing;
 pub mod units;
 pub mod view;
--- a/crates/tinbay-core/src/serving/subscribers.rs
+++ b/crates/tinbay-core/src/serving/subscribers.rs
@@ -178,6 +178,13 @@
             .sum()
     }
 
+    /// Requests of all boxes.
+    pub fn running(&self, now_ms: Millis) -> usize {
+        self.heard(now_ms)
+            .map(|(_, subscriber)| subscriber.running())
+            .sum()
+    }
+
     /// Whether some box has a request for the adapter running.
     pub fn is_in_use(&self, adapter: Fingerprint, now_ms: Millis) -> bool {
         let is_it = |of: &AdapterUse| of.adapter == adapter && of.running > 0;
--- a/crates/tinbay-gateway/src/front/choice.rs
+++ b/crates/tinbay-gateway/src/front/choice.rs
@@ -140,7 +140,8 @@
     let is_asked_enough = question.at_limits.get() >= MOST_AT_LIMITS;
     ready.retain(|server| {
         let is_passed_over = is_asked_enough && server.limit_per_s().is_some();
-        !is_passed_over && !tried.contains(&server.record().id)
+        let has_room = !question.room.is_without(server.key);
+        !is_passed_over && has_room && !tried.contains(&server.record().id)
     });
     let objective_ms = question.route.objective_ms;
     match question.model.as_deref() {
--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -14,6 +14,7 @@
 use super::question::{LastSend, Question};
 use super::refusal::{NotRunReason, Refusal};
 use super::request_log::{Ending, log_end, log_try};
+use super::room::{self, Room};
 use crate::crashes::{self, check, check::CutRequest};
 use crate::http::body::{AnswerBody, BodyError, RequestBody};
 use crate::http::pool::Trust;
@@ -89,6 +90,12 @@
         if is_refused(node, question).await {
             return Err(give_up_crashing(node, question, &tries));
         }
+        match room::take(node, question, &server, &tries.tried).await {
+            Ok(Room::Here) => {}
+            Ok(Room::Elsewhere) => continue,
+            Err(refusal) if tries.tried.is_empty() => return Err(refusal),
+            Err(_) => return Err(give_up(node, question, &tries)),
+        }
         let Some(permit) = permits::take(node, &server).await else {
             question.note_at_limit();
             continue;
--- a/crates/tinbay-gateway/src/front/question.rs
+++ b/crates/tinbay-gateway/src/front/question.rs
@@ -18,6 +18,7 @@
 use super::refusal::Refusal;
 use crate::limits::AdmittedBy;
 use crate::node::{InForce, Node};
+use crate::sharing::taken::RoomTaken;
 
 /// Time a caller is taken to wait where it names none.
 const DEFAULT_DEADLINE_MS: Millis = 30_000;
@@ -74,6 +75,8 @@
     pub sight: Cell<StreamSight>,
     /// Servers that were passed over as their limits had no room.
     pub at_limits: Cell<u32>,
+    /// What it was told of room at servers.
+    pub room: RoomTaken,
     /// The route.
     pub route: Rc<Route>,
     /// The service chosen among the route's.
@@ -144,6 +147,7 @@
             admitted: Cell::default(),
             sight: Cell::default(),
             at_limits: Cell::default(),
+            room: RoomTaken::default(),
             model_key: model.as_deref().map(adapter_key),
             model,
             prompt: node.dialect.decode_prompt(&parts.headers),
--- a/crates/tinbay-gateway/src/front/refusal.rs
+++ b/crates/tinbay-gateway/src/front/refusal.rs
@@ -54,6 +54,12 @@
         /// When there is room for it.
         retry_after_ms: Millis,
     },
+    /// The servers that could run it have no room for its account in time.
+    #[error("not run: there is no room for the account in time")]
+    NoRoom {
+        /// When its turn is.
+        retry_after_ms: Millis,
+    },
     /// The body is longer than allowed.
     #[error("the body is longer than allowed")]
     BodyTooLong,
@@ -100,6 +106,7 @@
             Refusal::KeyNotProved => "key_not_proved",
             Refusal::TokensUnreadable => "tokens_unreadable",
             Refusal::LimitReached { .. } => "limit_reached",
+            Refusal::NoRoom { .. } => "no_room",
             Refusal::BodyTooLong => "body_too_long",
             Refusal::CallerBrokeOff => "caller_broke_off",
             Refusal::CrashesServers => "crashes_servers",
@@ -115,6 +122,7 @@
             Refusal::NoConfiguration
             | Refusal::NoServer { .. }
             | Refusal::KeyNotProved
+            | Refusal::NoRoom { .. }
             | Refusal::NotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::NoKey | Refusal::UnknownKey => StatusCode::UNAUTHORIZED,
             Refusal::NoRoute => StatusCode::NOT_FOUND,
@@ -137,9 +145,9 @@
 
     fn retry_after_ms(&self) -> Option<Millis> {
         match self {
-            Refusal::NotRun { retry_after_ms, .. } | Refusal::LimitReached { retry_after_ms } => {
-                Some(*retry_after_ms)
-            }
+            Refusal::NotRun { retry_after_ms, .. }
+            | Refusal::NoRoom { retry_after_ms }
+            | Refusal::LimitReached { retry_after_ms } => Some(*retry_after_ms),
             Refusal::NoServer { retry_after_ms } => {
                 Some(retry_after_ms.unwrap_or(RETRY_AFTER_UNKNOWN_MS))
             }
--- a/crates/tinbay-gateway/src/front/request_log.rs
+++ b/crates/tinbay-gateway/src/front/request_log.rs
@@ -93,6 +93,12 @@
     /// Servers passed over as their limits had no room.
     #[serde(skip_serializing_if = "Option::is_none")]
     at_limits: Option<u32>,
+    /// What let it in while its server had too little room, or turned it away.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    room: Option<&'static str>,
+    /// How long it waited for room.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    room_wait_ms: Option<Millis>,
     model: Option<&'a str>,
     server: Option<&'a str>,
     status: u16,
@@ -152,6 +158,8 @@
         account: question.client_account().map(|account| &*account.name),
         admitted_by: question.admitted.get().map(|admitted| admitted.by.name()),
         units: question.admitted.get().map(|admitted| admitted.units),
+        room: question.room.outcome().map(|outcome| outcome.name()),
+        room_wait_ms: question.room.wait_ms(),
         at_limits: Some(question.at_limits.get()).filter(|count| *count > 0),
         proof_age_ms: question.account.get().map(|shown| shown.proof_age_ms),
         model: question.model.as_deref(),
--- /dev/null
+++ b/crates/tinbay-gateway/src/front/room.rs
@@ -0,0 +1,100 @@
+//! Takes room for a request at the server that was chosen for it.
+
+use std::rc::Rc;
+
+use tinbay_core::serving::prompt::TokenCount;
+use tinbay_core::units::Millis;
+
+use super::choice::{self, Asked, Choice};
+use super::question::Question;
+use super::refusal::Refusal;
+use crate::members::box_fingerprint;
+use crate::node::Node;
+use crate::servers::Server;
+use crate::sharing::asking::{self, RoomWish};
+use crate::sharing::links::RoomLinks;
+
+/// Servers whose holders are asked for room for one request: what the second one has no place for either
+/// finds none in time.
+const MOST_ASKED: usize = 2;
+
+/// Where there is room for a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Room {
+    /// At the server that was chosen.
+    Here,
+    /// Not there; another one is to be chosen.
+    Elsewhere,
+}
+
+/// Takes room for a request at the server that was chosen for it, where that has too little for all.
+///
+/// # Errors
+/// When no server has room in time: the request has not run, and its caller is told its turn.
+pub async fn take(
+    node: &Rc<Node>,
+    question: &Question,
+    server: &Rc<Server>,
+    tried: &[String],
+) -> Result<Room, Refusal> {
+    let Some(wish) = wish(node, question) else {
+        return Ok(Room::Here);
+    };
+    let began_ms = node.now_ms();
+    let Some(answered) = asking::ask(&**node, server, wish).await else {
+        return Ok(Room::Here);
+    };
+    question
+        .room
+        .note(answered.outcome, node.now_ms() - began_ms);
+    count(node, question, answered.outcome.name());
+    let Some(retry_after_ms) = answered.turn_in_ms else {
+        return Ok(Room::Here);
+    };
+    question.room.note_without(server.key);
+    let may_ask_more = question.room.without_count() < MOST_ASKED;
+    if may_ask_more && has_other_room(node, question, tried) {
+        return Ok(Room::Elsewhere);
+    }
+    Err(Refusal::NoRoom { retry_after_ms })
+}
+
+/// What a request of a client account asks for; nothing for one without account or adapter: nobody deals
+/// the room of plain servers.
+fn wish(node: &Node, question: &Question) -> Option<RoomWish> {
+    let account = question.client_account()?;
+    question.model_key?;
+    let units = match question.prompt.count {
+        TokenCount::Said(tokens) => u32::try_from(tokens).unwrap_or(u32::MAX),
+        TokenCount::NotSaid | TokenCount::Unreadable => question.prompt.tokens,
+    };
+    Some(RoomWish {
+        account: box_fingerprint(&account.name),
+        rank: question.rank(),
+        units,
+        in_time_ms: in_time_ms(node, question),
+        digest: question.digest.get().map_or(0, |digest| digest.short()),
+    })
+}
+
+/// Time within which a request must begin so that its first piece is in time: its own reading is left.
+fn in_time_ms(node: &Node, question: &Question) -> Millis {
+    let objective_ms = question.route.objective_ms;
+    let reading_ms = node.reading_ms(&question.service, question.prompt.tokens) as Millis;
+    let begin_by_ms = question.arrived_ms + objective_ms - reading_ms.min(objective_ms / 2);
+    begin_by_ms.saturating_sub(node.now_ms())
+}
+
+/// Whether another server may take it that has room, as far as this box knows.
+fn has_other_room(node: &Node, question: &Question, tried: &[String]) -> bool {
+    match choice::choose(node, question, tried, &Asked::default()) {
+        Choice::Send { server, .. } | Choice::Load(server) => !node.is_scarce(&server),
+        Choice::Nowhere => false,
+    }
+}
+
+fn count(node: &Node, question: &Question, outcome: &str) {
+    if let Some(account) = question.client_account() {
+        node.metrics.count_room(&account.name, outcome);
+    }
+}
--- a/crates/tinbay-gateway/src/housekeeping.rs
+++ b/crates/tinbay-gateway/src/housekeeping.rs
@@ -6,6 +6,7 @@
 use tinbay_core::units::Millis;
 
 use crate::node::Node;
+use crate::sharing::holder;
 
 /// Pause between rounds.
 const ROUND_PAUSE: Duration = Duration::from_secs(2);
@@ -28,6 +29,7 @@
         }
         node.waiters.tidy();
         node.limits.tidy(&node);
+        node.sharing.tidy(node.now_ms());
         node.crashes.tidy(node.now_ms());
         show_beliefs(&node);
     }
@@ -48,6 +50,9 @@
     show("servers_held", node.held_servers.borrow().len());
     show("can_order", usize::from(node.can_order()));
     show("connections", node.connections.get());
+    let (scarce, waiting) = holder::counts(node);
+    show("servers_scarce", scarce);
+    show("requests_waiting_for_room", waiting);
     let (refused, suspected) = node.crashes.counts(node.now_ms());
     show("requests_refused", refused);
     show("crash_suspects", suspected);
--- a/crates/tinbay-gateway/src/lib.rs
+++ b/crates/tinbay-gateway/src/lib.rs
@@ -23,5 +23,6 @@
 pub mod run;
 pub mod servers;
 pub mod settings;
+pub mod sharing;
 pub mod waiters;
 pub mod watch;
--- a/crates/tinbay-gateway/src/metrics.rs
+++ b/crates/tinbay-gateway/src/metrics.rs
@@ -55,6 +55,8 @@
     pub part_bytes: IntCounterVec,
     /// Requests of client accounts by what their limits decided.
     account_limits: IntCounterVec,
+    /// Requests of client accounts that asked for scarce room, by what became of them.
+    room: IntCounterVec,
     accounts_shown: RefCell<HashSet<String>>,
     /// What is believed: versions, counts and ages by name.
     pub beliefs: IntGaugeVec,
@@ -148,6 +150,11 @@
                 "Requests of client accounts, by what their limits decided",
                 &["account", "outcome"],
             )?,
+            room: counter(
+                "tinbay_room_total",
+                "Requests of client accounts that asked for scarce room, by what became of them",
+                &["account", "outcome"],
+            )?,
             accounts_shown: RefCell::default(),
             beliefs,
             store_returns,
@@ -162,14 +169,24 @@
 
     /// Counts what the limit of a client account decided; accounts beyond some are shown together.
     pub fn count_limit(&self, account: &str, outcome: &str) {
+        let labels = [self.shown_account(account), outcome];
+        self.account_limits.with_label_values(&labels).inc();
+    }
+
+    /// Counts what became of a request that asked for scarce room.
+    pub fn count_room(&self, account: &str, outcome: &str) {
+        let labels = [self.shown_account(account), outcome];
+        self.room.with_label_values(&labels).inc();
+    }
+
+    fn shown_account<'a>(&self, account: &'a str) -> &'a str {
         let mut shown = self.accounts_shown.borrow_mut();
         let is_shown = shown.contains(account) || shown.len() < MOST_ACCOUNTS_SHOWN;
         let account = if is_shown { account } else { OTHER_ACCOUNTS };
         if is_shown && !shown.contains(account) {
             shown.insert(account.to_string());
         }
-        let labels = [account, outcome];
-        self.account_limits.with_label_values(&labels).inc();
+        account
     }
 
     /// Counts one part of a message that is sent to another box.
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -18,6 +18,7 @@
 use tinbay_core::serving::servers::{Fingerprint, ServerKey};
 use tinbay_core::serving::versions::NamedVersions;
 use tinbay_core::serving::wants::Want;
+use tinbay_core::sharing::weights::AccountWeights;
 use tinbay_core::units::Millis;
 use tokio::sync::Notify;
 
@@ -37,6 +38,7 @@
 use crate::servers::view::ViewEntry;
 use crate::servers::{RunningRequest, Server, ServerTable};
 use crate::settings::Settings;
+use crate::sharing::Sharing;
 use crate::waiters::Waiters;
 use crate::watch::access::StoreAccess;
 use crate::watch::boxes::{MEMBER_PREFIX, PREFIX as BOXES_PREFIX};
@@ -74,7 +76,11 @@
     pub routes: RouteTable,
     /// Ranks of requests at their servers.
     pub ranks: PriorityRanks,
+    /// How much of scarce room each client account may have.
+    pub weights: AccountWeights,
     accounts: HashMap<Fingerprint, Rc<Account>>,
+    /// The shortest objective of the routes of each service.
+    objectives_ms: HashMap<String, Millis>,
 }
 
 impl InForce {
@@ -82,6 +88,9 @@
     pub fn new(configuration: Configuration) -> Self {
         let accounts = configuration.accounts.all().map(|account| account.priority);
         let routes = configuration.routes.iter().map(|route| route.priority);
+        let named = configuration.accounts.all();
+        let named = named.map(|account| (box_fingerprint(&account.name), &**account));
+        let named: Vec<(Fingerprint, &Account)> = named.collect();
         Self {
             ranks: PriorityRanks::new(accounts, routes),
             accounts: configuration
@@ -89,6 +98,8 @@
                 .all()
                 .map(|account| (box_fingerprint(&account.name), Rc::clone(account)))
                 .collect(),
+            weights: AccountWeights::new(&named),
+            objectives_ms: shortest_objectives_ms(&configuration),
             routes: RouteTable::new(&configuration),
             configuration,
         }
@@ -98,6 +109,24 @@
     pub fn account_of(&self, fingerprint: Fingerprint) -> Option<Rc<Account>> {
         self.accounts.get(&fingerprint).cloned()
     }
+
+    /// The shortest objective of a service's routes.
+    pub fn shortest_objective_ms(&self, service: &str) -> Option<Millis> {
+        self.objectives_ms.get(service).copied()
+    }
+}
+
+fn shortest_objectives_ms(configuration: &Configuration) -> HashMap<String, Millis> {
+    let mut objectives_ms = HashMap::new();
+    for route in &configuration.routes {
+        for target in &route.targets {
+            let shortest_ms = objectives_ms
+                .entry(target.service.clone())
+                .or_insert(route.objective_ms);
+            *shortest_ms = route.objective_ms.min(*shortest_ms);
+        }
+    }
+    objectives_ms
 }
 
 /// What all parts of a box share; all of it lives on one thread.
@@ -160,6 +189,8 @@
     pub crashes: Crashes,
     /// Limits over all boxes.
     pub limits: BoxLimits,
+    /// Requests that ask for scarce room.
+    pub sharing: Sharing,
     /// Second sends by service.
     pub budgets: RefCell<HashMap<String, SendBudget>>,
     /// Boxes that are up, this one included, as counted lately.
@@ -206,6 +237,7 @@
             reading: RefCell::default(),
             crashes: Crashes::default(),
             limits: BoxLimits::default(),
+            sharing: Sharing::default(),
             budgets: RefCell::default(),
             box_count: Cell::new(1),
         }
--- a/crates/tinbay-gateway/src/orders/held_server.rs
+++ b/crates/tinbay-gateway/src/orders/held_server.rs
@@ -9,9 +9,11 @@
 use tinbay_core::serving::spread::Spreads;
 use tinbay_core::serving::subscribers::{ContentsChange, MOST_MISTRUST, Subscribers};
 use tinbay_core::serving::wants::{Want, Wants};
+use tinbay_core::sharing::room::ServerRoom;
 use tinbay_core::units::Millis;
 
 use crate::limits::notices;
+use crate::members::box_fingerprint;
 use crate::node::Node;
 use crate::peers::frame::{AdapterPart, StatusPart, to_percent};
 use crate::servers::Server;
@@ -45,6 +47,8 @@
     pub contents: RefCell<Contents>,
     /// What is asked of it.
     pub wants: RefCell<Wants>,
+    /// Its room, while that is scarce.
+    pub room: RefCell<ServerRoom>,
     /// Whether the server refused a request for what it should hold.
     pub is_contradicted: Cell<bool>,
     /// Whether those that use the server are to be told of its limit.
@@ -60,6 +64,7 @@
         Self {
             contents: RefCell::new(Contents::new(spec, now_ms)),
             wants: RefCell::default(),
+            room: RefCell::default(),
             is_contradicted: Cell::default(),
             has_limit_news: Cell::default(),
             checked_ms: Cell::default(),
@@ -125,6 +130,9 @@
             subscribers.note_begun(reading_ms, now_ms);
             spreads.note_begun(of.adapter, reading_ms, now_ms);
         }
+        let begun = report.uses.iter().map(|of| usize::from(of.begun)).sum();
+        let mut room = self.room.borrow_mut();
+        room.note_begun(box_fingerprint(box_id), begun, now_ms);
         subscribers.note_failures(report.mistrust, now_ms);
         if let Some(delay) = report.delay {
             subscribers.note_delay(delay, now_ms);
@@ -201,6 +209,7 @@
             takes_loads,
             load_wait_ms: self.load_wait_ms().min(f64::from(u16::MAX)) as u16,
             adapters,
+            is_scarce: self.room.borrow().is_scarce(),
         })
     }
 
@@ -215,6 +224,16 @@
         }
     }
 
+    /// Requests of all boxes, this one included, as far as they told.
+    pub fn running(&self, now_ms: Millis) -> usize {
+        self.subscribers.borrow().running(now_ms)
+    }
+
+    /// What the server has to read before it begins a new request, as time.
+    pub fn backlog_ms(&self, now_ms: Millis) -> f64 {
+        self.subscribers.borrow().backlog_ms(now_ms)
+    }
+
     /// Servers of its order over which an adapter of the server is spread.
     fn copies(&self, key: AdapterKey, slots: usize, now_ms: Millis) -> usize {
         let adapter = key as Fingerprint;
--- a/crates/tinbay-gateway/src/peers/exchange.rs
+++ b/crates/tinbay-gateway/src/peers/exchange.rs
@@ -15,10 +15,17 @@
 use super::outbox::Due;
 use crate::events::{self, part};
 use crate::node::Node;
+use crate::servers::Server;
+use crate::sharing::holder;
+use crate::sharing::links::RoomLinks;
 
 /// Pause between looks at what ended and what is to be repeated.
 const TICK: Duration = Duration::from_millis(250);
 
+/// Pause between looks at what ended at servers with too little room: who waits for a place is let in when
+/// its holder hears of one.
+const SCARCE_TICK: Duration = Duration::from_millis(50);
+
 /// Ticks between two rounds of gossip.
 const GOSSIP_TICKS: u64 = 2;
 
@@ -38,16 +45,22 @@
     };
     let mut ticks = 0;
     let mut next_tick = tokio::time::Instant::now();
+    let mut next_look = next_tick;
     loop {
         if tokio::time::Instant::now() >= next_tick {
             next_tick = tokio::time::Instant::now() + TICK;
             tick(&sender.node, ticks);
             ticks += 1;
         }
+        if tokio::time::Instant::now() >= next_look {
+            let is_any_scarce = look_at_scarce(&sender.node);
+            let pause = if is_any_scarce { SCARCE_TICK } else { TICK };
+            next_look = tokio::time::Instant::now() + pause;
+        }
         sender.send_due().await;
         tokio::time::sleep(GAP).await;
         tokio::select! {
-            () = tokio::time::sleep_until(next_tick) => {}
+            () = tokio::time::sleep_until(next_tick.min(next_look)) => {}
             () = sender.node.outbox.wait() => {}
         }
     }
@@ -66,6 +79,23 @@
     }
 }
 
+/// Tells what ended at servers with too little room, and lets requests in there; whether there is any.
+fn look_at_scarce(node: &Node) -> bool {
+    let now_ms = node.now_ms();
+    let scarce = {
+        let servers = node.servers.borrow();
+        let is_scarce = |server: &&Rc<Server>| node.is_scarce(server);
+        servers.all().filter(is_scarce).cloned().collect::<Vec<_>>()
+    };
+    for server in &scarce {
+        if server.usage.borrow().is_due(now_ms) {
+            node.outbox.tell_uses(server.key);
+        }
+    }
+    holder::tick(node);
+    !scarce.is_empty()
+}
+
 fn started_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     since
@@ -189,6 +219,7 @@
     if let Some(held) = node.held_server(server.key) {
         let own_id = node.settings.borrow().box_id.clone();
         held.note_usage(node, &server, &own_id, report);
+        holder::settle(node, &server, &held);
         return None;
     }
     let part = UsagePart {
--- a/crates/tinbay-gateway/src/peers/frame.rs
+++ b/crates/tinbay-gateway/src/peers/frame.rs
@@ -9,6 +9,7 @@
 use crate::limits::limited::LimitKey;
 use crate::limits::notices::LimitNoticePart;
 use crate::members::MemberRecord;
+use crate::sharing::messages::{RoomRequestPart, RoomWordPart};
 
 /// Longest datagram: what fits into one packet of any usual link.
 pub const MOST_BYTES: usize = 1_300;
@@ -59,6 +60,10 @@
     Usage(UsagePart),
     /// The status of a server that the sender holds.
     Status(StatusPart),
+    /// A request that asks for room at a server that the receiver holds.
+    RoomRequest(RoomRequestPart),
+    /// What becomes of a request that asked for room.
+    RoomWord(RoomWordPart),
 }
 
 impl FramePart {
@@ -80,6 +85,8 @@
             FramePart::Contradiction(_) => "contradiction",
             FramePart::Usage(_) => "usage",
             FramePart::Status(_) => "status",
+            FramePart::RoomRequest(_) => "room_request",
+            FramePart::RoomWord(_) => "room_word",
         }
     }
 }
@@ -203,6 +210,8 @@
     pub limit: Option<LimitNoticePart>,
     /// All adapters that take a place.
     pub adapters: Vec<AdapterPart>,
+    /// Whether requests have to ask the sender for room.
+    pub is_scarce: bool,
 }
 
 /// An adapter that takes a place.
--- a/crates/tinbay-gateway/src/peers/inbox.rs
+++ b/crates/tinbay-gateway/src/peers/inbox.rs
@@ -24,6 +24,7 @@
 use crate::node::Node;
 use crate::servers::usage::UsageReport;
 use crate::servers::view::{ServerStatus, ViewEntry};
+use crate::sharing::holder;
 
 /// Pause after a failed read.
 const FAILURE_PAUSE: Duration = Duration::from_millis(10);
@@ -107,6 +108,8 @@
                 take_status_request(node, &frame.box_id, server, now_ms)
             }
             FramePart::Contradiction(server) => take_contradiction(node, server),
+            FramePart::RoomRequest(part) => holder::take_request(node, &frame.box_id, &part),
+            FramePart::RoomWord(part) => node.sharing.take_word(part),
             FramePart::Usage(uses) => {
                 if advance(seen.uses.entry(uses.server).or_default(), frame.sequence) {
                     take_uses(node, &frame.box_id, uses);
@@ -216,6 +219,7 @@
         delay: part.delay_percent.map(from_percent),
     };
     held.note_usage(node, &server, box_id, report);
+    holder::settle(node, &server, &held);
     if held.has_wants() {
         server.order_due.notify_one();
     }
@@ -234,6 +238,7 @@
         mistrust: from_percent(part.mistrust_percent),
         takes_loads: part.takes_loads,
         load_wait_ms: f64::from(part.load_wait_ms),
+        is_scarce: part.is_scarce,
     };
     let change = server.view.borrow_mut().note(status, now_ms);
     node.waiters.wake(&change.ready);
--- a/crates/tinbay-gateway/src/servers/view.rs
+++ b/crates/tinbay-gateway/src/servers/view.rs
@@ -46,6 +46,8 @@
     pub takes_loads: bool,
     /// Expected time until a load that is asked for now is done.
     pub load_wait_ms: f64,
+    /// Whether requests have to ask the holder for room.
+    pub is_scarce: bool,
 }
 
 /// What a server's holder told this box of it.
@@ -158,6 +160,11 @@
         self.recent(now_ms).map(|status| status.load_wait_ms)
     }
 
+    /// Whether requests have to ask the holder for room, as far as that was told lately.
+    pub fn is_scarce(&self, now_ms: Millis) -> bool {
+        self.recent(now_ms).is_some_and(|status| status.is_scarce)
+    }
+
     /// Whether the status is newer than a question.
     pub fn is_told_since(&self, asked_ms: Millis) -> bool {
         self.status.is_some() && self.told_ms >= asked_ms
--- /dev/null
+++ b/crates/tinbay-gateway/src/sharing/holder.rs
@@ -0,0 +1,154 @@
+//! Deals the room of the servers that this box holds.
+
+use std::rc::Rc;
+
+use log::Level;
+use serde::Serialize;
+use tinbay_core::serving::servers::Fingerprint;
+use tinbay_core::sharing::room::Decision;
+use tinbay_core::sharing::scarcity::Fullness;
+use tinbay_core::units::Millis;
+
+use super::messages::{RoomRequestPart, RoomWord, RoomWordPart};
+use crate::events::{self, part};
+use crate::members::box_fingerprint;
+use crate::node::{InForce, Node};
+use crate::orders::held_server::HeldServer;
+use crate::peers::frame::FramePart;
+use crate::servers::Server;
+
+/// Objective of a service that no route names.
+const USUAL_OBJECTIVE_MS: Millis = 1_000;
+
+#[derive(Serialize)]
+struct ScarcityEvent<'a> {
+    server: &'a str,
+    is_scarce: bool,
+    running: usize,
+    slots: usize,
+    backlog_ms: f64,
+}
+
+/// Takes a request of another box that asks for room.
+pub fn take_request(node: &Node, box_id: &str, part: &RoomRequestPart) {
+    let server = node.servers.borrow().by_fingerprint(part.server);
+    let held = server
+        .as_ref()
+        .and_then(|server| node.held_server(server.key));
+    let (Some(server), Some(held)) = (server, held) else {
+        let word = RoomWord::NotHeld;
+        return tell(node, box_id, part.number, word);
+    };
+    tell(node, box_id, part.number, RoomWord::Waits);
+    let ask = part.to_ask(box_fingerprint(box_id));
+    held.room.borrow_mut().ask(ask, node.now_ms());
+    settle(node, &server, &held);
+}
+
+/// Takes a request of this box.
+pub fn take_own_request(node: &Node, server: &Rc<Server>, part: RoomRequestPart) {
+    let number = part.number;
+    let Some(held) = node.held_server(server.key) else {
+        let word = RoomWord::NotHeld;
+        return node.sharing.take_word(RoomWordPart { number, word });
+    };
+    let word = RoomWord::Waits;
+    node.sharing.take_word(RoomWordPart { number, word });
+    let ask = part.to_ask(own_key(node));
+    held.room.borrow_mut().ask(ask, node.now_ms());
+    settle(node, server, &held);
+}
+
+/// Lets in and turns away who can be decided on now. Without client accounts there is nothing to share.
+pub fn settle(node: &Node, server: &Rc<Server>, held: &HeldServer) {
+    let Some(in_force) = node.in_force() else {
+        return;
+    };
+    if in_force.configuration.accounts.is_empty() {
+        return;
+    }
+    let now_ms = node.now_ms();
+    let fullness = fullness(&in_force, server, held, now_ms);
+    let was_scarce = held.room.borrow().is_scarce();
+    let decisions = {
+        let mut room = held.room.borrow_mut();
+        room.decide(fullness, &in_force.weights, now_ms)
+    };
+    for decision in decisions {
+        answer(node, decision);
+    }
+    if held.room.borrow().is_scarce() != was_scarce {
+        log_change(server, fullness, !was_scarce);
+    }
+}
+
+/// Looks at all servers that this box holds.
+pub fn tick(node: &Node) {
+    let held: Vec<_> = {
+        let held = node.held_servers.borrow();
+        held.iter()
+            .map(|(key, held)| (*key, Rc::clone(held)))
+            .collect()
+    };
+    for (key, held) in held {
+        let server = node.servers.borrow().by_key(key);
+        if let Some(server) = server.filter(|_| held.room.borrow().is_scarce()) {
+            settle(node, &server, &held);
+        }
+    }
+}
+
+/// Servers of this box that have too little room, and requests that wait for them.
+pub fn counts(node: &Node) -> (usize, usize) {
+    let held_servers = node.held_servers.borrow();
+    let rooms = || held_servers.values().map(|held| held.room.borrow());
+    let scarce = rooms().filter(|room| room.is_scarce()).count();
+    let waiting = rooms().map(|room| room.waiting_count()).sum();
+    (scarce, waiting)
+}
+
+fn fullness(in_force: &InForce, server: &Server, held: &HeldServer, now_ms: Millis) -> Fullness {
+    let record = server.record();
+    let objective_ms = in_force.shortest_objective_ms(&record.service);
+    Fullness {
+        running: held.running(now_ms),
+        slots: record.slots,
+        backlog_ms: held.backlog_ms(now_ms),
+        objective_ms: objective_ms.unwrap_or(USUAL_OBJECTIVE_MS),
+    }
+}
+
+fn answer(node: &Node, decision: Decision) {
+    let word = RoomWord::from(decision.answer);
+    let number = decision.id.number;
+    if decision.id.box_key == own_key(node) {
+        return node.sharing.take_word(RoomWordPart { number, word });
+    }
+    let members = node.members.borrow();
+    let box_id = members.id_of(decision.id.box_key).cloned();
+    drop(members);
+    // A box that is not known any more asks again once it is.
+    if let Some(box_id) = box_id {
+        tell(node, &box_id, number, word);
+    }
+}
+
+fn tell(node: &Node, box_id: &str, number: u32, word: RoomWord) {
+    let part = RoomWordPart { number, word };
+    node.outbox.post(box_id, FramePart::RoomWord(part));
+}
+
+fn own_key(node: &Node) -> Fingerprint {
+    box_fingerprint(&node.settings.borrow().box_id)
+}
+
+fn log_change(server: &Server, fullness: Fullness, is_scarce: bool) {
+    let event = ScarcityEvent {
+        server: &server.record().id,
+        is_scarce,
+        running: fullness.running,
+        slots: fullness.slots,
+        backlog_ms: fullness.backlog_ms,
+    };
+    events::emit(part::FRONT, Level::Info, "server_scarce", &event);
+}
--- a/crates/tinbay-gateway/tests/server_view_test.rs
+++ b/crates/tinbay-gateway/tests/server_view_test.rs
@@ -24,6 +24,7 @@
         mistrust: 2.0,
         takes_loads: false,
         load_wait_ms: 250.0,
+        is_scarce: true,
     }
 }
 
