--- a/crates/tinbay-core/benches/decisions.rs
+++ b/crates/tinbay-core/benches/decisions.rs
@@ -14,6 +14,9 @@
 use tinbay_core::loads::{Allowance, LoadArbiter, LoadWish};
 use tinbay_core::policy::{Policy, PolicyRequest, Treatment};
 use tinbay_core::route::Router;
+use tinbay_core::sharing::room::{AskId, RoomAsk, ServerRoom};
+use tinbay_core::sharing::scarcity::Fullness;
+use tinbay_core::sharing::weights::AccountWeights;
 use tinbay_core::view::{BoxRecord, BoxState, View};
 
 fn model(number: usize) -> ModelRef {
@@ -236,6 +239,43 @@
     c.bench_function("policy_off", |b| b.iter(|| black_box(request.base)));
 }
 
+fn bench_sharing(c: &mut Criterion) {
+    let mut group = c.benchmark_group("sharing_ask_and_decide");
+    let weights = AccountWeights::default();
+    let full = Fullness {
+        running: 15,
+        slots: 12,
+        backlog_ms: 0.0,
+        objective_ms: 800,
+    };
+    let ask = |number: u32| RoomAsk {
+        id: AskId { box_key: 1, number },
+        account: number % 16,
+        rank: (number % 3) as u8,
+        units: 1_600.0,
+        in_time_ms: 60_000,
+        digest: u64::from(number),
+    };
+    for waiting in [4, 16, 64] {
+        let mut room = ServerRoom::default();
+        for number in 0..waiting {
+            room.ask(ask(number), 1_000);
+        }
+        room.decide(full, &weights, 1_000);
+        group.bench_function(BenchmarkId::from_parameter(waiting), |b| {
+            b.iter_batched_ref(
+                || room.clone(),
+                |room| {
+                    room.ask(ask(waiting), 1_001);
+                    black_box(room.decide(full, &weights, 1_001))
+                },
+                BatchSize::SmallInput,
+            );
+        });
+    }
+    group.finish();
+}
+
 criterion_group! {
     name = decisions;
     config = Criterion::default()
@@ -243,6 +283,6 @@
         .warm_up_time(Duration::from_millis(300))
         .measurement_time(Duration::from_millis(700));
     targets = bench_owner, bench_route, bench_config, bench_view, bench_keys, bench_loads,
-        bench_policy
+        bench_policy, bench_sharing
 }
 criterion_main!(decisions);
--- a/crates/tinbay-gateway/src/peers/exchange.rs
+++ b/crates/tinbay-gateway/src/peers/exchange.rs
@@ -81,6 +81,9 @@
 
 /// Tells what ended at servers with too little room, and lets requests in there; whether there is any.
 fn look_at_scarce(node: &Node) -> bool {
+    if !holder::shares_room(node) {
+        return false;
+    }
     let now_ms = node.now_ms();
     let scarce = {
         let servers = node.servers.borrow();
--- a/crates/tinbay-gateway/src/sharing/holder.rs
+++ b/crates/tinbay-gateway/src/sharing/holder.rs
@@ -59,6 +59,12 @@
     settle(node, server, &held);
 }
 
+/// Whether there are client accounts to share room among.
+pub fn shares_room(node: &Node) -> bool {
+    let in_force = node.in_force();
+    in_force.is_some_and(|in_force| !in_force.configuration.accounts.is_empty())
+}
+
 /// Lets in and turns away who can be decided on now. Without client accounts there is nothing to share.
 pub fn settle(node: &Node, server: &Rc<Server>, held: &HeldServer) {
     let Some(in_force) = node.in_force() else {
--- a/crates/tinbay-gateway/src/sharing/links.rs
+++ b/crates/tinbay-gateway/src/sharing/links.rs
@@ -28,7 +28,8 @@
     /// Requests of this box that ask for room.
     fn sharing(&self) -> &Sharing;
 
-    /// Whether requests have to ask for room at a server, as its holder told lately.
+    /// Whether requests have to ask for room at a server: its holder told so lately, or all its places are
+    /// taken by what this box knows, as a surge begins faster than holders tell.
     fn is_scarce(&self, server: &Server) -> bool;
 
     /// The box that deals a server's room; none where nobody does.
@@ -48,10 +49,12 @@
     }
 
     fn is_scarce(&self, server: &Server) -> bool {
-        match self.held_server(server.key) {
+        let now_ms = self.now_ms();
+        let is_told = match self.held_server(server.key) {
             Some(held) => held.room.borrow().is_scarce(),
-            None => server.view.borrow().is_scarce(self.now_ms()),
-        }
+            None => server.view.borrow().is_scarce(now_ms),
+        };
+        is_told || server.running(now_ms) >= server.record().slots.max(1)
     }
 
     fn room_holder(&self, server: &Server) -> Option<RoomHolder> {
