--- a/crates/tinbay-core/src/sharing/room.rs
+++ b/crates/tinbay-core/src/sharing/room.rs
@@ -130,6 +130,11 @@
         self.waiting.len()
     }
 
+    /// Whether a question has not been decided yet.
+    pub fn is_waiting(&self, id: AskId) -> bool {
+        self.waiting.iter().any(|of| of.id == id)
+    }
+
     /// Notes that a box told that requests began.
     pub fn note_begun(&mut self, box_key: Fingerprint, count: usize, now_ms: Millis) {
         self.places.note_begun(count, now_ms);
--- a/crates/tinbay-gateway/src/sharing/holder.rs
+++ b/crates/tinbay-gateway/src/sharing/holder.rs
@@ -39,10 +39,12 @@
         let word = RoomWord::NotHeld;
         return tell(node, box_id, part.number, word);
     };
-    tell(node, box_id, part.number, RoomWord::Waits);
     let ask = part.to_ask(box_fingerprint(box_id));
     held.room.borrow_mut().ask(ask, node.now_ms());
     settle(node, &server, &held);
+    if held.room.borrow().is_waiting(ask.id) {
+        tell(node, box_id, part.number, RoomWord::Waits);
+    }
 }
 
 /// Takes a request of this box.
