What a server has to read is shared among accounts as its places are

Requests say how long their prompt takes to read; while a server has more than a quarter of the shortest objective to read, the others wait at the holder, by account. Nobody is turned away by that estimate while half of the places are free.

--- a/crates/tinbay-core/src/sharing/room.rs
+++ b/crates/tinbay-core/src/sharing/room.rs
@@ -56,6 +56,8 @@
     pub rank: u8,
     /// Tokens it has the server read and make.
     pub units: f64,
+    /// Time in which the server reads its prompt.
+    pub reading_ms: f64,
     /// Time within which it must begin to be in time.
     pub in_time_ms: Millis,
     /// Tells it from others; the same when it comes back.
@@ -88,6 +90,7 @@
 struct Waiting {
     id: AskId,
     place: Place,
+    reading_ms: f64,
     begin_by_ms: Millis,
     heard_ms: Millis,
     digest: u64,
@@ -97,12 +100,14 @@
 #[derive(Debug, Clone, Copy)]
 struct LetIn {
     box_key: Fingerprint,
+    reading_ms: f64,
     at_ms: Millis,
 }
 
 /// What an account's part is worked out from.
 struct PartTerms<'a> {
     weights: &'a AccountWeights,
+    slots: usize,
     most_for_weight: f64,
     now_ms: Millis,
 }
@@ -163,6 +168,7 @@
                 came_ms: now_ms,
                 units: ask.units.max(1.0),
             },
+            reading_ms: ask.reading_ms.max(0.0),
             begin_by_ms: now_ms.saturating_add(ask.in_time_ms),
             heard_ms: now_ms,
             digest: ask.digest,
@@ -212,39 +218,56 @@
         let slots = fullness.slots.max(1);
         let part_terms = PartTerms {
             weights,
+            slots,
             most_for_weight: self.had.most_for_weight(weights, now_ms),
             now_ms,
         };
         let mut decisions = Vec::new();
         let mut kept: Vec<Waiting> = Vec::new();
+        let mut ahead = Ahead {
+            requests: fullness.running + self.let_in.len(),
+            reading_ms: fullness.backlog_ms + self.let_in_reading_ms(),
+        };
         for position in positions {
             let waiting = self.waiting[position];
-            let ahead = fullness.running + self.let_in.len() + kept.len();
-            let begins_in_ms = begins_in_ms(fullness, ahead, gap_ms);
-            let is_late = now_ms + begins_in_ms as Millis > waiting.begin_by_ms;
-            // While places are free nobody is turned away by an estimate, which may be wrong.
-            let is_hopeless = is_late && ahead >= slots;
-            if is_hopeless || kept.len() >= MOST_WAITING {
+            let begins_in_ms = ahead.begins_in_ms(slots, gap_ms);
+            if kept.len() >= MOST_WAITING
+                || is_hopeless(&waiting, &ahead, begins_in_ms, slots, now_ms)
+            {
                 decisions.push(self.turn_away(&waiting, begins_in_ms, gap_ms, now_ms));
-            } else if ahead < self.most_given(&waiting.place, slots, &part_terms) {
+                continue;
+            }
+            let may_wait = now_ms < waiting.begin_by_ms;
+            let is_read_next = ahead.reading_ms <= fullness.most_backlog_ms() || !may_wait;
+            let is_given =
+                is_read_next && self.has_place(&waiting.place, ahead.requests, &part_terms);
+            if is_given {
                 decisions.push(self.let_in(&waiting, now_ms));
             } else {
                 kept.push(waiting);
             }
+            ahead.requests += 1;
+            ahead.reading_ms += waiting.reading_ms;
         }
         self.waiting = kept;
         decisions
     }
 
-    /// Requests that a server is given at once: those that it works on and those that it begins next. One of
-    /// an account that has had more than its part goes there only as the very next, so that those of others
-    /// find nothing before them that came earlier.
-    fn most_given(&self, place: &Place, slots: usize, terms: &PartTerms<'_>) -> usize {
-        let used = self.had.used(place.account, terms.now_ms);
-        if used > terms.most_for_weight * terms.weights.of(place.account) {
-            return slots + 1;
+    /// What requests that were let in have to be read and their boxes have not yet told.
+    fn let_in_reading_ms(&self) -> f64 {
+        self.let_in.iter().map(|of| of.reading_ms).sum()
+    }
+
+    /// Whether the server may be given one more request now: it is given those that it works on and those
+    /// that it begins next. One of an account that has had more than its part goes there only as the very
+    /// next, so that those of others find nothing before them that came earlier.
+    fn has_place(&self, place: &Place, ahead: usize, terms: &PartTerms<'_>) -> bool {
+        let next = (terms.slots as f64 * NEXT_PART).ceil() as usize;
+        if ahead <= terms.slots || ahead >= terms.slots + next {
+            return ahead <= terms.slots;
         }
-        slots + (slots as f64 * NEXT_PART).ceil() as usize
+        let used = self.had.used(place.account, terms.now_ms);
+        used <= terms.most_for_weight * terms.weights.of(place.account)
     }
 
     fn let_in(&mut self, waiting: &Waiting, now_ms: Millis) -> Decision {
@@ -252,6 +275,7 @@
             .note(waiting.place.account, waiting.place.units, now_ms);
         self.let_in.push(LetIn {
             box_key: waiting.id.box_key,
+            reading_ms: waiting.reading_ms,
             at_ms: now_ms,
         });
         Decision {
@@ -287,10 +311,32 @@
     }
 }
 
-/// Time until a request begins that has so many before it: until a place is free for it, and until what is
-/// to be read before it is read.
-fn begins_in_ms(fullness: Fullness, ahead: usize, gap_ms: f64) -> f64 {
-    let places_short = (ahead + 1).saturating_sub(fullness.slots.max(1));
-    let place_in_ms = places_short as f64 * gap_ms;
-    place_in_ms.max(fullness.backlog_ms)
+/// Whether a request is turned away: it can't begin in time.
+///
+/// What is to be read is an estimate, and by a wrong one nobody is turned away while half of the places are
+/// free.
+fn is_hopeless(
+    waiting: &Waiting,
+    ahead: &Ahead,
+    begins_in_ms: f64,
+    slots: usize,
+    now_ms: Millis,
+) -> bool {
+    let is_late = now_ms + begins_in_ms as Millis > waiting.begin_by_ms;
+    is_late && ahead.requests * 2 >= slots
+}
+
+/// What comes before a request.
+struct Ahead {
+    requests: usize,
+    reading_ms: f64,
+}
+
+impl Ahead {
+    /// Time until a request begins: until a place is free for it, and until what is before it is read.
+    fn begins_in_ms(&self, slots: usize, gap_ms: f64) -> f64 {
+        let places_short = (self.requests + 1).saturating_sub(slots);
+        let place_in_ms = places_short as f64 * gap_ms;
+        place_in_ms.max(self.reading_ms)
+    }
 }
--- a/crates/tinbay-core/src/sharing/scarcity.rs
+++ b/crates/tinbay-core/src/sharing/scarcity.rs
@@ -36,7 +36,8 @@
         (self.running as f64) < most_running && self.backlog_ms <= self.most_backlog_ms() / 2.0
     }
 
-    fn most_backlog_ms(&self) -> f64 {
+    /// Most that the server may have to read without being scarce.
+    pub fn most_backlog_ms(&self) -> f64 {
         self.objective_ms as f64 * MOST_BACKLOG_PART
     }
 }
--- a/crates/tinbay-core/tests/sharing_test.rs
+++ b/crates/tinbay-core/tests/sharing_test.rs
@@ -129,6 +129,7 @@
             account: request.account,
             rank: request.rank,
             units: request.units,
+            reading_ms: 0.0,
             in_time_ms: OBJECTIVE_MS.saturating_sub(self.now_ms - request.came_ms),
             digest: request.digest,
         }
@@ -611,6 +612,7 @@
         account,
         rank,
         units: UNITS,
+        reading_ms: 0.0,
         in_time_ms: OBJECTIVE_MS,
         digest: u64::from(number),
     }
@@ -704,6 +706,50 @@
     assert!((weights.of(2) - weights.of(1)).abs() < 1e-9);
 }
 
+/// Much to read at a server with free places: the prompts of a surge wait, and those of others go before them.
+#[test]
+fn much_to_read_goes_by_account_as_well() {
+    let mut room = ServerRoom::default();
+    let weights = AccountWeights::default();
+    let reading = |account, number| RoomAsk {
+        reading_ms: 60.0,
+        ..ask(account, number, 0)
+    };
+    for number in 0..8 {
+        room.ask(reading(1, number), 1_000);
+    }
+    let first = room.decide(full(0), &weights, 1_000);
+    assert!(first.iter().all(|of| is_let_in(&of)));
+    let read_ms = first.len() as f64 * 60.0;
+    assert!((200.0..=300.0).contains(&read_ms), "{read_ms}");
+    room.ask(reading(2, 100), 1_010);
+    let much = Fullness {
+        backlog_ms: 120.0,
+        ..full(first.len())
+    };
+    room.note_begun(1, first.len(), 1_150);
+    let next = room.decide(much, &weights, 1_150);
+    assert_eq!(next[0].id.number, 100, "{next:?}");
+}
+
+/// A reading pace that is wrong by far: nobody is turned away while places are free.
+#[test]
+fn much_to_read_turns_nobody_away_while_places_are_free() {
+    let mut room = ServerRoom::default();
+    let weights = AccountWeights::default();
+    let wrong = Fullness {
+        backlog_ms: 60_000.0,
+        ..full(1)
+    };
+    room.ask(ask(1, 1, 0), 1_000);
+    let decisions = room.decide(wrong, &weights, 1_000);
+    assert!(decisions.iter().all(|of| is_let_in(&of)), "{decisions:?}");
+    room.ask(ask(1, 1, 0), 1_400);
+    let later = room.decide(wrong, &weights, 1_000 + OBJECTIVE_MS);
+    assert_eq!(decisions.len() + later.len(), 1);
+    assert!(later.iter().all(|of| is_let_in(&of)), "{later:?}");
+}
+
 /// Whatever is asked, each question gets one answer at most, the server is given no more than its places
 /// and what begins next, and while places are free nobody is turned away.
 #[test]
--- a/crates/tinbay-gateway/src/front/room.rs
+++ b/crates/tinbay-gateway/src/front/room.rs
@@ -68,21 +68,22 @@
         TokenCount::Said(tokens) => u32::try_from(tokens).unwrap_or(u32::MAX),
         TokenCount::NotSaid | TokenCount::Unreadable => question.prompt.tokens,
     };
+    let reading_ms = node.reading_ms(&question.service, question.prompt.tokens) as Millis;
     Some(RoomWish {
         account: box_fingerprint(&account.name),
         rank: question.rank(),
         units,
-        in_time_ms: in_time_ms(node, question),
+        reading_ms,
+        in_time_ms: in_time_ms(question, reading_ms, node.now_ms()),
         digest: question.digest.get().map_or(0, |digest| digest.short()),
     })
 }
 
 /// Time within which a request must begin so that its first piece is in time: its own reading is left.
-fn in_time_ms(node: &Node, question: &Question) -> Millis {
+fn in_time_ms(question: &Question, reading_ms: Millis, now_ms: Millis) -> Millis {
     let objective_ms = question.route.objective_ms;
-    let reading_ms = node.reading_ms(&question.service, question.prompt.tokens) as Millis;
     let begin_by_ms = question.arrived_ms + objective_ms - reading_ms.min(objective_ms / 2);
-    begin_by_ms.saturating_sub(node.now_ms())
+    begin_by_ms.saturating_sub(now_ms)
 }
 
 /// Whether another server may take it that has room, as far as this box knows.
--- a/crates/tinbay-gateway/src/sharing/asking.rs
+++ b/crates/tinbay-gateway/src/sharing/asking.rs
@@ -38,6 +38,8 @@
     pub rank: u8,
     /// Tokens it has the server read and make.
     pub units: u32,
+    /// Time in which the server reads its prompt.
+    pub reading_ms: Millis,
     /// Time within which it must begin to be in time.
     pub in_time_ms: Millis,
     /// Tells it from others; the same when it comes back.
@@ -108,6 +110,7 @@
         account: wish.account,
         rank: wish.rank,
         units: wish.units,
+        reading_ms: u16::try_from(wish.reading_ms).unwrap_or(u16::MAX),
         in_time_ms: u16::try_from(wish.in_time_ms).unwrap_or(u16::MAX),
         digest: wish.digest,
     }
--- a/crates/tinbay-gateway/src/sharing/messages.rs
+++ b/crates/tinbay-gateway/src/sharing/messages.rs
@@ -18,6 +18,8 @@
     pub rank: u8,
     /// Tokens it has the server read and make.
     pub units: u32,
+    /// Time in which the server reads its prompt, in ms.
+    pub reading_ms: u16,
     /// Time within which it must begin to be in time, in ms.
     pub in_time_ms: u16,
     /// Tells it from others; the same when it comes back.
@@ -33,6 +35,7 @@
             account: self.account,
             rank: self.rank,
             units: f64::from(self.units),
+            reading_ms: f64::from(self.reading_ms),
             in_time_ms: Millis::from(self.in_time_ms),
             digest: self.digest,
         }
