What is to be read holds back only who had more than its part, and turns nobody away

Now only places turn a request away. Room is scarce by reading from half of the shortest objective on, what the urgent can bear, and not from a quarter: half of all requests for models asked their server's holder without need.

--- a/crates/tinbay-core/src/sharing/room.rs
+++ b/crates/tinbay-core/src/sharing/room.rs
@@ -237,8 +237,9 @@
                 decisions.push(self.turn_away(&waiting, begins_in_ms, gap_ms, now_ms));
                 continue;
             }
-            let may_wait = now_ms < waiting.begin_by_ms;
-            let is_read_next = ahead.reading_ms <= fullness.most_backlog_ms() || !may_wait;
+            let is_read_next = ahead.reading_ms <= fullness.most_backlog_ms()
+                || now_ms >= waiting.begin_by_ms
+                || !self.is_above_part(&waiting.place, &part_terms);
             let is_given =
                 is_read_next && self.has_place(&waiting.place, ahead.requests, &part_terms);
             if is_given {
@@ -266,8 +267,13 @@
         if ahead <= terms.slots || ahead >= terms.slots + next {
             return ahead <= terms.slots;
         }
+        !self.is_above_part(place, terms)
+    }
+
+    /// Whether a request's account has had clearly more than its part lately.
+    fn is_above_part(&self, place: &Place, terms: &PartTerms<'_>) -> bool {
         let used = self.had.used(place.account, terms.now_ms);
-        used <= terms.most_for_weight * terms.weights.of(place.account)
+        used > terms.most_for_weight * terms.weights.of(place.account)
     }
 
     fn let_in(&mut self, waiting: &Waiting, now_ms: Millis) -> Decision {
@@ -311,10 +317,8 @@
     }
 }
 
-/// Whether a request is turned away: it can't begin in time.
-///
-/// What is to be read is an estimate, and by a wrong one nobody is turned away while half of the places are
-/// free.
+/// Whether a request is turned away: no place is free for it in time. What is to be read before it turns nobody
+/// away: that is an estimate, and prompts share parts that are read once.
 fn is_hopeless(
     waiting: &Waiting,
     ahead: &Ahead,
@@ -323,7 +327,7 @@
     now_ms: Millis,
 ) -> bool {
     let is_late = now_ms + begins_in_ms as Millis > waiting.begin_by_ms;
-    is_late && ahead.requests * 2 >= slots
+    is_late && ahead.requests >= slots
 }
 
 /// What comes before a request.
@@ -333,10 +337,9 @@
 }
 
 impl Ahead {
-    /// Time until a request begins: until a place is free for it, and until what is before it is read.
+    /// Time until a place is free for a request.
     fn begins_in_ms(&self, slots: usize, gap_ms: f64) -> f64 {
         let places_short = (self.requests + 1).saturating_sub(slots);
-        let place_in_ms = places_short as f64 * gap_ms;
-        place_in_ms.max(self.reading_ms)
+        places_short as f64 * gap_ms
     }
 }
--- a/crates/tinbay-core/src/sharing/scarcity.rs
+++ b/crates/tinbay-core/src/sharing/scarcity.rs
@@ -6,9 +6,9 @@
 /// ends nothing.
 const PLENTY_PART: f64 = 0.75;
 
-/// Part of the shortest objective that a new request may have to wait for what is read before it: more
-/// leaves too little for its own reading and its first tokens.
-const MOST_BACKLOG_PART: f64 = 0.25;
+/// Part of the shortest objective that a new request may have to wait for what is read before it: the rest
+/// is for its own reading and its first tokens.
+const MOST_BACKLOG_PART: f64 = 0.5;
 
 /// How long there must be plenty before a server is no longer scarce: about the time of some requests.
 const PLENTY_FOR_MS: Millis = 500;
