--- a/crates/tinbay-core/src/sharing/room.rs
+++ b/crates/tinbay-core/src/sharing/room.rs
@@ -99,7 +99,7 @@
 /// A request that was let in.
 #[derive(Debug, Clone, Copy)]
 struct LetIn {
-    box_key: Fingerprint,
+    id: AskId,
     reading_ms: f64,
     at_ms: Millis,
 }
@@ -119,6 +119,8 @@
     waiting: Vec<Waiting>,
     /// Requests that were let in and whose boxes have not yet told that they run.
     let_in: Vec<LetIn>,
+    /// Words that are said once more, as their boxes asked again.
+    repeated: Vec<Decision>,
     had: AccountsHad,
     places: PlaceTimes,
     returns: Returns,
@@ -144,7 +146,7 @@
     pub fn note_begun(&mut self, box_key: Fingerprint, count: usize, now_ms: Millis) {
         self.places.note_begun(count, now_ms);
         for _ in 0..count {
-            let known = self.let_in.iter().position(|of| of.box_key == box_key);
+            let known = self.let_in.iter().position(|of| of.id.box_key == box_key);
             let Some(position) = known else {
                 return;
             };
@@ -158,6 +160,11 @@
             waiting.heard_ms = now_ms;
             return;
         }
+        if self.let_in.iter().any(|of| of.id == ask.id) {
+            let (id, answer) = (ask.id, RoomAnswer::LetIn);
+            self.repeated.push(Decision { id, answer });
+            return;
+        }
         let is_return = self.returns.take(ask.digest, now_ms);
         self.waiting.push(Waiting {
             id: ask.id,
@@ -184,7 +191,8 @@
     ) -> Vec<Decision> {
         self.forget_old(now_ms);
         self.places.note_running(fullness.running, now_ms);
-        let decisions = self.decide_waiting(fullness, weights, now_ms);
+        let mut decisions = std::mem::take(&mut self.repeated);
+        decisions.extend(self.decide_waiting(fullness, weights, now_ms));
         let fullness = Fullness {
             running: fullness.running + self.let_in.len(),
             ..fullness
@@ -280,7 +288,7 @@
         self.had
             .note(waiting.place.account, waiting.place.units, now_ms);
         self.let_in.push(LetIn {
-            box_key: waiting.id.box_key,
+            id: waiting.id,
             reading_ms: waiting.reading_ms,
             at_ms: now_ms,
         });
--- a/crates/tinbay-core/tests/sharing_test.rs
+++ b/crates/tinbay-core/tests/sharing_test.rs
@@ -647,6 +647,39 @@
     assert_eq!(room.waiting_count(), 0);
 }
 
+/// The word that let a request in was lost: it is said again, and the request counts once.
+#[test]
+fn question_again_after_a_lost_word_is_let_in_once() {
+    let mut room = ServerRoom::default();
+    let weights = AccountWeights::default();
+    room.ask(ask(1, 7, 0), 1_000);
+    let first = room.decide(full(SLOTS + 2), &weights, 1_000);
+    room.ask(ask(1, 7, 0), 1_100);
+    room.ask(ask(1, 8, 0), 1_100);
+    let second = room.decide(full(SLOTS + 2), &weights, 1_100);
+    assert_eq!(first, second);
+    assert_eq!(first.len(), 1);
+    assert_eq!(room.waiting_count(), 1);
+}
+
+/// Two accounts ask for more than there is: each gets by its weight.
+#[test]
+fn room_is_shared_by_weight() {
+    let (small, large) = (
+        account(Some(10.0), LimitUnit::Requests),
+        account(Some(30.0), LimitUnit::Requests),
+    );
+    let mut world = World::new(true);
+    world.weights = AccountWeights::new(&[(1, &small), (2, &large)]);
+    world.play(&[(1, 60), (2, 60)], 20_000);
+    let let_in = |account| {
+        let of_account = world.results.iter().filter(|of| of.account == account);
+        of_account.filter(|of| of.began_in_ms.is_some()).count() as f64
+    };
+    let ratio = let_in(2) / let_in(1);
+    assert!((2.0..=4.0).contains(&ratio), "{ratio}");
+}
+
 #[test]
 fn scarcity_ends_only_after_a_while_of_plenty() {
     let mut scarcity = Scarcity::default();
