--- a/crates/tinbay-core/src/sharing/room.rs
+++ b/crates/tinbay-core/src/sharing/room.rs
@@ -224,7 +224,7 @@
         let positions = order(&places, &self.had, weights, now_ms);
         let gap_ms = self.places.gap_ms(fullness.slots, now_ms);
         let slots = fullness.slots.max(1);
-        let part_terms = PartTerms {
+        let terms = PartTerms {
             weights,
             slots,
             most_for_weight: self.had.most_for_weight(weights, now_ms),
@@ -239,18 +239,14 @@
         for position in positions {
             let waiting = self.waiting[position];
             let begins_in_ms = ahead.begins_in_ms(slots, gap_ms);
-            if kept.len() >= MOST_WAITING
-                || is_hopeless(&waiting, &ahead, begins_in_ms, slots, now_ms)
-            {
+            let is_hopeless = is_hopeless(&waiting, &ahead, begins_in_ms, &terms);
+            if is_hopeless || kept.len() >= MOST_WAITING {
                 decisions.push(self.turn_away(&waiting, begins_in_ms, gap_ms, now_ms));
                 continue;
             }
-            let is_read_next = ahead.reading_ms <= fullness.most_backlog_ms()
-                || now_ms >= waiting.begin_by_ms
-                || !self.is_above_part(&waiting.place, &part_terms);
-            let is_given =
-                is_read_next && self.has_place(&waiting.place, ahead.requests, &part_terms);
-            if is_given {
+            if self.may_read(&waiting, &ahead, fullness, &terms)
+                && self.has_place(&waiting.place, &ahead, &terms)
+            {
                 decisions.push(self.let_in(&waiting, now_ms));
             } else {
                 kept.push(waiting);
@@ -267,15 +263,28 @@
         self.let_in.iter().map(|of| of.reading_ms).sum()
     }
 
+    /// Whether the server may be given the request's prompt to read now. While it has much to read, prompts of
+    /// an account that has had more than its part wait, as long as they can be in time.
+    fn may_read(
+        &self,
+        waiting: &Waiting,
+        ahead: &Ahead,
+        fullness: Fullness,
+        terms: &PartTerms<'_>,
+    ) -> bool {
+        ahead.reading_ms <= fullness.most_backlog_ms()
+            || terms.now_ms >= waiting.begin_by_ms
+            || !self.is_above_part(&waiting.place, terms)
+    }
+
     /// Whether the server may be given one more request now: it is given those that it works on and those
     /// that it begins next. One of an account that has had more than its part goes there only as the very
     /// next, so that those of others find nothing before them that came earlier.
-    fn has_place(&self, place: &Place, ahead: usize, terms: &PartTerms<'_>) -> bool {
+    fn has_place(&self, place: &Place, ahead: &Ahead, terms: &PartTerms<'_>) -> bool {
         let next = (terms.slots as f64 * NEXT_PART).ceil() as usize;
-        if ahead <= terms.slots || ahead >= terms.slots + next {
-            return ahead <= terms.slots;
-        }
-        !self.is_above_part(place, terms)
+        let is_very_next = ahead.requests <= terms.slots;
+        let is_next = ahead.requests < terms.slots + next;
+        is_very_next || (is_next && !self.is_above_part(place, terms))
     }
 
     /// Whether a request's account has had clearly more than its part lately.
@@ -327,15 +336,9 @@
 
 /// Whether a request is turned away: no place is free for it in time. What is to be read before it turns nobody
 /// away: that is an estimate, and prompts share parts that are read once.
-fn is_hopeless(
-    waiting: &Waiting,
-    ahead: &Ahead,
-    begins_in_ms: f64,
-    slots: usize,
-    now_ms: Millis,
-) -> bool {
-    let is_late = now_ms + begins_in_ms as Millis > waiting.begin_by_ms;
-    is_late && ahead.requests >= slots
+fn is_hopeless(waiting: &Waiting, ahead: &Ahead, begins_in_ms: f64, terms: &PartTerms<'_>) -> bool {
+    let is_late = terms.now_ms + begins_in_ms as Millis > waiting.begin_by_ms;
+    is_late && ahead.requests >= terms.slots
 }
 
 /// What comes before a request.
