--- a/crates/tinbay-gateway/src/front/mod.rs
+++ b/crates/tinbay-gateway/src/front/mod.rs
@@ -14,3 +14,4 @@
 pub mod question;
 pub mod refusal;
 pub mod request_log;
+pub mod room;
--- a/crates/tinbay-gateway/src/lib.rs
+++ b/crates/tinbay-gateway/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod run;
 pub mod servers;
 pub mod settings;
+pub mod sharing;
 pub mod shown_labels;
 pub mod waiters;
 pub mod watch;
--- a/crates/tinbay-gateway/src/metrics.rs
+++ b/crates/tinbay-gateway/src/metrics.rs
@@ -62,6 +62,8 @@
     account_limits: IntCounterVec,
     accounts: ShownLabels,
     answers: AnswerMetrics,
+    /// Requests of client accounts that asked for scarce room, by what became of them.
+    room: IntCounterVec,
     /// What is believed: versions, counts and ages by name.
     pub beliefs: IntGaugeVec,
 }
@@ -171,6 +173,11 @@
             )?,
             accounts: ShownLabels::new(MOST_ACCOUNTS_SHOWN, OTHER_ACCOUNTS),
             answers: AnswerMetrics::new(&registry)?,
+            room: counter(
+                "tinbay_room_total",
+                "Requests of client accounts that asked for scarce room, by what became of them",
+                &["account", "outcome"],
+            )?,
             beliefs,
             store_returns,
             registry,
@@ -188,6 +195,12 @@
         self.account_limits.with_label_values(&labels).inc();
     }
 
+    /// Counts what became of a request that asked for scarce room.
+    pub fn count_room(&self, account: &str, outcome: &str) {
+        let labels = [self.accounts.label(account), outcome];
+        self.room.with_label_values(&labels).inc();
+    }
+
     /// Counts an answer that came whole; accounts beyond some are shown together.
     pub fn count_answer(&self, answer: MeasuredAnswer<'_>) {
         let account_label = answer.account.map(|account| self.accounts.label(account));
