Decisions on memory held for requests and answers

Callers who read nothing, or a little each second, hold answers with a box, and nothing bounds the sum. Cause: no part counts what is held or decides whose answer gives way. Weighed: cutting the largest or the oldest answer alone; the account that holds most comes first, so that others aren't hurt by it.

--- a/crates/tinbay-core/src/lib.rs
+++ b/crates/tinbay-core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod keys;
 pub mod limits;
 pub mod loads;
+pub mod memory;
 pub mod naive;
 pub mod policy;
 pub mod rendezvous;
