Callers who don't read are cut by the route's terms, and what a box holds is bounded

What callers saw: one who read nothing held its server's place until the kernel's probe, one who read 16 kB each 250 ms was held for 18.5 s with one second of time, and enough of both would have taken the box with all its other callers. Cause: hyper asks for an answer's next piece only when its caller's side has room, so nothing looked at the request's time, and nothing counted what was held.

One look over all answers, ten times a second while there are any, finds those whose callers stand still; such an answer is read up to 256 KiB ahead by a task of its own, and cut when nothing is taken for as long as the route allows, when its caller is too slow for the request's time, or as the one that holds most while memory is short. Bodies count from before they are read; one beyond the bounds (half of the memory, half of that for an account) gets 503 with Retry-After and has not run. A server has a bounded number of bytes of requests waiting that it has not begun to answer. Kernel buffers of connections to servers and unsent bytes to callers are bounded, so that what is counted is what is there.

Without memory in the settings no bound by memory holds.

--- a/crates/tinbay-core/src/memory/reader.rs
+++ b/crates/tinbay-core/src/memory/reader.rs
@@ -109,6 +109,13 @@
         self.unread_ms(now_ms) >= BEHIND_AFTER_MS
     }
 
+    /// Whether an answer is so late that it is cut however its caller reads.
+    ///
+    /// Load: callers who always take a little, so that they never stand still for long.
+    pub fn is_overdue(&self, terms: &ReaderTerms, now_ms: Millis) -> bool {
+        now_ms >= terms.time_up_ms + LONGEST_LATE_MS
+    }
+
     /// Whether an answer that is read ahead of its caller is cut, and why.
     ///
     /// Load: callers who read nothing, and callers who read a little each second and would hold a
@@ -119,13 +126,12 @@
         if unread_ms >= terms.unread_limit_ms {
             return Some(CutCause::Unread);
         }
-        let late_ms = now_ms.checked_sub(terms.time_up_ms)?;
-        if !is_whole {
-            return Some(CutCause::TimeUp);
+        if now_ms < terms.time_up_ms {
+            return None;
         }
-        if unread_ms >= LATE_PATIENCE_MS {
-            return Some(CutCause::Unread);
+        if !is_whole || self.is_overdue(terms, now_ms) {
+            return Some(CutCause::TimeUp);
         }
-        (late_ms >= LONGEST_LATE_MS).then_some(CutCause::TimeUp)
+        (unread_ms >= LATE_PATIENCE_MS).then_some(CutCause::Unread)
     }
 }
--- a/crates/tinbay-core/tests/memory_test.rs
+++ b/crates/tinbay-core/tests/memory_test.rs
@@ -260,6 +260,18 @@
     assert_eq!(sight.judge(&READER, true, end_ms), Some(CutCause::TimeUp));
 }
 
+/// A caller who always takes some and never stands still: it ends as well.
+#[test]
+fn is_overdue_steady_reader() {
+    let mut sight = ReaderSight::begin(0);
+    let end_ms = READER.time_up_ms + LONGEST_LATE_MS;
+    for now_ms in (0..end_ms).step_by(50) {
+        sight.look(taken(now_ms), now_ms);
+        assert!(!sight.is_behind(now_ms) && !sight.is_overdue(&READER, now_ms));
+    }
+    assert!(sight.is_overdue(&READER, end_ms));
+}
+
 fn route(kind: RouteKind) -> Route {
     Route {
         name: String::new(),
--- a/crates/tinbay-gateway/src/front/attempt.rs
+++ b/crates/tinbay-gateway/src/front/attempt.rs
@@ -29,8 +29,8 @@
     },
     /// Another server has its address.
     Displaced,
-    /// It was not sent, as the server was found to leave, to rest or to be at its limit while a connection
-    /// was awaited.
+    /// It was not sent, as the server was found to leave, to rest, to be at its limit or to have enough
+    /// waiting while a connection was awaited.
     Withdrawn {
         /// The body, as it was.
         body: RequestBody,
@@ -147,6 +147,9 @@
             return Err(AttemptResult::Withdrawn { body });
         }
         let sent_ms = node.now_ms();
+        let known_bytes = request.body().known_bytes();
+        let boxes = node.box_count.get();
+        let _waiting = terms.server.waiting.begin(known_bytes, boxes);
         match connection.sender.try_send_request(request).await {
             Ok(response) => {
                 return Ok(Exchanged {
--- a/crates/tinbay-gateway/src/front/filters/body.rs
+++ b/crates/tinbay-gateway/src/front/filters/body.rs
@@ -8,7 +8,7 @@
 use crate::node::Node;
 
 /// Longest body that is kept whole, so that it can be sent a second time.
-const MOST_KEPT_BYTES: usize = 131_072;
+pub const MOST_KEPT_BYTES: usize = 131_072;
 
 /// Reads a request's body.
 pub struct ReadBody;
@@ -20,13 +20,14 @@
                 return Ok(Step::Next);
             };
             let most_bytes = node.limits().body_bytes;
-            let read = read_request_body(incoming, MOST_KEPT_BYTES, most_bytes).await;
+            let held = exchange.held.as_mut();
+            let read = read_request_body(incoming, MOST_KEPT_BYTES, most_bytes, held).await;
             let body = read.map_err(|error| match error {
                 BodyError::TooLong => Refusal::BodyTooLong,
                 _ => Refusal::CallerBrokeOff,
             })?;
             exchange.question.note_body(body.first());
-            exchange.body = Some(body);
+            exchange.body = Some(body.held_by(exchange.held.take()));
             Ok(Step::Next)
         })
     }
--- a/crates/tinbay-gateway/src/front/filters/mod.rs
+++ b/crates/tinbay-gateway/src/front/filters/mod.rs
@@ -4,6 +4,7 @@
 mod account_limit;
 mod body;
 mod delivery;
+mod memory;
 mod quarantine;
 
 use std::pin::Pin;
@@ -15,6 +16,7 @@
 use super::question::Question;
 use super::refusal::Refusal;
 use crate::http::body::{AnswerBody, RequestBody};
+use crate::memory::Hold;
 use crate::node::Node;
 
 /// A routed request on its way through the filters.
@@ -23,6 +25,8 @@
     pub question: Rc<Question>,
     /// Its body as it comes, until it is read.
     pub incoming: Option<Incoming>,
+    /// Counts its body while it is read.
+    pub held: Option<Hold>,
     /// Its body as it goes on to a server, once it is read.
     pub body: Option<RequestBody>,
 }
@@ -49,8 +53,9 @@
 
 /// All filters, in the order in which a request passes them. Who may not ask is told before the
 /// rest of the request is read.
-const FILTERS: [&dyn Filter; 5] = [
+const FILTERS: [&dyn Filter; 6] = [
     &account_key::AccountKey,
+    &memory::Memory,
     &body::ReadBody,
     &quarantine::Quarantine,
     &account_limit::AccountLimit,
@@ -69,6 +74,7 @@
     let mut exchange = Exchange {
         question: Rc::clone(question),
         incoming: Some(incoming),
+        held: None,
         body: None,
     };
     for filter in FILTERS {
--- a/crates/tinbay-gateway/src/front/listener.rs
+++ b/crates/tinbay-gateway/src/front/listener.rs
@@ -12,6 +12,8 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::Level;
 use rand::RngExt;
+use tinbay_core::memory::ledger::ConnectionNumber;
+use tinbay_core::memory::reader::{ReaderTerms, unread_limit_ms};
 use tinbay_core::units::Millis;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -21,7 +23,10 @@
 use super::request_log::{self, Ending};
 use crate::events::{self, part};
 use crate::http::body::AnswerBody;
+use crate::http::buffers::bound_unsent;
+use crate::http::pump::{AnswerTerms, WatchedAnswer};
 use crate::http::silence::end_when_silent;
+use crate::latch::Latch;
 use crate::node::Node;
 
 /// Shortest read buffer that hyper takes.
@@ -50,8 +55,16 @@
     }
 }
 
+/// A caller's connection, as its requests see it.
+struct CallerConnection {
+    number: ConnectionNumber,
+    /// Set when it has to end, whatever it is doing.
+    end: Rc<Latch>,
+}
+
 /// Takes callers' connections until the box closes.
 pub async fn listen(node: Rc<Node>, listener: TcpListener) {
+    bound_unsent(&listener);
     loop {
         // The end goes first, and what is accepted counts at once: a box that finds no connection
         // open ends, and one it took after that lost its request though its server ran it.
@@ -74,9 +87,14 @@
 
 async fn serve(node: Rc<Node>, stream: TcpStream, _open: Open) {
     let limits = node.limits();
+    let caller = Rc::new(CallerConnection {
+        number: node.memory.number_connection(),
+        end: Rc::default(),
+    });
+    let end = Rc::clone(&caller.end);
     let service = {
         let node = Rc::clone(&node);
-        service_fn(move |request| answer(Rc::clone(&node), request))
+        service_fn(move |request| answer(Rc::clone(&node), Rc::clone(&caller), request))
     };
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -86,20 +104,29 @@
     let mut connection = std::pin::pin!(connection);
     tokio::select! {
         _ = connection.as_mut() => return,
+        () = end.wait() => return,
         () = node.closing.wait() => connection.as_mut().graceful_shutdown(),
     }
-    let _ = connection.await;
+    tokio::select! {
+        _ = connection => {}
+        () = end.wait() => {}
+    }
 }
 
 async fn answer(
     node: Rc<Node>,
+    caller: Rc<CallerConnection>,
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Infallible> {
     let arrived_ms = node.now_ms();
     let (parts, body) = request.into_parts();
     let draw = rand::rng().random_range(0.0..1.0);
-    let mut response = match Question::read(&node, parts, arrived_ms, draw) {
-        Ok(question) => take(&node, Rc::new(question), body).await,
+    let mut response = match Question::read(&node, parts, arrived_ms, draw, caller.number) {
+        Ok(question) => {
+            let question = Rc::new(question);
+            let response = take(&node, Rc::clone(&question), body).await;
+            watch(&node, question, &caller, response)
+        }
         Err(refusal) => {
             log_refusal(refusal);
             refusal.to_response()
@@ -112,6 +139,31 @@
     Ok(response)
 }
 
+/// Has an answer of a server watched while its caller reads it.
+fn watch(
+    node: &Node,
+    question: Rc<Question>,
+    caller: &CallerConnection,
+    response: Response<AnswerBody>,
+) -> Response<AnswerBody> {
+    let reader = ReaderTerms {
+        unread_limit_ms: unread_limit_ms(&question.route),
+        time_up_ms: question.time_up_ms,
+    };
+    response.map(|body| match body {
+        AnswerBody::Relayed(relay) => {
+            let terms = AnswerTerms {
+                asker: question,
+                reader,
+                connection: caller.number,
+                connection_end: Rc::clone(&caller.end),
+            };
+            AnswerBody::Watched(WatchedAnswer::new(relay, terms, &node.answers))
+        }
+        body => body,
+    })
+}
+
 async fn take(node: &Rc<Node>, question: Rc<Question>, body: Incoming) -> Response<AnswerBody> {
     let left = Duration::from_millis(question.time_up_ms - question.arrived_ms);
     let passing = filters::pass(node, &question, body);
--- a/crates/tinbay-gateway/src/front/mod.rs
+++ b/crates/tinbay-gateway/src/front/mod.rs
@@ -10,3 +10,4 @@
 pub mod question;
 pub mod refusal;
 pub mod request_log;
+pub mod slow_callers;
--- a/crates/tinbay-gateway/src/front/question.rs
+++ b/crates/tinbay-gateway/src/front/question.rs
@@ -9,6 +9,7 @@
 use tinbay_core::accounts::key::KeyDigest;
 use tinbay_core::accounts::key_check::ShownKey;
 use tinbay_core::crashes::digest::RequestDigest;
+use tinbay_core::memory::ledger::{AccountPrint, ConnectionNumber, Holder};
 use tinbay_core::serving::configuration::{Route, RouteKind};
 use tinbay_core::serving::contents::{AdapterKey, adapter_key};
 use tinbay_core::serving::prompt::Prompt;
@@ -16,7 +17,9 @@
 use tinbay_core::units::Millis;
 
 use super::refusal::Refusal;
+use crate::http::pump::Asker;
 use crate::limits::AdmittedBy;
+use crate::members::box_fingerprint;
 use crate::node::{InForce, Node};
 
 /// Time a caller is taken to wait where it names none.
@@ -74,6 +77,8 @@
     pub sight: Cell<StreamSight>,
     /// Servers that were passed over as their limits had no room.
     pub at_limits: Cell<u32>,
+    /// The caller's connection.
+    pub connection: ConnectionNumber,
     /// The route.
     pub route: Rc<Route>,
     /// The service chosen among the route's.
@@ -106,6 +111,7 @@
         mut parts: Parts,
         arrived_ms: Millis,
         draw: f64,
+        connection: ConnectionNumber,
     ) -> Result<Self, Refusal> {
         let names = node.dialect.headers();
         let key = take_key(&mut parts.headers, &names.key);
@@ -144,6 +150,7 @@
             admitted: Cell::default(),
             sight: Cell::default(),
             at_limits: Cell::default(),
+            connection,
             model_key: model.as_deref().map(adapter_key),
             model,
             prompt: node.dialect.decode_prompt(&parts.headers),
@@ -165,6 +172,15 @@
         self.account.get()?.account.as_ref()
     }
 
+    /// For whom its bytes are held.
+    pub fn holder(&self) -> Holder {
+        let account = self.client_account();
+        Holder {
+            account: account.map(|account| box_fingerprint(&account.name)),
+            connection: self.connection,
+        }
+    }
+
     /// Notes its body, or the first part of a long one: with it, requests that are the same one
     /// can be told.
     pub fn note_body(&self, body: &[u8]) {
@@ -206,6 +222,16 @@
     }
 }
 
+impl Asker for Question {
+    fn id(&self) -> &str {
+        &self.id
+    }
+
+    fn account(&self) -> Option<AccountPrint> {
+        self.holder().account
+    }
+}
+
 /// Takes the key off a request, so that it is not kept; given twice it is none.
 fn take_key(headers: &mut HeaderMap, name: &HeaderName) -> ShownKey {
     let given = headers.get_all(name).iter().count();
--- a/crates/tinbay-gateway/src/front/refusal.rs
+++ b/crates/tinbay-gateway/src/front/refusal.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use hyper::header::{HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
+use tinbay_core::memory::ledger::MemoryShort;
 use tinbay_core::units::{MS_PER_SECOND, Millis};
 
 use crate::http::body::AnswerBody;
@@ -54,6 +55,12 @@
         /// When there is room for it.
         retry_after_ms: Millis,
     },
+    /// The box, or its account's part of it, has no memory left for it.
+    #[error("not run: {short}")]
+    MemoryShort {
+        /// What there is too little room in.
+        short: MemoryShort,
+    },
     /// The body is longer than allowed.
     #[error("the body is longer than allowed")]
     BodyTooLong,
@@ -88,6 +95,9 @@
 /// When to come back while nothing is known of the service.
 const RETRY_AFTER_UNKNOWN_MS: Millis = 300;
 
+/// When to come back while there is no memory: by then what is held has been read or cut.
+const RETRY_AFTER_MEMORY_MS: Millis = 1_000;
+
 impl Refusal {
     /// Name for logs and measures.
     pub fn name(&self) -> &'static str {
@@ -100,6 +110,7 @@
             Refusal::KeyNotProved => "key_not_proved",
             Refusal::TokensUnreadable => "tokens_unreadable",
             Refusal::LimitReached { .. } => "limit_reached",
+            Refusal::MemoryShort { .. } => "memory_short",
             Refusal::BodyTooLong => "body_too_long",
             Refusal::CallerBrokeOff => "caller_broke_off",
             Refusal::CrashesServers => "crashes_servers",
@@ -115,6 +126,7 @@
             Refusal::NoConfiguration
             | Refusal::NoServer { .. }
             | Refusal::KeyNotProved
+            | Refusal::MemoryShort { .. }
             | Refusal::NotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::NoKey | Refusal::UnknownKey => StatusCode::UNAUTHORIZED,
             Refusal::NoRoute => StatusCode::NOT_FOUND,
@@ -143,6 +155,7 @@
             Refusal::NoServer { retry_after_ms } => {
                 Some(retry_after_ms.unwrap_or(RETRY_AFTER_UNKNOWN_MS))
             }
+            Refusal::MemoryShort { .. } => Some(RETRY_AFTER_MEMORY_MS),
             Refusal::NoConfiguration | Refusal::KeyNotProved => Some(RETRY_AFTER_UNKNOWN_MS),
             _ => None,
         }
--- a/crates/tinbay-gateway/src/housekeeping.rs
+++ b/crates/tinbay-gateway/src/housekeeping.rs
@@ -6,6 +6,7 @@
 use tinbay_core::units::Millis;
 
 use crate::node::Node;
+use crate::servers::Server;
 
 /// Pause between rounds.
 const ROUND_PAUSE: Duration = Duration::from_secs(2);
@@ -46,6 +47,11 @@
     show("servers", node.servers.borrow().len());
     show("boxes_up", node.box_count.get());
     show("servers_held", node.held_servers.borrow().len());
+    let is_full = |server: &&Rc<Server>| !server.waiting.takes_more();
+    show(
+        "servers_with_enough_waiting",
+        node.servers.borrow().all().filter(is_full).count(),
+    );
     show("can_order", usize::from(node.can_order()));
     show("connections", node.connections.get());
     let (refused, suspected) = node.crashes.counts(node.now_ms());
--- a/crates/tinbay-gateway/src/http/body.rs
+++ b/crates/tinbay-gateway/src/http/body.rs
@@ -1,13 +1,16 @@
 //! Bodies that go on to servers and back to callers.
 
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
+use crate::http::pump::WatchedAnswer;
 use crate::http::relay::Relay;
+use crate::memory::Hold;
 
 /// Why an answer or a body ended early.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
@@ -21,6 +24,12 @@
     /// The time of the request is up.
     #[error("the time of the request is up")]
     TimeUp,
+    /// The caller did not read its answer.
+    #[error("the caller did not read its answer")]
+    CallerDidNotRead,
+    /// The box is short of memory, and the caller reads slowly.
+    #[error("the box is short of memory and the caller reads slowly")]
+    MemoryShort,
     /// The body is longer than allowed.
     #[error("the body is too long")]
     TooLong,
@@ -31,6 +40,8 @@
 pub struct RequestBody {
     first: Bytes,
     rest: Option<Incoming>,
+    /// Counts what is there of it, also while it is sent once more.
+    held: Option<Rc<Hold>>,
 }
 
 impl RequestBody {
@@ -39,6 +50,7 @@
         Self {
             first: bytes,
             rest: None,
+            held: None,
         }
     }
 
@@ -47,9 +59,24 @@
         Self {
             first,
             rest: Some(rest),
+            held: None,
         }
     }
 
+    /// The same body, whose bytes are counted for as long as it is there.
+    pub fn held_by(self, held: Option<Hold>) -> Self {
+        let held = held.map(|mut hold| {
+            hold.resize(self.first.len() as u64);
+            Rc::new(hold)
+        });
+        Self { held, ..self }
+    }
+
+    /// Its length, as far as it is known.
+    pub fn known_bytes(&self) -> u64 {
+        self.size_hint().lower()
+    }
+
     /// What is there of it: all, or the first part of a long one.
     pub fn first(&self) -> &[u8] {
         &self.first
@@ -59,12 +86,17 @@
     pub fn repeat(&self) -> Option<Self> {
         match self.rest {
             Some(_) => None,
-            None => Some(Self::whole(self.first.clone())),
+            None => Some(Self {
+                first: self.first.clone(),
+                rest: None,
+                held: self.held.clone(),
+            }),
         }
     }
 }
 
-/// Reads a caller's body up to `most_kept` bytes; a longer one stays a stream.
+/// Reads a caller's body up to `most_kept` bytes; a longer one stays a stream. What is read counts in
+/// `held`.
 ///
 /// # Errors
 /// When the caller broke off, or the body is longer than `most` bytes.
@@ -72,6 +104,7 @@
     mut body: Incoming,
     most_kept: usize,
     most: usize,
+    mut held: Option<&mut Hold>,
 ) -> Result<RequestBody, BodyError> {
     if body.size_hint().lower() > most as u64 {
         return Err(BodyError::TooLong);
@@ -85,6 +118,9 @@
         };
         length += data.len();
         kept.push(data);
+        if let Some(held) = held.as_deref_mut() {
+            held.grow_to(length as u64);
+        }
         if length > most {
             return Err(BodyError::TooLong);
         }
@@ -152,6 +188,8 @@
     Whole(Option<Bytes>),
     /// A server's bytes as they come.
     Relayed(Box<Relay>),
+    /// The same, with an eye on how its caller reads.
+    Watched(WatchedAnswer),
 }
 
 impl Body for AnswerBody {
@@ -167,6 +205,7 @@
                 Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes))))
             }
             AnswerBody::Relayed(relay) => relay.poll_data(context),
+            AnswerBody::Watched(answer) => Pin::new(answer).poll_frame(context),
         }
     }
 
@@ -174,6 +213,7 @@
         match self {
             AnswerBody::Whole(bytes) => bytes.is_none(),
             AnswerBody::Relayed(relay) => relay.is_at_end(),
+            AnswerBody::Watched(answer) => answer.is_end_stream(),
         }
     }
 
@@ -183,6 +223,7 @@
                 SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64)
             }
             AnswerBody::Relayed(relay) => relay.size_hint(),
+            AnswerBody::Watched(answer) => answer.size_hint(),
         }
     }
 }
--- a/crates/tinbay-gateway/src/http/connect.rs
+++ b/crates/tinbay-gateway/src/http/connect.rs
@@ -11,6 +11,7 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use super::buffers::{READ_BYTES, bound_own};
 use super::silence::end_when_silent;
 
 /// Rest after which a connection of our own is probed: watches and long answers are silent for
@@ -63,7 +64,11 @@
     let stream = tokio::time::timeout(within, connecting).await.ok()?.ok()?;
     let _ = stream.set_nodelay(true);
     end_when_silent(&stream, PROBED_REST);
-    let (sender, driver) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    bound_own(&stream);
+    let handshake = http1::Builder::new()
+        .max_buf_size(READ_BYTES)
+        .handshake(TokioIo::new(stream));
+    let (sender, driver) = handshake.await.ok()?;
     let driver = tokio::task::spawn_local(async move {
         let _ = driver.await;
     });
--- a/crates/tinbay-gateway/src/http/mod.rs
+++ b/crates/tinbay-gateway/src/http/mod.rs
@@ -1,8 +1,10 @@
 //! HTTP by hyper: single calls, connections to servers, bodies.
 
 pub mod body;
+pub mod buffers;
 pub mod call;
 pub mod connect;
 pub mod pool;
+pub mod pump;
 pub mod relay;
 pub mod silence;
--- a/crates/tinbay-gateway/src/http/relay.rs
+++ b/crates/tinbay-gateway/src/http/relay.rs
@@ -154,7 +154,8 @@
         self.end.tell(Ok(()));
     }
 
-    fn cut(&mut self, error: BodyError) -> BodyError {
+    /// Closes the server's connection and tells why the answer was cut.
+    pub fn cut(&mut self, error: BodyError) -> BodyError {
         self.is_done = true;
         self.connection = None;
         self.end.tell(Err(error));
--- a/crates/tinbay-gateway/src/lib.rs
+++ b/crates/tinbay-gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod latch;
 pub mod limits;
 pub mod members;
+pub mod memory;
 pub mod metrics;
 pub mod node;
 pub mod orders;
--- a/crates/tinbay-gateway/src/metrics.rs
+++ b/crates/tinbay-gateway/src/metrics.rs
@@ -4,8 +4,8 @@
 use std::collections::HashSet;
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGaugeVec, Opts, Registry,
-    TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 use crate::error::GatewayError;
@@ -56,6 +56,12 @@
     /// Requests of client accounts by what their limits decided.
     account_limits: IntCounterVec,
     accounts_shown: RefCell<HashSet<String>>,
+    /// Bytes held for requests and answers.
+    pub held_bytes: IntGauge,
+    /// Answers that were cut as their callers did not keep up, by cause.
+    pub slow_cuts: IntCounterVec,
+    /// Requests turned away for memory, by what there was too little room in.
+    pub memory_refusals: IntCounterVec,
     /// What is believed: versions, counts and ages by name.
     pub beliefs: IntGaugeVec,
 }
@@ -83,6 +89,8 @@
             "Returns of the store from a backup",
         )?;
         registry.register(Box::new(store_returns.clone()))?;
+        let held_bytes = IntGauge::new("tinbay_held_bytes", "Bytes held for requests and answers")?;
+        registry.register(Box::new(held_bytes.clone()))?;
         let beliefs = IntGaugeVec::new(
             Opts::new("tinbay_belief", "What the box believes"),
             &["what"],
@@ -149,6 +157,17 @@
                 &["account", "outcome"],
             )?,
             accounts_shown: RefCell::default(),
+            held_bytes,
+            slow_cuts: counter(
+                "tinbay_slow_caller_cuts_total",
+                "Answers cut as their callers did not keep up",
+                &["cause"],
+            )?,
+            memory_refusals: counter(
+                "tinbay_memory_refusals_total",
+                "Requests turned away for memory",
+                &["short"],
+            )?,
             beliefs,
             store_returns,
             registry,
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -7,6 +7,7 @@
 
 use tinbay_core::accounts::account::Account;
 use tinbay_core::accounts::priority::PriorityRanks;
+use tinbay_core::memory::terms::MemoryTerms;
 use tinbay_core::serving::budget::SendBudget;
 use tinbay_core::serving::claims::{ClaimTable, ClaimTerms, Proof};
 use tinbay_core::serving::configuration::{Configuration, EngineSpec, Limits};
@@ -24,10 +25,13 @@
 use crate::clock::Clock;
 use crate::crashes::Crashes;
 use crate::front::question::Question;
+use crate::front::slow_callers::SlowCallers;
 use crate::http::call::Caller;
+use crate::http::pump::AnswerWatch;
 use crate::latch::Latch;
 use crate::limits::Limits as BoxLimits;
 use crate::members::{MemberRecord, Members, box_fingerprint};
+use crate::memory::BoxMemory;
 use crate::metrics::Metrics;
 use crate::orders::held_server::{Busyness, HeldServer};
 use crate::peers::frame::{FramePart, LoadRequestPart};
@@ -162,6 +166,10 @@
     pub limits: BoxLimits,
     /// Second sends by service.
     pub budgets: RefCell<HashMap<String, SendBudget>>,
+    /// What is held for requests and answers.
+    pub memory: Rc<BoxMemory>,
+    /// Answers on their way to callers.
+    pub answers: Rc<AnswerWatch>,
     /// Boxes that are up, this one included, as counted lately.
     pub box_count: Cell<usize>,
 }
@@ -176,6 +184,10 @@
     ) -> Self {
         let members = Members::new(&settings.zone);
         let clock = Clock::start();
+        let memory_terms = MemoryTerms::of_memory(settings.resources.memory_mb);
+        let memory = Rc::new(BoxMemory::new(memory_terms, metrics.held_bytes.clone()));
+        let cuts = Box::new(SlowCallers::new(metrics.slow_cuts.clone()));
+        let answers = Rc::new(AnswerWatch::new(clock, Rc::clone(&memory), cuts));
         Self {
             settings: RefCell::new(settings),
             dialect,
@@ -207,6 +219,8 @@
             crashes: Crashes::default(),
             limits: BoxLimits::default(),
             budgets: RefCell::default(),
+            memory,
+            answers,
             box_count: Cell::new(1),
         }
     }
--- a/crates/tinbay-gateway/src/run.rs
+++ b/crates/tinbay-gateway/src/run.rs
@@ -18,6 +18,7 @@
 use crate::events::{self, part};
 use crate::front::listener;
 use crate::housekeeping;
+use crate::http::pump;
 use crate::metrics::Metrics;
 use crate::node::Node;
 use crate::orders::{claiming, membership};
@@ -147,6 +148,7 @@
     tokio::task::spawn_local(entries::keep(Rc::clone(&node)));
     tokio::task::spawn_local(returns::run(Rc::clone(&node)));
     tokio::task::spawn_local(housekeeping::run(Rc::clone(&node)));
+    tokio::task::spawn_local(pump::run(Rc::clone(&node.answers)));
     log_start(&settings);
     tokio::select! {
         _ = stop.recv() => {}
--- a/crates/tinbay-gateway/src/servers/mod.rs
+++ b/crates/tinbay-gateway/src/servers/mod.rs
@@ -5,6 +5,7 @@
 pub mod server;
 pub mod usage;
 pub mod view;
+mod waiting;
 
 use std::collections::HashMap;
 use std::rc::Rc;
--- a/crates/tinbay-gateway/src/servers/server.rs
+++ b/crates/tinbay-gateway/src/servers/server.rs
@@ -16,6 +16,7 @@
 use super::departed::SharedSaid;
 use super::usage::Usage;
 use super::view::{View, ViewEntry};
+use super::waiting::WaitingBytes;
 use crate::clock::Clock;
 use crate::crashes::check::CutRequest;
 use crate::http::pool::Pool;
@@ -52,6 +53,8 @@
     pub cut: RefCell<Vec<CutRequest>>,
     /// Connections to it.
     pub pool: Rc<Pool>,
+    /// Bytes of this box's requests that it has not begun to answer.
+    pub waiting: WaitingBytes,
     pub(super) record: RefCell<Rc<ServerRecord>>,
     /// What it said of itself, which outlasts its entry.
     pub(super) said: SharedSaid,
@@ -101,6 +104,7 @@
             usage: RefCell::default(),
             cut: RefCell::default(),
             pool: Rc::new(Pool::new(record.address, clock)),
+            waiting: WaitingBytes::default(),
             record: RefCell::new(Rc::new(record.clone())),
             said,
             mistrust: Cell::default(),
@@ -178,7 +182,8 @@
 
     /// The same for a request that has leave to be sent within the server's limit.
     pub fn may_be_sent(&self, now_ms: Millis) -> bool {
-        self.is_ready(now_ms) && self.rest_until_ms(now_ms).is_none()
+        let is_willing = self.is_ready(now_ms) && self.rest_until_ms(now_ms).is_none();
+        is_willing && self.waiting.takes_more()
     }
 
     /// Notes that its limit has no room until then.
--- a/crates/tinbay-gateway/src/settings.rs
+++ b/crates/tinbay-gateway/src/settings.rs
@@ -43,6 +43,8 @@
     pub link_mbit_per_s: f64,
     /// Its share of one core.
     pub core_share: f64,
+    /// Its memory; none where nothing is said of it.
+    pub memory_mb: Option<f64>,
 }
 
 /// Capacity of a whole core behind a link of one Mbit/s.
