--- a/crates/tinbay-gateway/src/http/pump/readahead.rs
+++ b/crates/tinbay-gateway/src/http/pump/readahead.rs
@@ -49,7 +49,7 @@
     /// The next piece for the caller.
     pub fn pop(&mut self) -> Option<Frame<Bytes>> {
         let frame = self.frames.pop_front()?;
-        self.bytes -= length(&frame);
+        self.bytes -= held_length(&frame);
         self.count();
         if let Some(room) = self.room.take() {
             room.wake();
@@ -63,7 +63,7 @@
     }
 
     fn push(&mut self, frame: Frame<Bytes>) {
-        self.bytes += length(&frame);
+        self.bytes += held_length(&frame);
         self.frames.push_back(frame);
         self.count();
     }
@@ -88,6 +88,12 @@
     }
 }
 
+/// What a piece takes in memory: events of some bytes each take more for being pieces than for what
+/// they say.
+fn held_length(frame: &Frame<Bytes>) -> u64 {
+    length(frame) + size_of::<Frame<Bytes>>() as u64
+}
+
 /// Bytes of a piece.
 pub fn length(frame: &Frame<Bytes>) -> u64 {
     frame.data_ref().map_or(0, |data| data.len() as u64)
