A whole answer that is ready is there until its caller's time

It takes no server's place, and what is held is bounded: to cut it by the route's patience would have lost answers that were ready. memory_test: 23 passed; slow_readers: 8 passed.

--- a/crates/tinbay-core/src/memory/reader.rs
+++ b/crates/tinbay-core/src/memory/reader.rs
@@ -119,11 +119,11 @@
     /// Whether an answer that is read ahead of its caller is cut, and why.
     ///
     /// Load: callers who read nothing, and callers who read a little each second and would hold a
-    /// server's place for as long as they like. One whose whole answer is ready is given what is ready,
-    /// also past its time, as long as it takes some.
+    /// server's place for as long as they like. A whole answer that is ready takes no server's place: it
+    /// is there until its caller's time, and past that as long as the caller takes some.
     pub fn judge(&self, terms: &ReaderTerms, is_whole: bool, now_ms: Millis) -> Option<CutCause> {
         let unread_ms = self.unread_ms(now_ms);
-        if unread_ms >= terms.unread_limit_ms {
+        if !is_whole && unread_ms >= terms.unread_limit_ms {
             return Some(CutCause::Unread);
         }
         if now_ms < terms.time_up_ms {
