--- a/crates/tinbay-core/src/lib.rs
+++ b/crates/tinbay-core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod keys;
 pub mod limits;
 pub mod loads;
+pub mod memory;
 pub mod naive;
 pub mod pace;
 pub mod policy;
--- a/crates/tinbay-gateway/src/front/mod.rs
+++ b/crates/tinbay-gateway/src/front/mod.rs
@@ -15,3 +15,4 @@
 pub mod refusal;
 pub mod request_log;
 pub mod room;
+pub mod slow_callers;
--- a/crates/tinbay-gateway/src/front/refusal.rs
+++ b/crates/tinbay-gateway/src/front/refusal.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use hyper::header::{HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
+use tinbay_core::memory::ledger::MemoryShort;
 use tinbay_core::units::{MS_PER_SECOND, Millis};
 
 use crate::http::body::AnswerBody;
@@ -60,6 +61,12 @@
         /// When its turn is.
         retry_after_ms: Millis,
     },
+    /// The box, or its account's part of it, has no memory left for it.
+    #[error("not run: {short}")]
+    MemoryShort {
+        /// What there is too little room in.
+        short: MemoryShort,
+    },
     /// The body is longer than allowed.
     #[error("the body is longer than allowed")]
     BodyTooLong,
@@ -94,6 +101,9 @@
 /// When to come back while nothing is known of the service.
 const RETRY_AFTER_UNKNOWN_MS: Millis = 300;
 
+/// When to come back while there is no memory: by then what is held has been read or cut.
+const RETRY_AFTER_MEMORY_MS: Millis = 1_000;
+
 impl Refusal {
     /// Name for logs and measures.
     pub fn name(&self) -> &'static str {
@@ -107,6 +117,7 @@
             Refusal::TokensUnreadable => "tokens_unreadable",
             Refusal::LimitReached { .. } => "limit_reached",
             Refusal::NoRoom { .. } => "no_room",
+            Refusal::MemoryShort { .. } => "memory_short",
             Refusal::BodyTooLong => "body_too_long",
             Refusal::CallerBrokeOff => "caller_broke_off",
             Refusal::CrashesServers => "crashes_servers",
@@ -123,6 +134,7 @@
             | Refusal::NoServer { .. }
             | Refusal::KeyNotProved
             | Refusal::NoRoom { .. }
+            | Refusal::MemoryShort { .. }
             | Refusal::NotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::NoKey | Refusal::UnknownKey => StatusCode::UNAUTHORIZED,
             Refusal::NoRoute => StatusCode::NOT_FOUND,
@@ -151,6 +163,7 @@
             Refusal::NoServer { retry_after_ms } => {
                 Some(retry_after_ms.unwrap_or(RETRY_AFTER_UNKNOWN_MS))
             }
+            Refusal::MemoryShort { .. } => Some(RETRY_AFTER_MEMORY_MS),
             Refusal::NoConfiguration | Refusal::KeyNotProved => Some(RETRY_AFTER_UNKNOWN_MS),
             _ => None,
         }
