--- a/crates/tinbay-gateway/src/http/pool.rs
+++ b/crates/tinbay-gateway/src/http/pool.rs
@@ -140,12 +140,6 @@
             .is_some_and(|last| last.since_ms + LEAST_MS < now_ms)
     }
 
-    /// Whether a request that may run only once may go out on a connection that rests here.
-    pub fn has_trusted_rest(&self) -> bool {
-        let idle = self.idle.borrow();
-        idle.last().is_some_and(|last| self.is_trusted(last))
-    }
-
     fn is_trusted(&self, idle: &Idle) -> bool {
         let is_short = idle.since_ms + self.ledger.trusted_ms() >= self.clock.now_ms();
         is_short && idle.since_ms >= self.silent_ms.get()
