A holder that has a request wait for ever is not waited for

Its answer was waited for as long as it said that the request waits: without accounts in the holder's configuration, while the asker still had some, that had no end.

--- a/crates/tinbay-gateway/src/sharing/asking.rs
+++ b/crates/tinbay-gateway/src/sharing/asking.rs
@@ -18,6 +18,10 @@
 /// Times that a holder is asked without a word before it counts as silent.
 const MOST_ASKS: u32 = 2;
 
+/// Times that a holder is asked beyond those until the request can't be in time: by then it has decided, or it
+/// never will.
+const MOST_ASKS_BEYOND: u32 = 3;
+
 /// How long a silent holder is not asked.
 const SILENT_LIFE_MS: Millis = 1_000;
 
@@ -125,7 +129,10 @@
     mut receiver: tokio::sync::oneshot::Receiver<RoomWord>,
 ) -> Option<RoomWord> {
     let mut unheard = 0;
-    while unheard < MOST_ASKS {
+    for _ in 0..most_asks(part) {
+        if unheard >= MOST_ASKS {
+            break;
+        }
         links.ask(holder, server, part);
         if let Ok(word) = tokio::time::timeout(ASK_AGAIN, &mut receiver).await {
             return word.ok();
@@ -136,6 +143,12 @@
     None
 }
 
+fn most_asks(part: RoomRequestPart) -> u32 {
+    let in_time = Duration::from_millis(u64::from(part.in_time_ms));
+    let until_late = in_time.as_millis() / ASK_AGAIN.as_millis();
+    until_late as u32 + MOST_ASKS_BEYOND
+}
+
 fn is_silent(links: &dyn RoomLinks, holder: &RoomHolder) -> bool {
     match holder {
         RoomHolder::Own => false,
--- a/crates/tinbay-gateway/src/sharing/holder.rs
+++ b/crates/tinbay-gateway/src/sharing/holder.rs
@@ -72,7 +72,8 @@
     let Some(in_force) = node.in_force() else {
         return;
     };
-    if in_force.configuration.accounts.is_empty() {
+    let is_any_waiting = held.room.borrow().waiting_count() > 0;
+    if in_force.configuration.accounts.is_empty() && !is_any_waiting {
         return;
     }
     let now_ms = node.now_ms();
--- a/crates/tinbay-gateway/tests/sharing_asking_test.rs
+++ b/crates/tinbay-gateway/tests/sharing_asking_test.rs
@@ -161,6 +161,16 @@
     assert_eq!(links.asked.get(), 1);
 }
 
+/// A holder that has a request wait and never decides: it is not waited for beyond what the request can bear.
+#[test]
+fn ask_holder_never_decides_own_part() {
+    let links = FakeLinks::new(&[Some(RoomWord::Waits); 50]);
+    let answered = run(ask(&links, &server(), WISH));
+    assert_eq!(outcome(answered), Some((RoomOutcome::OwnPart, None)));
+    let in_time_ms = u32::try_from(WISH.in_time_ms).expect("a short time");
+    assert!(links.asked.get() <= in_time_ms / 100 + 3);
+}
+
 /// Words that nobody waits for any more change nothing.
 #[test]
 fn take_word_late_or_unknown_is_passed_over() {
