--- a/crates/tinbay-gateway/src/front/adapters.rs
+++ b/crates/tinbay-gateway/src/front/adapters.rs
@@ -22,6 +22,10 @@
 /// Longest wait for a server's status where the request could be sent without it.
 const ANSWER_WAIT: Duration = Duration::from_millis(20);
 
+/// How often an adapter must be asked for, one time within a second of the other, before an engine that
+/// reads for others loads it: a load costs a part of a request, and only those that come after gain.
+const LEAST_ASKS_TO_READ: u8 = 3;
+
 /// When a caller comes back that should use another box.
 const RETRY_ELSEWHERE_MS: Millis = 20;
 
@@ -41,8 +45,7 @@
                 if let Some(copy) = copy {
                     node.request_load(&copy, want(node, question, true));
                 }
-                let is_refreshed = asked.status_requests.contains_key(&server.key);
-                if question.model_key.is_none() || is_refreshed || !node.should_ask(&server) {
+                if question.model_key.is_none() || !is_to_ask(node, &server, &asked) {
                     return Ok(server);
                 }
                 refresh_status(node, &server, &mut asked).await;
@@ -56,6 +59,10 @@
                 let left = Duration::from_millis(last_send_ms.saturating_sub(node.now_ms()));
                 wait_for_load(node, question, &server, LOOK_PAUSE.min(left), &mut asked).await;
             }
+            Choice::Ask(server) => {
+                node.request_load(&server, want_to_read(node, question));
+                refresh_status(node, &server, &mut asked).await;
+            }
             Choice::Nowhere => {
                 let retry_after_ms = permits::return_in_ms(node, &question.service);
                 return Err(Refusal::NoServer { retry_after_ms });
@@ -64,8 +71,14 @@
     }
 }
 
+/// Whether a server's holder is to be asked how it stands before a request goes there.
+pub(super) fn is_to_ask(node: &Node, server: &Server, asked: &Asked) -> bool {
+    let is_refreshed = asked.status_requests.contains_key(&server.key);
+    !is_refreshed && node.should_ask(server)
+}
+
 /// Asks the server's holder for its status, and waits a moment for the answer.
-async fn refresh_status(node: &Node, server: &Server, asked: &mut Asked) {
+pub(super) async fn refresh_status(node: &Node, server: &Server, asked: &mut Asked) {
     let status_came = server.status_came.notified();
     node.request_status(server);
     asked.status_requests.insert(server.key, node.now_ms());
@@ -116,7 +129,7 @@
 
 /// Has the server's holder load the adapter, unless it was asked lately, and waits until its status
 /// comes or the adapter can serve somewhere.
-async fn wait_for_load(
+pub(super) async fn wait_for_load(
     node: &Node,
     question: &Question,
     server: &Server,
@@ -137,11 +150,20 @@
     }
 }
 
-fn want(node: &Node, question: &Question, is_copy: bool) -> Want {
+pub(super) fn want(node: &Node, question: &Question, is_copy: bool) -> Want {
     Want {
         adapter: question.model.clone().unwrap_or_default(),
         version: question.named_version(node),
         is_copy,
+        least_asks: 1,
+    }
+}
+
+/// The same for an engine that reads for others: it holds what is asked for again and again.
+pub(super) fn want_to_read(node: &Node, question: &Question) -> Want {
+    Want {
+        least_asks: LEAST_ASKS_TO_READ,
+        ..want(node, question, true)
     }
 }
 
--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -1,5 +1,6 @@
 //! Brings a request to a server, to another one where that is allowed, and back.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,6 +12,8 @@
 use super::attempt::{AttemptResult, AttemptTerms, BegunAnswer, UnknownCause, attempt};
 use super::choice::{self, Asked, Choice};
 use super::headers::{self, ServerHeaders};
+use super::hedge::{self, HedgeTerms, Outgoing};
+use super::moving;
 use super::question::{LastSend, Question};
 use super::refusal::{NotRunReason, Refusal};
 use super::request_log::{Ending, log_end, log_try};
@@ -50,7 +53,7 @@
 const MISTRUST_DECLINED: f64 = 0.5;
 
 /// What is known of a request's tries so far.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 struct Tries {
     tried: Vec<String>,
     ends: AttemptEnds,
@@ -97,18 +100,25 @@
             return Err(give_up(node, question, &tries));
         };
         body = sent.repeat();
-        let sent_ms = node.now_ms();
         let before_ms = node.backlog_ms(&server);
-        let result = try_server(node, question, &tries, sent, &server, permit).await;
+        moving::prepare(node, question, &server);
+        let outgoing = Outgoing {
+            server,
+            body: sent,
+            permit,
+        };
+        let sent = send_hedged(node, question, &mut tries, outgoing).await;
+        let (server, sent_ms, result) = (sent.server, sent.sent_ms, sent.result);
         if matches!(result, AttemptResult::Begun(_)) {
             node.note_reading(question, before_ms, node.now_ms() - sent_ms);
+            note_pace(node, question, &server, sent_ms);
         }
         note_delay(node, question, &server, sent_ms);
         log_try(node, question, &server, &result);
         let end = match result {
             AttemptResult::Begun(answer) => {
                 if body.is_none() || !repeats(node, question, &tries, &server, &answer) {
-                    return Ok(relay(node, question, *answer));
+                    return Ok(relay(node, question, *answer, body));
                 }
                 tries.note(&server, AttemptEnd::Unknown);
                 continue;
@@ -146,6 +156,39 @@
     }
 }
 
+/// Sends a request to a server, and to a second one where it may run twice and the first is late.
+async fn send_hedged(
+    node: &Node,
+    question: &Question,
+    tries: &mut Tries,
+    outgoing: Outgoing,
+) -> hedge::Sent {
+    let most_sends = question.route.most_attempts.saturating_sub(tries.runs);
+    let terms = HedgeTerms {
+        tried: &tries.tried,
+        sends_left: most_sends.saturating_sub(1),
+    };
+    let send_to = async |outgoing: Outgoing, sends_under_way: u32| {
+        let runs = tries.runs + sends_under_way;
+        let tries = Tries {
+            runs,
+            ..tries.clone()
+        };
+        let Outgoing {
+            server,
+            body,
+            permit,
+        } = outgoing;
+        try_server(node, question, &tries, body, &server, permit).await
+    };
+    let sent = hedge::send(node, question, terms, outgoing, send_to).await;
+    if let Some(failed) = &sent.failed {
+        failed.server.add_mistrust(MISTRUST_UNKNOWN, node.now_ms());
+        tries.note(&failed.server, failed.end);
+    }
+    sent
+}
+
 /// A full server is left alone for a while; one that lacks the adapter is known to lack it.
 fn note_declined(node: &Node, question: &Question, server: &Server, status: StatusCode) {
     match question.model_key {
@@ -184,6 +227,14 @@
     give_up(node, question, tries)
 }
 
+/// The speed of a server that does the same work as the others of its service.
+fn note_pace(node: &Node, question: &Question, server: &Server, sent_ms: Millis) {
+    if question.model.is_none() {
+        let now_ms = node.now_ms();
+        server.note_answer_time((now_ms - sent_ms) as f64, now_ms);
+    }
+}
+
 fn note_delay(node: &Node, question: &Question, server: &Server, sent_ms: Millis) {
     let now_ms = node.now_ms();
     let objective_ms = question.route.objective_ms.max(1) as f64;
@@ -204,24 +255,28 @@
     let head_by_ms = question.time_up_ms.min(sent.time_up_ms + BEGIN_MARGIN_MS);
     let left_ms = head_by_ms.saturating_sub(now_ms);
     let is_last = !may_run_again(question, tries);
+    let silent_after_ms = silent_after_ms(node, question, server);
     let record = server.record();
     let terms = AttemptTerms {
         server,
         most_open: most_open(node, question),
-        trust: if is_last { Trust::JustUsed } else { Trust::Any },
+        trust: if is_last { Trust::RunsOnce } else { Trust::Any },
         headers: ServerHeaders {
             deadline_ms: sent.time_up_ms.saturating_sub(now_ms),
             server_id: &record.id,
             priority: question.rank(),
             version: sent.expected_version,
             account: question.client_account().map(|account| &*account.name),
+            resumption: None,
         },
         permit,
+        reading_tokens: question.prompt.tokens,
         head_within: if is_last {
             Duration::from_millis(left_ms)
         } else {
-            Duration::from_millis(left_ms.min(silent_after_ms(node, question, server)))
+            Duration::from_millis(left_ms.min(silent_after_ms))
         },
+        silent_after: Duration::from_millis(silent_after_ms),
     };
     attempt(node, question, body, terms).await
 }
@@ -279,7 +334,7 @@
 }
 
 /// Connections this box may open to one server: its part of what the server accepts.
-fn most_open(node: &Node, question: &Question) -> usize {
+pub(super) fn most_open(node: &Node, question: &Question) -> usize {
     let accepted = node
         .in_force()
         .and_then(|in_force| {
@@ -352,17 +407,25 @@
     }
 }
 
-fn relay(node: &Rc<Node>, question: &Rc<Question>, answer: BegunAnswer) -> Response<AnswerBody> {
+fn relay(
+    node: &Rc<Node>,
+    question: &Rc<Question>,
+    answer: BegunAnswer,
+    body: Option<RequestBody>,
+) -> Response<AnswerBody> {
     let server = answer.running.server();
     let (mut parts, incoming) = answer.response.into_parts();
+    let running = Rc::new(RefCell::new(answer.running));
+    let successor = moving::successor(node, question, &parts, &running, body);
     let terms = RelayTerms {
         connection: answer.connection,
         pool: Rc::clone(&server.pool),
         rest: headers::allowed_rest(&parts.headers),
         may_keep: headers::keeps_connection(&parts.headers),
         time_up: node.clock.instant(question.time_up_ms),
+        successor,
         clock: node.clock,
-        end: observe_end(node, question, answer.running, parts.status.as_u16()),
+        end: observe_end(node, question, running, parts.status.as_u16()),
     };
     headers::drop_hop_headers(&mut parts.headers);
     let relay = Relay::new(incoming, terms);
@@ -372,7 +435,7 @@
 fn observe_end(
     node: &Rc<Node>,
     question: &Rc<Question>,
-    running: RunningRequest,
+    running: Rc<RefCell<RunningRequest>>,
     status: u16,
 ) -> EndObserver {
     let node = Rc::clone(node);
@@ -384,7 +447,8 @@
             Ok(()) => Ending::Whole,
             Err(error) => Ending::Cut(error),
         };
-        let server = running.server();
+        let server = running.borrow().server();
+        moving::note_stream(&node, &question, sight, end);
         match (end, question.digest.get()) {
             (Err(BodyError::ServerBrokeOff), _) => note_cut(&node, &question, &server),
             (Ok(()), Some(digest)) if is_success(status) => crashes::note_proven(&node, *digest),
--- a/crates/tinbay-gateway/src/lib.rs
+++ b/crates/tinbay-gateway/src/lib.rs
@@ -4,12 +4,14 @@
 //! from one surrounding to another (names, formats, calls) stands behind the traits of
 //! [`port`]; what is decided stands in `tinbay_core::serving`.
 
+pub mod answer_metrics;
 pub mod clock;
 pub mod crashes;
 pub mod directory;
 pub mod error;
 pub mod events;
 pub mod front;
+pub mod handover;
 pub mod housekeeping;
 pub mod http;
 pub mod latch;
@@ -23,5 +25,6 @@
 pub mod run;
 pub mod servers;
 pub mod settings;
+pub mod shown_labels;
 pub mod waiters;
 pub mod watch;
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -24,6 +24,7 @@
 use crate::clock::Clock;
 use crate::crashes::Crashes;
 use crate::front::question::Question;
+use crate::handover::split::Splits;
 use crate::http::call::Caller;
 use crate::latch::Latch;
 use crate::limits::Limits as BoxLimits;
@@ -160,6 +161,8 @@
     pub crashes: Crashes,
     /// Limits over all boxes.
     pub limits: BoxLimits,
+    /// Services whose engines read for each other.
+    pub splits: Splits,
     /// Second sends by service.
     pub budgets: RefCell<HashMap<String, SendBudget>>,
     /// Boxes that are up, this one included, as counted lately.
@@ -176,6 +179,7 @@
     ) -> Self {
         let members = Members::new(&settings.zone);
         let clock = Clock::start();
+        let servers = ServerTable::new(clock).with_measure(metrics.server_connections.clone());
         Self {
             settings: RefCell::new(settings),
             dialect,
@@ -190,7 +194,7 @@
             metrics,
             in_force: RefCell::default(),
             versions: RefCell::default(),
-            servers: RefCell::new(ServerTable::new(clock)),
+            servers: RefCell::new(servers),
             members: RefCell::new(members),
             claims: RefCell::default(),
             proof: Cell::default(),
@@ -206,6 +210,7 @@
             reading: RefCell::default(),
             crashes: Crashes::default(),
             limits: BoxLimits::default(),
+            splits: Splits::default(),
             budgets: RefCell::default(),
             box_count: Cell::new(1),
         }
@@ -418,6 +423,7 @@
             adapter: want.adapter,
             version: want.version,
             is_copy: want.is_copy,
+            least_asks: want.least_asks,
         };
         self.outbox.post(&holder, FramePart::LoadRequest(part));
     }
@@ -482,10 +488,16 @@
     pub fn load(&self, server: &Server, objective_ms: Millis) -> f64 {
         let now_ms = self.now_ms();
         let busyness = self.busyness(server, now_ms);
-        let running = server.usage.borrow().running() + busyness.running_elsewhere;
-        let fullness = running as f64 / server.record().slots.max(1) as f64;
+        let fullness = self.running(server) as f64 / server.record().slots.max(1) as f64;
         let backlog = busyness.backlog_ms / objective_ms.max(1) as f64;
-        fullness + backlog + DELAY_PART * busyness.delay.max(server.delay(now_ms))
+        let slowed = server.slowed_load(fullness + backlog, objective_ms, now_ms);
+        slowed + DELAY_PART * busyness.delay.max(server.delay(now_ms))
+    }
+
+    /// Requests of all boxes that run at a server, as far as this box knows.
+    pub fn running(&self, server: &Server) -> usize {
+        let elsewhere = self.busyness(server, self.now_ms()).running_elsewhere;
+        server.usage.borrow().running() + elsewhere
     }
 
     fn busyness(&self, server: &Server, now_ms: Millis) -> Busyness {
@@ -543,8 +555,12 @@
     }
 
     /// Counts a request that is sent to a server.
-    pub fn begin_request(&self, server: &Rc<Server>, question: &Question) -> RunningRequest {
-        let tokens = question.prompt.tokens;
+    pub fn begin_request(
+        &self,
+        server: &Rc<Server>,
+        question: &Question,
+        tokens: u32,
+    ) -> RunningRequest {
         if question.model_key.is_some() {
             let reading_ms = self.reading_ms(&question.service, tokens);
             let mut view = server.view.borrow_mut();
