--- a/crates/tinbay-core/src/handover/course.rs
+++ b/crates/tinbay-core/src/handover/course.rs
@@ -22,6 +22,16 @@
     Unknown,
 }
 
+impl MoveAnswer {
+    /// Name of the copy, if there is one.
+    pub fn handle(&self) -> Option<&str> {
+        match self {
+            MoveAnswer::Copied { handle } | MoveAnswer::Kept { handle } => Some(handle),
+            MoveAnswer::NotStopped | MoveAnswer::Unknown => None,
+        }
+    }
+}
+
 /// How a server took a run up.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ResumeAnswer {
--- a/crates/tinbay-gateway/src/front/moving/mover.rs
+++ b/crates/tinbay-gateway/src/front/moving/mover.rs
@@ -11,6 +11,7 @@
 use serde::Serialize;
 use tinbay_core::handover::course::{MoveAnswer, Place};
 use tinbay_core::units::Millis;
+use tokio::sync::oneshot;
 
 use super::target::{self, Target};
 use crate::events::{self, part};
@@ -22,7 +23,7 @@
 use crate::front::question::{Handover, Question};
 use crate::handover::drive::{Doing, Outcome, Resumed, RunMover};
 use crate::http::body::RequestBody;
-use crate::http::call::CallError;
+use crate::http::call::{CallError, Reply};
 use crate::http::pool::Trust;
 use crate::http::pooled::call_pooled;
 use crate::http::relay::ContinuedAnswer;
@@ -116,37 +117,40 @@
         self.question.handover.set(Some(Handover::Begun));
         let dialect = &self.node.dialect;
         let body = dialect.encode_move(&self.question.id, target.record().address);
-        let request = self.call(Method::POST, dialect.move_path(), body);
+        let request = call_to(
+            &self.node,
+            &self.source,
+            Method::POST,
+            dialect.move_path(),
+            body,
+        );
         let most_open = most_open(&self.node, &self.question);
-        let call = call_pooled(&self.source.pool, most_open, request, MOVE_WITHIN);
-        let reply = match call.await {
-            Ok(reply) => reply,
-            Err(CallError::NotConnected) => return MoveAnswer::NotStopped,
-            Err(CallError::NoAnswer) => return MoveAnswer::Unknown,
-        };
-        let decoded = dialect.decode_move(&reply.body).unwrap_or_default();
-        match (StatusCode::from_u16(reply.status), decoded.handle) {
-            (Ok(StatusCode::OK), Some(handle)) => MoveAnswer::Copied { handle },
-            (Ok(StatusCode::SERVICE_UNAVAILABLE), Some(handle)) => MoveAnswer::Kept { handle },
-            _ => MoveAnswer::NotStopped,
+        let pool = Rc::clone(&self.source.pool);
+        let node = Rc::clone(&self.node);
+        let freeing = self.freeing();
+        let (sender, receiver) = oneshot::channel();
+        // The caller may leave before the answer is there: whoever reads it has to free the copy then.
+        tokio::task::spawn_local(async move {
+            let reply = call_pooled(&pool, most_open, request, MOVE_WITHIN).await;
+            let copied = CopiedRun {
+                answer: Some(read_move(&node, reply)),
+                freeing,
+            };
+            let _ = sender.send(copied);
+        });
+        match receiver.await {
+            Ok(mut copied) => copied.take(),
+            Err(_) => MoveAnswer::Unknown,
         }
     }
 
-    fn call(&self, method: Method, path: &str, body: Bytes) -> Request<RequestBody> {
-        let record = self.source.record();
-        let mut request = Request::new(RequestBody::whole(body));
-        *request.method_mut() = method;
-        *request.uri_mut() = path.parse().unwrap_or_default();
-        let headers = request.headers_mut();
-        let name = &self.node.dialect.headers().expect_server;
-        if let Ok(id) = HeaderValue::from_str(&record.id) {
-            headers.insert(name.clone(), id);
-        }
-        if let Ok(host) = HeaderValue::from_str(&self.source.address_text) {
-            headers.insert(HOST, host);
+    /// What frees a copy at the source.
+    fn freeing(&self) -> Freeing {
+        Freeing {
+            node: Rc::clone(&self.node),
+            question: Rc::clone(&self.question),
+            source: Rc::clone(&self.source),
         }
-        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        request
     }
 
     async fn resume_at(&self, at: Place, handle: &str, last_id: u64) -> Resumed<ContinuedAnswer> {
@@ -268,9 +272,28 @@
         Box::pin(self.resume_at(at, handle, last_id))
     }
 
+    fn free(&self, handle: &str) {
+        self.freeing().free(handle);
+    }
+}
+
+/// Frees copies at the server that made them.
+struct Freeing {
+    node: Rc<Node>,
+    question: Rc<Question>,
+    source: Rc<Server>,
+}
+
+impl Freeing {
     fn free(&self, handle: &str) {
         let path = self.node.dialect.copy_path(handle);
-        let request = self.call(Method::DELETE, &path, Bytes::new());
+        let request = call_to(
+            &self.node,
+            &self.source,
+            Method::DELETE,
+            &path,
+            Bytes::new(),
+        );
         let pool = Rc::clone(&self.source.pool);
         let most_open = most_open(&self.node, &self.question);
         // Servers free it by themselves where this call is lost.
@@ -279,3 +302,61 @@
         });
     }
 }
+
+/// The answer to a move; a copy that nobody takes on is freed.
+struct CopiedRun {
+    answer: Option<MoveAnswer>,
+    freeing: Freeing,
+}
+
+impl CopiedRun {
+    fn take(&mut self) -> MoveAnswer {
+        self.answer.take().unwrap_or(MoveAnswer::Unknown)
+    }
+}
+
+impl Drop for CopiedRun {
+    fn drop(&mut self) {
+        let handle = self.answer.as_ref().and_then(MoveAnswer::handle);
+        if let Some(handle) = handle {
+            self.freeing.free(handle);
+        }
+    }
+}
+
+fn read_move(node: &Node, reply: Result<Reply, CallError>) -> MoveAnswer {
+    let reply = match reply {
+        Ok(reply) => reply,
+        Err(CallError::NotConnected) => return MoveAnswer::NotStopped,
+        Err(CallError::NoAnswer) => return MoveAnswer::Unknown,
+    };
+    let decoded = node.dialect.decode_move(&reply.body).unwrap_or_default();
+    match (StatusCode::from_u16(reply.status), decoded.handle) {
+        (Ok(StatusCode::OK), Some(handle)) => MoveAnswer::Copied { handle },
+        (Ok(StatusCode::SERVICE_UNAVAILABLE), Some(handle)) => MoveAnswer::Kept { handle },
+        _ => MoveAnswer::NotStopped,
+    }
+}
+
+/// A call to a server that concerns a run there.
+fn call_to(
+    node: &Node,
+    server: &Server,
+    method: Method,
+    path: &str,
+    body: Bytes,
+) -> Request<RequestBody> {
+    let mut request = Request::new(RequestBody::whole(body));
+    *request.method_mut() = method;
+    *request.uri_mut() = path.parse().unwrap_or_default();
+    let headers = request.headers_mut();
+    let name = &node.dialect.headers().expect_server;
+    if let Ok(id) = HeaderValue::from_str(&server.record().id) {
+        headers.insert(name.clone(), id);
+    }
+    if let Ok(host) = HeaderValue::from_str(&server.address_text) {
+        headers.insert(HOST, host);
+    }
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    request
+}
--- a/crates/tinbay-gateway/src/handover/drive.rs
+++ b/crates/tinbay-gateway/src/handover/drive.rs
@@ -88,7 +88,7 @@
     let answer = mover.ask_move().await;
     let mut copy = Copy {
         mover,
-        handle: handle_of(&answer),
+        handle: answer.handle().map(str::to_string),
     };
     let mut step = course::after_move(answer);
     if matches!(step, Step::Resume { .. }) {
@@ -118,10 +118,3 @@
         }
     }
 }
-
-fn handle_of(answer: &MoveAnswer) -> Option<String> {
-    match answer {
-        MoveAnswer::Copied { handle } | MoveAnswer::Kept { handle } => Some(handle.clone()),
-        MoveAnswer::NotStopped | MoveAnswer::Unknown => None,
-    }
-}
