An account at its limit gives units to new requests before those that come back late

What callers saw: while one account asks many times its usual, those that its limit turned away come back some seconds later, late by then, and take units from new requests, which are refused though they could be in time. One that comes back in time has its turn as before.

--- a/crates/tinbay-core/src/limits/home.rs
+++ b/crates/tinbay-core/src/limits/home.rs
@@ -11,6 +11,7 @@
 use crate::units::{MS_PER_SECOND, Millis};
 
 use super::bucket::{Bucket, Filling};
+use super::denied::{CallerTry, DeniedTries};
 use super::terms::LimitTerms;
 use super::turns::Turns;
 
@@ -56,6 +57,8 @@
     bucket: Bucket,
     /// Who is turned away is told to come back when there is room for it.
     turns: Turns,
+    /// Requests that were turned away: late ones among these get what new ones leave.
+    denied: DeniedTries,
     /// When units were last dealt.
     dealt_ms: Millis,
 }
@@ -66,6 +69,7 @@
         Self {
             bucket: Bucket::empty(now_ms),
             turns: Turns::default(),
+            denied: DeniedTries::default(),
             dealt_ms: now_ms,
         }
     }
@@ -88,6 +92,20 @@
     /// for the same worth (0.775 against 0.777; 0.56 against 0.59 where two accounts asked six
     /// times their usual).
     pub fn deal(&mut self, terms: DealTerms, request: UnitRequest, now_ms: Millis) -> UnitGrant {
+        self.deal_to(terms, request, None, now_ms)
+    }
+
+    /// Deals units to one try of a caller.
+    ///
+    /// One that was turned away before and is late by now gets only what is left above the part that is
+    /// kept for requests which wait: a unit serves a caller who can still be in time better.
+    pub fn deal_to(
+        &mut self,
+        terms: DealTerms,
+        request: UnitRequest,
+        of: Option<CallerTry>,
+        now_ms: Millis,
+    ) -> UnitGrant {
         let limit = terms.limit_terms.limit;
         let reached = terms.reached.clamp(0.0, 1.0);
         let filling = Filling {
@@ -103,11 +121,26 @@
         }
         self.dealt_ms = now_ms;
         self.bucket.fill(filling, now_ms);
-        if self.bucket.level() < request.needed.min(filling.most) {
+        let is_late = of.is_some_and(|of| self.denied.is_late(of, now_ms));
+        let left_for_others = if is_late {
+            KEPT_PART * filling.most
+        } else {
+            0.0
+        };
+        if self.bucket.level() < request.needed.min(filling.most) + left_for_others {
+            if let Some(of) = of {
+                self.denied.note(of, now_ms);
+            }
             let longest_ms = terms.limit_terms.longest_away_ms;
-            let room_in_ms = Some(self.promise_room(request.needed, filling, longest_ms, now_ms));
-            let units = 0.0;
-            return UnitGrant { units, room_in_ms };
+            let room_in_ms = if is_late {
+                longest_ms
+            } else {
+                self.promise_room(request.needed, filling, longest_ms, now_ms)
+            };
+            return UnitGrant {
+                units: 0.0,
+                room_in_ms: Some(room_in_ms),
+            };
         }
         let spare = self.bucket.level() - request.needed - KEPT_PART * filling.most;
         let ahead = request.ahead.max(spare / terms.boxes.max(1) as f64);
--- a/crates/tinbay-core/src/limits/mod.rs
+++ b/crates/tinbay-core/src/limits/mod.rs
@@ -9,6 +9,7 @@
 //! Like the rest of the core this does no I/O and reads no clock.
 
 pub mod bucket;
+pub mod denied;
 pub mod home;
 pub mod share;
 pub mod terms;
--- a/crates/tinbay-gateway/src/front/filters/account_limit.rs
+++ b/crates/tinbay-gateway/src/front/filters/account_limit.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use tinbay_core::accounts::account::{Account, LimitUnit};
+use tinbay_core::limits::denied::CallerTry;
 use tinbay_core::serving::prompt::TokenCount;
 
 use super::{Exchange, Filter, Filtering, Step};
@@ -41,7 +42,11 @@
         return Ok(());
     };
     let units = units(account, question.prompt.count)?;
-    let admitted = limits::admit(node, &limited, units).await;
+    let of = question.digest.get().map(|digest| CallerTry {
+        digest: digest.short(),
+        objective_ms: question.route.objective_ms,
+    });
+    let admitted = limits::admit(node, &limited, units, of).await;
     let by = admitted.map_or("refused", |by| by.name());
     node.metrics.count_limit(&account.name, by);
     let by = admitted.map_err(|retry_after_ms| Refusal::LimitReached { retry_after_ms })?;
--- a/crates/tinbay-gateway/src/limits/home.rs
+++ b/crates/tinbay-gateway/src/limits/home.rs
@@ -1,5 +1,6 @@
 //! Which box keeps a limit for all, and the dealing where it is this one.
 
+use tinbay_core::limits::denied::CallerTry;
 use tinbay_core::limits::home::{DealTerms, LimitHome, UnitGrant, UnitRequest};
 use tinbay_core::serving::capacity::{self, RankedBox};
 use tinbay_core::serving::servers::Fingerprint;
@@ -147,7 +148,12 @@
 }
 
 /// Deals units of a limit; none where this box can't be sure to be its home.
-pub fn deal(node: &Node, limited: &Limited, request: UnitRequest) -> Option<UnitGrant> {
+pub fn deal(
+    node: &Node,
+    limited: &Limited,
+    request: UnitRequest,
+    of: Option<CallerTry>,
+) -> Option<UnitGrant> {
     let fleet = fleet(node);
     if !fleet.is_sure {
         return None;
@@ -162,7 +168,7 @@
     let home = homes
         .entry(limited.key)
         .or_insert_with(|| LimitHome::in_debt(limited.terms.first_debt, now_ms));
-    Some(home.deal(terms, request, now_ms))
+    Some(home.deal_to(terms, request, of, now_ms))
 }
 
 /// The fleet as this box saw it lately: to look takes time that grows with the boxes.
--- a/crates/tinbay-gateway/src/limits/mod.rs
+++ b/crates/tinbay-gateway/src/limits/mod.rs
@@ -16,6 +16,7 @@
 
 use log::Level;
 use serde::Serialize;
+use tinbay_core::limits::denied::CallerTry;
 use tinbay_core::limits::home::{LimitHome, UnitGrant, UnitRequest};
 use tinbay_core::limits::share::{LimitShare, ShareTerms};
 use tinbay_core::limits::turns::Turns;
@@ -28,7 +29,7 @@
 use crate::events::{self, part};
 use crate::members::box_fingerprint;
 use crate::node::Node;
-use crate::peers::frame::{FramePart, LimitGrantPart, LimitRequestPart};
+use crate::peers::frame::{CallerTryPart, FramePart, LimitGrantPart, LimitRequestPart};
 
 /// Wait for a home's answer before it is asked again, as messages may be lost: some round trips
 /// between zones.
@@ -130,13 +131,18 @@
 ///
 /// # Errors
 /// The time until there is room for it.
-pub async fn admit(node: &Node, limited: &Limited, units: f64) -> Result<AdmittedBy, Millis> {
+pub async fn admit(
+    node: &Node,
+    limited: &Limited,
+    units: f64,
+    of: Option<CallerTry>,
+) -> Result<AdmittedBy, Millis> {
     if take_given(node, limited, units) {
         ask_ahead(node, limited);
         return Ok(AdmittedBy::Given);
     }
     let has_failed = home::has_failed(node, limited);
-    if !has_failed && let Some(asked) = ask_home(node, limited, units).await {
+    if !has_failed && let Some(asked) = ask_home(node, limited, units, of).await {
         return asked;
     }
     let room_in_ms = match take_share(node, limited, units) {
@@ -147,7 +153,7 @@
     let is_last_way = matches!(limited.key, LimitKey::Account(_));
     if has_failed
         && is_last_way
-        && let Some(asked) = ask_home(node, limited, units).await
+        && let Some(asked) = ask_home(node, limited, units, of).await
     {
         return asked;
     }
@@ -169,10 +175,11 @@
     node: &Node,
     limited: &Limited,
     units: f64,
+    of: Option<CallerTry>,
 ) -> Option<Result<AdmittedBy, Millis>> {
     for _ in 0..MOST_HOMES {
         let drawn = home::of(node, limited)?;
-        let grant = match ask(node, limited, units, &drawn).await {
+        let grant = match ask(node, limited, units, of, &drawn).await {
             Asked::Grant(grant) => grant,
             Asked::NotHome(Some(other)) => {
                 home::take_other(node, limited, &drawn, other);
@@ -234,7 +241,13 @@
 }
 
 /// Asks the home of a limit.
-async fn ask(node: &Node, limited: &Limited, units: f64, drawn: &Drawn) -> Asked {
+async fn ask(
+    node: &Node,
+    limited: &Limited,
+    units: f64,
+    of: Option<CallerTry>,
+    drawn: &Drawn,
+) -> Asked {
     let ahead = with_share(node, limited, |share, now_ms| share.ahead(now_ms));
     let request = UnitRequest {
         needed: units,
@@ -242,7 +255,7 @@
     };
     let home = match &drawn.home {
         Home::Own => {
-            let Some(grant) = home::deal(node, limited, request) else {
+            let Some(grant) = home::deal(node, limited, request, of) else {
                 return Asked::NotHome(None);
             };
             note_grant(node, limited.key, grant);
@@ -254,7 +267,10 @@
     node.limits.last_ask.set(number);
     let (sender, receiver) = oneshot::channel();
     node.limits.waiting.borrow_mut().insert(number, sender);
-    let part = question(node, limited.key, number, request, &drawn.without);
+    let part = LimitRequestPart {
+        of: of.map(CallerTryPart::new),
+        ..question(node, limited.key, number, request, &drawn.without)
+    };
     let asked = repeat_question(node, home, &part, receiver).await;
     node.limits.waiting.borrow_mut().remove(&number);
     asked
@@ -293,6 +309,7 @@
         needed: request.needed.ceil() as u32,
         ahead: request.ahead.ceil() as u32,
         without: without.to_vec(),
+        of: None,
         notice: notices::of(node, key),
     }
 }
@@ -310,7 +327,7 @@
     };
     match &drawn.home {
         Home::Own => {
-            if let Some(grant) = home::deal(node, limited, request) {
+            if let Some(grant) = home::deal(node, limited, request, None) {
                 note_grant(node, limited.key, grant);
             }
         }
@@ -369,7 +386,8 @@
         .as_ref()
         .and_then(|limited| home::drawn_without(node, limited, &part.without));
     let limited = limited.filter(|_| home == Some(Home::Own));
-    let grant = limited.and_then(|limited| home::deal(node, &limited, request));
+    let of = part.of.map(CallerTryPart::to_try);
+    let grant = limited.and_then(|limited| home::deal(node, &limited, request, of));
     let other = match home {
         Some(Home::Other(other)) => Some(box_fingerprint(&other)),
         Some(Home::Own) | None => None,
--- a/crates/tinbay-gateway/src/limits/permits.rs
+++ b/crates/tinbay-gateway/src/limits/permits.rs
@@ -52,7 +52,7 @@
         let unit_until_ms = None;
         return Some(Permit { unit_until_ms });
     };
-    let admitted = super::admit(node, &limited, 1.0).await;
+    let admitted = super::admit(node, &limited, 1.0, None).await;
     let is_over = server.limit_per_s().is_none();
     let outcome = admitted.map_or("refused", |by| by.name());
     node.metrics.count_server_limit(outcome);
--- a/crates/tinbay-gateway/src/peers/frame.rs
+++ b/crates/tinbay-gateway/src/peers/frame.rs
@@ -3,8 +3,10 @@
 use serde::{Deserialize, Serialize};
 use tinbay_core::crashes::digest::RequestDigest;
 use tinbay_core::crashes::ledger::CrashKey;
+use tinbay_core::limits::denied::CallerTry;
 use tinbay_core::serving::servers::Fingerprint;
 use tinbay_core::serving::subscribers::AdapterUse;
+use tinbay_core::units::Millis;
 
 use crate::limits::limited::LimitKey;
 use crate::limits::notices::LimitNoticePart;
@@ -133,6 +135,35 @@
     pub without: Vec<Fingerprint>,
     /// What the sender knows of a server's limit.
     pub notice: Option<LimitNoticePart>,
+    /// The try for which units are needed, where that matters for who gets them.
+    pub of: Option<CallerTryPart>,
+}
+
+/// One try of a caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallerTryPart {
+    /// Tells one request from another.
+    pub digest: u64,
+    /// Time after its first try by which its answer is late, in ms.
+    pub objective_ms: u16,
+}
+
+impl CallerTryPart {
+    /// A try as it is told; an objective beyond a minute is told as that.
+    pub fn new(of: CallerTry) -> Self {
+        Self {
+            digest: of.digest,
+            objective_ms: of.objective_ms.min(Millis::from(u16::MAX)) as u16,
+        }
+    }
+
+    /// The try that was told.
+    pub fn to_try(self) -> CallerTry {
+        CallerTry {
+            digest: self.digest,
+            objective_ms: Millis::from(self.objective_ms),
+        }
+    }
 }
 
 /// What a server told a box of its limit.
