--- a/crates/tinbay-gateway/src/front/hedge.rs
+++ b/crates/tinbay-gateway/src/front/hedge.rs
@@ -9,6 +9,7 @@
 use serde::Serialize;
 use tinbay_core::hedge::{HedgeCase, hedge_after_ms};
 use tinbay_core::retry::AttemptEnd;
+use tinbay_core::serving::configuration::RouteKind;
 use tinbay_core::units::Millis;
 
 use super::attempt::AttemptResult;
@@ -240,7 +241,8 @@
     first: &Server,
 ) -> Option<Millis> {
     let case = HedgeCase {
-        is_repeatable: question.is_repeatable(),
+        // A stream that may be resumed is read from one server at a time.
+        is_repeatable: question.route.kind == RouteKind::Safe,
         is_plain: question.model.is_none(),
         sends_left: terms.sends_left,
         left_ms: question.time_up_ms.saturating_sub(node.now_ms()),
