--- a/crates/tinbay-gateway/src/front/mod.rs
+++ b/crates/tinbay-gateway/src/front/mod.rs
@@ -14,3 +14,5 @@
 pub mod question;
 pub mod refusal;
 pub mod request_log;
+pub mod room;
+pub mod slow_callers;
--- a/crates/tinbay-gateway/src/http/mod.rs
+++ b/crates/tinbay-gateway/src/http/mod.rs
@@ -1,10 +1,12 @@
 //! HTTP by hyper: single calls, connections to servers, bodies.
 
 pub mod body;
+pub mod buffers;
 pub mod call;
 pub mod connect;
 pub mod pool;
 pub mod pooled;
+pub mod pump;
 pub mod relay;
 pub mod reuse;
 pub mod silence;
--- a/crates/tinbay-gateway/src/metrics.rs
+++ b/crates/tinbay-gateway/src/metrics.rs
@@ -1,8 +1,8 @@
 //! What a box on the direct path measures.
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGaugeVec, Opts, Registry,
-    TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 use crate::answer_metrics::{AnswerMetrics, MeasuredAnswer};
@@ -62,6 +62,14 @@
     account_limits: IntCounterVec,
     accounts: ShownLabels,
     answers: AnswerMetrics,
+    /// Requests of client accounts that asked for scarce room, by what became of them.
+    room: IntCounterVec,
+    /// Bytes held for requests and answers.
+    pub held_bytes: IntGauge,
+    /// Answers that were cut as their callers did not keep up, by cause.
+    pub slow_cuts: IntCounterVec,
+    /// Requests turned away for memory, by what there was too little room in.
+    pub memory_refusals: IntCounterVec,
     /// What is believed: versions, counts and ages by name.
     pub beliefs: IntGaugeVec,
 }
@@ -89,6 +97,8 @@
             "Returns of the store from a backup",
         )?;
         registry.register(Box::new(store_returns.clone()))?;
+        let held_bytes = IntGauge::new("tinbay_held_bytes", "Bytes held for requests and answers")?;
+        registry.register(Box::new(held_bytes.clone()))?;
         let beliefs = IntGaugeVec::new(
             Opts::new("tinbay_belief", "What the box believes"),
             &["what"],
@@ -171,6 +181,22 @@
             )?,
             accounts: ShownLabels::new(MOST_ACCOUNTS_SHOWN, OTHER_ACCOUNTS),
             answers: AnswerMetrics::new(&registry)?,
+            room: counter(
+                "tinbay_room_total",
+                "Requests of client accounts that asked for scarce room, by what became of them",
+                &["account", "outcome"],
+            )?,
+            held_bytes,
+            slow_cuts: counter(
+                "tinbay_slow_caller_cuts_total",
+                "Answers cut as their callers did not keep up",
+                &["cause"],
+            )?,
+            memory_refusals: counter(
+                "tinbay_memory_refusals_total",
+                "Requests turned away for memory",
+                &["short"],
+            )?,
             beliefs,
             store_returns,
             registry,
@@ -188,6 +214,12 @@
         self.account_limits.with_label_values(&labels).inc();
     }
 
+    /// Counts what became of a request that asked for scarce room.
+    pub fn count_room(&self, account: &str, outcome: &str) {
+        let labels = [self.accounts.label(account), outcome];
+        self.room.with_label_values(&labels).inc();
+    }
+
     /// Counts an answer that came whole; accounts beyond some are shown together.
     pub fn count_answer(&self, answer: MeasuredAnswer<'_>) {
         let account_label = answer.account.map(|account| self.accounts.label(account));
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -7,6 +7,7 @@
 
 use tinbay_core::accounts::account::Account;
 use tinbay_core::accounts::priority::PriorityRanks;
+use tinbay_core::memory::terms::MemoryTerms;
 use tinbay_core::serving::budget::SendBudget;
 use tinbay_core::serving::claims::{ClaimTable, ClaimTerms, Proof};
 use tinbay_core::serving::configuration::{Configuration, EngineSpec, Limits};
@@ -18,17 +19,21 @@
 use tinbay_core::serving::servers::{Fingerprint, ServerKey};
 use tinbay_core::serving::versions::NamedVersions;
 use tinbay_core::serving::wants::Want;
+use tinbay_core::sharing::weights::AccountWeights;
 use tinbay_core::units::Millis;
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
 use crate::crashes::Crashes;
 use crate::front::question::Question;
+use crate::front::slow_callers::SlowCallers;
 use crate::handover::split::Splits;
 use crate::http::call::Caller;
+use crate::http::pump::AnswerWatch;
 use crate::latch::Latch;
 use crate::limits::Limits as BoxLimits;
 use crate::members::{MemberRecord, Members, box_fingerprint};
+use crate::memory::BoxMemory;
 use crate::metrics::Metrics;
 use crate::orders::held_server::{Busyness, HeldServer};
 use crate::peers::frame::{FramePart, LoadRequestPart};
@@ -38,6 +43,7 @@
 use crate::servers::view::ViewEntry;
 use crate::servers::{RunningRequest, Server, ServerTable};
 use crate::settings::Settings;
+use crate::sharing::Sharing;
 use crate::waiters::Waiters;
 use crate::watch::access::StoreAccess;
 use crate::watch::boxes::{MEMBER_PREFIX, PREFIX as BOXES_PREFIX};
@@ -75,7 +81,11 @@
     pub routes: RouteTable,
     /// Ranks of requests at their servers.
     pub ranks: PriorityRanks,
+    /// How much of scarce room each client account may have.
+    pub weights: AccountWeights,
     accounts: HashMap<Fingerprint, Rc<Account>>,
+    /// The shortest objective of the routes of each service.
+    objectives_ms: HashMap<String, Millis>,
 }
 
 impl InForce {
@@ -83,6 +93,9 @@
     pub fn new(configuration: Configuration) -> Self {
         let accounts = configuration.accounts.all().map(|account| account.priority);
         let routes = configuration.routes.iter().map(|route| route.priority);
+        let named = configuration.accounts.all();
+        let named = named.map(|account| (box_fingerprint(&account.name), &**account));
+        let named: Vec<(Fingerprint, &Account)> = named.collect();
         Self {
             ranks: PriorityRanks::new(accounts, routes),
             accounts: configuration
@@ -90,6 +103,8 @@
                 .all()
                 .map(|account| (box_fingerprint(&account.name), Rc::clone(account)))
                 .collect(),
+            weights: AccountWeights::new(&named),
+            objectives_ms: shortest_objectives_ms(&configuration),
             routes: RouteTable::new(&configuration),
             configuration,
         }
@@ -99,6 +114,24 @@
     pub fn account_of(&self, fingerprint: Fingerprint) -> Option<Rc<Account>> {
         self.accounts.get(&fingerprint).cloned()
     }
+
+    /// The shortest objective of a service's routes.
+    pub fn shortest_objective_ms(&self, service: &str) -> Option<Millis> {
+        self.objectives_ms.get(service).copied()
+    }
+}
+
+fn shortest_objectives_ms(configuration: &Configuration) -> HashMap<String, Millis> {
+    let mut objectives_ms = HashMap::new();
+    for route in &configuration.routes {
+        for target in &route.targets {
+            let shortest_ms = objectives_ms
+                .entry(target.service.clone())
+                .or_insert(route.objective_ms);
+            *shortest_ms = route.objective_ms.min(*shortest_ms);
+        }
+    }
+    objectives_ms
 }
 
 /// What all parts of a box share; all of it lives on one thread.
@@ -163,8 +196,14 @@
     pub limits: BoxLimits,
     /// Services whose engines read for each other.
     pub splits: Splits,
+    /// Requests that ask for scarce room.
+    pub sharing: Sharing,
     /// Second sends by service.
     pub budgets: RefCell<HashMap<String, SendBudget>>,
+    /// What is held for requests and answers.
+    pub memory: Rc<BoxMemory>,
+    /// Answers on their way to callers.
+    pub answers: Rc<AnswerWatch>,
     /// Boxes that are up, this one included, as counted lately.
     pub box_count: Cell<usize>,
 }
@@ -180,6 +219,10 @@
         let members = Members::new(&settings.zone);
         let clock = Clock::start();
         let servers = ServerTable::new(clock).with_measure(metrics.server_connections.clone());
+        let memory_terms = MemoryTerms::of_memory(settings.resources.memory_mb);
+        let memory = Rc::new(BoxMemory::new(memory_terms, metrics.held_bytes.clone()));
+        let cuts = Box::new(SlowCallers::new(metrics.slow_cuts.clone()));
+        let answers = Rc::new(AnswerWatch::new(clock, Rc::clone(&memory), cuts));
         Self {
             settings: RefCell::new(settings),
             dialect,
@@ -211,7 +254,10 @@
             crashes: Crashes::default(),
             limits: BoxLimits::default(),
             splits: Splits::default(),
+            sharing: Sharing::default(),
             budgets: RefCell::default(),
+            memory,
+            answers,
             box_count: Cell::new(1),
         }
     }
--- a/crates/tinbay-gateway/src/servers/mod.rs
+++ b/crates/tinbay-gateway/src/servers/mod.rs
@@ -6,6 +6,7 @@
 pub mod service;
 pub mod usage;
 pub mod view;
+mod waiting;
 
 use std::collections::HashMap;
 use std::rc::Rc;
