--- a/crates/tinbay-core/src/limits/denied.rs
+++ b/crates/tinbay-core/src/limits/denied.rs
@@ -2,7 +2,7 @@
 //!
 //! Load it answers: an account that asks for many times its limit, whose callers come back each some
 //! seconds later, late by then. Units that go to these are missing for new requests, which could still
-//! be in time: on a limit of a third of what is asked for, half of the units went to late ones.
+//! be in time.
 
 use std::collections::{HashMap, VecDeque};
 
