One look-up of the version that a server holds; a header name that nothing reads is gone

The hand-over looked up an adapter's version at its source by a function of its own; deliver had one. The name of the weights' version in answers was decoded into a field that nothing used. No behaviour changes.

--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -321,7 +321,7 @@
 }
 
 /// The version of its adapter that a server is believed to hold; 0 where it is not known which.
-fn held_version(node: &Node, question: &Question, server: &Server) -> Option<u64> {
+pub(super) fn held_version(node: &Node, question: &Question, server: &Server) -> Option<u64> {
     let entry = node.entry(server, question.model_key?)?;
     Some(entry.version)
 }
--- a/crates/tinbay-gateway/src/front/moving/mod.rs
+++ b/crates/tinbay-gateway/src/front/moving/mod.rs
@@ -21,6 +21,7 @@
 use self::target::Target;
 use super::adapters;
 use super::choice::Asked;
+use super::deliver::held_version;
 use super::question::{Handover, Question};
 use crate::events::{self, part};
 use crate::http::body::{BodyError, RequestBody};
@@ -58,7 +59,7 @@
     if !is_reader || question.route.kind != RouteKind::Streaming {
         return;
     }
-    let version = version_at(node, question, reader);
+    let version = held_version(node, question, reader).unwrap_or_default();
     match target::choose(node, question, &Asked::default(), version) {
         Target::Later(home) => {
             node.request_load(&home, adapters::want(node, question, false));
@@ -94,13 +95,6 @@
     }
 }
 
-/// Version of a request's adapter at a server; 0 where it is not known.
-fn version_at(node: &Node, question: &Question, server: &Server) -> u64 {
-    let key = target::adapter_of(question);
-    let entry = key.and_then(|key| node.entry(server, key));
-    entry.map_or(0, |entry| entry.version)
-}
-
 /// Whether runs of a service may move: its engines offer it, and its adapters have places enough.
 fn moves_runs(node: &Node, service: &str) -> bool {
     let Some(engine) = node.engine_spec(service).filter(|engine| engine.moves_runs) else {
--- a/crates/tinbay-gateway/src/front/moving/mover.rs
+++ b/crates/tinbay-gateway/src/front/moving/mover.rs
@@ -18,7 +18,7 @@
 use crate::front::adapters;
 use crate::front::attempt::{AttemptResult, AttemptTerms, attempt};
 use crate::front::choice::Asked;
-use crate::front::deliver::most_open;
+use crate::front::deliver::{held_version, most_open};
 use crate::front::headers::{self, Resumption, ServerHeaders};
 use crate::front::question::{Handover, Question};
 use crate::handover::drive::{Doing, Outcome, Resumed, RunMover};
@@ -68,7 +68,7 @@
         body: RequestBody,
     ) -> Self {
         let source = running.borrow().server();
-        let version = super::version_at(node, question, &source);
+        let version = held_version(node, question, &source).unwrap_or_default();
         Self {
             node: Rc::clone(node),
             question: Rc::clone(question),
--- a/crates/tinbay-gateway/src/port/dialect.rs
+++ b/crates/tinbay-gateway/src/port/dialect.rs
@@ -46,8 +46,6 @@
     pub copy_source: HeaderName,
     /// Number of the last event after which a stream goes on.
     pub last_event_id: HeaderName,
-    /// Version of the weights that an answer was made with.
-    pub weights_version: HeaderName,
     /// Headers that only boxes may set; taken off callers' requests.
     pub reserved: Vec<HeaderName>,
 }
