A refused request's last line names the bound that ended its attempts; scenarios keep whole logs

What callers saw: 1 of 352 requests told outcome_unknown, 451 of 765 told not_owner after a box was killed (the whole-answers scenario at 120 and 250 requests a second). The line 'refused' did not tell which of attempts, deadline and retry budget had ended them, and a failed scenario printed 12 lines a process.

--- a/crates/tinbay-cli/src/cli.rs
+++ b/crates/tinbay-cli/src/cli.rs
@@ -236,6 +236,12 @@
                             .value_name("N")
                             .default_value("1")
                             .help("Seed of the scenario's random choices"),
+                    )
+                    .arg(
+                        Arg::new("log-dir")
+                            .long("log-dir")
+                            .value_name("DIR")
+                            .help("Write the whole log of each process to DIR/PROCESS.log"),
                     ),
             ),
     ]
--- a/crates/tinbay-cli/src/commands/mod.rs
+++ b/crates/tinbay-cli/src/commands/mod.rs
@@ -51,7 +51,11 @@
         Action::Experiment(experiment) => experiment::run(common, experiment),
         Action::Limits(limits) => limits::run(common, limits),
         Action::Report(report) => report::run(common, report),
-        Action::Scenario { files, seed } => scenario::run(common, files, *seed),
+        Action::Scenario {
+            files,
+            seed,
+            log_dir,
+        } => scenario::run(common, files, *seed, log_dir.as_deref()),
     }
 }
 
--- a/crates/tinbay-cli/src/commands/scenario.rs
+++ b/crates/tinbay-cli/src/commands/scenario.rs
@@ -1,5 +1,6 @@
 //! `tinbay scenario run`.
 
+use std::path::Path;
 use std::time::Duration;
 
 use serde::Serialize;
@@ -26,10 +27,15 @@
 /// # Errors
 /// [`CliError::PromiseBroken`] when any breaks a promise, [`CliError::Scenario`] when one
 /// cannot be run.
-pub fn run(common: &CommonOptions, files: &[String], seed: u64) -> Result<(), CliError> {
+pub fn run(
+    common: &CommonOptions,
+    files: &[String],
+    seed: u64,
+    log_dir: Option<&Path>,
+) -> Result<(), CliError> {
     let mut reports = Vec::new();
     for file in files {
-        let ended = run_file(file, seed)?;
+        let ended = run_file(file, seed, log_dir)?;
         let report = to_report(file, seed, ended);
         if !common.json {
             print_ended(&report);
--- a/crates/tinbay-cli/src/options.rs
+++ b/crates/tinbay-cli/src/options.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::str::FromStr;
 
 use clap::ArgMatches;
@@ -108,6 +109,8 @@
         files: Vec<String>,
         /// Seed of random choices.
         seed: u64,
+        /// Directory for the logs of all processes.
+        log_dir: Option<PathBuf>,
     },
 }
 
@@ -444,6 +447,7 @@
     Ok(Action::Scenario {
         files: files.into_iter().flatten().cloned().collect(),
         seed: parsed(sub, "seed", WHOLE_NUMBER)?,
+        log_dir: text(sub, "log-dir").map(PathBuf::from),
     })
 }
 
--- a/crates/tinbay-cli/src/scenario/fleet.rs
+++ b/crates/tinbay-cli/src/scenario/fleet.rs
@@ -1,6 +1,7 @@
 //! The boxes and stand-ins of a scenario, and what can be done to them.
 
 use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
 use futures_util::{StreamExt, stream};
@@ -65,11 +66,18 @@
     trace: Vec<String>,
     changes: u32,
     run: u32,
+    log_dir: Option<PathBuf>,
 }
 
 impl Fleet {
     /// An empty fleet with its platform: key-value service, list of boxes, weight store.
-    pub fn new(seed: u64) -> Result<Self, CliError> {
+    ///
+    /// # Errors
+    /// [`CliError`] when `log_dir` can't be made or a stand-in does not start.
+    pub fn new(seed: u64, log_dir: Option<&Path>) -> Result<Self, CliError> {
+        if let Some(directory) = log_dir {
+            std::fs::create_dir_all(directory).map_err(CliError::Start)?;
+        }
         let mut fleet = Self {
             worker: Worker::start(),
             began: Instant::now(),
@@ -84,6 +92,7 @@
             trace: Vec::new(),
             changes: 0,
             run: std::process::id(),
+            log_dir: log_dir.map(Path::to_path_buf),
         };
         for kind in ["kv", "boxes", "weights"] {
             fleet.start_standin(
@@ -167,7 +176,12 @@
         args: &[String],
     ) -> Result<(), CliError> {
         self.log(&format!("start {name}"));
-        let process = Process::start(name, &sibling(program), args).map_err(to_cli_error)?;
+        let log_file = self
+            .log_dir
+            .as_ref()
+            .map(|dir| dir.join(format!("{name}.log")));
+        let process = Process::start(name, &sibling(program), args, log_file.as_deref())
+            .map_err(to_cli_error)?;
         self.addresses
             .insert(name.to_owned(), process.address().to_owned());
         self.processes.insert(name.to_owned(), process);
--- a/crates/tinbay-cli/src/scenario/mod.rs
+++ b/crates/tinbay-cli/src/scenario/mod.rs
@@ -10,6 +10,7 @@
 mod process;
 mod summaries;
 
+use std::path::Path;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -56,14 +57,14 @@
     pub took: Duration,
 }
 
-/// Runs one scenario file.
+/// Runs one scenario file; with `log_dir` the log of each process is written there.
 ///
 /// # Errors
 /// [`CliError::File`] or [`CliError::Scenario`] when it cannot be run to a verdict.
-pub fn run_file(path: &str, seed: u64) -> Result<Ended, CliError> {
+pub fn run_file(path: &str, seed: u64, log_dir: Option<&Path>) -> Result<Ended, CliError> {
     let began = Instant::now();
     let program = read_text(path)?;
-    let fleet = Arc::new(Mutex::new(Fleet::new(seed)?));
+    let fleet = Arc::new(Mutex::new(Fleet::new(seed, log_dir)?));
     let mut engine = Engine::new();
     bindings::register(&mut engine, &fleet);
     let outcome = engine.run(&program);
--- a/crates/tinbay-cli/src/scenario/process.rs
+++ b/crates/tinbay-cli/src/scenario/process.rs
@@ -1,6 +1,7 @@
 //! Processes a scenario starts and stops, each by its id.
 
-use std::io::{BufRead, BufReader, Read};
+use std::fs::File;
+use std::io::{BufRead, BufReader, Read, Write};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -28,6 +29,14 @@
         /// The system's words.
         source: std::io::Error,
     },
+    /// The file for its log did not open.
+    #[error("{path}: {source}")]
+    LogFile {
+        /// The file.
+        path: String,
+        /// The system's words.
+        source: std::io::Error,
+    },
     /// It ended before it said where it listens.
     #[error("{name} ended before it listened")]
     NoAddress {
@@ -47,11 +56,17 @@
 }
 
 impl Process {
-    /// Starts a program and waits for its first line.
+    /// Starts a program and waits for its first line; its log is appended to `log_file`, if given.
     ///
     /// # Errors
     /// [`ProcessError`].
-    pub fn start(name: &str, program: &Path, args: &[String]) -> Result<Self, ProcessError> {
+    pub fn start(
+        name: &str,
+        program: &Path,
+        args: &[String],
+        log_file: Option<&Path>,
+    ) -> Result<Self, ProcessError> {
+        let log_file = log_file.map(open_log).transpose()?;
         let mut child = Command::new(program)
             .args(args)
             .stdin(Stdio::null())
@@ -64,7 +79,7 @@
             })?;
         let lines = Arc::new(Mutex::new(Vec::new()));
         if let Some(stderr) = child.stderr.take() {
-            keep_lines(stderr, &lines);
+            keep_lines(stderr, &lines, log_file);
         }
         let mut first_line = String::new();
         if let Some(stdout) = child.stdout.take() {
@@ -179,10 +194,25 @@
     }
 }
 
-fn keep_lines(stream: impl Read + Send + 'static, lines: &Arc<Mutex<Vec<String>>>) {
+fn open_log(path: &Path) -> Result<File, ProcessError> {
+    let opened = File::options().create(true).append(true).open(path);
+    opened.map_err(|source| ProcessError::LogFile {
+        path: path.display().to_string(),
+        source,
+    })
+}
+
+fn keep_lines(
+    stream: impl Read + Send + 'static,
+    lines: &Arc<Mutex<Vec<String>>>,
+    mut log_file: Option<File>,
+) {
     let lines = Arc::clone(lines);
     std::thread::spawn(move || {
         for line in BufReader::new(stream).lines().map_while(Result::ok) {
+            if let Some(file) = &mut log_file {
+                let _ = writeln!(file, "{line}");
+            }
             let mut lines = lines.lock().unwrap_or_else(PoisonError::into_inner);
             lines.push(line);
             if lines.len() > KEPT_LINES {
--- a/crates/tinbay-cli/tests/scenarios_test.rs
+++ b/crates/tinbay-cli/tests/scenarios_test.rs
@@ -123,3 +123,25 @@
     );
     assert!(text.contains("with seed 7"), "{text}");
 }
+
+#[test]
+fn scenario_log_dir_holds_the_log_of_each_process() {
+    let _turn = take_turn();
+    let directory = std::env::temp_dir().join(format!("tinbay-logs-{}", std::process::id()));
+    std::fs::create_dir_all(&directory).expect("a directory");
+    let file = directory.join("one-box.rhai");
+    std::fs::write(&file, "start_box(\"box-1\", \"a\"); await_ready();").expect("a file");
+    let log_dir = directory.join("logs").display().to_string();
+    let output = tinbay(&[
+        "scenario",
+        "run",
+        "--log-dir",
+        &log_dir,
+        &file.display().to_string(),
+    ]);
+    let log = std::fs::read_to_string(directory.join("logs/box-1.log"));
+    std::fs::remove_dir_all(&directory).expect("removed");
+    assert!(output.status.success(), "{}", stderr(&output));
+    let log = log.expect("a log of the box");
+    assert!(log.contains("box box-1 listens on"), "{log}");
+}
--- a/crates/tinbay-core/src/retry.rs
+++ b/crates/tinbay-core/src/retry.rs
@@ -46,6 +46,11 @@
         self.balance = (self.balance + BUDGET_RATIO).min(BUDGET_CEILING);
     }
 
+    /// Retries that may be made now.
+    pub fn balance(&self) -> f64 {
+        self.balance
+    }
+
     /// Takes one retry if the allowance holds one.
     pub fn spend(&mut self) -> bool {
         if self.balance < 1.0 {
@@ -91,14 +96,45 @@
     }
 }
 
-/// Whether another attempt is allowed, before the budget is asked.
-pub fn may_retry(case: &RetryCase) -> bool {
-    if case.now_ms >= case.deadline_ms || case.answer_begun {
-        return false;
+/// Why no further attempt at a request is made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum NoRetry {
+    /// A part of the answer has gone to the caller, or the answer is complete.
+    #[error("an answer has begun")]
+    AnswerBegun,
+    /// It must have started by now.
+    #[error("its time to start has passed")]
+    DeadlinePassed,
+    /// It may have run and must not run twice.
+    #[error("it may have run and is not repeatable")]
+    NotRepeatable,
+    /// It has had as many attempts as a request gets.
+    #[error("no attempts left")]
+    AttemptsUsed,
+    /// Its class has spent its retry budget.
+    #[error("retry budget spent")]
+    BudgetSpent,
+}
+
+/// Whether another attempt is allowed, before attempts are counted and the budget is asked.
+///
+/// # Errors
+/// [`NoRetry`], the reason why not.
+pub fn check_retry(case: &RetryCase) -> Result<(), NoRetry> {
+    if case.answer_begun {
+        return Err(NoRetry::AnswerBegun);
+    }
+    if case.now_ms >= case.deadline_ms {
+        return Err(NoRetry::DeadlinePassed);
     }
     match case.end {
-        AttemptEnd::Answered => false,
-        AttemptEnd::NotRun => true,
-        AttemptEnd::Unknown => case.repeatable,
+        AttemptEnd::Answered => Err(NoRetry::AnswerBegun),
+        AttemptEnd::Unknown if !case.repeatable => Err(NoRetry::NotRepeatable),
+        AttemptEnd::NotRun | AttemptEnd::Unknown => Ok(()),
     }
 }
+
+/// Whether [`check_retry`] allows another attempt.
+pub fn may_retry(case: &RetryCase) -> bool {
+    check_retry(case).is_ok()
+}
--- a/crates/tinbay-node/src/entry/attempts.rs
+++ b/crates/tinbay-node/src/entry/attempts.rs
@@ -5,7 +5,7 @@
 
 use tinbay_core::assemble::{Assembler, Chunk, Taken};
 use tinbay_core::ids::{BoxId, EngineId, ModelRef};
-use tinbay_core::retry::{AttemptEnd, AttemptEnds, RetryCase, may_retry};
+use tinbay_core::retry::{AttemptEnd, AttemptEnds, NoRetry, RetryCase, check_retry};
 use tinbay_core::units::Millis;
 use tinbay_core::view::BoxRecord;
 use tinbay_http::stream::LineReader;
@@ -241,7 +241,8 @@
                 "{} attempt {} on {engine} ended {:?}: {}",
                 self.job.request_id, self.attempt, error.end, error.failure,
             );
-            if !self.may_try_again(&error) {
+            if let Err(reason) = self.take_retry(&error) {
+                self.log_last_attempt(&error, reason);
                 return Err(self.final_failure(error.failure));
             }
         }
@@ -346,7 +347,7 @@
         Err(Failure::CannotResume)
     }
 
-    fn may_try_again(&self, error: &AttemptError) -> bool {
+    fn take_retry(&self, error: &AttemptError) -> Result<(), NoRetry> {
         let case = RetryCase {
             end: error.end,
             repeatable: self.job.repeatable,
@@ -354,7 +355,27 @@
             now_ms: self.node.clock.now_ms(),
             deadline_ms: self.job.start_by_ms,
         };
-        self.attempt < MAX_ATTEMPTS && may_retry(&case) && self.node.spend_retry(&self.job.class)
+        check_retry(&case)?;
+        if self.attempt >= MAX_ATTEMPTS {
+            return Err(NoRetry::AttemptsUsed);
+        }
+        match self.node.spend_retry(&self.job.class) {
+            true => Ok(()),
+            false => Err(NoRetry::BudgetSpent),
+        }
+    }
+
+    /// Tells which bound ended the attempts, and how far the request was from the others.
+    fn log_last_attempt(&self, error: &AttemptError, reason: NoRetry) {
+        let job = &self.job;
+        let left_ms = job.start_by_ms.saturating_sub(self.node.clock.now_ms());
+        log::info!(
+            target: part::ENTRY,
+            "{} {} is not tried again: {reason}; attempt {} of {MAX_ATTEMPTS} ended {:?} ({}), {left_ms} ms \
+             left to start, {:.1} retries left for class {}",
+            job.request_id, job.model, self.attempt, error.end, error.failure,
+            self.node.retry_balance(&job.class), job.class,
+        );
     }
 
     /// A refusal of the last attempt says nothing of an earlier one that may have run.
--- a/crates/tinbay-node/src/state.rs
+++ b/crates/tinbay-node/src/state.rs
@@ -313,6 +313,12 @@
         }
     }
 
+    /// Retries that a class may make now.
+    pub fn retry_balance(&self, class: &str) -> f64 {
+        let mut budgets = lock(&self.budgets);
+        budgets.entry(class.to_owned()).or_default().balance()
+    }
+
     /// Takes a retry out of a class's budget, if there is one.
     pub fn spend_retry(&self, class: &str) -> bool {
         let mut budgets = lock(&self.budgets);
