A restarted box that others greet first joins at once: its engines no longer stand without an owner

Cause: a restarted box looked for others among listed boxes that were not in its view. Heartbeats of others had put them there first, so it asked nobody and joined only after 3 s, as if it were alone. All that time the others held it to be the owner of its engines and forwarded to it.

Evidence: logs of a rolling replacement at 110 and 30 requests a second: box-1 listens at 06.592, catches up with box-2 at 06.772, is ready and takes its engine over at 09.856; 72 requests in between 'ended NotRun: this box does not own the engine'. box-2, which asked first, took over 0.6 s after its start.

Fix: until a box has joined, every listed box is to be met, also one that is known by its heartbeat alone. Why it works: what a joining box lacks is another one's view, which only its own question brings.

--- a/crates/tinbay-core/src/view.rs
+++ b/crates/tinbay-core/src/view.rs
@@ -102,6 +102,14 @@
         self.boxes.get(id)
     }
 
+    /// Whether a box is still to be met by one that has joined the others or not.
+    ///
+    /// Before that a box may know others by their heartbeats alone: they are in its view, but have not
+    /// told it theirs.
+    pub fn is_unmet(&self, id: &BoxId, has_joined: bool) -> bool {
+        !has_joined || self.get(id).is_none()
+    }
+
     /// Every known box, by name.
     pub fn boxes(&self) -> impl Iterator<Item = &BoxRecord> {
         self.boxes.values()
--- a/crates/tinbay-core/tests/view_test.rs
+++ b/crates/tinbay-core/tests/view_test.rs
@@ -41,6 +41,16 @@
     assert!(view.merge(restarted), "a later run is");
 }
 
+// A restarted box that others greeted first asked nobody and joined only as if it were alone.
+#[test]
+fn is_unmet_box_known_by_its_heartbeat_until_joined() {
+    let view = view(2);
+    let known = BoxId::new("box-1");
+    assert!(view.is_unmet(&known, false));
+    assert!(!view.is_unmet(&known, true));
+    assert!(view.is_unmet(&BoxId::new("box-9"), true));
+}
+
 #[test]
 fn succession_prefers_the_engine_zone() {
     let view = view(9);
--- a/crates/tinbay-node/src/controllers/meeting.rs
+++ b/crates/tinbay-node/src/controllers/meeting.rs
@@ -1,4 +1,4 @@
-//! Meets boxes that the platform lists and the view does not hold.
+//! Meets boxes that the platform lists: until one has answered, then those that the view does not hold.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,13 +16,13 @@
 use crate::util::sync::{read, write};
 
 /// Listed boxes asked at a time.
-const STRANGERS_ASKED: usize = 3;
+const BOXES_ASKED: usize = 3;
 
 /// A box that finds nobody for this long goes on alone.
 const ALONE_AFTER_MS: Millis = 3_000;
 
-/// Asks strangers: until one has answered and, as a keeper, now and then after; two halves of
-/// a fleet that lost each other meet again so.
+/// Asks listed boxes until one has answered. After that keepers go on with those not in the view, so
+/// that two halves of a fleet that lost each other meet again.
 pub struct MeetingController {
     node: Arc<Node>,
     beats: Beats,
@@ -41,9 +41,9 @@
         if self.node.has_joined() && !self.node.is_keeper() {
             return;
         }
-        let strangers = read(&self.node.members).strangers();
-        let asked: Vec<BoxRecord> = strangers
-            .sample(&mut rand::rng(), STRANGERS_ASKED)
+        let unmet = read(&self.node.members).unmet();
+        let asked: Vec<BoxRecord> = unmet
+            .sample(&mut rand::rng(), BOXES_ASKED)
             .map(ListedBox::to_record)
             .collect();
         for answered in self.beats.ask_all(asked).await {
--- a/crates/tinbay-node/src/controllers/members.rs
+++ b/crates/tinbay-node/src/controllers/members.rs
@@ -181,11 +181,11 @@
         self.listed = listed;
     }
 
-    /// Listed boxes that are not in the view: not met yet, or held to be dead.
-    pub fn strangers(&self) -> Vec<ListedBox> {
+    /// Listed boxes that are still to be met.
+    pub fn unmet(&self) -> Vec<ListedBox> {
         self.listed
             .iter()
-            .filter(|entry| entry.id != self.me && self.view.get(&entry.id).is_none())
+            .filter(|entry| entry.id != self.me && self.view.is_unmet(&entry.id, self.joined))
             .cloned()
             .collect()
     }
