--- a/crates/tinbay-node/src/entry/answer.rs
+++ b/crates/tinbay-node/src/entry/answer.rs
@@ -9,7 +9,8 @@
 use tinbay_wire::completion::{Choice, CompletionAnswer, DONE_EVENT, Usage};
 use tinbay_wire::headers;
 
-use super::attempts::{Attempts, RunInfo};
+use super::attempts::Attempts;
+use super::stream::RunInfo;
 use crate::filters::Failure;
 
 /// One event of a streamed answer.
--- a/crates/tinbay-node/src/entry/attempts.rs
+++ b/crates/tinbay-node/src/entry/attempts.rs
@@ -1,21 +1,18 @@
 //! Runs a request: attempt after attempt, engine after engine, within deadline and budget.
 
 use std::sync::Arc;
-use std::time::Duration;
 
-use tinbay_core::assemble::{Assembler, Chunk, Taken};
-use tinbay_core::ids::{BoxId, EngineId, ModelRef};
+use tinbay_core::assemble::{Assembler, Chunk};
+use tinbay_core::ids::{EngineId, ModelRef};
 use tinbay_core::retry::{AttemptEnd, AttemptEnds, NoRetry, RetryCase, check_retry};
 use tinbay_core::units::Millis;
 use tinbay_core::view::BoxRecord;
-use tinbay_http::stream::LineReader;
-use tinbay_wire::completion::DONE_EVENT;
-use tinbay_wire::engine::EngineRequest;
 
+use super::job::Job;
+use super::stream::{AnswerStream, ChunkError, RunInfo};
 use super::{local, remote};
 use crate::filters::Failure;
 use crate::logging::part;
-use crate::owners::RunGuard;
 use crate::state::Node;
 use crate::util::sync::{lock, read};
 
@@ -25,57 +22,6 @@
 /// Wait noted for an engine that is leaving, so that the next requests try others first.
 const AVOIDED_WAIT_MS: Millis = 600_000;
 
-/// A stream that gives nothing for this long is taken as broken.
-const EVENT_WITHIN: Duration = Duration::from_secs(15);
-
-/// A request that has passed the filters.
-#[derive(Debug, Clone)]
-pub struct Job {
-    /// Its name at back ends.
-    pub name: String,
-    /// Its name in logs.
-    pub request_id: String,
-    /// Adapter and version to run on.
-    pub model: ModelRef,
-    /// The adapter's base model.
-    pub base_model: String,
-    /// Whose request it is.
-    pub organisation: String,
-    /// Name of its priority class.
-    pub class: String,
-    /// The prompt.
-    pub prompt: String,
-    /// Tokens to generate at most.
-    pub max_tokens: u32,
-    /// 0 goes first.
-    pub rank: u8,
-    /// Counter or desk traffic.
-    pub urgent: bool,
-    /// Whether it may run more than once.
-    pub repeatable: bool,
-    /// When it arrived here.
-    pub arrived_ms: Millis,
-    /// When it must have started.
-    pub start_by_ms: Millis,
-    /// The first position a resuming caller needs.
-    pub resume_from: Option<u64>,
-}
-
-impl Job {
-    /// The request as an engine gets it.
-    pub fn to_call(&self, attempt: u32, resume_from: Option<u64>) -> EngineRequest {
-        EngineRequest {
-            request: self.name.clone(),
-            attempt,
-            model: self.model.clone(),
-            prompt: self.prompt.clone(),
-            max_tokens: self.max_tokens,
-            priority: self.rank,
-            resume_from,
-        }
-    }
-}
-
 /// How an attempt ended without an answer.
 #[derive(Debug, Clone)]
 pub struct AttemptError {
@@ -103,86 +49,6 @@
     }
 }
 
-/// Where and how a request runs.
-#[derive(Debug, Clone)]
-pub struct RunInfo {
-    /// The box that owns the engine.
-    pub owner: BoxId,
-    /// The engine.
-    pub engine: EngineId,
-    /// How long the request waited for its adapter.
-    pub stall_ms: Millis,
-    /// How long it waited in all.
-    pub queue_ms: Millis,
-    /// Wait the owner expects for the next request of that rank.
-    pub expected_wait_ms: Millis,
-}
-
-/// An answer on its way: chunks of one attempt.
-pub struct AnswerStream {
-    /// Where and how it runs.
-    pub info: RunInfo,
-    reader: LineReader,
-    /// Holds the place in the batch while the owner is this box.
-    guard: Option<RunGuard>,
-}
-
-/// Why a stream gives no further chunk.
-#[derive(Debug, Clone, PartialEq, thiserror::Error)]
-pub enum ChunkError {
-    /// It broke off.
-    #[error("stream broke off")]
-    Broken,
-    /// It is wrong.
-    #[error("{0}")]
-    Wrong(#[from] tinbay_core::assemble::AssembleError),
-}
-
-impl AnswerStream {
-    /// A stream of chunks with the place it holds.
-    pub fn new(info: RunInfo, reader: LineReader, guard: Option<RunGuard>) -> Self {
-        Self {
-            info,
-            reader,
-            guard,
-        }
-    }
-
-    /// The next event as it came, for a box that only passes it on.
-    pub async fn next_raw(&mut self) -> Option<Vec<u8>> {
-        let event = tokio::time::timeout(EVENT_WITHIN, self.reader.next_event()).await;
-        event.ok()?.ok().flatten()
-    }
-
-    /// Reads to the end of what nobody waits for any more, so that the place in the batch is
-    /// held until the engine is done.
-    pub async fn drain(&mut self) {
-        while self.next_raw().await.is_some() {}
-    }
-
-    /// The next chunk that belongs into the answer.
-    ///
-    /// # Errors
-    /// [`ChunkError`] when the stream breaks off or something else got into it.
-    pub async fn next(&mut self, assembler: &mut Assembler) -> Result<Chunk, ChunkError> {
-        loop {
-            let event = self.next_raw().await.ok_or(ChunkError::Broken)?;
-            if event == DONE_EVENT.as_bytes() {
-                return Err(ChunkError::Broken);
-            }
-            let chunk: Chunk = serde_json::from_slice(&event).map_err(|_| ChunkError::Broken)?;
-            match assembler.take(&chunk)? {
-                Taken::Dropped => {}
-                Taken::Passed => return Ok(chunk),
-                Taken::Completed => {
-                    self.guard = None;
-                    return Ok(chunk);
-                }
-            }
-        }
-    }
-}
-
 /// A request's answer over all its attempts.
 pub struct Attempts {
     node: Arc<Node>,
--- a/crates/tinbay-node/src/entry/completions.rs
+++ b/crates/tinbay-node/src/entry/completions.rs
@@ -9,8 +9,10 @@
 use tinbay_wire::completion::CompletionRequest;
 
 use super::answer;
-use super::attempts::{Attempts, Job, RunInfo};
+use super::attempts::Attempts;
+use super::job::Job;
 use super::progress::InProgress;
+use super::stream::RunInfo;
 use crate::filters::{Asked, Claimed, Context, Failure, release_claim, run_chain};
 use crate::logging::part;
 use crate::state::Node;
--- a/crates/tinbay-node/src/entry/forwarded.rs
+++ b/crates/tinbay-node/src/entry/forwarded.rs
@@ -10,9 +10,10 @@
 use tinbay_wire::forward::ForwardRequest;
 use tinbay_wire::headers;
 
-use super::attempts::{AnswerStream, Job};
+use super::job::Job;
 use super::local;
 use super::progress::InProgress;
+use super::stream::AnswerStream;
 use crate::filters::Failure;
 use crate::state::Node;
 
--- a/crates/tinbay-node/src/entry/local.rs
+++ b/crates/tinbay-node/src/entry/local.rs
@@ -8,7 +8,9 @@
 use tinbay_core::units::Millis;
 use tinbay_wire::engine::{EngineRefusal, EngineRequest};
 
-use super::attempts::{AnswerStream, AttemptError, Job, RunInfo};
+use super::attempts::AttemptError;
+use super::job::Job;
+use super::stream::{AnswerStream, RunInfo};
 use crate::engines::{EngineApi, EngineError, HttpEngine};
 use crate::filters::Failure;
 use crate::logging::part;
--- a/crates/tinbay-node/src/entry/mod.rs
+++ b/crates/tinbay-node/src/entry/mod.rs
@@ -5,11 +5,13 @@
 mod completions;
 mod forwarded;
 mod health;
+mod job;
 mod local;
 mod locate;
 mod progress;
 mod remote;
 mod services;
+mod stream;
 
 use ntex::web::{self, ServiceConfig};
 
--- a/crates/tinbay-node/src/entry/remote.rs
+++ b/crates/tinbay-node/src/entry/remote.rs
@@ -13,7 +13,9 @@
 use tinbay_wire::forward::ForwardRequest;
 use tinbay_wire::headers;
 
-use super::attempts::{AnswerStream, AttemptError, Job, RunInfo};
+use super::attempts::AttemptError;
+use super::job::Job;
+use super::stream::{AnswerStream, RunInfo};
 use crate::filters::Failure;
 use crate::state::Node;
 
