A box is live to others only once it has joined them and serves their configuration

Cause: a box said 'live' from its first heartbeat, so others routed to it and its predecessor lost its engines by the view, before it had met anyone or held a configuration to own engines by.

Fix: a run of a box begins as 'starting', in no succession, no locate answer and no keeper's place while others are live; it goes live when it has joined and serves the newest revision that it heard of. The engine's former owner serves until then. The new state stands last, so that boxes of the former version read the others as before; they read no view that names a starting box until it is live.

Why it works: the view that requests follow no longer runs ahead of the takeover that makes it true.

--- a/crates/tinbay-cli/src/commands/status.rs
+++ b/crates/tinbay-cli/src/commands/status.rs
@@ -55,6 +55,7 @@
         let state = match entry.record.state {
             BoxState::Live => "live",
             BoxState::Leaving => "leaving",
+            BoxState::Starting => "starting",
         };
         let revision = entry
             .revision
--- a/crates/tinbay-core/src/view.rs
+++ b/crates/tinbay-core/src/view.rs
@@ -35,13 +35,32 @@
 }
 
 /// Whether a box takes new work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+///
+/// New states go to the end: boxes of other versions read them by their place.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum BoxState {
     /// It takes work.
     Live,
     /// It ends what it has and takes nothing new.
     Leaving,
+    /// It has not yet met the others or caught up with their configuration, and owns nothing.
+    Starting,
+}
+
+impl BoxState {
+    /// Whether a run of a box enters this state after the other one.
+    pub fn is_after(self, other: BoxState) -> bool {
+        self.stage() > other.stage()
+    }
+
+    fn stage(self) -> u8 {
+        match self {
+            BoxState::Starting => 0,
+            BoxState::Live => 1,
+            BoxState::Leaving => 2,
+        }
+    }
 }
 
 /// One box as the others see it. It changes seldom, so that views stay cheap to pass on.
@@ -70,11 +89,11 @@
 }
 
 impl View {
-    /// Takes a record unless a newer one is known: a later run, or leaving in the same run.
+    /// Takes a record unless a newer one is known: a later run, or a later state of the same run.
     pub fn merge(&mut self, record: BoxRecord) -> bool {
         if let Some(known) = self.boxes.get(&record.id) {
-            let newer = (record.incarnation, record.state) > (known.incarnation, known.state);
-            if !newer {
+            let stage = (record.incarnation, record.state.stage());
+            if stage <= (known.incarnation, known.state.stage()) {
                 return false;
             }
         }
@@ -87,7 +106,7 @@
         let Some(record) = self.boxes.get_mut(id) else {
             return false;
         };
-        let changed = record.state == BoxState::Live;
+        let changed = record.state != BoxState::Leaving;
         record.state = BoxState::Leaving;
         changed
     }
--- a/crates/tinbay-core/tests/view_test.rs
+++ b/crates/tinbay-core/tests/view_test.rs
@@ -41,6 +41,31 @@
     assert!(view.merge(restarted), "a later run is");
 }
 
+// A restarted box was held to own its engines before it could take them over.
+#[test]
+fn succession_leaves_out_a_box_that_starts() {
+    let mut view = view(3);
+    let mut started = record(1, "b", BoxState::Starting);
+    started.incarnation = 2;
+    assert!(view.merge(started.clone()), "a later run is known at once");
+    let engine = EngineId::new("engine-1");
+    let owner = |view: &View| {
+        let heirs = view.succession(&engine, &ZoneId::new("b"), "main");
+        heirs.first().map(|heir| heir.id.clone())
+    };
+    assert_ne!(owner(&view), Some(started.id.clone()));
+    started.state = BoxState::Live;
+    assert!(view.merge(started.clone()));
+    assert_eq!(owner(&view), Some(started.id.clone()));
+    let stale = record(1, "b", BoxState::Starting);
+    assert!(!view.merge(BoxRecord {
+        incarnation: 2,
+        ..stale
+    }));
+    assert!(view.mark_leaving(&started.id));
+    assert_ne!(owner(&view), Some(started.id));
+}
+
 // A restarted box that others greeted first asked nobody and joined only as if it were alone.
 #[test]
 fn is_unmet_box_known_by_its_heartbeat_until_joined() {
--- a/crates/tinbay-node/src/controllers/box_list.rs
+++ b/crates/tinbay-node/src/controllers/box_list.rs
@@ -45,10 +45,9 @@
         if marked && !self.node.is_leaving() {
             self.node.leave();
         }
-        let mut members = write(&self.node.members);
-        members.set_listed(listed);
-        if alone {
-            members.set_joined();
+        write(&self.node.members).set_listed(listed);
+        if alone && !self.node.has_joined() {
+            self.node.note_joined();
         }
     }
 }
--- a/crates/tinbay-node/src/controllers/meeting.rs
+++ b/crates/tinbay-node/src/controllers/meeting.rs
@@ -54,11 +54,12 @@
             for record in update.present {
                 members.merge(record);
             }
-            members.set_joined();
+            drop(members);
+            self.node.note_joined();
         }
         let alone = self.node.clock.now_ms() >= ALONE_AFTER_MS;
         if !self.node.has_joined() && alone {
-            write(&self.node.members).set_joined();
+            self.node.note_joined();
         }
     }
 }
--- a/crates/tinbay-node/src/node.rs
+++ b/crates/tinbay-node/src/node.rs
@@ -148,7 +148,7 @@
             .unwrap_or(control_address)
             .to_string(),
         incarnation: wall_ms(),
-        state: BoxState::Live,
+        state: BoxState::Starting,
     };
     let node = Node::new(Parts {
         me,
--- a/crates/tinbay-node/src/state.rs
+++ b/crates/tinbay-node/src/state.rs
@@ -153,13 +153,31 @@
 
     /// Begins to leave: other boxes are told with the next heartbeats.
     pub fn leave(&self) {
+        if self.enter(BoxState::Leaving) {
+            log::info!(target: part::NODE, "leaving, no new work is taken");
+        }
+    }
+
+    /// Takes work from now on, once this box has met the others and serves their configuration.
+    pub fn go_live(&self) {
+        let is_current = self.config.in_force() >= self.wanted_revision();
+        if self.has_joined() && is_current && self.enter(BoxState::Live) {
+            log::info!(target: part::NODE, "live, takes engines over");
+        }
+    }
+
+    /// Enters a later state; `false` if this box is past it.
+    fn enter(&self, state: BoxState) -> bool {
         let record = {
             let mut me = write(&self.me);
-            me.state = BoxState::Leaving;
+            if !state.is_after(me.state) {
+                return false;
+            }
+            me.state = state;
             me.clone()
         };
         write(&self.members).merge(record);
-        log::info!(target: part::NODE, "leaving, no new work is taken");
+        true
     }
 
     /// Whether the box has its configuration and has met the others.
@@ -177,6 +195,12 @@
         read(&self.members).has_joined()
     }
 
+    /// Notes that the box has met the others or found that there are none.
+    pub fn note_joined(&self) {
+        write(&self.members).set_joined();
+        self.catch_up.notify_one();
+    }
+
     /// Whether this box is a keeper of its zone.
     pub fn is_keeper(&self) -> bool {
         read(&self.members).is_keeper(&self.options.zone)
