Requests for an engine whose owner is lost wait for the next owner

Cause: an ask that found no owner counted as an attempt and spent the class's retry budget. The box that gets all of a dead box's callers has earned little, so it refused them after one ask, with 3.9 s left to start, for the 2.8 s until the next owner was there; what had been cut before its first piece was told 'outcome_unknown'.

Ruled out: the engine (all 765 streams were still there) and the callers' six asks (they ended by their patience of 8 s, counted from the request's start).

Fix: such an ask is no attempt. The request waits for a change of the view, asking again at growing pauses, as long as the next owner is expected in time for it to start; otherwise it is refused at once with that time as its turn. What is expected of a lost owner also steers urgent requests to another engine, where the existing weighing finds that worth a load. How long a vacancy lasts is decided in tinbay-core::vacancy, without a clock. An unknown refusal of an owner is no longer read as 'not owner'.

Why it works: nobody has refused these requests and nothing of them ran, so there is nothing to try again and no load to multiply; each still runs once, at the next owner.

--- a/crates/tinbay-cli/src/commands/load.rs
+++ b/crates/tinbay-cli/src/commands/load.rs
@@ -97,6 +97,7 @@
 fn to_plan(options: &LoadOptions, entries: Vec<String>, models: Vec<ModelRef>) -> DrivePlan {
     DrivePlan {
         entries,
+        pinned: None,
         models,
         rate_per_s: options.rate_per_s,
         length: Duration::from_secs(options.seconds),
--- a/crates/tinbay-cli/src/drive.rs
+++ b/crates/tinbay-cli/src/drive.rs
@@ -18,6 +18,8 @@
 pub struct DrivePlan {
     /// Boxes to ask.
     pub entries: Vec<String>,
+    /// The box to connect to whatever locate says.
+    pub pinned: Option<String>,
     /// Models, the most popular first.
     pub models: Vec<ModelRef>,
     /// Requests a second.
@@ -47,7 +49,11 @@
 
 /// Sends the load and waits for every request's end.
 pub async fn drive(plan: DrivePlan) -> Vec<Outcome> {
-    let caller = Rc::new(Caller::new(plan.entries.clone()));
+    let entries = plan.entries.clone();
+    let caller = Rc::new(match plan.pinned.clone() {
+        Some(address) => Caller::pinned(entries, address),
+        None => Caller::new(entries),
+    });
     let began = tokio::time::Instant::now();
     let running = arrivals(&plan).into_iter().map(|arrival| {
         let caller = Rc::clone(&caller);
--- a/crates/tinbay-cli/src/scenario/fleet.rs
+++ b/crates/tinbay-cli/src/scenario/fleet.rs
@@ -433,8 +433,10 @@
             name: name.to_owned(),
             share,
         };
+        let pinned = (!plan.at.is_empty()).then(|| self.address(&plan.at));
         let drive_plan = DrivePlan {
             entries: self.entries(),
+            pinned,
             models,
             rate_per_s: plan.rate_per_s,
             length: Duration::from_millis(plan.length_ms),
--- a/crates/tinbay-cli/src/scenario/plans.rs
+++ b/crates/tinbay-cli/src/scenario/plans.rs
@@ -115,6 +115,8 @@
     pub keyed: bool,
     /// How long callers follow "not run, come back".
     pub patience_ms: u64,
+    /// The box to connect to whatever locate says; empty for those located.
+    pub at: String,
 }
 
 impl Default for LoadPlan {
@@ -128,6 +130,7 @@
             max_tokens: 16,
             keyed: true,
             patience_ms: 5_000,
+            at: String::new(),
         }
     }
 }
--- a/crates/tinbay-cli/src/scenario/summaries.rs
+++ b/crates/tinbay-cli/src/scenario/summaries.rs
@@ -22,6 +22,8 @@
     pub lost: usize,
     /// Requests that were resumed.
     pub resumed: usize,
+    /// Requests that were asked for anew, as the rest of a broken answer was gone.
+    pub started_over: usize,
     /// Slowest first token in milliseconds, over the right answers.
     pub first_token_max_ms: f64,
     /// 99th percentile of the time to any refusal, in milliseconds.
@@ -98,6 +100,7 @@
         not_run: not_run.len(),
         lost: outcomes.len() - right - wrong - not_run.len(),
         resumed: count(&|o| o.resumes > 0),
+        started_over: count(&|o| o.start_overs > 0),
         first_token_max_ms: first_tokens.fold(0.0, f64::max),
         refusal_p99_ms,
         overloaded_p99_ms,
--- a/crates/tinbay-cli/tests/scenarios_test.rs
+++ b/crates/tinbay-cli/tests/scenarios_test.rs
@@ -41,6 +41,12 @@
     assert_kept("whole_answers");
 }
 
+// Requests between two owners used up their attempts and were refused or lost.
+#[test]
+fn scenario_lost_owner() {
+    assert_kept("lost_owner");
+}
+
 #[test]
 fn scenario_not_run() {
     assert_kept("not_run");
@@ -86,6 +92,12 @@
     assert_kept("planned_stop");
 }
 
+// A restarted box was held to own its engines for seconds before it took them over.
+#[test]
+fn scenario_restarted_box() {
+    assert_kept("restarted_box");
+}
+
 #[test]
 fn scenario_configuration() {
     assert_kept("configuration");
--- a/crates/tinbay-core/src/lib.rs
+++ b/crates/tinbay-core/src/lib.rs
@@ -26,4 +26,5 @@
 pub mod serving;
 pub mod sharing;
 pub mod units;
+pub mod vacancy;
 pub mod view;
--- a/crates/tinbay-node/src/controllers/box_lease.rs
+++ b/crates/tinbay-node/src/controllers/box_lease.rs
@@ -18,7 +18,10 @@
 use crate::state::Node;
 
 /// Life of the lease.
-const TTL_S: i64 = 5;
+pub const LEASE_TTL_MS: Millis = 5_000;
+
+/// The same as the key-value service takes it.
+const TTL_S: i64 = LEASE_TTL_MS as i64 / 1_000;
 
 /// Time between renewals.
 const PERIOD: Duration = Duration::from_secs(1);
@@ -74,7 +77,7 @@
         };
         match held {
             Ok(true) => {
-                let life_ms = TTL_S as Millis * 1_000 - MARGIN_MS;
+                let life_ms = LEASE_TTL_MS - MARGIN_MS;
                 self.node.lease.extend(asked_ms + life_ms);
             }
             Ok(false) => self.lease = None,
--- a/crates/tinbay-node/src/controllers/members.rs
+++ b/crates/tinbay-node/src/controllers/members.rs
@@ -9,6 +9,7 @@
 use tinbay_core::view::{BoxRecord, View};
 use tinbay_wire::box_list::ListedBox;
 use tinbay_wire::control::{HeardBox, ViewUpdate};
+use tokio::sync::watch;
 
 use crate::util::sync::lock;
 
@@ -44,6 +45,7 @@
     joined: bool,
     /// Ranking the boxes of a zone for each request would grow with the fleet.
     owners: Mutex<HashMap<EngineId, KnownOwner>>,
+    changes: watch::Sender<u64>,
 }
 
 impl Members {
@@ -61,6 +63,7 @@
             listed: Vec::new(),
             joined: false,
             owners: Mutex::default(),
+            changes: watch::Sender::new(0),
         };
         members.merge(me);
         members
@@ -76,6 +79,11 @@
         self.version
     }
 
+    /// Tells of every change of the view.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
     /// Whether this box is a keeper of a zone.
     pub fn is_keeper(&self, zone: &ZoneId) -> bool {
         let keepers = self.view.keepers(zone);
@@ -128,7 +136,7 @@
         if *id == self.me || !self.view.remove(id) {
             return false;
         }
-        self.version += 1;
+        self.raise_version();
         self.changed.remove(id);
         self.heard.remove(id);
         self.removed.insert(self.version, id.clone());
@@ -274,8 +282,13 @@
         }
     }
 
-    fn note_change(&mut self, id: BoxId) {
+    fn raise_version(&mut self) {
         self.version += 1;
+        self.changes.send_replace(self.version);
+    }
+
+    fn note_change(&mut self, id: BoxId) {
+        self.raise_version();
         self.changed.insert(id, self.version);
     }
 }
--- a/crates/tinbay-node/src/controllers/mod.rs
+++ b/crates/tinbay-node/src/controllers/mod.rs
@@ -24,7 +24,9 @@
 pub use box_lease::BoxLease;
 pub use loads::Loads;
 pub use members::Members;
+pub use ownership::TAKE_OVER_MS;
 pub use policies::PolicyCache;
+pub use succession::FORMER_LEASE_MS;
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/tinbay-node/src/controllers/ownership.rs
+++ b/crates/tinbay-node/src/controllers/ownership.rs
@@ -17,8 +17,8 @@
 use crate::state::Node;
 use crate::util::sync::{lock, read};
 
-/// Time between looks.
-const PERIOD: Duration = Duration::from_millis(200);
+/// Time between looks, within which the next owner of an engine begins to take it over.
+pub const TAKE_OVER_MS: Millis = 200;
 
 /// Time until the second try for an engine; doubles with each further one.
 const RETRY_MS: Millis = 250;
@@ -144,7 +144,7 @@
 
 impl Controller for OwnershipController {
     fn period(&self) -> Duration {
-        PERIOD
+        Duration::from_millis(TAKE_OVER_MS)
     }
 
     fn step(&mut self) -> LocalBoxFuture<'_, ()> {
--- a/crates/tinbay-node/src/controllers/succession.rs
+++ b/crates/tinbay-node/src/controllers/succession.rs
@@ -8,11 +8,12 @@
 use tinbay_core::engine::OwnerSettings;
 use tinbay_core::fence::{Fence, Order};
 use tinbay_core::ids::BoxId;
-use tinbay_core::units::Revision;
+use tinbay_core::units::{Millis, Revision};
 use tinbay_core::view::{BoxRecord, BoxState};
 use tinbay_wire::control::{Message, Reply, Succession};
 use tinbay_wire::engine::{EngineRefusal, EngineState};
 
+use super::box_lease::LEASE_TTL_MS;
 use crate::engines::{EngineApi, EngineError, HttpEngine};
 use crate::logging::part;
 use crate::owners::OwnedEngine;
@@ -21,7 +22,10 @@
 use crate::util::sync::{lock, read};
 
 /// After a former owner's lease has lapsed, time for an order it sent just before to arrive.
-const LAPSE_GRACE: Duration = Duration::from_secs(2);
+const LAPSE_GRACE_MS: Millis = 2_000;
+
+/// How long the lease of a lost owner keeps others from an engine that checks no orders.
+pub const FORMER_LEASE_MS: Millis = LEASE_TTL_MS + LAPSE_GRACE_MS;
 
 /// Why an engine was not taken over; the next step tries again.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
@@ -172,7 +176,7 @@
     if held {
         return Err(TakeoverError::StillLeased(owner.clone()));
     }
-    tokio::time::sleep(LAPSE_GRACE).await;
+    tokio::time::sleep(Duration::from_millis(LAPSE_GRACE_MS)).await;
     Ok(())
 }
 
--- a/crates/tinbay-node/src/entry/attempts.rs
+++ b/crates/tinbay-node/src/entry/attempts.rs
@@ -6,11 +6,14 @@
 use tinbay_core::ids::{EngineId, ModelRef};
 use tinbay_core::retry::{AttemptEnd, AttemptEnds, NoRetry, RetryCase, check_retry};
 use tinbay_core::units::Millis;
+use tinbay_core::vacancy::OwnerLoss;
 use tinbay_core::view::BoxRecord;
+use tokio::sync::watch;
 
 use super::job::Job;
 use super::stream::{AnswerStream, ChunkError, RunInfo};
-use super::{local, remote};
+use super::{local, remote, vacancy};
+use crate::controllers::TAKE_OVER_MS;
 use crate::filters::Failure;
 use crate::logging::part;
 use crate::state::Node;
@@ -29,6 +32,8 @@
     pub end: AttemptEnd,
     /// What the caller is told if no other attempt helps.
     pub failure: Failure,
+    /// Set where no owner of the engine was found, so that nobody has refused the request.
+    pub owner_loss: Option<OwnerLoss>,
 }
 
 impl AttemptError {
@@ -37,6 +42,18 @@
         Self {
             end: AttemptEnd::NotRun,
             failure,
+            owner_loss: None,
+        }
+    }
+
+    /// Nothing ran, as the engine has no owner that answers.
+    pub fn owner_lost(loss: OwnerLoss) -> Self {
+        let failure = Failure::NotOwner {
+            retry_after_ms: TAKE_OVER_MS,
+        };
+        Self {
+            owner_loss: Some(loss),
+            ..Self::not_run(failure)
         }
     }
 
@@ -45,6 +62,7 @@
         Self {
             end: AttemptEnd::Unknown,
             failure: Failure::OutcomeUnknown,
+            owner_loss: None,
         }
     }
 }
@@ -54,7 +72,18 @@
     node: Arc<Node>,
     job: Job,
     assembler: Assembler,
+    /// Number of the last attempt; tells its chunks from those of earlier ones.
     attempt: u32,
+    /// Attempts that reached an owner.
+    tries: u32,
+    /// Engines that have refused the request.
+    refused: Vec<EngineId>,
+    /// Engines found without an owner since the last wait for one.
+    vacant: Vec<EngineId>,
+    /// Waits for an owner so far.
+    waits: u32,
+    /// Tells of changes of the view; kept from the first wait on, so that none is missed.
+    changes: Option<watch::Receiver<u64>>,
     ends: AttemptEnds,
     stream: Option<AnswerStream>,
     info: Option<RunInfo>,
@@ -70,6 +99,11 @@
             job,
             assembler,
             attempt: 0,
+            tries: 0,
+            refused: Vec::new(),
+            vacant: Vec::new(),
+            waits: 0,
+            changes: None,
             ends: AttemptEnds::default(),
             stream: None,
             info: None,
@@ -87,30 +121,24 @@
     /// The failure for the caller, when no attempt is left.
     pub async fn first_chunk(&mut self) -> Result<Chunk, Failure> {
         self.node.earn_retry(&self.job.class);
-        let job = &self.job;
-        let engines = ranked_engines(&self.node, &job.model, &job.base_model, job.urgent);
-        if engines.is_empty() {
-            return Err(Failure::NoEngine(self.job.base_model.clone()));
-        }
         loop {
-            let engine = &engines[self.attempt as usize % engines.len()];
-            let error = match self.try_engine(engine).await {
+            let engine = self.next_engine()?;
+            let error = match self.try_engine(&engine).await {
                 Ok(chunk) => return Ok(chunk),
                 Err(error) => error,
             };
-            self.ends.note(error.end);
-            if error.failure == Failure::EngineLeaves {
-                self.note_wait(engine, AVOIDED_WAIT_MS);
+            self.note_error(&engine, &error);
+            if let Some(loss) = error.owner_loss {
+                let passed = self.pass_vacancy(&engine, loss).await;
+                passed.map_err(|failure| self.final_failure(failure))?;
+                continue;
             }
-            log::debug!(
-                target: part::ENTRY,
-                "{} attempt {} on {engine} ended {:?}: {}",
-                self.job.request_id, self.attempt, error.end, error.failure,
-            );
+            self.tries += 1;
             if let Err(reason) = self.take_retry(&error) {
                 self.log_last_attempt(&error, reason);
                 return Err(self.final_failure(error.failure));
             }
+            self.refused.push(engine);
         }
     }
 
@@ -147,6 +175,65 @@
         self.assembler.is_complete()
     }
 
+    /// The best engine that has not refused the request; the best one once all have.
+    fn next_engine(&mut self) -> Result<EngineId, Failure> {
+        let job = &self.job;
+        let engines = ranked_engines(&self.node, &job.model, &job.base_model, job.urgent);
+        let first = engines.first().cloned();
+        let first = first.ok_or_else(|| Failure::NoEngine(job.base_model.clone()))?;
+        let next = engines.into_iter().find(|e| !self.refused.contains(e));
+        Ok(next.unwrap_or_else(|| {
+            self.refused.clear();
+            first
+        }))
+    }
+
+    fn note_error(&mut self, engine: &EngineId, error: &AttemptError) {
+        self.ends.note(error.end);
+        if error.failure == Failure::EngineLeaves {
+            self.note_wait(engine, AVOIDED_WAIT_MS);
+        }
+        log::debug!(
+            target: part::ENTRY,
+            "{} attempt {} on {engine} ended {:?}: {}",
+            self.job.request_id, self.attempt, error.end, error.failure,
+        );
+    }
+
+    /// Goes on to another engine, where that is worth a load, or waits for the next owner.
+    async fn pass_vacancy(&mut self, engine: &EngineId, loss: OwnerLoss) -> Result<(), Failure> {
+        let wait_ms = vacancy::note_lost(&self.node, engine, loss);
+        self.note_wait(engine, wait_ms);
+        self.vacant.push(engine.clone());
+        let next = self.next_engine()?;
+        if !self.vacant.contains(&next) {
+            return Ok(());
+        }
+        self.vacant.clear();
+        let until_ms = self.job.start_by_ms;
+        self.await_owner(&next, until_ms).await
+    }
+
+    async fn await_owner(&mut self, engine: &EngineId, until_ms: Millis) -> Result<(), Failure> {
+        let node = &self.node;
+        let changes = self
+            .changes
+            .get_or_insert_with(|| read(&node.members).changes());
+        let waited = vacancy::await_owner(node, engine, changes, self.waits, until_ms).await;
+        self.waits += 1;
+        if let Err(failure) = &waited {
+            log::info!(
+                target: part::ENTRY,
+                "{} {} waits no longer for an owner of {engine}, {} ms before its end: {failure}, the next one is \
+                 expected in {} ms",
+                self.job.request_id, self.job.model,
+                until_ms.saturating_sub(node.clock.now_ms()),
+                failure.retry_after_ms().unwrap_or_default(),
+            );
+        }
+        waited
+    }
+
     async fn try_engine(&mut self, engine: &EngineId) -> Result<Chunk, AttemptError> {
         let resume_from = self.job.resume_from;
         let mut stream = self.open(engine, resume_from).await?;
@@ -158,6 +245,7 @@
                 ChunkError::Wrong(error) => AttemptError {
                     end: AttemptEnd::Answered,
                     failure: error.into(),
+                    owner_loss: None,
                 },
             })?;
         self.info = Some(stream.info.clone());
@@ -174,7 +262,7 @@
         self.attempt += 1;
         self.assembler.start_attempt(self.attempt);
         let owner = owner_of(&self.node, engine)
-            .ok_or_else(|| AttemptError::not_run(Failure::NoEngine(self.job.base_model.clone())))?;
+            .ok_or_else(|| AttemptError::owner_lost(OwnerLoss::TakingOver))?;
         let stream = if owner.id == *self.node.id() {
             local::run(&self.node, &self.job, engine, self.attempt, resume_from).await?
         } else {
@@ -189,6 +277,9 @@
             .await?
         };
         self.note_wait(engine, stream.info.expected_wait_ms);
+        if self.waits > 0 {
+            lock(&self.node.vacancies).note_owned(engine);
+        }
         Ok(stream)
     }
 
@@ -197,7 +288,8 @@
             return Err(Failure::OutcomeUnknown);
         };
         let position = self.assembler.next_position();
-        while self.attempt < MAX_ATTEMPTS {
+        while self.tries < MAX_ATTEMPTS {
+            self.tries += 1;
             match self.open(&info.engine, Some(position)).await {
                 Ok(stream) => {
                     log::info!(target: part::ENTRY, "{} resumed at {position}", self.job.request_id);
@@ -222,7 +314,7 @@
             deadline_ms: self.job.start_by_ms,
         };
         check_retry(&case)?;
-        if self.attempt >= MAX_ATTEMPTS {
+        if self.tries >= MAX_ATTEMPTS {
             return Err(NoRetry::AttemptsUsed);
         }
         match self.node.spend_retry(&self.job.class) {
@@ -237,9 +329,9 @@
         let left_ms = job.start_by_ms.saturating_sub(self.node.clock.now_ms());
         log::info!(
             target: part::ENTRY,
-            "{} {} is not tried again: {reason}; attempt {} of {MAX_ATTEMPTS} ended {:?} ({}), {left_ms} ms \
+            "{} {} is not tried again: {reason}; try {} of {MAX_ATTEMPTS} ended {:?} ({}), {left_ms} ms \
              left to start, {:.1} retries left for class {}",
-            job.request_id, job.model, self.attempt, error.end, error.failure,
+            job.request_id, job.model, self.tries, error.end, error.failure,
             self.node.retry_balance(&job.class), job.class,
         );
     }
--- a/crates/tinbay-node/src/entry/local.rs
+++ b/crates/tinbay-node/src/entry/local.rs
@@ -6,6 +6,7 @@
 use tinbay_core::engine::{Ask, Event, Refusal};
 use tinbay_core::ids::EngineId;
 use tinbay_core::units::Millis;
+use tinbay_core::vacancy::OwnerLoss;
 use tinbay_wire::engine::{EngineRefusal, EngineRequest};
 
 use super::attempts::AttemptError;
@@ -42,7 +43,7 @@
 ) -> Result<AnswerStream, AttemptError> {
     let owned = await_ownership(node, engine)
         .await
-        .ok_or_else(|| AttemptError::not_run(Failure::NotOwner))?;
+        .ok_or_else(|| AttemptError::owner_lost(OwnerLoss::TakingOver))?;
     let call = job.to_call(attempt, resume_from);
     if resume_from.is_some() {
         return resume(node, &owned, &call).await;
@@ -119,7 +120,7 @@
             retry_after_ms,
         } => {
             return Err(SendError {
-                attempt: AttemptError::not_run(to_failure(reason, retry_after_ms)),
+                attempt: to_error(reason, retry_after_ms),
                 refusal: None,
             });
         }
@@ -192,7 +193,7 @@
     match refusal {
         EngineRefusal::StaleFence => {
             node.give_up(&owned.spec().name);
-            AttemptError::not_run(Failure::NotOwner)
+            AttemptError::owner_lost(OwnerLoss::TakingOver)
         }
         EngineRefusal::Leaving => {
             owned.handle(Event::EngineLeaves);
@@ -216,12 +217,13 @@
     let _ = HttpEngine::new(&address).cancel(&call).await;
 }
 
-fn to_failure(reason: Refusal, retry_after_ms: Millis) -> Failure {
-    match reason {
+fn to_error(reason: Refusal, retry_after_ms: Millis) -> AttemptError {
+    let failure = match reason {
         Refusal::Overloaded => Failure::Overloaded { retry_after_ms },
         Refusal::DeadlinePassed => Failure::DeadlinePassed { retry_after_ms },
         Refusal::LoadFailed => Failure::LoadFailed { retry_after_ms },
-        Refusal::NotOwner => Failure::NotOwner,
+        Refusal::NotOwner => return AttemptError::owner_lost(OwnerLoss::TakingOver),
         Refusal::EngineLeaves => Failure::EngineLeaves,
-    }
+    };
+    AttemptError::not_run(failure)
 }
--- a/crates/tinbay-node/src/entry/mod.rs
+++ b/crates/tinbay-node/src/entry/mod.rs
@@ -12,6 +12,7 @@
 mod remote;
 mod services;
 mod stream;
+mod vacancy;
 
 use ntex::web::{self, ServiceConfig};
 
--- a/crates/tinbay-node/src/entry/remote.rs
+++ b/crates/tinbay-node/src/entry/remote.rs
@@ -6,6 +6,7 @@
 use ntex::client::ClientResponse;
 use tinbay_core::ids::EngineId;
 use tinbay_core::units::Millis;
+use tinbay_core::vacancy::OwnerLoss;
 use tinbay_core::view::BoxRecord;
 use tinbay_http::client::{await_head, pooled_client, read_any};
 use tinbay_http::stream::LineReader;
@@ -54,7 +55,7 @@
     let within = Duration::from_millis(wait_left_ms) + HEAD_MARGIN;
     let response = await_head(call, within).await.map_err(|error| {
         if error.is_not_sent() {
-            AttemptError::not_run(Failure::NotOwner)
+            AttemptError::owner_lost(OwnerLoss::Unreachable)
         } else {
             AttemptError::unknown()
         }
@@ -91,6 +92,9 @@
     if !body.error.not_run {
         return AttemptError::unknown();
     }
+    if body.error.code == ErrorCode::NotOwner {
+        return AttemptError::owner_lost(OwnerLoss::TakingOver);
+    }
     AttemptError::not_run(to_failure(&body.error))
 }
 
@@ -102,7 +106,6 @@
         ErrorCode::LoadFailed => Failure::LoadFailed { retry_after_ms },
         ErrorCode::EngineLeaves => Failure::EngineLeaves,
         ErrorCode::StaleConfiguration => Failure::StaleConfiguration,
-        ErrorCode::BackendFailed => Failure::BackendFailed { not_run: true },
-        _ => Failure::NotOwner,
+        _ => Failure::BackendFailed { not_run: true },
     }
 }
--- a/crates/tinbay-node/src/entry/services.rs
+++ b/crates/tinbay-node/src/entry/services.rs
@@ -9,7 +9,7 @@
 use ntex::web::{HttpRequest, HttpResponse};
 use rand::seq::SliceRandom;
 use tinbay_core::config::ServiceSpec;
-use tinbay_core::retry::{AttemptEnd, AttemptEnds, RetryCase, may_retry};
+use tinbay_core::retry::{AttemptEnds, RetryCase, may_retry};
 use tinbay_http::body::read_body;
 use tinbay_http::client::{await_head, fresh_client, pooled_client};
 use tinbay_wire::headers;
@@ -157,14 +157,10 @@
     response: ClientResponse,
     within: Duration,
 ) -> Result<ServiceReply, AttemptError> {
-    let unknown = |end| AttemptError {
-        end,
-        failure: Failure::OutcomeUnknown,
-    };
     let read = read_body(response.take_payload(), MAX_ANSWER_BYTES);
     let body = match tokio::time::timeout(within, read).await {
         Ok(Ok(body)) => body,
-        _ => return Err(unknown(AttemptEnd::Unknown)),
+        _ => return Err(AttemptError::unknown()),
     };
     let content_type = response.headers().get("content-type");
     let content_type = content_type.and_then(|value| value.to_str().ok());
--- /dev/null
+++ b/crates/tinbay-node/src/entry/vacancy.rs
@@ -0,0 +1,70 @@
+//! Waits for the next owner of an engine whose owner was lost.
+
+use std::time::Duration;
+
+use tinbay_core::ids::EngineId;
+use tinbay_core::units::Millis;
+use tinbay_core::vacancy::{OwnerLoss, VacancyTerms};
+use tinbay_core::view::{dead_after_ms, heartbeat_period_ms};
+use tokio::sync::watch;
+
+use crate::controllers::{FORMER_LEASE_MS, TAKE_OVER_MS, jittered};
+use crate::filters::Failure;
+use crate::state::Node;
+use crate::util::sync::{lock, read};
+
+/// Time until a lost owner is asked again while the view stays as it is; doubles with each wait, since all
+/// requests for its engines ask.
+const ASK_AGAIN_MS: Millis = 100;
+
+/// Longest time between two asks.
+const LONGEST_ASK_AGAIN_MS: Millis = 1_000;
+
+/// Notes that an engine was found without an owner; gives the time until one is expected.
+pub fn note_lost(node: &Node, engine: &EngineId, loss: OwnerLoss) -> Millis {
+    let terms = vacancy_terms(node, engine);
+    let now_ms = node.clock.now_ms();
+    let mut vacancies = lock(&node.vacancies);
+    vacancies.note_lost(engine, loss, &terms, now_ms);
+    vacancies.wait_ms(engine, now_ms)
+}
+
+/// Waits until a lost owner may be asked again: after a change of the view, or some time.
+///
+/// # Errors
+/// [`Failure::NotOwner`] at once if the next owner is expected only after `until_ms`.
+pub async fn await_owner(
+    node: &Node,
+    engine: &EngineId,
+    changes: &mut watch::Receiver<u64>,
+    waits: u32,
+    until_ms: Millis,
+) -> Result<(), Failure> {
+    let now_ms = node.clock.now_ms();
+    let wait_ms = lock(&node.vacancies).wait_ms(engine, now_ms);
+    if now_ms + wait_ms > until_ms {
+        return Err(Failure::NotOwner {
+            retry_after_ms: wait_ms,
+        });
+    }
+    let pause = jittered(Duration::from_millis(ask_again_ms(waits)));
+    let _ = tokio::time::timeout(pause, changes.changed()).await;
+    Ok(())
+}
+
+fn ask_again_ms(waits: u32) -> Millis {
+    let doubled = ASK_AGAIN_MS.saturating_mul(1 << waits.min(10));
+    doubled.min(LONGEST_ASK_AGAIN_MS)
+}
+
+fn vacancy_terms(node: &Node, engine: &EngineId) -> VacancyTerms {
+    let spec = node.config.engine(engine.as_str());
+    let zone = spec.as_ref().map(|spec| &spec.zone);
+    let boxes = zone.map_or(0, |zone| read(&node.members).view().count_in(zone));
+    let checks_orders = spec.as_ref().is_none_or(|spec| spec.checks_orders);
+    let lease_ms = if checks_orders { 0 } else { FORMER_LEASE_MS };
+    VacancyTerms {
+        detect_ms: dead_after_ms(boxes, node.options.dead_after_ms) + lease_ms,
+        take_over_ms: heartbeat_period_ms(boxes) + TAKE_OVER_MS,
+    }
+}
--- a/crates/tinbay-node/src/filters/failure.rs
+++ b/crates/tinbay-node/src/filters/failure.rs
@@ -87,9 +87,12 @@
     /// The engine is leaving.
     #[error("the engine is leaving")]
     EngineLeaves,
-    /// The box is not the owner.
-    #[error("this box does not own the engine")]
-    NotOwner,
+    /// No box that owns the engine was found.
+    #[error("the engine has no owner that answers")]
+    NotOwner {
+        /// When the next owner is expected.
+        retry_after_ms: Millis,
+    },
     /// The box is behind.
     #[error("this box is catching up with the configuration")]
     StaleConfiguration,
@@ -158,7 +161,7 @@
             Failure::LoadFailed { .. } => ErrorCode::LoadFailed,
             Failure::Leaving => ErrorCode::Leaving,
             Failure::EngineLeaves => ErrorCode::EngineLeaves,
-            Failure::NotOwner => ErrorCode::NotOwner,
+            Failure::NotOwner { .. } => ErrorCode::NotOwner,
             Failure::StaleConfiguration => ErrorCode::StaleConfiguration,
             Failure::AlreadyUsed => ErrorCode::AlreadyUsed,
             Failure::OutcomeUnknown => ErrorCode::OutcomeUnknown,
@@ -191,11 +194,11 @@
         match self {
             Failure::Overloaded { retry_after_ms }
             | Failure::DeadlinePassed { retry_after_ms }
-            | Failure::LoadFailed { retry_after_ms } => Some(*retry_after_ms),
+            | Failure::LoadFailed { retry_after_ms }
+            | Failure::NotOwner { retry_after_ms } => Some(*retry_after_ms),
             Failure::NoEngine(_)
             | Failure::Leaving
             | Failure::EngineLeaves
-            | Failure::NotOwner
             | Failure::StaleConfiguration
             | Failure::PlatformUnavailable => Some(SOON_MS),
             Failure::BackendFailed { not_run: true } => Some(SOON_MS),
--- a/crates/tinbay-node/src/state.rs
+++ b/crates/tinbay-node/src/state.rs
@@ -12,6 +12,7 @@
 use tinbay_core::retry::RetryBudget;
 use tinbay_core::route::Router;
 use tinbay_core::units::{Millis, Revision};
+use tinbay_core::vacancy::Vacancies;
 use tinbay_core::view::{BoxRecord, BoxState, heartbeat_period_ms};
 use tinbay_wire::control::{Envelope, Message, Reply, Succession};
 use tokio::sync::{Notify, mpsc};
@@ -55,6 +56,8 @@
     pub owners: Owners,
     /// Successions told by owners, for takeovers while the key-value service is out.
     pub successions: Mutex<HashMap<EngineId, Succession>>,
+    /// Engines found without an owner.
+    pub vacancies: Mutex<Vacancies>,
     /// The keys of which this box is the home.
     pub keys: Mutex<KeyTable>,
     /// The shared allowance of the weight store.
@@ -115,6 +118,7 @@
             members: RwLock::new(Members::new(me.clone())),
             owners: Owners::default(),
             successions: Mutex::default(),
+            vacancies: Mutex::default(),
             keys: Mutex::new(KeyTable::new(me.id.clone(), me.incarnation)),
             loads: Loads::default(),
             lease: BoxLease::default(),
