Streams that pass through another box wait for the next owner of their engine

Cause: the same as of the requests between two owners: the resume asked four times within milliseconds, each ask that found no owner counted, and the caller was told that the rest was gone while the engine still had it.

Fix: such an ask is no attempt here either; the resume waits for the next owner for as long as an answer may stand still. Only the engine's own word, or four resumes that reached an owner, end it.

Why it works: the engine keeps a stream that nobody reads; what was missing is a box that may ask for it.

--- a/crates/tinbay-cli/tests/scenarios_test.rs
+++ b/crates/tinbay-cli/tests/scenarios_test.rs
@@ -47,6 +47,12 @@
     assert_kept("lost_owner");
 }
 
+// Streams through another box were told that the rest was gone while the engine had it.
+#[test]
+fn scenario_forwarded_streams() {
+    assert_kept("forwarded_streams");
+}
+
 #[test]
 fn scenario_not_run() {
     assert_kept("not_run");
--- a/crates/tinbay-node/src/entry/attempts.rs
+++ b/crates/tinbay-node/src/entry/attempts.rs
@@ -22,6 +22,9 @@
 /// Attempts at one request, resumes included.
 const MAX_ATTEMPTS: u32 = 4;
 
+/// How long an answer may stand still while the next owner of its engine is awaited.
+const RESUME_WITHIN_MS: Millis = 15_000;
+
 /// Wait noted for an engine that is leaving, so that the next requests try others first.
 const AVOIDED_WAIT_MS: Millis = 600_000;
 
@@ -288,18 +291,27 @@
             return Err(Failure::OutcomeUnknown);
         };
         let position = self.assembler.next_position();
+        let until_ms = self.node.clock.now_ms() + RESUME_WITHIN_MS;
         while self.tries < MAX_ATTEMPTS {
-            self.tries += 1;
-            match self.open(&info.engine, Some(position)).await {
+            let error = match self.open(&info.engine, Some(position)).await {
                 Ok(stream) => {
                     log::info!(target: part::ENTRY, "{} resumed at {position}", self.job.request_id);
+                    self.tries += 1;
                     self.stream = Some(stream);
                     return Ok(());
                 }
-                Err(error) if error.failure == Failure::CannotResume => break,
-                Err(error) => {
-                    log::debug!(target: part::ENTRY, "{} not resumed: {}", self.job.request_id, error.failure);
+                Err(error) => error,
+            };
+            log::debug!(target: part::ENTRY, "{} not resumed: {}", self.job.request_id, error.failure);
+            match error.owner_loss {
+                Some(loss) => {
+                    vacancy::note_lost(&self.node, &info.engine, loss);
+                    self.await_owner(&info.engine, until_ms)
+                        .await
+                        .map_err(|_| Failure::CannotResume)?;
                 }
+                None if error.failure == Failure::CannotResume => break,
+                None => self.tries += 1,
             }
         }
         Err(Failure::CannotResume)
