A run at an engine is never named by the id that a caller chose

Cause: without a key the caller's x-request-id named the run at the engine, where a second run under a name takes the place of the first. Found while weighing whether a request may ask the engine for a run of its own name: two callers with one id would have got each other's text that way.

Fix: without a key the box gives a name of its own; x-request-id stays what logs call the request.

Why it works: a name at an engine is now either a key, minted once, or numbered by one run of one box.

--- a/crates/tinbay-node/src/entry/completions.rs
+++ b/crates/tinbay-node/src/entry/completions.rs
@@ -59,7 +59,7 @@
 fn to_job(context: &Context<'_>, body: &CompletionRequest) -> Job {
     let treatment = context.treatment;
     Job {
-        name: context.identity.name(),
+        name: context.identity.name.clone(),
         request_id: context.identity.request_id.clone(),
         model: body.model.clone(),
         base_model: context.base_model.clone(),
--- a/crates/tinbay-node/src/filters/identity.rs
+++ b/crates/tinbay-node/src/filters/identity.rs
@@ -22,16 +22,10 @@
     pub key: Option<RequestKey>,
     /// The first position of the answer that the caller still needs.
     pub resume_from: Option<u64>,
-}
-
-impl Identity {
-    /// The request's name at back ends: the same for every ask with the same key.
-    pub fn name(&self) -> String {
-        match &self.key {
-            Some(key) => key.to_string(),
-            None => self.request_id.clone(),
-        }
-    }
+    /// The request's name at back ends: the key, the same for every ask with it, or a name of its own.
+    ///
+    /// Never the id that a caller chose: two callers with the same one would share a run.
+    pub name: String,
 }
 
 /// Reads request id, key and resume position.
@@ -53,7 +47,7 @@
 
 fn identify(node: &Node, context: &Context<'_>) -> Result<Identity, Failure> {
     let key = match context.header(headers::KEY) {
-        Some(text) => Some(text.parse().map_err(|_| Failure::BadKey)?),
+        Some(text) => Some(text.parse::<RequestKey>().map_err(|_| Failure::BadKey)?),
         None => None,
     };
     let resume_from = match context.header(headers::RESUME_FROM) {
@@ -70,14 +64,17 @@
         });
     }
     let given = context.header(headers::REQUEST_ID);
+    let own_id = new_request_id(node);
     let request_id = match given.filter(|id| !id.is_empty() && id.len() <= MAX_REQUEST_ID) {
         Some(id) => id.to_owned(),
-        None => new_request_id(node),
+        None => own_id.clone(),
     };
+    let name = key.as_ref().map_or(own_id, RequestKey::to_string);
     Ok(Identity {
         request_id,
         key,
         resume_from,
+        name,
     })
 }
 
--- a/crates/tinbay-node/tests/border_test.rs
+++ b/crates/tinbay-node/tests/border_test.rs
@@ -3,9 +3,11 @@
 mod common;
 
 use common::{
-    Answer, await_that, post, send, send_and_close, start_box, start_box_with, write_class,
+    Answer, await_that, complete, post, send, send_and_close, start_box, start_box_with,
+    start_box_with_engine, write_class,
 };
 use quickcheck::QuickCheck;
+use tinbay_standin::engine::expected_text;
 
 fn assert_code(answer: &Answer, status: u16, code: &str) {
     assert_eq!(answer.status, status, "{answer:?}");
@@ -76,6 +78,24 @@
     assert_code(&answer, 400, "bad_parameter");
 }
 
+// Two callers that chose the same x-request-id shared one run at the engine and got each other's text.
+#[test]
+fn complete_same_request_id_answers_each_caller_its_own() {
+    let engine = start_box_with_engine();
+    let address = engine.started.node.address();
+    let prompts = ["one", "two", "three"];
+    let asked = prompts
+        .map(|prompt| std::thread::spawn(move || (prompt, complete(address, "same", prompt, 40))));
+    for asked in asked {
+        let (prompt, answer) = asked.join().expect("it ends");
+        assert_eq!(answer.status, 200, "{answer:?}");
+        let body: serde_json::Value = serde_json::from_str(&answer.body).expect("a JSON body");
+        let model = "a@v1".parse().expect("a model");
+        let expected = expected_text(&model, prompt, 40);
+        assert_eq!(body["choices"][0]["text"], expected.as_str());
+    }
+}
+
 #[test]
 fn wrong_method_and_path_are_405_and_404() {
     let started = start_box();
--- a/crates/tinbay-node/tests/common/mod.rs
+++ b/crates/tinbay-node/tests/common/mod.rs
@@ -125,6 +125,52 @@
     send(address, "POST", path, &headers, body.as_bytes()).expect("an answer")
 }
 
+/// A box with an engine that has adapter `a` in version `v1`.
+pub struct TestEngine {
+    pub started: TestBox,
+    _engine: ServerHandle,
+}
+
+/// Starts a box and an engine, and waits until the box answers from it.
+pub fn start_box_with_engine() -> TestEngine {
+    let started = start_box();
+    let engine = standin(Kind::Engine);
+    let objects = [
+        format!(
+            "{{\"engine\":{{\"name\":\"engine-1\",\"address\":\"{}\",\"zone\":\"zone-a\",\"region\":\"main\",\
+             \"base_model\":\"base\",\"slots\":4,\"batch_limit\":8,\"checks_orders\":true}}}}",
+            engine.address()
+        ),
+        "{\"adapter\":{\"name\":\"a\",\"organisation\":\"o\",\"base_model\":\"base\"}}".to_owned(),
+        "{\"version\":{\"adapter\":\"a\",\"name\":\"v1\",\"weights\":\"store://a\"}}".to_owned(),
+    ];
+    let items = objects.map(|object| format!("{{\"put\":{{\"object\":{object}}}}}"));
+    let body = format!(
+        "{{\"change_id\":\"engine\",\"operator\":\"test\",\"items\":[{}]}}",
+        items.join(",")
+    );
+    let address = started.node.address();
+    await_that("the engine is configured", || {
+        post(address, "/admin/v1/changes", &body).status == 200
+    });
+    await_that("the engine answers", || {
+        complete(address, "first", "warm up", 1).status == 200
+    });
+    TestEngine {
+        started,
+        _engine: engine,
+    }
+}
+
+/// Asks adapter `a` in version `v1` for a whole answer.
+pub fn complete(address: SocketAddr, request_id: &str, prompt: &str, max_tokens: u32) -> Answer {
+    let body =
+        format!("{{\"model\":\"a@v1\",\"prompt\":\"{prompt}\",\"max_tokens\":{max_tokens}}}");
+    let headers = [("x-request-id", request_id)];
+    let path = "/v1/completions";
+    send(address, "POST", path, &headers, body.as_bytes()).expect("an answer")
+}
+
 /// Posts a change with one class until the box has joined and takes it.
 pub fn write_class(address: SocketAddr, change_id: &str, name: &str) -> Answer {
     let body = format!(
