A request cut off before its first piece looks for its run before it runs again

Cause: such a request needed a second run, which spends the class's retry budget. A box's death cuts off all that passed to it at once, far more than a fifth of what came lately, and the first without a retry left were told outcome_unknown, though the engine was running them or had never got them. Requests that may run only once were told so at once.

Evidence: 'is not tried again: retry budget spent; ... ended Unknown' at the entry box; the engine's report holds the runs. Ruled out: the class's deadline (seconds were left) and the callers (without keys here, so that they can't resume by themselves).

Fix: the request asks the next owner for its own run, from its first piece. If the engine has it, that is the answer, also for work that may run once; asks to resume are free of the budget, as nothing runs by them. If the engine does not have it and it may run again, it does: free of the budget where the owner that it was sent through is gone, within the budget where the engine itself broke off. No attempt is cancelled at the engine any more: a late cancel would end the run that is looked for, and before this change the second run of the same name. A connection that breaks under an ask to resume no longer counts as 'may have run'.

Why it works: a run is looked for by a name that only this request has, so its text can't be another's, and a run that is found is not begun a second time.

--- a/crates/tinbay-cli/src/scenario/fleet.rs
+++ b/crates/tinbay-cli/src/scenario/fleet.rs
@@ -441,10 +441,13 @@
             rate_per_s: plan.rate_per_s,
             length: Duration::from_millis(plan.length_ms),
             skew: plan.skew,
-            classes: vec![
-                share("counter", plan.counter_share),
-                share("batch", 1.0 - plan.counter_share),
-            ],
+            classes: match plan.class.as_str() {
+                "" => vec![
+                    share("counter", plan.counter_share),
+                    share("batch", 1.0 - plan.counter_share),
+                ],
+                class => vec![share(class, 1.0)],
+            },
             max_tokens: plan.max_tokens,
             seed: self.rng.random(),
             keyed: plan.keyed,
--- a/crates/tinbay-cli/src/scenario/plans.rs
+++ b/crates/tinbay-cli/src/scenario/plans.rs
@@ -107,6 +107,8 @@
     pub skew: f64,
     /// Share of the class `counter`; the rest is `batch`.
     pub counter_share: f64,
+    /// The class of all requests, in place of the shares; empty for those.
+    pub class: String,
     /// Adapters asked for.
     pub adapters: usize,
     /// Tokens of each answer.
@@ -126,6 +128,7 @@
             length_ms: 3_000,
             skew: 1.0,
             counter_share: 0.5,
+            class: String::new(),
             adapters: 8,
             max_tokens: 16,
             keyed: true,
--- a/crates/tinbay-cli/tests/scenarios_test.rs
+++ b/crates/tinbay-cli/tests/scenarios_test.rs
@@ -53,6 +53,18 @@
     assert_kept("forwarded_streams");
 }
 
+// Requests cut off before their first piece were told "outcome_unknown" while the engine ran them.
+#[test]
+fn scenario_cut_before_first() {
+    assert_kept("cut_before_first");
+}
+
+// Requests queued at a box that died were told "outcome_unknown" once the retry budget was spent.
+#[test]
+fn scenario_queued_at_lost_owner() {
+    assert_kept("queued_at_lost_owner");
+}
+
 #[test]
 fn scenario_not_run() {
     assert_kept("not_run");
--- a/crates/tinbay-node/src/engines/http.rs
+++ b/crates/tinbay-node/src/engines/http.rs
@@ -40,15 +40,15 @@
     async fn post<B: Serialize>(
         &self,
         path: &str,
-        order: Option<Order>,
+        order: Order,
         body: &B,
         within: Duration,
     ) -> Result<ClientResponse, EngineError> {
         let url = format!("{}{path}", self.base);
-        let mut request = pooled_client().await.post(url.as_str());
-        if let Some(order) = order {
-            request = request.set_header(headers::FENCE, order.to_string());
-        }
+        let request = pooled_client()
+            .await
+            .post(url.as_str())
+            .set_header(headers::FENCE, order.to_string());
         let response = await_head(request.send_json(body), within)
             .await
             .map_err(to_engine_error)?;
@@ -69,7 +69,7 @@
         body: &B,
         within: Duration,
     ) -> Result<EngineState, EngineError> {
-        let response = self.post(path, Some(order), body, within).await?;
+        let response = self.post(path, order, body, within).await?;
         read_answer(&response).await.map_err(to_engine_error)
     }
 }
@@ -89,25 +89,12 @@
         within: Duration,
     ) -> LocalBoxFuture<'a, Result<LineReader, EngineError>> {
         async move {
-            let response = self
-                .post("/v1/completions", Some(order), call, within)
-                .await?;
+            let response = self.post("/v1/completions", order, call, within).await?;
             Ok(LineReader::new(response.take_payload()))
         }
         .boxed_local()
     }
 
-    fn cancel<'a>(
-        &'a self,
-        call: &'a EngineRequest,
-    ) -> LocalBoxFuture<'a, Result<(), EngineError>> {
-        async move {
-            self.post("/v1/cancel", None, call, ORDER_WITHIN).await?;
-            Ok(())
-        }
-        .boxed_local()
-    }
-
     fn load<'a>(
         &'a self,
         order: Order,
--- a/crates/tinbay-node/src/engines/mod.rs
+++ b/crates/tinbay-node/src/engines/mod.rs
@@ -36,10 +36,6 @@
         within: Duration,
     ) -> LocalBoxFuture<'a, Result<LineReader, EngineError>>;
 
-    /// Stops a request.
-    fn cancel<'a>(&'a self, call: &'a EngineRequest)
-    -> LocalBoxFuture<'a, Result<(), EngineError>>;
-
     /// Loads a model.
     fn load<'a>(
         &'a self,
--- a/crates/tinbay-node/src/entry/attempts.rs
+++ b/crates/tinbay-node/src/entry/attempts.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use tinbay_core::assemble::{Assembler, Chunk};
-use tinbay_core::ids::{EngineId, ModelRef};
+use tinbay_core::ids::{BoxId, EngineId, Incarnation, ModelRef};
 use tinbay_core::retry::{AttemptEnd, AttemptEnds, NoRetry, RetryCase, check_retry};
 use tinbay_core::units::Millis;
 use tinbay_core::vacancy::OwnerLoss;
@@ -70,6 +70,18 @@
     }
 }
 
+/// An attempt that was cut off before its first chunk: its run may be under way.
+struct Cut {
+    engine: EngineId,
+    /// The owner through which it was sent.
+    owner: OwnerRun,
+    /// Until when its run is looked for.
+    until_ms: Millis,
+}
+
+/// One run of a box as the owner of an engine.
+type OwnerRun = Option<(BoxId, Incarnation)>;
+
 /// A request's answer over all its attempts.
 pub struct Attempts {
     node: Arc<Node>,
@@ -88,6 +100,10 @@
     /// Tells of changes of the view; kept from the first wait on, so that none is missed.
     changes: Option<watch::Receiver<u64>>,
     ends: AttemptEnds,
+    /// The owner last asked.
+    asked: OwnerRun,
+    /// Set while the request's own run is looked for in place of beginning another one.
+    cut: Option<Cut>,
     stream: Option<AnswerStream>,
     info: Option<RunInfo>,
 }
@@ -108,6 +124,8 @@
             waits: 0,
             changes: None,
             ends: AttemptEnds::default(),
+            asked: None,
+            cut: None,
             stream: None,
             info: None,
         }
@@ -125,7 +143,10 @@
     pub async fn first_chunk(&mut self) -> Result<Chunk, Failure> {
         self.node.earn_retry(&self.job.class);
         loop {
-            let engine = self.next_engine()?;
+            let engine = match &self.cut {
+                Some(cut) => cut.engine.clone(),
+                None => self.next_engine()?,
+            };
             let error = match self.try_engine(&engine).await {
                 Ok(chunk) => return Ok(chunk),
                 Err(error) => error,
@@ -137,11 +158,10 @@
                 continue;
             }
             self.tries += 1;
-            if let Err(reason) = self.take_retry(&error) {
+            if let Err(reason) = self.take_retry(engine, &error) {
                 self.log_last_attempt(&error, reason);
                 return Err(self.final_failure(error.failure));
             }
-            self.refused.push(engine);
         }
     }
 
@@ -207,6 +227,10 @@
     async fn pass_vacancy(&mut self, engine: &EngineId, loss: OwnerLoss) -> Result<(), Failure> {
         let wait_ms = vacancy::note_lost(&self.node, engine, loss);
         self.note_wait(engine, wait_ms);
+        if let Some(cut) = &self.cut {
+            let until_ms = cut.until_ms;
+            return self.await_owner(engine, until_ms).await;
+        }
         self.vacant.push(engine.clone());
         let next = self.next_engine()?;
         if !self.vacant.contains(&next) {
@@ -238,12 +262,19 @@
     }
 
     async fn try_engine(&mut self, engine: &EngineId) -> Result<Chunk, AttemptError> {
-        let resume_from = self.job.resume_from;
+        let resume_from = match self.cut {
+            Some(_) => Some(self.assembler.next_position()),
+            None => self.job.resume_from,
+        };
         let mut stream = self.open(engine, resume_from).await?;
         let chunk = stream
             .next(&mut self.assembler)
             .await
             .map_err(|error| match error {
+                // The ask to resume did nothing.
+                ChunkError::Broken if resume_from.is_some() => {
+                    AttemptError::not_run(Failure::BackendFailed { not_run: true })
+                }
                 ChunkError::Broken => AttemptError::unknown(),
                 ChunkError::Wrong(error) => AttemptError {
                     end: AttemptEnd::Answered,
@@ -251,6 +282,9 @@
                     owner_loss: None,
                 },
             })?;
+        if self.cut.take().is_some() {
+            log::info!(target: part::ENTRY, "{} found its run on {engine}", self.job.request_id);
+        }
         self.info = Some(stream.info.clone());
         self.stream = Some(stream);
         Ok(chunk)
@@ -266,6 +300,7 @@
         self.assembler.start_attempt(self.attempt);
         let owner = owner_of(&self.node, engine)
             .ok_or_else(|| AttemptError::owner_lost(OwnerLoss::TakingOver))?;
+        self.asked = Some((owner.id.clone(), owner.incarnation));
         let stream = if owner.id == *self.node.id() {
             local::run(&self.node, &self.job, engine, self.attempt, resume_from).await?
         } else {
@@ -317,18 +352,67 @@
         Err(Failure::CannotResume)
     }
 
-    fn take_retry(&self, error: &AttemptError) -> Result<(), NoRetry> {
-        let case = RetryCase {
-            end: error.end,
+    /// Decides what follows an attempt that reached an owner.
+    ///
+    /// Asks to resume are free of the retry budget: nothing runs twice by them.
+    fn take_retry(&mut self, engine: EngineId, error: &AttemptError) -> Result<(), NoRetry> {
+        if self.tries >= MAX_ATTEMPTS {
+            return Err(NoRetry::AttemptsUsed);
+        }
+        let is_gone = error.failure == Failure::CannotResume;
+        match self.cut.take() {
+            Some(cut) if is_gone => self.take_second_run(&cut),
+            Some(cut) => {
+                self.cut = Some(cut);
+                Ok(())
+            }
+            None if error.end == AttemptEnd::Unknown => {
+                self.cut = Some(Cut {
+                    engine,
+                    owner: self.asked.clone(),
+                    until_ms: self.node.clock.now_ms() + RESUME_WITHIN_MS,
+                });
+                Ok(())
+            }
+            None => {
+                self.check_retry(error.end)?;
+                let is_resume = self.job.resume_from.is_some();
+                if is_gone || !is_resume {
+                    self.refused.push(engine);
+                }
+                if is_resume {
+                    Ok(())
+                } else {
+                    self.spend_retry()
+                }
+            }
+        }
+    }
+
+    /// Lets a request run anew whose first run was cut off and is not at the engine.
+    ///
+    /// Where its owner was lost, the requests that it had not sent on yet come back all at once; for the
+    /// engine this is their first run.
+    fn take_second_run(&self, cut: &Cut) -> Result<(), NoRetry> {
+        self.check_retry(AttemptEnd::Unknown)?;
+        if self.asked == cut.owner {
+            self.spend_retry()
+        } else {
+            Ok(())
+        }
+    }
+
+    fn check_retry(&self, end: AttemptEnd) -> Result<(), NoRetry> {
+        check_retry(&RetryCase {
+            end,
             repeatable: self.job.repeatable,
             answer_begun: false,
             now_ms: self.node.clock.now_ms(),
             deadline_ms: self.job.start_by_ms,
-        };
-        check_retry(&case)?;
-        if self.tries >= MAX_ATTEMPTS {
-            return Err(NoRetry::AttemptsUsed);
-        }
+        })
+    }
+
+    fn spend_retry(&self) -> Result<(), NoRetry> {
         match self.node.spend_retry(&self.job.class) {
             true => Ok(()),
             false => Err(NoRetry::BudgetSpent),
--- a/crates/tinbay-node/src/entry/local.rs
+++ b/crates/tinbay-node/src/entry/local.rs
@@ -181,10 +181,8 @@
 ) -> AttemptError {
     log::debug!(target: part::OWNER, "{} on {}: {error}", call.request, owned.spec().name);
     let refusal = match error {
-        EngineError::NoAnswer => {
-            ntex::rt::spawn(cancel(owned.spec().address.clone(), call.clone()));
-            return AttemptError::unknown();
-        }
+        // Its run may be under way and is looked for before the request runs again.
+        EngineError::NoAnswer => return AttemptError::unknown(),
         EngineError::Unreachable => {
             return AttemptError::not_run(Failure::BackendFailed { not_run: true });
         }
@@ -212,11 +210,6 @@
     }
 }
 
-/// Stops what an abandoned attempt may have begun; best effort, it only saves the engine work.
-async fn cancel(address: String, call: EngineRequest) {
-    let _ = HttpEngine::new(&address).cancel(&call).await;
-}
-
 fn to_error(reason: Refusal, retry_after_ms: Millis) -> AttemptError {
     let failure = match reason {
         Refusal::Overloaded => Failure::Overloaded { retry_after_ms },
--- a/crates/tinbay-node/src/entry/remote.rs
+++ b/crates/tinbay-node/src/entry/remote.rs
@@ -54,7 +54,8 @@
         .send_json(&request);
     let within = Duration::from_millis(wait_left_ms) + HEAD_MARGIN;
     let response = await_head(call, within).await.map_err(|error| {
-        if error.is_not_sent() {
+        // An ask to resume runs nothing.
+        if error.is_not_sent() || resume_from.is_some() {
             AttemptError::owner_lost(OwnerLoss::Unreachable)
         } else {
             AttemptError::unknown()
