A server of a plain service that takes no connection costs no retry

What callers saw: with one of two servers off, 7 of 60 calls were refused with backend_failed although the other one answered.

Fix: after a failed connect the next address is tried for free; refusals of a server and lost answers still spend. A typed CallFailure tells the three apart.

--- a/crates/tinbay-node/src/entry/services.rs
+++ b/crates/tinbay-node/src/entry/services.rs
@@ -9,12 +9,11 @@
 use ntex::web::{HttpRequest, HttpResponse};
 use rand::seq::SliceRandom;
 use tinbay_core::config::ServiceSpec;
-use tinbay_core::retry::{AttemptEnds, RetryCase, may_retry};
+use tinbay_core::retry::{AttemptEnd, AttemptEnds, RetryCase, may_retry};
 use tinbay_http::body::read_body;
 use tinbay_http::client::{await_head, fresh_client, pooled_client};
 use tinbay_wire::headers;
 
-use super::attempts::AttemptError;
 use super::progress::InProgress;
 use crate::filters::{Asked, Context, Failure, release_claim, run_chain};
 use crate::logging::part;
@@ -30,6 +29,29 @@
     body: BytesMut,
 }
 
+/// Why one address gave no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+enum CallFailure {
+    /// No connection came about: the call was not handed over.
+    #[error("the service takes no connection")]
+    NotSent,
+    /// The service says that it did not run the call.
+    #[error("the service refused the call")]
+    Declined,
+    /// It was handed over, and no whole answer came.
+    #[error("the service gave no whole answer")]
+    Unknown,
+}
+
+impl CallFailure {
+    fn end(self) -> AttemptEnd {
+        match self {
+            CallFailure::NotSent | CallFailure::Declined => AttemptEnd::NotRun,
+            CallFailure::Unknown => AttemptEnd::Unknown,
+        }
+    }
+}
+
 /// Answers `POST /v1/services/NAME/...`.
 pub async fn call(
     node: State<Arc<Node>>,
@@ -86,29 +108,29 @@
     node.earn_retry(class);
     let mut addresses = spec.addresses.clone();
     addresses.shuffle(&mut rand::rng());
-    let mut last = Failure::BackendFailed { not_run: true };
     let mut ends = AttemptEnds::default();
     for address in addresses {
-        let error = match send(context, spec, &address, rest, body.clone()).await {
+        let failure = match send(context, spec, &address, rest, body.clone()).await {
             Ok(reply) => return Ok(reply),
-            Err(error) => error,
+            Err(failure) => failure,
         };
-        log::debug!(target: part::ENTRY, "{} at {address} ended {:?}", spec.name, error.end);
+        log::debug!(target: part::ENTRY, "{} of {} at {address}: {failure}", context.identity.request_id, spec.name);
         let case = RetryCase {
-            end: error.end,
+            end: failure.end(),
             repeatable: context.treatment.repeatable,
             answer_begun: false,
             now_ms: node.clock.now_ms(),
             deadline_ms: context.arrived_ms + spec.timeout_ms,
         };
-        ends.note(error.end);
-        last = error.failure;
-        if !may_retry(&case) || !node.spend_retry(class) {
+        ends.note(failure.end());
+        // An address that takes no connection got no load, so the next one is no retry.
+        let is_free = failure == CallFailure::NotSent;
+        if !may_retry(&case) || !(is_free || node.spend_retry(class)) {
             break;
         }
     }
     if ends.are_all_not_run() {
-        return Err(last);
+        return Err(Failure::BackendFailed { not_run: true });
     }
     Err(Failure::OutcomeUnknown)
 }
@@ -119,7 +141,7 @@
     address: &str,
     rest: &str,
     body: Bytes,
-) -> Result<ServiceReply, AttemptError> {
+) -> Result<ServiceReply, CallFailure> {
     let client = match context.treatment.repeatable {
         true => pooled_client().await,
         false => fresh_client().await,
@@ -138,13 +160,11 @@
         await_head(request.send_body(body), within)
             .await
             .map_err(|error| match error.is_not_sent() {
-                true => AttemptError::not_run(Failure::BackendFailed { not_run: true }),
-                false => AttemptError::unknown(),
+                true => CallFailure::NotSent,
+                false => CallFailure::Unknown,
             })?;
     if says_not_run(&response) {
-        return Err(AttemptError::not_run(Failure::BackendFailed {
-            not_run: true,
-        }));
+        return Err(CallFailure::Declined);
     }
     read_reply(response, within).await
 }
@@ -156,11 +176,11 @@
 async fn read_reply(
     response: ClientResponse,
     within: Duration,
-) -> Result<ServiceReply, AttemptError> {
+) -> Result<ServiceReply, CallFailure> {
     let read = read_body(response.take_payload(), MAX_ANSWER_BYTES);
     let body = match tokio::time::timeout(within, read).await {
         Ok(Ok(body)) => body,
-        _ => return Err(AttemptError::unknown()),
+        _ => return Err(CallFailure::Unknown),
     };
     let content_type = response.headers().get("content-type");
     let content_type = content_type.and_then(|value| value.to_str().ok());
--- a/crates/tinbay-node/tests/border_test.rs
+++ b/crates/tinbay-node/tests/border_test.rs
@@ -3,10 +3,11 @@
 mod common;
 
 use common::{
-    Answer, await_that, complete, post, send, send_and_close, start_box, start_box_with,
-    start_box_with_engine, write_class,
+    Answer, await_that, complete, post, put_objects, send, send_and_close, standin, start_box,
+    start_box_with, start_box_with_engine, write_class,
 };
 use quickcheck::QuickCheck;
+use tinbay_standin::Kind;
 use tinbay_standin::engine::expected_text;
 
 fn assert_code(answer: &Answer, status: u16, code: &str) {
@@ -78,6 +79,31 @@
     assert_code(&answer, 400, "bad_parameter");
 }
 
+// Calls that first tried a server that was off spent the retry budget, and later ones were refused.
+#[test]
+fn service_with_a_server_off_answers_every_call() {
+    let started = start_box();
+    let address = started.node.address();
+    let service = standin(Kind::Service);
+    let object = format!(
+        "{{\"service\":{{\"name\":\"lookup\",\"addresses\":[\"127.0.0.1:1\",\"{}\"],\
+         \"repeatable\":false,\"timeout_ms\":1000}}}}",
+        service.address()
+    );
+    put_objects(address, &[object]);
+    await_that("the service answers", || {
+        post(address, "/v1/services/lookup/call", "{}").status == 200
+    });
+    let calls = (0..60).map(|_| post(address, "/v1/services/lookup/call", "{}"));
+    let refused: Vec<Answer> = calls.filter(|answer| answer.status != 200).collect();
+    assert!(
+        refused.is_empty(),
+        "{} of 60: {:?}",
+        refused.len(),
+        refused[0]
+    );
+}
+
 // Two callers that chose the same x-request-id shared one run at the engine and got each other's text.
 #[test]
 fn complete_same_request_id_answers_each_caller_its_own() {
--- a/crates/tinbay-node/tests/common/mod.rs
+++ b/crates/tinbay-node/tests/common/mod.rs
@@ -22,7 +22,7 @@
     SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
 }
 
-fn standin(kind: Kind) -> ServerHandle {
+pub fn standin(kind: Kind) -> ServerHandle {
     let listener = TcpListener::bind(any()).expect("a port");
     tinbay_standin::start(kind, listener, &StandinSettings::default()).expect("a stand-in")
 }
@@ -144,15 +144,8 @@
         "{\"adapter\":{\"name\":\"a\",\"organisation\":\"o\",\"base_model\":\"base\"}}".to_owned(),
         "{\"version\":{\"adapter\":\"a\",\"name\":\"v1\",\"weights\":\"store://a\"}}".to_owned(),
     ];
-    let items = objects.map(|object| format!("{{\"put\":{{\"object\":{object}}}}}"));
-    let body = format!(
-        "{{\"change_id\":\"engine\",\"operator\":\"test\",\"items\":[{}]}}",
-        items.join(",")
-    );
     let address = started.node.address();
-    await_that("the engine is configured", || {
-        post(address, "/admin/v1/changes", &body).status == 200
-    });
+    put_objects(address, &objects);
     await_that("the engine answers", || {
         complete(address, "first", "warm up", 1).status == 200
     });
@@ -162,6 +155,21 @@
     }
 }
 
+/// Puts configuration objects, once the box takes changes.
+pub fn put_objects(address: SocketAddr, objects: &[String]) {
+    let items: Vec<String> = objects
+        .iter()
+        .map(|object| format!("{{\"put\":{{\"object\":{object}}}}}"))
+        .collect();
+    let body = format!(
+        "{{\"change_id\":\"objects\",\"operator\":\"test\",\"items\":[{}]}}",
+        items.join(",")
+    );
+    await_that("the objects are configured", || {
+        post(address, "/admin/v1/changes", &body).status == 200
+    });
+}
+
 /// Asks adapter `a` in version `v1` for a whole answer.
 pub fn complete(address: SocketAddr, request_id: &str, prompt: &str, max_tokens: u32) -> Answer {
     let body =
