A try that was not sent takes no second send at the gateway

What callers see: after servers crash, requests that met one of them took from the allowance of second sends that all boxes share; once a box's part was spent, requests that failed elsewhere were refused.

Fix: such a try is bounded by the number of tries and the deadline alone.

--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -146,7 +146,12 @@
             AttemptResult::NotSent { .. } => {
                 permit.give_back(node, &server);
                 server.add_mistrust(MISTRUST_CONNECT, node.now_ms());
-                AttemptEnd::NotRun
+                tries.note(&server, AttemptEnd::NotRun);
+                // Nothing reached a server, so the next send is no second one.
+                if !may_try_another(node, question, &tries, AttemptEnd::NotRun) {
+                    return Err(give_up(node, question, &tries));
+                }
+                continue;
             }
             AttemptResult::Unknown { cause } => {
                 if cause == UnknownCause::Closed {
@@ -157,7 +162,7 @@
             }
         };
         tries.note(&server, end);
-        if !may_go_on(node, question, &tries, end) {
+        if !may_try_another(node, question, &tries, end) || !take_second_send(node, question) {
             return Err(give_up(node, question, &tries));
         }
     }
@@ -374,7 +379,8 @@
     is_another && take_second_send(node, question)
 }
 
-fn may_go_on(node: &Node, question: &Question, tries: &Tries, end: AttemptEnd) -> bool {
+/// Whether another server may be tried, before the budget of second sends is asked.
+fn may_try_another(node: &Node, question: &Question, tries: &Tries, end: AttemptEnd) -> bool {
     let case = RetryCase {
         end,
         repeatable: question.is_repeatable() && tries.runs < question.route.most_attempts,
@@ -382,7 +388,7 @@
         now_ms: node.now_ms(),
         deadline_ms: question.time_up_ms,
     };
-    may_retry(&case) && tries.tried.len() < MOST_TRIES && take_second_send(node, question)
+    may_retry(&case) && tries.tried.len() < MOST_TRIES
 }
 
 fn take_second_send(node: &Node, question: &Question) -> bool {
