Requests passed to an owner that freezes go on once it is held to be dead

Cause: a frozen box keeps its connections open. The box that had passed requests to it waited for its own limits, 15 s for the next piece and 12 s beyond the class's wait for a head, although the others had held the owner to be dead after 3 s and another box owned the engine by then. The same class as requests between two owners: what members know of an owner was not asked while a request depended on it.

Fix: while a head or a piece is awaited from another box, the view is watched: once it no longer holds that run of the box, the wait ends and the request goes on at the next owner. A leaving box stays in the view until it has ended, so planned stops change nothing.

--- a/crates/tinbay-cli/tests/scenarios_test.rs
+++ b/crates/tinbay-cli/tests/scenarios_test.rs
@@ -65,6 +65,12 @@
     assert_kept("queued_at_lost_owner");
 }
 
+// Requests passed to a box that froze stood still for 15 s and more and were then lost.
+#[test]
+fn scenario_frozen_owner() {
+    assert_kept("frozen_owner");
+}
+
 #[test]
 fn scenario_not_run() {
     assert_kept("not_run");
--- a/crates/tinbay-node/src/entry/local.rs
+++ b/crates/tinbay-node/src/entry/local.rs
@@ -129,7 +129,7 @@
     match api.complete(owned.order(), call, HEAD_WITHIN).await {
         Ok(reader) => {
             let info = run_info(node, owned, job, guard.stall_ms);
-            Ok(AnswerStream::new(info, reader, Some(guard)))
+            Ok(AnswerStream::of_engine(info, reader, Some(guard)))
         }
         Err(error) => Err(SendError {
             attempt: draw_consequences(node, owned, call, error),
@@ -156,7 +156,7 @@
                 queue_ms: 0,
                 expected_wait_ms: owned.expected_wait_ms(call.priority),
             };
-            Ok(AnswerStream::new(info, reader, None))
+            Ok(AnswerStream::of_engine(info, reader, None))
         }
         Err(error) => Err(draw_consequences(node, owned, call, error)),
     }
--- a/crates/tinbay-node/src/entry/mod.rs
+++ b/crates/tinbay-node/src/entry/mod.rs
@@ -8,6 +8,7 @@
 mod job;
 mod local;
 mod locate;
+mod owner_watch;
 mod progress;
 mod remote;
 mod services;
--- a/crates/tinbay-node/src/entry/remote.rs
+++ b/crates/tinbay-node/src/entry/remote.rs
@@ -8,7 +8,7 @@
 use tinbay_core::units::Millis;
 use tinbay_core::vacancy::OwnerLoss;
 use tinbay_core::view::BoxRecord;
-use tinbay_http::client::{await_head, pooled_client, read_any};
+use tinbay_http::client::{CallError, await_head, pooled_client, read_any};
 use tinbay_http::stream::LineReader;
 use tinbay_wire::error_body::{ErrorBody, ErrorCode, ErrorDetail};
 use tinbay_wire::forward::ForwardRequest;
@@ -16,6 +16,7 @@
 
 use super::attempts::AttemptError;
 use super::job::Job;
+use super::owner_watch::OwnerWatch;
 use super::stream::{AnswerStream, RunInfo};
 use crate::filters::Failure;
 use crate::state::Node;
@@ -53,7 +54,13 @@
         .set_header(headers::REQUEST_ID, job.request_id.as_str())
         .send_json(&request);
     let within = Duration::from_millis(wait_left_ms) + HEAD_MARGIN;
-    let response = await_head(call, within).await.map_err(|error| {
+    let mut owner_watch = OwnerWatch::new(node, owner);
+    let head = tokio::select! {
+        biased;
+        head = await_head(call, within) => head,
+        () = owner_watch.gone() => Err(CallError::TimedOut),
+    };
+    let response = head.map_err(|error| {
         // An ask to resume runs nothing.
         if error.is_not_sent() || resume_from.is_some() {
             AttemptError::owner_lost(OwnerLoss::Unreachable)
@@ -72,7 +79,7 @@
         expected_wait_ms: number(&response, headers::EXPECTED_WAIT_MS),
     };
     let reader = LineReader::new(response.take_payload());
-    Ok(AnswerStream::new(info, reader, None))
+    Ok(AnswerStream::of_owner(info, reader, owner_watch))
 }
 
 fn number(response: &ClientResponse, name: &str) -> Millis {
--- a/crates/tinbay-node/src/entry/stream.rs
+++ b/crates/tinbay-node/src/entry/stream.rs
@@ -8,6 +8,7 @@
 use tinbay_http::stream::LineReader;
 use tinbay_wire::completion::DONE_EVENT;
 
+use super::owner_watch::OwnerWatch;
 use crate::owners::RunGuard;
 
 /// A stream that gives nothing for this long is taken as broken.
@@ -35,6 +36,8 @@
     reader: LineReader,
     /// Holds the place in the batch while the owner is this box.
     guard: Option<RunGuard>,
+    /// The owner that passes the stream on, where that is another box.
+    owner: Option<OwnerWatch>,
 }
 
 /// Why a stream gives no further chunk.
@@ -49,18 +52,37 @@
 }
 
 impl AnswerStream {
-    /// A stream of chunks with the place it holds.
-    pub fn new(info: RunInfo, reader: LineReader, guard: Option<RunGuard>) -> Self {
+    /// A stream of an engine of this box, with the place it holds there.
+    pub fn of_engine(info: RunInfo, reader: LineReader, guard: Option<RunGuard>) -> Self {
         Self {
             info,
             reader,
             guard,
+            owner: None,
+        }
+    }
+
+    /// A stream that the owner of the engine passes on.
+    pub fn of_owner(info: RunInfo, reader: LineReader, owner: OwnerWatch) -> Self {
+        Self {
+            info,
+            reader,
+            guard: None,
+            owner: Some(owner),
         }
     }
 
     /// The next event as it came, for a box that only passes it on.
     pub async fn next_raw(&mut self) -> Option<Vec<u8>> {
-        let event = tokio::time::timeout(EVENT_WITHIN, self.reader.next_event()).await;
+        let event = tokio::time::timeout(EVENT_WITHIN, self.reader.next_event());
+        let event = match &mut self.owner {
+            None => event.await,
+            Some(owner) => tokio::select! {
+                biased;
+                event = event => event,
+                () = owner.gone() => return None,
+            },
+        };
         event.ok()?.ok().flatten()
     }
 
