A box asks the keeper of another zone first that answered last

Cause: keepers of a zone are asked in turn by rank. With the first one frozen, every round waited 0.8 s for it before the next keeper told what it had known for long: held to be dead at 3.8 s, known in the other zone at 5.0 s.

Fix: the keeper that answered last is asked first. The first round after a freeze still waits once.

--- a/crates/tinbay-node/src/controllers/zone_heartbeat.rs
+++ b/crates/tinbay-node/src/controllers/zone_heartbeat.rs
@@ -6,7 +6,7 @@
 
 use futures_util::FutureExt;
 use futures_util::future::{LocalBoxFuture, join_all};
-use tinbay_core::ids::ZoneId;
+use tinbay_core::ids::{BoxId, ZoneId};
 use tinbay_core::units::Millis;
 use tinbay_core::view::{BoxRecord, heartbeat_period_ms};
 use tinbay_wire::control::ViewUpdate;
@@ -25,9 +25,11 @@
     node: Arc<Node>,
     beats: Beats,
     answered_ms: HashMap<ZoneId, Millis>,
+    /// The keeper of each zone that answered last.
+    answering: HashMap<ZoneId, BoxId>,
 }
 
-/// What a zone's first keeper that is there told.
+/// What the first keeper of a zone that answered told.
 struct ZoneAnswer {
     zone: ZoneId,
     told: Option<(BoxRecord, ViewUpdate)>,
@@ -40,12 +42,16 @@
             node: Arc::clone(node),
             beats: Beats::new(node),
             answered_ms: HashMap::new(),
+            answering: HashMap::new(),
         }
     }
 
     async fn beat_zones(&mut self) {
         let zones = self.keepers_of_other_zones();
-        let asks = zones.into_iter().map(|(zone, keepers)| {
+        let asks = zones.into_iter().map(|(zone, mut keepers)| {
+            // A frozen keeper would hold up every round by the wait for its answer.
+            let answering = self.answering.get(&zone);
+            keepers.sort_by_key(|keeper| Some(&keeper.id) != answering);
             let known = keepers.iter().map(|keeper| self.beats.known(&keeper.id));
             let asked = keepers.iter().cloned().zip(known).collect();
             ask_zone(Arc::clone(&self.node), zone, asked)
@@ -80,6 +86,7 @@
         if let Some((keeper, update)) = answer.told {
             self.beats.note(&keeper.id, &update);
             self.answered_ms.insert(zone.clone(), now_ms);
+            self.answering.insert(zone.clone(), keeper.id);
             write(&self.node.members).apply_zone(&zone, update);
             return;
         }
@@ -92,7 +99,7 @@
     }
 }
 
-/// Asks the first keeper of a zone, and the next ones when it does not answer.
+/// Asks the keepers of a zone in turn until one answers.
 async fn ask_zone(node: Arc<Node>, zone: ZoneId, keepers: Vec<(BoxRecord, Known)>) -> ZoneAnswer {
     for (keeper, known) in keepers {
         if let Some(update) = beat(&node, &keeper, known).await {
