A box that takes a whole view of another zone forgets the boxes that it leaves out

What callers saw: requests through a box that had been frozen for 5 s went to owners that had died meanwhile; the dead boxes stayed in its view for good (scenario_woken_box: still there 8 s after it woke, when it looked last).

Cause: what a keeper of another zone no longer holds was taken from its list of removals alone. A box that asks another keeper than before gets the whole view, which has no such list: boxes that died in between were never removed. Found by reading what zones tell each other, after the stillness of frozen owners.

Fix: of a whole view, the boxes of that zone that it does not name are removed, as within the own zone; a keeper that is still starting has met nobody and is not taken at that.

--- a/crates/tinbay-cli/tests/scenarios_test.rs
+++ b/crates/tinbay-cli/tests/scenarios_test.rs
@@ -122,6 +122,12 @@
     assert_kept("restarted_box");
 }
 
+// A box that woke from a freeze held boxes of another zone to be alive for good and passed requests to them.
+#[test]
+fn scenario_woken_box() {
+    assert_kept("woken_box");
+}
+
 #[test]
 fn scenario_configuration() {
     assert_kept("configuration");
--- a/crates/tinbay-node/src/controllers/members.rs
+++ b/crates/tinbay-node/src/controllers/members.rs
@@ -6,7 +6,7 @@
 use tinbay_core::config::EngineSpec;
 use tinbay_core::ids::{BoxId, EngineId, ZoneId};
 use tinbay_core::units::{Millis, Revision};
-use tinbay_core::view::{BoxRecord, View};
+use tinbay_core::view::{BoxRecord, BoxState, View};
 use tinbay_wire::box_list::ListedBox;
 use tinbay_wire::control::{HeardBox, ViewUpdate};
 use tokio::sync::watch;
@@ -181,7 +181,7 @@
     /// Keeps the platform's list; boxes it marks as leaving are taken at its word.
     pub fn set_listed(&mut self, listed: Vec<ListedBox>) {
         for entry in &listed {
-            let leaving = entry.state == tinbay_core::view::BoxState::Leaving;
+            let leaving = entry.state == BoxState::Leaving;
             if leaving && self.view.mark_leaving(&entry.id) {
                 self.note_change(entry.id.clone());
             }
@@ -229,7 +229,7 @@
     /// Takes the view of this zone's keeper over.
     pub fn apply(&mut self, update: ViewUpdate) {
         if update.whole {
-            self.remove_unnamed(&update.present);
+            self.remove_unnamed(&update.present, |_| true);
         }
         for id in &update.gone {
             if !update.present.iter().any(|record| record.id == *id) {
@@ -242,7 +242,15 @@
     }
 
     /// Takes over what a keeper of another zone says about that zone.
-    pub fn apply_zone(&mut self, zone: &ZoneId, update: ViewUpdate) {
+    ///
+    /// A whole view names no box as gone: those that it leaves out are, unless the keeper itself has yet to
+    /// meet its zone.
+    pub fn apply_zone(&mut self, zone: &ZoneId, keeper: &BoxId, update: ViewUpdate) {
+        let has_met =
+            |record: &BoxRecord| record.id == *keeper && record.state != BoxState::Starting;
+        if update.whole && update.present.iter().any(has_met) {
+            self.remove_unnamed(&update.present, |record| record.zone == *zone);
+        }
         let in_zone =
             |view: &View, id: &BoxId| view.get(id).is_some_and(|record| record.zone == *zone);
         for id in &update.gone {
@@ -270,10 +278,12 @@
         }
     }
 
-    fn remove_unnamed(&mut self, present: &[BoxRecord]) {
+    /// Removes boxes of those concerned that a whole view does not name.
+    fn remove_unnamed(&mut self, present: &[BoxRecord], concerns: impl Fn(&BoxRecord) -> bool) {
         let unnamed: Vec<BoxId> = self
             .view
             .boxes()
+            .filter(|known| concerns(known))
             .filter(|known| !present.iter().any(|record| record.id == known.id))
             .map(|record| record.id.clone())
             .collect();
--- a/crates/tinbay-node/src/controllers/zone_heartbeat.rs
+++ b/crates/tinbay-node/src/controllers/zone_heartbeat.rs
@@ -86,8 +86,8 @@
         if let Some((keeper, update)) = answer.told {
             self.beats.note(&keeper.id, &update);
             self.answered_ms.insert(zone.clone(), now_ms);
-            self.answering.insert(zone.clone(), keeper.id);
-            write(&self.node.members).apply_zone(&zone, update);
+            write(&self.node.members).apply_zone(&zone, &keeper.id, update);
+            self.answering.insert(zone, keeper.id);
             return;
         }
         let since_ms = *self.answered_ms.entry(zone.clone()).or_insert(now_ms);
