The former owner of an engine does not take it back from a box that has just gone live

Cause: since a run of a box begins as 'starting', the others learn that it is live with its next heartbeat, up to 0.6 s later. It takes its engine over at once and says so; the former owner gave it up and, by its view still the owner, took it back 200 ms later.

Evidence: 'owner of engine-1 by epoch' 2, 3 and 4 at 57.705, 57.807 and 57.925 by two boxes in turn.

Fix: the word of a box that it owns an engine marks its run as live in the view. It names the run, so an older word changes nothing.

--- a/crates/tinbay-core/src/view.rs
+++ b/crates/tinbay-core/src/view.rs
@@ -111,6 +111,18 @@
         changed
     }
 
+    /// Marks a run of a box as live, on its own word that it owns an engine.
+    pub fn mark_live(&mut self, id: &BoxId, incarnation: Incarnation) -> bool {
+        let Some(record) = self.boxes.get_mut(id) else {
+            return false;
+        };
+        let starts = record.incarnation == incarnation && record.state == BoxState::Starting;
+        if starts {
+            record.state = BoxState::Live;
+        }
+        starts
+    }
+
     /// Removes a box that is held to be dead.
     pub fn remove(&mut self, id: &BoxId) -> bool {
         self.boxes.remove(id).is_some()
--- a/crates/tinbay-core/tests/view_test.rs
+++ b/crates/tinbay-core/tests/view_test.rs
@@ -66,6 +66,22 @@
     assert_ne!(owner(&view), Some(started.id));
 }
 
+// The former owner of an engine took it back, as its view still had the next one as starting.
+#[test]
+fn mark_live_takes_the_run_that_owns_an_engine() {
+    let mut view = View::default();
+    let starting = record(0, "a", BoxState::Starting);
+    view.merge(starting.clone());
+    assert!(!view.mark_live(&starting.id, 2), "another run of the box");
+    assert!(view.mark_live(&starting.id, 1));
+    assert_eq!(view.live("main").count(), 1);
+    view.mark_leaving(&starting.id);
+    assert!(
+        !view.mark_live(&starting.id, 1),
+        "leaving is not taken back"
+    );
+}
+
 // A restarted box that others greeted first asked nobody and joined only as if it were alone.
 #[test]
 fn is_unmet_box_known_by_its_heartbeat_until_joined() {
--- a/crates/tinbay-node/src/controllers/members.rs
+++ b/crates/tinbay-node/src/controllers/members.rs
@@ -4,7 +4,7 @@
 use std::sync::Mutex;
 
 use tinbay_core::config::EngineSpec;
-use tinbay_core::ids::{BoxId, EngineId, ZoneId};
+use tinbay_core::ids::{BoxId, EngineId, Incarnation, ZoneId};
 use tinbay_core::units::{Millis, Revision};
 use tinbay_core::view::{BoxRecord, BoxState, View};
 use tinbay_wire::box_list::ListedBox;
@@ -131,6 +131,13 @@
         changed
     }
 
+    /// Takes a run of a box to be live, on its own word that it owns an engine.
+    pub fn mark_live(&mut self, id: &BoxId, incarnation: Incarnation) {
+        if self.view.mark_live(id, incarnation) {
+            self.note_change(id.clone());
+        }
+    }
+
     /// Removes a box held to be dead. This box itself is never removed.
     pub fn remove(&mut self, id: &BoxId) -> bool {
         if *id == self.me || !self.view.remove(id) {
--- a/crates/tinbay-node/src/controllers/succession.rs
+++ b/crates/tinbay-node/src/controllers/succession.rs
@@ -19,7 +19,7 @@
 use crate::owners::OwnedEngine;
 use crate::platform::{Guard, PlatformError, TxnEnd, Write, keys};
 use crate::state::Node;
-use crate::util::sync::{lock, read};
+use crate::util::sync::{lock, read, write};
 
 /// After a former owner's lease has lapsed, time for an order it sent just before to arrive.
 const LAPSE_GRACE_MS: Millis = 2_000;
@@ -251,6 +251,10 @@
     }
     successions.insert(succession.engine.clone(), succession.clone());
     drop(successions);
+    if let Some(owner) = succession.boxes.first() {
+        // Heard before its next heartbeat: without it this box would take the engine back at once.
+        write(&node.members).mark_live(owner, succession.incarnation);
+    }
     let owned = node.owners.get(&succession.engine);
     if owned.is_some_and(|owned| owned.fence().epoch < succession.epoch) {
         log::info!(target: part::OWNER, "{} goes to {:?}", succession.engine, succession.boxes.first());
