A request stops waiting for an engine that the view gives to another box

Cause: the box that should own the engine waits up to 1.5 s for its own takeover. Meanwhile the dead owner had come back and taken the engine: the wait was for something that could not happen any more.

Evidence: the last ask of 28 requests begins at 06.64, when box-2 is held to be dead; box-2 owns the engine again at 06.907; all end at 08.143.

--- a/crates/tinbay-node/src/entry/attempts.rs
+++ b/crates/tinbay-node/src/entry/attempts.rs
@@ -473,7 +473,7 @@
 }
 
 /// The box that owns an engine by this box's view.
-fn owner_of(node: &Node, engine: &EngineId) -> Option<BoxRecord> {
+pub fn owner_of(node: &Node, engine: &EngineId) -> Option<BoxRecord> {
     let spec = node.config.engine(engine.as_str())?;
     let members = read(&node.members);
     members.owner_of(&spec).cloned()
--- a/crates/tinbay-node/src/entry/local.rs
+++ b/crates/tinbay-node/src/entry/local.rs
@@ -9,7 +9,7 @@
 use tinbay_core::vacancy::OwnerLoss;
 use tinbay_wire::engine::{EngineRefusal, EngineRequest};
 
-use super::attempts::AttemptError;
+use super::attempts::{AttemptError, owner_of};
 use super::job::Job;
 use super::stream::{AnswerStream, RunInfo};
 use crate::engines::{EngineApi, EngineError, HttpEngine};
@@ -51,17 +51,27 @@
     dispatch(node, job, &owned, &call).await
 }
 
-/// The engine's shard; after a change of owner it may take a moment until it is there.
+/// The engine's shard; after a change of owner it may take a moment until it is there. Nobody waits for it
+/// any longer once the view gives the engine to another box.
 async fn await_ownership(node: &Node, engine: &EngineId) -> Option<Arc<OwnedEngine>> {
+    let was_heir = is_heir(node, engine);
     let polled = async {
         loop {
             if let Some(owned) = node.owners.get(engine) {
-                return owned;
+                return Some(owned);
+            }
+            if was_heir && !is_heir(node, engine) {
+                return None;
             }
             tokio::time::sleep(TAKEOVER_POLL).await;
         }
     };
-    tokio::time::timeout(TAKEOVER_WITHIN, polled).await.ok()
+    tokio::time::timeout(TAKEOVER_WITHIN, polled).await.ok()?
+}
+
+/// Whether this box should own an engine by its view.
+fn is_heir(node: &Node, engine: &EngineId) -> bool {
+    owner_of(node, engine).is_some_and(|owner| owner.id == *node.id())
 }
 
 async fn dispatch(
