A run that nobody follows any more keeps its adapter until the engine reports

Cause: two faults. When the box that had passed a request on died before the head of its answer, the owner dropped the place of the run as if the run had ended; the engine went on with it, and its next report was up to 0.5 s away. And a refused unload had the owner learn the engine's contents anew, which forgot the pause before the next order.

Evidence: the run on adapter-4 began at 56.445, the other box was killed at about 57.1, the orders go from 57.207 to 57.88, one each 5 ms, all refused with 'model is serving'.

Fix: a place whose request was sent and not seen to end is given back as 'detached': it counts as one of those that nobody here follows, until the engine reports that it is over. A refusal because the model serves has the owner count what runs and leaves the slots as they are.

--- a/crates/tinbay-core/src/engine/mod.rs
+++ b/crates/tinbay-core/src/engine/mod.rs
@@ -67,6 +67,8 @@
     Cancel(RequestId),
     /// A dispatched request has left the engine, however it ended.
     Finished(RequestId),
+    /// Nobody here follows a dispatched request any more, and the engine may still run it.
+    Detached(RequestId),
     /// The weight store's allowance permits a load that was asked for.
     LoadGranted(ModelRef),
     /// A load succeeded.
--- a/crates/tinbay-core/src/engine/owner.rs
+++ b/crates/tinbay-core/src/engine/owner.rs
@@ -47,7 +47,7 @@
     pub(super) queue: Queue,
     pub(super) slots: Slots,
     pub(super) running: HashMap<RequestId, Running>,
-    /// Requests of earlier owners that were running when this one took over.
+    /// Requests that the engine runs and nobody here follows: those of earlier owners, and detached ones.
     pub(super) inherited: HashMap<ModelRef, u32>,
     pub(super) wishes: BTreeMap<ModelRef, Wish>,
     /// Granted loads that wait for their slot to be unloaded, by the model being unloaded.
@@ -158,6 +158,17 @@
         }
     }
 
+    /// Holds the place of a request until the engine reports that it does not run it any more.
+    fn detach(&mut self, id: RequestId) {
+        let Some(run) = self.running.remove(&id) else {
+            return;
+        };
+        if let Some(slot) = self.slots.get_mut(&run.model) {
+            slot.serving = slot.serving.saturating_sub(1);
+        }
+        *self.inherited.entry(run.model).or_default() += 1;
+    }
+
     fn release(&mut self, out: &mut Vec<Command>) {
         self.learnt = false;
         self.refuse_all(Refusal::NotOwner, out);
@@ -251,6 +262,7 @@
                 self.queue.remove(id);
             }
             Event::Finished(id) => self.finish(now_ms, id),
+            Event::Detached(id) => self.detach(id),
             Event::LoadGranted(model) => self.start_load(now_ms, model, &mut out),
             Event::Loaded(model) => self.note_loaded(now_ms, &model, &mut out),
             Event::LoadFailed(model) => self.note_load_failed(now_ms, &model, &mut out),
--- a/crates/tinbay-core/src/naive.rs
+++ b/crates/tinbay-core/src/naive.rs
@@ -148,7 +148,7 @@
         match event {
             Event::Submit(ask) => self.queue.push_back(ask),
             Event::Cancel(id) => self.queue.retain(|ask| ask.id != id),
-            Event::Finished(id) => self.finish(id),
+            Event::Finished(id) | Event::Detached(id) => self.finish(id),
             Event::LoadGranted(model) => {
                 self.set_state(&model, State::Loading);
                 out.push(Command::Load(model));
--- a/crates/tinbay-core/tests/owner_test.rs
+++ b/crates/tinbay-core/tests/owner_test.rs
@@ -53,6 +53,35 @@
     );
 }
 
+// A run whose caller's box died was taken to have ended, and its adapter was ordered to be unloaded.
+#[test]
+fn detached_run_keeps_its_adapter_until_the_engine_reports() {
+    let mut owner = EngineOwner::new(SHAPE, OwnerSettings::default());
+    let loaded = vec![model(0), model(1)];
+    let contents = |inherited: Vec<_>| EngineContents {
+        loaded: loaded.clone(),
+        inherited,
+    };
+    owner.handle(0, Event::Learnt(contents(Vec::new())));
+    owner.handle(0, Event::Submit(ask(1, 0, true, 0, 5_000)));
+    owner.handle(0, Event::Submit(ask(2, 1, true, 0, 5_000)));
+    owner.handle(10, Event::Detached(RequestId(1)));
+    let wanted = owner.handle(20, Event::Submit(ask(3, 2, true, 20, 5_000)));
+    let granted = owner.handle(30, Event::LoadGranted(model(2)));
+    let unloads = |commands: &[Command]| {
+        let unload = |command: &Command| matches!(command, Command::Unload(_));
+        commands.iter().any(unload)
+    };
+    assert!(!unloads(&wanted) && !unloads(&granted), "{granted:?}");
+    owner.handle(500, Event::Observed(contents(Vec::new())));
+    let mut commands = owner.handle(520, Event::Tick);
+    commands.extend(owner.handle(530, Event::LoadGranted(model(2))));
+    assert!(
+        commands.contains(&Command::Unload(model(0))),
+        "{commands:?}"
+    );
+}
+
 #[test]
 fn unload_spares_model_with_counter_work_waiting() {
     let mut bench = bench();
--- a/crates/tinbay-node/src/entry/local.rs
+++ b/crates/tinbay-node/src/entry/local.rs
@@ -123,7 +123,7 @@
         arrived_ms: job.arrived_ms,
         start_by_ms: job.start_by_ms,
     };
-    let guard = match owned.submit(ask, &call.request).await {
+    let mut guard = match owned.submit(ask, &call.request).await {
         Verdict::Run(guard) => guard,
         Verdict::Refused {
             reason,
@@ -136,19 +136,25 @@
         }
     };
     let api = HttpEngine::new(&owned.spec().address);
-    match api.complete(owned.order(), call, HEAD_WITHIN).await {
+    guard.note_sent();
+    let error = match api.complete(owned.order(), call, HEAD_WITHIN).await {
         Ok(reader) => {
             let info = run_info(node, owned, job, guard.stall_ms);
-            Ok(AnswerStream::of_engine(info, reader, Some(guard)))
+            return Ok(AnswerStream::of_engine(info, reader, Some(guard)));
         }
-        Err(error) => Err(SendError {
-            attempt: draw_consequences(node, owned, call, error),
-            refusal: match error {
-                EngineError::Refused(refusal) => Some(refusal),
-                _ => None,
-            },
-        }),
+        Err(error) => error,
+    };
+    let refusal = match error {
+        EngineError::Refused(refusal) => Some(refusal),
+        EngineError::Unreachable | EngineError::NoAnswer => None,
+    };
+    if error != EngineError::NoAnswer {
+        guard.note_ended();
     }
+    Err(SendError {
+        attempt: draw_consequences(node, owned, call, error),
+        refusal,
+    })
 }
 
 async fn resume(
--- a/crates/tinbay-node/src/entry/stream.rs
+++ b/crates/tinbay-node/src/entry/stream.rs
@@ -83,7 +83,18 @@
                 () = owner.gone() => return None,
             },
         };
-        event.ok()?.ok().flatten()
+        let event = event.ok()?.ok().flatten()?;
+        if event == DONE_EVENT.as_bytes() {
+            self.end_run();
+        }
+        Some(event)
+    }
+
+    /// Gives the place in the batch back: the engine has ended the run.
+    fn end_run(&mut self) {
+        if let Some(mut guard) = self.guard.take() {
+            guard.note_ended();
+        }
     }
 
     /// Reads to the end of what nobody waits for any more, so that the place in the batch is
@@ -107,7 +118,7 @@
                 Taken::Dropped => {}
                 Taken::Passed => return Ok(chunk),
                 Taken::Completed => {
-                    self.guard = None;
+                    self.end_run();
                     return Ok(chunk);
                 }
             }
--- a/crates/tinbay-node/src/owners/orders.rs
+++ b/crates/tinbay-node/src/owners/orders.rs
@@ -117,11 +117,20 @@
             log::info!(target: part::OWNER, "{} has another owner now", engine.spec().name);
             node.give_up(&engine.spec().name);
         }
+        EngineError::Refused(EngineRefusal::Serving) => recount(engine).await,
         EngineError::Refused(_) | EngineError::NoAnswer => relearn(engine).await,
         EngineError::Unreachable => {}
     }
 }
 
+/// Asks the engine what it runs, since something runs that nobody here follows. What is known of its slots
+/// stays, the pause before the next order among it.
+async fn recount(engine: &Arc<OwnedEngine>) {
+    if let Ok(state) = HttpEngine::new(&engine.spec().address).state().await {
+        engine.observe(&state);
+    }
+}
+
 /// Asks the engine what it holds, since what is known has proved wrong.
 async fn relearn(engine: &Arc<OwnedEngine>) {
     if let Ok(state) = HttpEngine::new(&engine.spec().address).state().await {
--- a/crates/tinbay-node/src/owners/owned.rs
+++ b/crates/tinbay-node/src/owners/owned.rs
@@ -56,18 +56,35 @@
     released: bool,
 }
 
-/// A place in the engine's batch. Dropping it says that the request has left the engine.
+/// A place in the engine's batch. Dropping it gives the place back; a request that was sent and not seen to
+/// end keeps it until the engine reports that it runs no more.
 pub struct RunGuard {
     engine: Arc<OwnedEngine>,
     id: RequestId,
+    may_run: bool,
     /// How long the request waited for its adapter to be loaded.
     pub stall_ms: Millis,
 }
 
+impl RunGuard {
+    /// Notes that the request goes to the engine now.
+    pub fn note_sent(&mut self) {
+        self.may_run = true;
+    }
+
+    /// Notes that the engine has ended the request, or has not begun it.
+    pub fn note_ended(&mut self) {
+        self.may_run = false;
+    }
+}
+
 impl Drop for RunGuard {
     fn drop(&mut self) {
         self.engine.forget_name(self.id);
-        self.engine.handle(Event::Finished(self.id));
+        self.engine.handle(match self.may_run {
+            true => Event::Detached(self.id),
+            false => Event::Finished(self.id),
+        });
     }
 }
 
@@ -175,6 +192,7 @@
                 let guard = RunGuard {
                     engine,
                     id,
+                    may_run: false,
                     stall_ms,
                 };
                 (id, Verdict::Run(guard))
