Attempts that reached no engine are not counted, and work that runs once is never told 'cannot resume'

Cause: looking for a run counted as an attempt, and so did a run that had died with its owner before it reached the engine. Of four attempts two were left after one change. 'Cannot resume' was told after four resumes whatever the request was, and asks its caller to send it again.

Fix: attempts count where they may have put load on an engine; looking for a run has a bound of its own. Work that may run only once gets outcome_unknown where others get cannot_resume.

--- a/crates/tinbay-node/src/entry/attempts.rs
+++ b/crates/tinbay-node/src/entry/attempts.rs
@@ -77,6 +77,8 @@
     owner: OwnerRun,
     /// Until when its run is looked for.
     until_ms: Millis,
+    /// Asks for it that an owner has answered.
+    asks: u32,
 }
 
 /// One run of a box as the owner of an engine.
@@ -89,7 +91,7 @@
     assembler: Assembler,
     /// Number of the last attempt; tells its chunks from those of earlier ones.
     attempt: u32,
-    /// Attempts that reached an owner.
+    /// Attempts that reached an owner and may have put load on an engine.
     tries: u32,
     /// Engines that have refused the request.
     refused: Vec<EngineId>,
@@ -157,7 +159,6 @@
                 passed.map_err(|failure| self.final_failure(failure))?;
                 continue;
             }
-            self.tries += 1;
             if let Err(reason) = self.take_retry(engine, &error) {
                 self.log_last_attempt(&error, reason);
                 return Err(self.final_failure(error.failure));
@@ -341,15 +342,20 @@
             match error.owner_loss {
                 Some(loss) => {
                     vacancy::note_lost(&self.node, &info.engine, loss);
-                    self.await_owner(&info.engine, until_ms)
-                        .await
-                        .map_err(|_| Failure::CannotResume)?;
+                    if self.await_owner(&info.engine, until_ms).await.is_err() {
+                        break;
+                    }
                 }
                 None if error.failure == Failure::CannotResume => break,
                 None => self.tries += 1,
             }
         }
-        Err(Failure::CannotResume)
+        log::info!(
+            target: part::ENTRY,
+            "{} is not resumed at {position} after {} of {MAX_ATTEMPTS} tries",
+            self.job.request_id, self.tries,
+        );
+        Err(self.without_second_run(Failure::CannotResume))
     }
 
     /// Decides what follows an attempt that reached an owner.
@@ -359,36 +365,38 @@
         if error.end == AttemptEnd::Answered {
             return Err(NoRetry::AnswerBegun);
         }
-        if self.tries >= MAX_ATTEMPTS {
-            return Err(NoRetry::AttemptsUsed);
-        }
         let is_gone = error.failure == Failure::CannotResume;
-        match self.cut.take() {
-            Some(cut) if is_gone => self.take_second_run(&cut),
-            Some(cut) => {
-                self.cut = Some(cut);
-                Ok(())
+        if let Some(mut cut) = self.cut.take() {
+            if is_gone {
+                return self.take_second_run(&cut);
             }
-            None if error.end == AttemptEnd::Unknown => {
-                self.cut = Some(Cut {
-                    engine,
-                    owner: self.asked.clone(),
-                    until_ms: self.node.clock.now_ms() + RESUME_WITHIN_MS,
-                });
-                Ok(())
-            }
-            None => {
-                self.check_retry(error.end)?;
-                let is_resume = self.job.resume_from.is_some();
-                if is_gone || !is_resume {
-                    self.refused.push(engine);
-                }
-                if is_resume {
-                    Ok(())
-                } else {
-                    self.spend_retry()
-                }
+            cut.asks += 1;
+            if cut.asks >= MAX_ATTEMPTS {
+                return Err(NoRetry::AttemptsUsed);
             }
+            self.cut = Some(cut);
+            return Ok(());
+        }
+        self.tries += 1;
+        if error.end == AttemptEnd::Unknown {
+            self.cut = Some(Cut {
+                engine,
+                owner: self.asked.clone(),
+                until_ms: self.node.clock.now_ms() + RESUME_WITHIN_MS,
+                asks: 0,
+            });
+            return Ok(());
+        }
+        self.check_retry(error.end)?;
+        self.check_tries()?;
+        let is_resume = self.job.resume_from.is_some();
+        if is_gone || !is_resume {
+            self.refused.push(engine);
+        }
+        if is_resume {
+            Ok(())
+        } else {
+            self.spend_retry()
         }
     }
 
@@ -396,12 +404,20 @@
     ///
     /// Where its owner was lost, the requests that it had not sent on yet come back all at once; for the
     /// engine this is their first run.
-    fn take_second_run(&self, cut: &Cut) -> Result<(), NoRetry> {
+    fn take_second_run(&mut self, cut: &Cut) -> Result<(), NoRetry> {
         self.check_retry(AttemptEnd::Unknown)?;
-        if self.asked == cut.owner {
-            self.spend_retry()
-        } else {
-            Ok(())
+        if self.asked != cut.owner {
+            self.tries -= 1;
+            return Ok(());
+        }
+        self.check_tries()?;
+        self.spend_retry()
+    }
+
+    fn check_tries(&self) -> Result<(), NoRetry> {
+        match self.tries < MAX_ATTEMPTS {
+            true => Ok(()),
+            false => Err(NoRetry::AttemptsUsed),
         }
     }
 
@@ -436,15 +452,23 @@
     }
 
     /// What the last attempt ended with says nothing of an earlier one that may have run, unless it got that
-    /// one's answer. 'Cannot resume' would have the caller ask anew for work that may run only once.
+    /// one's answer.
     fn final_failure(&self, failure: Failure) -> Failure {
         let is_answer = matches!(failure, Failure::WrongAnswer(_));
         if is_answer || self.ends.are_all_not_run() {
-            return failure;
+            return self.without_second_run(failure);
         }
         Failure::OutcomeUnknown
     }
 
+    /// 'Cannot resume' has callers ask for the whole answer anew, so it is not told of work that runs once.
+    fn without_second_run(&self, failure: Failure) -> Failure {
+        match failure {
+            Failure::CannotResume if !self.job.repeatable => Failure::OutcomeUnknown,
+            failure => failure,
+        }
+    }
+
     fn note_wait(&self, engine: &EngineId, wait_ms: Millis) {
         let now_ms = self.node.clock.now_ms();
         let mut router = lock(self.node.router(&self.job.model));
