Asks to resume that an engine breaks off are some time apart

Cause: the same as between two owners: the asks that a request has pass in milliseconds, so one moment of an engine uses them all up.

Evidence: 'no attempts left; try 4 of 4 ended NotRun (the back end failed), 7958 ms left to start'.

Fix: the first ask follows at once; where an ask gave no chunk, the next one follows after 0.1, 0.2 and 0.4 s. The same holds for streams that stand still at one position.

complete_while_the_engine_breaks_streams_for_a_moment_is_answered: failed before, passes after.

--- a/crates/tinbay-node/src/entry/attempts.rs
+++ b/crates/tinbay-node/src/entry/attempts.rs
@@ -106,6 +106,8 @@
     asked: OwnerRun,
     /// Set while the request's own run is looked for in place of beginning another one.
     cut: Option<Cut>,
+    /// Where the stream was last resumed.
+    resumed_at: Option<u64>,
     stream: Option<AnswerStream>,
     info: Option<RunInfo>,
 }
@@ -128,6 +130,7 @@
             ends: AttemptEnds::default(),
             asked: None,
             cut: None,
+            resumed_at: None,
             stream: None,
             info: None,
         }
@@ -159,7 +162,7 @@
                 passed.map_err(|failure| self.final_failure(failure))?;
                 continue;
             }
-            if let Err(reason) = self.take_retry(engine, &error) {
+            if let Err(reason) = self.take_retry(engine, &error).await {
                 self.log_last_attempt(&error, reason);
                 return Err(self.final_failure(error.failure));
             }
@@ -327,6 +330,10 @@
             return Err(Failure::OutcomeUnknown);
         };
         let position = self.assembler.next_position();
+        if self.resumed_at == Some(position) {
+            vacancy::pause(self.tries).await;
+        }
+        self.resumed_at = Some(position);
         let until_ms = self.node.clock.now_ms() + RESUME_WITHIN_MS;
         while self.tries < MAX_ATTEMPTS {
             let error = match self.open(&info.engine, Some(position)).await {
@@ -361,7 +368,7 @@
     /// Decides what follows an attempt that reached an owner.
     ///
     /// Asks to resume are free of the retry budget: nothing runs twice by them.
-    fn take_retry(&mut self, engine: EngineId, error: &AttemptError) -> Result<(), NoRetry> {
+    async fn take_retry(&mut self, engine: EngineId, error: &AttemptError) -> Result<(), NoRetry> {
         if error.end == AttemptEnd::Answered {
             return Err(NoRetry::AnswerBegun);
         }
@@ -374,6 +381,7 @@
             if cut.asks >= MAX_ATTEMPTS {
                 return Err(NoRetry::AttemptsUsed);
             }
+            vacancy::pause(cut.asks - 1).await;
             self.cut = Some(cut);
             return Ok(());
         }
--- a/crates/tinbay-node/src/entry/vacancy.rs
+++ b/crates/tinbay-node/src/entry/vacancy.rs
@@ -53,6 +53,11 @@
     Ok(())
 }
 
+/// Lets some time pass between two asks to resume that an engine broke off without a chunk.
+pub async fn pause(asks: u32) {
+    tokio::time::sleep(jittered(Duration::from_millis(ask_again_ms(asks)))).await;
+}
+
 fn ask_again_ms(waits: u32) -> Millis {
     let doubled = ASK_AGAIN_MS.saturating_mul(1 << waits.min(10));
     doubled.min(LONGEST_ASK_AGAIN_MS)
--- a/crates/tinbay-node/tests/border_test.rs
+++ b/crates/tinbay-node/tests/border_test.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::time::Duration;
+
 use common::{
     Answer, await_that, complete, post, put_objects, send, send_and_close, standin, start_box,
     start_box_with, start_box_with_engine, write_class,
@@ -104,6 +106,21 @@
     );
 }
 
+// Four asks within milliseconds met one moment of an engine, and the request was told "outcome_unknown".
+#[test]
+fn complete_while_the_engine_breaks_streams_for_a_moment_is_answered() {
+    let engine = start_box_with_engine();
+    let address = engine.started.node.address();
+    let set_faults = |faults: &str| post(engine.engine.address(), "/control/faults", faults).status;
+    let breaking = "{\"break_streams\":1000,\"break_at\":0}";
+    assert_eq!(set_faults(breaking), 200);
+    let asked = std::thread::spawn(move || complete(address, "asked", "prompt", 5));
+    std::thread::sleep(Duration::from_millis(250));
+    assert_eq!(set_faults("{}"), 200);
+    let answer = asked.join().expect("it ends");
+    assert_eq!(answer.status, 200, "{answer:?}");
+}
+
 // Two callers that chose the same x-request-id shared one run at the engine and got each other's text.
 #[test]
 fn complete_same_request_id_answers_each_caller_its_own() {
--- a/crates/tinbay-node/tests/common/mod.rs
+++ b/crates/tinbay-node/tests/common/mod.rs
@@ -128,7 +128,7 @@
 /// A box with an engine that has adapter `a` in version `v1`.
 pub struct TestEngine {
     pub started: TestBox,
-    _engine: ServerHandle,
+    pub engine: ServerHandle,
 }
 
 /// Starts a box and an engine, and waits until the box answers from it.
@@ -149,10 +149,7 @@
     await_that("the engine answers", || {
         complete(address, "first", "warm up", 1).status == 200
     });
-    TestEngine {
-        started,
-        _engine: engine,
-    }
+    TestEngine { started, engine }
 }
 
 /// Puts configuration objects, once the box takes changes.
