--- a/crates/tinbay-cli/tests/scenarios_test.rs
+++ b/crates/tinbay-cli/tests/scenarios_test.rs
@@ -160,6 +160,12 @@
     }
 }
 
+// A second loss of an owner within seconds was taken for the first one overdue, and requests were refused.
+#[test]
+fn scenario_soak_seed_206() {
+    assert_kept_with("soak", 206);
+}
+
 #[test]
 fn scenario_broken_promise_is_named_with_trace_and_seed() {
     let _turn = take_turn();
