Debug lines tell which run of a box was asked as an owner, and each change of the view

Two listed failures could not be told apart by their logs: a refusal named neither the run that was asked nor whether it was unreachable or had answered, and a box's view changed without a line. Volume: a line for each change of a member, and a second one for each ask that found no owner.

--- a/crates/tinbay-node/src/controllers/members.rs
+++ b/crates/tinbay-node/src/controllers/members.rs
@@ -11,6 +11,7 @@
 use tinbay_wire::control::{HeardBox, ViewUpdate};
 use tokio::sync::watch;
 
+use crate::logging::part;
 use crate::util::sync::lock;
 
 /// Removals remembered for boxes that catch up; one that is further behind gets the whole view.
@@ -124,8 +125,10 @@
     /// Takes a record in.
     pub fn merge(&mut self, record: BoxRecord) -> bool {
         let id = record.id.clone();
+        let (incarnation, state) = (record.incarnation, record.state);
         let changed = self.view.merge(record);
         if changed {
+            log::debug!(target: part::MEMBER, "view: run {incarnation} of {id} is {state:?}");
             self.note_change(id);
         }
         changed
@@ -134,6 +137,7 @@
     /// Takes a run of a box to be live, on its own word that it owns an engine.
     pub fn mark_live(&mut self, id: &BoxId, incarnation: Incarnation) {
         if self.view.mark_live(id, incarnation) {
+            log::debug!(target: part::MEMBER, "view: run {incarnation} of {id} is live, as it owns an engine");
             self.note_change(id.clone());
         }
     }
@@ -143,6 +147,7 @@
         if *id == self.me || !self.view.remove(id) {
             return false;
         }
+        log::debug!(target: part::MEMBER, "view: {id} is gone");
         self.raise_version();
         self.changed.remove(id);
         self.heard.remove(id);
--- a/crates/tinbay-node/src/entry/attempts.rs
+++ b/crates/tinbay-node/src/entry/attempts.rs
@@ -225,6 +225,13 @@
             "{} attempt {} on {engine} ended {:?}: {}",
             self.job.request_id, self.attempt, error.end, error.failure,
         );
+        if let Some(loss) = error.owner_loss {
+            log::debug!(
+                target: part::ENTRY,
+                "{} asked run {:?} as the owner of {engine}: {loss:?}",
+                self.job.request_id, self.asked,
+            );
+        }
     }
 
     /// Goes on to another engine, where that is worth a load, or waits for the next owner.
