Requests are no longer refused because of an owner that others have already replaced

Callers that resume were told 'not_owner' with 0.5 to 2.4 s left to start, within 0.1 s of the next owner being there.

Cause: a vacancy did not name the run of a box that was lost. An ask at a run that had died 2 s before ended after the view had dropped that run and the next owner had answered, and began a new vacancy of 3.7 s. (The former guess, that a second loss is taken for the first one overdue, is the other side of the same gap and shows in a test of its own.)

Ruled out: overload (the engine had free places) and the callers' patience (10 s).

Change: vacancies name the run and how it was found lost; another run or another way begins a wait of its own. Where the view has named another owner since the ask, the request asks that one at once.

Tests: two cases of vacancy_test; both break with the former rule (it kept the earlier expectation: 5.3 s overdue in place of 3.5 s).

--- a/crates/tinbay-core/src/vacancy.rs
+++ b/crates/tinbay-core/src/vacancy.rs
@@ -7,6 +7,7 @@
 
 use crate::ids::EngineId;
 use crate::units::Millis;
+use crate::view::BoxRun;
 
 /// Shortest wait that is expected of an engine without an owner.
 const SHORTEST_WAIT_MS: Millis = 100;
@@ -41,12 +42,21 @@
     }
 }
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug)]
 struct Vacancy {
+    /// The run that was asked as the owner; none where no box should own the engine.
+    owner: Option<BoxRun>,
+    loss: OwnerLoss,
     expected_ms: Millis,
     noted_ms: Millis,
 }
 
+impl Vacancy {
+    fn is_of(&self, owner: Option<&BoxRun>, loss: OwnerLoss) -> bool {
+        self.owner.as_ref() == owner && self.loss == loss
+    }
+}
+
 /// The engines that one box found without an owner.
 #[derive(Debug, Default)]
 pub struct Vacancies {
@@ -54,23 +64,30 @@
 }
 
 impl Vacancies {
-    /// Notes that an engine was found without an owner.
+    /// Notes that a run of a box, asked as the owner of an engine, was found not to own it.
+    ///
+    /// A further loss, of another run or in another way, has a wait of its own.
     pub fn note_lost(
         &mut self,
         engine: &EngineId,
+        owner: Option<&BoxRun>,
         loss: OwnerLoss,
         terms: &VacancyTerms,
         now_ms: Millis,
     ) {
-        let usual_end_ms = now_ms + terms.usual_ms(loss);
-        let known = self.engines.get(engine);
-        let known = known.filter(|vacancy| now_ms < vacancy.noted_ms + VACANCY_LIFE_MS);
-        let expected_ms = match known {
-            Some(vacancy) => vacancy.expected_ms.min(usual_end_ms),
-            None => usual_end_ms,
-        };
+        let known = self
+            .engines
+            .get_mut(engine)
+            .filter(|vacancy| vacancy.is_of(owner, loss))
+            .filter(|vacancy| now_ms < vacancy.noted_ms + VACANCY_LIFE_MS);
+        if let Some(vacancy) = known {
+            vacancy.noted_ms = now_ms;
+            return;
+        }
         let vacancy = Vacancy {
-            expected_ms,
+            owner: owner.cloned(),
+            loss,
+            expected_ms: now_ms + terms.usual_ms(loss),
             noted_ms: now_ms,
         };
         self.engines.insert(engine.clone(), vacancy);
--- a/crates/tinbay-core/src/view.rs
+++ b/crates/tinbay-core/src/view.rs
@@ -82,6 +82,25 @@
     pub state: BoxState,
 }
 
+/// One run of a box's process.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct BoxRun {
+    /// The box.
+    pub id: BoxId,
+    /// Its run.
+    pub incarnation: Incarnation,
+}
+
+impl BoxRecord {
+    /// The run of the box that the record is about.
+    pub fn run(&self) -> BoxRun {
+        BoxRun {
+            id: self.id.clone(),
+            incarnation: self.incarnation,
+        }
+    }
+}
+
 /// The boxes a box believes to exist.
 #[derive(Debug, Clone, Default)]
 pub struct View {
@@ -133,6 +152,12 @@
         self.boxes.get(id)
     }
 
+    /// Whether a run of a box is the one that is known.
+    pub fn has_run(&self, run: &BoxRun) -> bool {
+        self.get(&run.id)
+            .is_some_and(|record| record.incarnation == run.incarnation)
+    }
+
     /// Whether a box is still to be met by one that has joined the others or not.
     ///
     /// Before that a box may know others by their heartbeats alone: they are in its view, but have not
--- a/crates/tinbay-core/tests/vacancy_test.rs
+++ b/crates/tinbay-core/tests/vacancy_test.rs
@@ -1,7 +1,9 @@
 //! How long an engine without an owner is expected to stay without one.
 
-use tinbay_core::ids::EngineId;
+use tinbay_core::ids::{BoxId, EngineId};
+use tinbay_core::units::Millis;
 use tinbay_core::vacancy::{OwnerLoss, Vacancies, VacancyTerms};
+use tinbay_core::view::BoxRun;
 
 const TERMS: VacancyTerms = VacancyTerms {
     detect_ms: 3_000,
@@ -12,11 +14,22 @@
     EngineId::new("engine-1")
 }
 
+fn run(name: &str) -> BoxRun {
+    BoxRun {
+        id: BoxId::new(name),
+        incarnation: 1,
+    }
+}
+
+fn note_lost(vacancies: &mut Vacancies, owner: &str, loss: OwnerLoss, now_ms: Millis) {
+    vacancies.note_lost(&engine(), Some(&run(owner)), loss, &TERMS, now_ms);
+}
+
 #[test]
 fn wait_of_an_owned_engine_is_none() {
     let mut vacancies = Vacancies::default();
     assert_eq!(vacancies.wait_ms(&engine(), 0), 0);
-    vacancies.note_lost(&engine(), OwnerLoss::Unreachable, &TERMS, 0);
+    note_lost(&mut vacancies, "box-1", OwnerLoss::Unreachable, 0);
     vacancies.note_owned(&engine());
     assert_eq!(vacancies.wait_ms(&engine(), 10), 0);
 }
@@ -26,7 +39,7 @@
 fn wait_counts_from_the_first_loss() {
     let mut vacancies = Vacancies::default();
     for now_ms in [0, 100, 2_000, 2_900] {
-        vacancies.note_lost(&engine(), OwnerLoss::Unreachable, &TERMS, now_ms);
+        note_lost(&mut vacancies, "box-1", OwnerLoss::Unreachable, now_ms);
     }
     assert_eq!(vacancies.wait_ms(&engine(), 3_000), 500);
 }
@@ -34,16 +47,16 @@
 #[test]
 fn wait_is_shorter_once_the_next_owner_answers() {
     let mut vacancies = Vacancies::default();
-    vacancies.note_lost(&engine(), OwnerLoss::Unreachable, &TERMS, 0);
-    vacancies.note_lost(&engine(), OwnerLoss::TakingOver, &TERMS, 1_000);
+    note_lost(&mut vacancies, "box-1", OwnerLoss::Unreachable, 0);
+    note_lost(&mut vacancies, "box-1", OwnerLoss::TakingOver, 1_000);
     assert_eq!(vacancies.wait_ms(&engine(), 1_000), 500);
 }
 
 #[test]
 fn wait_of_an_overdue_takeover_grows() {
     let mut vacancies = Vacancies::default();
-    vacancies.note_lost(&engine(), OwnerLoss::Unreachable, &TERMS, 0);
-    vacancies.note_lost(&engine(), OwnerLoss::Unreachable, &TERMS, 3_400);
+    note_lost(&mut vacancies, "box-1", OwnerLoss::Unreachable, 0);
+    note_lost(&mut vacancies, "box-1", OwnerLoss::Unreachable, 3_400);
     assert_eq!(vacancies.wait_ms(&engine(), 3_500), 100);
     assert_eq!(vacancies.wait_ms(&engine(), 4_500), 1_000);
 }
@@ -51,7 +64,32 @@
 #[test]
 fn wait_after_a_loss_long_ago_is_the_usual_one() {
     let mut vacancies = Vacancies::default();
-    vacancies.note_lost(&engine(), OwnerLoss::Unreachable, &TERMS, 0);
-    vacancies.note_lost(&engine(), OwnerLoss::Unreachable, &TERMS, 60_000);
+    note_lost(&mut vacancies, "box-1", OwnerLoss::Unreachable, 0);
+    note_lost(&mut vacancies, "box-1", OwnerLoss::Unreachable, 60_000);
     assert_eq!(vacancies.wait_ms(&engine(), 60_000), 3_500);
 }
+
+// Losing a second owner within seconds was taken for the first loss overdue, and requests were refused.
+#[test]
+fn wait_after_the_loss_of_the_next_owner_counts_from_that_loss() {
+    let mut vacancies = Vacancies::default();
+    note_lost(&mut vacancies, "box-1", OwnerLoss::Unreachable, 0);
+    note_lost(&mut vacancies, "box-2", OwnerLoss::TakingOver, 3_200);
+    assert_eq!(vacancies.wait_ms(&engine(), 3_200), 500);
+    note_lost(&mut vacancies, "box-2", OwnerLoss::Unreachable, 9_000);
+    assert_eq!(vacancies.wait_ms(&engine(), 9_000), 3_500);
+    assert_eq!(vacancies.wait_ms(&engine(), 12_000), 500);
+}
+
+#[test]
+fn wait_after_the_loss_of_a_restarted_owner_counts_from_that_loss() {
+    let mut vacancies = Vacancies::default();
+    note_lost(&mut vacancies, "box-1", OwnerLoss::Unreachable, 0);
+    let restarted = BoxRun {
+        incarnation: 2,
+        ..run("box-1")
+    };
+    let loss = OwnerLoss::Unreachable;
+    vacancies.note_lost(&engine(), Some(&restarted), loss, &TERMS, 8_000);
+    assert_eq!(vacancies.wait_ms(&engine(), 9_000), 2_500);
+}
--- a/crates/tinbay-node/src/entry/attempts.rs
+++ b/crates/tinbay-node/src/entry/attempts.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 
 use tinbay_core::assemble::{Assembler, Chunk};
-use tinbay_core::ids::{BoxId, EngineId, Incarnation, ModelRef};
+use tinbay_core::ids::{EngineId, ModelRef};
 use tinbay_core::retry::{AttemptEnd, AttemptEnds, NoRetry, RetryCase, check_retry};
 use tinbay_core::units::Millis;
 use tinbay_core::vacancy::OwnerLoss;
-use tinbay_core::view::BoxRecord;
+use tinbay_core::view::{BoxRecord, BoxRun};
 use tokio::sync::watch;
 
 use super::job::Job;
@@ -74,16 +74,13 @@
 struct Cut {
     engine: EngineId,
     /// The owner through which it was sent.
-    owner: OwnerRun,
+    owner: Option<BoxRun>,
     /// Until when its run is looked for.
     until_ms: Millis,
     /// Asks for it that an owner has answered.
     asks: u32,
 }
 
-/// One run of a box as the owner of an engine.
-type OwnerRun = Option<(BoxId, Incarnation)>;
-
 /// A request's answer over all its attempts.
 pub struct Attempts {
     node: Arc<Node>,
@@ -102,8 +99,8 @@
     /// Tells of changes of the view; kept from the first wait on, so that none is missed.
     changes: Option<watch::Receiver<u64>>,
     ends: AttemptEnds,
-    /// The owner last asked.
-    asked: OwnerRun,
+    /// The owner last asked; none where the view had none.
+    asked: Option<BoxRun>,
     /// Set while the request's own run is looked for in place of beginning another one.
     cut: Option<Cut>,
     /// Where the stream was last resumed.
@@ -236,7 +233,10 @@
 
     /// Goes on to another engine, where that is worth a load, or waits for the next owner.
     async fn pass_vacancy(&mut self, engine: &EngineId, loss: OwnerLoss) -> Result<(), Failure> {
-        let wait_ms = vacancy::note_lost(&self.node, engine, loss);
+        if self.has_next_owner(engine) {
+            return Ok(());
+        }
+        let wait_ms = vacancy::note_lost(&self.node, engine, self.asked.as_ref(), loss);
         self.note_wait(engine, wait_ms);
         if let Some(cut) = &self.cut {
             let until_ms = cut.until_ms;
@@ -252,6 +252,11 @@
         self.await_owner(&next, until_ms).await
     }
 
+    /// Whether the view has named another owner since the last ask, which can be asked at once.
+    fn has_next_owner(&self, engine: &EngineId) -> bool {
+        owner_of(&self.node, engine).is_some_and(|owner| Some(owner.run()) != self.asked)
+    }
+
     async fn await_owner(&mut self, engine: &EngineId, until_ms: Millis) -> Result<(), Failure> {
         let node = &self.node;
         let changes = self
@@ -309,9 +314,9 @@
     ) -> Result<AnswerStream, AttemptError> {
         self.attempt += 1;
         self.assembler.start_attempt(self.attempt);
-        let owner = owner_of(&self.node, engine)
-            .ok_or_else(|| AttemptError::owner_lost(OwnerLoss::TakingOver))?;
-        self.asked = Some((owner.id.clone(), owner.incarnation));
+        let owner = owner_of(&self.node, engine);
+        self.asked = owner.as_ref().map(BoxRecord::run);
+        let owner = owner.ok_or_else(|| AttemptError::owner_lost(OwnerLoss::TakingOver))?;
         let stream = if owner.id == *self.node.id() {
             local::run(&self.node, &self.job, engine, self.attempt, resume_from).await?
         } else {
@@ -354,8 +359,9 @@
             };
             log::debug!(target: part::ENTRY, "{} not resumed: {}", self.job.request_id, error.failure);
             match error.owner_loss {
+                Some(_) if self.has_next_owner(&info.engine) => {}
                 Some(loss) => {
-                    vacancy::note_lost(&self.node, &info.engine, loss);
+                    vacancy::note_lost(&self.node, &info.engine, self.asked.as_ref(), loss);
                     if self.await_owner(&info.engine, until_ms).await.is_err() {
                         break;
                     }
--- a/crates/tinbay-node/src/entry/owner_watch.rs
+++ b/crates/tinbay-node/src/entry/owner_watch.rs
@@ -2,8 +2,7 @@
 
 use std::sync::Arc;
 
-use tinbay_core::ids::{BoxId, Incarnation};
-use tinbay_core::view::BoxRecord;
+use tinbay_core::view::{BoxRecord, BoxRun};
 use tokio::sync::watch;
 
 use crate::state::Node;
@@ -14,8 +13,7 @@
 /// A frozen box keeps its connections open: only the view tells that others own its engines by now.
 pub struct OwnerWatch {
     node: Arc<Node>,
-    id: BoxId,
-    incarnation: Incarnation,
+    run: BoxRun,
     changes: watch::Receiver<u64>,
 }
 
@@ -24,8 +22,7 @@
     pub fn new(node: &Arc<Node>, owner: &BoxRecord) -> Self {
         Self {
             node: Arc::clone(node),
-            id: owner.id.clone(),
-            incarnation: owner.incarnation,
+            run: owner.run(),
             changes: read(&node.members).changes(),
         }
     }
@@ -39,8 +36,6 @@
     }
 
     fn is_in_view(&self) -> bool {
-        let members = read(&self.node.members);
-        let known = members.view().get(&self.id);
-        known.is_some_and(|record| record.incarnation == self.incarnation)
+        read(&self.node.members).view().has_run(&self.run)
     }
 }
--- a/crates/tinbay-node/src/entry/vacancy.rs
+++ b/crates/tinbay-node/src/entry/vacancy.rs
@@ -5,7 +5,7 @@
 use tinbay_core::ids::EngineId;
 use tinbay_core::units::Millis;
 use tinbay_core::vacancy::{OwnerLoss, VacancyTerms};
-use tinbay_core::view::{dead_after_ms, heartbeat_period_ms};
+use tinbay_core::view::{BoxRun, dead_after_ms, heartbeat_period_ms};
 use tokio::sync::watch;
 
 use crate::controllers::{FORMER_LEASE_MS, TAKE_OVER_MS, jittered};
@@ -20,12 +20,18 @@
 /// Longest time between two asks.
 const LONGEST_ASK_AGAIN_MS: Millis = 1_000;
 
-/// Notes that an engine was found without an owner; gives the time until one is expected.
-pub fn note_lost(node: &Node, engine: &EngineId, loss: OwnerLoss) -> Millis {
+/// Notes that a run of a box, asked as the owner of an engine, was found not to own it; gives the time until
+/// an owner is expected.
+pub fn note_lost(
+    node: &Node,
+    engine: &EngineId,
+    asked: Option<&BoxRun>,
+    loss: OwnerLoss,
+) -> Millis {
     let terms = vacancy_terms(node, engine);
     let now_ms = node.clock.now_ms();
     let mut vacancies = lock(&node.vacancies);
-    vacancies.note_lost(engine, loss, &terms, now_ms);
+    vacancies.note_lost(engine, asked, loss, &terms, now_ms);
     vacancies.wait_ms(engine, now_ms)
 }
 
