A box that knows of another owner refuses an ask at once

Cause: an ask that reaches the former owner of an engine polled there for 1.5 s for a takeover that belongs to another box. It gave up early only if the engine was lost while the ask waited; an ask that came a moment after the loss did not know that it was late.

Change: the wait ends where the last succession heard of names a run of another box that is in the view. The asker follows its own view sooner.

--- a/crates/tinbay-node/src/entry/local.rs
+++ b/crates/tinbay-node/src/entry/local.rs
@@ -7,6 +7,7 @@
 use tinbay_core::ids::EngineId;
 use tinbay_core::units::Millis;
 use tinbay_core::vacancy::OwnerLoss;
+use tinbay_wire::control::Succession;
 use tinbay_wire::engine::{EngineRefusal, EngineRequest};
 
 use super::attempts::{AttemptError, owner_of};
@@ -17,6 +18,7 @@
 use crate::logging::part;
 use crate::owners::{OwnedEngine, Verdict};
 use crate::state::Node;
+use crate::util::sync::{lock, read};
 
 /// How long an engine may take until it answers with the head of a stream.
 const HEAD_WITHIN: Duration = Duration::from_secs(5);
@@ -52,7 +54,7 @@
 }
 
 /// The engine's shard; after a change of owner it may take a moment until it is there. Nobody waits for it
-/// any longer once the view gives the engine to another box.
+/// once another box is known to have it: the asker follows its own view sooner.
 async fn await_ownership(node: &Node, engine: &EngineId) -> Option<Arc<OwnedEngine>> {
     let was_heir = is_heir(node, engine);
     let polled = async {
@@ -60,7 +62,7 @@
             if let Some(owned) = node.owners.get(engine) {
                 return Some(owned);
             }
-            if was_heir && !is_heir(node, engine) {
+            if !is_heir(node, engine) && (was_heir || has_other_owner(node, engine)) {
                 return None;
             }
             tokio::time::sleep(TAKEOVER_POLL).await;
@@ -74,6 +76,14 @@
     owner_of(node, engine).is_some_and(|owner| owner.id == *node.id())
 }
 
+/// Whether the last owner that this box heard of is another one that still runs.
+fn has_other_owner(node: &Node, engine: &EngineId) -> bool {
+    let owner = lock(&node.successions)
+        .get(engine)
+        .and_then(Succession::owner);
+    owner.is_some_and(|owner| owner.id != *node.id() && read(&node.members).view().has_run(&owner))
+}
+
 async fn dispatch(
     node: &Arc<Node>,
     job: &Job,
--- a/crates/tinbay-wire/src/control.rs
+++ b/crates/tinbay-wire/src/control.rs
@@ -7,7 +7,7 @@
 use tinbay_core::keys::{Claim, RequestKey};
 use tinbay_core::loads::LoadWish;
 use tinbay_core::units::{Millis, Revision};
-use tinbay_core::view::BoxRecord;
+use tinbay_core::view::{BoxRecord, BoxRun};
 
 /// A message with its sender.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -75,6 +75,15 @@
 }
 
 impl Succession {
+    /// The run of a box that took the engine over with the epoch.
+    pub fn owner(&self) -> Option<BoxRun> {
+        let id = self.boxes.first()?.clone();
+        Some(BoxRun {
+            id,
+            incarnation: self.incarnation,
+        })
+    }
+
     /// The fence a box of the succession may use.
     pub fn fence_of(&self, id: &BoxId) -> Option<Fence> {
         let rank = self.boxes.iter().position(|member| member == id)?;
