A box that starts again does not answer for the silence of its former run

What callers saw: restarted_owner (new): an owner is killed and its box starts again within 3 s.

Cause: two places held a run that had just become live to be dead. Keepers remembered when a box had last answered, not which run; the first unanswered heartbeat to the new run counted the old one's silence. And a box was removed by its name, although a new run had taken the place of the silent one during the ask. Each time the engine changed its owner twice more within 0.3 s, and all streams through it broke.

Change: silences belong to runs (tinbay-core::silence); a run that was never heard counts from when it was met; only the run that was silent is removed.

Tests: silence_test, scenario_restarted_owner.

--- a/crates/tinbay-cli/tests/scenarios_test.rs
+++ b/crates/tinbay-cli/tests/scenarios_test.rs
@@ -126,6 +126,13 @@
     assert_kept("restarted_box");
 }
 
+// An owner that had started again was held to be dead for the silence of its former run, and asks stood still
+// at its former successor.
+#[test]
+fn scenario_restarted_owner() {
+    assert_kept("restarted_owner");
+}
+
 // A box that woke from a freeze held boxes of another zone to be alive for good and passed requests to them.
 #[test]
 fn scenario_woken_box() {
--- a/crates/tinbay-core/src/lib.rs
+++ b/crates/tinbay-core/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod route;
 pub mod serving;
 pub mod sharing;
+pub mod silence;
 pub mod units;
 pub mod vacancy;
 pub mod view;
--- a/crates/tinbay-node/src/controllers/answers.rs
+++ b/crates/tinbay-node/src/controllers/answers.rs
@@ -4,7 +4,6 @@
 
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
-use tinbay_core::ids::BoxId;
 use tinbay_core::units::Revision;
 use tinbay_wire::control::{Envelope, HeardBox, Heartbeat, Message, Reply};
 
@@ -39,9 +38,7 @@
     node.note_contact();
     node.want_revision(envelope.revision);
     match envelope.message {
-        Message::Heartbeat(heartbeat) => {
-            answer_heartbeat(node, &envelope.from, envelope.revision, heartbeat)
-        }
+        Message::Heartbeat(heartbeat) => answer_heartbeat(node, envelope.revision, heartbeat),
         Message::Claim(key) => Reply::Claim(lock(&node.keys).claim(&key, wall_ms())),
         Message::ReleaseNotRun(key) => {
             lock(&node.keys).release_not_run(&key);
@@ -72,9 +69,9 @@
     }
 }
 
-fn answer_heartbeat(node: &Node, from: &BoxId, revision: Revision, heartbeat: Heartbeat) -> Reply {
+fn answer_heartbeat(node: &Node, revision: Revision, heartbeat: Heartbeat) -> Reply {
     let mut members = write(&node.members);
-    members.note_heard(from, revision, node.clock.now_ms());
+    members.note_heard(&heartbeat.record.run(), revision, node.clock.now_ms());
     members.merge(heartbeat.record);
     Reply::View(members.update_since(
         heartbeat.view_version,
--- a/crates/tinbay-node/src/controllers/heartbeat.rs
+++ b/crates/tinbay-node/src/controllers/heartbeat.rs
@@ -7,15 +7,15 @@
 //! Nothing else is waited for here: a zone or a stranger that does not answer must not hold
 //! up the heartbeats by which the own zone knows that this box lives.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 use tinbay_core::ids::BoxId;
+use tinbay_core::silence::Silences;
 use tinbay_core::units::Millis;
-use tinbay_core::view::{BoxRecord, dead_after_ms, heartbeat_period_ms};
+use tinbay_core::view::{BoxRecord, BoxRun, dead_after_ms, heartbeat_period_ms};
 use tinbay_wire::control::ViewUpdate;
 
 use super::Controller;
@@ -24,11 +24,17 @@
 use crate::state::Node;
 use crate::util::sync::{read, write};
 
+/// How long a removed box's silence is remembered, so that an old view does not bring it back for long.
+const SILENCE_KEPT_MS: Millis = 600_000;
+
 /// Sends heartbeats within the zone and keeps the view.
 pub struct HeartbeatController {
     node: Arc<Node>,
     beats: Beats,
-    answered_ms: HashMap<BoxId, Millis>,
+    /// Keepers that answer this box's heartbeats.
+    answers: Silences,
+    /// As a keeper, the boxes whose heartbeats it hears.
+    heartbeats: Silences,
     keeper_since_ms: Option<Millis>,
     /// The keeper whose view is followed.
     primary: Option<BoxId>,
@@ -40,7 +46,8 @@
         Self {
             node: Arc::clone(node),
             beats: Beats::new(node),
-            answered_ms: HashMap::new(),
+            answers: Silences::default(),
+            heartbeats: Silences::default(),
             keeper_since_ms: None,
             primary: None,
         }
@@ -63,6 +70,7 @@
         if is_keeper {
             self.remove_silent(&me);
         }
+        self.forget_long_silent();
         let known = read(&self.node.members).view().boxes().count();
         self.node.metrics.boxes.set(known as i64);
     }
@@ -94,7 +102,7 @@
                 self.suspect(&peer);
                 continue;
             };
-            self.answered_ms.insert(peer.id.clone(), now_ms);
+            self.answers.note_heard(&peer.run(), now_ms);
             if followed {
                 self.beats.note(&peer.id, &update);
                 continue;
@@ -119,21 +127,26 @@
     /// Removes a keeper that has not answered for too long.
     fn suspect(&mut self, keeper: &BoxRecord) {
         let now_ms = self.node.clock.now_ms();
-        let since_ms = *self.answered_ms.entry(keeper.id.clone()).or_insert(now_ms);
-        if now_ms.saturating_sub(since_ms) < self.dead_after_ms() {
-            return;
+        let run = keeper.run();
+        if self.answers.silent_ms(&run, now_ms) >= self.dead_after_ms() {
+            self.remove(&run);
         }
-        self.answered_ms.remove(&keeper.id);
-        self.remove(&keeper.id);
     }
 
-    fn remove(&mut self, id: &BoxId) {
-        if write(&self.node.members).remove(id) {
+    fn remove(&mut self, run: &BoxRun) {
+        let id = &run.id;
+        if write(&self.node.members).remove_run(run) {
             log::warn!(target: part::MEMBER, "box {id} is silent and held to be dead");
         }
         self.beats.forget(id);
     }
 
+    fn forget_long_silent(&mut self) {
+        let oldest_ms = self.node.clock.now_ms().saturating_sub(SILENCE_KEPT_MS);
+        self.answers.forget_before(oldest_ms);
+        self.heartbeats.forget_before(oldest_ms);
+    }
+
     /// As a keeper, removes boxes of the zone that have not been heard.
     fn remove_silent(&mut self, me: &BoxRecord) {
         let Some(keeper_since_ms) = self.keeper_since_ms else {
@@ -141,22 +154,26 @@
         };
         let now_ms = self.node.clock.now_ms();
         let dead_after_ms = self.dead_after_ms();
-        let silent: Vec<BoxId> = {
-            let members = read(&self.node.members);
-            members
-                .view()
-                .boxes()
-                .filter(|record| record.zone == me.zone && record.id != me.id)
-                .filter(|record| {
-                    let heard_ms = members.heard_ms(&record.id).unwrap_or(0);
-                    let since_ms = heard_ms.max(keeper_since_ms);
-                    now_ms.saturating_sub(since_ms) >= dead_after_ms
-                })
-                .map(|record| record.id.clone())
-                .collect()
-        };
-        for id in silent {
-            self.remove(&id);
+        let as_keeper_ms = now_ms.saturating_sub(keeper_since_ms);
+        let mut silent: Vec<BoxRun> = Vec::new();
+        let members = read(&self.node.members);
+        let others = members
+            .view()
+            .boxes()
+            .filter(|record| record.zone == me.zone && record.id != me.id);
+        for record in others {
+            let run = record.run();
+            if let Some(heard_ms) = members.heard_ms(&run) {
+                self.heartbeats.note_heard(&run, heard_ms);
+            }
+            let silent_ms = self.heartbeats.silent_ms(&run, now_ms);
+            if silent_ms.min(as_keeper_ms) >= dead_after_ms {
+                silent.push(run);
+            }
+        }
+        drop(members);
+        for run in silent {
+            self.remove(&run);
         }
     }
 }
--- a/crates/tinbay-node/src/controllers/members.rs
+++ b/crates/tinbay-node/src/controllers/members.rs
@@ -6,7 +6,7 @@
 use tinbay_core::config::EngineSpec;
 use tinbay_core::ids::{BoxId, EngineId, Incarnation, ZoneId};
 use tinbay_core::units::{Millis, Revision};
-use tinbay_core::view::{BoxRecord, BoxState, View};
+use tinbay_core::view::{BoxRecord, BoxRun, BoxState, View};
 use tinbay_wire::box_list::ListedBox;
 use tinbay_wire::control::{HeardBox, ViewUpdate};
 use tokio::sync::watch;
@@ -19,6 +19,7 @@
 
 #[derive(Debug, Clone, Copy)]
 struct Heard {
+    incarnation: Incarnation,
     revision: Revision,
     at_ms: Millis,
 }
@@ -160,18 +161,25 @@
         true
     }
 
-    /// Notes that a box was heard.
-    pub fn note_heard(&mut self, id: &BoxId, revision: Revision, now_ms: Millis) {
+    /// Removes a run of a box held to be dead, unless the box has started again meanwhile.
+    pub fn remove_run(&mut self, run: &BoxRun) -> bool {
+        self.view.has_run(run) && self.remove(&run.id)
+    }
+
+    /// Notes that a run of a box was heard.
+    pub fn note_heard(&mut self, run: &BoxRun, revision: Revision, now_ms: Millis) {
         let heard = Heard {
+            incarnation: run.incarnation,
             revision,
             at_ms: now_ms,
         };
-        self.heard.insert(id.clone(), heard);
+        self.heard.insert(run.id.clone(), heard);
     }
 
-    /// When a box was last heard.
-    pub fn heard_ms(&self, id: &BoxId) -> Option<Millis> {
-        self.heard.get(id).map(|heard| heard.at_ms)
+    /// When a run of a box was last heard.
+    pub fn heard_ms(&self, run: &BoxRun) -> Option<Millis> {
+        let heard = self.heard.get(&run.id)?;
+        (heard.incarnation == run.incarnation).then_some(heard.at_ms)
     }
 
     /// What was last heard from each box of a zone.
