An engine is taken over in an outage by boxes that came after its owner

Cause: the succession written at a takeover named the boxes that were live at that moment and was never brought up to date. In an outage only a box that it names may take over, but the one that should by the view was another: it had joined 0.1 s after the takeover. Each stood back, one by the record, one by the view. Any box that joins a zone is in that place until the next takeover, so this is no matter of starts.

Evidence: 'engine-1 not taken over: key-value service' by box-2, five times; box-1, which was named, never tried. New lines name the succession and why it does not serve.

Ruled out: detection (box-3 was held to be dead after 2.8 s) and the requests' waits.

Change: once the view has been quiet for 1 s, an owner adds those behind it to its succession: two calls of the key-value service an engine concerned, some ten engines for each box that joins or goes at full size. Places are kept for an epoch. Ranks: each place has every 64th rank to itself, so the boxes named can follow each other in any order and no two hold one fence; the box that should own the engine by the view need not be the next in the record.

Engines that check no orders are as before: nobody takes them over in an outage.

--- a/crates/tinbay-cli/tests/scenarios_test.rs
+++ b/crates/tinbay-cli/tests/scenarios_test.rs
@@ -154,6 +154,12 @@
     assert_kept("platform_outage");
 }
 
+// An engine whose next owner had come after its last takeover had none until an outage ended.
+#[test]
+fn scenario_outage_after_join() {
+    assert_kept("outage_after_join");
+}
+
 #[test]
 fn scenario_overload() {
     assert_kept("overload");
--- a/crates/tinbay-core/src/fence.rs
+++ b/crates/tinbay-core/src/fence.rs
@@ -17,10 +17,35 @@
 pub struct Fence {
     /// Raised by compare-and-swap in the key-value service at each takeover.
     pub epoch: u64,
-    /// Place in the succession written with the epoch; 0 is the owner itself.
+    /// Rises with each takeover within the epoch; the box that raised the epoch begins with 0.
     pub rank: u32,
 }
 
+/// Places that the succession of one epoch may have.
+pub const MAX_SUCCESSION: u32 = 64;
+
+impl Fence {
+    /// The lowest fence above one already seen that a place in the succession of an epoch may use; none if
+    /// a later epoch was seen.
+    ///
+    /// Each place has every [`MAX_SUCCESSION`]th rank to itself. So the boxes of a succession can follow
+    /// each other in any order, again and again, and no two of them ever hold the same fence.
+    pub fn above(seen: Fence, epoch: u64, place: u32) -> Option<Fence> {
+        if seen.epoch > epoch || place >= MAX_SUCCESSION {
+            return None;
+        }
+        if seen.epoch < epoch {
+            return Some(Fence { epoch, rank: place });
+        }
+        let rank = seen.rank - seen.rank % MAX_SUCCESSION + place;
+        let rank = match rank > seen.rank {
+            true => rank,
+            false => rank.checked_add(MAX_SUCCESSION)?,
+        };
+        Some(Fence { epoch, rank })
+    }
+}
+
 /// A fence together with the engine's run that the order is meant for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Order {
--- a/crates/tinbay-core/tests/fence_test.rs
+++ b/crates/tinbay-core/tests/fence_test.rs
@@ -1,7 +1,7 @@
 //! Fences and the guard of an engine.
 
 use quickcheck::QuickCheck;
-use tinbay_core::fence::{Fence, FenceGuard, FenceRefusal, Order};
+use tinbay_core::fence::{Fence, FenceGuard, FenceRefusal, MAX_SUCCESSION, Order};
 
 fn order(epoch: u64, rank: u32, incarnation: u64) -> Order {
     Order {
@@ -62,3 +62,39 @@
     }
     QuickCheck::new().quickcheck(holds as fn(u64, u32, u64) -> bool);
 }
+
+#[test]
+fn above_a_later_epoch_is_none() {
+    let seen = Fence { epoch: 3, rank: 0 };
+    assert_eq!(Fence::above(seen, 2, 0), None);
+}
+
+#[test]
+fn above_an_earlier_epoch_is_the_place() {
+    let seen = Fence { epoch: 1, rank: 70 };
+    let expected = Fence { epoch: 2, rank: 3 };
+    assert_eq!(Fence::above(seen, 2, 3), Some(expected));
+}
+
+#[test]
+fn above_gives_places_in_any_order_a_higher_rank_each() {
+    let mut seen = Fence { epoch: 1, rank: 0 };
+    for place in [2, 1, 0, 0, 63, 1] {
+        let next = Fence::above(seen, 1, place).expect("a place of the succession");
+        assert!(next > seen, "{next:?} after {seen:?}");
+        seen = next;
+    }
+}
+
+#[test]
+fn above_never_gives_two_places_one_fence() {
+    fn holds(rank: u32, place: u8, other: u8) -> bool {
+        let seen = Fence { epoch: 1, rank };
+        let place = u32::from(place) % MAX_SUCCESSION;
+        let other = u32::from(other) % MAX_SUCCESSION;
+        let first = Fence::above(seen, 1, place);
+        let second = Fence::above(seen, 1, other);
+        place == other || first.is_none() || first != second
+    }
+    QuickCheck::new().quickcheck(holds as fn(u32, u8, u8) -> bool);
+}
--- a/crates/tinbay-node/src/controllers/ownership.rs
+++ b/crates/tinbay-node/src/controllers/ownership.rs
@@ -7,12 +7,12 @@
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 use tinbay_core::config::EngineSpec;
-use tinbay_core::ids::EngineId;
+use tinbay_core::ids::{BoxId, EngineId};
 use tinbay_core::units::Millis;
 use tinbay_wire::control::Succession;
 
 use super::Controller;
-use super::succession::take_over;
+use super::succession::{extend_succession, take_over};
 use crate::logging::part;
 use crate::state::Node;
 use crate::util::sync::{lock, read};
@@ -26,6 +26,10 @@
 /// Longest time between tries, so that engines that are down cost little.
 const LONGEST_RETRY_MS: Millis = 8_000;
 
+/// How long the view stays as it is before successions follow it, so that a series of joins costs one
+/// write an engine.
+const SETTLED_MS: Millis = 1_000;
+
 #[derive(Debug, Default)]
 struct Attempt {
     running: bool,
@@ -39,12 +43,23 @@
 /// What the desired engines were worked out from.
 type Basis = (u64, u64);
 
+/// An engine that this box should own by its view.
+struct Desired {
+    spec: EngineSpec,
+    /// This box and those behind it.
+    heirs: Vec<BoxId>,
+}
+
 /// Takes over what this box should own, gives up what no longer exists.
 pub struct OwnershipController {
     node: Arc<Node>,
+    /// Takeovers.
     attempts: Attempts,
+    /// Extensions of successions; apart, so that one that fails holds up no takeover.
+    extensions: Attempts,
     basis: Option<Basis>,
-    desired: Vec<EngineSpec>,
+    basis_since_ms: Millis,
+    desired: Vec<Desired>,
 }
 
 impl OwnershipController {
@@ -53,7 +68,9 @@
         Self {
             node: Arc::clone(node),
             attempts: Attempts::default(),
+            extensions: Attempts::default(),
             basis: None,
+            basis_since_ms: 0,
             desired: Vec::new(),
         }
     }
@@ -63,17 +80,47 @@
             return;
         }
         self.refresh_desired();
-        for spec in &self.desired {
-            if self.node.owners.get(&spec.name).is_none() && self.may_try(&spec.name) {
-                ntex::rt::spawn(attempt(
-                    Arc::clone(&self.node),
-                    Arc::clone(&self.attempts),
-                    spec.clone(),
-                ));
+        for desired in &self.desired {
+            let engine = &desired.spec.name;
+            if self.node.owners.get(engine).is_none() {
+                self.try_take_over(&desired.spec);
+            } else if self.has_unnamed_heirs(desired) {
+                self.try_extend(desired);
             }
         }
     }
 
+    fn try_take_over(&self, spec: &EngineSpec) {
+        if self.may_try(&self.attempts, &spec.name) {
+            ntex::rt::spawn(attempt_take_over(
+                Arc::clone(&self.node),
+                Arc::clone(&self.attempts),
+                spec.clone(),
+            ));
+        }
+    }
+
+    fn try_extend(&self, desired: &Desired) {
+        if self.may_try(&self.extensions, &desired.spec.name) {
+            ntex::rt::spawn(attempt_extend(
+                Arc::clone(&self.node),
+                Arc::clone(&self.extensions),
+                desired.spec.name.clone(),
+                desired.heirs.clone(),
+            ));
+        }
+    }
+
+    /// Whether boxes stand behind this one that its engine's succession does not name.
+    fn has_unnamed_heirs(&self, desired: &Desired) -> bool {
+        if self.node.clock.now_ms() < self.basis_since_ms + SETTLED_MS {
+            return false;
+        }
+        let successions = lock(&self.node.successions);
+        let known = successions.get(&desired.spec.name);
+        known.is_some_and(|known| !known.missing(&desired.heirs).is_empty())
+    }
+
     /// Works the desired engines out again when the view or the fleet has changed.
     fn refresh_desired(&mut self) {
         let members = read(&self.node.members);
@@ -82,17 +129,19 @@
             return;
         }
         self.basis = Some(basis);
+        self.basis_since_ms = self.node.clock.now_ms();
         let me = self.node.id();
         let engines = self.node.config.engines();
         self.drop_deleted(&engines);
         self.desired = engines
             .into_iter()
             .filter(|spec| spec.region == self.node.options.region)
-            .filter(|spec| {
+            .filter_map(|spec| {
                 let heirs = members
                     .view()
                     .succession(&spec.name, &spec.zone, &spec.region);
-                heirs.first().is_some_and(|first| first.id == *me)
+                let heirs: Vec<BoxId> = heirs.into_iter().map(|heir| heir.id.clone()).collect();
+                (heirs.first() == Some(me)).then_some(Desired { spec, heirs })
             })
             .collect();
     }
@@ -109,9 +158,9 @@
         }
     }
 
-    fn may_try(&self, engine: &EngineId) -> bool {
+    fn may_try(&self, attempts: &Attempts, engine: &EngineId) -> bool {
         let now_ms = self.node.clock.now_ms();
-        let mut attempts = lock(&self.attempts);
+        let mut attempts = lock(attempts);
         let attempt = attempts.entry(engine.clone()).or_default();
         if attempt.running || now_ms < attempt.next_ms {
             return false;
@@ -121,25 +170,45 @@
     }
 }
 
-async fn attempt(node: Arc<Node>, attempts: Attempts, spec: EngineSpec) {
+async fn attempt_take_over(node: Arc<Node>, attempts: Attempts, spec: EngineSpec) {
     let claimed = lock(&attempts)
         .get_mut(&spec.name)
         .and_then(|attempt| attempt.claimed.take());
     let outcome = take_over(&node, &spec, claimed).await;
-    let now_ms = node.clock.now_ms();
-    let mut attempts = lock(&attempts);
-    let attempt = attempts.entry(spec.name.clone()).or_default();
-    attempt.running = false;
-    match outcome {
-        Ok(_) => *attempt = Attempt::default(),
-        Err((claimed, error)) => {
-            log::debug!(target: part::OWNER, "{} not taken over: {error}", spec.name);
-            let wait_ms = RETRY_MS << attempt.failures.min(6);
-            attempt.failures += 1;
-            attempt.next_ms = now_ms + wait_ms.min(LONGEST_RETRY_MS);
-            attempt.claimed = claimed;
-        }
+    if let Err((_, error)) = &outcome {
+        log::debug!(target: part::OWNER, "{} not taken over: {error}", spec.name);
+    }
+    let failed = outcome.err().map(|(claimed, _)| claimed);
+    end_attempt(&node, &attempts, &spec.name, failed);
+}
+
+async fn attempt_extend(node: Arc<Node>, attempts: Attempts, engine: EngineId, heirs: Vec<BoxId>) {
+    let outcome = extend_succession(&node, &engine, &heirs).await;
+    if let Err(error) = &outcome {
+        log::debug!(target: part::OWNER, "succession of {engine} not extended: {error}");
     }
+    let failed = outcome.is_err().then_some(None);
+    end_attempt(&node, &attempts, &engine, failed);
+}
+
+/// Notes when the next attempt may follow one that failed, and what it has claimed.
+fn end_attempt(
+    node: &Node,
+    attempts: &Attempts,
+    engine: &EngineId,
+    failed: Option<Option<Succession>>,
+) {
+    let mut attempts = lock(attempts);
+    let attempt = attempts.entry(engine.clone()).or_default();
+    attempt.running = false;
+    let Some(claimed) = failed else {
+        *attempt = Attempt::default();
+        return;
+    };
+    let wait_ms = RETRY_MS << attempt.failures.min(6);
+    attempt.failures += 1;
+    attempt.next_ms = node.clock.now_ms() + wait_ms.min(LONGEST_RETRY_MS);
+    attempt.claimed = claimed;
 }
 
 impl Controller for OwnershipController {
--- a/crates/tinbay-node/src/controllers/succession.rs
+++ b/crates/tinbay-node/src/controllers/succession.rs
@@ -7,7 +7,7 @@
 use tinbay_core::config::EngineSpec;
 use tinbay_core::engine::OwnerSettings;
 use tinbay_core::fence::{Fence, Order};
-use tinbay_core::ids::BoxId;
+use tinbay_core::ids::{BoxId, EngineId};
 use tinbay_core::units::{Millis, Revision};
 use tinbay_core::view::{BoxRecord, BoxState};
 use tinbay_wire::control::{Message, Reply, Succession};
@@ -39,10 +39,15 @@
     /// The former owner may still give orders to an engine that does not check them.
     #[error("the former owner {0} still holds its lease")]
     StillLeased(BoxId),
-    /// In an outage only the next in a known succession may take over, and only an engine that
-    /// checks orders.
-    #[error("not this box's turn while the key-value service is out")]
-    NotInOutage,
+    /// In an outage nobody can make sure that the former owner of such an engine is silent.
+    #[error("the engine checks no orders and the key-value service is out")]
+    UncheckedInOutage,
+    /// This box has not heard of a succession.
+    #[error("no succession is known while the key-value service is out")]
+    NoSuccession,
+    /// Only boxes of the last succession may take over in an outage.
+    #[error("the succession {0:?} does not name this box while the key-value service is out")]
+    NotInSuccession(Vec<BoxId>),
     /// The engine gave no answer.
     #[error("{0}")]
     Engine(#[from] EngineError),
@@ -58,17 +63,20 @@
         Some(claimed) => claimed,
         None => claim(node, spec).await.map_err(|error| (None, error))?,
     };
-    let Some(fence) = succession.fence_of(node.id()) else {
+    let Some(place) = succession.place_of(node.id()) else {
         return Err((None, TakeoverError::Raced));
     };
-    match assume(node, spec, fence).await {
+    match assume(node, spec, succession.epoch, place).await {
         Ok(()) => {
             note_succession(node, &succession);
             announce(node, &succession).await;
             Ok(succession)
         }
-        // Someone with a higher fence was there: the claim is worth nothing any more.
-        Err(error @ EngineError::Refused(EngineRefusal::StaleFence)) => Err((None, error.into())),
+        // Someone with a later epoch was there: what is known here is worth nothing any more.
+        Err(error @ EngineError::Refused(EngineRefusal::StaleFence)) => {
+            lock(&node.successions).remove(&spec.name);
+            Err((None, error.into()))
+        }
         Err(error) => Err((Some(succession), error.into())),
     }
 }
@@ -82,10 +90,8 @@
                 pair.and_then(|pair| serde_json::from_slice(&pair.value).ok());
             raise_epoch(node, spec, previous, revision).await
         }
-        Err(error) => succeed_in_outage(node, spec).ok_or_else(|| match spec.checks_orders {
-            true => error.into(),
-            false => TakeoverError::NotInOutage,
-        }),
+        Err(_) if !spec.checks_orders => Err(TakeoverError::UncheckedInOutage),
+        Err(_) => last_succession(node, spec),
     }
 }
 
@@ -106,8 +112,45 @@
         boxes: heirs(node, spec),
         incarnation: node.incarnation,
     };
-    let key = keys::owner(&spec.name);
-    let value = serde_json::to_vec(&succession).unwrap_or_default();
+    write_succession(node, &succession, revision).await?;
+    Ok(succession)
+}
+
+/// Names boxes that have come to stand behind this one since it took an engine over, so that they can
+/// succeed in an outage.
+pub async fn extend_succession(
+    node: &Arc<Node>,
+    engine: &EngineId,
+    heirs: &[BoxId],
+) -> Result<(), TakeoverError> {
+    let pair = node.kv.get(&keys::owner(engine)).await?;
+    let pair = pair.ok_or(TakeoverError::Raced)?;
+    let stored: Option<Succession> = serde_json::from_slice(&pair.value).ok();
+    let epoch = node.owners.get(engine).map(|owned| owned.fence().epoch);
+    let stored = stored.filter(|stored| Some(stored.epoch) == epoch);
+    let mut succession = stored.ok_or(TakeoverError::Raced)?;
+    let missing = succession.missing(heirs);
+    if !missing.is_empty() {
+        succession.boxes.extend(missing);
+        write_succession(node, &succession, pair.revision).await?;
+        log::info!(
+            target: part::OWNER,
+            "{engine} may be taken over by {:?} in an outage", succession.boxes,
+        );
+    }
+    note_succession(node, &succession);
+    announce(node, &succession).await;
+    Ok(())
+}
+
+/// Writes a succession unless the stored one has changed since `revision`.
+async fn write_succession(
+    node: &Arc<Node>,
+    succession: &Succession,
+    revision: Revision,
+) -> Result<(), TakeoverError> {
+    let key = keys::owner(&succession.engine);
+    let value = serde_json::to_vec(succession).unwrap_or_default();
     let guards = [Guard {
         key: key.clone(),
         revision,
@@ -118,11 +161,11 @@
         lease: None,
     }];
     match node.kv.txn(&guards, &writes).await {
-        Ok(TxnEnd::Done(_)) => Ok(succession),
+        Ok(TxnEnd::Done(_)) => Ok(()),
         Ok(TxnEnd::GuardFailed) => Err(TakeoverError::Raced),
         // The write may have taken effect; what is stored now tells.
         Err(PlatformError::ReplyLost) => match node.kv.get(&key).await? {
-            Some(pair) if pair.value == value => Ok(succession),
+            Some(pair) if pair.value == value => Ok(()),
             _ => Err(TakeoverError::Raced),
         },
         Err(error) => Err(error.into()),
@@ -141,22 +184,14 @@
     boxes
 }
 
-/// The last known succession, when every box before this one is out of the view.
-fn succeed_in_outage(node: &Node, spec: &EngineSpec) -> Option<Succession> {
-    if !spec.checks_orders {
-        return None;
+/// The last succession that this box has heard of, if it has a place there.
+fn last_succession(node: &Node, spec: &EngineSpec) -> Result<Succession, TakeoverError> {
+    let known = lock(&node.successions).get(&spec.name).cloned();
+    let known = known.ok_or(TakeoverError::NoSuccession)?;
+    match known.place_of(node.id()) {
+        Some(_) => Ok(known),
+        None => Err(TakeoverError::NotInSuccession(known.boxes)),
     }
-    let known = lock(&node.successions).get(&spec.name).cloned()?;
-    let rank = known.boxes.iter().position(|id| id == node.id())?;
-    let members = read(&node.members);
-    let live = |id: &BoxId| {
-        let record = members.view().get(id);
-        record.is_some_and(|record| record.state == BoxState::Live)
-    };
-    known.boxes[..rank]
-        .iter()
-        .all(|id| !live(id))
-        .then_some(known)
 }
 
 /// Makes sure that the former owner of an engine that checks no orders gives none any more.
@@ -194,9 +229,16 @@
 }
 
 /// Raises the engine's fence, learns what it holds and begins to decide for it.
-async fn assume(node: &Arc<Node>, spec: &EngineSpec, fence: Fence) -> Result<(), EngineError> {
+async fn assume(
+    node: &Arc<Node>,
+    spec: &EngineSpec,
+    epoch: u64,
+    place: u32,
+) -> Result<(), EngineError> {
     let api = HttpEngine::new(&spec.address);
     let mut state: EngineState = api.state().await?;
+    let fence = Fence::above(state.fence, epoch, place)
+        .ok_or(EngineError::Refused(EngineRefusal::StaleFence))?;
     let order = Order {
         fence,
         incarnation: state.incarnation,
@@ -246,7 +288,7 @@
 pub fn note_succession(node: &Node, succession: &Succession) {
     let mut successions = lock(&node.successions);
     let known = successions.get(&succession.engine);
-    if known.is_some_and(|known| known.epoch >= succession.epoch) {
+    if known.is_some_and(|known| !succession.is_newer_than(known)) {
         return;
     }
     successions.insert(succession.engine.clone(), succession.clone());
--- a/crates/tinbay-wire/src/control.rs
+++ b/crates/tinbay-wire/src/control.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use tinbay_core::config::ConfigUpdate;
-use tinbay_core::fence::Fence;
+use tinbay_core::fence::MAX_SUCCESSION;
 use tinbay_core::ids::{BoxId, EngineId, Incarnation, ModelRef};
 use tinbay_core::keys::{Claim, RequestKey};
 use tinbay_core::loads::LoadWish;
@@ -68,7 +68,8 @@
     pub engine: EngineId,
     /// The epoch.
     pub epoch: u64,
-    /// The owner and those behind it, in order.
+    /// The owner, those behind it when it took over, and those that came to stand behind it since. A box
+    /// keeps its place for the whole epoch.
     pub boxes: Vec<BoxId>,
     /// The owner's run when it took over.
     pub incarnation: Incarnation,
@@ -84,13 +85,22 @@
         })
     }
 
-    /// The fence a box of the succession may use.
-    pub fn fence_of(&self, id: &BoxId) -> Option<Fence> {
-        let rank = self.boxes.iter().position(|member| member == id)?;
-        Some(Fence {
-            epoch: self.epoch,
-            rank: rank as u32,
-        })
+    /// The place of a box.
+    pub fn place_of(&self, id: &BoxId) -> Option<u32> {
+        let place = self.boxes.iter().position(|member| member == id)?;
+        Some(place as u32)
+    }
+
+    /// Those of some boxes that it does not name, as far as it has places left.
+    pub fn missing(&self, boxes: &[BoxId]) -> Vec<BoxId> {
+        let places = (MAX_SUCCESSION as usize).saturating_sub(self.boxes.len());
+        let unnamed = boxes.iter().filter(|id| !self.boxes.contains(id));
+        unnamed.take(places).cloned().collect()
+    }
+
+    /// Whether it was written after another one for the same engine; within an epoch boxes are only added.
+    pub fn is_newer_than(&self, other: &Succession) -> bool {
+        (self.epoch, self.boxes.len()) > (other.epoch, other.boxes.len())
     }
 }
 
