A box that starts again in an outage asks others for the successions of its engines

Cause: successions are held in memory. The new run is the one that should own the engines by the view, and does not know their last epoch.

Change: a box without a place in what it knows asks those behind the engine. The engine's own fence and the places of the succession decide, so that an old answer does no harm: a later epoch at the engine refuses it, and within an epoch the record only grows.

--- a/crates/tinbay-cli/tests/scenarios_test.rs
+++ b/crates/tinbay-cli/tests/scenarios_test.rs
@@ -160,6 +160,12 @@
     assert_kept("outage_after_join");
 }
 
+// An owner that started again in an outage had forgotten the succession, and its engines had no owner.
+#[test]
+fn scenario_outage_restart() {
+    assert_kept("outage_restart");
+}
+
 #[test]
 fn scenario_overload() {
     assert_kept("overload");
--- a/crates/tinbay-node/src/controllers/answers.rs
+++ b/crates/tinbay-node/src/controllers/answers.rs
@@ -66,6 +66,9 @@
         }
         Message::ConfigSince(revision) => Reply::Config(node.config.update_since(revision)),
         Message::ZoneStatus => Reply::Zone(zone_status(node)),
+        Message::SuccessionOf(engine) => {
+            Reply::Succession(lock(&node.successions).get(&engine).cloned())
+        }
     }
 }
 
--- a/crates/tinbay-node/src/controllers/succession.rs
+++ b/crates/tinbay-node/src/controllers/succession.rs
@@ -42,7 +42,7 @@
     /// In an outage nobody can make sure that the former owner of such an engine is silent.
     #[error("the engine checks no orders and the key-value service is out")]
     UncheckedInOutage,
-    /// This box has not heard of a succession.
+    /// Neither this box nor those asked know a succession.
     #[error("no succession is known while the key-value service is out")]
     NoSuccession,
     /// Only boxes of the last succession may take over in an outage.
@@ -91,7 +91,7 @@
             raise_epoch(node, spec, previous, revision).await
         }
         Err(_) if !spec.checks_orders => Err(TakeoverError::UncheckedInOutage),
-        Err(_) => last_succession(node, spec),
+        Err(_) => last_succession(node, spec).await,
     }
 }
 
@@ -184,14 +184,45 @@
     boxes
 }
 
-/// The last succession that this box has heard of, if it has a place there.
-fn last_succession(node: &Node, spec: &EngineSpec) -> Result<Succession, TakeoverError> {
+/// The last succession, with a place for this box: its own record, or what those behind the engine know.
+async fn last_succession(node: &Arc<Node>, spec: &EngineSpec) -> Result<Succession, TakeoverError> {
     let known = lock(&node.successions).get(&spec.name).cloned();
-    let known = known.ok_or(TakeoverError::NoSuccession)?;
-    match known.place_of(node.id()) {
-        Some(_) => Ok(known),
-        None => Err(TakeoverError::NotInSuccession(known.boxes)),
+    if let Some(known) = known.filter(|known| known.place_of(node.id()).is_some()) {
+        return Ok(known);
     }
+    let told = ask_succession(node, spec).await;
+    let told = told.ok_or(TakeoverError::NoSuccession)?;
+    match told.place_of(node.id()) {
+        Some(_) => Ok(told),
+        None => Err(TakeoverError::NotInSuccession(told.boxes)),
+    }
+}
+
+/// The newest succession that other boxes behind an engine know.
+async fn ask_succession(node: &Arc<Node>, spec: &EngineSpec) -> Option<Succession> {
+    let others: Vec<BoxRecord> = {
+        let members = read(&node.members);
+        let heirs = members
+            .view()
+            .succession(&spec.name, &spec.zone, &spec.region);
+        let others = heirs.into_iter().filter(|heir| heir.id != *node.id());
+        others.cloned().collect()
+    };
+    let asks = others.iter().map(|other| {
+        let message = Message::SuccessionOf(spec.name.clone());
+        node.ask_soon(&other.control_address, message)
+    });
+    join_all(asks)
+        .await
+        .into_iter()
+        .filter_map(|reply| match reply {
+            Ok(Reply::Succession(succession)) => succession,
+            _ => None,
+        })
+        .reduce(|newest, other| match other.is_newer_than(&newest) {
+            true => other,
+            false => newest,
+        })
 }
 
 /// Makes sure that the former owner of an engine that checks no orders gives none any more.
--- a/crates/tinbay-wire/src/control.rs
+++ b/crates/tinbay-wire/src/control.rs
@@ -48,6 +48,8 @@
     ConfigSince(Revision),
     /// Asks a keeper which revision each box of its zone has in force.
     ZoneStatus,
+    /// Asks for the last succession of an engine that the receiver knows.
+    SuccessionOf(EngineId),
 }
 
 /// "I am here", with what the sender already knows.
@@ -121,6 +123,8 @@
     Zone(Vec<HeardBox>),
     /// The receiver cannot do what was asked.
     Refused,
+    /// To a question for a succession.
+    Succession(Option<Succession>),
 }
 
 /// The part of a keeper's view that a box does not have yet.
