A box that joins in an outage takes no engine from the box that has it

Cause: whether a box is live, and so the owner of engines by the view, did not depend on whether it can take them over. That needs the key-value service, or a place in the last succession.

Change: a box that starts becomes live once it has reached the key-value service, or where no other box is live. And a takeover names boxes that start in the zone and those of the succession before (eight in all): one of them may stand first by the time that the service is out.

In a long outage new boxes relieve nobody, but for plain services and callers that come to them.

--- a/crates/tinbay-cli/tests/scenarios_test.rs
+++ b/crates/tinbay-cli/tests/scenarios_test.rs
@@ -166,6 +166,12 @@
     assert_kept("outage_restart");
 }
 
+// Boxes that joined in an outage were held to own engines that they could not take over.
+#[test]
+fn scenario_outage_new_box() {
+    assert_kept("outage_new_box");
+}
+
 #[test]
 fn scenario_overload() {
     assert_kept("overload");
--- a/crates/tinbay-node/src/controllers/config_catch_up.rs
+++ b/crates/tinbay-node/src/controllers/config_catch_up.rs
@@ -1,5 +1,5 @@
 //! Catches up with a revision another box has spoken of, by asking boxes, not the
-//! key-value service; a box that has caught up after its start goes live.
+//! key-value service.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -48,7 +48,6 @@
         if behind || silent {
             self.ask_boxes().await;
         }
-        self.node.go_live();
         let in_force = self.node.config.in_force();
         if in_force > 0 && self.node.has_joined() && self.node.set_ready() {
             log::info!(target: part::NODE, "ready with revision {in_force}");
--- a/crates/tinbay-node/src/controllers/mod.rs
+++ b/crates/tinbay-node/src/controllers/mod.rs
@@ -16,6 +16,7 @@
 mod members;
 mod ownership;
 mod policies;
+mod start;
 mod succession;
 mod ticker;
 mod zone_heartbeat;
@@ -56,6 +57,7 @@
         Box::new(box_list::BoxListController::new(node)),
         Box::new(config_watch::ConfigWatchController::new(node)),
         Box::new(config_catch_up::CatchUpController::new(node)),
+        Box::new(start::StartController::new(node)),
         Box::new(box_lease::BoxLeaseController::new(node)),
         Box::new(ownership::OwnershipController::new(node)),
         Box::new(engine_watch::EngineWatchController::new(node)),
--- a/crates/tinbay-node/src/controllers/succession.rs
+++ b/crates/tinbay-node/src/controllers/succession.rs
@@ -24,6 +24,9 @@
 /// After a former owner's lease has lapsed, time for an order it sent just before to arrive.
 const LAPSE_GRACE_MS: Millis = 2_000;
 
+/// Boxes that a takeover names at most; others are added once they stand behind the owner.
+const NAMED_AT_TAKEOVER: usize = 8;
+
 /// How long the lease of a lost owner keeps others from an engine that checks no orders.
 pub const FORMER_LEASE_MS: Millis = LEASE_TTL_MS + LAPSE_GRACE_MS;
 
@@ -108,8 +111,8 @@
     }
     let succession = Succession {
         engine: spec.name.clone(),
-        epoch: previous.map_or(1, |previous| previous.epoch + 1),
-        boxes: heirs(node, spec),
+        epoch: previous.as_ref().map_or(1, |previous| previous.epoch + 1),
+        boxes: heirs(node, spec, previous.as_ref()),
         incarnation: node.incarnation,
     };
     write_succession(node, &succession, revision).await?;
@@ -172,15 +175,23 @@
     }
 }
 
-/// This box first, then those behind it by the view.
-fn heirs(node: &Node, spec: &EngineSpec) -> Vec<BoxId> {
+/// This box first, then those behind it by the view, then those that may stand there soon: boxes that start,
+/// and boxes of the previous succession, which may start again.
+fn heirs(node: &Node, spec: &EngineSpec, previous: Option<&Succession>) -> Vec<BoxId> {
     let members = read(&node.members);
-    let ranked = members
-        .view()
-        .succession(&spec.name, &spec.zone, &spec.region);
-    let others = ranked.into_iter().map(|heir| heir.id.clone());
+    let view = members.view();
+    let ranked = view.succession(&spec.name, &spec.zone, &spec.region);
+    let starting = view
+        .boxes()
+        .filter(|record| record.state == BoxState::Starting && record.zone == spec.zone);
+    let ranked = ranked.into_iter().chain(starting).map(|heir| &heir.id);
+    let previous = previous.iter().flat_map(|previous| &previous.boxes);
     let mut boxes = vec![node.id().clone()];
-    boxes.extend(others.filter(|id| id != node.id()));
+    for id in ranked.chain(previous) {
+        if boxes.len() < NAMED_AT_TAKEOVER && !boxes.contains(id) {
+            boxes.push(id.clone());
+        }
+    }
     boxes
 }
 
--- a/crates/tinbay-node/src/state.rs
+++ b/crates/tinbay-node/src/state.rs
@@ -162,10 +162,19 @@
         }
     }
 
-    /// Takes work from now on, once this box has met the others and serves their configuration.
+    /// Whether this box has not taken work yet.
+    pub fn is_starting(&self) -> bool {
+        read(&self.me).state == BoxState::Starting
+    }
+
+    /// Whether this box has met the others and serves the newest configuration that it has heard of.
+    pub fn is_current(&self) -> bool {
+        self.has_joined() && self.config.in_force() >= self.wanted_revision()
+    }
+
+    /// Takes work from now on.
     pub fn go_live(&self) {
-        let is_current = self.config.in_force() >= self.wanted_revision();
-        if self.has_joined() && is_current && self.enter(BoxState::Live) {
+        if self.enter(BoxState::Live) {
             log::info!(target: part::NODE, "live, takes engines over");
         }
     }
