An ask whose connect fails as its owner is held to be dead counts as not sent

It had found the dead owner unreachable four times; its fifth ask was given up in the millisecond in which the view dropped the owner, before its connect had failed, and counted as sent. A refusal by the next owner's queue, which would have been 'not run, come back', then became 'unknown'.

Change: such an ask is given 100 ms more for its connect to fail.

--- a/crates/tinbay-node/src/entry/remote.rs
+++ b/crates/tinbay-node/src/entry/remote.rs
@@ -1,5 +1,6 @@
 //! Passes a request to the box that owns its engine.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -24,6 +25,9 @@
 /// Beyond a request's own wait, what the owner may need for a takeover and the engine's head.
 const HEAD_MARGIN: Duration = Duration::from_secs(12);
 
+/// How long a connect to a box that has gone may take to fail.
+const CONNECT_FAILS_WITHIN: Duration = Duration::from_millis(100);
+
 /// Forwards a request and reads the answer's head.
 ///
 /// # Errors
@@ -55,11 +59,7 @@
         .send_json(&request);
     let within = Duration::from_millis(wait_left_ms) + HEAD_MARGIN;
     let mut owner_watch = OwnerWatch::new(node, owner);
-    let head = tokio::select! {
-        biased;
-        head = await_head(call, within) => head,
-        () = owner_watch.gone() => Err(CallError::TimedOut),
-    };
+    let head = head_unless_gone(await_head(call, within), &mut owner_watch).await;
     let response = head.map_err(|error| {
         // An ask to resume runs nothing.
         if error.is_not_sent() || resume_from.is_some() {
@@ -82,6 +82,22 @@
     Ok(AnswerStream::of_owner(info, reader, owner_watch))
 }
 
+/// Awaits a head until the owner is held to be dead. A connect that fails at the same moment is given time to
+/// show: it proves that nothing was sent.
+async fn head_unless_gone(
+    head: impl Future<Output = Result<ClientResponse, CallError>>,
+    owner_watch: &mut OwnerWatch,
+) -> Result<ClientResponse, CallError> {
+    let mut head = pin!(head);
+    tokio::select! {
+        biased;
+        head = &mut head => return head,
+        () = owner_watch.gone() => {}
+    }
+    let last = tokio::time::timeout(CONNECT_FAILS_WITHIN, head).await;
+    last.unwrap_or(Err(CallError::TimedOut))
+}
+
 fn number(response: &ClientResponse, name: &str) -> Millis {
     let value = response.headers().get(name);
     let text = value.and_then(|value| value.to_str().ok());
