Two boxes of a zone that start at once hear that the other has become live

What callers saw: nothing by itself. 3 s after a start each of the two held the other to be dead and met it anew; requests that were at one of them then were cut off.

Cause: a box that knows the other as starting does not count it among the keepers, once it is live itself, and sends it no heartbeats. The other does the same, so neither learns that the other has become live.

Evidence: box-3 live at 13.562, box-4 at 13.601, each with the other as 'Starting' in its view; 16.659 'box-4 is silent and held to be dead', 16.859 live again.

Change: boxes known as starting stay among those that a keeper meets, three each 0.5 s.

Test: is_unmet_box_known_as_starting fails before.

--- a/crates/tinbay-core/src/view.rs
+++ b/crates/tinbay-core/src/view.rs
@@ -161,9 +161,11 @@
     /// Whether a box is still to be met by one that has joined the others or not.
     ///
     /// Before that a box may know others by their heartbeats alone: they are in its view, but have not
-    /// told it theirs.
+    /// told it theirs. Boxes that start send none to each other, so neither would hear that the other one
+    /// has become live.
     pub fn is_unmet(&self, id: &BoxId, has_joined: bool) -> bool {
-        !has_joined || self.get(id).is_none()
+        let known = self.get(id);
+        !has_joined || known.is_none_or(|record| record.state == BoxState::Starting)
     }
 
     /// Every known box, by name.
--- a/crates/tinbay-core/tests/view_test.rs
+++ b/crates/tinbay-core/tests/view_test.rs
@@ -92,6 +92,17 @@
     assert!(view.is_unmet(&BoxId::new("box-9"), true));
 }
 
+// Two boxes of a zone that started at once held each other to be starting, and then to be dead.
+#[test]
+fn is_unmet_box_known_as_starting() {
+    let mut view = view(1);
+    let id = BoxId::new("box-3");
+    view.merge(record(3, "a", BoxState::Starting));
+    assert!(view.is_unmet(&id, true));
+    view.merge(record(3, "a", BoxState::Live));
+    assert!(!view.is_unmet(&id, true));
+}
+
 #[test]
 fn succession_prefers_the_engine_zone() {
     let view = view(9);
