Work that runs once is not told 'unknown' because its owner started again

Cause: an ask meant for the former run reaches the new one at the same address, which holds it for up to 1.5 s, in case it owns the engine soon. When the sender's view names the new run, the sender gives the ask up and can't tell any more whether it was carried out.

Change: an ask names the run that it is meant for, and another run refuses it at once.

Left: keys whose home box has died are told 'unknown' as before, as nobody else knows whether they were used.

--- a/crates/tinbay-cli/tests/scenarios_test.rs
+++ b/crates/tinbay-cli/tests/scenarios_test.rs
@@ -133,6 +133,12 @@
     assert_kept("restarted_owner");
 }
 
+// Work that runs once was told "unknown" after it had been sent to a new run of its owner.
+#[test]
+fn scenario_restarted_owner_once() {
+    assert_kept("restarted_owner_once");
+}
+
 // A box that woke from a freeze held boxes of another zone to be alive for good and passed requests to them.
 #[test]
 fn scenario_woken_box() {
--- a/crates/tinbay-node/src/entry/forwarded.rs
+++ b/crates/tinbay-node/src/entry/forwarded.rs
@@ -14,6 +14,7 @@
 use super::local;
 use super::progress::InProgress;
 use super::stream::AnswerStream;
+use crate::controllers::TAKE_OVER_MS;
 use crate::filters::Failure;
 use crate::state::Node;
 
@@ -36,6 +37,11 @@
 ) -> Result<AnswerStream, Failure> {
     let limit_bytes = node.options.max_body_bytes + ENVELOPE_BYTES;
     let forward: ForwardRequest = read_json(payload.into_inner(), limit_bytes).await?;
+    if forward.owner_run.is_some_and(|run| run != node.incarnation) {
+        return Err(Failure::NotOwner {
+            retry_after_ms: TAKE_OVER_MS,
+        });
+    }
     if !node.reach_revision(forward.revision).await {
         return Err(Failure::StaleConfiguration);
     }
--- a/crates/tinbay-node/src/entry/remote.rs
+++ b/crates/tinbay-node/src/entry/remote.rs
@@ -20,6 +20,7 @@
 use super::owner_watch::OwnerWatch;
 use super::stream::{AnswerStream, RunInfo};
 use crate::filters::Failure;
+use crate::logging::part;
 use crate::state::Node;
 
 /// Beyond a request's own wait, what the owner may need for a takeover and the engine's head.
@@ -50,6 +51,7 @@
         age_ms: now_ms.saturating_sub(job.arrived_ms),
         wait_left_ms,
         revision: node.config.in_force(),
+        owner_run: Some(owner.incarnation),
     };
     let url = format!("http://{}/internal/v1/run", owner.address);
     let call = pooled_client()
@@ -61,6 +63,7 @@
     let mut owner_watch = OwnerWatch::new(node, owner);
     let head = head_unless_gone(await_head(call, within), &mut owner_watch).await;
     let response = head.map_err(|error| {
+        log::debug!(target: part::ENTRY, "{} got no head from {}: {error}", job.request_id, owner.id);
         // An ask to resume runs nothing.
         if error.is_not_sent() || resume_from.is_some() {
             AttemptError::owner_lost(OwnerLoss::Unreachable)
@@ -69,7 +72,12 @@
         }
     })?;
     if !response.status().is_success() {
-        return Err(read_error(&response).await);
+        let error = read_error(&response).await;
+        log::debug!(
+            target: part::ENTRY,
+            "{} was refused by {} with {}: {}", job.request_id, owner.id, response.status(), error.failure,
+        );
+        return Err(error);
     }
     let info = RunInfo {
         owner: owner.id.clone(),
--- a/crates/tinbay-wire/src/forward.rs
+++ b/crates/tinbay-wire/src/forward.rs
@@ -1,7 +1,7 @@
 //! A request that an entry box passes to the owner of an engine.
 
 use serde::{Deserialize, Serialize};
-use tinbay_core::ids::EngineId;
+use tinbay_core::ids::{EngineId, Incarnation};
 use tinbay_core::units::{Millis, Revision};
 
 use crate::engine::EngineRequest;
@@ -23,4 +23,8 @@
     pub wait_left_ms: Millis,
     /// Configuration revision the sender serves from.
     pub revision: Revision,
+    /// The run of the receiver that the sender holds to be the owner. A later run refuses the request: the
+    /// sender gives it up once it hears of the restart, and could not tell whether it ran.
+    #[serde(default)]
+    pub owner_run: Option<Incarnation>,
 }
