--- a/crates/tinbay-cli/tests/scenarios_test.rs
+++ b/crates/tinbay-cli/tests/scenarios_test.rs
@@ -191,12 +191,30 @@
     }
 }
 
-// A second loss of an owner within seconds was taken for the first one overdue, and requests were refused.
+// Asks that ended late at a replaced owner had requests refused.
 #[test]
 fn scenario_soak_seed_206() {
     assert_kept_with("soak", 206);
 }
 
+// Boxes that joined as an outage began were held to own engines that they could not take over.
+#[test]
+fn scenario_soak_seed_324() {
+    assert_kept_with("soak", 324);
+}
+
+// An engine loses two owners within the time that its callers may wait.
+#[test]
+fn scenario_soak_seed_409() {
+    assert_kept_with("soak", 409);
+}
+
+// The next owner comes a few milliseconds after requests that were queued at the lost one had to start.
+#[test]
+fn scenario_soak_seed_415() {
+    assert_kept_with("soak", 415);
+}
+
 #[test]
 fn scenario_broken_promise_is_named_with_trace_and_seed() {
     let _turn = take_turn();
