A keeper that is heard again after a freeze gets the whole time to answer

Read once more: after a removal the silence of a keeper's answers was remembered, so that its first missed answer would have removed it again. Only the silence of heartbeats needs to be remembered. The look whether a box may go live is rare once it has.

--- a/crates/tinbay-core/src/silence.rs
+++ b/crates/tinbay-core/src/silence.rs
@@ -43,6 +43,11 @@
         }
     }
 
+    /// Forgets a box.
+    pub fn forget(&mut self, id: &BoxId) {
+        self.heard.remove(id);
+    }
+
     /// Forgets boxes that have not been heard since a time.
     pub fn forget_before(&mut self, oldest_ms: Millis) {
         self.heard.retain(|_, heard| heard.at_ms >= oldest_ms);
--- a/crates/tinbay-core/tests/silence_test.rs
+++ b/crates/tinbay-core/tests/silence_test.rs
@@ -50,4 +50,6 @@
     silences.note_heard(&run(1), 0);
     silences.forget_before(1);
     assert_eq!(silences.silent_ms(&run(1), 5_000), 0);
+    silences.forget(&run(1).id);
+    assert_eq!(silences.silent_ms(&run(1), 9_000), 0);
 }
--- a/crates/tinbay-node/src/controllers/heartbeat.rs
+++ b/crates/tinbay-node/src/controllers/heartbeat.rs
@@ -24,7 +24,8 @@
 use crate::state::Node;
 use crate::util::sync::{read, write};
 
-/// How long a removed box's silence is remembered, so that an old view does not bring it back for long.
+/// How long the silence of a removed box is remembered, so that another box's older view does not bring it
+/// back as one just met.
 const SILENCE_KEPT_MS: Millis = 600_000;
 
 /// Sends heartbeats within the zone and keeps the view.
@@ -129,6 +130,8 @@
         let now_ms = self.node.clock.now_ms();
         let run = keeper.run();
         if self.answers.silent_ms(&run, now_ms) >= self.dead_after_ms() {
+            // One that is heard again, as after a freeze, gets the whole time to answer.
+            self.answers.forget(&run.id);
             self.remove(&run);
         }
     }
--- a/crates/tinbay-node/src/controllers/start.rs
+++ b/crates/tinbay-node/src/controllers/start.rs
@@ -11,12 +11,15 @@
 use crate::state::Node;
 use crate::util::sync::read;
 
-/// Time between looks.
+/// Time between looks while the box starts.
 const PERIOD: Duration = Duration::from_millis(50);
 
 /// Time between asks at a key-value service that did not answer.
 const ASK_AGAIN: Duration = Duration::from_millis(500);
 
+/// Time between looks once it has started.
+const STARTED: Duration = Duration::from_secs(60);
+
 /// Declares the box live once it has met the others, serves their configuration and reaches the key-value
 /// service.
 ///
@@ -37,7 +40,11 @@
     }
 
     async fn start(&mut self) {
-        if !self.node.is_starting() || !self.node.is_current() {
+        if !self.node.is_starting() {
+            self.period = STARTED;
+            return;
+        }
+        if !self.node.is_current() {
             return;
         }
         if self.has_live_others() && self.node.kv.get(keys::CONFIG_HEAD).await.is_err() {
