Callers that resume an answer wait for the next owner of its engine

What callers saw: after an owner's death its callers ask for the rest of their answers elsewhere and are refused at once with 'not_owner'.

Cause: an ask to resume was bound by the time that its class may wait for a start, though it only reads a run that has started. Streams that a box resumes by itself wait for 15 s.

Evidence: 'waits no longer for an owner of engine-1, 3327 ms before its end: the next one is expected in 3535 ms' for asks with a position; the next owner came 1.4 s later.

Change: an ask to resume has the same 15 s, or its class's wait if that is longer.

--- a/crates/tinbay-cli/tests/scenarios_test.rs
+++ b/crates/tinbay-cli/tests/scenarios_test.rs
@@ -51,6 +51,12 @@
     assert_kept("lost_owner");
 }
 
+// Callers that resumed an answer between two owners were refused by the time that their class may wait to start.
+#[test]
+fn scenario_resume_between_owners() {
+    assert_kept("resume_between_owners");
+}
+
 // Streams through another box were told that the rest was gone while the engine had it.
 #[test]
 fn scenario_forwarded_streams() {
--- a/crates/tinbay-node/src/entry/attempts.rs
+++ b/crates/tinbay-node/src/entry/attempts.rs
@@ -23,7 +23,7 @@
 const MAX_ATTEMPTS: u32 = 4;
 
 /// How long an answer may stand still while the next owner of its engine is awaited.
-const RESUME_WITHIN_MS: Millis = 15_000;
+pub const RESUME_WITHIN_MS: Millis = 15_000;
 
 /// Wait noted for an engine that is leaving, so that the next requests try others first.
 const AVOIDED_WAIT_MS: Millis = 600_000;
--- a/crates/tinbay-node/src/entry/completions.rs
+++ b/crates/tinbay-node/src/entry/completions.rs
@@ -9,7 +9,7 @@
 use tinbay_wire::completion::CompletionRequest;
 
 use super::answer;
-use super::attempts::Attempts;
+use super::attempts::{Attempts, RESUME_WITHIN_MS};
 use super::job::Job;
 use super::progress::InProgress;
 use super::stream::RunInfo;
@@ -58,6 +58,12 @@
 
 fn to_job(context: &Context<'_>, body: &CompletionRequest) -> Job {
     let treatment = context.treatment;
+    let resume_from = context.identity.resume_from;
+    // A class bounds the wait for a start; a resume only reads a run that has started.
+    let wait_ms = match resume_from {
+        Some(_) => treatment.max_wait_ms.max(RESUME_WITHIN_MS),
+        None => treatment.max_wait_ms,
+    };
     Job {
         name: context.identity.name.clone(),
         request_id: context.identity.request_id.clone(),
@@ -71,8 +77,8 @@
         urgent: treatment.urgent,
         repeatable: treatment.repeatable,
         arrived_ms: context.arrived_ms,
-        start_by_ms: context.arrived_ms + treatment.max_wait_ms,
-        resume_from: context.identity.resume_from,
+        start_by_ms: context.arrived_ms + wait_ms,
+        resume_from,
     }
 }
 
--- a/crates/tinbay-node/src/entry/job.rs
+++ b/crates/tinbay-node/src/entry/job.rs
@@ -31,7 +31,7 @@
     pub repeatable: bool,
     /// When it arrived here.
     pub arrived_ms: Millis,
-    /// When it must have started.
+    /// When it must have started or, for a resume, when its run is given up.
     pub start_by_ms: Millis,
     /// The first position a resuming caller needs.
     pub resume_from: Option<u64>,
