Successions follow the next box and the engine's zone, not cuts of other zones

Cause: since successions are extended, a box of a cut zone that filled the third place of an engine's short zone was replaced by one of another zone, at a cost of a write an engine; a cut of zones would cost that for each engine in a zone of fewer than three boxes.

Change: a succession is extended for the next box and for boxes of the engine's zone.

--- a/crates/tinbay-node/src/controllers/ownership.rs
+++ b/crates/tinbay-node/src/controllers/ownership.rs
@@ -46,7 +46,8 @@
 /// An engine that this box should own by its view.
 struct Desired {
     spec: EngineSpec,
-    /// This box and those behind it.
+    /// This box, the next one, and others of the engine's zone that stand behind it. Boxes of other zones
+    /// fill places that the zone leaves open; which of them do changes whenever a zone is cut off.
     heirs: Vec<BoxId>,
 }
 
@@ -140,7 +141,12 @@
                 let heirs = members
                     .view()
                     .succession(&spec.name, &spec.zone, &spec.region);
-                let heirs: Vec<BoxId> = heirs.into_iter().map(|heir| heir.id.clone()).collect();
+                let heirs: Vec<BoxId> = heirs
+                    .into_iter()
+                    .enumerate()
+                    .filter(|(place, heir)| *place <= 1 || heir.zone == spec.zone)
+                    .map(|(_, heir)| heir.id.clone())
+                    .collect();
                 (heirs.first() == Some(me)).then_some(Desired { spec, heirs })
             })
             .collect();
