--- a/crates/tinbay-cli/tests/scenarios_test.rs
+++ b/crates/tinbay-cli/tests/scenarios_test.rs
@@ -221,6 +221,12 @@
     assert_kept_with("soak", 415);
 }
 
+// An adapter was ordered to be unloaded while it served, after a box that passed requests on had died.
+#[test]
+fn scenario_soak_seed_437() {
+    assert_kept_with("soak", 437);
+}
+
 #[test]
 fn scenario_broken_promise_is_named_with_trace_and_seed() {
     let _turn = take_turn();
