Runs that nobody follows keep their adapters whatever an older report says

A report that was asked for before a run was detached may be older than the run. It cleared the count of runs that nobody follows. Names of requests that only wait counted as followed runs, so that a run of an earlier attempt under the same name counted for nothing. A report and the runs followed are now compared in the same step in which the scheduler takes them in.

Asking an engine for a report stood three times; it is one function.

--- a/crates/tinbay-node/src/controllers/engine_watch.rs
+++ b/crates/tinbay-node/src/controllers/engine_watch.rs
@@ -8,8 +8,7 @@
 use futures_util::future::{LocalBoxFuture, join_all};
 
 use super::Controller;
-use crate::engines::{EngineApi, HttpEngine};
-use crate::owners::OwnedEngine;
+use crate::owners::recount;
 use crate::state::Node;
 
 /// Time between looks.
@@ -31,14 +30,7 @@
     async fn look(&self) {
         let engines = self.node.owners.all();
         self.node.metrics.engines_owned.set(engines.len() as i64);
-        join_all(engines.iter().map(look_at)).await;
-    }
-}
-
-async fn look_at(engine: &Arc<OwnedEngine>) {
-    let api = HttpEngine::new(&engine.spec().address);
-    if let Ok(state) = api.state().await {
-        engine.observe(&state);
+        join_all(engines.iter().map(recount)).await;
     }
 }
 
--- a/crates/tinbay-node/src/controllers/succession.rs
+++ b/crates/tinbay-node/src/controllers/succession.rs
@@ -277,6 +277,7 @@
     epoch: u64,
     place: u32,
 ) -> Result<(), EngineError> {
+    let asked_ms = node.clock.now_ms();
     let api = HttpEngine::new(&spec.address);
     let mut state: EngineState = api.state().await?;
     let fence = Fence::above(state.fence, epoch, place)
@@ -290,9 +291,9 @@
     }
     let settings = OwnerSettings::from_policy(node.policies.settings(&node.config));
     let owned = OwnedEngine::new(spec.clone(), settings, order, node.clock, node.jobs.clone());
-    owned.learn(&state);
+    owned.learn(&state, asked_ms);
     node.owners.insert(owned);
-    node.metrics.engines_owned.set(node.owners.len() as i64);
+    node.metrics.engines_owned.set(node.owners.count() as i64);
     log::info!(
         target: part::OWNER,
         "owner of {} by epoch {} rank {}, {} adapters loaded",
--- a/crates/tinbay-node/src/entry/local.rs
+++ b/crates/tinbay-node/src/entry/local.rs
@@ -16,7 +16,7 @@
 use crate::engines::{EngineApi, EngineError, HttpEngine};
 use crate::filters::Failure;
 use crate::logging::part;
-use crate::owners::{OwnedEngine, Verdict};
+use crate::owners::{OwnedEngine, Verdict, recount};
 use crate::state::Node;
 use crate::util::sync::{lock, read};
 
@@ -101,7 +101,7 @@
         if !queue_again {
             return Err(error.attempt);
         }
-        observe(owned).await;
+        recount(owned).await;
     }
 }
 
@@ -112,12 +112,6 @@
     refusal: Option<EngineRefusal>,
 }
 
-async fn observe(owned: &Arc<OwnedEngine>) {
-    if let Ok(state) = HttpEngine::new(&owned.spec().address).state().await {
-        owned.observe(&state);
-    }
-}
-
 async fn queue_and_send(
     node: &Arc<Node>,
     job: &Job,
--- a/crates/tinbay-node/src/lib.rs
+++ b/crates/tinbay-node/src/lib.rs
@@ -15,7 +15,7 @@
 mod metrics;
 pub mod node;
 pub mod options;
-mod owners;
+pub mod owners;
 mod platform;
 mod state;
 pub mod util;
--- a/crates/tinbay-node/src/owners/mod.rs
+++ b/crates/tinbay-node/src/owners/mod.rs
@@ -3,7 +3,7 @@
 mod orders;
 mod owned;
 
-pub use orders::run_orders;
+pub use orders::{recount, run_orders};
 pub use owned::{OrderJob, OwnedEngine, RunGuard, Verdict};
 
 use std::collections::HashMap;
@@ -41,7 +41,7 @@
     }
 
     /// How many engines are owned.
-    pub fn len(&self) -> usize {
+    pub fn count(&self) -> usize {
         read(&self.engines).len()
     }
 }
--- a/crates/tinbay-node/src/owners/orders.rs
+++ b/crates/tinbay-node/src/owners/orders.rs
@@ -123,18 +123,20 @@
     }
 }
 
-/// Asks the engine what it runs, since something runs that nobody here follows. What is known of its slots
-/// stays, the pause before the next order among it.
-async fn recount(engine: &Arc<OwnedEngine>) {
+/// Asks the engine what it runs: something may run that nobody here follows. What is known of its slots stays,
+/// the pause before the next order among it.
+pub async fn recount(engine: &Arc<OwnedEngine>) {
+    let asked_ms = engine.now_ms();
     if let Ok(state) = HttpEngine::new(&engine.spec().address).state().await {
-        engine.observe(&state);
+        engine.observe(&state, asked_ms);
     }
 }
 
 /// Asks the engine what it holds, since what is known has proved wrong.
 async fn relearn(engine: &Arc<OwnedEngine>) {
+    let asked_ms = engine.now_ms();
     if let Ok(state) = HttpEngine::new(&engine.spec().address).state().await {
-        engine.learn(&state);
+        engine.learn(&state, asked_ms);
     }
 }
 
--- a/crates/tinbay-node/src/owners/owned.rs
+++ b/crates/tinbay-node/src/owners/owned.rs
@@ -9,7 +9,7 @@
     Scheduler,
 };
 use tinbay_core::fence::{Fence, Order};
-use tinbay_core::ids::{BoxId, RequestId};
+use tinbay_core::ids::{BoxId, ModelRef, RequestId};
 use tinbay_core::units::Millis;
 use tinbay_wire::admin::EngineStatus;
 use tinbay_wire::engine::EngineState;
@@ -50,12 +50,63 @@
 struct OwnedState {
     scheduler: EngineOwner,
     waiters: HashMap<RequestId, oneshot::Sender<Verdict>>,
-    /// Requests sent to the engine and not yet ended, by their names there.
-    sent: HashMap<RequestId, String>,
+    /// Requests that wait here or were sent to the engine and not yet seen to end.
+    requests: HashMap<RequestId, NamedRequest>,
+    /// Runs that nobody here follows, until a report that was asked for later.
+    detached: Vec<DetachedRun>,
     order: Order,
     released: bool,
 }
 
+/// A request by its name at the engine.
+struct NamedRequest {
+    name: String,
+    model: ModelRef,
+    /// A run of an earlier attempt may have the same name while this one waits.
+    is_dispatched: bool,
+}
+
+/// A run whose end nobody here will see.
+struct DetachedRun {
+    name: String,
+    model: ModelRef,
+    detached_ms: Millis,
+}
+
+impl OwnedState {
+    /// What the engine holds, and which of its requests nobody here follows.
+    ///
+    /// A report says nothing of a run that was detached after it was asked for: the run may have begun later.
+    fn contents(&mut self, engine_state: &EngineState, asked_ms: Millis) -> EngineContents {
+        self.detached.retain(|run| run.detached_ms >= asked_ms);
+        let followed: HashSet<&str> = self
+            .requests
+            .values()
+            .filter(|request| request.is_dispatched)
+            .map(|request| request.name.as_str())
+            .collect();
+        let reported: HashSet<&str> = engine_state
+            .running
+            .iter()
+            .map(|running| running.request.as_str())
+            .collect();
+        let unfollowed = engine_state
+            .running
+            .iter()
+            .filter(|running| !followed.contains(running.request.as_str()))
+            .map(|running| &running.model);
+        let unreported = self
+            .detached
+            .iter()
+            .filter(|run| !reported.contains(run.name.as_str()))
+            .map(|run| &run.model);
+        EngineContents {
+            loaded: engine_state.loaded.clone(),
+            inherited: unfollowed.chain(unreported).cloned().collect(),
+        }
+    }
+}
+
 /// A place in the engine's batch. Dropping it gives the place back; a request that was sent and not seen to
 /// end keeps it until the engine reports that it runs no more.
 pub struct RunGuard {
@@ -80,11 +131,12 @@
 
 impl Drop for RunGuard {
     fn drop(&mut self) {
-        self.engine.forget_name(self.id);
-        self.engine.handle(match self.may_run {
-            true => Event::Detached(self.id),
-            false => Event::Finished(self.id),
-        });
+        if self.may_run {
+            self.engine.detach(self.id);
+        } else {
+            self.engine.forget_name(self.id);
+            self.engine.handle(Event::Finished(self.id));
+        }
     }
 }
 
@@ -120,7 +172,8 @@
             state: Mutex::new(OwnedState {
                 scheduler: EngineOwner::new(shape, settings),
                 waiters: HashMap::new(),
-                sent: HashMap::new(),
+                requests: HashMap::new(),
+                detached: Vec::new(),
                 order,
                 released: false,
             }),
@@ -132,6 +185,11 @@
         &self.spec
     }
 
+    /// Now, as reports of the engine are asked for.
+    pub fn now_ms(&self) -> Millis {
+        self.clock.now_ms()
+    }
+
     /// The right under which orders are given.
     pub fn order(&self) -> Order {
         lock(&self.state).order
@@ -151,7 +209,12 @@
                 return refused;
             }
             state.waiters.insert(id, sender);
-            state.sent.insert(id, name.to_owned());
+            let request = NamedRequest {
+                name: name.to_owned(),
+                model: ask.model.clone(),
+                is_dispatched: false,
+            };
+            state.requests.insert(id, request);
         }
         let waiting = WaitGuard { engine: self, id };
         self.handle(Event::Submit(ask));
@@ -166,10 +229,16 @@
 
     /// Takes an event and carries out what follows.
     pub fn handle(self: &Arc<Self>, event: Event) {
+        self.handle_made(|_| event);
+    }
+
+    /// Takes an event that depends on the state, with nothing in between.
+    fn handle_made(self: &Arc<Self>, make: impl FnOnce(&mut OwnedState) -> Event) {
         let now_ms = self.clock.now_ms();
         let mut deliveries = Vec::new();
         {
             let mut state = lock(&self.state);
+            let event = make(&mut state);
             for command in state.scheduler.handle(now_ms, event) {
                 self.sort(&mut state, command, &mut deliveries);
             }
@@ -188,6 +257,9 @@
     ) {
         let (id, verdict) = match command {
             Command::Dispatch { id, stall_ms } => {
+                if let Some(request) = state.requests.get_mut(&id) {
+                    request.is_dispatched = true;
+                }
                 let engine = Arc::clone(self);
                 let guard = RunGuard {
                     engine,
@@ -202,7 +274,7 @@
                 reason,
                 retry_after_ms,
             } => {
-                state.sent.remove(&id);
+                state.requests.remove(&id);
                 let verdict = Verdict::Refused {
                     reason,
                     retry_after_ms,
@@ -230,44 +302,45 @@
     }
 
     fn forget_name(&self, id: RequestId) {
-        lock(&self.state).sent.remove(&id);
+        lock(&self.state).requests.remove(&id);
     }
 
-    /// Takes in what the engine says it holds, after a takeover or a restart.
-    pub fn learn(self: &Arc<Self>, engine_state: &EngineState) {
-        lock(&self.state).order.incarnation = engine_state.incarnation;
-        let contents = self.contents(engine_state);
-        self.handle(Event::Learnt(contents));
+    /// Follows a run no longer that the engine may go on with.
+    fn detach(self: &Arc<Self>, id: RequestId) {
+        let detached_ms = self.clock.now_ms();
+        self.handle_made(|state| {
+            if let Some(request) = state.requests.remove(&id) {
+                state.detached.push(DetachedRun {
+                    name: request.name,
+                    model: request.model,
+                    detached_ms,
+                });
+            }
+            Event::Detached(id)
+        });
     }
 
-    /// Compares a report of the engine with what is known.
-    pub fn observe(self: &Arc<Self>, engine_state: &EngineState) {
-        if engine_state.incarnation != self.order().incarnation {
-            self.learn(engine_state);
-            return;
-        }
-        if engine_state.leaving {
-            self.handle(Event::EngineLeaves);
-            return;
-        }
-        let contents = self.contents(engine_state);
-        self.handle(Event::Observed(contents));
+    /// Takes in what the engine says it holds, after a takeover or a restart; it was asked at `asked_ms`.
+    pub fn learn(self: &Arc<Self>, engine_state: &EngineState, asked_ms: Millis) {
+        self.handle_made(|state| {
+            if state.order.incarnation != engine_state.incarnation {
+                state.order.incarnation = engine_state.incarnation;
+                state.detached.clear();
+            }
+            Event::Learnt(state.contents(engine_state, asked_ms))
+        });
     }
 
-    /// What the engine holds, and which of its requests this owner did not send.
-    fn contents(&self, engine_state: &EngineState) -> EngineContents {
-        let state = lock(&self.state);
-        let own: HashSet<&str> = state.sent.values().map(String::as_str).collect();
-        let inherited = engine_state
-            .running
-            .iter()
-            .filter(|running| !own.contains(running.request.as_str()))
-            .map(|running| running.model.clone())
-            .collect();
-        EngineContents {
-            loaded: engine_state.loaded.clone(),
-            inherited,
+    /// Compares a report of the engine with what is known; it was asked for at `asked_ms`.
+    pub fn observe(self: &Arc<Self>, engine_state: &EngineState, asked_ms: Millis) {
+        if engine_state.incarnation != self.order().incarnation {
+            self.learn(engine_state, asked_ms);
+            return;
         }
+        self.handle_made(|state| match engine_state.leaving {
+            true => Event::EngineLeaves,
+            false => Event::Observed(state.contents(engine_state, asked_ms)),
+        });
     }
 
     /// Gives the engine up: what waits is refused as not run, what runs goes on.
