The stand-in of an engine no longer counts a replaced run as served for good

In seed 324 five adapters of one engine were refused at once, again and again for 2 s, with no run of theirs in the engine's report.

Cause, in the stand-in: a run begun under the name of one still under way took its place among the streams, and the place of the first in the batch and at its adapter was never given back. Callers ask again under one name after a box has died.

The check stays as it is. Test: begin_second_run_of_a_name_ends_the_first, failed before.

--- a/crates/tinbay-standin/src/engine/model.rs
+++ b/crates/tinbay-standin/src/engine/model.rs
@@ -197,9 +197,14 @@
         if self.running >= self.batch_limit {
             return Err(EngineRefusal::BatchFull);
         }
-        let slot = self.slots.get_mut(&call.model).filter(|slot| slot.ready);
-        let slot = slot.ok_or(EngineRefusal::NotLoaded)?;
-        slot.serving += 1;
+        if !self.slots.get(&call.model).is_some_and(|slot| slot.ready) {
+            return Err(EngineRefusal::NotLoaded);
+        }
+        // A second run under a name takes the place of the first.
+        self.cancel(&call.request);
+        if let Some(slot) = self.slots.get_mut(&call.model) {
+            slot.serving += 1;
+        }
         self.running += 1;
         self.next_run += 1;
         *self.report.runs.entry(call.request.clone()).or_default() += 1;
