Watch a box's links to the servers, and log when they are lost

Nothing said that a box had lost its links: each failed try logged its own server. A failure at one server now makes the box check others that it uses and that are silent too; from these it derives whether its own links have failed. The result is logged (event links) and shown by gauges and a counter of checks; tries that were not sent log why. No request is handled differently yet.

--- a/crates/tinbay-core/src/lib.rs
+++ b/crates/tinbay-core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod ids;
 pub mod keys;
 pub mod limits;
+pub mod links;
 pub mod loads;
 pub mod memory;
 pub mod naive;
--- /dev/null
+++ b/crates/tinbay-core/src/links/mod.rs
@@ -0,0 +1,108 @@
+//! Links from one box to the backend servers.
+//!
+//! A connection that fails shows that the server or the link to it has failed, but not which. If
+//! many servers can't be reached at the same time, the box's own links are the likelier cause, and
+//! what it sees then says nothing about the servers.
+
+pub mod targets;
+
+use crate::units::Millis;
+
+/// Time for which a server that answered counts as reachable.
+const HEARD_LIFE_MS: Millis = 1_500;
+
+/// Servers that must be unreachable before the box's own links are suspected.
+const MIN_DOWN: usize = 2;
+
+/// A box counts as partitioned if at least one in this many servers is unreachable. One zone of a
+/// system with three or four can be lost without any other sign.
+const PARTITIONED_ONE_IN: usize = 4;
+
+/// What a box knows of its link to one server.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Link {
+    heard_ms: Option<Millis>,
+    down_since_ms: Option<Millis>,
+}
+
+impl Link {
+    /// Records that bytes arrived from the server.
+    pub fn record_heard(&mut self, now_ms: Millis) {
+        self.heard_ms = Some(now_ms);
+    }
+
+    /// Records that a check reached the server; returns whether the link was down.
+    pub fn record_reached(&mut self, now_ms: Millis) -> bool {
+        self.record_heard(now_ms);
+        self.down_since_ms.take().is_some()
+    }
+
+    /// Records that the server accepted no connection; returns whether the link was up. Bytes on
+    /// connections that are still open don't bring the link up, as new ones may fail meanwhile.
+    pub fn record_failed(&mut self, now_ms: Millis) -> bool {
+        let was_up = !self.is_down();
+        self.down_since_ms.get_or_insert(now_ms);
+        was_up
+    }
+
+    /// Whether new connections to the server fail.
+    pub fn is_down(&self) -> bool {
+        self.down_since_ms.is_some()
+    }
+
+    /// Whether the link has been down for this time.
+    pub fn is_down_for(&self, duration_ms: Millis, now_ms: Millis) -> bool {
+        self.down_since_ms
+            .is_some_and(|since_ms| now_ms >= since_ms + duration_ms)
+    }
+
+    /// Whether bytes have arrived from the server since a time.
+    pub fn is_heard_since(&self, since_ms: Millis) -> bool {
+        self.heard_ms.is_some_and(|heard_ms| heard_ms >= since_ms)
+    }
+}
+
+/// Links to a number of servers, by state. Servers that this box has not used lately count as
+/// neither.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LinkCounts {
+    /// Links on which new connections fail.
+    pub down: usize,
+    /// Links on which servers answered recently.
+    pub up: usize,
+    /// All links.
+    pub known: usize,
+}
+
+impl LinkCounts {
+    /// Counts a link.
+    pub fn add(&mut self, link: &Link, now_ms: Millis) {
+        self.known += 1;
+        if link.is_down() {
+            self.down += 1;
+        } else if link.is_heard_since(now_ms.saturating_sub(HEARD_LIFE_MS)) {
+            self.up += 1;
+        }
+    }
+
+    /// Whether so many links are down that the box's own links have probably failed.
+    pub fn is_partitioned(&self) -> bool {
+        self.down >= MIN_DOWN && self.is_partly_down()
+    }
+
+    /// Whether at least the fraction of the links that counts for a partition is down, or none is
+    /// known to work.
+    fn is_partly_down(&self) -> bool {
+        self.down * PARTITIONED_ONE_IN >= self.down + self.up
+    }
+
+    /// Whether all links are down.
+    pub fn are_all_down(&self) -> bool {
+        self.known > 0 && self.down == self.known
+    }
+
+    /// Whether requests for a service with these links should go through another box.
+    pub fn needs_other_box(&self, is_box_partitioned: bool) -> bool {
+        self.are_all_down() || (is_box_partitioned && self.is_partly_down())
+    }
+}
--- a/crates/tinbay-gateway/src/front/attempt.rs
+++ b/crates/tinbay-gateway/src/front/attempt.rs
@@ -17,6 +17,7 @@
 use crate::http::pool::{ConnectError, Connection, ReusableIdle};
 use crate::http::reuse::Reuse;
 use crate::limits::permits::Permit;
+use crate::links;
 use crate::node::Node;
 use crate::port::dialect::HeaderNames;
 use crate::servers::notices::{self, AnswerHead, RequestKind};
@@ -120,12 +121,14 @@
     terms: AttemptTerms<'_>,
 ) -> AttemptResult {
     let running = node.begin_request(terms.server, inbound, terms.prefill_tokens);
+    let began_ms = node.now_ms();
     let pending = Cell::default();
     let exchange = exchange(node, inbound, body, &terms, &pending);
     match tokio::time::timeout(terms.head_timeout, exchange).await {
         Err(_) => {
             if terms.head_timeout >= terms.silent_after {
                 record_silent(&pending);
+                links::record_silence(node, terms.server, began_ms);
             }
             AttemptResult::unknown(UnknownCause::Silent)
         }
@@ -166,6 +169,9 @@
             .pool
             .get(terms.max_connections, terms.reusable)
             .await;
+        if matches!(connected, Err(ConnectError::Refused)) {
+            links::record_failure(node, terms.server);
+        }
         let mut connection = connected.map_err(|error| AttemptResult::NotSent { error })?;
         // The server was chosen before the wait for a connection, so its state is checked again.
         let now_ms = node.now_ms();
@@ -179,7 +185,7 @@
         let known_bytes = request.body().known_bytes();
         let boxes = node.box_count.get();
         let _unread = terms.server.waiting.begin(known_bytes, boxes);
-        match send(&mut connection, request, terms, pending).await {
+        match send(node, &mut connection, request, terms, pending).await {
             Ok(response) => {
                 return Ok(UnclassifiedResponse {
                     response,
@@ -199,27 +205,33 @@
     }
 }
 
-/// Sends a request on a connection and records the outcome if the connection was reused.
+/// Sends a request on a connection, and records a missing answer and the outcome if the connection
+/// was reused.
 async fn send(
+    node: &Node,
     connection: &mut Connection,
     request: Request<RequestBody>,
     terms: &AttemptTerms<'_>,
     pending: &PendingReuse,
 ) -> Result<Response<Incoming>, TrySendError<Request<RequestBody>>> {
-    if connection.reuse.is_none() {
-        return connection.sender.try_send_request(request).await;
-    }
     pending.set(connection.reuse.take());
     let sent = Instant::now();
+    let sent_ms = node.now_ms();
     let mut sending = pin!(connection.sender.try_send_request(request));
     let overdue = tokio::time::timeout(terms.silent_after, &mut sending).await;
     let result = match overdue {
         Ok(result) => result,
         Err(_) => {
             record_silent(pending);
+            links::record_silence(node, terms.server, sent_ms);
             sending.await
         }
     };
+    match &result {
+        Ok(_) => terms.server.pool.record_heard(),
+        Err(error) if connection.is_reused && error.message().is_some() => {}
+        Err(_) => links::record_silence(node, terms.server, sent_ms),
+    }
     if let Some(reuse) = pending.take() {
         match &result {
             Ok(_) => reuse.record_answered(),
--- a/crates/tinbay-gateway/src/front/request_log.rs
+++ b/crates/tinbay-gateway/src/front/request_log.rs
@@ -33,6 +33,7 @@
 pub fn log_attempt(node: &Node, inbound: &InboundRequest, server: &Server, result: &AttemptResult) {
     let cause = match result {
         AttemptResult::Unknown { cause } => Some(cause.name()),
+        AttemptResult::NotSent { error } => Some(error.name()),
         _ => None,
     };
     let (outcome, status, level) = match result {
--- a/crates/tinbay-gateway/src/housekeeping.rs
+++ b/crates/tinbay-gateway/src/housekeeping.rs
@@ -59,6 +59,12 @@
     );
     set_gauge("can_order", usize::from(node.can_order()));
     set_gauge("connections", node.connections.get());
+    let is_down = |server: &&Rc<Server>| server.pool.link().is_down();
+    set_gauge(
+        "servers_not_reached",
+        node.servers.borrow().all().filter(is_down).count(),
+    );
+    set_gauge("services_not_reached", node.links.unreached_count());
     let (scarce, waiting) = holder::counts(node);
     set_gauge("servers_scarce", scarce);
     set_gauge("requests_waiting_for_room", waiting);
--- a/crates/tinbay-gateway/src/http/pool.rs
+++ b/crates/tinbay-gateway/src/http/pool.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use hyper::client::conn::http1::SendRequest;
+use tinbay_core::links::Link;
 use tinbay_core::serving::idle_reuse::MIN_IDLE_LIMIT_MS;
 use tinbay_core::serving::servers::ServerKey;
 use tinbay_core::units::Millis;
@@ -40,6 +41,16 @@
     Refused,
 }
 
+impl ConnectError {
+    /// Name for logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            ConnectError::AllInUse => "all_in_use",
+            ConnectError::Refused => "no_connection",
+        }
+    }
+}
+
 /// Open connections to one server, with those that are idle ready for reuse.
 #[derive(Debug)]
 pub struct Pool {
@@ -54,6 +65,7 @@
     clock: Clock,
     idle: RefCell<Vec<Idle>>,
     open: Rc<Cell<usize>>,
+    link: Cell<Link>,
 }
 
 #[derive(Debug)]
@@ -109,9 +121,38 @@
             clock,
             idle: RefCell::default(),
             open: Rc::default(),
+            link: Cell::default(),
         }
     }
 
+    /// State of this box's link to the server.
+    pub fn link(&self) -> Link {
+        self.link.get()
+    }
+
+    /// Records that bytes arrived from the server.
+    pub fn record_heard(&self) {
+        let mut link = self.link.get();
+        link.record_heard(self.clock.now_ms());
+        self.link.set(link);
+    }
+
+    /// Records that a check reached the server; returns whether the link was down.
+    pub fn record_link_reached(&self) -> bool {
+        let mut link = self.link.get();
+        let was_down = link.record_reached(self.clock.now_ms());
+        self.link.set(link);
+        was_down
+    }
+
+    /// Records that the server accepted no connection; returns whether the link was up.
+    pub fn record_link_failed(&self) -> bool {
+        let mut link = self.link.get();
+        let was_up = link.record_failed(self.clock.now_ms());
+        self.link.set(link);
+        was_up
+    }
+
     /// Returns an idle connection that `reusable` permits, or opens one while fewer than
     /// `max_connections` are open. At the limit, closes the connection that has been idle longest,
     /// if there is one.
--- a/crates/tinbay-gateway/src/http/relay.rs
+++ b/crates/tinbay-gateway/src/http/relay.rs
@@ -235,6 +235,7 @@
     /// Returns the part of a frame that goes to the caller; `None` if all of it is held back.
     fn pass(&mut self, frame: Frame<Bytes>) -> Option<Frame<Bytes>> {
         self.end.record_frame(self.clock.now_ms());
+        self.pool.record_heard();
         let is_end = self.incoming.is_end_stream();
         let Some(handover) = &self.handover else {
             return self.pass_on(frame, is_end);
--- a/crates/tinbay-gateway/src/lib.rs
+++ b/crates/tinbay-gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod http;
 pub mod latch;
 pub mod limits;
+pub mod links;
 pub mod members;
 pub mod memory;
 pub mod metrics;
--- /dev/null
+++ b/crates/tinbay-gateway/src/links/check.rs
@@ -0,0 +1,130 @@
+//! Checks whether this box's links reach servers.
+
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::future::join_all;
+use hyper::Method;
+use rand::seq::IndexedRandom;
+use tinbay_core::serving::servers::ServerKey;
+use tinbay_core::units::Millis;
+use tokio::net::TcpStream;
+
+use crate::http::call::{Call, HttpClient};
+use crate::node::Node;
+use crate::servers::Server;
+
+/// Time limit of a check; a server is at most a few milliseconds away.
+const CHECK_TIMEOUT_MS: Millis = 400;
+
+/// How long a new connection is watched for a reset.
+const RESET_WAIT: Duration = Duration::from_millis(30);
+
+/// Time in which other requests to a silent server may still be answered before it is checked, and
+/// in which an answer from another server makes a check of that one needless.
+const GRACE: Duration = Duration::from_millis(200);
+
+/// Servers checked at once, however many a box uses.
+const MAX_CHECKED: usize = 16;
+
+/// Servers that are down and checked again in one round.
+const MAX_CHECKED_AGAIN: usize = 8;
+
+/// Checks suspected servers that are still silent. If one can't be reached, checks the other
+/// servers that this box uses and that are silent as well.
+pub async fn check_suspects(node: &Rc<Node>, suspects: &HashSet<ServerKey>) {
+    if suspects.is_empty() {
+        return;
+    }
+    let began_ms = node.now_ms().saturating_sub(GRACE.as_millis() as Millis);
+    let suspects: Vec<Rc<Server>> = {
+        let servers = node.servers.borrow();
+        suspects
+            .iter()
+            .filter_map(|key| servers.by_key(*key))
+            .collect()
+    };
+    let is_any_down = |servers: &[Rc<Server>]| servers.iter().any(|one| one.pool.link().is_down());
+    if !is_any_down(&suspects) {
+        tokio::time::sleep(GRACE).await;
+        let is_silent = |server: &&Rc<Server>| !server.pool.link().is_heard_since(began_ms);
+        let silent: Vec<Rc<Server>> = suspects.iter().filter(is_silent).cloned().collect();
+        check_some(node, &silent, MAX_CHECKED).await;
+    }
+    if is_any_down(&suspects) {
+        check_some(node, &silent_servers(node, began_ms), MAX_CHECKED).await;
+    }
+}
+
+/// Checks servers that were down.
+pub async fn check_down(node: &Rc<Node>) {
+    let down: Vec<Rc<Server>> = {
+        let servers = node.servers.borrow();
+        let is_down = |server: &&Rc<Server>| server.pool.link().is_down();
+        servers.all().filter(is_down).cloned().collect()
+    };
+    check_some(node, &down, MAX_CHECKED_AGAIN).await;
+}
+
+/// Servers without a known failure from which nothing came since a time.
+fn silent_servers(node: &Node, since_ms: Millis) -> Vec<Rc<Server>> {
+    let now_ms = node.now_ms();
+    let servers = node.servers.borrow();
+    let is_silent = |server: &&Rc<Server>| {
+        let link = server.pool.link();
+        server.is_in_service(now_ms) && !link.is_down() && !link.is_heard_since(since_ms)
+    };
+    servers.all().filter(is_silent).cloned().collect()
+}
+
+/// Checks a random selection of servers at the same time.
+async fn check_some(node: &Node, servers: &[Rc<Server>], count: usize) {
+    let selected: Vec<&Rc<Server>> = servers.sample(&mut rand::rng(), count).collect();
+    join_all(selected.into_iter().map(|server| check(node, server))).await;
+}
+
+async fn check(node: &Node, server: &Rc<Server>) {
+    let is_reached = is_reached(node, server).await;
+    let outcome = match is_reached {
+        true => "reached",
+        false => "not_reached",
+    };
+    let checks = &node.metrics.link_checks;
+    checks.with_label_values(&[outcome]).inc();
+    if is_reached {
+        server.pool.record_link_reached();
+    } else {
+        server.pool.record_link_failed();
+    }
+}
+
+/// Whether the server can be reached on a new connection. An engine has to answer a request for its
+/// report, which occupies none of its slots; any other server only has to keep the connection open.
+async fn is_reached(node: &Node, server: &Server) -> bool {
+    let record = server.record();
+    if node.loads_per_s(&record.service).is_none() {
+        return takes_connection(server).await;
+    }
+    let name = node.dialect.headers().expect_server.clone();
+    let call = Call {
+        method: Method::GET,
+        path: node.dialect.report_path().to_string(),
+        body: Bytes::new(),
+        header: Some((name, record.id.clone())),
+        timeout_ms: CHECK_TIMEOUT_MS,
+    };
+    HttpClient::new(record.address).call(&call).await.is_ok()
+}
+
+async fn takes_connection(server: &Server) -> bool {
+    let timeout = Duration::from_millis(CHECK_TIMEOUT_MS);
+    let connecting = TcpStream::connect(server.record().address);
+    let Ok(Ok(stream)) = tokio::time::timeout(timeout, connecting).await else {
+        return false;
+    };
+    tokio::time::timeout(RESET_WAIT, stream.readable())
+        .await
+        .is_err()
+}
--- a/crates/tinbay-gateway/src/metrics.rs
+++ b/crates/tinbay-gateway/src/metrics.rs
@@ -52,6 +52,8 @@
     pub handovers: IntCounterVec,
     /// Checks of servers that aborted answers, by outcome.
     pub server_checks: IntCounterVec,
+    /// Checks whether this box's links reach servers, by outcome.
+    pub link_checks: IntCounterVec,
     /// Messages between boxes, by outcome.
     pub frames: IntCounterVec,
     /// Bytes of messages between boxes, by outcome.
@@ -159,6 +161,11 @@
                 "Checks of servers that broke off answers",
                 &["outcome"],
             )?,
+            link_checks: counter(
+                "tinbay_link_checks_total",
+                "Checks whether servers can be reached from this box",
+                &["outcome"],
+            )?,
             frames: counter(
                 "tinbay_frames_total",
                 "Messages between boxes",
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -32,6 +32,7 @@
 use crate::http::pump::AnswerWatch;
 use crate::latch::Latch;
 use crate::limits::Limits as BoxLimits;
+use crate::links::Links;
 use crate::members::{MemberRecord, Members, box_fingerprint};
 use crate::memory::BoxMemory;
 use crate::metrics::Metrics;
@@ -196,6 +197,8 @@
     pub crashes: Crashes,
     /// Limits enforced across all boxes.
     pub limits: BoxLimits,
+    /// State of this box's links to the servers.
+    pub links: Links,
     /// Engines of each service by role, where some prefill prompts for others.
     pub splits: Splits,
     /// Requests that compete for scarce capacity.
@@ -256,6 +259,7 @@
             prefill_rates: RefCell::default(),
             crashes: Crashes::default(),
             limits: BoxLimits::default(),
+            links: Links::default(),
             splits: Splits::default(),
             sharing: Sharing::default(),
             budgets: RefCell::default(),
--- a/crates/tinbay-gateway/src/run.rs
+++ b/crates/tinbay-gateway/src/run.rs
@@ -19,6 +19,7 @@
 use crate::front::listener;
 use crate::housekeeping;
 use crate::http::pump;
+use crate::links;
 use crate::metrics::Metrics;
 use crate::node::Node;
 use crate::orders::{claiming, membership};
@@ -148,6 +149,7 @@
     tokio::task::spawn_local(claiming::run(Rc::clone(&node)));
     tokio::task::spawn_local(entries::run(Rc::clone(&node)));
     tokio::task::spawn_local(returns::run(Rc::clone(&node)));
+    tokio::task::spawn_local(links::run(Rc::clone(&node)));
     tokio::task::spawn_local(housekeeping::run(Rc::clone(&node)));
     tokio::task::spawn_local(pump::run(Rc::clone(&node.answers)));
     log_start(&settings);
