Report no failure of a server that may be the box's own

Callers saw: boxes with links avoided sound servers, and their adapters were loaded elsewhere or refused. Cause: what one box sees of its own links was taken for the state of the server: it reported penalties for every failed try, and as holder told all boxes the highest one. Penalties now wait until the link check that the failure starts has ended, are dropped if the box has lost its links, and a holder reports a server only if others can still be reached. A server that failed while others answered counts as failed, so servers that end one after another are no partition. A held server that can't be reached takes no loads.

--- a/crates/tinbay-core/src/links/mod.rs
+++ b/crates/tinbay-core/src/links/mod.rs
@@ -14,15 +14,17 @@
 /// Servers that must be unreachable before the box's own links are suspected.
 const MIN_DOWN: usize = 2;
 
-/// A box counts as partitioned if at least one in this many servers is unreachable. One zone of a
-/// system with three or four can be lost without any other sign.
-const PARTITIONED_ONE_IN: usize = 4;
+/// A box counts as partitioned if at least one in this many servers is unreachable: one zone of
+/// three may be lost.
+const PARTITIONED_ONE_IN: usize = 3;
 
 /// What a box knows of its link to one server.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Link {
     heard_ms: Option<Millis>,
     down_since_ms: Option<Millis>,
+    /// Whether the server has failed, as others could be reached when the link went down.
+    has_server_failed: bool,
 }
 
 impl Link {
@@ -34,6 +36,7 @@
     /// Records that a check reached the server; returns whether the link was down.
     pub fn record_reached(&mut self, now_ms: Millis) -> bool {
         self.record_heard(now_ms);
+        self.has_server_failed = false;
         self.down_since_ms.take().is_some()
     }
 
@@ -45,6 +48,11 @@
         was_up
     }
 
+    /// Records that the link is down because its server has failed, if it is down.
+    pub fn record_server_failed(&mut self) {
+        self.has_server_failed = self.is_down();
+    }
+
     /// Whether new connections to the server fail.
     pub fn is_down(&self) -> bool {
         self.down_since_ms.is_some()
@@ -68,6 +76,8 @@
 pub struct LinkCounts {
     /// Links on which new connections fail.
     pub down: usize,
+    /// Links that are down because their servers have failed.
+    pub failed: usize,
     /// Links on which servers answered recently.
     pub up: usize,
     /// All links.
@@ -80,6 +90,7 @@
         self.known += 1;
         if link.is_down() {
             self.down += 1;
+            self.failed += usize::from(link.has_server_failed);
         } else if link.is_heard_since(now_ms.saturating_sub(HEARD_LIFE_MS)) {
             self.up += 1;
         }
@@ -87,13 +98,18 @@
 
     /// Whether so many links are down that the box's own links have probably failed.
     pub fn is_partitioned(&self) -> bool {
-        self.down >= MIN_DOWN && self.is_partly_down()
+        self.lost() >= MIN_DOWN && self.is_partly_lost()
+    }
+
+    /// Links that are down although their servers may be sound.
+    fn lost(&self) -> usize {
+        self.down - self.failed
     }
 
-    /// Whether at least the fraction of the links that counts for a partition is down, or none is
+    /// Whether at least the fraction of the links that counts for a partition is lost, or none is
     /// known to work.
-    fn is_partly_down(&self) -> bool {
-        self.down * PARTITIONED_ONE_IN >= self.down + self.up
+    fn is_partly_lost(&self) -> bool {
+        self.lost() * PARTITIONED_ONE_IN >= self.lost() + self.up
     }
 
     /// Whether all links are down.
@@ -103,6 +119,6 @@
 
     /// Whether requests for a service with these links should go through another box.
     pub fn needs_other_box(&self, is_box_partitioned: bool) -> bool {
-        self.are_all_down() || (is_box_partitioned && self.is_partly_down())
+        self.are_all_down() || (is_box_partitioned && self.is_partly_lost())
     }
 }
--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -156,7 +156,7 @@
             }
             AttemptResult::NotSent { .. } => {
                 permit.give_back(node, &server);
-                server.add_failure_penalty(CONNECT_FAILURE_PENALTY, node.now_ms());
+                penalize(node, &server, CONNECT_FAILURE_PENALTY);
                 history.record(&server, AttemptEnd::NotRun);
                 // Nothing reached a server, so the next send needs no retry budget.
                 if !may_try_another(node, inbound, &history, AttemptEnd::NotRun) {
@@ -168,7 +168,7 @@
                 if cause == UnknownCause::Closed {
                     check_after_cut(node, inbound, &server);
                 }
-                server.add_failure_penalty(UNKNOWN_OUTCOME_PENALTY, node.now_ms());
+                penalize(node, &server, UNKNOWN_OUTCOME_PENALTY);
                 AttemptEnd::Unknown
             }
         };
@@ -206,14 +206,20 @@
     };
     let sent = hedge::send(node, inbound, terms, outgoing, send_to).await;
     if let Some(failed) = &sent.failed {
-        failed
-            .server
-            .add_failure_penalty(UNKNOWN_OUTCOME_PENALTY, node.now_ms());
+        penalize(node, &failed.server, UNKNOWN_OUTCOME_PENALTY);
         history.record(&failed.server, failed.end);
     }
     sent
 }
 
+/// Adds a penalty for an attempt without an answer, which other boxes learn too. A box that has lost
+/// its links can't tell whose failure it was.
+fn penalize(node: &Node, server: &Server, amount: f64) {
+    if !node.links.is_partitioned() {
+        server.add_failure_penalty(amount, node.now_ms());
+    }
+}
+
 /// Records that a server declined: either it does not hold the adapter, or it is avoided for a
 /// while.
 fn record_declined(node: &Node, inbound: &InboundRequest, server: &Server, status: StatusCode) {
--- a/crates/tinbay-gateway/src/http/pool.rs
+++ b/crates/tinbay-gateway/src/http/pool.rs
@@ -145,6 +145,13 @@
         was_down
     }
 
+    /// Records that the link is down because the server has failed, if it is down.
+    pub fn record_server_failed(&self) {
+        let mut link = self.link.get();
+        link.record_server_failed();
+        self.link.set(link);
+    }
+
     /// Records that the server accepted no connection; returns whether the link was up.
     pub fn record_link_failed(&self) -> bool {
         let mut link = self.link.get();
--- a/crates/tinbay-gateway/src/links/mod.rs
+++ b/crates/tinbay-gateway/src/links/mod.rs
@@ -26,12 +26,17 @@
 /// Interval at which servers that can't be reached are checked again.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Longest wait for the checks that tell a failed server from lost links: connecting to it, then to
+/// others.
+const VERDICT_TIMEOUT: Duration = Duration::from_millis(1_000);
+
 /// State of this box's links to the servers.
 #[derive(Debug, Default)]
 pub struct Links {
     /// Servers with a failure that has not been checked yet.
     suspects: RefCell<HashSet<ServerKey>>,
     suspected: Notify,
+    checked: Notify,
     is_partitioned: Cell<bool>,
     /// Services whose requests should go through another box.
     unreached_services: RefCell<BTreeSet<String>>,
@@ -56,6 +61,11 @@
         self.services_down.borrow().contains(service)
     }
 
+    /// Whether a failure at a server has not been checked yet.
+    pub fn is_suspected(&self, server: ServerKey) -> bool {
+        self.suspects.borrow().contains(&server)
+    }
+
     /// Number of services that this box's links don't reach.
     pub fn unreached_count(&self) -> usize {
         self.unreached_services.borrow().len()
@@ -85,6 +95,28 @@
     }
 }
 
+/// Whether a server that accepts no connection has failed itself, as far as other servers can still
+/// be reached from this box; checks that first if it is not known.
+pub async fn has_server_failed(node: &Node, server: &Server) -> bool {
+    let checked = node.links.checked.notified();
+    let is_new = server.pool.record_link_failed();
+    if is_new {
+        node.links.has_down.set(true);
+        node.links.suspect(server.key);
+    }
+    if is_new || node.links.suspects.borrow().contains(&server.key) {
+        let _ = tokio::time::timeout(VERDICT_TIMEOUT, checked).await;
+    }
+    !node.links.is_partitioned()
+}
+
+/// Applies a change of the known servers at once if some of them can't be reached.
+pub fn update_after_change(node: &Node) {
+    if node.links.has_down.get() {
+        update_state(node);
+    }
+}
+
 /// Checks links as they are suspected, and those that are down, until the box stops.
 pub async fn run(node: Rc<Node>) {
     loop {
@@ -101,6 +133,7 @@
         waiting.retain(|server| !suspects.contains(server));
         drop(waiting);
         update_state(&node);
+        node.links.checked.notify_waiters();
     }
 }
 
@@ -117,7 +150,7 @@
     let now_ms = node.now_ms();
     let mut all = LinkCounts::default();
     let mut by_service: HashMap<String, LinkCounts> = HashMap::new();
-    {
+    let down = {
         let servers = node.servers.borrow();
         for server in servers.all().filter(|server| server.is_in_service(now_ms)) {
             let link = server.pool.link();
@@ -125,20 +158,30 @@
             let service = server.record().service.clone();
             by_service.entry(service).or_default().add(&link, now_ms);
         }
-    }
-    node.links.has_down.set(all.down > 0);
+        let is_down = |server: &&Rc<Server>| server.pool.link().is_down();
+        servers.all().filter(is_down).cloned().collect::<Vec<_>>()
+    };
+    node.links.has_down.set(!down.is_empty());
     let is_partitioned = all.is_partitioned();
-    let down = by_service
+    let services_down = by_service
         .iter()
-        .filter(|(_, counts)| counts.are_all_down());
-    let down = down.map(|(service, _)| service.clone()).collect();
-    node.links.services_down.replace(down);
+        .filter(|(_, counts)| counts.are_all_down())
+        .map(|(service, _)| service.clone())
+        .collect();
+    node.links.services_down.replace(services_down);
     let unreached: BTreeSet<String> = by_service
         .into_iter()
         .filter(|(_, counts)| counts.needs_other_box(is_partitioned))
         .map(|(service, _)| service)
         .collect();
     let was_partitioned = node.links.is_partitioned.replace(is_partitioned);
+    for server in &down {
+        if is_partitioned && !was_partitioned {
+            server.clear_failure_penalty();
+        } else if !is_partitioned && !node.links.is_suspected(server.key) {
+            server.pool.record_server_failed();
+        }
+    }
     let is_changed = *node.links.unreached_services.borrow() != unreached;
     if is_changed || is_partitioned != was_partitioned {
         let event = LinksEvent {
--- a/crates/tinbay-gateway/src/orders/held_server.rs
+++ b/crates/tinbay-gateway/src/orders/held_server.rs
@@ -172,7 +172,7 @@
     /// Whether the server could begin a load now.
     pub fn takes_loads(&self, node: &Node, server: &Server) -> bool {
         let now_ms = node.now_ms();
-        if !server.takes_work(now_ms) {
+        if !server.takes_work(now_ms) || server.pool.link().is_down() {
             return false;
         }
         let is_in_use = |key| self.is_in_use(server, key, now_ms);
--- a/crates/tinbay-gateway/src/orders/holder.rs
+++ b/crates/tinbay-gateway/src/orders/holder.rs
@@ -23,6 +23,7 @@
 use crate::events::{self, part};
 use crate::front::inbound::text;
 use crate::http::call::{Call, CallError, HttpClient, Reply};
+use crate::links;
 use crate::node::Node;
 use crate::port::dialect::{DecodeError, Order, OrderAction};
 use crate::servers::notices::{self, AnswerHead, RequestKind};
@@ -193,10 +194,12 @@
         self.node.holder_of(&self.server).as_deref() == Some(own_id.as_str())
     }
 
-    /// Whether the server may be contacted: no other server answers at its address, and it is not
-    /// in a back-off.
+    /// Whether the server may be contacted: it can be reached, no other server answers at its
+    /// address, and it is not in a back-off.
     fn may_contact(&self, now_ms: Millis) -> bool {
-        !self.server.is_displaced(now_ms) && self.server.back_off_until_ms(now_ms).is_none()
+        let is_reached = !self.server.pool.link().is_down();
+        let is_own_address = !self.server.is_displaced(now_ms);
+        is_reached && is_own_address && self.server.back_off_until_ms(now_ms).is_none()
     }
 
     fn next_action(&self, wanted_loads: &[WantedLoad], now_ms: Millis) -> Option<Action> {
@@ -280,9 +283,12 @@
         let call = self.call(Method::GET, path, Bytes::new(), REPORT_TIMEOUT_MS);
         let request_sent_ms = self.node.now_ms();
         match self.caller.call(&call).await {
-            Ok(reply) => self.read_reply(&reply, request_sent_ms),
+            Ok(reply) => {
+                self.server.pool.record_heard();
+                self.read_reply(&reply, request_sent_ms)
+            }
             Err(error) => {
-                self.report_unreachable(error);
+                self.report_unreachable(error).await;
                 None
             }
         }
@@ -421,6 +427,7 @@
         let request_sent_ms = self.node.now_ms();
         match self.caller.call(&call).await {
             Ok(reply) => {
+                self.server.pool.record_heard();
                 if self.is_from_another_server(&reply) {
                     self.report_displaced();
                 }
@@ -433,7 +440,7 @@
                 }
             }
             Err(error) => {
-                self.report_unreachable(error);
+                self.report_unreachable(error).await;
                 match error {
                     CallError::NotConnected => OrderAnswer::Refused,
                     CallError::NoAnswer => OrderAnswer::NoAnswer,
@@ -464,9 +471,12 @@
         self.publish(Recipients::Users);
     }
 
-    /// Reports to all users of the server that it accepts no connections.
-    fn report_unreachable(&self, error: CallError) {
-        if error == CallError::NotConnected {
+    /// Reports to all users of the server that it accepts no connections, unless this box has lost
+    /// its links.
+    async fn report_unreachable(&self, error: CallError) {
+        if error == CallError::NotConnected
+            && links::has_server_failed(&self.node, &self.server).await
+        {
             self.held.record_unreachable(self.node.now_ms());
             self.publish(Recipients::Users);
         }
--- a/crates/tinbay-gateway/src/peers/exchange.rs
+++ b/crates/tinbay-gateway/src/peers/exchange.rs
@@ -226,7 +226,10 @@
 fn usage_for_holder(node: &Node, server: ServerKey) -> Option<(String, FramePart)> {
     let server = node.servers.borrow().by_key(server)?;
     let holder = node.holder_of(&server)?;
-    let report = server.usage.borrow_mut().take_report(node.now_ms());
+    let is_verified = !node.links.is_suspected(server.key);
+    let mut usage = server.usage.borrow_mut();
+    let report = usage.take_report(node.now_ms(), is_verified);
+    drop(usage);
     if let Some(held) = node.held_server(server.key) {
         let own_id = node.settings.borrow().box_id.clone();
         held.record_usage(node, &server, &own_id, report);
--- a/crates/tinbay-gateway/src/servers/server.rs
+++ b/crates/tinbay-gateway/src/servers/server.rs
@@ -357,6 +357,12 @@
         decayed(amount, noted_ms, FAILURE_PENALTY_HALF_LIFE_MS, now_ms)
     }
 
+    /// Drops this box's penalty for failures that were not the server's own.
+    pub fn clear_failure_penalty(&self) {
+        self.failure_penalty.set(Default::default());
+        self.usage.borrow_mut().clear_failures();
+    }
+
     /// Adds a penalty after a failure.
     pub fn add_failure_penalty(&self, amount: f64, now_ms: Millis) {
         let sum = (self.own_failure_penalty(now_ms) + amount).min(MAX_FAILURE_PENALTY);
--- a/crates/tinbay-gateway/src/servers/usage.rs
+++ b/crates/tinbay-gateway/src/servers/usage.rs
@@ -85,14 +85,20 @@
         self.is_changed = true;
     }
 
+    /// Drops the penalties that are not reported yet.
+    pub fn clear_failures(&mut self) {
+        self.failure_penalty = 0.0;
+    }
+
     /// Whether a report to the holder is due.
     pub fn is_due(&self, now_ms: Millis) -> bool {
         self.is_changed
             || (!self.by_adapter.is_empty() && now_ms >= self.reported_ms + REPORT_INTERVAL_MS)
     }
 
-    /// Builds the report for the holder and resets the counts since the last one.
-    pub fn take_report(&mut self, now_ms: Millis) -> UsageReport {
+    /// Builds the report for the holder and resets the counts since the last one. Failures are held
+    /// back until it is verified that they were the server's own.
+    pub fn take_report(&mut self, now_ms: Millis, is_verified: bool) -> UsageReport {
         let uses = self
             .by_adapter
             .iter()
@@ -108,11 +114,15 @@
             requests.begun_tokens = 0;
         }
         self.by_adapter.retain(|_, requests| requests.running > 0);
-        self.is_changed = false;
+        let failure_penalty = match is_verified {
+            true => std::mem::take(&mut self.failure_penalty),
+            false => 0.0,
+        };
+        self.is_changed = self.failure_penalty > 0.0;
         self.reported_ms = now_ms;
         UsageReport {
             uses,
-            failure_penalty: std::mem::take(&mut self.failure_penalty),
+            failure_penalty,
             delay: self.last_delay.take(),
         }
     }
--- a/crates/tinbay-gateway/src/watch/servers.rs
+++ b/crates/tinbay-gateway/src/watch/servers.rs
@@ -12,6 +12,7 @@
 use super::Follower;
 use super::access::REWRITTEN_WITHIN_MS;
 use crate::events::{self, part};
+use crate::links;
 use crate::node::Node;
 use crate::port::dialect::DecodeError;
 use crate::port::store::{Change, Item, Listing};
@@ -77,6 +78,7 @@
         };
         self.logged_unreadable.borrow_mut().remove(id);
         let change = self.node.servers.borrow_mut().put(record.clone());
+        links::update_after_change(&self.node);
         if change != ServerChange::Same {
             log_change(&record, change);
         }
@@ -103,6 +105,7 @@
 
 fn remove_server(node: &Node, id: &str) {
     if node.servers.borrow_mut().remove(id) {
+        links::update_after_change(node);
         let event = GoneEvent { server: id };
         events::emit(part::SERVERS, Level::Info, "server_gone", &event);
     }
