--- a/crates/tinbay-gateway/src/links/check.rs
+++ b/crates/tinbay-gateway/src/links/check.rs
@@ -22,9 +22,12 @@
 /// How long a new connection is watched for a reset.
 const RESET_WAIT: Duration = Duration::from_millis(30);
 
-/// Time in which other requests to a silent server may still be answered before it is checked, and
-/// in which an answer from another server makes a check of that one needless.
-const GRACE: Duration = Duration::from_millis(200);
+/// Time in which a silent server may still answer other requests before it is checked.
+const SILENT_GRACE: Duration = Duration::from_millis(200);
+
+/// Time in which an answer from another server makes a check of that one needless, after a
+/// connection has failed. Requests wait for the result.
+const FAILED_GRACE: Duration = Duration::from_millis(50);
 
 /// Servers checked at once, however many a box uses.
 const MAX_CHECKED: usize = 16;
@@ -38,22 +41,22 @@
     if suspects.is_empty() {
         return;
     }
-    let began_ms = node.now_ms().saturating_sub(GRACE.as_millis() as Millis);
+    let began_ms = node.now_ms();
     let suspects: Vec<Rc<Server>> = {
         let servers = node.servers.borrow();
-        suspects
-            .iter()
-            .filter_map(|key| servers.by_key(*key))
-            .collect()
+        let known = suspects.iter().filter_map(|key| servers.by_key(*key));
+        known.collect()
     };
-    let is_any_down = |servers: &[Rc<Server>]| servers.iter().any(|one| one.pool.link().is_down());
-    if !is_any_down(&suspects) {
-        tokio::time::sleep(GRACE).await;
+    let is_any_down = || suspects.iter().any(|server| server.pool.link().is_down());
+    if is_any_down() {
+        tokio::time::sleep(FAILED_GRACE).await;
+    } else {
+        tokio::time::sleep(SILENT_GRACE).await;
         let is_silent = |server: &&Rc<Server>| !server.pool.link().is_heard_since(began_ms);
         let silent: Vec<Rc<Server>> = suspects.iter().filter(is_silent).cloned().collect();
         check_some(node, &silent, MAX_CHECKED).await;
     }
-    if is_any_down(&suspects) {
+    if is_any_down() {
         check_some(node, &silent_servers(node, began_ms), MAX_CHECKED).await;
     }
 }
