Release the claims on servers that a partitioned box can't reach

Cause: a partitioned box is up, so its claims stay, but its orders get nowhere. No box takes a claim on a server that it can't reach. Waiting as long as the kernel tries to deliver bytes keeps the orders of two holders apart.

--- a/crates/tinbay-core/src/serving/claims.rs
+++ b/crates/tinbay-core/src/serving/claims.rs
@@ -78,6 +78,8 @@
     pub seen_ms: Millis,
     /// Whether it is valid in the current era.
     pub validity: ClaimValidity,
+    /// Whether this box, its holder, has begun to release it.
+    pub is_being_released: bool,
 }
 
 /// What a box that wants to take over knows about the holder's entry.
@@ -170,6 +172,7 @@
             position,
             seen_ms: now_ms,
             validity,
+            is_being_released: false,
         };
         self.by_address.insert(address.to_string(), claim);
     }
@@ -205,6 +208,21 @@
         (!claim.value.is_released).then_some(claim.value.holder.as_str())
     }
 
+    /// Begins to release the claim on a server. No more orders are sent under it, as the call that
+    /// writes the release may have been executed although its answer is missing; it ends with the
+    /// next revision of the claim.
+    pub fn begin_release(&mut self, address: &str) {
+        if let Some(claim) = self.by_address.get_mut(address) {
+            claim.is_being_released = true;
+        }
+    }
+
+    /// Whether this box has begun to release the claim on a server, without knowing the result yet.
+    pub fn is_being_released(&self, address: &str) -> bool {
+        self.get(address)
+            .is_some_and(|claim| claim.is_being_released)
+    }
+
     /// Fencing token for orders of `box_id` to the server, if it holds the claim.
     pub fn token_of(&self, address: &str, box_id: &str, now_ms: Millis) -> Option<u64> {
         let claim = self.by_address.get(address)?;
@@ -214,7 +232,8 @@
             ClaimValidity::CarriedOver { until_ms } => now_ms < until_ms,
             ClaimValidity::Restored => false,
         };
-        (is_own && binds).then(|| claim.position.fencing_token())
+        let may_order = is_own && binds && !claim.is_being_released;
+        may_order.then(|| claim.position.fencing_token())
     }
 
     /// Addresses of the servers whose claims `box_id` holds in the current era.
--- a/crates/tinbay-core/tests/serving_claims_test.rs
+++ b/crates/tinbay-core/tests/serving_claims_test.rs
@@ -64,6 +64,19 @@
     assert!(released.may_take(SERVER, "a", entry, &TERMS, 4_500));
 }
 
+#[test]
+fn token_of_claim_is_none_from_the_start_of_its_release() {
+    let mut held = table("a", false, 0);
+    assert!(held.token_of(SERVER, "a", 10).is_some());
+    held.begin_release(SERVER);
+    assert!(held.is_being_released(SERVER));
+    assert!(held.token_of(SERVER, "a", 20).is_none());
+    assert_eq!(held.holder_of(SERVER), Some("a"), "the result is not known");
+    held.record(SERVER, &value("a", false, 1), at(9), 30);
+    assert!(!held.is_being_released(SERVER));
+    assert!(held.token_of(SERVER, "a", 40).is_some());
+}
+
 #[test]
 fn may_take_own_released_at_once() {
     let released = table("a", true, 1_000);
--- a/crates/tinbay-gateway/src/orders/claiming.rs
+++ b/crates/tinbay-gateway/src/orders/claiming.rs
@@ -14,6 +14,7 @@
 
 use super::{era_mark, holder};
 use crate::events::{self, part};
+use crate::http::silence::UNACKNOWLEDGED_TIMEOUT;
 use crate::node::Node;
 use crate::port::store::{Item, StoreError, Transaction};
 use crate::servers::Server;
@@ -33,6 +34,18 @@
 /// server first.
 const RANK_DELAY_MS: Millis = 900;
 
+/// Time for which this box must have been unable to reach a server before it releases the claim on
+/// it. By then the kernel has given up on orders that it could not deliver, so that none arrives
+/// once another box sends orders.
+const RELEASE_AFTER_MS: Millis = UNACKNOWLEDGED_TIMEOUT.as_millis() as Millis;
+
+#[derive(Serialize)]
+struct ReleaseEvent<'a> {
+    server: &'a str,
+    address: &'a str,
+    outcome: &'a str,
+}
+
 #[derive(Serialize)]
 struct ClaimEvent<'a> {
     server: &'a str,
@@ -84,6 +97,19 @@
         claim_server(node, server).await;
         return;
     }
+    if should_release(node, server) {
+        release_server(node, server).await;
+        return;
+    }
+    if server.pool.link().is_down() {
+        free_since_ms.remove(&server.address_text);
+        return;
+    }
+    if node.claims.borrow().is_being_released(&server.address_text) {
+        // Writing the claim anew settles whether the release was executed.
+        claim_server(node, server).await;
+        return;
+    }
     if node.order_token(server).is_some() {
         free_since_ms.remove(&server.address_text);
         holder::ensure_running(node, server);
@@ -113,6 +139,59 @@
     claims.is_to_be_renewed(&server.address_text, own_id, node.now_ms())
 }
 
+/// Whether another box should hold the server, as this one has lost its links and can't reach it.
+fn should_release(node: &Node, server: &Server) -> bool {
+    let is_cut_off = server
+        .pool
+        .link()
+        .is_down_for(RELEASE_AFTER_MS, node.now_ms());
+    let own_id = &node.settings.borrow().box_id;
+    let is_holder = node.holder_of(server).as_deref() == Some(own_id.as_str());
+    node.links.is_partitioned() && is_cut_off && is_holder
+}
+
+/// Marks the claim on a server as released. No order is sent to it from the start of the call.
+async fn release_server(node: &Node, server: &Server) {
+    let own_id = node.settings.borrow().box_id.clone();
+    let address = &server.address_text;
+    let position = {
+        let mut claims = node.claims.borrow_mut();
+        claims.begin_release(address);
+        claims.stored_position(address)
+    };
+    let transaction = release_transaction(&own_id, &[(address.clone(), position)]);
+    let result = counted(node, "commit", node.store.commit(&transaction).await);
+    let outcome = match &result {
+        Ok(_) => "done",
+        Err(StoreError::Conflict { .. }) => "conflict",
+        Err(_) => "unknown",
+    };
+    match result {
+        Ok(position) => {
+            let value = encode(&own_id, true, position.era);
+            let key = format!("{CLAIM_PREFIX}{address}");
+            let item = Item {
+                key,
+                value,
+                position,
+            };
+            node.record_claim(address, &item);
+        }
+        Err(StoreError::Conflict { items }) => {
+            for item in &items {
+                node.record_claim(address, item);
+            }
+        }
+        Err(_) => {}
+    }
+    let event = ReleaseEvent {
+        server: &server.record().id,
+        address,
+        outcome,
+    };
+    events::emit(part::ORDERS, Level::Info, "claim_released", &event);
+}
+
 fn is_free(node: &Node, server: &Server, now_ms: Millis) -> bool {
     let claims = node.claims.borrow();
     let claim = claims.get(&server.address_text);
