Keep brittle servers from having to reject too much

New on the platform's pages: servers may be brittle, say so in all their answers (Server-Brittle = N), then let fewer requests wait, and one that has to reject more than N requests in a second falls over. Boxes ignored the header: each saw only its own requests and sent a rejected one to the next server at once. A service's servers now count as brittle from the first such answer until an answer to a later request lacks the header. Meanwhile a box sends only what fits: its share of the slots where it doesn't know what others have running, or while three quarters of the slots are not filled; it waits 100 ms for room, then chooses another server or refuses with a time to come back. After a rejection it pauses for as long as keeps the sum of all boxes within N a second. No hedged requests meanwhile.

--- a/crates/tinbay-core/src/serving/mod.rs
+++ b/crates/tinbay-core/src/serving/mod.rs
@@ -3,6 +3,7 @@
 //! Like the rest of the core this does no I/O and reads no clock: times come in as milliseconds of
 //! a monotonic clock, and decisions are returned as values.
 
+pub mod brittleness;
 pub mod budget;
 pub mod capacity;
 pub mod claims;
--- a/crates/tinbay-gateway/src/front/attempt.rs
+++ b/crates/tinbay-gateway/src/front/attempt.rs
@@ -121,6 +121,7 @@
     terms: AttemptTerms<'_>,
 ) -> AttemptResult {
     let running = node.begin_request(terms.server, inbound, terms.prefill_tokens);
+    let _unanswered = terms.server.unanswered.begin();
     let began_ms = node.now_ms();
     let pending = Cell::default();
     let exchange = exchange(node, inbound, body, &terms, &pending);
--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -46,6 +46,12 @@
 /// connecting, the transfer, and the server's response that it did not run the request.
 const BEGIN_MARGIN_MS: Millis = 250;
 
+/// Longest wait for room at a brittle server before another one is chosen.
+const MAX_ROOM_WAIT_MS: Millis = 100;
+
+/// Interval between two checks for room at a brittle server.
+const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Failure penalty added after an attempt that may have run but was not answered.
 const UNKNOWN_OUTCOME_PENALTY: f64 = 1.0;
 
@@ -108,6 +114,10 @@
             Err(refusal) if history.tried.is_empty() => return Err(refusal),
             Err(_) => return Err(final_refusal(node, inbound, &history)),
         }
+        if !wait_for_room(node, &server).await {
+            inbound.admission.record_full(server.key);
+            continue;
+        }
         let Some(permit) = permits::acquire(node, &server).await else {
             inbound.count_server_at_limit();
             continue;
@@ -220,6 +230,19 @@
     }
 }
 
+/// Waits until a brittle server has room for one more request of this box; returns false if it has
+/// none for a while.
+async fn wait_for_room(node: &Node, server: &Server) -> bool {
+    let end_ms = node.now_ms() + MAX_ROOM_WAIT_MS;
+    while !node.has_room(server) {
+        if node.now_ms() >= end_ms {
+            return false;
+        }
+        tokio::time::sleep(ROOM_CHECK_INTERVAL).await;
+    }
+    true
+}
+
 /// Records that a server declined: either it does not hold the adapter, or it is avoided for a
 /// while.
 fn record_declined(node: &Node, inbound: &InboundRequest, server: &Server, status: StatusCode) {
--- a/crates/tinbay-gateway/src/front/hedge.rs
+++ b/crates/tinbay-gateway/src/front/hedge.rs
@@ -234,7 +234,7 @@
 
 /// Time after which the request is sent to a second server; `None` if it is not hedged. A server
 /// that announces a rate limit is overloaded, and the others may be too, so its requests are not
-/// hedged.
+/// hedged, nor are those to brittle servers.
 fn hedge_delay_ms(
     node: &Node,
     inbound: &InboundRequest,
@@ -248,7 +248,8 @@
         sends_left: terms.sends_left,
         left_ms: inbound.time_up_ms.saturating_sub(node.now_ms()),
     };
-    if first.limit_per_s().is_some() {
+    let brittleness = first.service().brittleness.get();
+    if first.limit_per_s().is_some() || brittleness.rejections_per_s().is_some() {
         return None;
     }
     hedge_after_ms(&case, &first.service().times.borrow())
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -8,6 +8,7 @@
 use tinbay_core::accounts::account::Account;
 use tinbay_core::accounts::priority::PriorityRanks;
 use tinbay_core::memory::terms::MemoryTerms;
+use tinbay_core::serving::brittleness::{self, RoomCase};
 use tinbay_core::serving::budget::AttemptBudget;
 use tinbay_core::serving::claims::{ClaimTable, ClaimTerms, Proof};
 use tinbay_core::serving::configuration::{Configuration, EngineProperties, Limits};
@@ -559,6 +560,24 @@
         server.usage.borrow().running() + elsewhere
     }
 
+    /// Whether one more request of this box fits at a server; always if the server is not brittle.
+    pub fn has_room(&self, server: &Server) -> bool {
+        let brittleness = server.service().brittleness.get();
+        if brittleness.rejections_per_s().is_none() {
+            return true;
+        }
+        let now_ms = self.now_ms();
+        let is_known =
+            self.held_server(server.key).is_some() || server.view.borrow().is_fresh(now_ms);
+        brittleness::has_room(&RoomCase {
+            slots: server.record().slots,
+            boxes: self.box_count.get(),
+            own_running: server.usage.borrow().running(),
+            own_unanswered: server.unanswered.count(),
+            running: is_known.then(|| self.running(server)),
+        })
+    }
+
     fn load_snapshot(&self, server: &Server, now_ms: Millis) -> LoadSnapshot {
         if let Some(held) = self.held_server(server.key) {
             let own_id = &self.settings.borrow().box_id;
--- a/crates/tinbay-gateway/src/port/dialect.rs
+++ b/crates/tinbay-gateway/src/port/dialect.rs
@@ -192,6 +192,13 @@
     /// When the header cannot be decoded.
     fn decode_limit(&self, headers: &HeaderMap) -> Result<Option<f64>, DecodeError>;
 
+    /// Decodes from response headers how many rejections per second the server survives; `None` if
+    /// it is not brittle.
+    ///
+    /// # Errors
+    /// When the header cannot be decoded.
+    fn decode_brittleness(&self, headers: &HeaderMap) -> Result<Option<f64>, DecodeError>;
+
     /// Encodes the body of an order to a server.
     fn encode_order(&self, order: &Order) -> Bytes;
 
--- a/crates/tinbay-gateway/src/servers/notices.rs
+++ b/crates/tinbay-gateway/src/servers/notices.rs
@@ -16,6 +16,9 @@
 use crate::node::Node;
 use crate::port::dialect::DecodeError;
 
+/// Status with which a server rejects a request that it has no room for.
+const SERVICE_UNAVAILABLE: u16 = 503;
+
 /// Kind of request that a server answered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RequestKind<'a> {
@@ -97,6 +100,7 @@
 /// Applies the notices in the head of a server's own answer. Returns whether they changed anything
 /// that other boxes have to know.
 pub fn apply(node: &Node, server: &Rc<Server>, head: &AnswerHead<'_>) -> bool {
+    apply_brittleness(node, server, head);
     let notice = decode(node, server, head);
     server.apply_notice(notice, node.now_ms());
     let limit_before = server.take_limit_change();
@@ -111,6 +115,47 @@
     refuses_work || limit_before.is_some()
 }
 
+#[derive(Serialize)]
+struct BrittlenessEvent<'a> {
+    server: &'a str,
+    service: &'a str,
+    rejections_per_s: Option<f64>,
+    before_per_s: Option<f64>,
+}
+
+/// Applies what the head says about the brittleness of the server's service.
+fn apply_brittleness(node: &Node, server: &Server, head: &AnswerHead<'_>) {
+    let decoded = node.dialect.decode_brittleness(head.headers);
+    let Ok(per_s) = decoded.map_err(|error| log_unreadable(node, server, &error)) else {
+        return;
+    };
+    let state = &server.service().brittleness;
+    let before_per_s = state.get().rejections_per_s();
+    let mut brittleness = state.get();
+    brittleness.record(per_s, head.request_sent_ms, node.now_ms());
+    state.set(brittleness);
+    let rejections_per_s = brittleness.rejections_per_s();
+    if rejections_per_s != before_per_s {
+        let record = server.record();
+        let event = BrittlenessEvent {
+            server: &record.id,
+            service: &record.service,
+            rejections_per_s,
+            before_per_s,
+        };
+        events::emit(part::SERVERS, Level::Info, "brittleness", &event);
+    }
+}
+
+/// The back-off after a rejection by a brittle server that names none itself.
+fn brittle_pause_ms(node: &Node, server: &Server, head: &AnswerHead<'_>) -> Option<Millis> {
+    let is_request = matches!(head.request_kind, RequestKind::Request(_));
+    let is_rejected = head.status == SERVICE_UNAVAILABLE && !head.has_run;
+    let brittleness = server.service().brittleness.get();
+    let pause_ms = brittleness.pause_ms(node.box_count.get())?;
+    (is_request && is_rejected).then_some(pause_ms)
+}
+
 /// Decodes the notices in the head; an unreadable one is logged and ignored.
 fn decode(node: &Node, server: &Server, head: &AnswerHead<'_>) -> AnswerNotice {
     let is_leaving = node.dialect.decode_leaving(head.headers);
@@ -122,7 +167,8 @@
             .unwrap_or_default(),
         back_off_ms: back_off_ms
             .map_err(|error| log_unreadable(node, server, &error))
-            .unwrap_or_default(),
+            .unwrap_or_default()
+            .or_else(|| brittle_pause_ms(node, server, head)),
         limit: limit
             .map_err(|error| log_unreadable(node, server, &error))
             .ok()
--- a/crates/tinbay-gateway/src/servers/server.rs
+++ b/crates/tinbay-gateway/src/servers/server.rs
@@ -19,7 +19,7 @@
 use super::service::ServiceStats;
 use super::usage::Usage;
 use super::view::{View, ViewEntry};
-use super::waiting::WaitingBytes;
+use super::waiting::{UnansweredRequests, WaitingBytes};
 use crate::clock::Clock;
 use crate::crashes::check::CutRequest;
 use crate::http::pool::Pool;
@@ -62,6 +62,8 @@
     pub cut_requests: RefCell<Vec<CutRequest>>,
     /// Pool of connections to it.
     pub pool: Rc<Pool>,
+    /// Requests of this box that it has not begun to answer.
+    pub unanswered: UnansweredRequests,
     /// Bytes of this box's requests that it has not begun to answer.
     pub waiting: WaitingBytes,
     pub(super) record: RefCell<Rc<ServerRecord>>,
@@ -134,6 +136,7 @@
             service,
             slowness: Cell::default(),
             slow_until_ms: Cell::default(),
+            unanswered: UnansweredRequests::default(),
             waiting: WaitingBytes::default(),
             record: RefCell::new(Rc::new(record.clone())),
             notices,
--- a/crates/tinbay-gateway/src/servers/service.rs
+++ b/crates/tinbay-gateway/src/servers/service.rs
@@ -1,9 +1,10 @@
 //! Statistics that this box shares among the servers of one service.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 use tinbay_core::pace::answer_times::ResponseTimes;
+use tinbay_core::serving::brittleness::Brittleness;
 
 use crate::http::reuse::ReuseLedger;
 
@@ -14,6 +15,8 @@
     pub reuse: Rc<ReuseLedger>,
     /// Distribution of answer times.
     pub times: RefCell<ResponseTimes>,
+    /// Whether its servers are brittle.
+    pub brittleness: Cell<Brittleness>,
 }
 
 impl ServiceStats {
@@ -22,6 +25,7 @@
         Self {
             reuse: Rc::new(reuse),
             times: RefCell::default(),
+            brittleness: Cell::default(),
         }
     }
 }
