--- a/crates/tinbay-core/src/serving/configuration.rs
+++ b/crates/tinbay-core/src/serving/configuration.rs
@@ -101,6 +101,8 @@
 pub struct Service {
     /// Connections that each server accepts from all callers together.
     pub most_connections: usize,
+    /// Path at which its servers answer health checks.
+    pub health_path: String,
     /// Properties of its model engines; none for plain services.
     pub engine: Option<EngineProperties>,
 }
--- a/crates/tinbay-gateway/src/front/choice.rs
+++ b/crates/tinbay-gateway/src/front/choice.rs
@@ -20,8 +20,9 @@
 /// latency.
 const OTHER_ZONE_LOAD: f64 = 0.15;
 
-/// Load added to brittle servers that have no room for a request of this box.
-const NO_ROOM_LOAD: f64 = 2.0;
+/// Load added to servers that can't be reached now, and to brittle ones without room for a request of
+/// this box.
+const UNUSABLE_LOAD: f64 = 2.0;
 
 /// Length at which an adapter's rendezvous order is cut.
 const MAX_CANDIDATES: usize = 48;
@@ -470,18 +471,17 @@
     }
 }
 
-/// The load of a server with penalties for failures, another zone and lack of room, and a random tie-breaker.
+/// The load of a server with penalties for failures, another zone and for being unusable now, and a
+/// random tie-breaker.
 fn load(node: &Node, server: &Server, objective_ms: Millis) -> f64 {
     let zone_load = if server.record().zone == node.settings.borrow().zone {
         0.0
     } else {
         OTHER_ZONE_LOAD
     };
-    let room_load = if node.has_room(server) {
-        0.0
-    } else {
-        NO_ROOM_LOAD
-    };
+    let is_usable = node.has_room(server) && !server.pool.link().is_down();
+    let unusable_load = if is_usable { 0.0 } else { UNUSABLE_LOAD };
     let tie: f64 = rand::rng().random_range(0.0..TIE_LOAD);
-    node.load(server, objective_ms) + node.failure_penalty(server) + zone_load + room_load + tie
+    let penalties = node.failure_penalty(server) + zone_load + unusable_load;
+    node.load(server, objective_ms) + penalties + tie
 }
--- a/crates/tinbay-gateway/src/links/check.rs
+++ b/crates/tinbay-gateway/src/links/check.rs
@@ -10,7 +10,6 @@
 use rand::seq::IndexedRandom;
 use tinbay_core::serving::servers::ServerKey;
 use tinbay_core::units::Millis;
-use tokio::net::TcpStream;
 
 use crate::http::call::{Call, HttpClient};
 use crate::node::Node;
@@ -19,9 +18,6 @@
 /// Time limit of a check; a server is at most a few milliseconds away.
 const CHECK_TIMEOUT_MS: Millis = 400;
 
-/// How long a new connection is watched for a reset.
-const RESET_WAIT: Duration = Duration::from_millis(30);
-
 /// Time in which a silent server may still answer other requests before it is checked.
 const SILENT_GRACE: Duration = Duration::from_millis(200);
 
@@ -103,17 +99,17 @@
     }
 }
 
-/// Whether the server can be reached on a new connection. An engine has to answer a request for its
-/// report, which occupies none of its slots; any other server only has to keep the connection open.
+/// Whether the server answers on a new connection. An engine is asked for its report, which occupies
+/// none of its slots, and any other server for its health; any answer will do.
 async fn is_reached(node: &Node, server: &Server) -> bool {
     let record = server.record();
-    if node.loads_per_s(&record.service).is_none() {
-        return takes_connection(server).await;
-    }
+    let Some(path) = check_path(node, &record.service) else {
+        return true;
+    };
     let name = node.dialect.headers().expect_server.clone();
     let call = Call {
         method: Method::GET,
-        path: node.dialect.report_path().to_string(),
+        path,
         body: Bytes::new(),
         header: Some((name, record.id.clone())),
         timeout_ms: CHECK_TIMEOUT_MS,
@@ -121,13 +117,11 @@
     HttpClient::new(record.address).call(&call).await.is_ok()
 }
 
-async fn takes_connection(server: &Server) -> bool {
-    let timeout = Duration::from_millis(CHECK_TIMEOUT_MS);
-    let connecting = TcpStream::connect(server.record().address);
-    let Ok(Ok(stream)) = tokio::time::timeout(timeout, connecting).await else {
-        return false;
-    };
-    tokio::time::timeout(RESET_WAIT, stream.readable())
-        .await
-        .is_err()
+fn check_path(node: &Node, service: &str) -> Option<String> {
+    let in_force = node.in_force()?;
+    let service = in_force.configuration.services.get(service)?;
+    Some(match service.engine {
+        Some(_) => node.dialect.report_path().to_string(),
+        None => service.health_path.clone(),
+    })
 }
