Count servers as reachable that answered the last check

Cause: a box with links but few requests took itself for partitioned and declined what was forwarded to it. A server counted as reachable for 1.5 s after its last answer, so a box with one request a second knew of nearly none, and two failed servers were a third of all. An answer now counts since the last check of all servers in use. Test counts_idle_servers_as_up_that_answered_the_last_check: with 1.5 s alone, 0 up and 2 down, a partition.

--- a/crates/tinbay-core/src/links/mod.rs
+++ b/crates/tinbay-core/src/links/mod.rs
@@ -8,9 +8,15 @@
 
 use crate::units::Millis;
 
-/// Time for which a server that answered counts as reachable.
+/// Time for which a server that answered counts as reachable without a check.
 const HEARD_LIFE_MS: Millis = 1_500;
 
+/// Time since which an answer shows that a server can be reached: the start of the last check of
+/// all servers in use, as servers without requests give no other sign, or a fixed time ago.
+pub fn heard_since_ms(checked_ms: Millis, now_ms: Millis) -> Millis {
+    checked_ms.min(now_ms.saturating_sub(HEARD_LIFE_MS))
+}
+
 /// Servers that must be unreachable before the box's own links are suspected.
 const MIN_DOWN: usize = 2;
 
@@ -70,28 +76,28 @@
     }
 }
 
-/// Links to a number of servers, by state. Servers that this box has not used lately count as
-/// neither.
+/// Links to a number of servers, by state. Servers about which nothing is known lately count as
+/// neither up nor down.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct LinkCounts {
     /// Links on which new connections fail.
     pub down: usize,
     /// Links that are down because their servers have failed.
     pub failed: usize,
-    /// Links on which servers answered recently.
+    /// Links on which servers answered since the last check.
     pub up: usize,
     /// All links.
     pub known: usize,
 }
 
 impl LinkCounts {
-    /// Counts a link.
-    pub fn add(&mut self, link: &Link, now_ms: Millis) {
+    /// Counts a link; it is up if the server has answered since `heard_since_ms`.
+    pub fn add(&mut self, link: &Link, heard_since_ms: Millis) {
         self.known += 1;
         if link.is_down() {
             self.down += 1;
             self.failed += usize::from(link.has_server_failed);
-        } else if link.is_heard_since(now_ms.saturating_sub(HEARD_LIFE_MS)) {
+        } else if link.is_heard_since(heard_since_ms) {
             self.up += 1;
         }
     }
--- a/crates/tinbay-core/tests/links_test.rs
+++ b/crates/tinbay-core/tests/links_test.rs
@@ -2,7 +2,7 @@
 
 use quickcheck::quickcheck;
 use tinbay_core::links::targets::{Candidate, choose_targets};
-use tinbay_core::links::{Link, LinkCounts};
+use tinbay_core::links::{Link, LinkCounts, heard_since_ms};
 use tinbay_core::units::Millis;
 
 const NOW_MS: Millis = 100_000;
@@ -14,7 +14,7 @@
     up_link.record_heard(NOW_MS - 300);
     let mut counts = LinkCounts::default();
     for (link, number) in [(down_link, down), (up_link, up), (Link::default(), idle)] {
-        (0..number).for_each(|_| counts.add(&link, NOW_MS));
+        (0..number).for_each(|_| counts.add(&link, heard_since_ms(NOW_MS, NOW_MS)));
     }
     counts
 }
@@ -58,15 +58,34 @@
         let mut link = Link::default();
         link.record_failed(NOW_MS - 500);
         link.record_server_failed();
-        counts.add(&link, NOW_MS);
+        counts.add(&link, heard_since_ms(NOW_MS, NOW_MS));
     }
     let mut next = Link::default();
     next.record_failed(NOW_MS);
-    counts.add(&next, NOW_MS);
+    counts.add(&next, heard_since_ms(NOW_MS, NOW_MS));
     assert!(!counts.is_partitioned());
     assert!(!counts.needs_other_box(false));
 }
 
+/// Guards against a box with few requests that takes itself for partitioned some time after two
+/// servers have failed, as nothing is heard from the others.
+#[test]
+fn counts_idle_servers_as_up_that_answered_the_last_check() {
+    let checked_ms = NOW_MS - 60_000;
+    let mut answered = Link::default();
+    answered.record_reached(checked_ms + 100);
+    let mut failed = Link::default();
+    failed.record_failed(checked_ms + 100);
+    let mut counts = LinkCounts::default();
+    for link in [
+        answered, answered, answered, answered, answered, failed, failed,
+    ] {
+        counts.add(&link, heard_since_ms(checked_ms, NOW_MS));
+    }
+    assert_eq!((counts.up, counts.down), (5, 2));
+    assert!(!counts.is_partitioned());
+}
+
 #[test]
 fn link_of_a_failed_server_counts_again_after_it_was_reached() {
     let mut link = Link::default();
@@ -75,7 +94,7 @@
     link.record_reached(2_000);
     link.record_failed(3_000);
     let mut counts = LinkCounts::default();
-    counts.add(&link, 3_000);
+    counts.add(&link, heard_since_ms(3_000, 3_000));
     assert_eq!(counts.failed, 0);
 }
 
--- a/crates/tinbay-gateway/src/links/check.rs
+++ b/crates/tinbay-gateway/src/links/check.rs
@@ -53,6 +53,7 @@
         check_some(node, &silent, MAX_CHECKED).await;
     }
     if is_any_down() {
+        node.links.checked_ms.set(began_ms);
         check_some(node, &silent_servers(node, began_ms), MAX_CHECKED).await;
     }
 }
--- a/crates/tinbay-gateway/src/links/mod.rs
+++ b/crates/tinbay-gateway/src/links/mod.rs
@@ -14,7 +14,7 @@
 
 use log::Level;
 use serde::Serialize;
-use tinbay_core::links::LinkCounts;
+use tinbay_core::links::{LinkCounts, heard_since_ms};
 use tinbay_core::serving::servers::ServerKey;
 use tinbay_core::units::Millis;
 use tokio::sync::Notify;
@@ -43,6 +43,8 @@
     /// Services none of whose servers accepts connections from this box.
     services_down: RefCell<HashSet<String>>,
     has_down: Cell<bool>,
+    /// When the last check of all servers in use began.
+    checked_ms: Cell<Millis>,
 }
 
 impl Links {
@@ -149,19 +151,20 @@
 /// Derives from the links whether this box is partitioned and which services it doesn't reach.
 fn update_state(node: &Node) {
     let now_ms = node.now_ms();
+    let heard_since_ms = heard_since_ms(node.links.checked_ms.get(), now_ms);
     let mut all = LinkCounts::default();
     let mut by_service: HashMap<String, LinkCounts> = HashMap::new();
     let down = {
         let servers = node.servers.borrow();
         for server in servers.all().filter(|server| server.is_in_service(now_ms)) {
             let link = server.pool.link();
-            all.add(&link, now_ms);
+            all.add(&link, heard_since_ms);
             let record = server.record();
             match by_service.get_mut(&record.service) {
-                Some(counts) => counts.add(&link, now_ms),
+                Some(counts) => counts.add(&link, heard_since_ms),
                 None => {
                     let mut counts = LinkCounts::default();
-                    counts.add(&link, now_ms);
+                    counts.add(&link, heard_since_ms);
                     by_service.insert(record.service.clone(), counts);
                 }
             }
