Take the kind of a forwarded answer once, without copying its headers

Found on reading the change again: each answer from another box had its headers copied to read one of them, which was then taken out again. The listener's head names both kinds of callers.

--- a/crates/tinbay-gateway/src/front/forward/exchange.rs
+++ b/crates/tinbay-gateway/src/front/forward/exchange.rs
@@ -135,18 +135,18 @@
     mut response: Response<Incoming>,
     connection: Connection,
 ) -> ForwardResult {
+    let kind = take_kind(response.headers_mut());
     let refusal = |is_not_run| Refusal::ByOtherBox {
         status: response.status(),
         is_not_run,
         retry_after_ms: retry_after_ms(response.headers()),
     };
-    match take_kind(&mut response.headers().clone()) {
+    match kind {
         Some(AnswerKind::Declined) => ForwardResult::Declined,
         Some(AnswerKind::NotRun) => ForwardResult::Refused(refusal(true)),
         Some(AnswerKind::MayHaveRun) => ForwardResult::Refused(refusal(false)),
         None => ForwardResult::Refused(Refusal::MayHaveRun),
         Some(AnswerKind::FromServer) => {
-            take_kind(response.headers_mut());
             ForwardResult::Answered(relay(node, inbound, pool, response, connection))
         }
     }
--- a/crates/tinbay-gateway/src/front/listener.rs
+++ b/crates/tinbay-gateway/src/front/listener.rs
@@ -1,4 +1,4 @@
-//! Accepts callers' connections and serves their requests.
+//! Accepts the connections of callers and of other boxes, and serves their requests.
 
 use std::convert::Infallible;
 use std::rc::Rc;
