Logs: shared prompt parts of suspects and of requests that were not served

A crash_suspect line names the request and its digest; that the requests of several crashes share a part of their prompts could not be seen. It now lists the shared parts and how long the answer had been written, and the request line of an unserved request lists them beside the digest.

--- a/crates/tinbay-gateway/src/crashes/check.rs
+++ b/crates/tinbay-gateway/src/crashes/check.rs
@@ -6,6 +6,7 @@
 use log::Level;
 use serde::Serialize;
 use tinbay_core::crashes::digest::RequestDigest;
+use tinbay_core::serving::prompt::PartId;
 use tinbay_core::units::Millis;
 
 use super::spread;
@@ -30,6 +31,10 @@
     pub id: String,
     /// Digest of the content, equal for equal requests.
     pub digest: RequestDigest,
+    /// Shared parts of its prompt, in order.
+    pub parts: Vec<PartId>,
+    /// Time from the first piece of its answer to the cut; none if no piece had arrived.
+    pub written_for_ms: Option<Millis>,
 }
 
 /// Requests cut short by a server that refuses connections, while this box can't tell a crash from
@@ -54,6 +59,8 @@
     request: &'a str,
     digest: String,
     server: &'a str,
+    parts: String,
+    written_for_ms: Option<Millis>,
 }
 
 /// Records that a server cut an answer short or closed the connection without one, and starts a
@@ -143,6 +150,8 @@
             request: &request.id,
             digest: request.digest.to_string(),
             server: &server.record().id,
+            parts: list_parts(&request.parts),
+            written_for_ms: request.written_for_ms,
         };
         events::emit(part::FRONT, Level::Info, "crash_suspect", &event);
         super::count_crash(node, request.digest, server.key);
@@ -150,3 +159,9 @@
     let digests = cut.iter().map(|request| request.digest).collect();
     spread::report(node, digests, server.key);
 }
+
+/// The ids of prompt parts, separated by commas.
+pub fn list_parts(parts: &[PartId]) -> String {
+    let ids: Vec<String> = parts.iter().map(ToString::to_string).collect();
+    ids.join(",")
+}
--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -267,6 +267,8 @@
         let request = CutRequest {
             id: inbound.id.clone(),
             digest: *digest,
+            parts: inbound.shared_part_ids(),
+            written_for_ms: inbound.written_for_ms(node.now_ms()),
         };
         check::record_cut(node, server, request);
     }
--- a/crates/tinbay-gateway/src/front/inbound.rs
+++ b/crates/tinbay-gateway/src/front/inbound.rs
@@ -13,7 +13,7 @@
 use tinbay_core::resumption::history::HISTORY_MS;
 use tinbay_core::serving::configuration::{Route, RouteKind};
 use tinbay_core::serving::contents::{AdapterKey, adapter_key};
-use tinbay_core::serving::prompt::Prompt;
+use tinbay_core::serving::prompt::{PartId, Prompt};
 use tinbay_core::serving::servers::Fingerprint;
 use tinbay_core::serving::stream_timing::StreamTiming;
 use tinbay_core::units::Millis;
@@ -260,6 +260,19 @@
         let _ = self.digest.set(digest);
     }
 
+    /// Ids of the parts of its prompt that other requests may share, in order.
+    pub fn shared_part_ids(&self) -> Vec<PartId> {
+        let shared = self.prompt.shared_parts();
+        shared.iter().map(|part| part.id).collect()
+    }
+
+    /// Time since the first piece of its answer arrived, once the answer has ended; none if no piece
+    /// did.
+    pub fn written_for_ms(&self, now_ms: Millis) -> Option<Millis> {
+        let first_ms = self.stream_timing.get().first_ms()?;
+        Some(now_ms.saturating_sub(first_ms))
+    }
+
     /// Rank in the server's queue, 0 first.
     pub fn rank(&self) -> u8 {
         let account = self.client_account().map(|account| account.priority);
--- a/crates/tinbay-gateway/src/front/request_log.rs
+++ b/crates/tinbay-gateway/src/front/request_log.rs
@@ -9,6 +9,7 @@
 use super::attempt::AttemptResult;
 use super::inbound::InboundRequest;
 use super::refusal::Refusal;
+use crate::crashes::check::list_parts;
 use crate::events::{self, part};
 use crate::http::framing::{BodyEnd, BodyFraming};
 use crate::http::relay::RelayEnd;
@@ -147,6 +148,9 @@
     partial_event_bytes: Option<u64>,
     #[serde(skip_serializing_if = "Option::is_none")]
     digest: Option<String>,
+    /// Shared parts of the prompt, beside the digest.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    parts: Option<String>,
     sent_after_ms: Option<Millis>,
     #[serde(skip_serializing_if = "Option::is_none")]
     expected_version: Option<u64>,
@@ -206,6 +210,7 @@
         status,
         outcome,
         digest: digest.map(ToString::to_string),
+        parts: digest.map(|_| list_parts(&inbound.shared_part_ids())),
         cause,
         framing: unframed.map(|end| end.framing.name()),
         ended: unframed.and_then(|end| end.result.ok()).map(BodyEnd::name),
