Refuse requests with a prompt part that crashes servers

Cause: crashes were counted for whole requests (account, path, body) only. The class: a cause is looked for at one granularity. Evidence: 243 suspects with 243 digests in the record, no quarantine, checks within 250 ms.

Change: crashes are counted for the shared parts of prompts, too (tinbay_core::crashes::parts). From three crashes at different times under different requests a part is suspected; all boxes are told, those with proof object, requests with the part wait; after 600 ms it is refused. The part with the most crashes and the fewest requests is judged first and explains its crashes; parts that always run together are refused together. A later proof lifts a refusal everywhere. What is refused is asked again right before each send. 503 with Retry-After, as a judgement may be wrong.

--- a/crates/tinbay-core/src/crashes/ledger.rs
+++ b/crates/tinbay-core/src/crashes/ledger.rs
@@ -12,7 +12,7 @@
 
 /// How long crashes count after the last one. A request that is retried every few minutes must not
 /// crash a server each time.
-const CRASH_LIFE_MS: Millis = 3_600_000;
+pub const CRASH_LIFE_MS: Millis = 3_600_000;
 
 /// Upper bound of the requests tracked; the oldest are dropped. A crash has some tens of suspects,
 /// so that this covers about a hundred crashes, in about half a megabyte.
--- /dev/null
+++ b/crates/tinbay-core/src/crashes/parts/mod.rs
@@ -0,0 +1,43 @@
+//! Detection of prompt parts that crash servers.
+//!
+//! Requests that are all different may share a part of their prompts, and this part may crash each
+//! server that begins to answer. When a server crashes, each part of the requests that it had not
+//! been answering for long is a suspect. Boxes report suspects to the few boxes that track the part,
+//! unless they have proof: a request with the part that was answered. A tracker that has counted
+//! enough crashes tells all boxes that it suspects the part. A box with proof objects; without an
+//! objection the part is refused.
+//!
+//! Several suspects may share crashes. The one with the most crashes, and with the fewest requests
+//! among equals, is judged first, and its crashes then count against no other one. A part that only
+//! ever ran together with others is refused only together with them.
+
+mod evidence;
+mod judge;
+mod ledger;
+mod proven;
+mod refusals;
+
+pub use evidence::{CrashReport, Evidence, PartSet, Proof, Refusal, Suspicion};
+pub use judge::{Announcement, Heard, PartJudge, ProofEffect};
+pub use proven::{PROOF_HOLD_MS, PROVING_WRITE_MS};
+pub use refusals::REFUSAL_LIFE_MS;
+
+use crate::units::Millis;
+
+/// Crashes, and different requests in them, from which a part is suspected. Two would suspect
+/// sessions whose first requests met two crashes of other causes.
+pub const CRASHES_TO_SUSPECT: usize = 3;
+
+/// Crashes closer together than this count as one: servers that end at the same moment have a common
+/// cause other than their requests.
+pub const COINCIDENCE_MS: Millis = 100;
+
+/// Time for objections before a suspected part is refused: a suspicion reaches the boxes of all
+/// zones, and their objections the trackers, in a fraction of it.
+pub const OBJECTION_MS: Millis = 600;
+
+/// Longest time for which a part stays suspected while others with the same crashes are judged.
+pub const MAX_SUSPICION_MS: Millis = 3 * OBJECTION_MS;
+
+/// Parts of one prompt that are tracked; the first ones are shared most.
+pub const MAX_TRACKED_PARTS: usize = 16;
--- a/crates/tinbay-gateway/src/crashes/check.rs
+++ b/crates/tinbay-gateway/src/crashes/check.rs
@@ -9,7 +9,7 @@
 use tinbay_core::serving::prompt::PartId;
 use tinbay_core::units::Millis;
 
-use super::spread;
+use super::{parts, spread};
 use crate::events::{self, part};
 use crate::http::connect::{ProbeOutcome, probe};
 use crate::links;
@@ -35,6 +35,8 @@
     pub parts: Vec<PartId>,
     /// Time from the first piece of its answer to the cut; none if no piece had arrived.
     pub written_for_ms: Option<Millis>,
+    /// When the answer was cut.
+    pub cut_ms: Millis,
 }
 
 /// Requests cut short by a server that refuses connections, while this box can't tell a crash from
@@ -59,6 +61,8 @@
     request: &'a str,
     digest: String,
     server: &'a str,
+    /// Key of the server's incarnation.
+    crash: String,
     parts: String,
     written_for_ms: Option<Millis>,
 }
@@ -150,6 +154,7 @@
             request: &request.id,
             digest: request.digest.to_string(),
             server: &server.record().id,
+            crash: format!("{:x}", server.key),
             parts: list_parts(&request.parts),
             written_for_ms: request.written_for_ms,
         };
@@ -158,6 +163,7 @@
     }
     let digests = cut.iter().map(|request| request.digest).collect();
     spread::report(node, digests, server.key);
+    parts::report_crash(node, server.key, cut);
 }
 
 /// The ids of prompt parts, separated by commas.
--- a/crates/tinbay-gateway/src/crashes/mod.rs
+++ b/crates/tinbay-gateway/src/crashes/mod.rs
@@ -3,10 +3,12 @@
 //! A box reports each crash that it sees to the few boxes that track the request. A tracker that
 //! has counted enough crashes quarantines the request, announces that to all boxes, and writes it
 //! to the store for boxes that start later. So a crash costs a few messages, and only quarantined
-//! requests are announced to every box.
+//! requests are announced to every box. Parts of prompts that different requests share are judged in
+//! the same way, see [`parts`].
 
 pub mod check;
 pub mod entries;
+pub mod parts;
 pub mod spread;
 
 use std::cell::RefCell;
@@ -21,7 +23,11 @@
 use tinbay_core::units::Millis;
 use tokio::sync::Notify;
 
+use self::entries::StoreEntry;
+use self::parts::Parts;
 use crate::events::{self, part};
+use crate::front::inbound::InboundRequest;
+use crate::front::refusal::Refusal;
 use crate::node::Node;
 
 /// This box's knowledge of requests that crash servers.
@@ -36,9 +42,11 @@
     pending_checks: RefCell<HashMap<RequestDigest, usize>>,
     /// Notified when a check has finished.
     check_done: Notify,
-    /// Requests quarantined by this box that have no entry in the store yet.
-    unsaved: RefCell<VecDeque<RequestDigest>>,
+    /// Entries of the store that this box has to write.
+    unsaved: RefCell<VecDeque<StoreEntry>>,
     save_due: Notify,
+    /// Prompt parts that crash servers.
+    parts: Parts,
 }
 
 /// How this box learned that a request is quarantined.
@@ -74,6 +82,21 @@
     /// Drops expired quarantines.
     pub fn tidy(&self, now_ms: Millis) {
         self.quarantine.borrow_mut().tidy(now_ms);
+        self.parts.tidy(now_ms);
+    }
+
+    /// Numbers of refused sets of prompt parts, and of suspected parts.
+    pub fn part_counts(&self, now_ms: Millis) -> (usize, usize) {
+        self.parts.counts(now_ms)
+    }
+
+    /// Queues an entry to be written to the store, or to be removed from it.
+    fn save(&self, entry: StoreEntry) {
+        let mut unsaved = self.unsaved.borrow_mut();
+        if !unsaved.contains(&entry) {
+            unsaved.push_back(entry);
+        }
+        self.save_due.notify_one();
     }
 
     fn begin_check(&self, digest: RequestDigest) {
@@ -98,8 +121,32 @@
     }
 }
 
+/// The refusal of a request under which servers crash, or under a part of whose prompt they do.
+pub fn refusal(node: &Node, inbound: &InboundRequest) -> Option<Refusal> {
+    let digest = inbound.digest.get();
+    if digest.is_some_and(|digest| is_refused(node, *digest)) {
+        return Some(Refusal::CrashesServers);
+    }
+    let is_part_refused = parts::is_refused(node, &inbound.shared_parts);
+    is_part_refused.then_some(Refusal::PartCrashesServers)
+}
+
+/// Whether a request may be sent to a server now.
+pub fn may_be_sent(node: &Node, inbound: &InboundRequest) -> bool {
+    refusal(node, inbound).is_none() && !parts::is_awaiting_judgement(node, &inbound.shared_parts)
+}
+
+/// Waits for what may soon refuse a request: checks of servers that just cut it short, and judgements
+/// of its prompt's parts.
+pub async fn wait_for_verdicts(node: &Node, inbound: &InboundRequest) {
+    if let Some(digest) = inbound.digest.get() {
+        wait_for_checks(node, *digest).await;
+    }
+    parts::wait_for_judgement(node, inbound).await;
+}
+
 /// Whether a request is refused: it is quarantined, and this box has not seen it complete.
-pub fn is_refused(node: &Node, digest: RequestDigest) -> bool {
+fn is_refused(node: &Node, digest: RequestDigest) -> bool {
     let is_quarantined = node
         .crashes
         .quarantine
@@ -111,7 +158,7 @@
 /// Waits for the checks of servers that just cut the request short, which takes some milliseconds.
 /// Without the wait, retries of a request within that time could crash several servers before the
 /// first crash is counted.
-pub async fn wait_for_checks(node: &Node, digest: RequestDigest) {
+async fn wait_for_checks(node: &Node, digest: RequestDigest) {
     loop {
         let done = node.crashes.check_done.notified();
         if !node.crashes.pending_checks.borrow().contains_key(&digest) {
@@ -121,10 +168,13 @@
     }
 }
 
-/// Records that a request completed, which clears its crashes.
-pub fn record_completed(node: &Node, digest: RequestDigest) {
-    node.crashes.proven.borrow_mut().note(digest);
-    node.crashes.ledger.borrow_mut().clear(digest);
+/// Records that a request completed, which clears its crashes and those of its prompt's parts.
+pub fn record_completed(node: &Node, inbound: &InboundRequest) {
+    if let Some(digest) = inbound.digest.get() {
+        node.crashes.proven.borrow_mut().note(*digest);
+        node.crashes.ledger.borrow_mut().clear(*digest);
+    }
+    parts::record_answered(node, &inbound.shared_parts);
 }
 
 /// Counts a crash under a request, seen by this box or reported by another one.
@@ -135,24 +185,25 @@
     let now_ms = node.now_ms();
     let crashes = node.crashes.ledger.borrow_mut().note(digest, crash, now_ms);
     if crashes >= CRASHES_TO_REFUSE && quarantine_request(node, digest, 0, Source::Counted) {
-        node.crashes.unsaved.borrow_mut().push_back(digest);
-        node.crashes.save_due.notify_one();
+        node.crashes.save(StoreEntry::Request(digest));
         spread::announce(node, digest, spread::Audience::AllZones);
     }
 }
 
-/// Queues the entries of all quarantined requests to be written again after the store lost them.
-/// Returns their number.
+/// Queues the entries of all that is refused to be written again after the store lost them. Returns
+/// their number.
 pub fn save_again(node: &Node) -> usize {
     let quarantined = node.crashes.quarantine.borrow().ages(node.now_ms());
-    let mut unsaved = node.crashes.unsaved.borrow_mut();
-    for (digest, _) in &quarantined {
-        if !unsaved.contains(digest) {
-            unsaved.push_back(*digest);
-        }
+    let requests = quarantined
+        .into_iter()
+        .map(|(digest, _)| StoreEntry::Request(digest));
+    let sets = parts::refused_sets(node).into_iter().map(StoreEntry::Parts);
+    let entries: Vec<StoreEntry> = requests.chain(sets).collect();
+    let count = entries.len();
+    for entry in entries {
+        node.crashes.save(entry);
     }
-    node.crashes.save_due.notify_one();
-    quarantined.len()
+    count
 }
 
 /// Applies another box's announcement of a quarantined request.
--- /dev/null
+++ b/crates/tinbay-gateway/src/crashes/parts.rs
@@ -0,0 +1,486 @@
+//! Refusal of requests with prompt parts that crash backend servers.
+//!
+//! [`PartJudge`] decides; this module feeds it with what the box sees and what others tell, passes its
+//! announcements on, and holds requests back while a part of their prompts is being judged.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::StatusCode;
+use log::Level;
+use rand::seq::SliceRandom;
+use serde::Serialize;
+use tinbay_core::crashes::ledger::CrashKey;
+use tinbay_core::crashes::parts::{
+    Announcement, CrashReport, Evidence, Heard, PROVING_WRITE_MS, PartJudge, PartSet, Proof,
+    ProofEffect, Refusal, Suspicion,
+};
+use tinbay_core::serving::prompt::PartId;
+use tinbay_core::units::Millis;
+use tokio::sync::Notify;
+
+use super::check::{CutRequest, list_parts};
+use super::entries::StoreEntry;
+use super::spread::{self, Audience};
+use crate::events::{self, part};
+use crate::front::inbound::InboundRequest;
+use crate::http::relay::ProgressObserver;
+use crate::node::Node;
+use crate::peers::frame::{FramePart, PromptPartMessage};
+
+/// Interval at which suspicions are judged while there are any.
+const JUDGE_INTERVAL: Duration = Duration::from_millis(25);
+
+/// Pauses between the reports of a crash, as messages may be lost. A tracker that fails is replaced
+/// within the last one.
+const REPORT_PAUSES: [Duration; 2] = [Duration::from_millis(600), Duration::from_millis(2_400)];
+
+/// Upper bound on refusals listed in one message. Each message lists a random selection, so that all
+/// are listed over time.
+const MAX_LISTED: usize = 8;
+
+/// This box's knowledge of prompt parts that crash servers.
+#[derive(Debug, Default)]
+pub struct Parts {
+    judge: RefCell<PartJudge>,
+    /// Notified when a part is suspected.
+    suspected: Notify,
+    /// Notified when suspicions have been judged or dropped.
+    judged: Notify,
+}
+
+impl Parts {
+    /// Drops refusals whose time is over.
+    pub fn tidy(&self, now_ms: Millis) {
+        self.judge.borrow_mut().tidy(now_ms);
+    }
+
+    /// Numbers of refused sets and of suspected parts.
+    pub fn counts(&self, now_ms: Millis) -> (usize, usize) {
+        let (refused, suspected, _) = self.judge.borrow().counts(now_ms);
+        (refused, suspected)
+    }
+}
+
+/// How this box learned of a judgement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Source {
+    /// This box counted the crashes, or answered a request.
+    Own,
+    /// Another box announced it.
+    Announced,
+    /// It was read from the store.
+    Stored,
+}
+
+impl Source {
+    fn name(self) -> &'static str {
+        match self {
+            Source::Own => "counted",
+            Source::Announced => "told",
+            Source::Stored => "stored",
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct SuspectedEvent {
+    prompt_part: String,
+    companions: String,
+    crashes: String,
+    requests: u16,
+    source: &'static str,
+    age_ms: u16,
+}
+
+#[derive(Serialize)]
+struct ProvenEvent {
+    prompt_part: String,
+    source: &'static str,
+    proof_age_ms: u32,
+    lifted: String,
+}
+
+#[derive(Serialize)]
+struct RefusedEvent {
+    parts: String,
+    crashes: String,
+    requests: u16,
+    source: &'static str,
+    age_ms: u32,
+    is_overruled: bool,
+}
+
+/// Judges suspicions when they are due, until the box stops.
+pub async fn run(node: Rc<Node>) {
+    let parts = &node.crashes.parts;
+    loop {
+        if !parts.judge.borrow().has_suspected() {
+            parts.suspected.notified().await;
+        }
+        tokio::time::sleep(JUDGE_INTERVAL).await;
+        let refusals = parts.judge.borrow_mut().judge(node.now_ms());
+        for refusal in refusals {
+            node.crashes.save(StoreEntry::Parts(refusal.parts.clone()));
+            log_refusal(&node, &refusal, Source::Own, false);
+            post_refusal(&node, refusal, Audience::AllZones);
+        }
+        parts.judged.notify_waiters();
+    }
+}
+
+/// Whether a request with these shared parts is refused.
+pub fn is_refused(node: &Node, shared_parts: &[PartId]) -> bool {
+    let judge = node.crashes.parts.judge.borrow();
+    judge.refused_set(shared_parts, node.now_ms()).is_some()
+}
+
+/// Whether a part of a request is suspected, and not proven at this box.
+pub fn is_awaiting_judgement(node: &Node, shared_parts: &[PartId]) -> bool {
+    let judge = node.crashes.parts.judge.borrow();
+    judge.has_suspected() && judge.is_awaiting_judgement(shared_parts, node.now_ms())
+}
+
+/// Waits until no part of a request is suspected any more, or its time is up.
+pub async fn wait_for_judgement(node: &Node, inbound: &InboundRequest) {
+    loop {
+        let judged = node.crashes.parts.judged.notified();
+        if !is_awaiting_judgement(node, &inbound.shared_parts) {
+            return;
+        }
+        let time_up = tokio::time::Instant::from_std(node.clock.instant(inbound.time_up_ms));
+        if tokio::time::timeout_at(time_up, judged).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// The observer that proves the parts of a request once its answer has been written for some time;
+/// none for an answer that is no success.
+pub fn observe_progress(
+    node: &Rc<Node>,
+    inbound: &Rc<InboundRequest>,
+    status: StatusCode,
+) -> Option<ProgressObserver> {
+    if !status.is_success() || inbound.shared_parts.is_empty() {
+        return None;
+    }
+    let node = Rc::clone(node);
+    let inbound = Rc::clone(inbound);
+    Some(ProgressObserver {
+        after_ms: PROVING_WRITE_MS,
+        observer: Box::new(move || record_answered(&node, &inbound.shared_parts)),
+    })
+}
+
+/// Records that a request with these parts was answered, so that they do not crash servers.
+pub fn record_answered(node: &Node, shared_parts: &[PartId]) {
+    let now_ms = node.now_ms();
+    for prompt_part in shared_parts {
+        let proof = Proof {
+            part: *prompt_part,
+            age_ms: 0,
+        };
+        let effect = node
+            .crashes
+            .parts
+            .judge
+            .borrow_mut()
+            .record_proof(proof, now_ms);
+        apply_proof_effect(node, proof, effect, Source::Own);
+    }
+}
+
+/// Counts a crash for the unproven parts of the requests that were cut, and reports it to the boxes
+/// that track them. A server crashes of a part as it begins to write, so that requests whose answers
+/// had been written for longer are not the cause.
+pub fn report_crash(node: &Rc<Node>, crash: CrashKey, cut: &[CutRequest]) {
+    let mut reports = Vec::new();
+    for request in cut {
+        if request
+            .written_for_ms
+            .is_some_and(|written_ms| written_ms >= PROVING_WRITE_MS)
+        {
+            continue;
+        }
+        let judge = node.crashes.parts.judge.borrow();
+        let unproven = judge.unproven(&request.parts, request.cut_ms);
+        for prompt_part in &unproven {
+            let companions = unproven.iter().filter(|other| *other != prompt_part);
+            reports.push(CrashReport {
+                part: *prompt_part,
+                companions: companions.copied().collect(),
+                crash,
+                request: request.digest.short(),
+                age_ms: to_u16(node.now_ms() - request.cut_ms),
+            });
+        }
+    }
+    if reports.is_empty() {
+        return;
+    }
+    for report in &reports {
+        count(node, report);
+    }
+    let node = Rc::clone(node);
+    tokio::task::spawn_local(async move { report_to_trackers(&node, reports).await });
+}
+
+async fn report_to_trackers(node: &Node, reports: Vec<CrashReport>) {
+    let began_ms = node.now_ms();
+    post_reports(node, &reports, 0);
+    for pause in REPORT_PAUSES {
+        tokio::time::sleep(pause).await;
+        post_reports(node, &reports, node.now_ms() - began_ms);
+    }
+}
+
+fn post_reports(node: &Node, reports: &[CrashReport], since_ms: Millis) {
+    for report in reports {
+        let aged = CrashReport {
+            age_ms: report.age_ms.saturating_add(to_u16(since_ms)),
+            ..report.clone()
+        };
+        let message = FramePart::PromptPart(PromptPartMessage::Crash(aged));
+        for tracker in trackers(node, report.part) {
+            node.outbox.post(&tracker, message.clone());
+        }
+    }
+}
+
+fn trackers(node: &Node, prompt_part: PartId) -> Vec<String> {
+    spread::trackers(node, &format!("part/{prompt_part}"))
+}
+
+/// Counts a crash under a request with a part, and announces what follows from it.
+fn count(node: &Node, report: &CrashReport) {
+    let now_ms = node.now_ms();
+    let announcement = {
+        let mut judge = node.crashes.parts.judge.borrow_mut();
+        judge.record_crash(report, now_ms)
+    };
+    match announcement {
+        None => {}
+        Some(Announcement::Suspicion(suspicion)) => {
+            node.crashes.parts.suspected.notify_one();
+            log_suspicion(node, &suspicion, Source::Own);
+            post(
+                node,
+                PromptPartMessage::Suspicion(suspicion),
+                Audience::AllZones,
+            );
+        }
+        Some(Announcement::Refusal(refusal)) => {
+            log_refusal(node, &refusal, Source::Own, false);
+            post_refusal(node, refusal, Audience::AllZones);
+        }
+    }
+}
+
+/// Handles another box's message.
+pub fn handle(node: &Node, sender: &str, message: PromptPartMessage) {
+    match message {
+        PromptPartMessage::Crash(report) => count(node, &report),
+        PromptPartMessage::Suspicion(suspicion) => handle_suspicion(node, sender, suspicion),
+        PromptPartMessage::Proof(proof) => {
+            let now_ms = node.now_ms();
+            let effect = node
+                .crashes
+                .parts
+                .judge
+                .borrow_mut()
+                .record_proof(proof, now_ms);
+            apply_proof_effect(node, proof, effect, Source::Announced);
+        }
+        PromptPartMessage::Refusals(refusals) => {
+            for refusal in refusals {
+                handle_refusal(node, refusal, Source::Announced);
+            }
+        }
+    }
+}
+
+fn handle_suspicion(node: &Node, sender: &str, suspicion: Suspicion) {
+    let now_ms = node.now_ms();
+    let heard = {
+        let mut judge = node.crashes.parts.judge.borrow_mut();
+        judge.hear_suspicion(&suspicion, now_ms)
+    };
+    match heard {
+        Heard::Known => {}
+        Heard::New => {
+            node.crashes.parts.suspected.notify_one();
+            log_suspicion(node, &suspicion, Source::Announced);
+            post(
+                node,
+                PromptPartMessage::Suspicion(suspicion),
+                Audience::AsRelay,
+            );
+        }
+        Heard::Disproved(proofs) => {
+            let steps = &node.metrics.part_judgements;
+            steps.with_label_values(&["objected"]).inc();
+            for proof in proofs {
+                let mut receivers = trackers(node, proof.part);
+                receivers.push(sender.to_string());
+                receivers.sort_unstable();
+                receivers.dedup();
+                for box_id in receivers {
+                    let message = FramePart::PromptPart(PromptPartMessage::Proof(proof));
+                    node.outbox.post(&box_id, message);
+                }
+            }
+        }
+    }
+}
+
+fn handle_refusal(node: &Node, refusal: Refusal, source: Source) {
+    let now_ms = node.now_ms();
+    let heard = {
+        let mut judge = node.crashes.parts.judge.borrow_mut();
+        judge.hear_refusal(&refusal, now_ms)
+    };
+    match heard {
+        Heard::Known => {}
+        Heard::New => {
+            log_refusal(node, &refusal, source, false);
+            node.crashes.parts.judged.notify_waiters();
+            post_refusal(node, refusal, Audience::AsRelay);
+        }
+        Heard::Disproved(proofs) => {
+            log_refusal(node, &refusal, source, true);
+            for proof in proofs {
+                post(node, PromptPartMessage::Proof(proof), Audience::AllZones);
+            }
+        }
+    }
+}
+
+/// Applies refused parts read from the store.
+pub fn apply_stored(node: &Node, parts: PartSet, evidence: Evidence) {
+    let refusal = Refusal {
+        parts,
+        evidence,
+        age_ms: 0,
+    };
+    handle_refusal(node, refusal, Source::Stored);
+}
+
+fn apply_proof_effect(node: &Node, proof: Proof, effect: ProofEffect, source: Source) {
+    if !effect.is_news {
+        return;
+    }
+    let lifted: Vec<String> = effect.lifted.iter().map(ToString::to_string).collect();
+    let event = ProvenEvent {
+        prompt_part: proof.part.to_string(),
+        source: source.name(),
+        proof_age_ms: proof.age_ms,
+        lifted: lifted.join(","),
+    };
+    events::emit(part::FRONT, Level::Info, "part_proven", &event);
+    let steps = &node.metrics.part_judgements;
+    steps
+        .with_label_values(&["lifted"])
+        .inc_by(effect.lifted.len() as u64);
+    // The boxes that refused a set have written its entry.
+    for set in effect.lifted {
+        node.crashes.save(StoreEntry::Parts(set));
+    }
+    node.crashes.parts.judged.notify_waiters();
+    let audience = match source {
+        Source::Own => Audience::AllZones,
+        Source::Announced | Source::Stored => Audience::AsRelay,
+    };
+    post(node, PromptPartMessage::Proof(proof), audience);
+}
+
+fn post(node: &Node, message: PromptPartMessage, audience: Audience) {
+    spread::post(node, &FramePart::PromptPart(message), audience);
+}
+
+fn post_refusal(node: &Node, refusal: Refusal, audience: Audience) {
+    post(node, PromptPartMessage::Refusals(vec![refusal]), audience);
+}
+
+/// Refusals for a round of gossip; `None` if there are none.
+pub fn refusals_part(node: &Node) -> Option<FramePart> {
+    let mut refusals = node
+        .crashes
+        .parts
+        .judge
+        .borrow()
+        .list_refusals(node.now_ms());
+    if refusals.is_empty() {
+        return None;
+    }
+    refusals.shuffle(&mut rand::rng());
+    refusals.truncate(MAX_LISTED);
+    Some(FramePart::PromptPart(PromptPartMessage::Refusals(refusals)))
+}
+
+/// The sets that are refused.
+pub fn refused_sets(node: &Node) -> Vec<PartSet> {
+    let refusals = node
+        .crashes
+        .parts
+        .judge
+        .borrow()
+        .list_refusals(node.now_ms());
+    refusals.into_iter().map(|refusal| refusal.parts).collect()
+}
+
+/// What speaks against a set of parts; none if it is not refused.
+pub fn evidence(node: &Node, parts: &PartSet) -> Option<Evidence> {
+    let refusals = node
+        .crashes
+        .parts
+        .judge
+        .borrow()
+        .list_refusals(node.now_ms());
+    let mut refusals = refusals.into_iter();
+    let refusal = refusals.find(|refusal| refusal.parts == *parts)?;
+    Some(refusal.evidence)
+}
+
+fn log_suspicion(node: &Node, suspicion: &Suspicion, source: Source) {
+    let steps = &node.metrics.part_judgements;
+    steps.with_label_values(&["suspected"]).inc();
+    let event = SuspectedEvent {
+        prompt_part: suspicion.part.to_string(),
+        companions: list_parts(&suspicion.companions),
+        crashes: list_crashes(&suspicion.evidence),
+        requests: suspicion.evidence.requests,
+        source: source.name(),
+        age_ms: suspicion.age_ms,
+    };
+    events::emit(part::FRONT, Level::Warn, "part_suspected", &event);
+}
+
+fn log_refusal(node: &Node, refusal: &Refusal, source: Source, is_overruled: bool) {
+    let steps = &node.metrics.part_judgements;
+    let step = if is_overruled { "objected" } else { "refused" };
+    steps.with_label_values(&[step]).inc();
+    let event = RefusedEvent {
+        parts: refusal.parts.to_string(),
+        crashes: list_crashes(&refusal.evidence),
+        requests: refusal.evidence.requests,
+        source: source.name(),
+        age_ms: refusal.age_ms,
+        is_overruled,
+    };
+    events::emit(part::FRONT, Level::Warn, "parts_refused", &event);
+}
+
+fn list_crashes(evidence: &Evidence) -> String {
+    let keys: Vec<String> = evidence
+        .crashes
+        .iter()
+        .map(|key| format!("{key:x}"))
+        .collect();
+    keys.join(",")
+}
+
+fn to_u16(age_ms: Millis) -> u16 {
+    age_ms.min(Millis::from(u16::MAX)) as u16
+}
--- a/crates/tinbay-gateway/src/crashes/spread.rs
+++ b/crates/tinbay-gateway/src/crashes/spread.rs
@@ -27,17 +27,17 @@
 /// report then goes to its replacement.
 const REPORT_PAUSE: Duration = Duration::from_millis(600);
 
-/// Boxes in this zone to which a quarantine is announced directly, and which pass it on.
+/// Boxes in this zone to which a message is posted directly, and which pass it on.
 const ZONE_PEERS: usize = 4;
 
 /// Upper bound on requests listed in one message. Each message lists a random selection, so that
 /// all requests are listed over time.
 const MAX_LISTED: usize = 24;
 
-/// Zones to which a quarantine is announced directly.
+/// Zones to which a message is posted directly.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Audience {
-    /// All zones, as this box quarantined the request.
+    /// All zones, as the message begins at this box.
     AllZones,
     /// This zone, and other zones only if this box is one of the relays that read the store for its
     /// zone.
@@ -60,14 +60,15 @@
 }
 
 fn report_once(node: &Node, digest: RequestDigest, crash: CrashKey) {
-    for tracker in trackers(node, digest) {
+    for tracker in trackers(node, &digest.to_string()) {
         let part = CrashReportPart { digest, crash };
         node.outbox.post(&tracker, FramePart::CrashReport(part));
     }
 }
 
-/// Other boxes that track a request. This box counts the crashes that it sees in any case.
-fn trackers(node: &Node, digest: RequestDigest) -> Vec<String> {
+/// Other boxes that track a request or a prompt part, given its name. This box counts the crashes
+/// that it sees in any case.
+pub fn trackers(node: &Node, name: &str) -> Vec<String> {
     let now_ms = node.now_ms();
     let settings = node.settings.borrow();
     let members = node.members.borrow();
@@ -77,7 +78,7 @@
         capacity: settings.resources.capacity(),
     };
     let boxes: Vec<RankedBox<'_>> = others.chain([own]).collect();
-    capacity::select_boxes(&digest.to_string(), &boxes, TRACKERS)
+    capacity::select_boxes(name, &boxes, TRACKERS)
         .into_iter()
         .filter(|id| *id != settings.box_id)
         .map(str::to_string)
@@ -87,9 +88,13 @@
 /// Announces a quarantined request to some boxes directly.
 pub fn announce(node: &Node, digest: RequestDigest, audience: Audience) {
     let refused = vec![RefusedPart { digest, age_s: 0 }];
+    post(node, &FramePart::Refused(refused), audience);
+}
+
+/// Queues a message for some boxes, which pass it on.
+pub fn post(node: &Node, message: &FramePart, audience: Audience) {
     for box_id in zone_boxes(node).sample(&mut rand::rng(), ZONE_PEERS) {
-        node.outbox
-            .post(box_id, FramePart::Refused(refused.clone()));
+        node.outbox.post(box_id, message.clone());
     }
     let relays = relay::relays(node);
     if audience == Audience::AsRelay && !relays.includes_self {
@@ -97,8 +102,7 @@
     }
     for zone in relays.ids_by_other_zone {
         if let Some(box_id) = zone.choose(&mut rand::rng()) {
-            node.outbox
-                .post(box_id, FramePart::Refused(refused.clone()));
+            node.outbox.post(box_id, message.clone());
         }
     }
 }
--- a/crates/tinbay-gateway/src/front/attempt.rs
+++ b/crates/tinbay-gateway/src/front/attempt.rs
@@ -13,6 +13,7 @@
 
 use super::headers::{self, ServerHeaders};
 use super::inbound::{InboundRequest, text};
+use crate::crashes;
 use crate::http::body::RequestBody;
 use crate::http::pool::{ConnectError, Connection, ReusableIdle};
 use crate::http::reuse::Reuse;
@@ -35,7 +36,8 @@
     /// Another server now listens at the address of the intended one.
     Displaced,
     /// Not sent: after the wait for a connection, the server was not ready, in back-off, at its
-    /// rate limit, or had too many bytes of requests waiting.
+    /// rate limit, or had too many bytes of requests waiting, or the request was refused or
+    /// suspected because servers crash.
     Withdrawn {
         /// The unsent body, for another attempt.
         body: RequestBody,
@@ -174,10 +176,14 @@
             links::record_failure(node, terms.server);
         }
         let mut connection = connected.map_err(|error| AttemptResult::NotSent { error })?;
-        // The server was chosen before the wait for a connection, so its state is checked again.
+        // The server was chosen before the wait for a connection, so its state and that of the
+        // request are checked again.
         let now_ms = node.now_ms();
+        // A run that is handed over has begun to be answered.
+        let is_run = terms.headers.resumption.is_some();
         if !terms.server.may_receive_requests(now_ms)
             || !terms.permit.is_valid(terms.server, now_ms)
+            || !(is_run || crashes::may_be_sent(node, inbound))
         {
             let body = request.into_body();
             return Err(AttemptResult::Withdrawn { body });
--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -110,8 +110,9 @@
         };
         // Checked again before each attempt: the previous server may have crashed under the
         // request, or other boxes may have reported crashes while it waited for its adapter.
-        if is_quarantined(node, inbound).await {
-            return Err(crash_refusal(node, inbound, &history));
+        crashes::wait_for_verdicts(node, inbound).await;
+        if let Some(refusal) = crashes::refusal(node, inbound) {
+            return Err(refusal_after(refusal, node, inbound, &history));
         }
         match admission::request(node, inbound, &server, &history.tried).await {
             Ok(Admission::Admitted) => {}
@@ -267,26 +268,23 @@
         let request = CutRequest {
             id: inbound.id.clone(),
             digest: *digest,
-            parts: inbound.shared_part_ids(),
+            parts: inbound.shared_parts.clone(),
             written_for_ms: inbound.written_for_ms(node.now_ms()),
+            cut_ms: node.now_ms(),
         };
         check::record_cut(node, server, request);
     }
 }
 
-/// Whether servers crash under the request; waits first for health checks that concern it.
-async fn is_quarantined(node: &Node, inbound: &InboundRequest) -> bool {
-    let Some(digest) = inbound.digest.get() else {
-        return false;
-    };
-    crashes::wait_for_checks(node, *digest).await;
-    crashes::is_refused(node, *digest)
-}
-
-/// The refusal of a request under which servers crash.
-fn crash_refusal(node: &Node, inbound: &InboundRequest, history: &AttemptHistory) -> Refusal {
+/// The refusal of a request that may have been tried before.
+fn refusal_after(
+    refusal: Refusal,
+    node: &Node,
+    inbound: &InboundRequest,
+    history: &AttemptHistory,
+) -> Refusal {
     if history.ends.are_all_not_run() {
-        return Refusal::CrashesServers;
+        return refusal;
     }
     final_refusal(node, inbound, history)
 }
@@ -514,6 +512,7 @@
         deadline: node.clock.instant(inbound.time_up_ms),
         handover,
         clock: node.clock,
+        progress: crashes::parts::observe_progress(node, inbound, parts.status),
         end: observe_end(node, inbound, running, parts.status.as_u16()),
     };
     headers::drop_hop_headers(&mut parts.headers);
@@ -535,11 +534,9 @@
         inbound.stream_timing.set(end.timing);
         let server = running.borrow().server();
         handover::record_stream(&node, &inbound, &end);
-        match (end.result, inbound.digest.get()) {
-            (Err(error), _) if error.is_by_server() => check_after_cut(&node, &inbound, &server),
-            (Ok(_), Some(digest)) if is_success(status) => {
-                crashes::record_completed(&node, *digest)
-            }
+        match end.result {
+            Err(error) if error.is_by_server() => check_after_cut(&node, &inbound, &server),
+            Ok(_) if is_success(status) => crashes::record_completed(&node, &inbound),
             _ => {}
         }
         let server = server.record().id.clone();
--- a/crates/tinbay-gateway/src/front/forward/exchange.rs
+++ b/crates/tinbay-gateway/src/front/forward/exchange.rs
@@ -178,6 +178,7 @@
         deadline: node.clock.instant(inbound.time_up_ms),
         handover: None,
         clock: node.clock,
+        progress: crashes::parts::observe_progress(node, inbound, parts.status),
         end: observe_end(node, inbound, parts.status.as_u16()),
     };
     front_headers::drop_hop_headers(&mut parts.headers);
@@ -192,8 +193,8 @@
     let head_ms = node.now_ms() - inbound.arrived_ms;
     Box::new(move |end| {
         inbound.stream_timing.set(end.timing);
-        if let (Ok(_), Some(digest), 200..=299) = (end.result, inbound.digest.get(), status) {
-            crashes::record_completed(&node, *digest);
+        if let (Ok(_), 200..=299) = (end.result, status) {
+            crashes::record_completed(&node, &inbound);
         }
         let ending = Ending::Relayed(end);
         log_end(&node, &inbound, None, status, Some(head_ms), &ending);
--- a/crates/tinbay-gateway/src/front/inbound.rs
+++ b/crates/tinbay-gateway/src/front/inbound.rs
@@ -9,6 +9,7 @@
 use tinbay_core::accounts::key::KeyDigest;
 use tinbay_core::accounts::key_check::PresentedKey;
 use tinbay_core::crashes::digest::RequestDigest;
+use tinbay_core::crashes::parts::MAX_TRACKED_PARTS;
 use tinbay_core::memory::ledger::{AccountHash, ConnectionNumber, Holder};
 use tinbay_core::resumption::history::HISTORY_MS;
 use tinbay_core::serving::configuration::{Route, RouteKind};
@@ -132,6 +133,8 @@
     pub model_key: Option<AdapterKey>,
     /// Size and prefixes of the prompt, as declared in the headers.
     pub prompt: Prompt,
+    /// Parts of the prompt that other requests may share and that are judged when servers crash.
+    pub shared_parts: Vec<PartId>,
     /// When the request arrived.
     pub arrived_ms: Millis,
     /// How the request was last sent; absent if it was never sent.
@@ -189,6 +192,7 @@
             .map_or(DEFAULT_DEADLINE_MS, |value| value as Millis);
         let model = text(&parts.headers, &names.model).map(str::to_string);
         let time_up_ms = arrived_ms + deadline_ms.min(route.timeout_ms);
+        let prompt = node.dialect.decode_prompt(&parts.headers);
         let first_chunk_by_ms = match route.first_piece_timeout_ms() {
             Some(patience_ms) => time_up_ms.min(arrived_ms + patience_ms),
             None => time_up_ms,
@@ -210,7 +214,8 @@
             connection,
             model_key: model.as_deref().map(adapter_key),
             model,
-            prompt: node.dialect.decode_prompt(&parts.headers),
+            shared_parts: tracked_parts(&prompt),
+            prompt,
             arrived_ms,
             last_send: Cell::default(),
             time_up_ms,
@@ -260,12 +265,6 @@
         let _ = self.digest.set(digest);
     }
 
-    /// Ids of the parts of its prompt that other requests may share, in order.
-    pub fn shared_part_ids(&self) -> Vec<PartId> {
-        let shared = self.prompt.shared_parts();
-        shared.iter().map(|part| part.id).collect()
-    }
-
     /// Time since the first piece of its answer arrived, once the answer has ended; none if no piece
     /// did.
     pub fn written_for_ms(&self, now_ms: Millis) -> Option<Millis> {
@@ -314,6 +313,17 @@
     }
 }
 
+/// The first shared parts of a prompt, each one once.
+fn tracked_parts(prompt: &Prompt) -> Vec<PartId> {
+    let mut tracked = Vec::new();
+    for part in prompt.shared_parts() {
+        if tracked.len() < MAX_TRACKED_PARTS && !tracked.contains(&part.id) {
+            tracked.push(part.id);
+        }
+    }
+    tracked
+}
+
 /// Removes the API key from the headers, so that it is neither kept nor forwarded, and returns its
 /// digest. A key that is given twice counts as none.
 fn take_key(headers: &mut HeaderMap, name: &HeaderName) -> PresentedKey {
--- a/crates/tinbay-gateway/src/front/refusal.rs
+++ b/crates/tinbay-gateway/src/front/refusal.rs
@@ -86,6 +86,10 @@
     /// The request crashes servers, so it was not run, and retries are useless.
     #[error("not run: servers crash under this request")]
     CrashesServers,
+    /// Requests with a part of its prompt crash servers, so it was not run. The judgement may still
+    /// prove wrong, so the caller may return.
+    #[error("not run: servers crash under a part of its prompt")]
+    PartCrashesServers,
     /// No server of the service takes requests.
     #[error("no server takes work")]
     NoServer {
@@ -124,6 +128,9 @@
 /// `Retry-After` while memory is short: by then answers held in memory have been read or cut off.
 const RETRY_AFTER_MEMORY_MS: Millis = 1_000;
 
+/// `Retry-After` of a request with a part that crashes servers: by then a wrong judgement is lifted.
+const RETRY_AFTER_PART_MS: Millis = 2_000;
+
 impl Refusal {
     /// Name for logs and metrics.
     pub fn name(&self) -> &'static str {
@@ -141,6 +148,7 @@
             Refusal::BodyTooLong => "body_too_long",
             Refusal::CallerBrokeOff => "caller_broke_off",
             Refusal::CrashesServers => "crashes_servers",
+            Refusal::PartCrashesServers => "part_crashes_servers",
             Refusal::NoServer { .. } => "no_server",
             Refusal::NotRun { .. } => "not_run",
             Refusal::ByOtherBox {
@@ -159,6 +167,7 @@
             | Refusal::KeyNotProved
             | Refusal::NotAdmitted { .. }
             | Refusal::MemoryShort { .. }
+            | Refusal::PartCrashesServers
             | Refusal::NotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::NoKey | Refusal::UnknownKey => StatusCode::UNAUTHORIZED,
             Refusal::NoRoute => StatusCode::NOT_FOUND,
@@ -194,6 +203,7 @@
                 Some(retry_after_ms.unwrap_or(RETRY_AFTER_UNKNOWN_MS))
             }
             Refusal::MemoryShort { .. } => Some(RETRY_AFTER_MEMORY_MS),
+            Refusal::PartCrashesServers => Some(RETRY_AFTER_PART_MS),
             Refusal::NoConfiguration | Refusal::KeyNotProved => Some(RETRY_AFTER_UNKNOWN_MS),
             _ => None,
         }
--- a/crates/tinbay-gateway/src/front/request_log.rs
+++ b/crates/tinbay-gateway/src/front/request_log.rs
@@ -210,7 +210,7 @@
         status,
         outcome,
         digest: digest.map(ToString::to_string),
-        parts: digest.map(|_| list_parts(&inbound.shared_part_ids())),
+        parts: digest.map(|_| list_parts(&inbound.shared_parts)),
         cause,
         framing: unframed.map(|end| end.framing.name()),
         ended: unframed.and_then(|end| end.result.ok()).map(BodyEnd::name),
--- a/crates/tinbay-gateway/src/housekeeping.rs
+++ b/crates/tinbay-gateway/src/housekeeping.rs
@@ -81,6 +81,9 @@
     let (refused, suspected) = node.crashes.counts(node.now_ms());
     set_gauge("requests_refused", refused);
     set_gauge("crash_suspects", suspected);
+    let (parts_refused, parts_suspected) = node.crashes.part_counts(node.now_ms());
+    set_gauge("parts_refused", parts_refused);
+    set_gauge("parts_suspected", parts_suspected);
     let records = node.resumption.ledger.borrow().len();
     set_gauge("stream_starts", records);
 }
--- a/crates/tinbay-gateway/src/http/relay.rs
+++ b/crates/tinbay-gateway/src/http/relay.rs
@@ -48,6 +48,14 @@
 /// Called once when a relayed response ends.
 pub type EndObserver = Box<dyn FnOnce(RelayEnd)>;
 
+/// Called once when the frames of a response have arrived for some time.
+pub struct ProgressObserver {
+    /// Time from the first frame.
+    pub after_ms: Millis,
+    /// Called with the first frame after that.
+    pub observer: Box<dyn FnOnce()>,
+}
+
 /// Calls its observer exactly once. A drop before the end counts as the caller's disconnect.
 pub struct EndNotice {
     observer: Option<EndObserver>,
@@ -193,6 +201,7 @@
     deadline: Pin<Box<Sleep>>,
     is_done: bool,
     clock: Clock,
+    progress: Option<ProgressObserver>,
     end: EndNotice,
 }
 
@@ -225,6 +234,8 @@
     pub handover: Option<Box<dyn RelayHandover>>,
     /// Clock for the arrival times of frames.
     pub clock: Clock,
+    /// Called once when the response has made progress.
+    pub progress: Option<ProgressObserver>,
     /// Called once when the response ends.
     pub end: EndObserver,
 }
@@ -248,6 +259,7 @@
             deadline: Box::pin(tokio::time::sleep_until(terms.deadline.into())),
             is_done: false,
             clock: terms.clock,
+            progress: terms.progress,
             end: EndNotice::new(terms.end, terms.format),
         };
         if is_empty {
@@ -404,8 +416,16 @@
 
     /// Returns the part of a frame that goes to the caller; `None` if all of it is held back.
     fn pass(&mut self, frame: Frame<Bytes>) -> Option<Frame<Bytes>> {
-        self.end.record_frame(self.clock.now_ms());
+        let now_ms = self.clock.now_ms();
+        self.end.record_frame(now_ms);
         self.pool.record_heard();
+        let is_due = |progress: &mut ProgressObserver| {
+            let first_ms = self.end.timing.first_ms();
+            first_ms.is_some_and(|first_ms| now_ms >= first_ms + progress.after_ms)
+        };
+        if let Some(progress) = self.progress.take_if(is_due) {
+            (progress.observer)();
+        }
         if let Some(bytes) = frame.data_ref() {
             self.end.record_bytes(bytes);
         }
--- a/crates/tinbay-gateway/src/metrics.rs
+++ b/crates/tinbay-gateway/src/metrics.rs
@@ -54,6 +54,8 @@
     pub server_checks: IntCounterVec,
     /// Offers of requests to other boxes, by outcome.
     pub forwarded: IntCounterVec,
+    /// Steps of the judgement of prompt parts that may crash servers.
+    pub part_judgements: IntCounterVec,
     /// Checks whether this box's links reach servers, by outcome.
     pub link_checks: IntCounterVec,
     /// Requests that resume streams, by how the version that began the stream was found.
@@ -167,6 +169,11 @@
                 "Checks of servers that broke off answers",
                 &["outcome"],
             )?,
+            part_judgements: counter(
+                "tinbay_part_judgements_total",
+                "Prompt parts suspected to crash servers, objected to, refused and lifted",
+                &["step"],
+            )?,
             forwarded: counter(
                 "tinbay_forwarded_total",
                 "Requests offered to other boxes, as no server could be reached",
--- a/crates/tinbay-gateway/src/peers/frame.rs
+++ b/crates/tinbay-gateway/src/peers/frame.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 use tinbay_core::crashes::digest::RequestDigest;
 use tinbay_core::crashes::ledger::CrashKey;
+use tinbay_core::crashes::parts::{CrashReport, Proof, Refusal, Suspicion};
 use tinbay_core::limits::denied::CallerTry;
 use tinbay_core::serving::servers::Fingerprint;
 use tinbay_core::serving::subscribers::AdapterUse;
@@ -76,6 +77,32 @@
     OriginRequest(OriginRequestPart),
     /// Reply to that question.
     OriginReply(OriginReplyPart),
+    /// Message about a prompt part that may crash servers.
+    PromptPart(PromptPartMessage),
+}
+
+/// Message about a prompt part that may crash servers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PromptPartMessage {
+    /// A crash under a request with a part that the receiver tracks.
+    Crash(CrashReport),
+    /// A part is suspected; whoever has proof of the contrary objects.
+    Suspicion(Suspicion),
+    /// A part does not crash servers.
+    Proof(Proof),
+    /// Requests with these parts are refused.
+    Refusals(Vec<Refusal>),
+}
+
+impl PromptPartMessage {
+    fn kind(&self) -> &'static str {
+        match self {
+            PromptPartMessage::Crash(_) => "part_crash",
+            PromptPartMessage::Suspicion(_) => "part_suspicion",
+            PromptPartMessage::Proof(_) => "part_proof",
+            PromptPartMessage::Refusals(_) => "parts_refused",
+        }
+    }
 }
 
 impl FramePart {
@@ -102,6 +129,7 @@
             FramePart::StreamStart(_) => "stream_start",
             FramePart::OriginRequest(_) => "origin_request",
             FramePart::OriginReply(_) => "origin_reply",
+            FramePart::PromptPart(message) => message.kind(),
         }
     }
 
@@ -110,7 +138,10 @@
     pub fn is_unknown_to_previous_release(&self) -> bool {
         matches!(
             self,
-            FramePart::StreamStart(_) | FramePart::OriginRequest(_) | FramePart::OriginReply(_)
+            FramePart::StreamStart(_)
+                | FramePart::OriginRequest(_)
+                | FramePart::OriginReply(_)
+                | FramePart::PromptPart(_)
         )
     }
 }
--- a/crates/tinbay-gateway/src/peers/gossip.rs
+++ b/crates/tinbay-gateway/src/peers/gossip.rs
@@ -11,7 +11,7 @@
 use tinbay_core::units::Millis;
 
 use super::frame::{FramePart, ZoneReportPart};
-use crate::crashes::spread;
+use crate::crashes::{parts, spread};
 use crate::node::Node;
 use crate::watch::relay;
 
@@ -73,20 +73,29 @@
         }
     };
     let mut rng = rand::rng();
-    let refused = spread::refused_part(node);
+    let refused = refused(node);
     let mut other_zones = relays.ids_by_other_zone;
     other_zones.shuffle(&mut rng);
     for relays in other_zones.iter().take(ZONES_PER_ROUND) {
         if let Some(box_id) = relays.choose(&mut rng) {
             node.outbox
                 .post(box_id, FramePart::ZoneReport(report.clone()));
-            if let Some(refused) = &refused {
+            for refused in &refused {
                 node.outbox.post(box_id, refused.clone());
             }
         }
     }
 }
 
+/// All that is refused because servers crash, for one round.
+fn refused(node: &Node) -> Vec<FramePart> {
+    let requests = spread::refused_part(node);
+    requests
+        .into_iter()
+        .chain(parts::refusals_part(node))
+        .collect()
+}
+
 fn to_ages(ages: Vec<(Fingerprint, Millis)>) -> Vec<(Fingerprint, u16)> {
     let capped = |age_ms: Millis| age_ms.min(Millis::from(u16::MAX)) as u16;
     let ages = ages.into_iter().map(|(key, age_ms)| (key, capped(age_ms)));
@@ -101,9 +110,9 @@
     let mut rng = rand::rng();
     let heard = heard(node);
     let zones_heard = to_ages(node.members.borrow().zones_heard(node.now_ms()));
-    let refused = spread::refused_part(node);
+    let refused = refused(node);
     for box_id in peers.sample(&mut rng, PEERS_PER_ROUND) {
-        if let Some(refused) = &refused {
+        for refused in &refused {
             node.outbox.post(box_id, refused.clone());
         }
         let hello = FramePart::Hello(node.own_record());
--- a/crates/tinbay-gateway/src/peers/inbox.rs
+++ b/crates/tinbay-gateway/src/peers/inbox.rs
@@ -17,7 +17,7 @@
     ZoneReportPart, from_percent,
 };
 use super::gossip;
-use crate::crashes::spread;
+use crate::crashes::{parts, spread};
 use crate::events::{self, part};
 use crate::limits::limited::LimitKey;
 use crate::limits::{self, notices};
@@ -101,6 +101,7 @@
             FramePart::ZonesHeard(zones) => handle_zones_heard(node, &zones, now_ms),
             FramePart::CrashReport(part) => spread::handle_report(node, &part),
             FramePart::Refused(parts) => spread::handle_refused(node, &parts),
+            FramePart::PromptPart(message) => parts::handle(node, &frame.box_id, message),
             FramePart::LimitRequest(part) => limits::handle_request(node, &frame.box_id, &part),
             FramePart::LimitGrant(part) => limits::handle_grant(node, &part),
             FramePart::ServerLimit(part) => {
--- a/crates/tinbay-gateway/src/run.rs
+++ b/crates/tinbay-gateway/src/run.rs
@@ -12,7 +12,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::LocalSet;
 
-use crate::crashes::entries;
+use crate::crashes::{entries, parts};
 use crate::directory;
 use crate::error::GatewayError;
 use crate::events::{self, part};
@@ -149,6 +149,7 @@
     tokio::task::spawn_local(membership::run(Rc::clone(&node)));
     tokio::task::spawn_local(claiming::run(Rc::clone(&node)));
     tokio::task::spawn_local(entries::run(Rc::clone(&node)));
+    tokio::task::spawn_local(parts::run(Rc::clone(&node)));
     tokio::task::spawn_local(returns::run(Rc::clone(&node)));
     tokio::task::spawn_local(links::run(Rc::clone(&node)));
     tokio::task::spawn_local(recording::run(Rc::clone(&node)));
