Other boxes confirm crashes that a box can't tell from its own lost links

A box that takes its links for lost now reports the crash as uncertain. A box that tracks the part counts it if it can't connect to the server either, and tells the other trackers.

--- a/crates/tinbay-core/src/crashes/parts/evidence.rs
+++ b/crates/tinbay-core/src/crashes/parts/evidence.rs
@@ -77,6 +77,8 @@
     pub request: u64,
     /// Time since the server broke the answer off.
     pub age_ms: u16,
+    /// Whether the server has certainly crashed. Otherwise the reporting box may have lost its link.
+    pub is_certain: bool,
 }
 
 /// What speaks against a part.
--- a/crates/tinbay-core/tests/crashes_parts_test.rs
+++ b/crates/tinbay-core/tests/crashes_parts_test.rs
@@ -26,6 +26,7 @@
         crash,
         request,
         age_ms: 0,
+        is_certain: true,
     }
 }
 
--- a/crates/tinbay-gateway/src/crashes/check.rs
+++ b/crates/tinbay-gateway/src/crashes/check.rs
@@ -22,7 +22,7 @@
 
 /// Time-out of the connection attempt. A server is at most a few milliseconds away, and the request
 /// may be waiting for a retry.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
+pub const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// A request whose answer a server cut short.
 #[derive(Debug, Clone)]
@@ -107,6 +107,7 @@
             record_crash(&node, &server, &cut);
         } else {
             keep_undecided(&node, &server, &cut);
+            parts::report_possible_crash(&node, server.key, &cut);
         }
     }
     for request in &cut {
--- a/crates/tinbay-gateway/src/crashes/parts.rs
+++ b/crates/tinbay-gateway/src/crashes/parts.rs
@@ -20,11 +20,12 @@
 use tinbay_core::units::Millis;
 use tokio::sync::Notify;
 
-use super::check::{CutRequest, list_parts};
+use super::check::{CutRequest, PROBE_TIMEOUT, list_parts};
 use super::entries::StoreEntry;
 use super::spread::{self, Audience};
 use crate::events::{self, part};
 use crate::front::inbound::InboundRequest;
+use crate::http::connect::{ProbeOutcome, probe};
 use crate::http::relay::ProgressObserver;
 use crate::node::Node;
 use crate::peers::frame::{FramePart, PromptPartMessage};
@@ -193,9 +194,26 @@
 }
 
 /// Counts a crash for the unproven parts of the requests that were cut, and reports it to the boxes
-/// that track them. A server crashes of a part as it begins to write, so that requests whose answers
-/// had been written for longer are not the cause.
+/// that track them.
 pub fn report_crash(node: &Rc<Node>, crash: CrashKey, cut: &[CutRequest]) {
+    let reports = reports(node, crash, cut, true);
+    for report in &reports {
+        count(node, report);
+    }
+    post_to_trackers(node, reports);
+}
+
+/// Reports a crash that this box can't tell from the loss of its own links. The boxes that track the
+/// parts find out whether they reach the server.
+pub fn report_possible_crash(node: &Rc<Node>, crash: CrashKey, cut: &[CutRequest]) {
+    let reports = reports(node, crash, cut, false);
+    post_to_trackers(node, reports);
+}
+
+/// The reports of a crash for the unproven parts of the requests that were cut. A server crashes of a
+/// part as it begins to write, so that requests whose answers had been written for longer are not the
+/// cause.
+fn reports(node: &Node, crash: CrashKey, cut: &[CutRequest], is_certain: bool) -> Vec<CrashReport> {
     let mut reports = Vec::new();
     for request in cut {
         if request
@@ -214,15 +232,17 @@
                 crash,
                 request: request.digest.short(),
                 age_ms: to_u16(node.now_ms() - request.cut_ms),
+                is_certain,
             });
         }
     }
+    reports
+}
+
+fn post_to_trackers(node: &Rc<Node>, reports: Vec<CrashReport>) {
     if reports.is_empty() {
         return;
     }
-    for report in &reports {
-        count(node, report);
-    }
     let node = Rc::clone(node);
     tokio::task::spawn_local(async move { report_to_trackers(&node, reports).await });
 }
@@ -278,10 +298,38 @@
     }
 }
 
+/// Counts another box's report of a crash that may be the loss of that box's links, if this box
+/// can't connect to the server either or the store has lost it. The other boxes that track the part,
+/// the reporting one perhaps among them, count it as well.
+async fn count_if_confirmed(node: Rc<Node>, report: CrashReport) {
+    let received_ms = node.now_ms();
+    let server = node.servers.borrow().by_key(report.crash);
+    if let Some(server) = server {
+        let link = server.pool.link();
+        if link.is_heard_since(received_ms.saturating_sub(Millis::from(report.age_ms))) {
+            return;
+        }
+        if probe(server.record().address, PROBE_TIMEOUT).await != ProbeOutcome::Refuses {
+            return;
+        }
+    }
+    let waited_ms = node.now_ms() - received_ms;
+    let confirmed = CrashReport {
+        is_certain: true,
+        age_ms: report.age_ms.saturating_add(to_u16(waited_ms)),
+        ..report
+    };
+    count(&node, &confirmed);
+    post_reports(&node, &[confirmed], 0);
+}
+
 /// Handles another box's message.
-pub fn handle(node: &Node, sender: &str, message: PromptPartMessage) {
+pub fn handle(node: &Rc<Node>, sender: &str, message: PromptPartMessage) {
     match message {
-        PromptPartMessage::Crash(report) => count(node, &report),
+        PromptPartMessage::Crash(report) if report.is_certain => count(node, &report),
+        PromptPartMessage::Crash(report) => {
+            tokio::task::spawn_local(count_if_confirmed(Rc::clone(node), report));
+        }
         PromptPartMessage::Suspicion(suspicion) => handle_suspicion(node, sender, suspicion),
         PromptPartMessage::Proof(proof) => {
             let now_ms = node.now_ms();
--- a/crates/tinbay-gateway/src/peers/inbox.rs
+++ b/crates/tinbay-gateway/src/peers/inbox.rs
@@ -70,7 +70,11 @@
     }
 }
 
-fn handle_frame(node: &Node, frame: Frame, latest_by_box: &mut HashMap<String, LatestSequences>) {
+fn handle_frame(
+    node: &Rc<Node>,
+    frame: Frame,
+    latest_by_box: &mut HashMap<String, LatestSequences>,
+) {
     let latest = latest_by_box.entry(frame.box_id.clone()).or_default();
     if frame.incarnation < latest.incarnation {
         return;
@@ -116,8 +120,10 @@
             FramePart::ContentsMismatch(server) => handle_contents_mismatch(node, server),
             FramePart::AdmissionRequest(part) => holder::handle_request(node, &frame.box_id, &part),
             FramePart::AdmissionReply(part) => node.sharing.deliver_reply(part),
-            FramePart::StreamStart(part) => recording::handle_start(node, part),
-            FramePart::OriginRequest(part) => origin::handle_request(node, &frame.box_id, part),
+            FramePart::StreamStart(part) => recording::handle_start(node.as_ref(), part),
+            FramePart::OriginRequest(part) => {
+                origin::handle_request(node.as_ref(), &frame.box_id, part)
+            }
             FramePart::OriginReply(part) => {
                 let questions = &node.resumption.questions;
                 questions.deliver_reply(&frame.box_id, part);
