--- a/crates/tinbay-cli/src/cli.rs
+++ b/crates/tinbay-cli/src/cli.rs
@@ -213,6 +213,7 @@
             .args_conflicts_with_subcommands(true)
             .subcommand_negates_reqs(true)
             .subcommand(limits_command())
+            .subcommand(crashes_command())
             .arg(files_arg())
             .arg(
                 Arg::new("judge")
@@ -383,14 +384,53 @@
         )
 }
 
+/// An option with a number.
+fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("NUMBER")
+        .default_value(default)
+        .help(help)
+}
+
+fn crashes_command() -> Command {
+    Command::new("crashes")
+        .about("Simulate prompt parts that crash servers across many boxes, in virtual time")
+        .long_about(
+            "Simulate prompt parts that crash servers across many boxes, in virtual time: requests \
+             with one part crash each server that answers them, and, in a second run, the servers \
+             of one zone all end at the same moment. The same seed gives the same results.",
+        )
+        .arg(number("boxes", "2200", "Boxes"))
+        .arg(number("zones", "11", "Availability zones"))
+        .arg(number("servers", "7700", "Servers"))
+        .arg(number("accounts", "10000", "Client accounts"))
+        .arg(number("sessions", "100", "Sessions of each account"))
+        .arg(number(
+            "requests-per-s",
+            "120000",
+            "Sound requests per second",
+        ))
+        .arg(number(
+            "crashing-per-s",
+            "10",
+            "Requests per second with the part that crashes servers",
+        ))
+        .arg(number(
+            "warm-up",
+            "5",
+            "Seconds with sound requests alone; 0 for a fleet that has just started",
+        ))
+        .arg(number("seconds", "10", "Seconds from then to the end"))
+        .arg(number(
+            "lost",
+            "0.01",
+            "Share of the messages that is lost, from 0 to 1",
+        ))
+        .arg(number("seed", "1", "Seed of all random choices"))
+}
+
 fn limits_command() -> Command {
-    let number = |name: &'static str, default: &'static str, help: &'static str| {
-        Arg::new(name)
-            .long(name)
-            .value_name("NUMBER")
-            .default_value(default)
-            .help(help)
-    };
     Command::new("limits")
         .about("Simulate limits of client accounts across many boxes, in virtual time")
         .long_about(
--- a/crates/tinbay-cli/src/commands/mod.rs
+++ b/crates/tinbay-cli/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod audit;
 mod completions;
+mod crashes;
 mod delete;
 mod demo;
 mod diff;
@@ -49,6 +50,7 @@
         Action::Demo { stay } => demo::run(common, *stay),
         Action::Standin(standin) => standin::run(standin),
         Action::Experiment(experiment) => experiment::run(common, experiment),
+        Action::Crashes(terms) => crashes::run(common, terms),
         Action::Limits(limits) => limits::run(common, limits),
         Action::Report(report) => report::run(common, report),
         Action::Scenario {
--- a/crates/tinbay-cli/src/options.rs
+++ b/crates/tinbay-cli/src/options.rs
@@ -10,6 +10,7 @@
 use tinbay_core::config::{ConfigKey, Kind};
 use tinbay_core::ids::ModelRef;
 use tinbay_core::units::Millis;
+use tinbay_experiment::crashes::CrashParameters;
 use tinbay_experiment::limits::SimulationParameters;
 use tinbay_standin::engine::EngineSettings;
 use tinbay_standin::weights::WeightStoreSettings;
@@ -99,6 +100,8 @@
     Standin(StandinOptions),
     /// Compare scheduling strategies on workloads.
     Experiment(ExperimentOptions),
+    /// Simulate prompt parts that crash servers.
+    Crashes(CrashParameters),
     /// Compare strategies for enforcing limits.
     Limits(LimitsOptions),
     /// Summarise logs.
@@ -290,6 +293,7 @@
         },
         "standin" => Action::Standin(read_standin(sub)?),
         "experiment" if sub.subcommand_matches("limits").is_some() => read_limits(sub)?,
+        "experiment" if sub.subcommand_matches("crashes").is_some() => read_crashes(sub)?,
         "experiment" => Action::Experiment(ExperimentOptions {
             files: sub
                 .get_many::<String>("files")
@@ -306,6 +310,26 @@
     })
 }
 
+fn read_crashes(matches: &ArgMatches) -> Result<Action, CliError> {
+    let Some(sub) = matches.subcommand_matches("crashes") else {
+        return Ok(Action::Status);
+    };
+    let rate = |name| ranged(sub, name, 0.0, 1e7, "give 0 to 10000000");
+    Ok(Action::Crashes(CrashParameters {
+        boxes: ranged(sub, "boxes", 2, 100_000, "give 2 to 100000")?,
+        zones: ranged(sub, "zones", 1, 100, "give 1 to 100")?,
+        servers: ranged(sub, "servers", 2, 100_000, "give 2 to 100000")?,
+        accounts: ranged(sub, "accounts", 1, 1_000_000, "give 1 to 1000000")?,
+        sessions: ranged(sub, "sessions", 1, 1_000_000, "give 1 to 1000000")?,
+        requests_per_s: rate("requests-per-s")?,
+        crashing_per_s: rate("crashing-per-s")?,
+        warm_up_s: ranged(sub, "warm-up", 0, 3_600, "give 0 to 3600")?,
+        seconds: ranged(sub, "seconds", 1, 3_600, "give 1 to 3600")?,
+        lost: ranged(sub, "lost", 0.0, 1.0, "give 0 to 1")?,
+        seed: ranged(sub, "seed", 0, u64::MAX, WHOLE_NUMBER)?,
+    }))
+}
+
 fn read_limits(matches: &ArgMatches) -> Result<Action, CliError> {
     let Some(sub) = matches.subcommand_matches("limits") else {
         return Ok(Action::Status);
