--- a/crates/tinbay-core/src/crashes/parts/ledger.rs
+++ b/crates/tinbay-core/src/crashes/parts/ledger.rs
@@ -59,9 +59,6 @@
             }
             return is_new;
         }
-        if crashes.len() >= MAX_LISTED_CRASHES {
-            crashes.remove(0);
-        }
         crashes.push(PartCrash {
             key: report.crash,
             at_ms: now_ms.saturating_sub(Millis::from(report.age_ms)),
@@ -69,6 +66,9 @@
             companions: report.companions.clone(),
         });
         crashes.sort_by_key(|crash| crash.at_ms);
+        if crashes.len() > MAX_LISTED_CRASHES {
+            remove_closest(crashes);
+        }
         true
     }
 
@@ -112,6 +112,15 @@
     }
 }
 
+/// Removes the crash that follows another one most closely, as crashes at different times count.
+fn remove_closest(crashes: &mut Vec<PartCrash>) {
+    let gaps = crashes.windows(2).map(|pair| pair[1].at_ms - pair[0].at_ms);
+    let closest = gaps.enumerate().min_by_key(|(_, gap_ms)| *gap_ms);
+    if let Some((position, _)) = closest {
+        crashes.remove(position + 1);
+    }
+}
+
 impl PartCrashes<'_> {
     /// Whether these are enough crashes at different times, under enough different requests.
     pub fn suffice(&self) -> bool {
--- a/crates/tinbay-core/tests/crashes_parts_test.rs
+++ b/crates/tinbay-core/tests/crashes_parts_test.rs
@@ -131,6 +131,17 @@
     assert_eq!(suspicion(third).part, FIRST);
 }
 
+/// A part that crashes a hundred servers in a second is not taken for one cause that ends all of them
+/// at the same moment.
+#[test]
+fn crashes_in_quick_succession_are_told_from_those_at_the_same_moment() {
+    let mut judge = PartJudge::default();
+    for number in 0..30 {
+        judge.record_crash(&report(BAD, &[], number, number), number * 10);
+    }
+    assert!(judge.has_suspected());
+}
+
 #[test]
 fn crashes_count_once_however_many_boxes_report_them() {
     let mut judge = PartJudge::default();
