Prompt parts: objections reach whoever announced the contrary

Found by reading: a box that heard of a refusal of which it has proof told some random boxes, not the one that told it, so that a box out of touch could go on refusing. All boxes asked the store to remove the entry of a refusal that was lifted; now only the one that wrote it. A request whose time ended while it waited for a judgement could be offered and withdrawn in a loop; it is refused. A suspicion tells when its first crash happened, so that an answer between the crashes is an objection even for a part that was refused before (test failed without it: no objection). Lists of refusals fit into a datagram.

--- a/crates/tinbay-core/src/crashes/parts/evidence.rs
+++ b/crates/tinbay-core/src/crashes/parts/evidence.rs
@@ -136,6 +136,8 @@
     pub evidence: Evidence,
     /// Time since it was suspected.
     pub age_ms: u16,
+    /// Time since the first of the crashes.
+    pub first_crash_age_ms: u32,
 }
 
 /// Proof that a part does not crash servers.
@@ -149,7 +151,7 @@
 
 /// Parts whose requests are refused.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Refusal {
+pub struct PartRefusal {
     /// A request with all of these parts is refused.
     pub parts: PartSet,
     /// What speaks against them.
--- a/crates/tinbay-core/src/crashes/parts/judge.rs
+++ b/crates/tinbay-core/src/crashes/parts/judge.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use super::evidence::{CrashReport, Evidence, PartSet, Proof, Refusal, Suspicion, to_age_ms};
+use super::evidence::{CrashReport, Evidence, PartRefusal, PartSet, Proof, Suspicion, to_age_ms};
 use super::ledger::PartLedger;
 use super::proven::ProvenParts;
 use super::refusals::Refusals;
@@ -20,7 +20,7 @@
     /// A part is suspected.
     Suspicion(Suspicion),
     /// Requests with these parts are refused.
-    Refusal(Refusal),
+    Refusal(PartRefusal),
 }
 
 /// What a message of another box changes.
@@ -43,12 +43,21 @@
     pub lifted: Vec<PartSet>,
 }
 
+/// Crashes that this box has counted for a part.
+struct Counted {
+    evidence: Evidence,
+    /// Parts that the part ran together with in all of them.
+    companions: Vec<PartId>,
+    first_ms: Millis,
+}
+
 /// A part that is suspected.
 #[derive(Debug)]
 struct Suspected {
     companions: Vec<PartId>,
     evidence: Evidence,
     since_ms: Millis,
+    first_crash_ms: Millis,
     /// Whether this box has counted enough crashes itself.
     is_counted: bool,
 }
@@ -69,13 +78,13 @@
         self.proven.record(proof.part, proven_ms);
         let covered_ms = proven_ms + self.refusals.hold_ms(proof.part);
         self.ledger.clear(proof.part, covered_ms);
-        let was_suspected = now_ms < covered_ms && self.suspected.remove(&proof.part).is_some();
+        let is_cleared = self.clear_suspicion(proof.part, covered_ms, now_ms);
         let proven = &self.proven;
         let lifted = self
             .refusals
             .lift(proof.part, |part| proven.proven_ms(part), now_ms);
         ProofEffect {
-            is_news: was_suspected || !lifted.is_empty(),
+            is_news: is_cleared || !lifted.is_empty(),
             lifted,
         }
     }
@@ -102,7 +111,7 @@
 
     /// Refuses the suspected parts to which no box has objected in time, and drops suspicions that
     /// are over.
-    pub fn judge(&mut self, now_ms: Millis) -> Vec<Refusal> {
+    pub fn judge(&mut self, now_ms: Millis) -> Vec<PartRefusal> {
         let due: Vec<PartId> = self
             .suspected
             .iter()
@@ -129,7 +138,8 @@
 
     /// Applies another box's suspicion.
     pub fn hear_suspicion(&mut self, suspicion: &Suspicion, now_ms: Millis) -> Heard {
-        if let Some(proof) = self.proof(suspicion.part, now_ms) {
+        let first_crash_ms = now_ms.saturating_sub(Millis::from(suspicion.first_crash_age_ms));
+        if let Some(proof) = self.proof(suspicion.part, first_crash_ms, now_ms) {
             return Heard::Disproved(vec![proof]);
         }
         let set = PartSet::new(suspicion.part, &suspicion.companions);
@@ -150,6 +160,7 @@
             companions: suspicion.companions.clone(),
             evidence: suspicion.evidence.clone(),
             since_ms: now_ms.saturating_sub(Millis::from(suspicion.age_ms)),
+            first_crash_ms,
             is_counted: false,
         };
         self.suspected.insert(suspicion.part, suspected);
@@ -157,13 +168,13 @@
     }
 
     /// Applies another box's refusal, or one read from the store.
-    pub fn hear_refusal(&mut self, refusal: &Refusal, now_ms: Millis) -> Heard {
+    pub fn hear_refusal(&mut self, refusal: &PartRefusal, now_ms: Millis) -> Heard {
         let refused_ms = now_ms.saturating_sub(Millis::from(refusal.age_ms));
         let parts = refusal.parts.parts();
         if parts.iter().all(|part| self.is_proven(*part, refused_ms)) {
             let proofs = parts
                 .iter()
-                .filter_map(|part| self.proof(*part, refused_ms));
+                .filter_map(|part| self.proof(*part, refused_ms, now_ms));
             return Heard::Disproved(proofs.collect());
         }
         if !self.refusals.add(refusal, now_ms) {
@@ -198,7 +209,7 @@
     }
 
     /// The refusals in force, for other boxes.
-    pub fn list_refusals(&self, now_ms: Millis) -> Vec<Refusal> {
+    pub fn list_refusals(&self, now_ms: Millis) -> Vec<PartRefusal> {
         self.refusals.list(now_ms)
     }
 
@@ -214,12 +225,7 @@
     }
 
     /// Suspects a part, or adds crashes to the suspicion.
-    fn suspect(
-        &mut self,
-        part: PartId,
-        (evidence, companions): (Evidence, Vec<PartId>),
-        now_ms: Millis,
-    ) -> Option<Announcement> {
+    fn suspect(&mut self, part: PartId, counted: Counted, now_ms: Millis) -> Option<Announcement> {
         if !self.suspected.contains_key(&part) && self.suspected.len() >= MAX_SUSPECTED {
             return None;
         }
@@ -227,11 +233,13 @@
             companions: Vec::new(),
             evidence: Evidence::default(),
             since_ms: now_ms,
+            first_crash_ms: counted.first_ms,
             is_counted: true,
         });
         suspected.is_counted = true;
-        suspected.companions = companions;
-        if !suspected.evidence.merge(&evidence) {
+        suspected.companions = counted.companions;
+        suspected.first_crash_ms = counted.first_ms;
+        if !suspected.evidence.merge(&counted.evidence) {
             return None;
         }
         Some(Announcement::Suspicion(Suspicion {
@@ -239,14 +247,15 @@
             companions: suspected.companions.clone(),
             evidence: suspected.evidence.clone(),
             age_ms: to_age_ms(now_ms.saturating_sub(suspected.since_ms)),
+            first_crash_age_ms: now_ms.saturating_sub(counted.first_ms) as u32,
         }))
     }
 
     /// Adds the counted crashes of a part to its refusal, if it is refused; returns the refusal if
     /// it has grown.
-    fn add_to_refusal(&mut self, part: PartId, now_ms: Millis) -> Option<Refusal> {
+    fn add_to_refusal(&mut self, part: PartId, now_ms: Millis) -> Option<PartRefusal> {
         let crashes = self.ledger.crashes(part, |_, _| false);
-        let refusal = Refusal {
+        let refusal = PartRefusal {
             parts: PartSet::new(part, &crashes.companions()),
             evidence: crashes.evidence(),
             age_ms: 0,
@@ -258,15 +267,19 @@
         refusals.find(|listed| listed.parts == refusal.parts)
     }
 
-    /// The crashes of a part that no refusal of others explains, if they are enough, and the parts
-    /// that it ran together with.
-    fn unexplained(&self, part: PartId, now_ms: Millis) -> Option<(Evidence, Vec<PartId>)> {
+    /// The crashes of a part that no refusal of others explains, if they are enough.
+    fn unexplained(&self, part: PartId, now_ms: Millis) -> Option<Counted> {
         let is_explained =
             |crash, companions: &[PartId]| self.refusals.explains(crash, part, companions, now_ms);
         let crashes = self.ledger.crashes(part, is_explained);
-        crashes
-            .suffice()
-            .then(|| (crashes.evidence(), crashes.companions()))
+        if !crashes.suffice() {
+            return None;
+        }
+        Some(Counted {
+            evidence: crashes.evidence(),
+            companions: crashes.companions(),
+            first_ms: crashes.first_ms()?,
+        })
     }
 
     fn judge_part(&self, part: PartId, now_ms: Millis) -> Judgement {
@@ -278,15 +291,15 @@
             let is_explained = self.is_explained(part, suspected, now_ms);
             return Judgement::wait_unless(is_over || is_explained);
         }
-        let Some((evidence, companions)) = self.unexplained(part, now_ms) else {
+        let Some(counted) = self.unexplained(part, now_ms) else {
             return Judgement::Drop;
         };
-        if self.is_outranked(part, &evidence) {
+        if self.is_outranked(part, &counted.evidence) {
             return Judgement::wait_unless(is_over);
         }
-        Judgement::Refuse(Refusal {
-            parts: PartSet::new(part, &companions),
-            evidence,
+        Judgement::Refuse(PartRefusal {
+            parts: PartSet::new(part, &counted.companions),
+            evidence: counted.evidence,
             age_ms: 0,
         })
     }
@@ -315,20 +328,35 @@
         proven_ms.is_some_and(|proven_ms| at_ms < proven_ms + self.refusals.hold_ms(part))
     }
 
-    fn proof(&self, part: PartId, now_ms: Millis) -> Option<Proof> {
+    /// The proof of a part, if a crash at a time does not count against it.
+    fn proof(&self, part: PartId, at_ms: Millis, now_ms: Millis) -> Option<Proof> {
         let proven_ms = self.proven.proven_ms(part)?;
-        self.is_proven(part, now_ms).then(|| Proof {
+        self.is_proven(part, at_ms).then(|| Proof {
             part,
             age_ms: now_ms.saturating_sub(proven_ms) as u32,
         })
     }
+
+    /// Drops the suspicion of a part whose crashes up to a time don't count, unless enough are left;
+    /// returns whether it did.
+    fn clear_suspicion(&mut self, part: PartId, covered_ms: Millis, now_ms: Millis) -> bool {
+        let Some(suspected) = self.suspected.get(&part) else {
+            return false;
+        };
+        let is_doubted = suspected.first_crash_ms < covered_ms;
+        if !is_doubted || (suspected.is_counted && self.unexplained(part, now_ms).is_some()) {
+            return false;
+        }
+        self.suspected.remove(&part);
+        true
+    }
 }
 
 /// What becomes of a suspicion.
 enum Judgement {
     Wait,
     Drop,
-    Refuse(Refusal),
+    Refuse(PartRefusal),
 }
 
 impl Judgement {
--- a/crates/tinbay-core/src/crashes/parts/ledger.rs
+++ b/crates/tinbay-core/src/crashes/parts/ledger.rs
@@ -135,6 +135,11 @@
         }
     }
 
+    /// When the first of them happened.
+    pub fn first_ms(&self) -> Option<Millis> {
+        self.crashes.first().map(|crash| crash.at_ms)
+    }
+
     /// Parts that the part ran together with in all of these crashes.
     pub fn companions(&self) -> Vec<PartId> {
         let Some((first, others)) = self.crashes.split_first() else {
--- a/crates/tinbay-core/src/crashes/parts/mod.rs
+++ b/crates/tinbay-core/src/crashes/parts/mod.rs
@@ -17,7 +17,7 @@
 mod proven;
 mod refusals;
 
-pub use evidence::{CrashReport, Evidence, PartSet, Proof, Refusal, Suspicion};
+pub use evidence::{CrashReport, Evidence, PartRefusal, PartSet, Proof, Suspicion};
 pub use judge::{Announcement, Heard, PartJudge, ProofEffect};
 pub use proven::{PROOF_HOLD_MS, PROVING_WRITE_MS};
 pub use refusals::REFUSAL_LIFE_MS;
--- a/crates/tinbay-core/src/crashes/parts/refusals.rs
+++ b/crates/tinbay-core/src/crashes/parts/refusals.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use super::evidence::{Evidence, PartSet, Refusal};
+use super::evidence::{Evidence, PartRefusal, PartSet};
 use super::proven::PROOF_HOLD_MS;
 use super::{CRASHES_TO_SUSPECT, OBJECTION_MS};
 use crate::crashes::ledger::CrashKey;
@@ -45,7 +45,7 @@
 impl Refusals {
     /// Adds a refusal, or crashes to a known one; returns whether that is new. A refusal that was
     /// lifted is added again only if it was decided after that.
-    pub fn add(&mut self, refusal: &Refusal, now_ms: Millis) -> bool {
+    pub fn add(&mut self, refusal: &PartRefusal, now_ms: Millis) -> bool {
         let mut new = Entry {
             evidence: refusal.evidence.clone(),
             refused_ms: now_ms.saturating_sub(Millis::from(refusal.age_ms)),
@@ -141,8 +141,8 @@
     }
 
     /// The refusals in force, for other boxes.
-    pub fn list(&self, now_ms: Millis) -> Vec<Refusal> {
-        let refusal = |(parts, entry): (&PartSet, &Entry)| Refusal {
+    pub fn list(&self, now_ms: Millis) -> Vec<PartRefusal> {
+        let refusal = |(parts, entry): (&PartSet, &Entry)| PartRefusal {
             parts: parts.clone(),
             evidence: entry.evidence.clone(),
             age_ms: now_ms.saturating_sub(entry.refused_ms) as u32,
--- a/crates/tinbay-core/tests/crashes_parts_test.rs
+++ b/crates/tinbay-core/tests/crashes_parts_test.rs
@@ -3,7 +3,7 @@
 use quickcheck::{QuickCheck, TestResult};
 use tinbay_core::crashes::parts::{
     Announcement, COINCIDENCE_MS, CrashReport, Heard, MAX_SUSPICION_MS, OBJECTION_MS,
-    PROOF_HOLD_MS, PartJudge, PartSet, Proof, ProofEffect, REFUSAL_LIFE_MS, Refusal, Suspicion,
+    PROOF_HOLD_MS, PartJudge, PartRefusal, PartSet, Proof, ProofEffect, REFUSAL_LIFE_MS, Suspicion,
 };
 use tinbay_core::serving::prompt::PartId;
 
@@ -59,7 +59,7 @@
 }
 
 /// Records enough crashes to refuse a part and returns the refusal and the time of it.
-fn refuse(judge: &mut PartJudge, part: PartId) -> (Refusal, u64) {
+fn refuse(judge: &mut PartJudge, part: PartId) -> (PartRefusal, u64) {
     crash(judge, part, 1..=3);
     let now_ms = 3 * GAP_MS + OBJECTION_MS;
     let refusals = judge.judge(now_ms);
@@ -252,7 +252,7 @@
 #[test]
 fn refusal_that_another_one_explains_is_not_applied() {
     let mut judge = PartJudge::default();
-    let refusal = |part: PartId, crashes: &[u64]| Refusal {
+    let refusal = |part: PartId, crashes: &[u64]| PartRefusal {
         parts: PartSet::new(part, &[]),
         evidence: tinbay_core::crashes::parts::Evidence {
             crashes: crashes.to_vec(),
@@ -318,7 +318,7 @@
     let mut other = PartJudge::default();
     assert_eq!(other.hear_refusal(&refusal, now_ms), Heard::New);
     assert!(other.record_proof(proof, now_ms + 310).is_news);
-    let late = Refusal {
+    let late = PartRefusal {
         age_ms: 900,
         ..refusal
     };
@@ -342,12 +342,39 @@
     assert!(judge.refused_set(&[BAD], now_ms).is_some());
 }
 
+/// A sound part that was refused once: an answer between two crashes speaks for it, also at another
+/// box.
+#[test]
+fn part_that_was_lifted_is_proven_by_answers_between_crashes() {
+    let mut tracker = PartJudge::default();
+    let (refusal, refused_ms) = refuse(&mut tracker, SESSION);
+    let mut other = PartJudge::default();
+    other.hear_refusal(&refusal, refused_ms);
+    for judge in [&mut tracker, &mut other] {
+        answer(judge, &[SESSION], refused_ms + 100);
+    }
+    let later = |number: u64| refused_ms + 100 + number * GAP_MS;
+    for number in 1..=2 {
+        tracker.record_crash(
+            &report(SESSION, &[], 30 + number, 30 + number),
+            later(number),
+        );
+    }
+    answer(&mut other, &[SESSION], later(2) + 50);
+    let third = tracker.record_crash(&report(SESSION, &[], 33, 33), later(3));
+    let Heard::Disproved(proofs) = other.hear_suspicion(&suspicion(third), later(3) + 5) else {
+        panic!("no objection");
+    };
+    assert!(tracker.record_proof(proofs[0], later(3) + 10).is_news);
+    assert!(tracker.judge(later(3) + OBJECTION_MS).is_empty());
+}
+
 #[test]
 fn refusal_ends_by_its_age() {
     let mut judge = PartJudge::default();
     let (refusal, now_ms) = refuse(&mut judge, BAD);
     let mut other = PartJudge::default();
-    let old = Refusal {
+    let old = PartRefusal {
         age_ms: (REFUSAL_LIFE_MS - 10) as u32,
         ..refusal
     };
--- a/crates/tinbay-experiment/src/crashes/fleet.rs
+++ b/crates/tinbay-experiment/src/crashes/fleet.rs
@@ -4,7 +4,7 @@
 use std::collections::BinaryHeap;
 
 use tinbay_core::crashes::parts::{
-    Announcement, CrashReport, Evidence, Heard, PartJudge, Proof, Refusal, Suspicion,
+    Announcement, CrashReport, Evidence, Heard, PartJudge, PartRefusal, Proof, Suspicion,
 };
 use tinbay_core::serving::prompt::PartId;
 
@@ -30,7 +30,7 @@
 const ROUND_MS: u64 = 500;
 
 /// Refusals listed in one message at most.
-const MAX_LISTED: usize = 8;
+const MAX_LISTED: usize = 4;
 
 /// Boxes per relay of a zone.
 const BOXES_PER_RELAY: usize = 64;
@@ -44,7 +44,7 @@
     Crash(CrashReport),
     Suspicion(Suspicion),
     Proof(Proof),
-    Refusal(Refusal),
+    Refusal(PartRefusal),
 }
 
 impl Message {
@@ -220,7 +220,7 @@
     }
 
     /// Judges the suspicions of all boxes that have some; returns the refusals.
-    pub fn judge(&mut self, now_ms: u64, demand: &mut Demand) -> Vec<Refusal> {
+    pub fn judge(&mut self, now_ms: u64, demand: &mut Demand) -> Vec<PartRefusal> {
         let mut active = std::mem::take(&mut self.active);
         active.sort_unstable();
         active.dedup();
--- a/crates/tinbay-gateway/src/crashes/mod.rs
+++ b/crates/tinbay-gateway/src/crashes/mod.rs
@@ -136,13 +136,16 @@
     refusal(node, inbound).is_none() && !parts::is_awaiting_judgement(node, &inbound.shared_parts)
 }
 
-/// Waits for what may soon refuse a request: checks of servers that just cut it short, and judgements
-/// of its prompt's parts.
-pub async fn wait_for_verdicts(node: &Node, inbound: &InboundRequest) {
+/// The refusal of a request, after what may soon lead to it: checks of servers that just cut it
+/// short, and judgements of its prompt's parts.
+pub async fn refusal_after_checks(node: &Node, inbound: &InboundRequest) -> Option<Refusal> {
     if let Some(digest) = inbound.digest.get() {
         wait_for_checks(node, *digest).await;
     }
-    parts::wait_for_judgement(node, inbound).await;
+    if !parts::wait_for_judgement(node, inbound).await {
+        return Some(Refusal::PartCrashesServers);
+    }
+    refusal(node, inbound)
 }
 
 /// Whether a request is refused: it is quarantined, and this box has not seen it complete.
--- a/crates/tinbay-gateway/src/crashes/parts.rs
+++ b/crates/tinbay-gateway/src/crashes/parts.rs
@@ -1,4 +1,4 @@
-//! Refusal of requests with prompt parts that crash backend servers.
+//! PartRefusal of requests with prompt parts that crash backend servers.
 //!
 //! [`PartJudge`] decides; this module feeds it with what the box sees and what others tell, passes its
 //! announcements on, and holds requests back while a part of their prompts is being judged.
@@ -13,8 +13,8 @@
 use serde::Serialize;
 use tinbay_core::crashes::ledger::CrashKey;
 use tinbay_core::crashes::parts::{
-    Announcement, CrashReport, Evidence, Heard, PROVING_WRITE_MS, PartJudge, PartSet, Proof,
-    ProofEffect, Refusal, Suspicion,
+    Announcement, CrashReport, Evidence, Heard, PROVING_WRITE_MS, PartJudge, PartRefusal, PartSet,
+    Proof, ProofEffect, Suspicion,
 };
 use tinbay_core::serving::prompt::PartId;
 use tinbay_core::units::Millis;
@@ -39,7 +39,7 @@
 
 /// Upper bound on refusals listed in one message. Each message lists a random selection, so that all
 /// are listed over time.
-const MAX_LISTED: usize = 8;
+const MAX_LISTED: usize = 4;
 
 /// This box's knowledge of prompt parts that crash servers.
 #[derive(Debug, Default)]
@@ -49,12 +49,17 @@
     suspected: Notify,
     /// Notified when suspicions have been judged or dropped.
     judged: Notify,
+    /// Sets that this box has refused, of which it has written entries to the store.
+    written: RefCell<Vec<PartSet>>,
 }
 
 impl Parts {
     /// Drops refusals whose time is over.
     pub fn tidy(&self, now_ms: Millis) {
-        self.judge.borrow_mut().tidy(now_ms);
+        let mut judge = self.judge.borrow_mut();
+        judge.tidy(now_ms);
+        let mut written = self.written.borrow_mut();
+        written.retain(|set| judge.refuses(set, now_ms));
     }
 
     /// Numbers of refused sets and of suspected parts.
@@ -67,7 +72,7 @@
 /// How this box learned of a judgement.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Source {
-    /// This box counted the crashes, or answered a request.
+    /// This box counted the crashes or answered a request.
     Own,
     /// Another box announced it.
     Announced,
@@ -123,7 +128,9 @@
         tokio::time::sleep(JUDGE_INTERVAL).await;
         let refusals = parts.judge.borrow_mut().judge(node.now_ms());
         for refusal in refusals {
-            node.crashes.save(StoreEntry::Parts(refusal.parts.clone()));
+            let set = refusal.parts.clone();
+            parts.written.borrow_mut().push(set.clone());
+            node.crashes.save(StoreEntry::Parts(set));
             log_refusal(&node, &refusal, Source::Own, false);
             post_refusal(&node, refusal, Audience::AllZones);
         }
@@ -143,16 +150,16 @@
     judge.has_suspected() && judge.is_awaiting_judgement(shared_parts, node.now_ms())
 }
 
-/// Waits until no part of a request is suspected any more, or its time is up.
-pub async fn wait_for_judgement(node: &Node, inbound: &InboundRequest) {
+/// Waits until no part of a request is suspected any more; returns false if its time is up before.
+pub async fn wait_for_judgement(node: &Node, inbound: &InboundRequest) -> bool {
+    let time_up = tokio::time::Instant::from_std(node.clock.instant(inbound.time_up_ms));
     loop {
         let judged = node.crashes.parts.judged.notified();
         if !is_awaiting_judgement(node, &inbound.shared_parts) {
-            return;
+            return true;
         }
-        let time_up = tokio::time::Instant::from_std(node.clock.instant(inbound.time_up_ms));
         if tokio::time::timeout_at(time_up, judged).await.is_err() {
-            return;
+            return false;
         }
     }
 }
@@ -343,7 +350,7 @@
         }
         PromptPartMessage::Refusals(refusals) => {
             for refusal in refusals {
-                handle_refusal(node, refusal, Source::Announced);
+                handle_refusal(node, Some(sender), refusal);
             }
         }
     }
@@ -366,24 +373,29 @@
                 Audience::AsRelay,
             );
         }
-        Heard::Disproved(proofs) => {
-            let steps = &node.metrics.part_judgements;
-            steps.with_label_values(&["objected"]).inc();
-            for proof in proofs {
-                let mut receivers = trackers(node, proof.part);
-                receivers.push(sender.to_string());
-                receivers.sort_unstable();
-                receivers.dedup();
-                for box_id in receivers {
-                    let message = FramePart::PromptPart(PromptPartMessage::Proof(proof));
-                    node.outbox.post(&box_id, message);
-                }
-            }
+        Heard::Disproved(proofs) => object(node, Some(sender), &proofs),
+    }
+}
+
+/// Sends proofs to the boxes that track the parts, and to the one that announced the contrary.
+fn object(node: &Node, announcer: Option<&str>, proofs: &[Proof]) {
+    let steps = &node.metrics.part_judgements;
+    steps.with_label_values(&["objected"]).inc();
+    for proof in proofs {
+        let mut receivers = trackers(node, proof.part);
+        receivers.extend(announcer.map(str::to_string));
+        receivers.sort_unstable();
+        receivers.dedup();
+        for box_id in receivers {
+            let message = FramePart::PromptPart(PromptPartMessage::Proof(*proof));
+            node.outbox.post(&box_id, message);
         }
     }
 }
 
-fn handle_refusal(node: &Node, refusal: Refusal, source: Source) {
+/// Applies the refusal that another box announced, or that was read from the store.
+fn handle_refusal(node: &Node, announcer: Option<&str>, refusal: PartRefusal) {
+    let source = announcer.map_or(Source::Stored, |_| Source::Announced);
     let now_ms = node.now_ms();
     let heard = {
         let mut judge = node.crashes.parts.judge.borrow_mut();
@@ -398,21 +410,19 @@
         }
         Heard::Disproved(proofs) => {
             log_refusal(node, &refusal, source, true);
-            for proof in proofs {
-                post(node, PromptPartMessage::Proof(proof), Audience::AllZones);
-            }
+            object(node, announcer, &proofs);
         }
     }
 }
 
 /// Applies refused parts read from the store.
 pub fn apply_stored(node: &Node, parts: PartSet, evidence: Evidence) {
-    let refusal = Refusal {
+    let refusal = PartRefusal {
         parts,
         evidence,
         age_ms: 0,
     };
-    handle_refusal(node, refusal, Source::Stored);
+    handle_refusal(node, None, refusal);
 }
 
 fn apply_proof_effect(node: &Node, proof: Proof, effect: ProofEffect, source: Source) {
@@ -422,7 +432,10 @@
     let lifted: Vec<String> = effect.lifted.iter().map(ToString::to_string).collect();
     let event = ProvenEvent {
         prompt_part: proof.part.to_string(),
-        source: source.name(),
+        source: match source {
+            Source::Own => "answered",
+            Source::Announced | Source::Stored => source.name(),
+        },
         proof_age_ms: proof.age_ms,
         lifted: lifted.join(","),
     };
@@ -431,9 +444,8 @@
     steps
         .with_label_values(&["lifted"])
         .inc_by(effect.lifted.len() as u64);
-    // The boxes that refused a set have written its entry.
     for set in effect.lifted {
-        node.crashes.save(StoreEntry::Parts(set));
+        remove_entry(node, set);
     }
     node.crashes.parts.judged.notify_waiters();
     let audience = match source {
@@ -443,11 +455,21 @@
     post(node, PromptPartMessage::Proof(proof), audience);
 }
 
+/// Removes the entry of a set that is refused no longer, if this box has written it.
+fn remove_entry(node: &Node, set: PartSet) {
+    let mut written = node.crashes.parts.written.borrow_mut();
+    let position = written.iter().position(|kept| *kept == set);
+    if let Some(position) = position {
+        written.remove(position);
+        node.crashes.save(StoreEntry::Parts(set));
+    }
+}
+
 fn post(node: &Node, message: PromptPartMessage, audience: Audience) {
     spread::post(node, &FramePart::PromptPart(message), audience);
 }
 
-fn post_refusal(node: &Node, refusal: Refusal, audience: Audience) {
+fn post_refusal(node: &Node, refusal: PartRefusal, audience: Audience) {
     post(node, PromptPartMessage::Refusals(vec![refusal]), audience);
 }
 
@@ -505,7 +527,7 @@
     events::emit(part::FRONT, Level::Warn, "part_suspected", &event);
 }
 
-fn log_refusal(node: &Node, refusal: &Refusal, source: Source, is_overruled: bool) {
+fn log_refusal(node: &Node, refusal: &PartRefusal, source: Source, is_overruled: bool) {
     let steps = &node.metrics.part_judgements;
     let step = if is_overruled { "objected" } else { "refused" };
     steps.with_label_values(&[step]).inc();
--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -110,8 +110,7 @@
         };
         // Checked again before each attempt: the previous server may have crashed under the
         // request, or other boxes may have reported crashes while it waited for its adapter.
-        crashes::wait_for_verdicts(node, inbound).await;
-        if let Some(refusal) = crashes::refusal(node, inbound) {
+        if let Some(refusal) = crashes::refusal_after_checks(node, inbound).await {
             return Err(refusal_after(refusal, node, inbound, &history));
         }
         match admission::request(node, inbound, &server, &history.tried).await {
--- a/crates/tinbay-gateway/src/peers/frame.rs
+++ b/crates/tinbay-gateway/src/peers/frame.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use tinbay_core::crashes::digest::RequestDigest;
 use tinbay_core::crashes::ledger::CrashKey;
-use tinbay_core::crashes::parts::{CrashReport, Proof, Refusal, Suspicion};
+use tinbay_core::crashes::parts::{CrashReport, PartRefusal, Proof, Suspicion};
 use tinbay_core::limits::denied::CallerTry;
 use tinbay_core::serving::servers::Fingerprint;
 use tinbay_core::serving::subscribers::AdapterUse;
@@ -91,7 +91,7 @@
     /// A part does not crash servers.
     Proof(Proof),
     /// Requests with these parts are refused.
-    Refusals(Vec<Refusal>),
+    Refusals(Vec<PartRefusal>),
 }
 
 impl PromptPartMessage {
