A box that was suspended reads objections before it judges

Found by reading, no test of its own: a box that suspects a part, is suspended for longer than the time for objections and wakes would refuse the part before it has read the objections in its socket. A judgement that is over 200 ms late is put off by one round.

--- a/crates/tinbay-gateway/src/crashes/parts.rs
+++ b/crates/tinbay-gateway/src/crashes/parts.rs
@@ -33,6 +33,10 @@
 /// Interval at which suspicions are judged while there are any.
 const JUDGE_INTERVAL: Duration = Duration::from_millis(25);
 
+/// Lateness of a judgement from which the box may have been suspended. Objections that came meanwhile
+/// are read first.
+const MAX_LATE_MS: Millis = 200;
+
 /// Pauses between the reports of a crash, as messages may be lost. A tracker that fails is replaced
 /// within the last one.
 const REPORT_PAUSES: [Duration; 2] = [Duration::from_millis(600), Duration::from_millis(2_400)];
@@ -125,7 +129,11 @@
         if !parts.judge.borrow().has_suspected() {
             parts.suspected.notified().await;
         }
+        let before_ms = node.now_ms();
         tokio::time::sleep(JUDGE_INTERVAL).await;
+        if node.now_ms() > before_ms + MAX_LATE_MS {
+            continue;
+        }
         let refusals = parts.judge.borrow_mut().judge(node.now_ms());
         for refusal in refusals {
             let set = refusal.parts.clone();
