A server that closes the connection of a resumed run is checked for a crash

Found by reading, no test of its own: where a run is handed over and its target closes the connection before an answer, the server was not checked, so that a crash under the request was counted neither for it nor for its parts.

--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -262,7 +262,7 @@
 
 /// Starts a health check of a server that closed the connection during a request, as it may have
 /// crashed.
-fn check_after_cut(node: &Rc<Node>, inbound: &InboundRequest, server: &Rc<Server>) {
+pub(super) fn check_after_cut(node: &Rc<Node>, inbound: &InboundRequest, server: &Rc<Server>) {
     if let Some(digest) = inbound.digest.get() {
         let request = CutRequest {
             id: inbound.id.clone(),
--- a/crates/tinbay-gateway/src/front/handover/actions.rs
+++ b/crates/tinbay-gateway/src/front/handover/actions.rs
@@ -17,9 +17,9 @@
 use super::target::{self, RunVersions, Target};
 use crate::events::{self, part};
 use crate::front::adapters;
-use crate::front::attempt::{AttemptResult, AttemptTerms, attempt};
+use crate::front::attempt::{AttemptResult, AttemptTerms, UnknownCause, attempt};
 use crate::front::choice::HolderRequests;
-use crate::front::deliver::max_connections;
+use crate::front::deliver::{check_after_cut, max_connections};
 use crate::front::headers::{self, Resumption, ServerHeaders};
 use crate::front::inbound::{Handover, InboundRequest, LastSend};
 use crate::handover::drive::{HandoverActions, LocalFuture, Outcome, Resumed};
@@ -221,7 +221,13 @@
                     may_reuse: format.allows_reuse() && headers::keeps_connection(&parts.headers),
                 })
             }
-            AttemptResult::Answering(_) | AttemptResult::Unknown { .. } => Resumed::Unknown,
+            AttemptResult::Unknown { cause } => {
+                if cause == UnknownCause::Closed {
+                    check_after_cut(&self.node, &self.inbound, &server);
+                }
+                Resumed::Unknown
+            }
+            AttemptResult::Answering(_) => Resumed::Unknown,
             AttemptResult::Declined { .. }
             | AttemptResult::Displaced
             | AttemptResult::Withdrawn { .. }
