Whole requests: other boxes confirm crashes that a box can't tell from lost links

The boxes took their links for lost six times, and its crashes counted only once the store had deleted the servers' entries.

As for parts, a box reports such a crash as possible; the boxes that track the request count it if they can't connect to the server either.

--- a/crates/tinbay-gateway/src/crashes/check.rs
+++ b/crates/tinbay-gateway/src/crashes/check.rs
@@ -9,6 +9,7 @@
 use tinbay_core::serving::prompt::PartId;
 use tinbay_core::units::Millis;
 
+use super::spread::Certainty;
 use super::{parts, spread};
 use crate::events::{self, part};
 use crate::http::connect::{ProbeOutcome, probe};
@@ -107,6 +108,8 @@
             record_crash(&node, &server, &cut);
         } else {
             keep_undecided(&node, &server, &cut);
+            let digests = cut.iter().map(|request| request.digest).collect();
+            spread::report(&node, digests, server.key, Certainty::Uncertain);
             parts::report_possible_crash(&node, server.key, &cut);
         }
     }
@@ -163,7 +166,7 @@
         super::count_crash(node, request.digest, server.key);
     }
     let digests = cut.iter().map(|request| request.digest).collect();
-    spread::report(node, digests, server.key);
+    spread::report(node, digests, server.key, Certainty::Certain);
     parts::report_crash(node, server.key, cut);
 }
 
--- a/crates/tinbay-gateway/src/crashes/mod.rs
+++ b/crates/tinbay-gateway/src/crashes/mod.rs
@@ -7,6 +7,7 @@
 //! the same way, see [`parts`].
 
 pub mod check;
+mod confirm;
 pub mod entries;
 pub mod parts;
 pub mod spread;
--- a/crates/tinbay-gateway/src/crashes/parts.rs
+++ b/crates/tinbay-gateway/src/crashes/parts.rs
@@ -20,12 +20,12 @@
 use tinbay_core::units::Millis;
 use tokio::sync::Notify;
 
-use super::check::{CutRequest, PROBE_TIMEOUT, list_parts};
+use super::check::{CutRequest, list_parts};
+use super::confirm::has_crashed;
 use super::entries::StoreEntry;
 use super::spread::{self, Audience};
 use crate::events::{self, part};
 use crate::front::inbound::InboundRequest;
-use crate::http::connect::{ProbeOutcome, probe};
 use crate::http::relay::ProgressObserver;
 use crate::node::Node;
 use crate::peers::frame::{FramePart, PromptPartMessage};
@@ -318,15 +318,9 @@
 /// the reporting one perhaps among them, count it as well.
 async fn count_if_confirmed(node: Rc<Node>, report: CrashReport) {
     let received_ms = node.now_ms();
-    let server = node.servers.borrow().by_key(report.crash);
-    if let Some(server) = server {
-        let link = server.pool.link();
-        if link.is_heard_since(received_ms.saturating_sub(Millis::from(report.age_ms))) {
-            return;
-        }
-        if probe(server.record().address, PROBE_TIMEOUT).await != ProbeOutcome::Refuses {
-            return;
-        }
+    let cut_ms = received_ms.saturating_sub(Millis::from(report.age_ms));
+    if !has_crashed(&node, report.crash, cut_ms).await {
+        return;
     }
     let waited_ms = node.now_ms() - received_ms;
     let confirmed = CrashReport {
--- a/crates/tinbay-gateway/src/crashes/spread.rs
+++ b/crates/tinbay-gateway/src/crashes/spread.rs
@@ -10,6 +10,7 @@
 use tinbay_core::serving::capacity::{self, RankedBox};
 use tinbay_core::units::{MS_PER_SECOND, Millis};
 
+use super::confirm::has_crashed;
 use crate::node::Node;
 use crate::peers::frame::{CrashReportPart, FramePart, RefusedPart};
 use crate::peers::gossip::zone_boxes;
@@ -44,8 +45,17 @@
     AsRelay,
 }
 
+/// Whether a server has certainly crashed, or this box may have lost its link to it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Certainty {
+    /// It has crashed.
+    Certain,
+    /// The boxes that track the requests have to find out.
+    Uncertain,
+}
+
 /// Reports a server's crash to the boxes that track the requests.
-pub fn report(node: &Rc<Node>, digests: Vec<RequestDigest>, crash: CrashKey) {
+pub fn report(node: &Rc<Node>, digests: Vec<RequestDigest>, crash: CrashKey, certainty: Certainty) {
     let node = Rc::clone(node);
     tokio::task::spawn_local(async move {
         for send in 0..REPORT_SENDS {
@@ -53,16 +63,20 @@
                 tokio::time::sleep(REPORT_PAUSE).await;
             }
             for digest in &digests {
-                report_once(&node, *digest, crash);
+                report_once(&node, *digest, crash, certainty);
             }
         }
     });
 }
 
-fn report_once(node: &Node, digest: RequestDigest, crash: CrashKey) {
+fn report_once(node: &Node, digest: RequestDigest, crash: CrashKey, certainty: Certainty) {
     for tracker in trackers(node, &digest.to_string()) {
         let part = CrashReportPart { digest, crash };
-        node.outbox.post(&tracker, FramePart::CrashReport(part));
+        let message = match certainty {
+            Certainty::Certain => FramePart::CrashReport(part),
+            Certainty::Uncertain => FramePart::PossibleCrash(part),
+        };
+        node.outbox.post(&tracker, message);
     }
 }
 
@@ -127,6 +141,18 @@
     super::count_crash(node, part.digest, part.crash);
 }
 
+/// Handles another box's report of a crash that may be the loss of that box's links: if this box
+/// finds that the server has crashed, it counts the crash and tells the other trackers.
+pub fn handle_possible_crash(node: &Rc<Node>, part: CrashReportPart) {
+    let node = Rc::clone(node);
+    tokio::task::spawn_local(async move {
+        if has_crashed(&node, part.crash, node.now_ms()).await {
+            super::count_crash(&node, part.digest, part.crash);
+            report_once(&node, part.digest, part.crash, Certainty::Certain);
+        }
+    });
+}
+
 /// Handles another box's list of quarantined requests.
 pub fn handle_refused(node: &Node, parts: &[RefusedPart]) {
     for part in parts {
--- a/crates/tinbay-gateway/src/peers/frame.rs
+++ b/crates/tinbay-gateway/src/peers/frame.rs
@@ -79,6 +79,8 @@
     OriginReply(OriginReplyPart),
     /// Message about a prompt part that may crash servers.
     PromptPart(PromptPartMessage),
+    /// A crash under a request that the receiver tracks, unless the sender has lost its links.
+    PossibleCrash(CrashReportPart),
 }
 
 /// Message about a prompt part that may crash servers.
@@ -130,6 +132,7 @@
             FramePart::OriginRequest(_) => "origin_request",
             FramePart::OriginReply(_) => "origin_reply",
             FramePart::PromptPart(message) => message.kind(),
+            FramePart::PossibleCrash(_) => "possible_crash",
         }
     }
 
@@ -142,6 +145,7 @@
                 | FramePart::OriginRequest(_)
                 | FramePart::OriginReply(_)
                 | FramePart::PromptPart(_)
+                | FramePart::PossibleCrash(_)
         )
     }
 }
--- a/crates/tinbay-gateway/src/peers/inbox.rs
+++ b/crates/tinbay-gateway/src/peers/inbox.rs
@@ -105,6 +105,7 @@
             FramePart::ZonesHeard(zones) => handle_zones_heard(node, &zones, now_ms),
             FramePart::CrashReport(part) => spread::handle_report(node, &part),
             FramePart::Refused(parts) => spread::handle_refused(node, &parts),
+            FramePart::PossibleCrash(part) => spread::handle_possible_crash(node, part),
             FramePart::PromptPart(message) => parts::handle(node, &frame.box_id, message),
             FramePart::LimitRequest(part) => limits::handle_request(node, &frame.box_id, &part),
             FramePart::LimitGrant(part) => limits::handle_grant(node, &part),
