--- a/crates/tinbay-experiment/src/crashes/play.rs
+++ b/crates/tinbay-experiment/src/crashes/play.rs
@@ -1,6 +1,6 @@
 //! The simulation, in steps of one millisecond.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 use serde::Serialize;
 use tinbay_core::crashes::parts::{CrashReport, PROVING_WRITE_MS, PartSet};
@@ -79,7 +79,7 @@
     terms: &'a CrashParameters,
     fleet: Fleet,
     /// Requests by server and number.
-    running: Vec<HashMap<u64, Run>>,
+    running: Vec<BTreeMap<u64, Run>>,
     down_until_ms: Vec<u64>,
     later: VecDeque<Vec<Later>>,
     crash_times: Vec<u64>,
@@ -103,7 +103,7 @@
     let mut simulation = Simulation {
         terms,
         fleet: Fleet::new(terms),
-        running: vec![HashMap::new(); terms.servers],
+        running: vec![BTreeMap::new(); terms.servers],
         down_until_ms: vec![0; terms.servers],
         later: (0..HORIZON_MS).map(|_| Vec::new()).collect(),
         crash_times: Vec::new(),
@@ -212,8 +212,9 @@
     fn crash(&mut self, server: usize, now_ms: u64) {
         self.crash_times.push(now_ms);
         self.down_until_ms[server] = now_ms + RESTART_MS;
-        let cut = self.running[server].drain().map(|(_, run)| run).collect();
+        let cut = std::mem::take(&mut self.running[server]);
         let crash = self.crash_times.len() as u64;
+        let cut = cut.into_values().collect();
         self.schedule(CHECK_MS, Later::Checked(crash, cut, now_ms));
     }
 
--- a/crates/tinbay-experiment/tests/crashes_test.rs
+++ b/crates/tinbay-experiment/tests/crashes_test.rs
@@ -24,6 +24,7 @@
     let second = simulate(&terms(), CrashCause::PromptPart).expect("simulation runs");
     assert_eq!(first.crashes, second.crashes);
     assert_eq!(first.most_bytes_per_s, second.most_bytes_per_s);
+    assert_eq!(first.all_know_after_ms, second.all_know_after_ms);
 }
 
 /// No more than three requests reach servers later than three seconds after the fifth crash, and no
