--- a/crates/tinbay-gateway/src/crashes/parts.rs
+++ b/crates/tinbay-gateway/src/crashes/parts.rs
@@ -1,4 +1,4 @@
-//! PartRefusal of requests with prompt parts that crash backend servers.
+//! Refuses requests with prompt parts that crash backend servers.
 //!
 //! [`PartJudge`] decides; this module feeds it with what the box sees and what others tell, passes its
 //! announcements on, and holds requests back while a part of their prompts is being judged.
