--- a/crates/tinbay-experiment/src/crashes/play.rs
+++ b/crates/tinbay-experiment/src/crashes/play.rs
@@ -57,12 +57,6 @@
     pub mean_bytes_per_s: f64,
 }
 
-#[derive(Debug, Clone)]
-struct Run {
-    request: Request,
-    began_ms: u64,
-}
-
 /// What happens later.
 enum Later {
     /// An answer ends, or has been written for long enough.
@@ -70,7 +64,7 @@
     /// A request crashes its server.
     Crash(usize, u64),
     /// Boxes have checked a crashed server, on which these requests were cut.
-    Checked(u64, Vec<Run>, u64),
+    Checked(u64, Vec<Request>, u64),
     /// A request that waited for a judgement is tried again.
     Retry(Request, bool),
 }
@@ -79,7 +73,7 @@
     terms: &'a CrashParameters,
     fleet: Fleet,
     /// Requests by server and number.
-    running: Vec<BTreeMap<u64, Run>>,
+    running: Vec<BTreeMap<u64, Request>>,
     down_until_ms: Vec<u64>,
     later: VecDeque<Vec<Later>>,
     crash_times: Vec<u64>,
@@ -178,21 +172,17 @@
         } else {
             self.schedule(proven_after_ms, Later::Proven(server, request.number));
         }
-        let run = Run {
-            request,
-            began_ms: now_ms,
-        };
-        self.running[server].insert(run.request.number, run);
+        self.running[server].insert(request.number, request);
     }
 
     fn handle(&mut self, due: Later, now_ms: u64, demand: &mut Demand) {
         match due {
             Later::Proven(server, number) => {
                 // Requests whose server crashed meanwhile are gone.
-                if let Some(run) = self.running[server].remove(&number) {
+                if let Some(request) = self.running[server].remove(&number) {
                     let Request {
                         box_index, parts, ..
-                    } = run.request;
+                    } = request;
                     self.fleet
                         .record_answered(box_index, &parts, now_ms, demand);
                 }
@@ -228,13 +218,12 @@
     fn report(
         &mut self,
         crash: u64,
-        cut: &[Run],
+        cut: &[Request],
         crashed_ms: u64,
         now_ms: u64,
         demand: &mut Demand,
     ) {
-        for run in cut.iter().filter(|run| run.began_ms <= crashed_ms) {
-            let request = &run.request;
+        for request in cut {
             let judge = &self.fleet.judges[request.box_index];
             let unproven = judge.unproven(&request.parts, crashed_ms);
             for part in &unproven {
