--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -245,6 +245,7 @@
         }
         tokio::time::sleep(ROOM_CHECK_INTERVAL).await;
     }
+    node.count_brittle_send(server);
     true
 }
 
--- a/crates/tinbay-gateway/src/links/check.rs
+++ b/crates/tinbay-gateway/src/links/check.rs
@@ -13,7 +13,7 @@
 
 use crate::http::call::{Call, HttpClient};
 use crate::node::Node;
-use crate::servers::Server;
+use crate::servers::{Server, notices};
 
 /// Time limit of a check; a server is at most a few milliseconds away.
 const CHECK_TIMEOUT_MS: Millis = 400;
@@ -139,7 +139,14 @@
         header: Some((name, record.id.clone())),
         timeout_ms: CHECK_TIMEOUT_MS,
     };
-    HttpClient::new(record.address).call(&call).await.is_ok()
+    let reply = HttpClient::new(record.address).call(&call).await;
+    let is_rejected = reply
+        .as_ref()
+        .is_ok_and(|reply| reply.headers.contains_key(&node.dialect.headers().not_run));
+    if is_rejected {
+        notices::record_rejection(node, server, "health_check", None);
+    }
+    reply.is_ok()
 }
 
 fn check_path(node: &Node, service: &str) -> Option<String> {
--- a/crates/tinbay-gateway/src/metrics.rs
+++ b/crates/tinbay-gateway/src/metrics.rs
@@ -48,6 +48,10 @@
     pub server_notices: IntCounterVec,
     /// Requests to servers that announce limits, by the decision of the limit.
     server_limits: IntCounterVec,
+    /// Requests to brittle servers, by how room for them was known.
+    pub brittle_sends: IntCounterVec,
+    /// Rejections by brittle servers for lack of room, by what was rejected.
+    pub brittle_rejections: IntCounterVec,
     /// Attempts to hand a run over to another server, by outcome.
     pub handovers: IntCounterVec,
     /// Checks of servers that aborted answers, by outcome.
@@ -159,6 +163,16 @@
                 "Requests to servers that name limits",
                 &["outcome"],
             )?,
+            brittle_sends: counter(
+                "tinbay_brittle_sends_total",
+                "Requests to brittle servers, by how room for them was known",
+                &["room"],
+            )?,
+            brittle_rejections: counter(
+                "tinbay_brittle_rejections_total",
+                "Rejections by brittle servers for lack of room, by what was rejected",
+                &["what"],
+            )?,
             handovers: counter(
                 "tinbay_handovers_total",
                 "Runs that were to be handed over to another server",
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -579,18 +579,35 @@
         if brittleness.rejections_per_s().is_none() {
             return true;
         }
-        let now_ms = self.now_ms();
-        let is_known =
-            self.held_server(server.key).is_some() || server.view.borrow().is_fresh(now_ms);
         brittleness::has_room(&RoomCase {
             slots: server.record().slots,
             boxes: self.box_count.get(),
             own_running: server.usage.borrow().running(),
             own_unanswered: server.unanswered.count(),
-            running: is_known.then(|| self.running(server)),
+            running: self.knows_load(server).then(|| self.running(server)),
         })
     }
 
+    /// Whether this box knows the requests of all boxes at a server.
+    fn knows_load(&self, server: &Server) -> bool {
+        let is_held = self.held_server(server.key).is_some();
+        is_held || server.view.borrow().is_fresh(self.now_ms())
+    }
+
+    /// Counts a request to a brittle server, by how room for it was known.
+    pub fn count_brittle_send(&self, server: &Server) {
+        let brittleness = server.service().brittleness.get();
+        if brittleness.rejections_per_s().is_none() {
+            return;
+        }
+        let room = if self.knows_load(server) {
+            "reported"
+        } else {
+            "share"
+        };
+        self.metrics.brittle_sends.with_label_values(&[room]).inc();
+    }
+
     fn load_snapshot(&self, server: &Server, now_ms: Millis) -> LoadSnapshot {
         if let Some(held) = self.held_server(server.key) {
             let own_id = &self.settings.borrow().box_id;
--- a/crates/tinbay-gateway/src/servers/notices.rs
+++ b/crates/tinbay-gateway/src/servers/notices.rs
@@ -101,6 +101,11 @@
 /// that other boxes have to know.
 pub fn apply(node: &Node, server: &Rc<Server>, head: &AnswerHead<'_>) -> bool {
     apply_brittleness(node, server, head);
+    if let (RequestKind::Request(id), SERVICE_UNAVAILABLE, false) =
+        (head.request_kind, head.status, head.has_run)
+    {
+        record_rejection(node, server, "request", Some(id));
+    }
     let notice = decode(node, server, head);
     server.apply_notice(notice, node.now_ms());
     let limit_before = server.take_limit_change();
@@ -147,6 +152,41 @@
     }
 }
 
+#[derive(Serialize)]
+struct BrittleRejectionEvent<'a> {
+    server: &'a str,
+    what: &'static str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    request: Option<&'a str>,
+    rejections_per_s: f64,
+    /// Requests of this box that the server had not answered.
+    own_running: usize,
+    /// Requests of all boxes there, as far as this box knows.
+    running: usize,
+    slots: usize,
+}
+
+/// Counts and logs that a brittle server rejected a request or a health check for lack of room.
+pub fn record_rejection(node: &Node, server: &Server, what: &'static str, request: Option<&str>) {
+    let brittleness = server.service().brittleness.get();
+    let Some(rejections_per_s) = brittleness.rejections_per_s() else {
+        return;
+    };
+    let rejections = &node.metrics.brittle_rejections;
+    rejections.with_label_values(&[what]).inc();
+    let record = server.record();
+    let event = BrittleRejectionEvent {
+        server: &record.id,
+        what,
+        request,
+        rejections_per_s,
+        own_running: server.usage.borrow().running(),
+        running: node.running(server),
+        slots: record.slots,
+    };
+    events::emit(part::SERVERS, Level::Info, "brittle_rejection", &event);
+}
+
 /// The back-off after a rejection by a brittle server that names none itself.
 fn brittle_pause_ms(node: &Node, server: &Server, head: &AnswerHead<'_>) -> Option<Millis> {
     let is_request = matches!(head.request_kind, RequestKind::Request(_));
