--- a/crates/tinbay-core/src/lib.rs
+++ b/crates/tinbay-core/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod serving;
 pub mod sharing;
 pub mod silence;
+pub mod slots;
 pub mod unframed;
 pub mod units;
 pub mod vacancy;
--- a/crates/tinbay-core/src/serving/brittleness.rs
+++ b/crates/tinbay-core/src/serving/brittleness.rs
@@ -1,28 +1,35 @@
 //! Brittle servers, which fail if they have to reject too many requests for lack of room.
 //!
-//! All servers of a service turn brittle together and say so in all their answers. What one box
-//! sends then has to fit beside what the others send, of which it knows little, so it keeps to its
-//! share of the slots and pauses after each rejection.
+//! All servers of a service turn brittle together and say so in all their answers. Boxes pass that
+//! on to each other, so that one learns it before its first answer.
 
-use crate::units::{MS_PER_SECOND, Millis};
+use crate::units::Millis;
 
-/// Fraction of a server's slots that boxes fill as long as they know what the others have running
-/// there. The rest covers requests that are sent at the same time.
-const FILLED_FRACTION: f64 = 0.75;
+/// How long it is believed that servers are brittle after the last answer that said so. All servers
+/// of a service may be down for some seconds.
+const BELIEF_LIFE_MS: Millis = 15_000;
 
-/// Fraction of a server's slots for requests of all boxes that it has not begun to answer.
-const UNANSWERED_FRACTION: f64 = 0.25;
-
-/// Bounds of the pause after a rejection.
-const PAUSE_BOUNDS_MS: (Millis, Millis) = (100, 5_000);
-
-/// What the servers of a service say about their brittleness.
+/// What is known about the brittleness of a server or of its service.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Brittleness {
     rejections_per_s: Option<f64>,
+    /// Since when it has been brittle without interruption.
+    since_ms: Millis,
+    /// When the last answer that counts was received.
     received_ms: Millis,
 }
 
+/// Brittleness of a service as one box passes it on to another.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BrittlenessReport {
+    /// Rejections per second that a server survives.
+    pub rejections_per_s: f64,
+    /// How long the servers have been brittle.
+    pub known_for_ms: Millis,
+    /// Time since an answer last said so.
+    pub age_ms: Millis,
+}
+
 impl Brittleness {
     /// Records what an answer says; none if it does not mention it. An answer whose request was
     /// sent before the last notice arrived does not end the state.
@@ -32,51 +39,63 @@
         request_sent_ms: Millis,
         now_ms: Millis,
     ) {
-        if rejections_per_s.is_some() {
-            self.rejections_per_s = rejections_per_s;
-            self.received_ms = now_ms;
+        if let Some(per_s) = rejections_per_s {
+            self.begin(per_s, now_ms, now_ms);
         } else if request_sent_ms >= self.received_ms {
-            self.rejections_per_s = None;
+            self.end(now_ms);
+        }
+    }
+
+    /// Records what another box passed on; returns whether that is new.
+    pub fn record_report(&mut self, report: BrittlenessReport, now_ms: Millis) -> bool {
+        let received_ms = now_ms.saturating_sub(report.age_ms);
+        if received_ms <= self.received_ms || report.age_ms >= BELIEF_LIFE_MS {
+            return false;
         }
+        let is_new = self.rejections_per_s(now_ms).is_none();
+        let since_ms = now_ms.saturating_sub(report.known_for_ms);
+        self.begin(report.rejections_per_s, since_ms, received_ms);
+        is_new
+    }
+
+    /// Records that it is not brittle.
+    pub fn end(&mut self, now_ms: Millis) {
+        self.rejections_per_s = None;
+        self.received_ms = now_ms;
     }
 
     /// Rejections per second that a server survives; none if it is not brittle.
-    pub fn rejections_per_s(&self) -> Option<f64> {
-        self.rejections_per_s
+    pub fn rejections_per_s(&self, now_ms: Millis) -> Option<f64> {
+        let is_current = now_ms < self.received_ms + BELIEF_LIFE_MS;
+        self.rejections_per_s.filter(|_| is_current)
     }
 
-    /// Time for which a box sends nothing to a brittle server that has rejected one of its
-    /// requests, so that the rejections of all `boxes` stay within the server's bound.
-    pub fn pause_ms(&self, boxes: usize) -> Option<Millis> {
-        let per_s = self.rejections_per_s?;
-        let (least_ms, most_ms) = PAUSE_BOUNDS_MS;
-        let pause_ms = boxes as f64 * MS_PER_SECOND as f64 / per_s.max(f64::MIN_POSITIVE);
-        Some((pause_ms.min(most_ms as f64) as Millis).max(least_ms))
+    /// What to pass on to other boxes; none if it is not brittle.
+    pub fn report(&self, now_ms: Millis) -> Option<BrittlenessReport> {
+        Some(BrittlenessReport {
+            rejections_per_s: self.rejections_per_s(now_ms)?,
+            known_for_ms: now_ms.saturating_sub(self.since_ms),
+            age_ms: now_ms.saturating_sub(self.received_ms),
+        })
     }
-}
 
-/// Requests at a brittle server, as one box knows them.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct RoomCase {
-    /// Slots of the server.
-    pub slots: usize,
-    /// Boxes that may send to it.
-    pub boxes: usize,
-    /// Requests that this box has running there.
-    pub own_running: usize,
-    /// Those of them that the server has not begun to answer.
-    pub own_unanswered: usize,
-    /// Requests that all boxes have running there; none if this box does not know.
-    pub running: Option<usize>,
+    fn begin(&mut self, per_s: f64, since_ms: Millis, received_ms: Millis) {
+        self.since_ms = match self.rejections_per_s(received_ms) {
+            Some(_) => self.since_ms.min(since_ms),
+            None => since_ms,
+        };
+        self.rejections_per_s = Some(per_s);
+        self.received_ms = self.received_ms.max(received_ms);
+    }
 }
 
-/// Whether one more request of this box fits.
-pub fn has_room(case: &RoomCase) -> bool {
-    let boxes = case.boxes.max(1);
-    let Some(running) = case.running else {
-        return case.own_running < (case.slots / boxes).max(1);
-    };
-    let filled = (case.slots as f64 * FILLED_FRACTION) as usize;
-    let unanswered = (case.slots as f64 * UNANSWERED_FRACTION) as usize;
-    running < filled.max(1) && case.own_unanswered < (unanswered / boxes).max(1)
+/// Brittleness of a server, from what it said itself and what is known of its service. Its own word
+/// that it is brittle holds until its own word to the contrary; otherwise the later one holds.
+pub fn of_server(own: Brittleness, service: Brittleness, now_ms: Millis) -> Brittleness {
+    let says_brittle = own.rejections_per_s(now_ms).is_some();
+    if says_brittle || own.received_ms > service.received_ms {
+        own
+    } else {
+        service
+    }
 }
--- a/crates/tinbay-core/tests/serving_brittleness_test.rs
+++ b/crates/tinbay-core/tests/serving_brittleness_test.rs
@@ -1,70 +1,83 @@
-//! Tests of the bounds on what boxes send to brittle servers.
+//! Tests of what is believed about the brittleness of servers.
 
-use quickcheck::quickcheck;
-use tinbay_core::serving::brittleness::{Brittleness, RoomCase, has_room};
+use tinbay_core::serving::brittleness::{Brittleness, BrittlenessReport, of_server};
 
-fn brittle(per_s: f64) -> Brittleness {
+fn brittle_at(per_s: f64, now_ms: u64) -> Brittleness {
     let mut brittleness = Brittleness::default();
-    brittleness.record(Some(per_s), 900, 1_000);
+    brittleness.record(Some(per_s), now_ms - 100, now_ms);
+    brittleness
+}
+
+fn sound_at(now_ms: u64) -> Brittleness {
+    let mut brittleness = Brittleness::default();
+    brittleness.record(None, now_ms - 10, now_ms);
     brittleness
 }
 
 #[test]
 fn record_ends_with_an_answer_to_a_later_request_only() {
-    let mut brittleness = brittle(4.0);
+    let mut brittleness = brittle_at(4.0, 1_000);
     brittleness.record(None, 999, 1_100);
-    assert_eq!(brittleness.rejections_per_s(), Some(4.0));
+    assert_eq!(brittleness.rejections_per_s(1_100), Some(4.0));
     brittleness.record(None, 1_000, 1_100);
-    assert_eq!(brittleness.rejections_per_s(), None);
-    assert_eq!(brittleness.pause_ms(7), None);
+    assert_eq!(brittleness.rejections_per_s(1_100), None);
 }
 
 #[test]
-fn pause_keeps_the_rejections_of_all_boxes_within_the_bound() {
-    assert_eq!(brittle(7.0).pause_ms(7), Some(1_000));
-    assert_eq!(brittle(3.5).pause_ms(7), Some(2_000));
-    assert_eq!(brittle(0.0).pause_ms(7), Some(5_000));
-    assert_eq!(brittle(1_000.0).pause_ms(7), Some(100));
+fn belief_without_answers_lasts_while_all_servers_may_be_down() {
+    let brittleness = brittle_at(4.0, 1_000);
+    assert_eq!(brittleness.rejections_per_s(15_999), Some(4.0));
+    assert_eq!(brittleness.rejections_per_s(16_000), None);
+}
+
+/// Two boxes that pass on to each other what neither has heard from a server for a while must not
+/// keep it alive.
+#[test]
+fn report_passed_to_and_fro_ends() {
+    let mut boxes = [brittle_at(4.0, 1_000), Brittleness::default()];
+    for now_ms in (1_100..20_000).step_by(100) {
+        for (from, to) in [(0, 1), (1, 0)] {
+            if let Some(report) = boxes[from].report(now_ms) {
+                boxes[to].record_report(report, now_ms);
+            }
+        }
+    }
+    let is_brittle = |brittleness: &Brittleness| brittleness.rejections_per_s(20_000).is_some();
+    assert!(!boxes.iter().any(is_brittle));
 }
 
 #[test]
-fn has_room_for_one_request_of_each_box_where_others_are_unknown() {
-    let case = RoomCase {
-        slots: 6,
-        boxes: 7,
-        own_running: 0,
-        own_unanswered: 0,
-        running: None,
+fn report_carries_since_when_servers_are_brittle() {
+    let mut known = Brittleness::default();
+    let report = BrittlenessReport {
+        rejections_per_s: 3.0,
+        known_for_ms: 4_000,
+        age_ms: 50,
     };
-    assert!(has_room(&case));
-    assert!(!has_room(&RoomCase {
-        own_running: 1,
-        ..case
-    }));
-    assert!(has_room(&RoomCase {
-        boxes: 2,
-        own_running: 2,
-        ..case
-    }));
+    assert!(known.record_report(report, 10_000));
+    assert!(!known.record_report(report, 10_100), "known already");
+    let report = known.report(11_000).expect("it is brittle");
+    assert_eq!(report.known_for_ms, 5_000);
 }
 
-quickcheck! {
-    /// Boxes that all know the same number and then send at once never exceed the slots, unless
-    /// there are more boxes than slots.
-    fn boxes_that_send_at_once_fit_in_the_slots(slots: u8, boxes: u8, running: u8) -> bool {
-        let (slots, boxes) = (usize::from(slots).max(4), usize::from(boxes).max(1));
-        let mut own_unanswered = 0;
-        let case = |own_unanswered| RoomCase {
-            slots,
-            boxes,
-            own_running: own_unanswered,
-            own_unanswered,
-            running: Some(usize::from(running)),
-        };
-        while has_room(&case(own_unanswered)) {
-            own_unanswered += 1;
-        }
-        let sent = own_unanswered * boxes;
-        sent == 0 || boxes > slots / 4 || usize::from(running) + sent <= slots
-    }
+#[test]
+fn server_that_says_it_is_brittle_is_so_whatever_its_service_is() {
+    let own = brittle_at(3.0, 1_000);
+    let merged = of_server(own, sound_at(2_000), 2_000);
+    assert_eq!(merged.rejections_per_s(2_000), Some(3.0));
+}
+
+#[test]
+fn server_that_said_nothing_is_as_its_service() {
+    let merged = of_server(Brittleness::default(), brittle_at(3.0, 1_000), 1_100);
+    assert_eq!(merged.rejections_per_s(1_100), Some(3.0));
+}
+
+#[test]
+fn server_that_is_no_longer_brittle_is_so_until_its_service_is_again() {
+    let own = sound_at(2_000);
+    let after_others = of_server(own, brittle_at(3.0, 1_000), 2_100);
+    assert_eq!(after_others.rejections_per_s(2_100), None);
+    let again = of_server(own, brittle_at(3.0, 3_000), 3_100);
+    assert_eq!(again.rejections_per_s(3_100), Some(3.0));
 }
--- a/crates/tinbay-gateway/src/front/attempt.rs
+++ b/crates/tinbay-gateway/src/front/attempt.rs
@@ -9,6 +9,7 @@
 use hyper::client::conn::TrySendError;
 use hyper::header::HeaderMap;
 use hyper::{Request, Response, StatusCode};
+use tinbay_core::slots::home::LeaseEnd;
 use tinbay_core::units::Millis;
 
 use super::headers::{self, ServerHeaders};
@@ -122,7 +123,9 @@
     body: RequestBody,
     terms: AttemptTerms<'_>,
 ) -> AttemptResult {
-    let running = node.begin_request(terms.server, inbound, terms.prefill_tokens);
+    let running = node
+        .begin_request(terms.server, inbound, terms.prefill_tokens)
+        .with_slot(terms.permit.slot());
     let _unanswered = terms.server.unanswered.begin();
     let began_ms = node.now_ms();
     let pending = Cell::default();
@@ -135,11 +138,28 @@
             }
             AttemptResult::unknown(UnknownCause::Silent)
         }
-        Ok(Err(result)) => result,
+        Ok(Err(result)) => {
+            if is_server_failure(&result) {
+                terms.permit.record_end(LeaseEnd::Failed);
+            }
+            result
+        }
         Ok(Ok(received)) => classify(node, inbound, &terms, received, running),
     }
 }
 
+/// Whether a request ended without an answer as the server accepted no connection or closed it.
+fn is_server_failure(result: &AttemptResult) -> bool {
+    matches!(
+        result,
+        AttemptResult::NotSent {
+            error: ConnectError::Refused
+        } | AttemptResult::Unknown {
+            cause: UnknownCause::Closed
+        }
+    )
+}
+
 /// A reused connection on which a request was sent and not yet answered.
 type PendingReuse = Cell<Option<Reuse>>;
 
@@ -297,6 +317,7 @@
             has_run: !is_not_run,
         };
         notices::apply(node, terms.server, &head);
+        terms.permit.record_end(lease_end(status, is_not_run));
     }
     if is_not_run {
         return AttemptResult::Declined { status };
@@ -314,6 +335,15 @@
     }))
 }
 
+/// What an answer shows of a brittle server's slots.
+fn lease_end(status: StatusCode, is_not_run: bool) -> LeaseEnd {
+    match (is_not_run, status) {
+        (true, StatusCode::SERVICE_UNAVAILABLE) => LeaseEnd::Rejected,
+        (true, _) => LeaseEnd::Unknown,
+        (false, _) => LeaseEnd::Served,
+    }
+}
+
 /// Whether another server responded in place of the intended one.
 fn is_displaced(
     response: &Response<Incoming>,
--- a/crates/tinbay-gateway/src/front/choice.rs
+++ b/crates/tinbay-gateway/src/front/choice.rs
@@ -21,8 +21,8 @@
 /// latency.
 const OTHER_ZONE_LOAD: f64 = 0.15;
 
-/// Load added to servers that can't be reached now, and to brittle ones without room for a request of
-/// this box.
+/// Load added to servers that can't be reached now, and to brittle ones that probably have no free
+/// slot.
 const UNUSABLE_LOAD: f64 = 2.0;
 
 /// Length at which an adapter's rendezvous order is cut.
@@ -481,7 +481,7 @@
     } else {
         OTHER_ZONE_LOAD
     };
-    let is_usable = node.has_room(server) && !server.pool.link().is_down();
+    let is_usable = server.may_have_slot(node.now_ms()) && !server.pool.link().is_down();
     let unusable_load = if is_usable { 0.0 } else { UNUSABLE_LOAD };
     let tie: f64 = rand::rng().random_range(0.0..TIE_LOAD);
     let penalties = node.failure_penalty(server) + zone_load + unusable_load;
--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -28,10 +28,11 @@
 use crate::http::framing::BodyFormat;
 use crate::http::pool::ReusableIdle;
 use crate::http::relay::{EndObserver, Relay, RelayTerms};
-use crate::limits::permits::{self, Permit};
+use crate::limits::permits::{self, NoPermit, Permit};
 use crate::node::Node;
 use crate::resumption::recording::record_start;
 use crate::servers::{RunningRequest, Server};
+use crate::slots::asking::{SlotParams, SlotsFull};
 
 /// Most attempts per request, including declined ones.
 const MAX_ATTEMPTS: usize = 4;
@@ -51,11 +52,18 @@
 /// connecting, the transfer, and the server's response that it did not run the request.
 const BEGIN_MARGIN_MS: Millis = 250;
 
-/// Longest wait for room at a brittle server before another one is chosen.
-const MAX_ROOM_WAIT_MS: Millis = 100;
+/// Brittle servers that are asked for a slot for one request. It waits for one at the last.
+const MAX_FULL_SERVERS: usize = 3;
 
-/// Interval between two checks for room at a brittle server.
-const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// Least time that a request may wait for a slot of a brittle server.
+const MIN_SLOT_WAIT_MS: Millis = 100;
+
+/// Quantile of a service's answer times that counts as its usual one.
+const MEDIAN: f64 = 0.5;
+
+/// `Retry-After` of a request that a brittle server rejected: no other one is tried, as they are
+/// probably as full.
+const REJECTED_RETRY_MS: Millis = 300;
 
 /// Failure penalty added after an attempt that may have run but was not answered.
 const UNKNOWN_OUTCOME_PENALTY: f64 = 1.0;
@@ -97,6 +105,8 @@
 ) -> Result<Response<AnswerBody>, Refusal> {
     let mut history = AttemptHistory::default();
     let mut body = Some(body);
+    // Brittle servers without a free slot for the request.
+    let mut full_servers = 0;
     loop {
         if history.ends.are_all_not_run()
             && let Some(result) = forward::try_forward(node, inbound, &mut body).await
@@ -119,13 +129,21 @@
             Err(refusal) if history.tried.is_empty() => return Err(refusal),
             Err(_) => return Err(final_refusal(node, inbound, &history)),
         }
-        if !wait_for_room(node, &server).await {
-            inbound.admission.record_full(server.key);
-            continue;
-        }
-        let Some(permit) = permits::acquire(node, &server).await else {
-            inbound.count_server_at_limit();
-            continue;
+        let permit = match acquire_permit(node, inbound, &server, &history, full_servers).await {
+            Ok(permit) => permit,
+            Err(NoPermit::AtLimit) => {
+                inbound.count_server_at_limit();
+                continue;
+            }
+            Err(NoPermit::SlotsFull(full)) => {
+                inbound.admission.record_full(server.key);
+                full_servers += 1;
+                if full_servers < MAX_FULL_SERVERS && has_other_server(node, inbound, &history) {
+                    continue;
+                }
+                let refusal = slots_refusal(full);
+                return Err(refusal_after(refusal, node, inbound, &history));
+            }
         };
         let Some(sent) = body.take() else {
             return Err(final_refusal(node, inbound, &history));
@@ -136,7 +154,7 @@
         let outgoing = Outgoing {
             server,
             body: sent,
-            permit,
+            permit: permit.clone(),
         };
         let sent = send_hedged(node, inbound, &mut history, outgoing).await;
         let (server, sent_ms, result) = (sent.server, sent.sent_ms, sent.result);
@@ -163,6 +181,13 @@
             }
             AttemptResult::Declined { status } => {
                 record_declined(node, inbound, &server, status);
+                if is_rejected_by_brittle(node, &server, status) {
+                    history.record(&server, AttemptEnd::NotRun);
+                    let refusal = slots_refusal(SlotsFull {
+                        retry_after_ms: REJECTED_RETRY_MS,
+                    });
+                    return Err(refusal_after(refusal, node, inbound, &history));
+                }
                 AttemptEnd::NotRun
             }
             AttemptResult::Displaced => {
@@ -235,18 +260,77 @@
     }
 }
 
-/// Waits until a brittle server has room for one more request of this box; returns false if it has
-/// none for a while.
-async fn wait_for_room(node: &Node, server: &Server) -> bool {
-    let end_ms = node.now_ms() + MAX_ROOM_WAIT_MS;
-    while !node.has_room(server) {
-        if node.now_ms() >= end_ms {
-            return false;
+/// Acquires a permit to send the request to a server. A brittle server's slot is waited for only if
+/// no other server may have a free one.
+async fn acquire_permit(
+    node: &Node,
+    inbound: &InboundRequest,
+    server: &Rc<Server>,
+    history: &AttemptHistory,
+    full_servers: usize,
+) -> Result<Permit, NoPermit> {
+    let waits_at_once = full_servers + 1 >= MAX_FULL_SERVERS;
+    if !waits_at_once {
+        let slot_params = SlotParams {
+            rank: inbound.rank(),
+            max_wait_ms: 0,
+        };
+        let result = permits::acquire(node, server, slot_params).await;
+        let Err(NoPermit::SlotsFull(_)) = result else {
+            return result;
+        };
+        let mut tried = history.tried.clone();
+        tried.push(server.record().id.clone());
+        if has_server_besides(node, inbound, &tried) {
+            return result;
         }
-        tokio::time::sleep(ROOM_CHECK_INTERVAL).await;
     }
-    node.count_brittle_send(server);
-    true
+    let slot_params = SlotParams {
+        rank: inbound.rank(),
+        max_wait_ms: slot_wait_ms(node, inbound, server),
+    };
+    permits::acquire(node, server, slot_params).await
+}
+
+/// Whether another server could take the request now.
+fn has_other_server(node: &Node, inbound: &InboundRequest, history: &AttemptHistory) -> bool {
+    has_server_besides(node, inbound, &history.tried)
+}
+
+fn has_server_besides(node: &Node, inbound: &InboundRequest, tried: &[String]) -> bool {
+    let choice = choice::choose(node, inbound, tried, &HolderRequests::default());
+    matches!(choice, Choice::Send { .. })
+}
+
+/// How long a request may wait for a slot of a brittle server: until its answer would miss the
+/// objective, and a moment if it does so already.
+fn slot_wait_ms(node: &Node, inbound: &InboundRequest, server: &Server) -> Millis {
+    let usual_ms = match inbound.model_key {
+        Some(_) => node.prefill_ms(&inbound.service, inbound.prompt.tokens),
+        None => {
+            let times = server.service().times.borrow();
+            times.quantile_ms(MEDIAN).unwrap_or_default()
+        }
+    };
+    let now_ms = node.now_ms();
+    let send_by_ms = (inbound.arrived_ms + inbound.route.objective_ms)
+        .saturating_sub(usual_ms as Millis)
+        .max(now_ms + MIN_SLOT_WAIT_MS)
+        .min(inbound.time_up_ms);
+    send_by_ms.saturating_sub(now_ms)
+}
+
+fn slots_refusal(full: SlotsFull) -> Refusal {
+    Refusal::NotRun {
+        reason: NotRunReason::SlotsFull,
+        retry_after_ms: full.retry_after_ms,
+    }
+}
+
+/// Whether a brittle server rejected a request for lack of room.
+fn is_rejected_by_brittle(node: &Node, server: &Server, status: StatusCode) -> bool {
+    let is_brittle = server.brittleness(node.now_ms()).is_some();
+    is_brittle && status == StatusCode::SERVICE_UNAVAILABLE
 }
 
 /// Records that a server declined: either it does not hold the adapter, or it is avoided for a
--- a/crates/tinbay-gateway/src/front/handover/actions.rs
+++ b/crates/tinbay-gateway/src/front/handover/actions.rs
@@ -32,6 +32,7 @@
 use crate::limits::permits;
 use crate::node::Node;
 use crate::servers::{RunningRequest, Server};
+use crate::slots::asking::SlotParams;
 
 /// Longest search for a server that can continue a run.
 const MAX_SEARCH_MS: Millis = 1_500;
@@ -45,6 +46,10 @@
 /// Time-out until a server resumes the stream.
 const RESUME_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Longest wait for a slot of a brittle server before a run is resumed there; its memory is held
+/// only for a while.
+const RESUME_SLOT_WAIT_MS: Millis = 500;
+
 /// Time-out of the call that frees a copy.
 const FREE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -171,7 +176,11 @@
         let (Some(server), Some(body)) = (server, self.body.repeat()) else {
             return Resumed::Declined;
         };
-        let Some(permit) = permits::acquire(&self.node, &server).await else {
+        let slot_params = SlotParams {
+            rank: self.inbound.rank(),
+            max_wait_ms: RESUME_SLOT_WAIT_MS,
+        };
+        let Ok(permit) = permits::acquire(&self.node, &server, slot_params).await else {
             return Resumed::Declined;
         };
         // A server that has restarted in another version has no copy of the run.
--- a/crates/tinbay-gateway/src/front/hedge.rs
+++ b/crates/tinbay-gateway/src/front/hedge.rs
@@ -20,6 +20,7 @@
 use crate::limits::permits::{self, Permit};
 use crate::node::Node;
 use crate::servers::Server;
+use crate::slots::asking::SlotParams;
 
 /// A send that is about to be made.
 pub struct Outgoing {
@@ -248,8 +249,8 @@
         sends_left: terms.sends_left,
         left_ms: inbound.time_up_ms.saturating_sub(node.now_ms()),
     };
-    let brittleness = first.service().brittleness.get();
-    if first.limit_per_s().is_some() || brittleness.rejections_per_s().is_some() {
+    let is_brittle = first.brittleness(node.now_ms()).is_some();
+    if first.limit_per_s().is_some() || is_brittle {
         return None;
     }
     hedge_after_ms(&case, &first.service().times.borrow())
@@ -269,8 +270,12 @@
         Choice::Send { server, .. } if server.limit_per_s().is_none() => server,
         _ => return Err(HedgeOutcome::NoServer),
     };
-    let permit = permits::acquire(node, &server).await;
-    let permit = permit.ok_or(HedgeOutcome::NoServer)?;
+    let slot_params = SlotParams {
+        rank: inbound.rank(),
+        max_wait_ms: 0,
+    };
+    let permit = permits::acquire(node, &server, slot_params).await;
+    let permit = permit.map_err(|_| HedgeOutcome::NoServer)?;
     if !take_hedge_budget(node, inbound) {
         return Err(HedgeOutcome::NoBudget);
     }
--- a/crates/tinbay-gateway/src/front/refusal.rs
+++ b/crates/tinbay-gateway/src/front/refusal.rs
@@ -29,6 +29,9 @@
     /// No server is left of the software version that began the stream.
     #[error("no server runs the software version that began its stream")]
     OriginGone,
+    /// The servers are brittle, and no slot of those asked for becomes free in time.
+    #[error("no slot of a server becomes free in time")]
+    SlotsFull,
     /// Every server tried declined the request or could not be connected to.
     #[error("every server tried declined it or took no connection")]
     Declined,
--- a/crates/tinbay-gateway/src/housekeeping.rs
+++ b/crates/tinbay-gateway/src/housekeeping.rs
@@ -32,6 +32,7 @@
         node.waiters.tidy();
         node.limits.tidy(&node);
         node.sharing.tidy(node.now_ms());
+        node.slots.tidy(&node);
         node.crashes.tidy(node.now_ms());
         observe_versions(&node);
         node.resumption.tidy(node.now_ms());
@@ -78,6 +79,9 @@
     let (scarce, waiting) = holder::counts(node);
     set_gauge("servers_scarce", scarce);
     set_gauge("requests_waiting_for_room", waiting);
+    let (leased, waiting) = node.slots.counts();
+    set_gauge("slots_leased_out", leased);
+    set_gauge("requests_waiting_for_slot", waiting);
     let (refused, suspected) = node.crashes.counts(node.now_ms());
     set_gauge("requests_refused", refused);
     set_gauge("crash_suspects", suspected);
--- a/crates/tinbay-gateway/src/lib.rs
+++ b/crates/tinbay-gateway/src/lib.rs
@@ -30,5 +30,6 @@
 pub mod settings;
 pub mod sharing;
 pub mod shown_labels;
+pub mod slots;
 pub mod waiters;
 pub mod watch;
--- a/crates/tinbay-gateway/src/limits/home.rs
+++ b/crates/tinbay-gateway/src/limits/home.rs
@@ -7,7 +7,7 @@
 use tinbay_core::serving::servers::Fingerprint;
 use tinbay_core::units::Millis;
 
-use super::limited::{LimitKey, Limited};
+use super::limited::{Homed, LimitKey, Limited};
 use crate::members::box_fingerprint;
 use crate::node::Node;
 
@@ -63,12 +63,8 @@
 }
 
 /// Returns the home of a limit; `None` if no box can be one.
-pub fn of(node: &Node, limited: &Limited) -> Option<SelectedHome> {
-    of_name(node, limited.key, &limited.name)
-}
-
-/// Returns the home of a limit by its key and name; `None` if no box can be one.
-pub fn of_name(node: &Node, key: LimitKey, name: &str) -> Option<SelectedHome> {
+pub fn of(node: &Node, homed: Homed<'_>) -> Option<SelectedHome> {
+    let Homed { key, name } = homed;
     let now_ms = node.now_ms();
     let mut cached = node.limits.cached_homes.borrow_mut();
     if let Some(entry) = cached.get(&key).filter(|entry| now_ms < entry.until_ms) {
@@ -85,8 +81,8 @@
 }
 
 /// Whether the home of a limit failed to answer recently.
-pub fn has_failed(node: &Node, limited: &Limited) -> bool {
-    let Some(Home::Other(home)) = of(node, limited).map(|selected| selected.home) else {
+pub fn has_failed(node: &Node, homed: Homed<'_>) -> bool {
+    let Some(Home::Other(home)) = of(node, homed).map(|selected| selected.home) else {
         return false;
     };
     let failed = node.limits.failed_homes.borrow();
@@ -95,37 +91,37 @@
 }
 
 /// Selects a new home after the last one reported that it can't be the home.
-pub fn reselect_excluding(node: &Node, limited: &Limited, last: &SelectedHome) {
+pub fn reselect_excluding(node: &Node, homed: Homed<'_>, last: &SelectedHome) {
     let id = match &last.home {
         Home::Own => node.settings.borrow().box_id.clone(),
         Home::Other(id) => id.clone(),
     };
     let mut excluded = last.excluded.clone();
     excluded.push(box_fingerprint(&id));
-    let selected = select(node, &limited.name, excluded);
-    cache(node, limited, selected);
+    let selected = select(node, homed.name, excluded);
+    cache(node, homed.key, selected);
 }
 
 /// Follows a redirect: caches the box that the last home named instead of itself.
-pub fn follow_redirect(node: &Node, limited: &Limited, last: &SelectedHome, home: String) {
+pub fn follow_redirect(node: &Node, homed: Homed<'_>, last: &SelectedHome, home: String) {
     let is_own = home == node.settings.borrow().box_id;
     let home = if is_own { Home::Own } else { Home::Other(home) };
     let excluded = last.excluded.clone();
-    cache(node, limited, Some(SelectedHome { home, excluded }));
+    cache(node, homed.key, Some(SelectedHome { home, excluded }));
 }
 
-fn cache(node: &Node, limited: &Limited, selected: Option<SelectedHome>) {
+fn cache(node: &Node, key: LimitKey, selected: Option<SelectedHome>) {
     let until_ms = node.now_ms() + HOME_CACHE_MS;
     let mut cached = node.limits.cached_homes.borrow_mut();
-    cached.insert(limited.key, CachedHome { selected, until_ms });
+    cached.insert(key, CachedHome { selected, until_ms });
 }
 
 /// Returns the home of a limit with some boxes excluded.
-pub fn home_excluding(node: &Node, limited: &Limited, excluded: &[Fingerprint]) -> Option<Home> {
+pub fn home_excluding(node: &Node, homed: Homed<'_>, excluded: &[Fingerprint]) -> Option<Home> {
     let selected = if excluded.is_empty() {
-        of(node, limited)
+        of(node, homed)
     } else {
-        select(node, &limited.name, excluded.to_vec())
+        select(node, homed.name, excluded.to_vec())
     };
     selected.map(|selected| selected.home)
 }
--- a/crates/tinbay-gateway/src/limits/limited.rs
+++ b/crates/tinbay-gateway/src/limits/limited.rs
@@ -20,6 +20,15 @@
     Server(Fingerprint),
 }
 
+/// What has a home: one box that counts for all.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Homed<'a> {
+    /// Key by which boxes refer to it.
+    pub key: LimitKey,
+    /// Name from which all boxes select the home.
+    pub name: &'a str,
+}
+
 /// A rate limit that is enforced over all boxes.
 #[derive(Debug, Clone)]
 pub struct Limited {
@@ -32,6 +41,14 @@
 }
 
 impl Limited {
+    /// The key and name from which its home is selected.
+    pub fn homed(&self) -> Homed<'_> {
+        Homed {
+            key: self.key,
+            name: &self.name,
+        }
+    }
+
     /// Returns the limit of a client account; `None` if it is not limited.
     pub fn of_account(node: &Node, account: &Account) -> Option<Self> {
         let overdraft = node.settings.borrow().bounds.limit_overdraft;
--- a/crates/tinbay-gateway/src/limits/mod.rs
+++ b/crates/tinbay-gateway/src/limits/mod.rs
@@ -155,7 +155,7 @@
         prefetch(node, limited);
         return Ok(AdmittedBy::Prefetched);
     }
-    let has_failed = home::has_failed(node, limited);
+    let has_failed = home::has_failed(node, limited.homed());
     if !has_failed && let Some(result) = admit_by_home(node, limited, units, caller_try).await {
         return result;
     }
@@ -193,15 +193,15 @@
     caller_try: Option<CallerTry>,
 ) -> Option<Result<AdmittedBy, Millis>> {
     for _ in 0..MAX_HOMES {
-        let selected = home::of(node, limited)?;
+        let selected = home::of(node, limited.homed())?;
         let grant = match request_units(node, limited, units, caller_try, &selected).await {
             UnitRequestResult::Grant(grant) => grant,
             UnitRequestResult::NotHome(Some(other)) => {
-                home::follow_redirect(node, limited, &selected, other);
+                home::follow_redirect(node, limited.homed(), &selected, other);
                 continue;
             }
             UnitRequestResult::NotHome(None) => {
-                home::reselect_excluding(node, limited, &selected);
+                home::reselect_excluding(node, limited.homed(), &selected);
                 continue;
             }
             UnitRequestResult::NoAnswer => {
@@ -343,7 +343,7 @@
     }
     let needed = 0.0;
     let request = UnitRequest { needed, ahead };
-    let Some(selected) = home::of(node, limited) else {
+    let Some(selected) = home::of(node, limited.homed()) else {
         return;
     };
     match &selected.home {
@@ -352,7 +352,7 @@
                 apply_grant(node, limited.key, grant);
             }
         }
-        Home::Other(home) if !home::has_failed(node, limited) => {
+        Home::Other(home) if !home::has_failed(node, limited.homed()) => {
             let part = build_request(
                 node,
                 limited.key,
@@ -387,7 +387,7 @@
 }
 
 /// Records that another box did not answer, so that requests don't wait for it for a while.
-fn record_no_answer(node: &Node, home: &Home, reason: &'static str) {
+pub fn record_no_answer(node: &Node, home: &Home, reason: &'static str) {
     let Home::Other(home) = home else {
         return;
     };
@@ -412,7 +412,7 @@
     };
     let home = limited
         .as_ref()
-        .and_then(|limited| home::home_excluding(node, limited, &part.excluded));
+        .and_then(|limited| home::home_excluding(node, limited.homed(), &part.excluded));
     let limited = limited.filter(|_| home == Some(Home::Own));
     let caller_try = part.caller_try.map(CallerTryPart::to_try);
     let grant = limited.and_then(|limited| home::grant_units(node, &limited, request, caller_try));
--- a/crates/tinbay-gateway/src/limits/notices.rs
+++ b/crates/tinbay-gateway/src/limits/notices.rs
@@ -14,7 +14,7 @@
 use tinbay_core::units::Millis;
 
 use super::home::{self, Home};
-use super::limited::LimitKey;
+use super::limited::{Homed, LimitKey};
 use crate::node::Node;
 use crate::peers::frame::{FramePart, ServerLimitPart};
 use crate::peers::gossip;
@@ -105,7 +105,12 @@
         notice,
     };
     let own_id = node.settings.borrow().box_id.clone();
-    let selected = home::of_name(node, LimitKey::Server(part.server), &server.record().id);
+    let record = server.record();
+    let homed = Homed {
+        key: LimitKey::Server(part.server),
+        name: &record.id,
+    };
+    let selected = home::of(node, homed);
     let home = match selected.map(|selected| selected.home) {
         Some(Home::Other(home)) => Some(home),
         Some(Home::Own) | None => None,
--- a/crates/tinbay-gateway/src/metrics.rs
+++ b/crates/tinbay-gateway/src/metrics.rs
@@ -48,7 +48,7 @@
     pub server_notices: IntCounterVec,
     /// Requests to servers that announce limits, by the decision of the limit.
     server_limits: IntCounterVec,
-    /// Requests to brittle servers, by how room for them was known.
+    /// Requests to brittle servers, by whether they got a slot.
     pub brittle_sends: IntCounterVec,
     /// Rejections by brittle servers for lack of room, by what was rejected.
     pub brittle_rejections: IntCounterVec,
@@ -165,8 +165,8 @@
             )?,
             brittle_sends: counter(
                 "tinbay_brittle_sends_total",
-                "Requests to brittle servers, by how room for them was known",
-                &["room"],
+                "Requests to brittle servers, by whether they got a slot",
+                &["outcome"],
             )?,
             brittle_rejections: counter(
                 "tinbay_brittle_rejections_total",
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -9,7 +9,6 @@
 use tinbay_core::accounts::priority::PriorityRanks;
 use tinbay_core::memory::terms::MemoryTerms;
 use tinbay_core::resumption::fingerprint;
-use tinbay_core::serving::brittleness::{self, RoomCase};
 use tinbay_core::serving::budget::AttemptBudget;
 use tinbay_core::serving::claims::{ClaimTable, ClaimTerms, Proof};
 use tinbay_core::serving::configuration::{Configuration, EngineProperties, Limits};
@@ -49,6 +48,7 @@
 use crate::servers::{RunningRequest, Server, ServerTable};
 use crate::settings::Settings;
 use crate::sharing::Sharing;
+use crate::slots::Slots;
 use crate::waiters::Waiters;
 use crate::watch::access::StoreAccess;
 use crate::watch::boxes::{MEMBER_PREFIX, PREFIX as BOXES_PREFIX};
@@ -211,6 +211,8 @@
     pub splits: Splits,
     /// Requests that compete for scarce capacity.
     pub sharing: Sharing,
+    /// Slots of brittle servers that this box uses or leases out.
+    pub slots: Rc<Slots>,
     /// Budget for second attempts, by service.
     pub budgets: RefCell<HashMap<String, AttemptBudget>>,
     /// Memory accounting for requests and answers.
@@ -272,6 +274,7 @@
             forwarding: Forwarding::new(clock),
             splits: Splits::default(),
             sharing: Sharing::default(),
+            slots: Rc::default(),
             budgets: RefCell::default(),
             memory,
             answers,
@@ -573,41 +576,6 @@
         server.usage.borrow().running() + elsewhere
     }
 
-    /// Whether one more request of this box fits at a server; always if the server is not brittle.
-    pub fn has_room(&self, server: &Server) -> bool {
-        let brittleness = server.service().brittleness.get();
-        if brittleness.rejections_per_s().is_none() {
-            return true;
-        }
-        brittleness::has_room(&RoomCase {
-            slots: server.record().slots,
-            boxes: self.box_count.get(),
-            own_running: server.usage.borrow().running(),
-            own_unanswered: server.unanswered.count(),
-            running: self.knows_load(server).then(|| self.running(server)),
-        })
-    }
-
-    /// Whether this box knows the requests of all boxes at a server.
-    fn knows_load(&self, server: &Server) -> bool {
-        let is_held = self.held_server(server.key).is_some();
-        is_held || server.view.borrow().is_fresh(self.now_ms())
-    }
-
-    /// Counts a request to a brittle server, by how room for it was known.
-    pub fn count_brittle_send(&self, server: &Server) {
-        let brittleness = server.service().brittleness.get();
-        if brittleness.rejections_per_s().is_none() {
-            return;
-        }
-        let room = if self.knows_load(server) {
-            "reported"
-        } else {
-            "share"
-        };
-        self.metrics.brittle_sends.with_label_values(&[room]).inc();
-    }
-
     fn load_snapshot(&self, server: &Server, now_ms: Millis) -> LoadSnapshot {
         if let Some(held) = self.held_server(server.key) {
             let own_id = &self.settings.borrow().box_id;
--- a/crates/tinbay-gateway/src/peers/exchange.rs
+++ b/crates/tinbay-gateway/src/peers/exchange.rs
@@ -30,7 +30,7 @@
 /// Report intervals per round of gossip.
 const INTERVALS_PER_GOSSIP_ROUND: u64 = 2;
 
-/// Pause after sending, so that several changes share a message.
+/// Pause after sending, so that several changes share a message, unless one is urgent.
 const SEND_PAUSE: Duration = Duration::from_millis(2);
 
 /// Size reserved in a frame for everything but its parts.
@@ -63,7 +63,7 @@
             next_scarce_report = tokio::time::Instant::now() + pause;
         }
         sender.send_queued().await;
-        tokio::time::sleep(SEND_PAUSE).await;
+        let _ = tokio::time::timeout(SEND_PAUSE, sender.node.outbox.wait_for_urgent()).await;
         tokio::select! {
             () = tokio::time::sleep_until(next_report.min(next_scarce_report)) => {}
             () = sender.node.outbox.wait() => {}
--- a/crates/tinbay-gateway/src/peers/frame.rs
+++ b/crates/tinbay-gateway/src/peers/frame.rs
@@ -14,6 +14,7 @@
 use crate::members::MemberRecord;
 use crate::resumption::messages::{OriginReplyPart, OriginRequestPart, StreamStartPart};
 use crate::sharing::messages::{AdmissionReplyPart, AdmissionRequestPart};
+use crate::slots::messages::{BrittleServicePart, SlotReplyPart, SlotReportPart, SlotRequestPart};
 
 /// Largest datagram, which fits into one packet on all usual links.
 pub const MAX_FRAME_BYTES: usize = 1_300;
@@ -81,6 +82,14 @@
     PromptPart(PromptPartMessage),
     /// A crash under a request that the receiver tracks, unless the sender has lost its links.
     PossibleCrash(CrashReportPart),
+    /// Services whose servers are brittle.
+    BrittleServices(Vec<BrittleServicePart>),
+    /// Request for a slot of a brittle server whose home is the receiver.
+    SlotRequest(SlotRequestPart),
+    /// Reply to a request for a slot.
+    SlotReply(SlotReplyPart),
+    /// The sender's leases of slots of a server whose home is the receiver.
+    SlotReport(SlotReportPart),
 }
 
 /// Message about a prompt part that may crash servers.
@@ -133,6 +142,10 @@
             FramePart::OriginReply(_) => "origin_reply",
             FramePart::PromptPart(message) => message.kind(),
             FramePart::PossibleCrash(_) => "possible_crash",
+            FramePart::BrittleServices(_) => "brittle_services",
+            FramePart::SlotRequest(_) => "slot_request",
+            FramePart::SlotReply(_) => "slot_reply",
+            FramePart::SlotReport(_) => "slot_report",
         }
     }
 
@@ -146,6 +159,10 @@
                 | FramePart::OriginReply(_)
                 | FramePart::PromptPart(_)
                 | FramePart::PossibleCrash(_)
+                | FramePart::BrittleServices(_)
+                | FramePart::SlotRequest(_)
+                | FramePart::SlotReply(_)
+                | FramePart::SlotReport(_)
         )
     }
 }
--- a/crates/tinbay-gateway/src/peers/gossip.rs
+++ b/crates/tinbay-gateway/src/peers/gossip.rs
@@ -11,8 +11,9 @@
 use tinbay_core::units::Millis;
 
 use super::frame::{FramePart, ZoneReportPart};
-use crate::crashes::{parts, spread};
+use crate::crashes::{parts, spread as crash_spread};
 use crate::node::Node;
+use crate::slots::spread;
 use crate::watch::relay;
 
 /// Boxes of the zone contacted in one round.
@@ -89,7 +90,7 @@
 
 /// All that is refused because servers crash, for one round.
 fn refused(node: &Node) -> Vec<FramePart> {
-    let requests = spread::refused_part(node);
+    let requests = crash_spread::refused_part(node);
     requests
         .into_iter()
         .chain(parts::refusals_part(node))
@@ -111,6 +112,9 @@
     let heard = heard(node);
     let zones_heard = to_ages(node.members.borrow().zones_heard(node.now_ms()));
     let refused = refused(node);
+    if let Some(brittle) = spread::brittle_services(node) {
+        post_to_some(node, &brittle);
+    }
     for box_id in peers.sample(&mut rng, PEERS_PER_ROUND) {
         for refused in &refused {
             node.outbox.post(box_id, refused.clone());
@@ -126,6 +130,17 @@
     }
 }
 
+/// Sends a part to some boxes of this zone and to one of another.
+pub fn post_to_some(node: &Node, part: &FramePart) {
+    let mut rng = rand::rng();
+    for box_id in zone_boxes(node).sample(&mut rng, PEERS_PER_ROUND) {
+        node.outbox.post(box_id, part.clone());
+    }
+    if let Some(box_id) = other_zone_boxes(node).choose(&mut rng) {
+        node.outbox.post(box_id, part.clone());
+    }
+}
+
 /// Sends all boxes of the zone the record that says that this one is leaving.
 pub fn post_leaving(node: &Node) {
     for box_id in zone_boxes(node) {
--- a/crates/tinbay-gateway/src/peers/inbox.rs
+++ b/crates/tinbay-gateway/src/peers/inbox.rs
@@ -26,6 +26,7 @@
 use crate::servers::usage::UsageReport;
 use crate::servers::view::{ServerStatus, ViewEntry};
 use crate::sharing::holder;
+use crate::slots::{home as slots, spread as spread_brittleness};
 
 /// Pause after a failed read of the socket.
 const FAILED_READ_PAUSE: Duration = Duration::from_millis(10);
@@ -129,6 +130,10 @@
                 let questions = &node.resumption.questions;
                 questions.deliver_reply(&frame.box_id, part);
             }
+            FramePart::BrittleServices(services) => spread_brittleness::handle(node, &services),
+            FramePart::SlotRequest(part) => slots::handle_request(node, &frame.box_id, &part),
+            FramePart::SlotReply(part) => node.slots.deliver_reply(part),
+            FramePart::SlotReport(part) => slots::handle_report(node, &frame.box_id, &part),
             FramePart::Usage(usage) => {
                 if advance(
                     latest.usage.entry(usage.server).or_default(),
--- a/crates/tinbay-gateway/src/peers/outbox.rs
+++ b/crates/tinbay-gateway/src/peers/outbox.rs
@@ -25,6 +25,7 @@
 pub struct Outbox {
     queued: RefCell<QueuedMessages>,
     message_queued: Notify,
+    urgent_queued: Notify,
 }
 
 impl Outbox {
@@ -39,6 +40,13 @@
         self.message_queued.notify_one();
     }
 
+    /// Queues a part for which a request waits: it is sent at once, together with what else is
+    /// queued.
+    pub fn post_urgent(&self, box_id: &str, part: FramePart) {
+        self.post(box_id, part);
+        self.urgent_queued.notify_one();
+    }
+
     /// Queues the status of a server held by this box for another box.
     pub fn post_status(&self, server: ServerKey, box_id: &str) {
         let mut queued = self.queued.borrow_mut();
@@ -58,6 +66,11 @@
         self.message_queued.notified().await;
     }
 
+    /// Waits until a message is queued that must be sent at once.
+    pub async fn wait_for_urgent(&self) {
+        self.urgent_queued.notified().await;
+    }
+
     /// Takes all queued messages.
     pub fn take(&self) -> QueuedMessages {
         std::mem::take(&mut self.queued.borrow_mut())
--- a/crates/tinbay-gateway/src/run.rs
+++ b/crates/tinbay-gateway/src/run.rs
@@ -28,6 +28,7 @@
 use crate::port::store::Store;
 use crate::resumption::recording;
 use crate::settings::Settings;
+use crate::slots;
 use crate::watch::boxes::BoxFollower;
 use crate::watch::configuration::ConfigurationFollower;
 use crate::watch::newcomer;
@@ -152,6 +153,7 @@
     tokio::task::spawn_local(parts::run(Rc::clone(&node)));
     tokio::task::spawn_local(returns::run(Rc::clone(&node)));
     tokio::task::spawn_local(links::run(Rc::clone(&node)));
+    tokio::task::spawn_local(slots::run(Rc::clone(&node)));
     tokio::task::spawn_local(recording::run(Rc::clone(&node)));
     tokio::task::spawn_local(housekeeping::run(Rc::clone(&node)));
     tokio::task::spawn_local(pump::run(Rc::clone(&node.answers)));
--- a/crates/tinbay-gateway/src/servers/mod.rs
+++ b/crates/tinbay-gateway/src/servers/mod.rs
@@ -214,6 +214,16 @@
             .sum()
     }
 
+    /// Statistics of all services that have had servers, by name.
+    pub fn services(&self) -> impl Iterator<Item = (&String, &Rc<ServiceStats>)> {
+        self.services.iter()
+    }
+
+    /// Statistics of a service; `None` if it has had no server.
+    pub fn service_stats(&self, name: &str) -> Option<&Rc<ServiceStats>> {
+        self.services.get(name)
+    }
+
     fn of_service(&self, service: &str) -> impl Iterator<Item = &Rc<Server>> {
         let servers = self.by_id.values();
         servers.filter(move |server| server.record.borrow().service == service)
--- a/crates/tinbay-gateway/src/servers/notices.rs
+++ b/crates/tinbay-gateway/src/servers/notices.rs
@@ -15,6 +15,7 @@
 use crate::limits::notices as limit_notices;
 use crate::node::Node;
 use crate::port::dialect::DecodeError;
+use crate::slots::spread;
 
 /// Status with which a server rejects a request that it has no room for.
 const SERVICE_UNAVAILABLE: u16 = 503;
@@ -134,22 +135,40 @@
     let Ok(per_s) = decoded.map_err(|error| log_unreadable(node, server, &error)) else {
         return;
     };
-    let state = &server.service().brittleness;
-    let before_per_s = state.get().rejections_per_s();
-    let mut brittleness = state.get();
-    brittleness.record(per_s, head.request_sent_ms, node.now_ms());
-    state.set(brittleness);
-    let rejections_per_s = brittleness.rejections_per_s();
-    if rejections_per_s != before_per_s {
-        let record = server.record();
-        let event = BrittlenessEvent {
-            server: &record.id,
-            service: &record.service,
-            rejections_per_s,
-            before_per_s,
-        };
-        events::emit(part::SERVERS, Level::Info, "brittleness", &event);
+    let now_ms = node.now_ms();
+    let service = server.service();
+    let before_per_s = service.brittleness.get().rejections_per_s(now_ms);
+    let change = server.record_brittleness(per_s, head.request_sent_ms, now_ms);
+    let mut brittleness = service.brittleness.get();
+    if per_s.is_some() {
+        brittleness.record(per_s, head.request_sent_ms, now_ms);
+    } else if change == Some(None) && !has_brittle_server(node, server) {
+        brittleness.end(now_ms);
     }
+    service.brittleness.set(brittleness);
+    let rejections_per_s = brittleness.rejections_per_s(now_ms);
+    if rejections_per_s == before_per_s {
+        return;
+    }
+    let record = server.record();
+    let event = BrittlenessEvent {
+        server: &record.id,
+        service: &record.service,
+        rejections_per_s,
+        before_per_s,
+    };
+    events::emit(part::SERVERS, Level::Info, "brittleness", &event);
+    if before_per_s.is_none() {
+        spread::pass_on(node);
+    }
+}
+
+/// Whether a server of the same service says that it is brittle. One that has just started, or
+/// answered in another way, does not end the state of the others.
+fn has_brittle_server(node: &Node, server: &Server) -> bool {
+    let now_ms = node.now_ms();
+    let in_service = node.servers.borrow().in_service(&server.record().service);
+    in_service.iter().any(|server| server.says_brittle(now_ms))
 }
 
 #[derive(Serialize)]
@@ -168,10 +187,10 @@
 
 /// Counts and logs that a brittle server rejected a request or a health check for lack of room.
 pub fn record_rejection(node: &Node, server: &Server, what: &'static str, request: Option<&str>) {
-    let brittleness = server.service().brittleness.get();
-    let Some(rejections_per_s) = brittleness.rejections_per_s() else {
+    let Some(brittleness) = server.brittleness(node.now_ms()) else {
         return;
     };
+    let rejections_per_s = brittleness.rejections_per_s;
     let rejections = &node.metrics.brittle_rejections;
     rejections.with_label_values(&[what]).inc();
     let record = server.record();
@@ -187,15 +206,6 @@
     events::emit(part::SERVERS, Level::Info, "brittle_rejection", &event);
 }
 
-/// The back-off after a rejection by a brittle server that names none itself.
-fn brittle_pause_ms(node: &Node, server: &Server, head: &AnswerHead<'_>) -> Option<Millis> {
-    let is_request = matches!(head.request_kind, RequestKind::Request(_));
-    let is_rejected = head.status == SERVICE_UNAVAILABLE && !head.has_run;
-    let brittleness = server.service().brittleness.get();
-    let pause_ms = brittleness.pause_ms(node.box_count.get())?;
-    (is_request && is_rejected).then_some(pause_ms)
-}
-
 /// Decodes the notices in the head; an unreadable one is logged and ignored.
 fn decode(node: &Node, server: &Server, head: &AnswerHead<'_>) -> AnswerNotice {
     let is_leaving = node.dialect.decode_leaving(head.headers);
@@ -207,8 +217,7 @@
             .unwrap_or_default(),
         back_off_ms: back_off_ms
             .map_err(|error| log_unreadable(node, server, &error))
-            .unwrap_or_default()
-            .or_else(|| brittle_pause_ms(node, server, head)),
+            .unwrap_or_default(),
         limit: limit
             .map_err(|error| log_unreadable(node, server, &error))
             .ok()
--- a/crates/tinbay-gateway/src/servers/server.rs
+++ b/crates/tinbay-gateway/src/servers/server.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use tinbay_core::pace::slowness::{MAX_SLOW_START_MS, SLOW_START, Slowness, slowed_load};
+use tinbay_core::serving::brittleness::{self, Brittleness, BrittlenessReport};
 use tinbay_core::serving::contents::AdapterKey;
 use tinbay_core::serving::decay::decayed;
 use tinbay_core::serving::notices::AnswerNotice;
@@ -23,6 +24,7 @@
 use crate::clock::Clock;
 use crate::crashes::check::{CutRequest, UndecidedCuts};
 use crate::http::pool::Pool;
+use crate::slots::lease::SlotLease;
 
 /// Weight of a new sample in the moving average of the time to the first byte.
 const DELAY_WEIGHT: f64 = 0.15;
@@ -83,6 +85,10 @@
     reported_limit: Cell<Option<f64>>,
     /// Time until which it is skipped, as its limit has no capacity.
     at_limit_until_ms: Cell<Millis>,
+    /// What its own answers say about its brittleness.
+    brittleness: Cell<Brittleness>,
+    /// Time until which it probably has no free slot.
+    full_until_ms: Cell<Millis>,
     delay: Cell<(f64, Millis)>,
 }
 
@@ -91,9 +97,17 @@
 pub struct RunningRequest {
     server: Rc<Server>,
     adapter: Option<AdapterKey>,
+    /// Slot that it uses if the server is brittle.
+    slot: Option<Rc<SlotLease>>,
 }
 
 impl RunningRequest {
+    /// Keeps the slot of a brittle server until the request ends.
+    pub fn with_slot(mut self, slot: Option<Rc<SlotLease>>) -> Self {
+        self.slot = slot;
+        self
+    }
+
     /// Server at which the request runs.
     pub fn server(&self) -> Rc<Server> {
         Rc::clone(&self.server)
@@ -147,6 +161,8 @@
             displaced_until_ms: Cell::default(),
             reported_limit: Cell::default(),
             at_limit_until_ms: Cell::default(),
+            brittleness: Cell::default(),
+            full_until_ms: Cell::default(),
             delay: Cell::default(),
         };
         server.set_slow_phase(record.slow_for_ms);
@@ -225,6 +241,43 @@
         self.notices.borrow().limit().per_s()
     }
 
+    /// Records what one of its answers says about its brittleness. Returns what it says from now on
+    /// if that has changed.
+    pub fn record_brittleness(
+        &self,
+        rejections_per_s: Option<f64>,
+        request_sent_ms: Millis,
+        now_ms: Millis,
+    ) -> Option<Option<f64>> {
+        let mut own = self.brittleness.get();
+        let before = own.rejections_per_s(now_ms);
+        own.record(rejections_per_s, request_sent_ms, now_ms);
+        self.brittleness.set(own);
+        let current = own.rejections_per_s(now_ms);
+        (current != before).then_some(current)
+    }
+
+    /// Whether its own answers say that it is brittle.
+    pub fn says_brittle(&self, now_ms: Millis) -> bool {
+        self.brittleness.get().rejections_per_s(now_ms).is_some()
+    }
+
+    /// Its brittleness, by its own answers and those of its service; `None` if it is not brittle.
+    pub fn brittleness(&self, now_ms: Millis) -> Option<BrittlenessReport> {
+        let (own, service) = (self.brittleness.get(), self.service.brittleness.get());
+        brittleness::of_server(own, service, now_ms).report(now_ms)
+    }
+
+    /// Records that it has no free slot until `until_ms`.
+    pub fn mark_full(&self, until_ms: Millis) {
+        self.full_until_ms.set(until_ms);
+    }
+
+    /// Whether it probably has a free slot; always if it is not brittle.
+    pub fn may_have_slot(&self, now_ms: Millis) -> bool {
+        now_ms >= self.full_until_ms.get() || self.brittleness(now_ms).is_none()
+    }
+
     /// Its entry in the store, with the state that this box derived from its entries and notices.
     pub fn record(&self) -> Rc<ServerRecord> {
         Rc::clone(&self.record.borrow())
@@ -323,6 +376,7 @@
         RunningRequest {
             server: Rc::clone(self),
             adapter,
+            slot: None,
         }
     }
 
--- /dev/null
+++ b/crates/tinbay-gateway/src/slots/home.rs
@@ -0,0 +1,211 @@
+//! Leases out the slots of the brittle servers of which this box is the home.
+
+use std::rc::Rc;
+
+use log::Level;
+use serde::Serialize;
+use tinbay_core::serving::servers::Fingerprint;
+use tinbay_core::slots::home::{
+    Decision, HomeTerms, LeaseEnd, LeaseId, SlotAnswer, SlotHome, SlotRequest,
+};
+use tinbay_core::units::Millis;
+
+use super::messages::{SlotReply, SlotReplyPart, SlotReportPart, SlotRequestPart};
+use super::{homed, selected_home, spread};
+use crate::events::{self, part};
+use crate::limits::home::{self as limit_home, Home};
+use crate::members::box_fingerprint;
+use crate::node::Node;
+use crate::peers::frame::FramePart;
+use crate::servers::Server;
+
+#[derive(Serialize)]
+struct HomeEvent<'a> {
+    server: &'a str,
+    slots: usize,
+    brittle_for_ms: Millis,
+}
+
+/// Answers a request for a slot from a box that regards this one as the server's home.
+pub fn handle_request(node: &Node, box_id: &str, part: &SlotRequestPart) {
+    let send = |reply| {
+        let number = part.number;
+        let reply = SlotReplyPart { number, reply };
+        node.outbox.post_urgent(box_id, FramePart::SlotReply(reply));
+    };
+    let Some(server) = node.servers.borrow().by_fingerprint(part.server) else {
+        return send(SlotReply::NotHome { other: None });
+    };
+    spread::apply(node, &server.record().service, part.brittleness);
+    let home = {
+        let record = server.record();
+        limit_home::home_excluding(node, homed(&server, &record.id), &part.excluded)
+    };
+    match home {
+        Some(Home::Own) => {}
+        Some(Home::Other(other)) => {
+            node.slots.homes.borrow_mut().remove(&server.key);
+            let other = Some(box_fingerprint(&other));
+            return send(SlotReply::NotHome { other });
+        }
+        None => return send(SlotReply::NotHome { other: None }),
+    }
+    let request = SlotRequest {
+        id: LeaseId {
+            box_key: box_fingerprint(box_id),
+            number: part.number,
+        },
+        rank: part.rank,
+        max_wait_ms: Millis::from(part.max_wait_ms),
+    };
+    let Some(is_waiting) = request_slot(node, &server, request) else {
+        return send(SlotReply::NotHome { other: None });
+    };
+    if is_waiting {
+        send(SlotReply::Queued);
+    }
+}
+
+/// Handles a request of this box for a slot of a server of which it is the home. Returns whether
+/// the request waits; `None` if this box can't be a home now.
+pub fn request_slot(node: &Node, server: &Rc<Server>, request: SlotRequest) -> Option<bool> {
+    let now_ms = node.now_ms();
+    with_home(node, server, |home, terms| {
+        home.request(request, now_ms);
+        home.decide(terms, now_ms)
+    })
+    .map(|decisions| send_decisions(node, decisions))?;
+    let homes = node.slots.homes.borrow();
+    let home = homes.get(&server.key);
+    Some(home.is_some_and(|home| home.is_waiting(request.id)))
+}
+
+/// Applies another box's report of its leases.
+pub fn handle_report(node: &Node, box_id: &str, part: &SlotReportPart) {
+    let Some(server) = node.servers.borrow().by_fingerprint(part.server) else {
+        return;
+    };
+    if part.held.is_some() && selected_home(node, &server) != Some(Home::Own) {
+        return;
+    }
+    let box_key = box_fingerprint(box_id);
+    let ended = part.ended.iter().copied();
+    apply_report(node, &server, box_key, ended, part.held.as_deref());
+}
+
+/// Records the end of a lease of this box.
+pub fn end_own(node: &Node, server: &Rc<Server>, number: u32, end: LeaseEnd) {
+    let ended = std::iter::once((number, end));
+    apply_report(node, server, own_key(node), ended, None);
+}
+
+/// Renews the leases of this box.
+pub fn renew_own(node: &Node, server: &Rc<Server>, held: &[u32]) {
+    apply_report(node, server, own_key(node), std::iter::empty(), Some(held));
+}
+
+fn apply_report(
+    node: &Node,
+    server: &Rc<Server>,
+    box_key: Fingerprint,
+    ended: impl Iterator<Item = (u32, LeaseEnd)>,
+    held: Option<&[u32]>,
+) {
+    let now_ms = node.now_ms();
+    let decisions = with_home(node, server, |home, terms| {
+        for (number, end) in ended {
+            let id = LeaseId { box_key, number };
+            home.end(id, end, terms, now_ms);
+        }
+        if let Some(held) = held {
+            home.renew(box_key, held, now_ms);
+        }
+        home.decide(terms, now_ms)
+    });
+    if let Some(decisions) = decisions {
+        send_decisions(node, decisions);
+    }
+}
+
+/// Decides on the requests that wait at all servers of which this box is the home, and drops the
+/// state of those of which it no longer is.
+pub fn decide_all(node: &Node) {
+    let keys: Vec<_> = node.slots.homes.borrow().keys().copied().collect();
+    let now_ms = node.now_ms();
+    for key in keys {
+        let server = node.servers.borrow().by_key(key);
+        let is_home = |server: &Rc<Server>| selected_home(node, server) == Some(Home::Own);
+        let Some(server) = server.filter(is_home) else {
+            node.slots.homes.borrow_mut().remove(&key);
+            continue;
+        };
+        let decisions = with_home(node, &server, |home, terms| home.decide(terms, now_ms));
+        send_decisions(node, decisions.unwrap_or_default());
+    }
+}
+
+/// Changes the state of a server's slots, which begins empty. Returns `None`, and drops the state, if
+/// the server is not brittle or this box's view of the fleet is too unreliable to act as a home.
+fn with_home<T>(
+    node: &Node,
+    server: &Server,
+    change: impl FnOnce(&mut SlotHome, HomeTerms) -> T,
+) -> Option<T> {
+    let now_ms = node.now_ms();
+    let fleet = limit_home::fleet(node);
+    let mut homes = node.slots.homes.borrow_mut();
+    let brittleness = server.brittleness(now_ms).filter(|_| fleet.is_reliable);
+    let Some(brittleness) = brittleness else {
+        homes.remove(&server.key);
+        return None;
+    };
+    let terms = HomeTerms {
+        slots: server.record().slots,
+        rejections_per_s: brittleness.rejections_per_s,
+        reached: fleet.reached,
+    };
+    let home = homes.entry(server.key).or_insert_with(|| {
+        log_begin(server, brittleness.known_for_ms);
+        SlotHome::new(terms.slots, brittleness.known_for_ms, now_ms)
+    });
+    Some(change(home, terms))
+}
+
+fn log_begin(server: &Server, brittle_for_ms: Millis) {
+    let record = server.record();
+    let event = HomeEvent {
+        server: &record.id,
+        slots: record.slots,
+        brittle_for_ms,
+    };
+    events::emit(part::SERVERS, Level::Info, "slots_home", &event);
+}
+
+fn send_decisions(node: &Node, decisions: Vec<Decision>) {
+    for Decision { id, answer } in decisions {
+        let reply = match answer {
+            SlotAnswer::Leased => SlotReply::Leased,
+            SlotAnswer::Full { retry_after_ms } => SlotReply::Full {
+                retry_after_ms: u16::try_from(retry_after_ms).unwrap_or(u16::MAX),
+            },
+        };
+        let number = id.number;
+        let part = SlotReplyPart { number, reply };
+        if id.box_key == own_key(node) {
+            node.slots.deliver_reply(part);
+            continue;
+        }
+        let members = node.members.borrow();
+        let box_id = members.id_of(id.box_key).cloned();
+        drop(members);
+        // A box that is no longer known repeats its request once it is known again.
+        if let Some(box_id) = box_id {
+            node.outbox.post_urgent(&box_id, FramePart::SlotReply(part));
+        }
+    }
+}
+
+/// Fingerprint of this box.
+pub fn own_key(node: &Node) -> Fingerprint {
+    box_fingerprint(&node.settings.borrow().box_id)
+}
