Brittle servers: health checks take a slot, too

After one server had crashed all others failed within half a second: each of 12 boxes checks its links to the others by health checks, which take slots or are rejected like requests.

--- a/crates/tinbay-gateway/src/links/check.rs
+++ b/crates/tinbay-gateway/src/links/check.rs
@@ -9,11 +9,13 @@
 use hyper::Method;
 use rand::seq::IndexedRandom;
 use tinbay_core::serving::servers::ServerKey;
+use tinbay_core::slots::home::LeaseEnd;
 use tinbay_core::units::Millis;
 
 use crate::http::call::{Call, HttpClient};
 use crate::node::Node;
 use crate::servers::{Server, notices};
+use crate::slots::asking::{self, SlotParams};
 
 /// Time limit of a check; a server is at most a few milliseconds away.
 const CHECK_TIMEOUT_MS: Millis = 400;
@@ -25,6 +27,12 @@
 /// connection has failed. Requests wait for the result.
 const FAILED_GRACE: Duration = Duration::from_millis(50);
 
+/// What a check needs of a brittle server's slots: it goes behind all requests.
+const CHECK_SLOT: SlotParams = SlotParams {
+    rank: u8::MAX,
+    max_wait_ms: 0,
+};
+
 /// Servers checked at once, however many a box uses.
 const MAX_CHECKED: usize = 16;
 
@@ -108,52 +116,84 @@
     join_all(selected.into_iter().map(|server| check(node, server))).await;
 }
 
+/// Checks a server. A health check takes a slot of a brittle server, so it is made only if one is
+/// free.
 async fn check(node: &Node, server: &Rc<Server>) {
-    let is_reached = is_reached(node, server).await;
+    let Some(check) = CheckCall::of(node, server) else {
+        return record_reached(server);
+    };
+    let checks = &node.metrics.link_checks;
+    let slot = match check.takes_slot {
+        true => asking::lease(node, server, CHECK_SLOT).await,
+        false => Ok(None),
+    };
+    let Ok(slot) = slot else {
+        checks.with_label_values(&["no_slot"]).inc();
+        return;
+    };
+    let is_reached = check.is_answered(node, server).await;
     let outcome = match is_reached {
         true => "reached",
         false => "not_reached",
     };
-    let checks = &node.metrics.link_checks;
     checks.with_label_values(&[outcome]).inc();
     if is_reached {
-        server.pool.record_link_reached();
-        server.undecided_cuts.take();
+        if let Some(slot) = slot {
+            slot.record_end(LeaseEnd::Served);
+        }
+        record_reached(server);
     } else {
         server.pool.record_link_failed();
     }
 }
 
-/// Whether the server answers on a new connection. An engine is asked for its report, which occupies
-/// none of its slots, and any other server for its health; any answer will do.
-async fn is_reached(node: &Node, server: &Server) -> bool {
-    let record = server.record();
-    let Some(path) = check_path(node, &record.service) else {
-        return true;
-    };
-    let name = node.dialect.headers().expect_server.clone();
-    let call = Call {
-        method: Method::GET,
-        path,
-        body: Bytes::new(),
-        header: Some((name, record.id.clone())),
-        timeout_ms: CHECK_TIMEOUT_MS,
-    };
-    let reply = HttpClient::new(record.address).call(&call).await;
-    let is_rejected = reply
-        .as_ref()
-        .is_ok_and(|reply| reply.headers.contains_key(&node.dialect.headers().not_run));
-    if is_rejected {
-        notices::record_rejection(node, server, "health_check", None);
-    }
-    reply.is_ok()
+fn record_reached(server: &Server) {
+    server.pool.record_link_reached();
+    server.undecided_cuts.take();
+}
+
+/// How a server is checked: an engine is asked for its report, which occupies none of its slots, and
+/// any other server for its health.
+struct CheckCall {
+    path: String,
+    takes_slot: bool,
 }
 
-fn check_path(node: &Node, service: &str) -> Option<String> {
-    let in_force = node.in_force()?;
-    let service = in_force.configuration.services.get(service)?;
-    Some(match service.engine {
-        Some(_) => node.dialect.report_path().to_string(),
-        None => service.health_path.clone(),
-    })
+impl CheckCall {
+    fn of(node: &Node, server: &Server) -> Option<Self> {
+        let in_force = node.in_force()?;
+        let services = &in_force.configuration.services;
+        let service = services.get(&server.record().service)?;
+        Some(match service.engine {
+            Some(_) => Self {
+                path: node.dialect.report_path().to_string(),
+                takes_slot: false,
+            },
+            None => Self {
+                path: service.health_path.clone(),
+                takes_slot: true,
+            },
+        })
+    }
+
+    /// Whether the server answers on a new connection; any answer will do.
+    async fn is_answered(&self, node: &Node, server: &Server) -> bool {
+        let record = server.record();
+        let headers = node.dialect.headers();
+        let call = Call {
+            method: Method::GET,
+            path: self.path.clone(),
+            body: Bytes::new(),
+            header: Some((headers.expect_server.clone(), record.id.clone())),
+            timeout_ms: CHECK_TIMEOUT_MS,
+        };
+        let reply = HttpClient::new(record.address).call(&call).await;
+        let is_rejected = reply
+            .as_ref()
+            .is_ok_and(|reply| reply.headers.contains_key(&headers.not_run));
+        if is_rejected && self.takes_slot {
+            notices::record_rejection(node, server, "health_check", None);
+        }
+        reply.is_ok()
+    }
 }
