--- a/crates/tinbay-gateway/src/front/choice.rs
+++ b/crates/tinbay-gateway/src/front/choice.rs
@@ -16,6 +16,7 @@
 use crate::resumption::eligibility::retain_eligible;
 use crate::servers::Server;
 use crate::servers::view::ViewEntry;
+use crate::slots;
 
 /// Load added to servers of another zone, as traffic between zones costs money and has a higher
 /// latency.
@@ -25,6 +26,10 @@
 /// slot.
 const UNUSABLE_LOAD: f64 = 2.0;
 
+/// Load added to brittle servers whose slots this box leases out, as its own requests get them
+/// without a message.
+const OWN_HOME_LOAD: f64 = -0.1;
+
 /// Length at which an adapter's rendezvous order is cut.
 const MAX_CANDIDATES: usize = 48;
 
@@ -483,7 +488,12 @@
     };
     let is_usable = server.may_have_slot(node.now_ms()) && !server.pool.link().is_down();
     let unusable_load = if is_usable { 0.0 } else { UNUSABLE_LOAD };
+    let home_load = if slots::is_home(node, server) {
+        OWN_HOME_LOAD
+    } else {
+        0.0
+    };
     let tie: f64 = rand::rng().random_range(0.0..TIE_LOAD);
     let penalties = node.failure_penalty(server) + zone_load + unusable_load;
-    node.load(server, objective_ms) + penalties + tie
+    node.load(server, objective_ms) + penalties + home_load + tie
 }
--- a/crates/tinbay-gateway/src/slots/mod.rs
+++ b/crates/tinbay-gateway/src/slots/mod.rs
@@ -165,6 +165,11 @@
     selected.map(|selected| selected.home)
 }
 
+/// Whether this box leases out the slots of a server.
+pub fn is_home(node: &Node, server: &Server) -> bool {
+    node.slots.homes.borrow().contains_key(&server.key)
+}
+
 /// Reports ended leases, renews the others and decides on requests that wait, until the box stops.
 pub async fn run(node: Rc<Node>) {
     let mut renewed_ms = node.now_ms();
