Connections to servers: a box's share has no floor of four

The floor is the one connection without which a box sends nothing; more boxes than connections are still not bounded.

--- a/crates/tinbay-core/src/serving/mod.rs
+++ b/crates/tinbay-core/src/serving/mod.rs
@@ -8,6 +8,7 @@
 pub mod capacity;
 pub mod claims;
 pub mod configuration;
+pub mod connections;
 pub mod contents;
 pub mod decay;
 pub mod idle_reuse;
--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -9,6 +9,7 @@
 use hyper::{Response, StatusCode};
 use tinbay_core::retry::{AttemptEnd, AttemptEnds, RetryCase, may_retry};
 use tinbay_core::serving::configuration::RouteKind;
+use tinbay_core::serving::connections;
 use tinbay_core::units::Millis;
 
 use super::adapters;
@@ -496,7 +497,7 @@
             Some(service.most_connections)
         })
         .unwrap_or_default();
-    (accepted / (node.box_count.get() + 1)).max(4)
+    connections::max_connections(accepted, node.box_count.get())
 }
 
 /// Whether to discard a server's error response and retry. That needs another server that can take
