--- a/crates/tinbay-gateway/src/front/attempt.rs
+++ b/crates/tinbay-gateway/src/front/attempt.rs
@@ -126,7 +126,6 @@
     let running = node
         .begin_request(terms.server, inbound, terms.prefill_tokens)
         .with_slot(terms.permit.slot());
-    let _unanswered = terms.server.unanswered.begin();
     let began_ms = node.now_ms();
     let pending = Cell::default();
     let exchange = exchange(node, inbound, body, &terms, &pending);
--- a/crates/tinbay-gateway/src/servers/server.rs
+++ b/crates/tinbay-gateway/src/servers/server.rs
@@ -20,7 +20,7 @@
 use super::service::ServiceStats;
 use super::usage::Usage;
 use super::view::{View, ViewEntry};
-use super::waiting::{UnansweredRequests, WaitingBytes};
+use super::waiting::WaitingBytes;
 use crate::clock::Clock;
 use crate::crashes::check::{CutRequest, UndecidedCuts};
 use crate::http::pool::Pool;
@@ -66,8 +66,6 @@
     pub undecided_cuts: RefCell<Option<UndecidedCuts>>,
     /// Pool of connections to it.
     pub pool: Rc<Pool>,
-    /// Requests of this box that it has not begun to answer.
-    pub unanswered: UnansweredRequests,
     /// Bytes of this box's requests that it has not begun to answer.
     pub waiting: WaitingBytes,
     pub(super) record: RefCell<Rc<ServerRecord>>,
@@ -153,7 +151,6 @@
             service,
             slowness: Cell::default(),
             slow_until_ms: Cell::default(),
-            unanswered: UnansweredRequests::default(),
             waiting: WaitingBytes::default(),
             record: RefCell::new(Rc::new(record.clone())),
             notices,
--- a/crates/tinbay-gateway/src/servers/waiting.rs
+++ b/crates/tinbay-gateway/src/servers/waiting.rs
@@ -1,5 +1,4 @@
-//! This box's requests that a backend server has not begun to answer: their number, their bytes and
-//! the limit on these.
+//! Bytes of this box's requests that a backend server has not begun to answer, and the limit on these.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -44,36 +43,3 @@
         self.sum.set(self.sum.get() - self.bytes);
     }
 }
-
-/// Number of this box's requests that one server has not begun to answer.
-#[derive(Debug, Default)]
-pub struct UnansweredRequests {
-    count: Rc<Cell<usize>>,
-}
-
-/// A request, counted until the server begins to answer it or the attempt ends.
-#[derive(Debug)]
-pub struct UnansweredRequest {
-    count: Rc<Cell<usize>>,
-}
-
-impl UnansweredRequests {
-    /// Number of requests.
-    pub fn count(&self) -> usize {
-        self.count.get()
-    }
-
-    /// Counts a request.
-    pub fn begin(&self) -> UnansweredRequest {
-        self.count.set(self.count.get() + 1);
-        UnansweredRequest {
-            count: Rc::clone(&self.count),
-        }
-    }
-}
-
-impl Drop for UnansweredRequest {
-    fn drop(&mut self) {
-        self.count.set(self.count.get() - 1);
-    }
-}
--- a/crates/tinbay-gateway/src/slots/home.rs
+++ b/crates/tinbay-gateway/src/slots/home.rs
@@ -160,7 +160,7 @@
         return None;
     };
     let terms = HomeTerms {
-        slots: server.record().slots,
+        slots: server.record().slots.max(1),
         rejections_per_s: brittleness.rejections_per_s,
         reached: fleet.reached,
     };
