--- a/crates/tinbay-gateway/src/port/dialect.rs
+++ b/crates/tinbay-gateway/src/port/dialect.rs
@@ -61,6 +61,8 @@
     pub configuration: String,
     /// Prefix of the adapter versions named by operators.
     pub versions: String,
+    /// Prefix of the zones whose servers operators want to get no more requests, by name.
+    pub evacuations: String,
     /// Prefix of the entries that servers write about themselves.
     pub servers: String,
 }
--- a/crates/tinbay-gateway/src/servers/mod.rs
+++ b/crates/tinbay-gateway/src/servers/mod.rs
@@ -8,7 +8,8 @@
 pub mod view;
 mod waiting;
 
-use std::collections::HashMap;
+use std::cell::RefCell;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 
 use prometheus::IntCounterVec;
@@ -21,6 +22,9 @@
 use crate::clock::Clock;
 use crate::http::reuse::ReuseLedger;
 
+/// Availability zones whose servers get no more requests.
+pub(crate) type EvacuatedZones = Rc<RefCell<BTreeSet<String>>>;
+
 /// Known servers, each in its latest incarnation.
 #[derive(Debug)]
 pub struct ServerTable {
@@ -30,6 +34,7 @@
     keys: HashMap<Fingerprint, ServerKey>,
     departed: Departed,
     services: HashMap<String, Rc<ServiceStats>>,
+    evacuated_zones: EvacuatedZones,
     connections_metric: Option<IntCounterVec>,
 }
 
@@ -69,6 +74,7 @@
             keys: HashMap::new(),
             departed: Departed::default(),
             services: HashMap::new(),
+            evacuated_zones: EvacuatedZones::default(),
             connections_metric: None,
         }
     }
@@ -128,12 +134,27 @@
         let id = record.id.clone();
         let notices = self.departed.notices_of(&record);
         let service = self.service(&record.service);
-        let server = Server::new(record, notices, self.clock, service);
+        let zones = Rc::clone(&self.evacuated_zones);
+        let server = Server::new(record, notices, self.clock, service, zones);
         self.keys.insert(server.fingerprint(), server.key);
         self.ids.insert(server.key, id.clone());
         self.by_id.insert(id, Rc::new(server));
     }
 
+    /// Sets whether the servers of a zone get no more requests; returns whether that is a change.
+    pub fn set_evacuated(&self, zone: &str, is_evacuated: bool) -> bool {
+        let mut zones = self.evacuated_zones.borrow_mut();
+        match is_evacuated {
+            true => zones.insert(zone.to_string()),
+            false => zones.remove(zone),
+        }
+    }
+
+    /// Zones whose servers get no more requests.
+    pub fn evacuated_zones(&self) -> Vec<String> {
+        self.evacuated_zones.borrow().iter().cloned().collect()
+    }
+
     /// Removes a server; returns whether it was known.
     pub fn remove(&mut self, id: &str) -> bool {
         let Some(server) = self.by_id.remove(id) else {
--- a/crates/tinbay-gateway/src/servers/server.rs
+++ b/crates/tinbay-gateway/src/servers/server.rs
@@ -16,6 +16,7 @@
 use tokio::sync::Notify;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::EvacuatedZones;
 use super::departed::SharedNotices;
 use super::service::ServiceStats;
 use super::usage::Usage;
@@ -73,6 +74,7 @@
     pub(super) notices: SharedNotices,
     clock: Clock,
     service: Rc<ServiceStats>,
+    evacuated_zones: EvacuatedZones,
     /// Its speed relative to its service, from answers to this box.
     slowness: Cell<Slowness>,
     /// End of the phase after its start in which it is slow, as it announced.
@@ -130,6 +132,7 @@
         notices: SharedNotices,
         clock: Clock,
         service: Rc<ServiceStats>,
+        evacuated_zones: EvacuatedZones,
     ) -> Self {
         let key = server_key(&record);
         let server = Self {
@@ -149,6 +152,7 @@
             )),
             clock,
             service,
+            evacuated_zones,
             slowness: Cell::default(),
             slow_until_ms: Cell::default(),
             waiting: WaitingBytes::default(),
@@ -315,7 +319,13 @@
     pub fn may_receive_requests(&self, now_ms: Millis) -> bool {
         let accepts_requests =
             self.is_in_service(now_ms) && self.back_off_until_ms(now_ms).is_none();
-        accepts_requests && self.waiting.takes_more()
+        accepts_requests && !self.is_evacuated() && self.waiting.takes_more()
+    }
+
+    /// Whether its zone's servers get no more requests.
+    fn is_evacuated(&self) -> bool {
+        let zones = self.evacuated_zones.borrow();
+        !zones.is_empty() && zones.contains(&self.record.borrow().zone)
     }
 
     /// Skips the server until `until_ms`, as its limit has no capacity.
--- a/crates/tinbay-gateway/src/watch/configuration.rs
+++ b/crates/tinbay-gateway/src/watch/configuration.rs
@@ -1,4 +1,5 @@
-//! Follows the operators' configuration and the adapter versions that operators name in the store.
+//! Follows what operators write in the store: the configuration, adapter versions, and zones whose
+//! servers are to get no more requests.
 
 use std::cell::Cell;
 use std::collections::HashMap;
@@ -15,7 +16,7 @@
 use crate::node::{InForce, Node};
 use crate::port::store::{Change, Item, Listing};
 
-/// Applies the configuration and the adapter versions that operators write.
+/// Applies what operators write.
 pub struct ConfigurationFollower {
     node: Rc<Node>,
     /// Era of the last configuration change that this box has received by a watch.
@@ -41,6 +42,12 @@
     earliest_age_ms: Option<Millis>,
 }
 
+#[derive(Serialize)]
+struct EvacuationEvent<'a> {
+    zone: &'a str,
+    is_evacuated: bool,
+}
+
 #[derive(Serialize)]
 struct RejectedEvent<'a> {
     key: &'a str,
@@ -65,6 +72,32 @@
             self.apply_configuration(item);
         } else if item.key.starts_with(&keys.versions) {
             self.apply_version(item);
+        } else if let Some(zone) = self.evacuated_zone(&item.key) {
+            self.set_evacuated(zone, true);
+        }
+    }
+
+    /// The zone that a key names if it is that of an evacuation.
+    fn evacuated_zone<'a>(&self, key: &'a str) -> Option<&'a str> {
+        key.strip_prefix(self.node.dialect.keys().evacuations.as_str())
+    }
+
+    fn set_evacuated(&self, zone: &str, is_evacuated: bool) {
+        let servers = self.node.servers.borrow();
+        if servers.set_evacuated(zone, is_evacuated) {
+            let event = EvacuationEvent { zone, is_evacuated };
+            events::emit(part::CONFIG, Level::Info, "evacuation", &event);
+        }
+    }
+
+    /// Ends the evacuations that a listing lacks.
+    fn end_evacuations_missing_from(&self, listing: &Listing) {
+        let zones = self.node.servers.borrow().evacuated_zones();
+        for zone in zones {
+            let mut items = listing.items.iter();
+            if !items.any(|item| self.evacuated_zone(&item.key) == Some(&zone)) {
+                self.set_evacuated(&zone, false);
+            }
         }
     }
 
@@ -211,6 +244,7 @@
 
     fn reset(&self, listing: &Listing) {
         self.keep_items_missing_from(listing);
+        self.end_evacuations_missing_from(listing);
         for item in &listing.items {
             self.apply_item(item);
         }
@@ -221,11 +255,18 @@
     }
 
     fn apply(&self, change: &Change) {
-        if let Change::Put(item) = change {
-            if item.key == self.node.dialect.keys().configuration {
-                self.last_change_era.set(Some(item.position.era));
+        match change {
+            Change::Put(item) => {
+                if item.key == self.node.dialect.keys().configuration {
+                    self.last_change_era.set(Some(item.position.era));
+                }
+                self.apply_item(item);
+            }
+            Change::Deleted { key, .. } => {
+                if let Some(zone) = self.evacuated_zone(key) {
+                    self.set_evacuated(zone, false);
+                }
             }
-            self.apply_item(item);
         }
     }
 }
