Cold servers: the rate that they take after their start holds over all boxes

Class: the same as of brittle servers, a bound of a shared thing that each box keeps, or does not keep, for itself. A server in its slow phase now has the service's rate as a limit, dealt by its home as announced ones are.

--- a/crates/tinbay-core/src/limits/terms.rs
+++ b/crates/tinbay-core/src/limits/terms.rs
@@ -75,6 +75,15 @@
         }
     }
 
+    /// Terms for a server that is slow after its start, in requests per second. It has had no
+    /// requests before.
+    pub fn of_slow_start(per_s: f64) -> Self {
+        Self {
+            first_debt: 0.0,
+            ..Self::of_server(per_s, 0, 0)
+        }
+    }
+
     /// Terms for the limit of a server, in requests per second. The limit applies `binds_after_ms`
     /// after the server announced it, which was `known_for_ms` ago.
     ///
--- a/crates/tinbay-core/src/serving/configuration.rs
+++ b/crates/tinbay-core/src/serving/configuration.rs
@@ -103,6 +103,9 @@
     pub most_connections: usize,
     /// Path at which its servers answer health checks.
     pub health_path: String,
+    /// Requests per second that a server takes from all boxes together while it is slow after its
+    /// start; `None` if that is not bounded.
+    pub slow_start_per_s: Option<f64>,
     /// Properties of its model engines; none for plain services.
     pub engine: Option<EngineProperties>,
 }
--- a/crates/tinbay-gateway/src/limits/limited.rs
+++ b/crates/tinbay-gateway/src/limits/limited.rs
@@ -59,15 +59,21 @@
         })
     }
 
-    /// Returns the limit that a server announces; `None` while it announces none.
+    /// Returns the limit that a server announces, or that it has while it is slow after its start;
+    /// `None` if it has none.
     pub fn of_server(node: &Node, server: &Server) -> Option<Self> {
         let per_s = server.limit_per_s()?;
-        let binds_after_ms = node.settings.borrow().bounds.server_limit_binds_after_ms;
-        let known_for_ms = server.limit_known_for_ms(node.now_ms());
+        let terms = if server.announced_limit_per_s() == Some(per_s) {
+            let binds_after_ms = node.settings.borrow().bounds.server_limit_binds_after_ms;
+            let known_for_ms = server.limit_known_for_ms(node.now_ms());
+            LimitTerms::of_server(per_s, binds_after_ms, known_for_ms)
+        } else {
+            LimitTerms::of_slow_start(per_s)
+        };
         Some(Self {
             key: LimitKey::Server(server.fingerprint()),
             name: server.record().id.as_str().into(),
-            terms: LimitTerms::of_server(per_s, binds_after_ms, known_for_ms),
+            terms,
         })
     }
 
--- a/crates/tinbay-gateway/src/limits/notices.rs
+++ b/crates/tinbay-gateway/src/limits/notices.rs
@@ -127,7 +127,7 @@
 /// of the new or changed limit, so that none exceeds it until it gets the server's own answer. The
 /// holder notifies them, or the boxes pass it on from one to the next if there is no holder.
 fn apply_change(node: &Node, server: &Rc<Server>) {
-    if server.limit_per_s().is_none() {
+    if server.announced_limit_per_s().is_none() {
         node.limits.forget(LimitKey::Server(server.fingerprint()));
         return;
     }
--- a/crates/tinbay-gateway/src/servers/mod.rs
+++ b/crates/tinbay-gateway/src/servers/mod.rs
@@ -141,6 +141,12 @@
         self.by_id.insert(id, Rc::new(server));
     }
 
+    /// Sets how many requests per second the servers of a service take while they are slow after
+    /// their start.
+    pub fn set_slow_start(&mut self, service: &str, per_s: Option<f64>) {
+        self.service(service).slow_start_per_s.set(per_s);
+    }
+
     /// Sets whether the servers of a zone get no more requests; returns whether that is a change.
     pub fn set_evacuated(&self, zone: &str, is_evacuated: bool) -> bool {
         let mut zones = self.evacuated_zones.borrow_mut();
--- a/crates/tinbay-gateway/src/servers/notices.rs
+++ b/crates/tinbay-gateway/src/servers/notices.rs
@@ -257,7 +257,7 @@
     head: &AnswerHead<'_>,
     before_per_s: Option<f64>,
 ) {
-    let limit_per_s = server.limit_per_s();
+    let limit_per_s = server.announced_limit_per_s();
     let notice = match limit_per_s {
         Some(_) => "limit",
         None => "limit_over",
--- a/crates/tinbay-gateway/src/servers/server.rs
+++ b/crates/tinbay-gateway/src/servers/server.rs
@@ -236,12 +236,27 @@
         }
     }
 
-    /// Requests per second that it accepts from all boxes together; `None` if it announced no
-    /// limit.
+    /// Requests per second that it accepts from all boxes together, as it announced or as it is
+    /// slow after its start; `None` if it has no limit.
     pub fn limit_per_s(&self) -> Option<f64> {
+        let slow_start_per_s = self.service.slow_start_per_s.get();
+        let slow_start_per_s = slow_start_per_s.filter(|_| self.is_in_slow_phase());
+        match (self.announced_limit_per_s(), slow_start_per_s) {
+            (Some(announced), Some(slow_start)) => Some(announced.min(slow_start)),
+            (announced, slow_start) => announced.or(slow_start),
+        }
+    }
+
+    /// Requests per second that it announced to accept from all boxes together; `None` if it
+    /// announced no limit.
+    pub fn announced_limit_per_s(&self) -> Option<f64> {
         self.notices.borrow().limit().per_s()
     }
 
+    fn is_in_slow_phase(&self) -> bool {
+        self.clock.now_ms() < self.slow_until_ms.get()
+    }
+
     /// Records what one of its answers says about its brittleness. Returns what it says from now on
     /// if that has changed.
     pub fn record_brittleness(
@@ -347,7 +362,7 @@
     /// Returns the previously reported limit if the limit has changed so much that others should
     /// know, and marks the new one as reported.
     pub fn take_limit_change(&self) -> Option<Option<f64>> {
-        let (reported, current) = (self.reported_limit.get(), self.limit_per_s());
+        let (reported, current) = (self.reported_limit.get(), self.announced_limit_per_s());
         is_significant_change(reported, current).then(|| self.reported_limit.replace(current))
     }
 
--- a/crates/tinbay-gateway/src/servers/service.rs
+++ b/crates/tinbay-gateway/src/servers/service.rs
@@ -15,6 +15,9 @@
     pub reuse: Rc<ReuseLedger>,
     /// Distribution of answer times.
     pub times: RefCell<ResponseTimes>,
+    /// Requests per second that a server takes while it is slow after its start; `None` if that is
+    /// not bounded.
+    pub slow_start_per_s: Cell<Option<f64>>,
     /// Whether its servers are brittle.
     pub brittleness: Cell<Brittleness>,
 }
@@ -25,6 +28,7 @@
         Self {
             reuse: Rc::new(reuse),
             times: RefCell::default(),
+            slow_start_per_s: Cell::default(),
             brittleness: Cell::default(),
         }
     }
--- a/crates/tinbay-gateway/src/watch/configuration.rs
+++ b/crates/tinbay-gateway/src/watch/configuration.rs
@@ -196,6 +196,11 @@
             services: configuration.services.len(),
         };
         events::emit(part::CONFIG, Level::Info, "configuration_in_force", &event);
+        let mut servers = self.node.servers.borrow_mut();
+        for (name, service) in &configuration.services {
+            servers.set_slow_start(name, service.slow_start_per_s);
+        }
+        drop(servers);
         *in_force = Some(Rc::new(InForce::new(configuration)));
     }
 
