Brittle servers: a box that stands in for a home that can't be one keeps its leases

It now stays the home for a second after each such request, and renewals go to the boxes that granted leases as well.

--- a/crates/tinbay-gateway/src/slots/home.rs
+++ b/crates/tinbay-gateway/src/slots/home.rs
@@ -11,7 +11,7 @@
 use tinbay_core::units::Millis;
 
 use super::messages::{SlotReply, SlotReplyPart, SlotReportPart, SlotRequestPart};
-use super::{homed, selected_home, spread};
+use super::{HeldHome, homed, selected_home, spread};
 use crate::events::{self, part};
 use crate::limits::home::{self as limit_home, Home};
 use crate::members::box_fingerprint;
@@ -19,6 +19,9 @@
 use crate::peers::frame::FramePart;
 use crate::servers::Server;
 
+/// Time after a request by which a box stays the home in place of another one.
+const SUBSTITUTE_LIFE_MS: Millis = 1_000;
+
 #[derive(Serialize)]
 struct HomeEvent<'a> {
     server: &'a str,
@@ -61,6 +64,9 @@
     let Some(is_waiting) = request_slot(node, &server, request) else {
         return send(SlotReply::NotHome { other: None });
     };
+    if !part.excluded.is_empty() {
+        record_substitution(node, &server);
+    }
     if is_waiting {
         send(SlotReply::Queued);
     }
@@ -77,7 +83,24 @@
     .map(|decisions| send_decisions(node, decisions))?;
     let homes = node.slots.homes.borrow();
     let home = homes.get(&server.key);
-    Some(home.is_some_and(|home| home.is_waiting(request.id)))
+    Some(home.is_some_and(|held| held.home.is_waiting(request.id)))
+}
+
+/// Records that other boxes take this one for a server's home, as the one that all would select
+/// can't be it now.
+fn record_substitution(node: &Node, server: &Server) {
+    let mut homes = node.slots.homes.borrow_mut();
+    if let Some(held) = homes.get_mut(&server.key) {
+        held.substitute_until_ms = node.now_ms() + SUBSTITUTE_LIFE_MS;
+    }
+}
+
+/// Whether this box leases out a server's slots.
+fn is_home(node: &Node, server: &Server) -> bool {
+    let homes = node.slots.homes.borrow();
+    let held = homes.get(&server.key);
+    let is_substitute = held.is_some_and(|held| node.now_ms() < held.substitute_until_ms);
+    is_substitute || selected_home(node, server) == Some(Home::Own)
 }
 
 /// Applies another box's report of its leases.
@@ -85,7 +108,7 @@
     let Some(server) = node.servers.borrow().by_fingerprint(part.server) else {
         return;
     };
-    if part.held.is_some() && selected_home(node, &server) != Some(Home::Own) {
+    if !is_home(node, &server) {
         return;
     }
     let box_key = box_fingerprint(box_id);
@@ -134,8 +157,7 @@
     let now_ms = node.now_ms();
     for key in keys {
         let server = node.servers.borrow().by_key(key);
-        let is_home = |server: &Rc<Server>| selected_home(node, server) == Some(Home::Own);
-        let Some(server) = server.filter(is_home) else {
+        let Some(server) = server.filter(|server| is_home(node, server)) else {
             node.slots.homes.borrow_mut().remove(&key);
             continue;
         };
@@ -164,11 +186,14 @@
         rejections_per_s: brittleness.rejections_per_s,
         reached: fleet.reached,
     };
-    let home = homes.entry(server.key).or_insert_with(|| {
+    let held = homes.entry(server.key).or_insert_with(|| {
         log_begin(server, brittleness.known_for_ms);
-        SlotHome::new(terms.slots, brittleness.known_for_ms, now_ms)
+        HeldHome {
+            home: SlotHome::new(terms.slots, brittleness.known_for_ms, now_ms),
+            substitute_until_ms: now_ms,
+        }
     });
-    Some(change(home, terms))
+    Some(change(&mut held.home, terms))
 }
 
 fn log_begin(server: &Server, brittle_for_ms: Millis) {
--- a/crates/tinbay-gateway/src/slots/mod.rs
+++ b/crates/tinbay-gateway/src/slots/mod.rs
@@ -36,7 +36,7 @@
 #[derive(Debug, Default)]
 pub struct Slots {
     /// State of the servers of which this box is the home.
-    homes: RefCell<HashMap<ServerKey, SlotHome>>,
+    homes: RefCell<HashMap<ServerKey, HeldHome>>,
     /// Requests of this box for slots that are not decided yet, by number.
     pending: RefCell<HashMap<u32, Pending>>,
     /// Leases of this box by number.
@@ -47,6 +47,14 @@
     last_number: Cell<u32>,
 }
 
+/// State of a server's slots at this box, its home.
+#[derive(Debug)]
+struct HeldHome {
+    home: SlotHome,
+    /// Time until which other boxes take this one for the home in place of one that can't be it.
+    substitute_until_ms: Millis,
+}
+
 /// A request for a slot that waits for its home's decision.
 #[derive(Debug)]
 struct Pending {
@@ -127,8 +135,8 @@
     /// Number of slots that this box leases out, and of requests that wait for one.
     pub fn counts(&self) -> (usize, usize) {
         let homes = self.homes.borrow();
-        let leased = homes.values().map(SlotHome::leased).sum();
-        let waiting = homes.values().map(SlotHome::waiting).sum();
+        let leased = homes.values().map(|held| held.home.leased()).sum();
+        let waiting = homes.values().map(|held| held.home.waiting()).sum();
         (leased, waiting)
     }
 
@@ -219,27 +227,33 @@
     }
 }
 
-/// Renews the leases of this box at the present homes.
+/// Renews the leases of this box at the boxes that granted them and at the present homes.
 fn renew(node: &Node) {
-    let mut by_server: HashMap<ServerKey, Vec<u32>> = HashMap::new();
+    let mut by_server: HashMap<ServerKey, (Vec<u32>, Vec<Home>)> = HashMap::new();
     for (number, lease) in node.slots.held.borrow().iter() {
-        by_server.entry(lease.server).or_default().push(*number);
+        let (held, homes) = by_server.entry(lease.server).or_default();
+        held.push(*number);
+        if !homes.contains(&lease.home) {
+            homes.push(lease.home.clone());
+        }
     }
-    for (key, held) in by_server {
+    for (key, (held, mut homes)) in by_server {
         let Some(server) = node.servers.borrow().by_key(key) else {
             continue;
         };
-        match selected_home(node, &server) {
-            Some(Home::Own) => home::renew_own(node, &server, &held),
-            Some(Home::Other(box_id)) => {
-                let report = SlotReportPart {
-                    server: server.fingerprint(),
-                    ended: Vec::new(),
-                    held: Some(held),
-                };
-                node.outbox.post(&box_id, FramePart::SlotReport(report));
+        homes.extend(selected_home(node, &server).filter(|home| !homes.contains(home)));
+        for home in homes {
+            match home {
+                Home::Own => home::renew_own(node, &server, &held),
+                Home::Other(box_id) => {
+                    let report = SlotReportPart {
+                        server: server.fingerprint(),
+                        ended: Vec::new(),
+                        held: Some(held.clone()),
+                    };
+                    node.outbox.post(&box_id, FramePart::SlotReport(report));
+                }
             }
-            None => {}
         }
     }
 }
