Brittle servers: one way to report leases; a box without any does not tick

Found in the read-through: reports of ends and renewals were built in two places, a box that stood in for a home dropped its leases when asked by a box that did not know of that, and each box woke 20 times a second though no server was brittle.

--- a/crates/tinbay-gateway/src/limits/home.rs
+++ b/crates/tinbay-gateway/src/limits/home.rs
@@ -24,7 +24,7 @@
 const ASSUMED_FLEET_SIZE: usize = 100;
 
 /// Box that grants units of a limit.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Home {
     /// This box.
     Own,
--- a/crates/tinbay-gateway/src/peers/inbox.rs
+++ b/crates/tinbay-gateway/src/peers/inbox.rs
@@ -21,6 +21,7 @@
 use crate::events::{self, part};
 use crate::limits::limited::LimitKey;
 use crate::limits::{self, notices};
+use crate::members::box_fingerprint;
 use crate::node::Node;
 use crate::resumption::{origin, recording};
 use crate::servers::usage::UsageReport;
@@ -133,7 +134,9 @@
             FramePart::BrittleServices(services) => spread_brittleness::handle(node, &services),
             FramePart::SlotRequest(part) => slots::handle_request(node, &frame.box_id, &part),
             FramePart::SlotReply(part) => node.slots.deliver_reply(part),
-            FramePart::SlotReport(part) => slots::handle_report(node, &frame.box_id, &part),
+            FramePart::SlotReport(part) => {
+                slots::apply_report(node, box_fingerprint(&frame.box_id), &part);
+            }
             FramePart::Usage(usage) => {
                 if advance(
                     latest.usage.entry(usage.server).or_default(),
--- a/crates/tinbay-gateway/src/slots/home.rs
+++ b/crates/tinbay-gateway/src/slots/home.rs
@@ -5,9 +5,7 @@
 use log::Level;
 use serde::Serialize;
 use tinbay_core::serving::servers::Fingerprint;
-use tinbay_core::slots::home::{
-    Decision, HomeTerms, LeaseEnd, LeaseId, SlotAnswer, SlotHome, SlotRequest,
-};
+use tinbay_core::slots::home::{Decision, HomeTerms, LeaseId, SlotAnswer, SlotHome, SlotRequest};
 use tinbay_core::units::Millis;
 
 use super::messages::{SlotReply, SlotReplyPart, SlotReportPart, SlotRequestPart};
@@ -47,7 +45,6 @@
     match home {
         Some(Home::Own) => {}
         Some(Home::Other(other)) => {
-            node.slots.homes.borrow_mut().remove(&server.key);
             let other = Some(box_fingerprint(&other));
             return send(SlotReply::NotHome { other });
         }
@@ -103,44 +100,22 @@
     is_substitute || selected_home(node, server) == Some(Home::Own)
 }
 
-/// Applies another box's report of its leases.
-pub fn handle_report(node: &Node, box_id: &str, part: &SlotReportPart) {
-    let Some(server) = node.servers.borrow().by_fingerprint(part.server) else {
+/// Applies a box's report of its leases, if this box is the server's home.
+pub fn apply_report(node: &Node, box_key: Fingerprint, report: &SlotReportPart) {
+    let server = node.servers.borrow().by_fingerprint(report.server);
+    let Some(server) = server.filter(|server| is_home(node, server)) else {
         return;
     };
-    if !is_home(node, &server) {
-        return;
-    }
-    let box_key = box_fingerprint(box_id);
-    let ended = part.ended.iter().copied();
-    apply_report(node, &server, box_key, ended, part.held.as_deref());
-}
-
-/// Records the end of a lease of this box.
-pub fn end_own(node: &Node, server: &Rc<Server>, number: u32, end: LeaseEnd) {
-    let ended = std::iter::once((number, end));
-    apply_report(node, server, own_key(node), ended, None);
-}
-
-/// Renews the leases of this box.
-pub fn renew_own(node: &Node, server: &Rc<Server>, held: &[u32]) {
-    apply_report(node, server, own_key(node), std::iter::empty(), Some(held));
-}
-
-fn apply_report(
-    node: &Node,
-    server: &Rc<Server>,
-    box_key: Fingerprint,
-    ended: impl Iterator<Item = (u32, LeaseEnd)>,
-    held: Option<&[u32]>,
-) {
     let now_ms = node.now_ms();
-    let decisions = with_home(node, server, |home, terms| {
-        for (number, end) in ended {
-            let id = LeaseId { box_key, number };
-            home.end(id, end, terms, now_ms);
+    let decisions = with_home(node, &server, |home, terms| {
+        for (number, end) in &report.ended {
+            let id = LeaseId {
+                box_key,
+                number: *number,
+            };
+            home.end(id, *end, terms, now_ms);
         }
-        if let Some(held) = held {
+        if let Some(held) = &report.held {
             home.renew(box_key, held, now_ms);
         }
         home.decide(terms, now_ms)
@@ -187,6 +162,7 @@
         reached: fleet.reached,
     };
     let held = homes.entry(server.key).or_insert_with(|| {
+        node.slots.changed.notify_one();
         log_begin(server, brittleness.known_for_ms);
         HeldHome {
             home: SlotHome::new(terms.slots, brittleness.known_for_ms, now_ms),
--- a/crates/tinbay-gateway/src/slots/messages.rs
+++ b/crates/tinbay-gateway/src/slots/messages.rs
@@ -6,6 +6,8 @@
 use tinbay_core::slots::home::LeaseEnd;
 use tinbay_core::units::Millis;
 
+use crate::servers::Server;
+
 /// Request for a slot of a server whose home is the receiver.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct SlotRequestPart {
@@ -63,6 +65,17 @@
     pub held: Option<Vec<u32>>,
 }
 
+impl SlotReportPart {
+    /// An empty report on the leases of a server.
+    pub fn new(server: &Server) -> Self {
+        Self {
+            server: server.fingerprint(),
+            ended: Vec::new(),
+            held: None,
+        }
+    }
+}
+
 /// Services whose servers are brittle.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct BrittleServicePart {
--- a/crates/tinbay-gateway/src/slots/mod.rs
+++ b/crates/tinbay-gateway/src/slots/mod.rs
@@ -12,7 +12,7 @@
 pub mod spread;
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -43,7 +43,8 @@
     held: RefCell<BTreeMap<u32, HeldLease>>,
     /// Leases that have ended and are not reported yet.
     ended: RefCell<Vec<EndedLease>>,
-    has_ended: Notify,
+    /// Notified when a lease begins or ends, or when this box becomes a home.
+    changed: Notify,
     last_number: Cell<u32>,
 }
 
@@ -109,6 +110,7 @@
         let decision = match part.reply {
             SlotReply::Leased => {
                 self.held.borrow_mut().insert(part.number, decided.lease);
+                self.changed.notify_one();
                 let send_by_ms = decided.asked_ms + SEND_WITHIN_MS;
                 SlotDecision::Leased(SlotLease::new(Rc::clone(self), part.number, send_by_ms))
             }
@@ -140,6 +142,11 @@
         (leased, waiting)
     }
 
+    /// Whether there is nothing to renew or to decide.
+    fn is_idle(&self) -> bool {
+        self.held.borrow().is_empty() && self.homes.borrow().is_empty()
+    }
+
     fn end(&self, number: u32, end: LeaseEnd) {
         if let Some(lease) = self.held.borrow_mut().remove(&number) {
             self.post_end(number, lease, end);
@@ -149,7 +156,7 @@
     fn post_end(&self, number: u32, lease: HeldLease, end: LeaseEnd) {
         let ended = EndedLease { number, lease, end };
         self.ended.borrow_mut().push(ended);
-        self.has_ended.notify_one();
+        self.changed.notify_one();
     }
 
     fn next_number(&self) -> u32 {
@@ -182,7 +189,12 @@
 pub async fn run(node: Rc<Node>) {
     let mut renewed_ms = node.now_ms();
     loop {
-        let _ = tokio::time::timeout(TICK, node.slots.has_ended.notified()).await;
+        let changed = node.slots.changed.notified();
+        if node.slots.is_idle() {
+            changed.await;
+        } else {
+            let _ = tokio::time::timeout(TICK, changed).await;
+        }
         report_ended(&node);
         let now_ms = node.now_ms();
         if now_ms >= renewed_ms + RENEWAL_INTERVAL_MS {
@@ -193,67 +205,60 @@
     }
 }
 
-/// Reports ended leases to the boxes that granted them, and to the present homes if these have
-/// changed.
+/// Reports ended leases.
 fn report_ended(node: &Node) {
-    let ended = node.slots.ended.take();
-    let mut reports: HashMap<(ServerKey, String), SlotReportPart> = HashMap::new();
-    for EndedLease { number, lease, end } in ended {
+    let mut reports: HashMap<(ServerKey, Home), SlotReportPart> = HashMap::new();
+    for EndedLease { number, lease, end } in node.slots.ended.take() {
         let Some(server) = node.servers.borrow().by_key(lease.server) else {
             continue;
         };
-        let mut homes = vec![lease.home];
-        homes.extend(selected_home(node, &server).filter(|home| *home != homes[0]));
-        for home in homes {
-            match home {
-                Home::Own => home::end_own(node, &server, number, end),
-                Home::Other(box_id) => {
-                    let report =
-                        reports
-                            .entry((server.key, box_id))
-                            .or_insert_with(|| SlotReportPart {
-                                server: server.fingerprint(),
-                                ended: Vec::new(),
-                                held: None,
-                            });
-                    report.ended.push((number, end));
-                }
-            }
+        for home in homes_to_tell(node, &server, lease.home) {
+            let report = reports.entry((server.key, home));
+            let report = report.or_insert_with(|| SlotReportPart::new(&server));
+            report.ended.push((number, end));
         }
     }
-    for ((_, box_id), report) in reports {
-        node.outbox
-            .post_urgent(&box_id, FramePart::SlotReport(report));
+    for ((_, home), report) in reports {
+        send_report(node, home, report);
     }
 }
 
-/// Renews the leases of this box at the boxes that granted them and at the present homes.
+/// Renews the leases of this box.
 fn renew(node: &Node) {
-    let mut by_server: HashMap<ServerKey, (Vec<u32>, Vec<Home>)> = HashMap::new();
+    let mut numbers: HashMap<ServerKey, Vec<u32>> = HashMap::new();
+    let mut homes: HashSet<(ServerKey, Home)> = HashSet::new();
     for (number, lease) in node.slots.held.borrow().iter() {
-        let (held, homes) = by_server.entry(lease.server).or_default();
-        held.push(*number);
-        if !homes.contains(&lease.home) {
-            homes.push(lease.home.clone());
-        }
-    }
-    for (key, (held, mut homes)) in by_server {
-        let Some(server) = node.servers.borrow().by_key(key) else {
+        let Some(server) = node.servers.borrow().by_key(lease.server) else {
             continue;
         };
-        homes.extend(selected_home(node, &server).filter(|home| !homes.contains(home)));
-        for home in homes {
-            match home {
-                Home::Own => home::renew_own(node, &server, &held),
-                Home::Other(box_id) => {
-                    let report = SlotReportPart {
-                        server: server.fingerprint(),
-                        ended: Vec::new(),
-                        held: Some(held.clone()),
-                    };
-                    node.outbox.post(&box_id, FramePart::SlotReport(report));
-                }
-            }
+        numbers.entry(server.key).or_default().push(*number);
+        let to_tell = homes_to_tell(node, &server, lease.home.clone());
+        homes.extend(to_tell.into_iter().map(|home| (server.key, home)));
+    }
+    for (key, home) in homes {
+        if let Some(server) = node.servers.borrow().by_key(key) {
+            let report = SlotReportPart {
+                held: numbers.get(&key).cloned(),
+                ..SlotReportPart::new(&server)
+            };
+            send_report(node, home, report);
+        }
+    }
+}
+
+/// The boxes that count a lease: the one that granted it, and the present home if that has changed.
+fn homes_to_tell(node: &Node, server: &Server, granted_by: Home) -> Vec<Home> {
+    let present = selected_home(node, server);
+    let present = present.filter(|home| *home != granted_by);
+    std::iter::once(granted_by).chain(present).collect()
+}
+
+fn send_report(node: &Node, home: Home, report: SlotReportPart) {
+    match home {
+        Home::Own => home::apply_report(node, home::own_key(node), &report),
+        Home::Other(box_id) => {
+            let report = FramePart::SlotReport(report);
+            node.outbox.post_urgent(&box_id, report);
         }
     }
 }
