Brittle servers: two functions named is_home get a name each; the usual answer time has one place

No change of behaviour: the function that tells whether this box leases out a server's slots is leases_out; the median of a service's answer times was read in three places, with the quantile defined twice.

--- a/crates/tinbay-gateway/src/front/choice.rs
+++ b/crates/tinbay-gateway/src/front/choice.rs
@@ -488,7 +488,7 @@
     };
     let is_usable = server.may_have_slot(node.now_ms()) && !server.pool.link().is_down();
     let unusable_load = if is_usable { 0.0 } else { UNUSABLE_LOAD };
-    let home_load = if slots::is_home(node, server) {
+    let home_load = if slots::leases_out(node, server) {
         OWN_HOME_LOAD
     } else {
         0.0
--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -59,9 +59,6 @@
 /// Least time that a request may wait for a slot of a brittle server.
 const MIN_SLOT_WAIT_MS: Millis = 100;
 
-/// Quantile of a service's answer times that counts as its usual one.
-const MEDIAN: f64 = 0.5;
-
 /// `Retry-After` of a request that a brittle server rejected: no other one is tried, as they are
 /// probably as full.
 const REJECTED_RETRY_MS: Millis = 300;
@@ -308,10 +305,7 @@
 fn slot_wait_ms(node: &Node, inbound: &InboundRequest, server: &Server) -> Millis {
     let usual_ms = match inbound.model_key {
         Some(_) => node.prefill_ms(&inbound.service, inbound.prompt.tokens),
-        None => {
-            let times = server.service().times.borrow();
-            times.quantile_ms(MEDIAN).unwrap_or_default()
-        }
+        None => server.usual_answer_ms().unwrap_or_default(),
     };
     let now_ms = node.now_ms();
     let send_by_ms = (inbound.arrived_ms + inbound.route.objective_ms)
--- a/crates/tinbay-gateway/src/servers/server.rs
+++ b/crates/tinbay-gateway/src/servers/server.rs
@@ -196,21 +196,26 @@
 
     /// Records the time of an answer without special costs, such as a load.
     pub fn record_answer_time(&self, took_ms: f64, now_ms: Millis) {
-        let mut times = self.service.times.borrow_mut();
-        if let Some(usual_ms) = times.quantile_ms(MEDIAN) {
+        if let Some(usual_ms) = self.usual_answer_ms() {
             let mut slowness = self.slowness.get();
             slowness.record(usual_ms, took_ms, now_ms);
             self.slowness.set(slowness);
         }
-        times.record(took_ms, now_ms);
+        self.service.times.borrow_mut().record(took_ms, now_ms);
+    }
+
+    /// Usual time of an answer of its service, in ms; `None` without samples.
+    pub fn usual_answer_ms(&self) -> Option<f64> {
+        self.service.times.borrow().quantile_ms(MEDIAN)
     }
 
     /// Adjusts a load by the server's speed relative to its service.
     pub fn slowed_load(&self, load: f64, objective_ms: Millis, now_ms: Millis) -> f64 {
-        let usual_ms = self.service.times.borrow().quantile_ms(MEDIAN);
-        let answer_share = usual_ms.map_or(DEFAULT_ANSWER_SHARE, |usual_ms| {
-            usual_ms / objective_ms.max(1) as f64
-        });
+        let answer_share = self
+            .usual_answer_ms()
+            .map_or(DEFAULT_ANSWER_SHARE, |usual_ms| {
+                usual_ms / objective_ms.max(1) as f64
+            });
         slowed_load(load, answer_share, self.slowness_factor(now_ms))
     }
 
--- a/crates/tinbay-gateway/src/slots/home.rs
+++ b/crates/tinbay-gateway/src/slots/home.rs
@@ -92,7 +92,7 @@
     }
 }
 
-/// Whether this box leases out a server's slots.
+/// Whether this box is a server's home, by its own view or as others take it for one.
 fn is_home(node: &Node, server: &Server) -> bool {
     let homes = node.slots.homes.borrow();
     let held = homes.get(&server.key);
--- a/crates/tinbay-gateway/src/slots/mod.rs
+++ b/crates/tinbay-gateway/src/slots/mod.rs
@@ -181,7 +181,7 @@
 }
 
 /// Whether this box leases out the slots of a server.
-pub fn is_home(node: &Node, server: &Server) -> bool {
+pub fn leases_out(node: &Node, server: &Server) -> bool {
     node.slots.homes.borrow().contains_key(&server.key)
 }
 
