--- a/crates/tinbay-experiment/src/brittle/play.rs
+++ b/crates/tinbay-experiment/src/brittle/play.rs
@@ -37,9 +37,6 @@
 /// Interval at which homes look for requests that have waited too long.
 const TICK_MS: u64 = 50;
 
-/// Time for which servers have been brittle when the simulation begins.
-const BRITTLE_BEFORE_MS: u64 = 0;
-
 /// A caller's request.
 #[derive(Debug, Clone, Copy)]
 struct Request {
@@ -78,8 +75,8 @@
     Reached { request: u64 },
     /// A server ends a request.
     Finished { request: u64, life: u32 },
-    /// The answer of a server, or its rejection, reaches the box.
-    Ended { request: u64, is_served: bool },
+    /// The answer of a server reaches the box.
+    Ended { request: u64 },
     /// The report of an ended lease reaches a home.
     Reported {
         request: u64,
@@ -218,7 +215,7 @@
             Event::Resend { request, sends } => self.handle_resend(request, sends, now_ms),
             Event::Reached { request } => self.handle_reached(request, now_ms),
             Event::Finished { request, life } => self.handle_finished(request, life, now_ms),
-            Event::Ended { request, is_served } => self.handle_ended(request, is_served, now_ms),
+            Event::Ended { request } => self.handle_ended(request, now_ms),
             Event::Reported { request, home, end } => {
                 self.handle_report(request, home, end, now_ms);
             }
@@ -564,24 +561,17 @@
         request.state = RequestState::Ended;
         let request = *request;
         if end == ReportedEnd::Served {
-            let is_served = true;
-            let event = Event::Ended {
-                request: number,
-                is_served,
-            };
+            let event = Event::Ended { request: number };
             return self.schedule(now_ms + MESSAGE_DELAY_MS, event);
         }
         self.end_at_box(number, request, end, now_ms);
     }
 
-    fn handle_ended(&mut self, number: u64, is_served: bool, now_ms: u64) {
+    fn handle_ended(&mut self, number: u64, now_ms: u64) {
         let Some(request) = self.requests.get(&number).copied() else {
             return;
         };
-        let event = Event::Ended {
-            request: number,
-            is_served,
-        };
+        let event = Event::Ended { request: number };
         if !self.is_handled(request.box_index, event, now_ms) {
             return;
         }
@@ -670,12 +660,12 @@
             .renew(box_index as u32, &held, now_ms);
     }
 
+    /// State of a server's slots at a home. Servers are brittle from the start of the simulation on.
     fn home_state(&mut self, server: usize, home: usize, now_ms: u64) -> &mut SlotHome {
         let slots = self.terms.slots;
-        let brittle_for_ms = now_ms + BRITTLE_BEFORE_MS;
         self.homes
             .entry((server, home))
-            .or_insert_with(|| SlotHome::new(slots, brittle_for_ms, now_ms))
+            .or_insert_with(|| SlotHome::new(slots, now_ms, now_ms))
     }
 
     fn handle_tick(&mut self, now_ms: u64) {
