--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -4,21 +4,18 @@
 #[path = "../harness/mod.rs"]
 mod harness;
 
-use std::net::{Ipv4Addr, TcpListener};
-use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::path::Path;
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use harness::boxes::{Box, SIGTERM};
-use harness::clients::{Random, resolve, stream};
-use harness::engine::{Engine, MODEL, OrderSeen, Orders, SERVICE};
+use harness::clients::stream;
+use harness::engine::{Engine, OrderSeen, Orders};
+use harness::fleet::{Traffic, ZONES, configuration, listener, wait_for};
 use harness::record::Record;
 use harness::store::Store;
 
-const ZONES: [&str; 3] = ["ba-hall-a", "ba-hall-b", "ba-hall-c"];
-
 /// `leaseMs` of the sheet.
 const LEASE_MS: u64 = 3_000;
 
@@ -30,32 +27,6 @@
 const FORMER_SERVERS: usize = 504;
 const ROUND: usize = 84;
 
-fn configuration() -> String {
-    let route = |name: &str, path: &str| {
-        format!(
-            "{{\"name\":\"{name}\",\"host\":\"{}\",\"pathPrefix\":\"{path}\",\"kind\":\"streaming\",\"timeoutMs\":6000,\"targetLatencyMs\":1000,\"priority\":1,\"service\":\"{SERVICE}\",\"maxAttempts\":1,\"sticky\":true,\"resumable\":false,\"targetGapMs\":400}}",
-            harness::clients::HOST
-        )
-    };
-    format!(
-        "{{\"version\":7,\"routes\":[{},{}],\"services\":[{{\"name\":\"{SERVICE}\",\"healthPath\":\"/health\",\"maxConns\":230,\"protocol\":\"h1\",\"tls\":false,\"engine\":{{\"slots\":32,\"kvCapacityTokens\":219357,\"tokenKvBytes\":327680,\"linkMbps\":1100000.0,\"moves\":false,\"backups\":false,\"stride\":5,\"upperBound\":12,\"hostMb\":130000.0,\"diskMb\":380000.0,\"pinMs\":4000.0,\"holdMs\":2000.0,\"handle_s\":5.0,\"models\":[{{\"name\":\"{MODEL}\",\"weightsMb\":65100.0,\"loadS\":0.6,\"adapters\":3000,\"adapterMb\":12.0,\"warmS\":0.38,\"diskS\":0.49}}],\"weightsMb\":66600.0,\"adapterSlots\":16,\"loadsPerS\":9.3}}}}],\"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}}}",
-        route("r-fast", "/fast/"),
-        route("r-slow", "/slow/")
-    )
-}
-
-/// Waits until a condition holds; `None` if it does not in time.
-fn wait_for(limit: Duration, mut condition: impl FnMut() -> bool) -> Option<()> {
-    let end = Instant::now() + limit;
-    while Instant::now() < end {
-        if condition() {
-            return Some(());
-        }
-        thread::sleep(Duration::from_millis(20));
-    }
-    None
-}
-
 /// The breaks of rule ONE among the orders to each server: a token that is lower than one before it
 /// from another box, or orders of two boxes in turn within `leaseMs`.
 fn breaks_of_one(orders: &[OrderSeen]) -> (Vec<String>, Vec<String>) {
@@ -91,62 +62,10 @@
     (lower, in_turn)
 }
 
-struct Traffic {
-    is_over: Arc<AtomicBool>,
-    threads: Vec<thread::JoinHandle<()>>,
-}
-
-impl Traffic {
-    /// Clients that send requests for adapters of all popularities, some 100 a second.
-    fn start(record: &Arc<Record>, boxes: &[Box]) -> Self {
-        let is_over = Arc::new(AtomicBool::new(false));
-        let directories: Vec<_> = boxes.iter().map(|each| (each.directory, each.zone.clone())).collect();
-        let threads = (0..12)
-            .map(|number: u64| {
-                let (record, is_over) = (Arc::clone(record), Arc::clone(&is_over));
-                let directories = directories.clone();
-                thread::spawn(move || {
-                    let mut random = Random::new(number + 11);
-                    let mut known = Vec::new();
-                    let mut resolved: Option<Instant> = None;
-                    while !is_over.load(Ordering::SeqCst) {
-                        if resolved.is_none_or(|at| at.elapsed() > Duration::from_secs(2)) {
-                            let (directory, zone) =
-                                &directories[random.below(directories.len() as u64) as usize];
-                            let answer = resolve(*directory, zone);
-                            if !answer.is_empty() {
-                                known = answer;
-                                resolved = Some(Instant::now());
-                            }
-                        }
-                        if !known.is_empty() {
-                            let front = known[random.below(known.len() as u64) as usize];
-                            stream(&record, front, "/fast/", random.below(400), 5_000);
-                        }
-                        thread::sleep(Duration::from_millis(20));
-                    }
-                })
-            })
-            .collect();
-        Self { is_over, threads }
-    }
-
-    fn stop(self) {
-        self.is_over.store(true, Ordering::SeqCst);
-        for thread in self.threads {
-            let _ = thread.join();
-        }
-    }
-}
-
-fn listener(third: u8, fourth: u8) -> TcpListener {
-    TcpListener::bind((Ipv4Addr::new(127, 8, third, fourth), 0)).expect("a free port")
-}
-
 fn run(folder: &Path, temporary: &Path, has_trouble: bool) -> Result<bool, String> {
     let record = Arc::new(Record::create(&folder.join("record.txt")));
     let store = Store::start(Arc::clone(&record));
-    store.put("op/config", &configuration());
+    store.put("op/config", &configuration(&["/fast/", "/slow/"]));
     let orders: Orders = Arc::new(Mutex::default());
     let mut boxes: Vec<Box> = (0..6)
         .map(|number| Box::prepare(temporary, number + 1, ZONES[usize::from(number) % 3], store.address, ""))
@@ -227,29 +146,9 @@
     );
     record.line(&summary);
     println!("{summary}");
-    for each in &boxes {
-        let _ = std::fs::copy(temporary.join(format!("{}.log", each.name)), temporary.join(format!("kept-{}", each.name)));
-    }
     Ok(lower.is_empty() && in_turn.is_empty())
 }
 
 fn main() {
-    let folder = PathBuf::from(std::env::args().nth(1).unwrap_or_else(|| "review/1".into()));
-    let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
-    let temporary = std::env::temp_dir().join(format!("tinbay-review-{}", std::process::id()));
-    std::fs::create_dir_all(&temporary).expect("a temporary folder");
-    let result = run(&folder, &temporary, has_trouble);
-    if std::env::var("KEEP").is_err() {
-        let _ = std::fs::remove_dir_all(&temporary);
-    } else {
-        println!("logs: {}", temporary.display());
-    }
-    std::process::exit(match result {
-        Ok(true) => 0,
-        Ok(false) => 1,
-        Err(reason) => {
-            println!("could not run: {reason}");
-            2
-        }
-    });
+    harness::fleet::play(run);
 }
--- a/review/harness/clients.rs
+++ b/review/harness/clients.rs
@@ -1,7 +1,8 @@
 //! Clients: they ask a directory where to go and send requests there.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
@@ -32,7 +33,10 @@
 #[derive(Debug, Clone, Default)]
 pub struct Outcome {
     pub status: u16,
+    /// A success with all events and a marked end.
     pub is_whole: bool,
+    /// Events of a success whose end is marked.
+    pub events_of_marked: Option<usize>,
 }
 
 /// Asks a directory for addresses.
@@ -52,10 +56,19 @@
 
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
 
+/// By request, the box to which it was sent.
+static SENT_TO: Mutex<BTreeMap<String, SocketAddr>> = Mutex::new(BTreeMap::new());
+
+/// The box to which a request was sent.
+pub fn front_of(id: &str) -> Option<SocketAddr> {
+    SENT_TO.lock().expect("the requests' lock").get(id).copied()
+}
+
 /// Sends one streaming request on a new connection and reads its answer.
 pub fn stream(record: &Arc<Record>, front: SocketAddr, route: &str, adapter: u64, deadline_ms: u64) -> Outcome {
     let number = NEXT_ID.fetch_add(1, Ordering::SeqCst);
     let id = format!("{:016x}", 0x9c41_0000_0000_0000_u64 + number);
+    SENT_TO.lock().expect("the requests' lock").insert(id.clone(), front);
     let mut outcome = Outcome::default();
     let Some(mut conn) = Conn::connect(front, Duration::from_secs(1)) else {
         return outcome;
@@ -75,11 +88,14 @@
     }
     if let Some(answer) = conn.read() {
         outcome.status = answer.status();
-        outcome.is_whole = outcome.status == 200 && answer.text().contains("id: 14\n");
+        if outcome.status == 200 {
+            outcome.events_of_marked = Some(answer.text().matches("id: ").count());
+        }
+        outcome.is_whole = outcome.events_of_marked == Some(14);
     }
-    let Outcome { status, is_whole } = outcome;
+    let Outcome { status, events_of_marked, .. } = outcome;
     record.line(&format!(
-        "client: {id} gets {status}, whole={is_whole}, after {} ms",
+        "client: {id} gets status {status}, events of an answer whose end is marked: {events_of_marked:?}, after {} ms",
         began.elapsed().as_millis()
     ));
     outcome
--- a/review/harness/engine.rs
+++ b/review/harness/engine.rs
@@ -1,12 +1,13 @@
 //! Stand-in of a model server: requests, orders, reports and its entry in the store.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
+use super::clients::front_of;
 use super::http::{Conn, Message};
 use super::json::Json;
 use super::record::Record;
@@ -31,8 +32,27 @@
 /// All orders of a run, in the order of their arrival.
 pub type Orders = Arc<Mutex<Vec<OrderSeen>>>;
 
+/// A connection that is open.
+struct Open {
+    stream: TcpStream,
+    is_busy: bool,
+    /// The request that it carried last.
+    last_id: String,
+}
+
+impl Open {
+    fn close(&self) {
+        let _ = self.stream.shutdown(Shutdown::Both);
+    }
+}
+
 #[derive(Default)]
 struct State {
+    open: BTreeMap<u64, Open>,
+    last_open: u64,
+    /// Time left until the machine is taken away, once the server says so.
+    remaining_ms: Option<u64>,
+    has_ended: bool,
     seq: u64,
     /// Adapters with the time at which their load is done.
     adapters: BTreeMap<String, Instant>,
@@ -45,7 +65,7 @@
 pub struct Engine {
     pub id: String,
     pub address: SocketAddr,
-    zone: String,
+    pub zone: String,
     state: Mutex<State>,
     is_gone: AtomicBool,
     store: Arc<Store>,
@@ -75,6 +95,9 @@
         let accepting = Arc::clone(&engine);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if accepting.has_ended() {
+                    return;
+                }
                 let engine = Arc::clone(&accepting);
                 thread::spawn(move || engine.serve(stream));
             }
@@ -95,6 +118,68 @@
         self.store.remove(&format!("servers/{}", self.id));
     }
 
+    fn has_ended(&self) -> bool {
+        self.state.lock().expect("the engine's lock").has_ended
+    }
+
+    /// Says that the server leaves, and when its machine is taken away.
+    pub fn drain(&self, remaining_ms: u64) {
+        self.state.lock().expect("the engine's lock").remaining_ms = Some(remaining_ms);
+        self.record.line(&format!("{}: says draining, {remaining_ms} ms left", self.id));
+        self.beat();
+    }
+
+    /// Requests under way.
+    pub fn busy(&self) -> usize {
+        let state = self.state.lock().expect("the engine's lock");
+        state.open.values().filter(|each| each.is_busy).count()
+    }
+
+    /// Ends as a process that is killed: its listener and all connections are closed. `loses`
+    /// chooses boxes on whose way one packet is lost, the one that closes an idle connection; it
+    /// comes again after `again`. Only a box with a request under way here is asked for, and at most
+    /// one packet is lost. Returns whether one was.
+    pub fn end(&self, loses: impl Fn(SocketAddr) -> bool, again: Duration) -> bool {
+        self.is_gone.store(true, Ordering::SeqCst);
+        let mut state = self.state.lock().expect("the engine's lock");
+        state.has_ended = true;
+        let open = std::mem::take(&mut state.open);
+        drop(state);
+        let (busy, mut idle): (Vec<Open>, Vec<Open>) = open.into_values().partition(|each| each.is_busy);
+        // A connection of its own makes the listener's thread look and end.
+        let _ = TcpStream::connect(self.address);
+        thread::sleep(Duration::from_millis(1));
+        let line = format!("{}: ends with {} answers under way, {} idle connections", self.id, busy.len(), idle.len());
+        self.record.line(&line);
+        let fronts: Vec<SocketAddr> = busy.iter().filter_map(|each| front_of(&each.last_id)).collect();
+        let is_lost = |each: &Open| {
+            let front = front_of(&each.last_id);
+            front.is_some_and(|front| fronts.contains(&front) && loses(front))
+        };
+        let lost = idle.iter().position(is_lost).map(|position| idle.remove(position));
+        idle.iter().for_each(Open::close);
+        busy.iter().for_each(Open::close);
+        if let Some(lost) = &lost {
+            let front = front_of(&lost.last_id);
+            self.record.line(&format!("{}: the packet is lost that closes an idle connection of {front:?}", self.id));
+            thread::sleep(again);
+            lost.close();
+            self.record.line(&format!("{}: that packet comes again", self.id));
+        }
+        self.store.remove(&format!("servers/{}", self.id));
+        lost.is_some()
+    }
+
+    fn set_busy(&self, number: u64, is_busy: bool, id: &str) {
+        let mut state = self.state.lock().expect("the engine's lock");
+        if let Some(open) = state.open.get_mut(&number) {
+            open.is_busy = is_busy;
+            if !id.is_empty() {
+                open.last_id = id.to_string();
+            }
+        }
+    }
+
     fn models(&self) -> (u64, String, String) {
         let state = self.state.lock().expect("the engine's lock");
         let now = Instant::now();
@@ -113,8 +198,13 @@
 
     fn beat(&self) {
         let (seq, models, _) = self.models();
+        let remaining_ms = self.state.lock().expect("the engine's lock").remaining_ms;
+        let state = match remaining_ms {
+            None => "\"ready\"".to_string(),
+            Some(remaining_ms) => format!("\"draining\",\"remainingMs\":{remaining_ms}"),
+        };
         let value = format!(
-            "{{\"service\":\"{SERVICE}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":32,\"state\":\"ready\",\"coldLeftMs\":0,\"stage\":\"both\",\"models\":{models},\"seq\":{seq}}}",
+            "{{\"service\":\"{SERVICE}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":32,\"state\":{state},\"coldLeftMs\":0,\"stage\":\"both\",\"models\":{models},\"seq\":{seq}}}",
             self.address, self.zone
         );
         if !self.is_gone.load(Ordering::SeqCst) {
@@ -124,7 +214,24 @@
 
     fn serve(&self, stream: TcpStream) {
         let mut conn = Conn::new(stream);
+        let Ok(stream) = conn.stream.try_clone() else {
+            return;
+        };
+        let number = {
+            let mut state = self.state.lock().expect("the engine's lock");
+            state.last_open += 1;
+            let number = state.last_open;
+            let last_id = String::new();
+            state.open.insert(number, Open { stream, is_busy: false, last_id });
+            number
+        };
+        self.serve_requests(&mut conn, number);
+        self.state.lock().expect("the engine's lock").open.remove(&number);
+    }
+
+    fn serve_requests(&self, conn: &mut Conn, number: u64) {
         while let Some(request) = conn.read() {
+            self.set_busy(number, true, request.header("request-id"));
             let expected = request.header("expect-instance");
             let goes_on = if !expected.is_empty() && expected != self.id {
                 let id = request.header("request-id").to_string();
@@ -140,10 +247,11 @@
                         let status = self.order(&Json::parse(&request.text()));
                         conn.answer(status, &[("Content-Type", "application/json")], "{}")
                     }
-                    _ => self.run(&mut conn, &request),
+                    _ => self.run(conn, &request),
                 }
             };
-            if !goes_on {
+            self.set_busy(number, false, "");
+            if !goes_on || self.has_ended() {
                 return;
             }
         }
@@ -241,11 +349,15 @@
         is_whole
     }
 
-    /// Streams 14 events: at once, or with pauses of 385 ms on the path of slow streams.
+    /// Streams 14 events: at once, or with pauses of 385 ms on the paths of slow streams. Those on
+    /// `/open/` have neither a length nor chunks and end with their connection.
     fn write_stream(&self, conn: &mut Conn, request: &Message, id: &str) -> bool {
-        let pause = if request.path().starts_with("/slow/") { 385 } else { 4 };
+        let is_unframed = request.path().starts_with("/open/");
+        let is_slow = request.path().starts_with("/slow/") || is_unframed;
+        let pause = if is_slow { 385 } else { 4 };
+        let framing = if is_unframed { "Connection: close" } else { "Transfer-Encoding: chunked" };
         let head = format!(
-            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: seal-{id}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: seal-{id}\r\nContent-Type: text/event-stream\r\n{framing}\r\n\r\n"
         );
         thread::sleep(Duration::from_millis(20));
         if !conn.send(&head) {
@@ -253,13 +365,16 @@
         }
         for event in 1..=14 {
             let text = format!("id: {event}\ndata: {id} {event}\n\n");
-            if !conn.send(&format!("{:x}\r\n{text}\r\n", text.len())) {
+            let sent = if is_unframed { text } else { format!("{:x}\r\n{text}\r\n", text.len()) };
+            if self.has_ended() || !conn.send(&sent) {
+                self.record.line(&format!("{}: stops {id} before event {event} of 14", self.id));
                 return false;
             }
             if event < 14 {
                 thread::sleep(Duration::from_millis(pause));
             }
         }
-        conn.send("0\r\n\r\n")
+        self.record.line(&format!("{}: has sent all of {id}", self.id));
+        !is_unframed && conn.send("0\r\n\r\n")
     }
 }
--- a/review/harness/mod.rs
+++ b/review/harness/mod.rs
@@ -5,6 +5,7 @@
 pub mod boxes;
 pub mod clients;
 pub mod engine;
+pub mod fleet;
 pub mod http;
 pub mod json;
 pub mod record;
