--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use harness::boxes::{Box, SIGTERM};
-use harness::clients::stream;
+use harness::clients::{slow_streams, stream};
 use harness::engine::{Engine, OrderSeen, Orders};
 use harness::fleet::{Traffic, ZONES, configuration, listener, wait_for};
 use harness::record::Record;
@@ -111,11 +111,17 @@
         record.line("the follower that serves stale reads of later pages is 6 s behind from now on");
     }
     let front = boxes[stopped].front;
-    let streaming = {
+    let mut streaming = Vec::new();
+    for adapter in 0..12 {
         let record = Arc::clone(&record);
-        thread::spawn(move || stream(&record, front, "/slow/", 7, 6_000))
-    };
-    thread::sleep(Duration::from_millis(250));
+        streaming.push(thread::spawn(move || stream(&record, front, "/slow/", adapter, 6_000)));
+        if wait_for(Duration::from_millis(500), || slow_streams(front) > 0).is_some() {
+            break;
+        }
+    }
+    if slow_streams(front) == 0 {
+        return Err("no stream has begun".into());
+    }
     record.line(&format!("SIGTERM to {}", boxes[stopped].name));
     boxes[stopped].signal(SIGTERM);
     wait_for(Duration::from_secs(9), || boxes[stopped].has_ended()).ok_or("the box does not end")?;
@@ -125,7 +131,9 @@
         return Err("the box can't be started again".into());
     }
     record.line(&format!("{} is started again", boxes[stopped].name));
-    let _ = streaming.join();
+    for thread in streaming {
+        let _ = thread.join();
+    }
     thread::sleep(Duration::from_secs(20));
     store.set_follower_lag(Duration::ZERO);
     traffic.stop();
--- a/review/harness/boxes.rs
+++ b/review/harness/boxes.rs
@@ -10,6 +10,7 @@
 }
 
 pub const SIGTERM: i32 = 15;
+pub const SIGKILL: i32 = 9;
 
 /// The program that `deploy/system.toml` names.
 const PROGRAM: &str = "target/release/tinbay-node";
@@ -169,6 +170,16 @@
         }
     }
 
+    /// Memory that the process holds, in bytes.
+    pub fn memory(&self) -> u64 {
+        let Some(child) = &self.child else {
+            return 0;
+        };
+        let text = fs::read_to_string(format!("/proc/{}/statm", child.id())).unwrap_or_default();
+        let pages = text.split(' ').nth(1).and_then(|pages| pages.parse::<u64>().ok());
+        pages.unwrap_or(0) * 4_096
+    }
+
     pub fn log_text(&self) -> String {
         fs::read_to_string(&self.log).unwrap_or_default()
     }
--- a/review/harness/clients.rs
+++ b/review/harness/clients.rs
@@ -37,6 +37,16 @@
     pub is_whole: bool,
     /// Events of a success whose end is marked.
     pub events_of_marked: Option<usize>,
+    /// A success whose head came and whose end did not, though the deadline is not over.
+    pub is_cut: bool,
+}
+
+/// Slow streams that have begun and not ended, by the box that passes them on.
+static SLOW: Mutex<BTreeMap<SocketAddr, usize>> = Mutex::new(BTreeMap::new());
+
+/// Number of slow streams that run through a box.
+pub fn slow_streams(front: SocketAddr) -> usize {
+    SLOW.lock().expect("the streams' lock").get(&front).copied().unwrap_or(0)
 }
 
 /// Asks a directory for addresses.
@@ -86,16 +96,27 @@
     if !conn.send(&text) {
         return outcome;
     }
-    if let Some(answer) = conn.read() {
+    let head = conn.read_head();
+    let has_head = head.as_ref().is_some_and(|head| head.status() == 200);
+    let is_slow = has_head && route == "/slow/";
+    if is_slow {
+        *SLOW.lock().expect("the streams' lock").entry(front).or_default() += 1;
+    }
+    let answer = head.and_then(|head| conn.read_body(head));
+    if is_slow {
+        *SLOW.lock().expect("the streams' lock").entry(front).or_default() -= 1;
+    }
+    outcome.is_cut = has_head && answer.is_none() && began.elapsed() < Duration::from_millis(deadline_ms);
+    if let Some(answer) = answer {
         outcome.status = answer.status();
         if outcome.status == 200 {
             outcome.events_of_marked = Some(answer.text().matches("id: ").count());
         }
         outcome.is_whole = outcome.events_of_marked == Some(14);
     }
-    let Outcome { status, events_of_marked, .. } = outcome;
+    let Outcome { status, events_of_marked, is_cut, .. } = outcome;
     record.line(&format!(
-        "client: {id} gets status {status}, events of an answer whose end is marked: {events_of_marked:?}, after {} ms",
+        "client: {id} gets status {status}, events of an answer whose end is marked: {events_of_marked:?}, cut: {is_cut}, after {} ms",
         began.elapsed().as_millis()
     ));
     outcome
--- a/review/harness/fleet.rs
+++ b/review/harness/fleet.rs
@@ -16,15 +16,20 @@
 
 /// The configuration of the sheet's engines, with one route for each path.
 pub fn configuration(paths: &[&str]) -> String {
+    configuration_of(7, 6_000, paths)
+}
+
+/// The same with a version and a time-out.
+pub fn configuration_of(version: u64, timeout_ms: u64, paths: &[&str]) -> String {
     let route = |path: &&str| {
         format!(
-            "{{\"name\":\"r{}\",\"host\":\"{HOST}\",\"pathPrefix\":\"{path}\",\"kind\":\"streaming\",\"timeoutMs\":6000,\"targetLatencyMs\":1000,\"priority\":1,\"service\":\"{SERVICE}\",\"maxAttempts\":1,\"sticky\":true,\"resumable\":false,\"targetGapMs\":400}}",
+            "{{\"name\":\"r{}\",\"host\":\"{HOST}\",\"pathPrefix\":\"{path}\",\"kind\":\"streaming\",\"timeoutMs\":{timeout_ms},\"targetLatencyMs\":1000,\"priority\":1,\"service\":\"{SERVICE}\",\"maxAttempts\":1,\"sticky\":true,\"resumable\":false,\"targetGapMs\":400}}",
             path.trim_matches('/')
         )
     };
     let routes: Vec<String> = paths.iter().map(route).collect();
     format!(
-        "{{\"version\":7,\"routes\":[{}],\"services\":[{{\"name\":\"{SERVICE}\",\"healthPath\":\"/health\",\"maxConns\":230,\"protocol\":\"h1\",\"tls\":false,\"engine\":{{\"slots\":32,\"kvCapacityTokens\":219357,\"tokenKvBytes\":327680,\"linkMbps\":1100000.0,\"moves\":false,\"backups\":false,\"stride\":5,\"upperBound\":12,\"hostMb\":130000.0,\"diskMb\":380000.0,\"pinMs\":4000.0,\"holdMs\":2000.0,\"handle_s\":5.0,\"models\":[{{\"name\":\"{MODEL}\",\"weightsMb\":65100.0,\"loadS\":0.6,\"adapters\":3000,\"adapterMb\":12.0,\"warmS\":0.38,\"diskS\":0.49}}],\"weightsMb\":66600.0,\"adapterSlots\":16,\"loadsPerS\":9.3}}}}],\"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}}}",
+        "{{\"version\":{version},\"routes\":[{}],\"services\":[{{\"name\":\"{SERVICE}\",\"healthPath\":\"/health\",\"maxConns\":230,\"protocol\":\"h1\",\"tls\":false,\"engine\":{{\"slots\":32,\"kvCapacityTokens\":219357,\"tokenKvBytes\":327680,\"linkMbps\":1100000.0,\"moves\":false,\"backups\":false,\"stride\":5,\"upperBound\":12,\"hostMb\":130000.0,\"diskMb\":380000.0,\"pinMs\":4000.0,\"holdMs\":2000.0,\"handle_s\":5.0,\"models\":[{{\"name\":\"{MODEL}\",\"weightsMb\":65100.0,\"loadS\":0.6,\"adapters\":3000,\"adapterMb\":12.0,\"warmS\":0.38,\"diskS\":0.49}}],\"weightsMb\":66600.0,\"adapterSlots\":16,\"loadsPerS\":9.3}}}}],\"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}}}",
         routes.join(",")
     )
 }
--- a/review/harness/http.rs
+++ b/review/harness/http.rs
@@ -118,7 +118,13 @@
 
     /// Reads a whole message; `None` if the connection ends before.
     pub fn read(&mut self) -> Option<Message> {
-        let mut message = self.read_head()?;
+        let message = self.read_head()?;
+        self.read_body(message)
+    }
+
+    /// Reads the body that a head announces.
+    pub fn read_body(&mut self, head: Message) -> Option<Message> {
+        let mut message = head;
         if message.header("transfer-encoding").contains("chunked") {
             loop {
                 let size = usize::from_str_radix(self.line()?.trim(), 16).ok()?;
--- a/review/harness/store.rs
+++ b/review/harness/store.rs
@@ -17,6 +17,9 @@
 /// Time of an answer, as the sheets of the small deployments name it.
 const ANSWER_MS: u64 = 4;
 
+/// `historyS` of the sheet.
+const HISTORY: Duration = Duration::from_secs(20);
+
 /// Items of a page: "about 500 or 1 MB at most".
 const PAGE_ITEMS: usize = 500;
 
@@ -47,6 +50,8 @@
     keys: BTreeMap<String, Vec<State>>,
     /// Revision and time of each change, in order.
     log: Vec<(u64, Instant, String)>,
+    /// Changes up to this revision are forgotten.
+    forgotten: u64,
     leases: HashMap<u64, Lease>,
     last_lease: u64,
     follower_lag: Duration,
@@ -80,6 +85,7 @@
             loop {
                 thread::sleep(Duration::from_millis(50));
                 expiring.expire();
+                expiring.lock().forget();
             }
         });
         store
@@ -245,6 +251,9 @@
         let end = Instant::now() + Duration::from_millis(number("waitMs").unwrap_or(0));
         let mut inner = self.lock();
         loop {
+            if after < inner.forgotten {
+                return (410, "{}".into());
+            }
             let events = inner.events(&prefix, after);
             let left = end.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
@@ -332,6 +341,27 @@
         self.log.push((revision, since, key.to_string()));
     }
 
+    /// Forgets what is older than the history that the store keeps.
+    fn forget(&mut self) {
+        let Some(oldest) = Instant::now().checked_sub(HISTORY) else {
+            return;
+        };
+        let count = self.log.partition_point(|(_, since, _)| *since < oldest);
+        let old: Vec<(u64, Instant, String)> = self.log.drain(..count).collect();
+        for (revision, _, key) in old {
+            self.forgotten = self.forgotten.max(revision);
+            if let Some(states) = self.keys.get_mut(&key) {
+                let last = states.len().saturating_sub(1);
+                let count = states.iter().take(last).filter(|state| state.since < oldest).count();
+                // The newest of the old states is what a stale read may still show.
+                states.drain(..count.saturating_sub(1));
+                if states.len() == 1 && states[0].item.is_none() {
+                    self.keys.remove(&key);
+                }
+            }
+        }
+    }
+
     fn end_lease(&mut self, id: u64) {
         if self.leases.remove(&id).is_none() {
             return;
@@ -365,13 +395,6 @@
     }
 }
 
-impl State {
-    #[allow(dead_code)]
-    fn age(&self) -> Duration {
-        self.since.elapsed()
-    }
-}
-
 fn last_number(path: &str) -> u64 {
     path.rsplit('/').next().and_then(|text| text.parse().ok()).unwrap_or(0)
 }
