--- a/review/harness/engine.rs
+++ b/review/harness/engine.rs
@@ -129,10 +129,13 @@
         self.beat();
     }
 
-    /// Requests under way.
-    pub fn busy(&self) -> usize {
+    /// Idle connections of boxes that `chooses` names and that have a request under way here.
+    pub fn idle_beside_busy(&self, chooses: impl Fn(SocketAddr) -> bool) -> usize {
         let state = self.state.lock().expect("the engine's lock");
-        state.open.values().filter(|each| each.is_busy).count()
+        let front = |each: &Open| front_of(&each.last_id);
+        let busy: Vec<SocketAddr> = state.open.values().filter(|each| each.is_busy).filter_map(front).collect();
+        let idle = state.open.values().filter(|each| !each.is_busy).filter_map(front);
+        idle.filter(|front| busy.contains(front) && chooses(*front)).count()
     }
 
     /// Ends as a process that is killed: its listener and all connections are closed. `loses`
