Logs: a box says when it orders a server under a claim that it has not just written

A box that resumes a claim after a restart left no line, so that a claim taken from an outdated listing could not be told from one that another box had not seen. The event claim_resumed names server, address and token.

--- a/crates/tinbay-gateway/src/orders/claiming.rs
+++ b/crates/tinbay-gateway/src/orders/claiming.rs
@@ -54,6 +54,13 @@
     before: Option<&'a str>,
 }
 
+#[derive(Serialize)]
+struct ResumeEvent<'a> {
+    server: &'a str,
+    address: &'a str,
+    token: u64,
+}
+
 /// Maintains this box's claims until it stops.
 pub async fn run(node: Rc<Node>) {
     let mut free_since_ms: HashMap<String, Millis> = HashMap::new();
@@ -110,9 +117,11 @@
         claim_server(node, server).await;
         return;
     }
-    if node.order_token(server).is_some() {
+    if let Some(token) = node.order_token(server) {
         free_since_ms.remove(&server.address_text);
-        holder::ensure_running(node, server);
+        if holder::ensure_running(node, server) {
+            log_resumed(server, token);
+        }
         return;
     }
     let now_ms = node.now_ms();
@@ -131,6 +140,16 @@
     }
 }
 
+/// Logs that this box starts to order a server under a claim that it has not just written.
+fn log_resumed(server: &Server, token: u64) {
+    let event = ResumeEvent {
+        server: &server.record().id,
+        address: &server.address_text,
+        token,
+    };
+    events::emit(part::ORDERS, Level::Info, "claim_resumed", &event);
+}
+
 /// Whether this box has to write its claim on the server again: the store was restored and is in a
 /// new era, and this box still holds the server by a membership proof from the earlier era.
 fn needs_renewal(node: &Node, server: &Server) -> bool {
--- a/crates/tinbay-gateway/src/orders/holder.rs
+++ b/crates/tinbay-gateway/src/orders/holder.rs
@@ -105,13 +105,13 @@
     Users,
 }
 
-/// Starts the order loop of a server unless it is running already.
-pub fn ensure_running(node: &Rc<Node>, server: &Rc<Server>) {
+/// Starts the order loop of a server unless it is running already. Returns whether it was started.
+pub fn ensure_running(node: &Rc<Node>, server: &Rc<Server>) -> bool {
     if node.held_servers.borrow().contains_key(&server.key) {
-        return;
+        return false;
     }
     let Some(spec) = node.engine_properties(&server.record().service) else {
-        return;
+        return false;
     };
     let held = Rc::new(HeldServer::new(&spec, node.now_ms()));
     node.held_servers
@@ -124,6 +124,7 @@
         caller: HttpClient::new(server.record().address),
     };
     tokio::task::spawn_local(holder.run());
+    true
 }
 
 /// This box's share of the weight store's load rate, applied to one of its servers.
