Listings: pages of different ages are brought to one position before a box acts on them

Cause: a listing of several pages was given the position of its first page. Where a later page was older, the changes in between were in neither the listing nor the watch that goes on from it, so that the released claim stayed the box's own under a sound proof.

A late release, a watch that leaves out changes and a proof from the listing are ruled out in docs/incidents.

--- a/crates/tinbay-gateway/src/orders/membership.rs
+++ b/crates/tinbay-gateway/src/orders/membership.rs
@@ -215,8 +215,8 @@
 
 /// Reads all claims, as some may have moved to other boxes while there was no proof.
 async fn read_claims(node: &Node) -> StoreResult<()> {
-    let listing = counted(node, "list", node.store.list(CLAIM_PREFIX, false).await)?;
-    for item in &listing.items {
+    let listed = counted(node, "list", node.store.list(CLAIM_PREFIX, false).await)?;
+    for item in &listed.listing.items {
         if let Some(address) = item.key.strip_prefix(CLAIM_PREFIX) {
             node.record_claim(address, item);
         }
--- a/crates/tinbay-gateway/src/port/store.rs
+++ b/crates/tinbay-gateway/src/port/store.rs
@@ -39,6 +39,14 @@
 }
 
 impl Change {
+    /// Key that was changed.
+    pub fn key(&self) -> &str {
+        match self {
+            Self::Put(item) => &item.key,
+            Self::Deleted { key, .. } => key,
+        }
+    }
+
     /// Position at which the change was made.
     pub fn position(&self) -> Position {
         match self {
@@ -48,12 +56,24 @@
     }
 }
 
-/// All keys below a prefix.
+/// The pages of all keys below a prefix. Each shows its keys at a position of its own, and any page
+/// may be older than the others.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Listing {
+pub struct Pages {
     /// Items from all pages.
     pub items: Vec<Item>,
-    /// Position of the first page; changes after it may be missing.
+    /// Position of the oldest page; changes after it may be missing.
+    pub oldest_at: Position,
+    /// Position of the newest page.
+    pub newest_at: Position,
+}
+
+/// All keys below a prefix at one position.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Listing {
+    /// All items.
+    pub items: Vec<Item>,
+    /// Position of the store that the items show.
     pub at: Position,
 }
 
@@ -143,9 +163,9 @@
     /// Reads one key; the result must not be stale.
     fn read<'a>(&'a self, key: &'a str) -> LocalBoxFuture<'a, Answered<Option<Item>>>;
 
-    /// Reads all keys below a prefix; `stale` permits a result that is some seconds old. All pages
-    /// of a listing must be of the same era.
-    fn list<'a>(&'a self, prefix: &'a str, stale: bool) -> LocalBoxFuture<'a, Answered<Listing>>;
+    /// Reads all keys below a prefix; `stale` permits pages that are some seconds old. All pages
+    /// must be of the same era.
+    fn list<'a>(&'a self, prefix: &'a str, stale: bool) -> LocalBoxFuture<'a, Answered<Pages>>;
 
     /// Waits up to `wait_ms` for changes below a prefix after a revision; gives up if no response
     /// has arrived `max_delay_ms` after the end of the wait.
--- a/crates/tinbay-gateway/src/watch/access.rs
+++ b/crates/tinbay-gateway/src/watch/access.rs
@@ -15,6 +15,7 @@
 use crate::port::store::{
     Answered, Changes, Item, Lease, Listing, Store, StoreError, StoreResult, Transaction,
 };
+use crate::watch::snapshot::Snapshot;
 
 /// Time after a restore in which missing entries may be written again: the writers of the store
 /// need some seconds for this.
@@ -23,6 +24,35 @@
 /// Key that is listed only to learn the era from the answer.
 const ERA_PROBE_KEY: &str = "tinbay/settled";
 
+/// Wait of a watch that brings a listing to one position. The changes are in the store already.
+const CATCH_UP_WAIT_MS: Millis = 1;
+
+/// Time that the answer to such a watch may take beyond its wait.
+const MAX_CATCH_UP_DELAY_MS: Millis = 1_500;
+
+/// A listing of the store, and how it was read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Listed {
+    /// All items at one position.
+    pub listing: Listing,
+    /// Latest time at which the listing was certainly up to date; `None` if it may be some seconds
+    /// old.
+    pub confirmed_ms: Option<Millis>,
+    /// What it took to bring pages of different positions to one; `None` if all pages agreed.
+    pub catch_up: Option<CatchUp>,
+}
+
+/// How pages of different positions were brought to one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CatchUp {
+    /// Position of the oldest page.
+    pub oldest_at: Position,
+    /// Position of the newest page.
+    pub newest_at: Position,
+    /// Number of watches that it took.
+    pub watches: u64,
+}
+
 /// A restore of the store from a backup.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StoreRestore {
@@ -96,7 +126,7 @@
         if era < known {
             return false;
         }
-        let probed = self.list(ERA_PROBE_KEY, true).await;
+        let probed = self.check_era(self.inner.list(ERA_PROBE_KEY, true).await);
         if probed == Err(StoreError::NoAnswer) && self.era.get().unwrap_or_default() == known {
             self.record_restore(known, era);
             self.era.set(Some(era));
@@ -150,12 +180,50 @@
         self.check_era(self.inner.read(key).await)
     }
 
-    /// Reads all keys under a prefix; `stale` allows an answer that is some seconds old.
+    /// Reads all keys under a prefix; `stale` allows an answer that is some seconds old. Pages of
+    /// different positions are brought to one by the changes in between.
     ///
     /// # Errors
     /// When the store does not answer or refuses, or is restored between two pages.
-    pub async fn list(&self, prefix: &str, stale: bool) -> StoreResult<Listing> {
-        self.check_era(self.inner.list(prefix, stale).await)
+    pub async fn list(&self, prefix: &str, stale: bool) -> StoreResult<Listed> {
+        match self.list_once(prefix, stale).await {
+            // The changes since the oldest page are gone. Current pages are younger.
+            Err(StoreError::HistoryGone) if stale => self.list_once(prefix, false).await,
+            result => result,
+        }
+    }
+
+    async fn list_once(&self, prefix: &str, stale: bool) -> StoreResult<Listed> {
+        let asked_ms = self.clock.now_ms();
+        let pages = self.check_era(self.inner.list(prefix, stale).await)?;
+        let mut confirmed_ms = (!stale).then_some(asked_ms);
+        let mut catch_up = CatchUp {
+            oldest_at: pages.oldest_at,
+            newest_at: pages.newest_at,
+            watches: 0,
+        };
+        let mut snapshot = Snapshot::new(pages);
+        loop {
+            snapshot = match snapshot.into_listing() {
+                Ok(listing) => {
+                    return Ok(Listed {
+                        listing,
+                        confirmed_ms,
+                        catch_up: (catch_up.watches > 0).then_some(catch_up),
+                    });
+                }
+                Err(snapshot) => snapshot,
+            };
+            confirmed_ms = Some(self.clock.now_ms());
+            catch_up.watches += 1;
+            let watching = self.watch(
+                prefix,
+                snapshot.at(),
+                CATCH_UP_WAIT_MS,
+                MAX_CATCH_UP_DELAY_MS,
+            );
+            snapshot.apply(&watching.await?)?;
+        }
     }
 
     /// Waits for changes under a prefix after a position.
--- a/crates/tinbay-gateway/src/watch/mod.rs
+++ b/crates/tinbay-gateway/src/watch/mod.rs
@@ -8,6 +8,7 @@
 pub mod replica;
 pub mod returns;
 pub mod servers;
+pub mod snapshot;
 pub mod source;
 
 use std::rc::Rc;
--- a/crates/tinbay-gateway/src/watch/source.rs
+++ b/crates/tinbay-gateway/src/watch/source.rs
@@ -10,6 +10,7 @@
 use tinbay_core::serving::position::{Position, Revision};
 use tinbay_core::units::Millis;
 
+use super::access::CatchUp;
 use super::relay::{self, RelayBox, RelayError, Relays};
 use super::replica::Freshness;
 use super::{WatchPace, counted};
@@ -65,6 +66,14 @@
     error: String,
 }
 
+#[derive(Serialize)]
+struct CatchUpEvent<'a> {
+    prefix: &'a str,
+    oldest_revision: Revision,
+    newest_revision: Revision,
+    watches: u64,
+}
+
 /// Lists all items under a prefix.
 ///
 /// # Errors
@@ -83,20 +92,36 @@
     }
     sources.check_limiter(node, limiter)?;
     let is_stale = pace.allows_stale_start && node.replica.confirmed_ms(prefix).is_none();
-    let asked_ms = node.now_ms();
     let listed = node.store.list(prefix, is_stale).await;
-    let mut listing = counted(node, "list", limiter.record_result(listed, node.now_ms()))?;
+    let listed = counted(node, "list", limiter.record_result(listed, node.now_ms()))?;
+    if let Some(catch_up) = &listed.catch_up {
+        report_catch_up(node, prefix, catch_up);
+    }
+    let mut listing = listed.listing;
     for item in &mut listing.items {
         replace_account_keys(node, item);
     }
-    let freshness = if is_stale {
-        STALE_LISTING_FRESHNESS
-    } else {
-        from_store(asked_ms, pace)
+    let freshness = match listed.confirmed_ms {
+        Some(confirmed_ms) => from_store(confirmed_ms, pace),
+        None => STALE_LISTING_FRESHNESS,
     };
     Ok((listing, freshness))
 }
 
+/// Counts the watches that brought a listing to one position, and logs the positions of its pages.
+fn report_catch_up(node: &Node, prefix: &str, catch_up: &CatchUp) {
+    let labels = ["catch_up", "ok"];
+    let calls = node.metrics.store_calls.with_label_values(&labels);
+    calls.inc_by(catch_up.watches);
+    let event = CatchUpEvent {
+        prefix,
+        oldest_revision: catch_up.oldest_at.revision,
+        newest_revision: catch_up.newest_at.revision,
+        watches: catch_up.watches,
+    };
+    events::emit(part::STORE, Level::Info, "pages_differ", &event);
+}
+
 /// Waits for changes under a prefix after a position.
 ///
 /// # Errors
--- a/crates/tinbay-gateway/tests/access_test.rs
+++ b/crates/tinbay-gateway/tests/access_test.rs
@@ -10,7 +10,7 @@
 use tinbay_core::units::Millis;
 use tinbay_gateway::clock::Clock;
 use tinbay_gateway::port::store::{
-    Answered, Changes, Item, Lease, Listing, Store, StoreError, StoreResult, Transaction,
+    Answered, Changes, Item, Lease, Pages, Store, StoreError, StoreResult, Transaction,
 };
 use tinbay_gateway::watch::access::StoreAccess;
 
@@ -58,8 +58,8 @@
         async { self.0.answer(|_| None) }.boxed_local()
     }
 
-    fn list<'a>(&'a self, _: &'a str, _: bool) -> LocalBoxFuture<'a, Answered<Listing>> {
-        async { self.0.answer(|_| Listing::default()) }.boxed_local()
+    fn list<'a>(&'a self, _: &'a str, _: bool) -> LocalBoxFuture<'a, Answered<Pages>> {
+        async { self.0.answer(|_| Pages::default()) }.boxed_local()
     }
 
     fn watch<'a>(
