Claims: a box orders only under claims that its present process has written

Cause: nothing told a claim of this process from one of the process before under the same name.

Change: a claim names the process that wrote it. A process takes the claims of its former ones at once, on condition of their revision, before it orders; a late release then fails.

--- a/crates/tinbay-core/src/serving/claims.rs
+++ b/crates/tinbay-core/src/serving/claims.rs
@@ -7,6 +7,10 @@
 //! entry to be still missing. Only durations on each box's own monotonic clock are compared, never
 //! times of two boxes.
 //!
+//! A claim names the process that wrote it, so that a box that starts again doesn't order servers
+//! under the claims of its process before: that one's release may still be on its way to the store.
+//! The new process writes the claims anew first, which makes a late release fail.
+//!
 //! A store restored from a backup has lost claims or shows older ones. A claim names the era in
 //! which it was written, and only claims of the current era bind. The holder of a server continues
 //! under its last proof and rewrites its claim at once; all other boxes wait until every proof of
@@ -40,6 +44,10 @@
     }
 }
 
+/// Number that a process draws at its start, by which it tells its claims from those of earlier
+/// processes of the same box; never 0.
+pub type ProcessId = u64;
+
 /// A claim as it is written to the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClaimValue {
@@ -50,6 +58,9 @@
     /// Era in which the claim was written.
     #[serde(default)]
     pub era: Era,
+    /// Process of the holder that wrote the claim; 0 if it didn't say so.
+    #[serde(default)]
+    pub process: ProcessId,
 }
 
 /// Whether a claim is valid in the current era.
@@ -94,6 +105,8 @@
 /// Claims by the address of the server.
 #[derive(Debug, Default)]
 pub struct ClaimTable {
+    /// Process of this box.
+    own_process: ProcessId,
     era: Era,
     /// When this box first saw the current era; none where the store has no eras.
     era_seen_ms: Option<Millis>,
@@ -105,6 +118,19 @@
 }
 
 impl ClaimTable {
+    /// An empty table for a process of a box.
+    pub fn of_process(own_process: ProcessId) -> Self {
+        Self {
+            own_process,
+            ..Self::default()
+        }
+    }
+
+    /// Process of this box.
+    pub fn own_process(&self) -> ProcessId {
+        self.own_process
+    }
+
     /// Starts an era, when the store names its first one or another one than before.
     /// `own_proof_end_ms` is the end of the proof under which this box sends orders.
     pub fn begin_era(&mut self, era: Era, own_proof_end_ms: Millis, now_ms: Millis) {
@@ -226,7 +252,7 @@
     /// Fencing token for orders of `box_id` to the server, if it holds the claim.
     pub fn token_of(&self, address: &str, box_id: &str, now_ms: Millis) -> Option<u64> {
         let claim = self.by_address.get(address)?;
-        let is_own = claim.value.holder == box_id && !claim.value.is_released;
+        let is_own = self.is_held_by_process(claim, box_id);
         let binds = match claim.validity {
             ClaimValidity::Current => true,
             ClaimValidity::CarriedOver { until_ms } => now_ms < until_ms,
@@ -236,11 +262,23 @@
         may_order.then(|| claim.position.fencing_token())
     }
 
+    fn is_held_by_process(&self, claim: &Claim, box_id: &str) -> bool {
+        let is_own = claim.value.holder == box_id && claim.value.process == self.own_process;
+        is_own && !claim.value.is_released
+    }
+
+    /// Whether an earlier process of `box_id`, this box, holds a server.
+    pub fn is_held_by_earlier_process(&self, address: &str, box_id: &str) -> bool {
+        self.get(address).is_some_and(|claim| {
+            let is_own = claim.value.holder == box_id && !claim.value.is_released;
+            is_own && claim.value.process != self.own_process
+        })
+    }
+
     /// Addresses of the servers whose claims `box_id` holds in the current era.
     pub fn held_by(&self, box_id: &str) -> Vec<String> {
         let is_held = |claim: &Claim| {
-            let is_own = claim.value.holder == box_id && !claim.value.is_released;
-            is_own && claim.validity == ClaimValidity::Current
+            self.is_held_by_process(claim, box_id) && claim.validity == ClaimValidity::Current
         };
         self.by_address
             .iter()
@@ -279,23 +317,23 @@
     ) -> bool {
         match self.get(address) {
             Some(claim) if claim.validity == ClaimValidity::Current => {
-                may_take_current(claim, box_id, entry, terms, now_ms)
+                let is_own = claim.value.holder == box_id;
+                if is_own {
+                    return !self.is_held_by_process(claim, box_id);
+                }
+                may_take_from_other(claim, entry, terms, now_ms)
             }
             _ => self.is_to_be_renewed(address, box_id, now_ms) || self.is_settled(terms, now_ms),
         }
     }
 }
 
-fn may_take_current(
+fn may_take_from_other(
     claim: &Claim,
-    box_id: &str,
     entry: HolderEntry,
     terms: &ClaimTerms,
     now_ms: Millis,
 ) -> bool {
-    if claim.value.holder == box_id {
-        return claim.value.is_released;
-    }
     if claim.value.is_released {
         return now_ms >= claim.seen_ms + terms.holder_gap_ms + terms.margin_ms;
     }
--- a/crates/tinbay-core/tests/serving_claims_test.rs
+++ b/crates/tinbay-core/tests/serving_claims_test.rs
@@ -23,6 +23,7 @@
         holder: holder.into(),
         is_released,
         era: Era(era),
+        process: 0,
     };
     serde_json::to_vec(&value).expect("a value")
 }
@@ -83,6 +84,44 @@
     assert!(released.may_take(SERVER, "a", HolderEntry::Listed, &TERMS, 1_001));
 }
 
+/// Guards against orders under a claim whose release by the process before is still on its way: once
+/// it is carried out, another box orders as well.
+#[test]
+fn claim_of_the_process_before_gives_no_token_and_is_taken_at_once() {
+    let mut restarted = ClaimTable::of_process(5);
+    restarted.begin_era(Era(1), 0, 0);
+    restarted.record(SERVER, &value("a", false, 1), at(7), 0);
+    assert_eq!(restarted.token_of(SERVER, "a", 10), None);
+    assert!(restarted.held_by("a").is_empty());
+    assert!(restarted.is_held_by_earlier_process(SERVER, "a"));
+    assert!(restarted.may_take(SERVER, "a", HolderEntry::Listed, &TERMS, 10));
+    assert!(!restarted.may_take(SERVER, "b", HolderEntry::Listed, &TERMS, 10));
+    let rewritten = ClaimValue {
+        holder: "a".into(),
+        is_released: false,
+        era: Era(1),
+        process: 5,
+    };
+    let rewritten = serde_json::to_vec(&rewritten).expect("a value");
+    restarted.record(SERVER, &rewritten, at(9), 20);
+    assert_eq!(
+        restarted.token_of(SERVER, "a", 30),
+        Some(at(9).fencing_token())
+    );
+    assert!(!restarted.is_held_by_earlier_process(SERVER, "a"));
+    assert!(!restarted.may_take(SERVER, "a", HolderEntry::Listed, &TERMS, 30));
+}
+
+/// Boxes of the release before write claims that name no process.
+#[test]
+fn claim_that_names_no_process_is_of_an_earlier_one() {
+    let mut restarted = ClaimTable::of_process(5);
+    restarted.begin_era(Era(1), 0, 0);
+    let unnamed = br#"{"holder":"a","is_released":false,"era":1}"#;
+    restarted.record(SERVER, unnamed, at(7), 0);
+    assert!(restarted.is_held_by_earlier_process(SERVER, "a"));
+}
+
 #[test]
 fn record_ignores_older_revision() {
     let mut table = table("b", false, 0);
--- a/crates/tinbay-core/tests/serving_returns_test.rs
+++ b/crates/tinbay-core/tests/serving_returns_test.rs
@@ -264,6 +264,7 @@
             holder: holder.into(),
             is_released,
             era: Era(self.store.era),
+            process: 0,
         };
         self.store.claim = Some((value, self.store.revision));
     }
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -5,12 +5,13 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use rand::RngExt;
 use tinbay_core::accounts::account::Account;
 use tinbay_core::accounts::priority::PriorityRanks;
 use tinbay_core::memory::terms::MemoryTerms;
 use tinbay_core::resumption::fingerprint;
 use tinbay_core::serving::budget::AttemptBudget;
-use tinbay_core::serving::claims::{ClaimTable, ClaimTerms, Proof};
+use tinbay_core::serving::claims::{ClaimTable, ClaimTerms, ProcessId, Proof};
 use tinbay_core::serving::configuration::{Configuration, EngineProperties, Limits};
 use tinbay_core::serving::contents::AdapterKey;
 use tinbay_core::serving::pacing::LoadQuotaCounter;
@@ -223,6 +224,11 @@
     pub box_count: Cell<usize>,
 }
 
+/// Draws a number for this process; 0 stands for a process that is not named.
+fn draw_process_id() -> ProcessId {
+    rand::rng().random_range(1..=ProcessId::MAX)
+}
+
 impl Node {
     /// A box that has not read the store yet.
     pub fn new(
@@ -255,7 +261,7 @@
             versions: RefCell::default(),
             servers: RefCell::new(servers),
             members: RefCell::new(members),
-            claims: RefCell::default(),
+            claims: RefCell::new(ClaimTable::of_process(draw_process_id())),
             proof: Cell::default(),
             held_servers: RefCell::default(),
             load_quotas: RefCell::default(),
--- a/crates/tinbay-gateway/src/orders/claiming.rs
+++ b/crates/tinbay-gateway/src/orders/claiming.rs
@@ -8,7 +8,7 @@
 use log::Level;
 use serde::Serialize;
 use tinbay_core::rendezvous;
-use tinbay_core::serving::claims::{ClaimValidity, ClaimValue, HolderEntry};
+use tinbay_core::serving::claims::{ClaimValidity, ClaimValue, HolderEntry, ProcessId};
 use tinbay_core::serving::position::{Era, Position};
 use tinbay_core::units::Millis;
 
@@ -117,6 +117,10 @@
         claim_server(node, server).await;
         return;
     }
+    if is_held_by_earlier_process(node, server) && node.can_order() {
+        claim_server(node, server).await;
+        return;
+    }
     if let Some(token) = node.order_token(server) {
         free_since_ms.remove(&server.address_text);
         if holder::ensure_running(node, server) {
@@ -158,6 +162,13 @@
     claims.is_to_be_renewed(&server.address_text, own_id, node.now_ms())
 }
 
+/// Whether the claim on the server is one that this box wrote before it was restarted.
+fn is_held_by_earlier_process(node: &Node, server: &Server) -> bool {
+    let own_id = &node.settings.borrow().box_id;
+    let claims = node.claims.borrow();
+    claims.is_held_by_earlier_process(&server.address_text, own_id)
+}
+
 /// Whether another box should hold the server, as this one has lost its links and can't reach it.
 fn should_release(node: &Node, server: &Server) -> bool {
     let is_cut_off = server
@@ -178,7 +189,8 @@
         claims.begin_release(address);
         claims.stored_position(address)
     };
-    let transaction = release_transaction(&own_id, &[(address.clone(), position)]);
+    let own_process = node.claims.borrow().own_process();
+    let transaction = release_transaction(&own_id, own_process, &[(address.clone(), position)]);
     let result = counted(node, "commit", node.store.commit(&transaction).await);
     let outcome = match &result {
         Ok(_) => "done",
@@ -187,7 +199,7 @@
     };
     match result {
         Ok(position) => {
-            let value = encode(&own_id, true, position.era);
+            let value = encode(&own_id, own_process, true, position.era);
             let key = format!("{CLAIM_PREFIX}{address}");
             let item = Item {
                 key,
@@ -269,7 +281,8 @@
         let holder_key = format!("{MEMBER_PREFIX}{}", claim.value.holder);
         expected.push((holder_key, Position::missing(stored.era)));
     }
-    let value = encode(&own_id, false, stored.era);
+    let own_process = node.claims.borrow().own_process();
+    let value = encode(&own_id, own_process, false, stored.era);
     let transaction = Transaction {
         expected,
         put: vec![(key.clone(), value.clone(), None)],
@@ -301,17 +314,22 @@
     }
 }
 
-fn encode(holder: &str, is_released: bool, era: Era) -> Vec<u8> {
+fn encode(holder: &str, process: ProcessId, is_released: bool, era: Era) -> Vec<u8> {
     let value = ClaimValue {
         holder: holder.to_string(),
         is_released,
         era,
+        process,
     };
     serde_json::to_vec(&value).unwrap_or_default()
 }
 
 /// Builds the transaction that marks claims as released.
-pub fn release_transaction(own_id: &str, held: &[(String, Position)]) -> Transaction {
+pub fn release_transaction(
+    own_id: &str,
+    own_process: ProcessId,
+    held: &[(String, Position)],
+) -> Transaction {
     let key = |address: &str| format!("{CLAIM_PREFIX}{address}");
     Transaction {
         expected: held
@@ -321,7 +339,7 @@
         put: held
             .iter()
             .map(|(address, position)| {
-                let value = encode(own_id, true, position.era);
+                let value = encode(own_id, own_process, true, position.era);
                 (key(address), value, None)
             })
             .collect(),
--- a/crates/tinbay-gateway/src/orders/membership.rs
+++ b/crates/tinbay-gateway/src/orders/membership.rs
@@ -239,8 +239,9 @@
             .map(|address| (address.clone(), claims.stored_position(&address)))
             .collect()
     };
+    let own_process = node.claims.borrow().own_process();
     for chunk in held.chunks(MAX_TRANSACTION_ENTRIES) {
-        let transaction = super::claiming::release_transaction(&own_id, chunk);
+        let transaction = super::claiming::release_transaction(&own_id, own_process, chunk);
         let committing = node.store.commit(&transaction);
         let result = tokio::time::timeout(RELEASE_TIMEOUT, committing).await;
         if let Ok(result) = result {
