HTTP: answers that are read whole are read up to a limit

What a box did: it gathered answers to its own calls (reports, orders, checks, copies, store, other boxes) until their time-out, however long they were.

Cause: collect() on a body is bounded by the call's time-out alone.

Change: each call names the longest answer that it reads, 256 KB from servers and 16 MB from the store and other boxes. Beyond it the call fails with a typed error and its connection is closed. A watch whose changes don't fit is replaced by a listing. report_failed logs the reason once.

--- a/crates/tinbay-gateway/src/directory.rs
+++ b/crates/tinbay-gateway/src/directory.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 use hyper::server::conn::http1;
@@ -18,6 +17,7 @@
 use tokio::net::TcpListener;
 
 use crate::http::body::AnswerBody;
+use crate::http::gather::gather;
 use crate::node::Node;
 use crate::watch::relay;
 
@@ -34,6 +34,9 @@
 /// Path of the metrics endpoint.
 const METRICS_PATH: &str = "/metrics";
 
+/// Longest relay request, which names a prefix and a position.
+const MAX_RELAY_REQUEST_BYTES: usize = 4_096;
+
 /// Maximum time to wait for a request head on a connection, which also ends idle connections.
 const HEAD_READ_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -82,9 +85,9 @@
 
 /// Answers a relay request of another box from the local copy of the store.
 async fn answer_relay(node: &Node, request: Request<Incoming>) -> Response<AnswerBody> {
-    match request.into_body().collect().await {
+    match gather(request.into_body(), MAX_RELAY_REQUEST_BYTES).await {
         Ok(body) => {
-            let answer = relay::answer(node, &body.to_bytes()).await;
+            let answer = relay::answer(node, &body).await;
             reply(StatusCode::OK, "application/octet-stream", answer)
         }
         Err(_) => reply(StatusCode::BAD_REQUEST, "text/plain", String::new()),
--- a/crates/tinbay-gateway/src/front/handover/actions.rs
+++ b/crates/tinbay-gateway/src/front/handover/actions.rs
@@ -375,7 +375,9 @@
     let reply = match reply {
         Ok(reply) => reply,
         Err(CallError::NotConnected) => return HandoverAnswer::NotStopped,
-        Err(CallError::NoAnswer) => return HandoverAnswer::Unknown,
+        Err(CallError::NoAnswer | CallError::TooLong { .. }) => {
+            return HandoverAnswer::Unknown;
+        }
     };
     let decoded = node.dialect.decode_handover(&reply.body);
     let handle = decoded.ok().and_then(|reply| reply.handle);
--- a/crates/tinbay-gateway/src/http/call.rs
+++ b/crates/tinbay-gateway/src/http/call.rs
@@ -5,17 +5,25 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
 use hyper::header::{CONTENT_TYPE, HOST, HeaderMap, HeaderName};
 use hyper::{Method, Request};
 use tinbay_core::units::Millis;
 
 use super::connect::connect;
+use super::gather::gather;
 
 /// Maximum number of idle connections kept per address.
 const MAX_IDLE_CONNECTIONS: usize = 4;
 
+/// Longest answer of a backend server to a call that is not a caller's request.
+pub const MAX_SERVER_ANSWER_BYTES: usize = 256 * 1_024;
+
+/// Longest answer of the store or of another box: several pages of the store, which hold about 1 MB
+/// each before encoding.
+pub const MAX_STORE_ANSWER_BYTES: usize = 16 * 1_024 * 1_024;
+
 /// Time limit for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -32,6 +40,8 @@
     pub header: Option<(HeaderName, String)>,
     /// Time limit for the whole call, including connecting and reading the response body.
     pub timeout_ms: Millis,
+    /// Longest response body that is read.
+    pub max_answer_bytes: usize,
 }
 
 /// A fully buffered response.
@@ -55,6 +65,12 @@
     /// received it.
     #[error("no complete response before the connection failed or the call timed out")]
     NoAnswer,
+    /// The response body is too long; the rest is not read.
+    #[error("the response body is longer than {max_bytes} bytes")]
+    TooLong {
+        /// The limit that it exceeds.
+        max_bytes: usize,
+    },
 }
 
 /// Client for one address that reuses idle connections.
@@ -97,11 +113,7 @@
             .await
             .map_err(|_| CallError::NoAnswer)?;
         let (head, body) = response.into_parts();
-        let body = body
-            .collect()
-            .await
-            .map_err(|_| CallError::NoAnswer)?
-            .to_bytes();
+        let body = gather(body, call.max_answer_bytes).await?;
         self.keep(sender);
         Ok(Reply {
             status: head.status.as_u16(),
--- a/crates/tinbay-gateway/src/http/mod.rs
+++ b/crates/tinbay-gateway/src/http/mod.rs
@@ -6,6 +6,7 @@
 pub mod call;
 pub mod connect;
 pub mod framing;
+pub mod gather;
 pub mod pool;
 pub mod pooled;
 pub mod pump;
--- a/crates/tinbay-gateway/src/http/pooled.rs
+++ b/crates/tinbay-gateway/src/http/pooled.rs
@@ -3,11 +3,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http_body_util::BodyExt;
 use hyper::Request;
 
 use super::body::RequestBody;
-use super::call::{CallError, Reply};
+use super::call::{CallError, MAX_SERVER_ANSWER_BYTES, Reply};
+use super::gather::gather;
 use super::pool::{Pool, ReusableIdle};
 
 /// Sends one request and buffers the response; the connection returns to the pool if it is
@@ -46,12 +46,12 @@
             },
         };
         let (head, body) = response.into_parts();
-        let body = body.collect().await.map_err(|_| CallError::NoAnswer)?;
+        let body = gather(body, MAX_SERVER_ANSWER_BYTES).await?;
         pool.give_back(connection, None);
         return Ok(Reply {
             status: head.status.as_u16(),
             headers: head.headers,
-            body: body.to_bytes(),
+            body,
         });
     }
 }
--- a/crates/tinbay-gateway/src/links/check.rs
+++ b/crates/tinbay-gateway/src/links/check.rs
@@ -12,7 +12,7 @@
 use tinbay_core::slots::home::LeaseEnd;
 use tinbay_core::units::Millis;
 
-use crate::http::call::{Call, HttpClient};
+use crate::http::call::{Call, HttpClient, MAX_SERVER_ANSWER_BYTES};
 use crate::node::Node;
 use crate::servers::{Server, notices};
 use crate::slots::asking::{self, SlotParams};
@@ -186,6 +186,7 @@
             body: Bytes::new(),
             header: Some((headers.expect_server.clone(), record.id.clone())),
             timeout_ms: CHECK_TIMEOUT_MS,
+            max_answer_bytes: MAX_SERVER_ANSWER_BYTES,
         };
         let reply = HttpClient::new(record.address).call(&call).await;
         let is_rejected = reply
--- a/crates/tinbay-gateway/src/orders/held_server.rs
+++ b/crates/tinbay-gateway/src/orders/held_server.rs
@@ -12,6 +12,7 @@
 use tinbay_core::sharing::admission::AdmissionQueue;
 use tinbay_core::units::Millis;
 
+use crate::http::call::CallError;
 use crate::limits::notices;
 use crate::members::box_fingerprint;
 use crate::node::Node;
@@ -55,6 +56,8 @@
     /// Set when the server's limit changed and the boxes that use it have not been notified yet.
     pub limit_changed: Cell<bool>,
     checked_ms: Cell<Millis>,
+    /// Why the last report could not be fetched.
+    report_error: Cell<Option<CallError>>,
     subscribers: RefCell<Subscribers>,
     spreads: RefCell<Spreads>,
 }
@@ -69,11 +72,19 @@
             restart_check_due: Cell::default(),
             limit_changed: Cell::default(),
             checked_ms: Cell::default(),
+            report_error: Cell::default(),
             subscribers: RefCell::default(),
             spreads: RefCell::default(),
         }
     }
 
+    /// Records whether the last report was fetched; returns the error if it is another one than
+    /// before.
+    pub fn record_report(&self, error: Option<CallError>) -> Option<CallError> {
+        let before = self.report_error.replace(error);
+        error.filter(|_| before != error)
+    }
+
     /// Returns whether to check for a restart of the server now, and clears the request for it.
     pub fn take_due_check(&self, now_ms: Millis) -> bool {
         let is_due = now_ms >= self.checked_ms.get() + MIN_CHECK_INTERVAL_MS;
--- a/crates/tinbay-gateway/src/orders/holder.rs
+++ b/crates/tinbay-gateway/src/orders/holder.rs
@@ -22,7 +22,7 @@
 use super::quota;
 use crate::events::{self, part};
 use crate::front::inbound::text;
-use crate::http::call::{Call, CallError, HttpClient, Reply};
+use crate::http::call::{Call, CallError, HttpClient, MAX_SERVER_ANSWER_BYTES, Reply};
 use crate::links;
 use crate::node::Node;
 use crate::port::dialect::{DecodeError, Order, OrderAction};
@@ -283,7 +283,9 @@
         let path = self.node.dialect.report_path().to_string();
         let call = self.call(Method::GET, path, Bytes::new(), REPORT_TIMEOUT_MS);
         let request_sent_ms = self.node.now_ms();
-        match self.caller.call(&call).await {
+        let replied = self.caller.call(&call).await;
+        self.log_report_failure(replied.as_ref().err().copied());
+        match replied {
             Ok(reply) => {
                 self.server.pool.record_heard();
                 self.read_reply(&reply, request_sent_ms)
@@ -295,6 +297,18 @@
         }
     }
 
+    /// Logs why a report could not be fetched, once until the reason changes.
+    fn log_report_failure(&self, error: Option<CallError>) {
+        let Some(error) = self.held.record_report(error) else {
+            return;
+        };
+        let event = UnreadableEvent {
+            server: &self.server.record().id,
+            error: error.to_string(),
+        };
+        events::emit(part::ORDERS, Level::Warn, "report_failed", &event);
+    }
+
     /// Decodes the answer to a report request and applies the notices in its headers.
     fn read_reply(&self, reply: &Reply, request_sent_ms: Millis) -> Option<Report> {
         if reply.status != 200 {
@@ -444,7 +458,7 @@
                 self.report_unreachable(error).await;
                 match error {
                     CallError::NotConnected => OrderAnswer::Refused,
-                    CallError::NoAnswer => OrderAnswer::NoAnswer,
+                    CallError::NoAnswer | CallError::TooLong { .. } => OrderAnswer::NoAnswer,
                 }
             }
         }
@@ -517,6 +531,7 @@
             body,
             header: Some((name, self.server.record().id.clone())),
             timeout_ms,
+            max_answer_bytes: MAX_SERVER_ANSWER_BYTES,
         }
     }
 
--- a/crates/tinbay-gateway/src/port/store.rs
+++ b/crates/tinbay-gateway/src/port/store.rs
@@ -137,6 +137,12 @@
         /// Era of the response.
         era: Era,
     },
+    /// The response is too long; the rest was not read. The call may have been executed.
+    #[error("the store's response is longer than {max_bytes} bytes")]
+    TooLong {
+        /// The limit that it exceeds.
+        max_bytes: usize,
+    },
     /// The response could not be decoded.
     #[error("the store's response could not be decoded: {reason}")]
     Malformed {
--- a/crates/tinbay-gateway/src/watch/access.rs
+++ b/crates/tinbay-gateway/src/watch/access.rs
@@ -187,8 +187,10 @@
     /// When the store does not answer or refuses, or is restored between two pages.
     pub async fn list(&self, prefix: &str, stale: bool) -> StoreResult<Listed> {
         match self.list_once(prefix, stale).await {
-            // The changes since the oldest page are gone. Current pages are younger.
-            Err(StoreError::HistoryGone) if stale => self.list_once(prefix, false).await,
+            // The changes since the oldest page are gone, or too many. Current pages are younger.
+            Err(StoreError::HistoryGone | StoreError::TooLong { .. }) if stale => {
+                self.list_once(prefix, false).await
+            }
             result => result,
         }
     }
--- a/crates/tinbay-gateway/src/watch/mod.rs
+++ b/crates/tinbay-gateway/src/watch/mod.rs
@@ -176,7 +176,8 @@
                     sleep_with_jitter(gap_ms).await;
                 }
             }
-            Err(StoreError::HistoryGone) => {
+            // Changes that don't fit into one answer are read as a listing, too.
+            Err(StoreError::HistoryGone | StoreError::TooLong { .. }) => {
                 delay_listing(node).await;
                 return Ok(());
             }
@@ -231,6 +232,7 @@
         Err(StoreError::LeaseExpired) => "lease_over",
         Err(StoreError::EraChanged) => "era_over",
         Err(StoreError::LateAnswer { .. }) => "late_answer",
+        Err(StoreError::TooLong { .. }) => "too_long",
         Err(StoreError::Malformed { .. }) => "malformed",
     };
     node.metrics
--- a/crates/tinbay-gateway/src/watch/relay/ask.rs
+++ b/crates/tinbay-gateway/src/watch/relay/ask.rs
@@ -13,7 +13,7 @@
 use super::PATH;
 use super::message::{ChangePart, RelayAnswer, RelayRequest};
 use crate::events::{self, part};
-use crate::http::call::{Call, HttpClient};
+use crate::http::call::{Call, HttpClient, MAX_STORE_ANSWER_BYTES};
 use crate::node::Node;
 use crate::port::store::{Change, Changes, Item, Listing};
 use crate::watch::replica::Freshness;
@@ -201,6 +201,7 @@
         body: Bytes::from(postcard::to_stdvec(request).ok()?),
         header: None,
         timeout_ms,
+        max_answer_bytes: MAX_STORE_ANSWER_BYTES,
     };
     let caller = caller(node, relay.address);
     let reply = caller.call(&call).await.ok()?;
--- a/crates/tinbay-gateway/src/watch/source.rs
+++ b/crates/tinbay-gateway/src/watch/source.rs
@@ -319,7 +319,7 @@
                 self.last_success_ms.set(Some(now_ms));
                 self.is_failing.set(false);
             }
-            Err(StoreError::HistoryGone) => {}
+            Err(StoreError::HistoryGone | StoreError::TooLong { .. }) => {}
             Err(error) => {
                 self.is_failing.set(true);
                 if *error == StoreError::NoAnswer {
--- a/crates/tinbay-gateway/tests/call_test.rs
+++ b/crates/tinbay-gateway/tests/call_test.rs
@@ -21,6 +21,7 @@
         body: Bytes::new(),
         header: None,
         timeout_ms: 300,
+        max_answer_bytes: 1_024,
     }
 }
 
