HTTP: interim responses without end no longer hold a request until its time is up

What callers saw: nothing until the deadline from a server that answers by 1xx responses without end, and a box that reads and parses them as fast as they come; calls of the box itself likewise.

Cause: the HTTP library reads interim responses until another one comes.

The request may have run: it is told so, or repeated where it may be; the server gets the penalty for an unknown outcome.

--- a/crates/tinbay-gateway/src/front/attempt.rs
+++ b/crates/tinbay-gateway/src/front/attempt.rs
@@ -16,6 +16,7 @@
 use super::inbound::{InboundRequest, text};
 use crate::crashes;
 use crate::http::body::RequestBody;
+use crate::http::interim::InterimLimit;
 use crate::http::pool::{ConnectError, Connection, ReusableIdle};
 use crate::http::reuse::Reuse;
 use crate::limits::permits::Permit;
@@ -62,6 +63,8 @@
     Closed,
     /// No response arrived in time.
     Silent,
+    /// Interim responses kept coming instead of a response.
+    NoFinalResponse,
     /// The response carries no request id or that of another request.
     OtherAnswer,
     /// The status suggests that the request did not run, but the server does not confirm it.
@@ -74,6 +77,7 @@
         match self {
             UnknownCause::Closed => "closed",
             UnknownCause::Silent => "silent",
+            UnknownCause::NoFinalResponse => "no_final_response",
             UnknownCause::OtherAnswer => "other_answer",
             UnknownCause::UnconfirmedNotRun => "bare_promise",
         }
@@ -147,14 +151,15 @@
     }
 }
 
-/// Whether a request ended without an answer as the server accepted no connection or closed it.
+/// Whether a request ended without an answer as the server accepted no connection, closed it, or sent
+/// interim responses only.
 fn is_server_failure(result: &AttemptResult) -> bool {
     matches!(
         result,
         AttemptResult::NotSent {
             error: ConnectError::Refused
         } | AttemptResult::Unknown {
-            cause: UnknownCause::Closed
+            cause: UnknownCause::Closed | UnknownCause::NoFinalResponse
         }
     )
 }
@@ -211,7 +216,14 @@
         let known_bytes = request.body().known_bytes();
         let boxes = node.box_count.get();
         let _unread = terms.server.waiting.begin(known_bytes, boxes);
-        match send(node, &mut connection, request, terms, pending).await {
+        let interim = InterimLimit::of(&mut request);
+        let sent = tokio::select! {
+            sent = send(node, &mut connection, request, terms, pending) => sent,
+            () = interim.exceeded() => {
+                return Err(AttemptResult::unknown(UnknownCause::NoFinalResponse));
+            }
+        };
+        match sent {
             Ok(response) => {
                 return Ok(UnclassifiedResponse {
                     response,
--- a/crates/tinbay-gateway/src/front/handover/actions.rs
+++ b/crates/tinbay-gateway/src/front/handover/actions.rs
@@ -375,7 +375,7 @@
     let reply = match reply {
         Ok(reply) => reply,
         Err(CallError::NotConnected) => return HandoverAnswer::NotStopped,
-        Err(CallError::NoAnswer | CallError::TooLong { .. }) => {
+        Err(CallError::NoAnswer | CallError::TooLong { .. } | CallError::NoFinalResponse) => {
             return HandoverAnswer::Unknown;
         }
     };
--- a/crates/tinbay-gateway/src/http/call.rs
+++ b/crates/tinbay-gateway/src/http/call.rs
@@ -13,6 +13,7 @@
 
 use super::connect::connect;
 use super::gather::gather;
+use super::interim::InterimLimit;
 
 /// Maximum number of idle connections kept per address.
 const MAX_IDLE_CONNECTIONS: usize = 4;
@@ -71,6 +72,9 @@
         /// The limit that it exceeds.
         max_bytes: usize,
     },
+    /// Interim responses keep coming instead of a response.
+    #[error("too many interim responses and no response")]
+    NoFinalResponse,
 }
 
 /// Client for one address that reuses idle connections.
@@ -108,10 +112,12 @@
 
     async fn exchange(&self, call: &Call) -> Result<Reply, CallError> {
         let mut sender = self.sender().await?;
-        let response = sender
-            .send_request(self.request(call))
-            .await
-            .map_err(|_| CallError::NoAnswer)?;
+        let mut request = self.request(call);
+        let interim = InterimLimit::of(&mut request);
+        let response = tokio::select! {
+            sent = sender.send_request(request) => sent.map_err(|_| CallError::NoAnswer)?,
+            () = interim.exceeded() => return Err(CallError::NoFinalResponse),
+        };
         let (head, body) = response.into_parts();
         let body = gather(body, call.max_answer_bytes).await?;
         self.keep(sender);
--- a/crates/tinbay-gateway/src/http/mod.rs
+++ b/crates/tinbay-gateway/src/http/mod.rs
@@ -7,6 +7,7 @@
 pub mod connect;
 pub mod framing;
 pub mod gather;
+pub mod interim;
 pub mod pool;
 pub mod pooled;
 pub mod pump;
--- a/crates/tinbay-gateway/src/http/pooled.rs
+++ b/crates/tinbay-gateway/src/http/pooled.rs
@@ -8,6 +8,7 @@
 use super::body::RequestBody;
 use super::call::{CallError, MAX_SERVER_ANSWER_BYTES, Reply};
 use super::gather::gather;
+use super::interim::InterimLimit;
 use super::pool::{Pool, ReusableIdle};
 
 /// Sends one request and buffers the response; the connection returns to the pool if it is
@@ -34,7 +35,12 @@
     loop {
         let connected = pool.get(max_connections, ReusableIdle::WithinLimit).await;
         let mut connection = connected.map_err(|_| CallError::NotConnected)?;
-        let response = match connection.sender.try_send_request(request).await {
+        let interim = InterimLimit::of(&mut request);
+        let sent = tokio::select! {
+            sent = connection.sender.try_send_request(request) => sent,
+            () = interim.exceeded() => return Err(CallError::NoFinalResponse),
+        };
+        let response = match sent {
             Ok(response) => response,
             Err(mut error) => match error.take_message() {
                 Some(unsent) if connection.is_reused => {
--- a/crates/tinbay-gateway/src/orders/holder.rs
+++ b/crates/tinbay-gateway/src/orders/holder.rs
@@ -458,7 +458,9 @@
                 self.report_unreachable(error).await;
                 match error {
                     CallError::NotConnected => OrderAnswer::Refused,
-                    CallError::NoAnswer | CallError::TooLong { .. } => OrderAnswer::NoAnswer,
+                    CallError::NoAnswer
+                    | CallError::TooLong { .. }
+                    | CallError::NoFinalResponse => OrderAnswer::NoAnswer,
                 }
             }
         }
