Replica: the changes that a box keeps for others are bounded in bytes

Cause: the log of changes was bounded by 4,000 changes a prefix, each with its whole value.

Change: it holds at most 4 MB as well; the newest change stays. A box that has missed more lists the prefix again, as before.

--- a/crates/tinbay-gateway/src/port/store.rs
+++ b/crates/tinbay-gateway/src/port/store.rs
@@ -47,6 +47,14 @@
         }
     }
 
+    /// Size of key and value.
+    pub fn size_bytes(&self) -> usize {
+        match self {
+            Self::Put(item) => item.key.len() + item.value.len(),
+            Self::Deleted { key, .. } => key.len(),
+        }
+    }
+
     /// Position at which the change was made.
     pub fn position(&self) -> Position {
         match self {
--- a/crates/tinbay-gateway/src/watch/replica.rs
+++ b/crates/tinbay-gateway/src/watch/replica.rs
@@ -13,6 +13,9 @@
 /// Changes kept per prefix. A box that has missed more than these must list the prefix again.
 const MAX_LOGGED_CHANGES: usize = 4_000;
 
+/// Bytes of changes kept per prefix. The newest change is kept whatever its size.
+const MAX_LOGGED_BYTES: usize = 4 * 1_024 * 1_024;
+
 /// Content and latest changes of one prefix.
 #[derive(Debug, Default)]
 struct PrefixCopy {
@@ -23,6 +26,8 @@
     at: Position,
     /// Latest changes that are sent to other boxes, oldest first.
     log: VecDeque<Change>,
+    /// Bytes of the changes in `log`.
+    logged_bytes: usize,
     confirmed_ms: Millis,
     max_relayed_age_ms: Option<Millis>,
     /// When the copy was last known to include everything that was ever written.
@@ -32,6 +37,28 @@
     is_reported_complete: bool,
 }
 
+impl PrefixCopy {
+    /// Adds a change to the log, and drops the oldest ones if there are too many.
+    fn log_change(&mut self, change: &Change) {
+        self.logged_bytes += change.size_bytes();
+        self.log.push_back(change.clone());
+        while self.is_log_full()
+            && let Some(oldest) = self.log.pop_front()
+        {
+            self.logged_bytes -= oldest.size_bytes();
+            self.log_begins_at = self
+                .log_begins_at
+                .later_of(oldest.position())
+                .unwrap_or(self.log_begins_at);
+        }
+    }
+
+    fn is_log_full(&self) -> bool {
+        let is_too_large = self.logged_bytes > MAX_LOGGED_BYTES && self.log.len() > 1;
+        is_too_large || self.log.len() > MAX_LOGGED_CHANGES
+    }
+}
+
 /// Local copy of the store, by prefix.
 #[derive(Debug, Default)]
 pub struct Replica {
@@ -100,6 +127,7 @@
             log_begins_at: listing.at,
             at: listing.at,
             log: VecDeque::new(),
+            logged_bytes: 0,
             confirmed_ms: freshness.confirmed_ms,
             max_relayed_age_ms: freshness.max_relayed_age_ms,
         };
@@ -121,15 +149,7 @@
         if !is_relayed {
             return;
         }
-        copy.log.push_back(change.clone());
-        if copy.log.len() > MAX_LOGGED_CHANGES
-            && let Some(oldest) = copy.log.pop_front()
-        {
-            copy.log_begins_at = copy
-                .log_begins_at
-                .later_of(oldest.position())
-                .unwrap_or(copy.log_begins_at);
-        }
+        copy.log_change(change);
         self.changed.notify_waiters();
     }
 
--- a/crates/tinbay-gateway/tests/replica_test.rs
+++ b/crates/tinbay-gateway/tests/replica_test.rs
@@ -189,3 +189,33 @@
     replica.mark_complete(PREFIX);
     assert_eq!(replica.complete_ms(PREFIX), None);
 }
+
+/// Guards against boxes that pass their memory as they keep the last 4,000 changes whatever their
+/// size.
+#[test]
+fn since_keeps_few_of_large_changes() {
+    let replica = listed(true);
+    for revision in 11..=60 {
+        let large = Item {
+            value: vec![0; 1_000_000],
+            ..item("a/1", revision)
+        };
+        replica.record_change(PREFIX, &Change::Put(large), true);
+    }
+    replica.confirm(PREFIX, at(60), freshness(1_100, true));
+    let begins = (10..60).find(|revision| changes(replica.since(PREFIX, at(*revision))).is_some());
+    assert_eq!(begins, Some(56), "4 changes fit into 4 MB");
+}
+
+/// A change larger than all that is kept reaches the boxes that have applied those before it.
+#[test]
+fn since_keeps_the_newest_change_whatever_its_size() {
+    let replica = listed(true);
+    let large = Item {
+        value: vec![0; 10_000_000],
+        ..item("a/1", 11)
+    };
+    replica.record_change(PREFIX, &Change::Put(large), true);
+    replica.confirm(PREFIX, at(11), freshness(1_100, true));
+    assert_eq!(changes(replica.since(PREFIX, at(10))), Some((vec![11], 11)));
+}
