Answers without framing: a leaving server has to answer to count as running

Cause: of a server that leaves and accepts no connection, an idle connection that looks open was taken for a sign of life. Its end may be late.

Change: such a server is asked on the idle connection; any answer shows that it runs.

--- a/crates/tinbay-gateway/src/front/close_judge.rs
+++ b/crates/tinbay-gateway/src/front/close_judge.rs
@@ -10,6 +10,7 @@
 use crate::handover::drive::LocalFuture;
 use crate::http::connect::ProbeOutcome;
 use crate::http::relay::CloseJudge;
+use crate::links::check;
 use crate::node::Node;
 use crate::servers::{RunningRequest, Server};
 
@@ -17,11 +18,11 @@
 /// milliseconds.
 const CHECK_DELAY: Duration = Duration::from_millis(2);
 
-/// Time-out of one attempt to connect; a server is at most a few milliseconds away.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time-out of one attempt to connect, or of one call; a server is at most a few milliseconds away.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Attempts to connect, as a packet may be lost.
-const CONNECT_ATTEMPTS: usize = 2;
+/// Attempts, as a packet may be lost.
+const CHECK_ATTEMPTS: usize = 2;
 
 /// Judges the answer of a server by what it holds, its time, and whether the server still runs: a
 /// process that ends closes its connections without an error, too.
@@ -52,25 +53,27 @@
         let sent = self.inbound.last_send.get();
         let deadline_ms = sent.map_or(self.inbound.time_up_ms, |sent| sent.time_up_ms);
         let early = find_early_close(&body, deadline_ms, self.node.now_ms());
+        let node = Rc::clone(&self.node);
         Box::pin(async move {
             if let Some(early) = early {
                 return Err(early);
             }
-            check_running(&server).await
+            check_running(&node, &server).await
         })
     }
 }
 
 /// Checks that a server that has closed a connection still runs. A new connection shows that, and
-/// the next request uses it. An idle one may look open as its end has not arrived; only of a server
-/// that leaves, and accepts no new ones, it is taken for a sign.
-async fn check_running(server: &Server) -> Result<(), EarlyClose> {
+/// the next request uses it. A server that leaves may accept no new ones and is asked on an idle one.
+async fn check_running(node: &Node, server: &Rc<Server>) -> Result<(), EarlyClose> {
     tokio::time::sleep(CHECK_DELAY).await;
-    for _ in 0..CONNECT_ATTEMPTS {
-        match server.pool.open_idle(CONNECT_TIMEOUT).await {
+    for _ in 0..CHECK_ATTEMPTS {
+        match server.pool.open_idle(CHECK_TIMEOUT).await {
             ProbeOutcome::Takes => return Ok(()),
-            ProbeOutcome::Refuses if server.is_leaving() && server.pool.has_open_idle() => {
-                return Ok(());
+            ProbeOutcome::Refuses if server.is_leaving() => {
+                if check::is_answered_on_idle(node, server, CHECK_TIMEOUT).await {
+                    return Ok(());
+                }
             }
             ProbeOutcome::Refuses => return Err(EarlyClose::ServerGone),
             ProbeOutcome::Silent => {}
--- a/crates/tinbay-gateway/src/front/handover/actions.rs
+++ b/crates/tinbay-gateway/src/front/handover/actions.rs
@@ -6,8 +6,7 @@
 
 use bytes::Bytes;
 use hyper::body::Body;
-use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
-use hyper::{Method, Request, StatusCode};
+use hyper::{Method, StatusCode};
 use log::Level;
 use serde::Serialize;
 use tinbay_core::handover::transitions::{HandoverAnswer, ResumeServer};
@@ -31,6 +30,7 @@
 use crate::http::relay::ContinuedAnswer;
 use crate::limits::permits;
 use crate::node::Node;
+use crate::servers::calls::request_to;
 use crate::servers::{RunningRequest, Server};
 use crate::slots::asking::SlotParams;
 
@@ -389,26 +389,3 @@
         _ => HandoverAnswer::Unknown,
     }
 }
-
-/// Builds a request to a server about a run.
-fn request_to(
-    node: &Node,
-    server: &Server,
-    method: Method,
-    path: &str,
-    body: Bytes,
-) -> Request<RequestBody> {
-    let mut request = Request::new(RequestBody::whole(body));
-    *request.method_mut() = method;
-    *request.uri_mut() = path.parse().unwrap_or_default();
-    let headers = request.headers_mut();
-    let name = &node.dialect.headers().expect_server;
-    if let Ok(id) = HeaderValue::from_str(&server.record().id) {
-        headers.insert(name.clone(), id);
-    }
-    if let Ok(host) = HeaderValue::from_str(&server.address_text) {
-        headers.insert(HOST, host);
-    }
-    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    request
-}
--- a/crates/tinbay-gateway/src/http/pool.rs
+++ b/crates/tinbay-gateway/src/http/pool.rs
@@ -204,7 +204,7 @@
     }
 
     /// Takes the connection with the shortest idle time, as servers close that one last.
-    fn take_idle(&self, reusable: ReusableIdle) -> Option<Connection> {
+    pub fn take_idle(&self, reusable: ReusableIdle) -> Option<Connection> {
         let now_ms = self.clock.now_ms();
         let mut idle = self.idle.borrow_mut();
         while let Some(last) = idle.last() {
--- a/crates/tinbay-gateway/src/links/check.rs
+++ b/crates/tinbay-gateway/src/links/check.rs
@@ -13,9 +13,12 @@
 use tinbay_core::units::Millis;
 
 use crate::http::call::{Call, HttpClient, MAX_SERVER_ANSWER_BYTES};
+use crate::http::pooled::call_idle;
 use crate::node::Node;
+use crate::servers::calls::request_to;
 use crate::servers::{Server, notices};
-use crate::slots::asking::{self, SlotParams};
+use crate::slots::asking::{self, SlotParams, SlotsFull};
+use crate::slots::lease::SlotLease;
 
 /// Time limit of a check; a server is at most a few milliseconds away.
 const CHECK_TIMEOUT_MS: Millis = 400;
@@ -123,11 +126,7 @@
         return record_reached(server);
     };
     let checks = &node.metrics.link_checks;
-    let slot = match check.takes_slot {
-        true => asking::lease(node, server, CHECK_SLOT).await,
-        false => Ok(None),
-    };
-    let Ok(slot) = slot else {
+    let Ok(slot) = check.take_slot(node, server).await else {
         checks.with_label_values(&["no_slot"]).inc();
         return;
     };
@@ -152,6 +151,20 @@
     server.undecided_cuts.take();
 }
 
+/// Whether a server answers on a connection that is already open. That such a connection looks open
+/// shows nothing, as its end may be late.
+pub async fn is_answered_on_idle(node: &Node, server: &Rc<Server>, timeout: Duration) -> bool {
+    let Some(check) = CheckCall::of(node, server) else {
+        return false;
+    };
+    let Ok(_slot) = check.take_slot(node, server).await else {
+        return false;
+    };
+    let request = request_to(node, server, Method::GET, &check.path, Bytes::new());
+    let reply = call_idle(&server.pool, request, timeout).await;
+    reply.is_ok()
+}
+
 /// How a server is checked: an engine is asked for its report, which occupies none of its slots, and
 /// any other server for its health.
 struct CheckCall {
@@ -176,6 +189,18 @@
         })
     }
 
+    /// Leases a slot of a brittle server if the check takes one.
+    async fn take_slot(
+        &self,
+        node: &Node,
+        server: &Rc<Server>,
+    ) -> Result<Option<SlotLease>, SlotsFull> {
+        match self.takes_slot {
+            true => asking::lease(node, server, CHECK_SLOT).await,
+            false => Ok(None),
+        }
+    }
+
     /// Whether the server answers on a new connection; any answer will do.
     async fn is_answered(&self, node: &Node, server: &Server) -> bool {
         let record = server.record();
--- a/crates/tinbay-gateway/src/links/mod.rs
+++ b/crates/tinbay-gateway/src/links/mod.rs
@@ -5,7 +5,7 @@
 //! either, the box counts as partitioned: its requests go through another box, and what it sees of
 //! the servers is not reported as their failure.
 
-mod check;
+pub mod check;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap, HashSet};
--- a/crates/tinbay-gateway/src/servers/mod.rs
+++ b/crates/tinbay-gateway/src/servers/mod.rs
@@ -1,5 +1,6 @@
 //! Table of the backend servers that this box knows, with this box's state for each of them.
 
+pub mod calls;
 mod departed;
 pub mod notices;
 pub mod server;
