Crashes: an open idle connection no longer hides that a server has crashed

What callers saw: a request that crashes servers is counted less often than it crashes them, and refused later, where the end of another connection of the server is late.

The check of a server that cut an answer short took an idle connection that looks open for a sign that the server runs. It now probes the address always, one connection for each server and cut.

--- a/crates/tinbay-gateway/src/crashes/check.rs
+++ b/crates/tinbay-gateway/src/crashes/check.rs
@@ -86,11 +86,8 @@
 async fn check(node: Rc<Node>, server: Rc<Server>) {
     let is_planned = !is_expected_to_run(&node, &server);
     tokio::time::sleep(CHECK_DELAY).await;
-    let outcome = if server.pool.has_open_idle() {
-        ProbeOutcome::Takes
-    } else {
-        probe(server.record().address, PROBE_TIMEOUT).await
-    };
+    // An idle connection that looks open shows nothing: its end may be late.
+    let outcome = probe(server.record().address, PROBE_TIMEOUT).await;
     let cut = server.cut_requests.take();
     let record = server.record();
     let event = CheckEvent {
--- a/crates/tinbay-gateway/src/http/pool.rs
+++ b/crates/tinbay-gateway/src/http/pool.rs
@@ -316,13 +316,6 @@
         self.idle.borrow_mut().retain(keeps);
     }
 
-    /// Whether any idle connection is still open; drops the closed ones.
-    pub fn has_open_idle(&self) -> bool {
-        let mut idle = self.idle.borrow_mut();
-        idle.retain(|kept| !kept.connection.sender.is_closed());
-        !idle.is_empty()
-    }
-
     /// Whether any connection is open, idle or in use.
     pub fn has_open(&self) -> bool {
         self.open.get() > 0
