Retry budget: first attempts are dropped after their window also where none is repeated

A service without a second send kept the time of each of its requests for good, 8 bytes each: only a retry or hedge dropped old ones. Found by the review by reading. first_attempts_are_kept_for_one_ window_without_any_retry fails with the drop taken out.

--- a/crates/tinbay-core/src/serving/budget.rs
+++ b/crates/tinbay-core/src/serving/budget.rs
@@ -33,11 +33,17 @@
 }
 
 impl AttemptBudget {
-    /// Records a first attempt.
-    pub fn record_first_attempt(&mut self, now_ms: Millis) {
+    /// Records a first attempt, and drops those that no longer count.
+    pub fn record_first_attempt(&mut self, terms: &BudgetTerms, now_ms: Millis) {
+        self.drop_ended(terms, now_ms);
         self.first_attempts.push_back(now_ms);
     }
 
+    /// Number of first attempts that are kept.
+    pub fn first_attempts(&self) -> usize {
+        self.first_attempts.len()
+    }
+
     /// Takes one retry from the budget if the share of this box among `boxes` allows it.
     pub fn take_retry(&mut self, terms: &BudgetTerms, boxes: usize, now_ms: Millis) -> bool {
         self.take(WINDOW_SKEW_FACTOR, terms, boxes, now_ms)
@@ -50,9 +56,7 @@
     }
 
     fn take(&mut self, fraction: f64, terms: &BudgetTerms, boxes: usize, now_ms: Millis) -> bool {
-        let window_start_ms = now_ms.saturating_sub(terms.window_ms);
-        drop_before(&mut self.first_attempts, window_start_ms);
-        drop_before(&mut self.extra_attempts, window_start_ms);
+        self.drop_ended(terms, now_ms);
         let own_extra = terms.extra / boxes.max(1) as f64;
         let allowed = fraction * (terms.ratio * self.first_attempts.len() as f64 + own_extra);
         if self.extra_attempts.len() as f64 + 1.0 > allowed {
@@ -61,6 +65,12 @@
         self.extra_attempts.push_back(now_ms);
         true
     }
+
+    fn drop_ended(&mut self, terms: &BudgetTerms, now_ms: Millis) {
+        let window_start_ms = now_ms.saturating_sub(terms.window_ms);
+        drop_before(&mut self.first_attempts, window_start_ms);
+        drop_before(&mut self.extra_attempts, window_start_ms);
+    }
 }
 
 fn drop_before(times: &mut VecDeque<Millis>, start_ms: Millis) {
--- a/crates/tinbay-core/tests/hedge_test.rs
+++ b/crates/tinbay-core/tests/hedge_test.rs
@@ -101,7 +101,7 @@
 fn budget_of_hedges_leaves_half_for_retries() {
     let mut budget = AttemptBudget::default();
     for now_ms in 0..1_000 {
-        budget.record_first_attempt(now_ms);
+        budget.record_first_attempt(&TERMS, now_ms);
     }
     let count = |is_taken: &mut dyn FnMut() -> bool| (0..1_000).filter(|_| is_taken()).count();
     let hedges = count(&mut || budget.take_hedge(&TERMS, 1, 1_000));
--- a/crates/tinbay-core/tests/serving_routes_test.rs
+++ b/crates/tinbay-core/tests/serving_routes_test.rs
@@ -97,7 +97,7 @@
                 .collect();
             times.sort_unstable();
             for time in &times {
-                budget.record_first_attempt(*time);
+                budget.record_first_attempt(&TERMS, *time);
                 first_count += 1;
             }
             taken += (0..100)
@@ -109,6 +109,16 @@
     QuickCheck::new().quickcheck(property as fn(u8, Vec<u16>) -> bool);
 }
 
+/// Guards against memory that grows with each request to a service that needs no retry.
+#[test]
+fn first_attempts_are_kept_for_one_window_without_any_retry() {
+    let mut budget = AttemptBudget::default();
+    for now_ms in 0..100_000 {
+        budget.record_first_attempt(&TERMS, now_ms);
+    }
+    assert!(budget.first_attempts() as u64 <= TERMS.window_ms + 1);
+}
+
 #[test]
 fn take_retry_is_allowed_again_after_the_window() {
     let mut budget = AttemptBudget::default();
--- a/crates/tinbay-gateway/src/front/filters/delivery.rs
+++ b/crates/tinbay-gateway/src/front/filters/delivery.rs
@@ -27,5 +27,6 @@
     let now_ms = node.now_ms();
     let mut budgets = node.budgets.borrow_mut();
     let budget = budgets.entry(inbound.service.clone()).or_default();
-    budget.record_first_attempt(now_ms);
+    let terms = node.settings.borrow().bounds.second_sends;
+    budget.record_first_attempt(&terms, now_ms);
 }
