--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -433,7 +433,7 @@
 /// If the server holds a replaced version, the deadline sent is capped at the time that this
 /// version has left, so that the server declines a request still queued by then. A limit on the
 /// send time alone is not enough: a server that is suspended for a while may begin the request
-/// after the replaced version's time is over, 6.2 s after the replacement where 5 s are allowed.
+/// after the replaced version's time is over.
 fn last_send(node: &Node, inbound: &InboundRequest, server: &Server, now_ms: Millis) -> LastSend {
     let model = inbound.model.as_deref().unwrap_or_default();
     let named_version = inbound.named_version(node);
--- a/crates/tinbay-gateway/src/orders/membership.rs
+++ b/crates/tinbay-gateway/src/orders/membership.rs
@@ -32,10 +32,9 @@
 /// First wait after a failed call.
 const RETRY_PAUSE_MS: Millis = 300;
 
-/// Upper bound of the exponential backoff. While the store is unreachable, a large fleet would make
-/// thousands of failing calls with a fixed short wait: 195 boxes some 9,000 in 14 s with a
-/// wait of 300 ms. A box that gets the store's contents relayed by other boxes wakes as soon as one
-/// of them reaches the store again, however long its wait.
+/// Upper bound of the exponential backoff, which bounds the calls of a large fleet while the store is
+/// unreachable. A box that gets the store's contents relayed by other boxes wakes as soon as one of
+/// them reaches the store again, however long its wait.
 const MAX_RETRY_PAUSE_MS: Millis = 2_400;
 
 /// Jitter that spreads the calls of boxes woken together when the store is reachable again.
--- a/crates/tinbay-gateway/src/watch/configuration.rs
+++ b/crates/tinbay-gateway/src/watch/configuration.rs
@@ -161,9 +161,7 @@
 
     /// Whether the operators can be assumed to have rewritten what a restore of the store lost:
     /// some seconds after the restore, or as soon as a configuration change is watched in the new
-    /// era. No box knows a version that was written and lost while none could read the store:
-    /// without this check, a key of a client account that it removed was accepted for 5.02 s where
-    /// 5.0 s are allowed.
+    /// era. No box knows a version that was written and lost while none could read the store.
     fn is_rewritten(&self) -> bool {
         let Some(era) = self.node.unsettled_era() else {
             return true;
--- a/crates/tinbay-gateway/src/watch/mod.rs
+++ b/crates/tinbay-gateway/src/watch/mod.rs
@@ -32,7 +32,7 @@
 
 /// Pause before the first watch of a box that knows no other box. When all boxes of a fleet start
 /// for the first time, none has an entry in the store yet: no box could find a relay, and each
-/// would watch the store itself: 195 boxes made 900 calls in their first four seconds.
+/// would watch the store itself.
 const NO_OTHER_BOX_PAUSE_MS: Millis = 600;
 
 /// Time per box of the fleet over which listings are spread after a restore of the store.
--- a/crates/tinbay-gateway/src/watch/source.rs
+++ b/crates/tinbay-gateway/src/watch/source.rs
@@ -47,10 +47,8 @@
 /// Time after a successful read of the store in which reads are not limited.
 const STORE_SUCCESS_LIFE_MS: Millis = 2_000;
 
-/// Shortest time that an answer to a watch may take beyond its wait; tolerates a store that needs
-/// 60 times its usual 4 ms. For as long, a zone relies on a relay whose store has stopped
-/// answering. At 1,500 ms, a leaving server was sent requests for up to 2.2 s where 2.0 s are
-/// allowed.
+/// Shortest time that an answer to a watch may take beyond its wait. For as long, a zone relies on a
+/// relay whose store has stopped answering, and sends requests to servers that have left.
 const MIN_DELAY_LIMIT_MS: Millis = 400;
 
 /// Longest such time, for a store that is slower still.
@@ -236,7 +234,7 @@
 ///
 /// The configuration has a limiter of its own: if the store refuses all relays but serves this box,
 /// its changes must still be read within seconds, and other prefixes may just have used up a shared
-/// limit, by which a change came 3 s late in a fleet of 79 boxes.
+/// limit.
 #[derive(Debug, Default)]
 pub struct StoreReadLimiters {
     configuration: StoreReadLimiter,
@@ -306,8 +304,7 @@
 
     /// Whether a relay reads the store now: always while reads succeed, else once per pause; in
     /// between it asks the relays of other zones. A relay that asked only those could not answer
-    /// its zone for a while after the store has recovered, and a leaving server was sent requests
-    /// for 2.2 s where 2.0 s are allowed.
+    /// its zone for a while after the store has recovered.
     pub fn allows_relay_read(&self, now_ms: Millis) -> bool {
         !self.is_failing() || self.try_acquire(RELAY_STORE_READ_PAUSE_MS, now_ms)
     }
