--- a/crates/tinbay-gateway/src/watch/mod.rs
+++ b/crates/tinbay-gateway/src/watch/mod.rs
@@ -17,8 +17,10 @@
 use log::Level;
 use rand::RngExt;
 use serde::Serialize;
+use tinbay_core::serving::position::Position;
 use tinbay_core::units::Millis;
 
+use self::replica::Freshness;
 use crate::events::{self, part};
 use crate::node::Node;
 use crate::port::store::{Change, Item, Listing, StoreError};
@@ -123,6 +125,7 @@
     }
 }
 
+/// Lists the prefix and watches it until a new listing is needed.
 async fn follow_once(
     node: &Node,
     follower: &dyn Follower,
@@ -130,6 +133,23 @@
     is_lost: &mut bool,
     pause_ms: &mut Millis,
 ) -> Result<(), StoreError> {
+    let at = list_prefix(node, follower, pace).await?;
+    *is_lost = false;
+    *pause_ms = FIRST_RETRY_PAUSE_MS;
+    if node.members.borrow().is_empty() {
+        sleep_with_jitter(NO_OTHER_BOX_PAUSE_MS).await;
+    }
+    watch_prefix(node, follower, pace, at).await?;
+    delay_listing(node).await;
+    Ok(())
+}
+
+/// Applies a listing of the prefix and returns its position.
+async fn list_prefix(
+    node: &Node,
+    follower: &dyn Follower,
+    pace: WatchPace,
+) -> Result<Position, StoreError> {
     let prefix = follower.prefix();
     let (listing, freshness) = source::list(node, prefix, pace).await?;
     node.sync_era();
@@ -144,29 +164,28 @@
         items: Some(listing.items.len()),
     };
     events::emit(part::STORE, Level::Info, "store_listed", &event);
-    *is_lost = false;
-    *pause_ms = FIRST_RETRY_PAUSE_MS;
-    if node.members.borrow().is_empty() {
-        sleep_with_jitter(NO_OTHER_BOX_PAUSE_MS).await;
-    }
-    let mut at = listing.at;
+    Ok(listing.at)
+}
+
+/// Applies all changes after a position, until these are no longer to be had one by one and the
+/// prefix has to be listed again.
+async fn watch_prefix(
+    node: &Node,
+    follower: &dyn Follower,
+    pace: WatchPace,
+    mut at: Position,
+) -> Result<(), StoreError> {
     let mut failures = 0;
     loop {
-        match source::watch(node, prefix, at, pace).await {
+        match source::watch(node, follower.prefix(), at, pace).await {
             Ok((changes, freshness)) => {
                 failures = 0;
                 // Positions of different eras can't be compared: list everything again.
                 let Some(later) = at.later_of(changes.at) else {
-                    delay_listing(node).await;
                     return Ok(());
                 };
                 at = later;
-                for change in &changes.changes {
-                    apply_change(node, follower, change);
-                }
-                let freshness = freshness.checked_by(follower);
-                node.replica.confirm(prefix, at, freshness);
-                node.members.borrow_mut().record_contact(node.now_ms());
+                apply_changes(node, follower, &changes.changes, at, freshness);
                 if !changes.changes.is_empty() {
                     let gap_ms = if freshness.max_relayed_age_ms.is_some() {
                         pace.gap_ms
@@ -177,14 +196,11 @@
                 }
             }
             // Changes that don't fit into one answer are read as a listing, too.
-            Err(StoreError::HistoryGone | StoreError::TooLong { .. }) => {
-                delay_listing(node).await;
-                return Ok(());
-            }
+            Err(StoreError::HistoryGone | StoreError::TooLong { .. }) => return Ok(()),
             Err(error) if failures >= 1 => return Err(error),
             Err(error) => {
                 failures += 1;
-                node.replica.mark_unconfirmed(prefix);
+                node.replica.mark_unconfirmed(follower.prefix());
                 // A call without answer has already waited for its timeout. The retry is sent at
                 // once, as another relay may have the changes by now.
                 if error != StoreError::NoAnswer {
@@ -195,6 +211,22 @@
     }
 }
 
+/// Applies all changes up to a position.
+fn apply_changes(
+    node: &Node,
+    follower: &dyn Follower,
+    changes: &[Change],
+    at: Position,
+    freshness: Freshness,
+) {
+    for change in changes {
+        apply_change(node, follower, change);
+    }
+    let freshness = freshness.checked_by(follower);
+    node.replica.confirm(follower.prefix(), at, freshness);
+    node.members.borrow_mut().record_contact(node.now_ms());
+}
+
 /// Delays the listing that each box makes after a restore of the store. Relays list without delay,
 /// so that they can answer the other boxes.
 async fn delay_listing(node: &Node) {
