Planned stop: a release fits into one transaction also where a box holds many servers

The users' page gives a transaction at most 32 entries, conditions and writes listed together. A box released 32 claims at once, 64 entries: where the store counts all of them, a box with more than 16 servers releases none of them, and they have no holder for some 15 s. How the platform counts is not known, so that callers may not have seen it.

--- a/crates/tinbay-gateway/src/orders/membership.rs
+++ b/crates/tinbay-gateway/src/orders/membership.rs
@@ -37,6 +37,12 @@
 /// them reaches the store again, however long its wait.
 const MAX_RETRY_PAUSE_MS: Millis = 2_400;
 
+/// Time-out of each release transaction at a planned stop.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Claims released by one transaction; each takes a condition and a new value.
+const MAX_RELEASED_AT_ONCE: usize = MAX_TRANSACTION_ENTRIES / 2;
+
 /// Jitter that spreads the calls of boxes woken together when the store is reachable again.
 const RECONNECT_JITTER_MS: Millis = 300;
 
@@ -239,7 +245,7 @@
             .collect()
     };
     let own_process = node.claims.borrow().own_process();
-    for chunk in held.chunks(MAX_TRANSACTION_ENTRIES) {
+    for chunk in held.chunks(MAX_RELEASED_AT_ONCE) {
         let transaction = super::claiming::release_transaction(&own_id, own_process, chunk);
         let committing = node.store.commit(&transaction);
         let result = tokio::time::timeout(RELEASE_TIMEOUT, committing).await;
@@ -248,6 +254,3 @@
         }
     }
 }
-
-/// Time-out of each release transaction at a planned stop.
-const RELEASE_TIMEOUT: Duration = Duration::from_millis(800);
--- a/crates/tinbay-gateway/src/port/store.rs
+++ b/crates/tinbay-gateway/src/port/store.rs
@@ -105,7 +105,8 @@
     pub remove: Vec<String>,
 }
 
-/// Maximum number of entries in one transaction.
+/// Maximum number of entries in one transaction: conditions, keys to write and keys to delete
+/// together.
 pub const MAX_TRANSACTION_ENTRIES: usize = 32;
 
 /// Why a store call failed.
