Claims: a claim of the process before is taken at once only in the current era

A box that starts after a restore of the store took a restored claim under its name at once, while another box may still order under a claim that the store has lost. Found by reading; it came with the claims that name their process. claim_of_the_process_before_in_a_restored_store_is_not_taken_at_once fails without the condition.

--- a/crates/tinbay-core/src/serving/claims.rs
+++ b/crates/tinbay-core/src/serving/claims.rs
@@ -267,11 +267,13 @@
         is_own && !claim.value.is_released
     }
 
-    /// Whether an earlier process of `box_id`, this box, holds a server.
+    /// Whether an earlier process of `box_id`, this box, holds a server in the current era. Of an
+    /// earlier era, another box may have taken the server since.
     pub fn is_held_by_earlier_process(&self, address: &str, box_id: &str) -> bool {
         self.get(address).is_some_and(|claim| {
             let is_own = claim.value.holder == box_id && !claim.value.is_released;
-            is_own && claim.value.process != self.own_process
+            let is_earlier = claim.value.process != self.own_process;
+            is_own && is_earlier && claim.validity == ClaimValidity::Current
         })
     }
 
--- a/crates/tinbay-core/tests/serving_claims_test.rs
+++ b/crates/tinbay-core/tests/serving_claims_test.rs
@@ -112,6 +112,17 @@
     assert!(!restarted.may_take(SERVER, "a", HolderEntry::Listed, &TERMS, 30));
 }
 
+/// Guards against a box that takes a claim of its process before from a restored store at once, while
+/// another box still orders under a claim that the store has lost.
+#[test]
+fn claim_of_the_process_before_in_a_restored_store_is_not_taken_at_once() {
+    let mut restarted = ClaimTable::of_process(5);
+    restarted.begin_era(Era(2), 0, 0);
+    restarted.record(SERVER, &value("a", false, 1), Position::new(Era(2), 3), 0);
+    assert!(!restarted.is_held_by_earlier_process(SERVER, "a"));
+    assert!(!restarted.may_take(SERVER, "a", HolderEntry::Listed, &TERMS, 10));
+}
+
 /// Boxes of the release before write claims that name no process.
 #[test]
 fn claim_that_names_no_process_is_of_an_earlier_one() {
