Retry budget: a line tells what a box has spent and by which number of boxes it divides

The lines of a box did not tell whether extra attempts beyond the bound come from a count of boxes that is not known yet, from a restart or from a count that is too small. retry_budget names the attempts in the window, the boxes counted and the age of the process, once a second and service at most. The three places that took from the budgets share one module now; what they decide is unchanged.

--- a/crates/tinbay-core/src/serving/budget.rs
+++ b/crates/tinbay-core/src/serving/budget.rs
@@ -44,6 +44,11 @@
         self.first_attempts.len()
     }
 
+    /// Number of extra attempts in the window.
+    pub fn extra_attempts(&self) -> usize {
+        self.extra_attempts.len()
+    }
+
     /// Takes one retry from the budget if the share of this box among `boxes` allows it.
     pub fn take_retry(&mut self, terms: &BudgetTerms, boxes: usize, now_ms: Millis) -> bool {
         self.take(WINDOW_SKEW_FACTOR, terms, boxes, now_ms)
--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -24,6 +24,7 @@
 use super::inbound::{InboundRequest, LastSend};
 use super::refusal::{NotRunReason, Refusal};
 use super::request_log::{Ending, log_attempt, log_end};
+use super::retry_budget;
 use crate::crashes::{self, check, check::CutRequest};
 use crate::http::body::{AnswerBody, RequestBody};
 use crate::http::framing::BodyFormat;
@@ -211,7 +212,9 @@
             }
         };
         history.record(&server, end);
-        if !may_try_another(node, inbound, &history, end) || !take_retry_budget(node, inbound) {
+        if !may_try_another(node, inbound, &history, end)
+            || !retry_budget::take_retry(node, &inbound.service)
+        {
             return Err(final_refusal(node, inbound, &history));
         }
     }
@@ -513,7 +516,7 @@
         choice::choose(node, inbound, &tried, &HolderRequests::default()),
         Choice::Send { .. }
     );
-    has_alternative && take_retry_budget(node, inbound)
+    has_alternative && retry_budget::take_retry(node, &inbound.service)
 }
 
 /// Whether another server may be tried, apart from the retry budget.
@@ -533,22 +536,6 @@
     may_retry(&case) && history.tried.len() < MAX_ATTEMPTS
 }
 
-/// Takes a retry from the service's budget, if it has one left.
-fn take_retry_budget(node: &Node, inbound: &InboundRequest) -> bool {
-    let terms = node.settings.borrow().bounds.second_sends;
-    let boxes = node.box_count.get();
-    let now_ms = node.now_ms();
-    let mut budgets = node.budgets.borrow_mut();
-    let budget = budgets.entry(inbound.service.clone()).or_default();
-    let is_taken = budget.take_retry(&terms, boxes, now_ms);
-    let outcome = if is_taken { "sent" } else { "no_budget" };
-    node.metrics
-        .second_sends
-        .with_label_values(&[outcome])
-        .inc();
-    is_taken
-}
-
 /// The refusal after the last attempt: whether the request may have run, or certainly has not.
 fn final_refusal(node: &Node, inbound: &InboundRequest, history: &AttemptHistory) -> Refusal {
     if !history.ends.are_all_not_run() {
--- a/crates/tinbay-gateway/src/front/hedge.rs
+++ b/crates/tinbay-gateway/src/front/hedge.rs
@@ -15,6 +15,7 @@
 use super::attempt::AttemptResult;
 use super::choice::{self, Choice, HolderRequests};
 use super::inbound::InboundRequest;
+use super::retry_budget;
 use crate::events::{self, part};
 use crate::http::body::RequestBody;
 use crate::limits::permits::{self, Permit};
@@ -276,7 +277,7 @@
     };
     let permit = permits::acquire(node, &server, slot_params).await;
     let permit = permit.map_err(|_| HedgeOutcome::NoServer)?;
-    if !take_hedge_budget(node, inbound) {
+    if !retry_budget::take_hedge(node, &inbound.service) {
         return Err(HedgeOutcome::NoBudget);
     }
     Ok(Outgoing {
@@ -286,13 +287,6 @@
     })
 }
 
-fn take_hedge_budget(node: &Node, inbound: &InboundRequest) -> bool {
-    let terms = node.settings.borrow().bounds.second_sends;
-    let mut budgets = node.budgets.borrow_mut();
-    let budget = budgets.entry(inbound.service.clone()).or_default();
-    budget.take_hedge(&terms, node.box_count.get(), node.now_ms())
-}
-
 fn count_outcome(node: &Node, outcome: HedgeOutcome) {
     let hedged_sends = &node.metrics.hedged_sends;
     hedged_sends.with_label_values(&[outcome.name()]).inc();
--- a/crates/tinbay-gateway/src/front/mod.rs
+++ b/crates/tinbay-gateway/src/front/mod.rs
@@ -17,4 +17,5 @@
 mod prefill_choice;
 pub mod refusal;
 pub mod request_log;
+pub mod retry_budget;
 pub mod slow_callers;
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -10,7 +10,6 @@
 use tinbay_core::accounts::priority::PriorityRanks;
 use tinbay_core::memory::terms::MemoryTerms;
 use tinbay_core::resumption::fingerprint;
-use tinbay_core::serving::budget::AttemptBudget;
 use tinbay_core::serving::claims::{ClaimTable, ClaimTerms, ProcessId, Proof};
 use tinbay_core::serving::configuration::{Configuration, EngineProperties, Limits};
 use tinbay_core::serving::contents::AdapterKey;
@@ -29,6 +28,7 @@
 use crate::crashes::Crashes;
 use crate::front::forward::Forwarding;
 use crate::front::inbound::InboundRequest;
+use crate::front::retry_budget::RetryBudgets;
 use crate::front::slow_callers::SlowCallers;
 use crate::handover::split::Splits;
 use crate::http::call::HttpClient;
@@ -214,8 +214,8 @@
     pub sharing: Sharing,
     /// Slots of brittle servers that this box uses or leases out.
     pub slots: Rc<Slots>,
-    /// Budget for second attempts, by service.
-    pub budgets: RefCell<HashMap<String, AttemptBudget>>,
+    /// Budgets for retries and hedges.
+    pub budgets: RetryBudgets,
     /// Memory accounting for requests and answers.
     pub memory: Rc<BoxMemory>,
     /// Answers being sent to callers.
@@ -281,7 +281,7 @@
             splits: Splits::default(),
             sharing: Sharing::default(),
             slots: Rc::default(),
-            budgets: RefCell::default(),
+            budgets: RetryBudgets::default(),
             memory,
             answers,
             box_count: Cell::new(1),
