Shares of boxes: an unknown number of boxes is no longer taken for one

A box that starts counted itself alone until its first periodic count, up to 250 ms later, and took what all boxes share for itself: the fixed part of the retries (retry_budget lines: boxes_counted 1 at an age of 5 to 16 ms in a fleet of seven), half of the connections that a server accepts, the bytes that may wait there. The number is an option now, so that each user says what unknown means, and boxes are counted as soon as their list is read. The marker of a settled era is written only by boxes that know how many there are.

--- a/crates/tinbay-core/src/memory/waiting.rs
+++ b/crates/tinbay-core/src/memory/waiting.rs
@@ -7,12 +7,13 @@
 /// Lower bound per box, whatever their number: several request bodies of ordinary length.
 const MIN_BOX_BYTES: u64 = 1_048_576;
 
-/// Bytes of requests that one of `boxes` boxes may have waiting at one server.
+/// Bytes of requests that one of `boxes` boxes may have waiting at one server; the lower bound while
+/// their number is not known.
 ///
 /// The sum over all boxes is at most 64 MiB for up to 64 boxes and 1 MiB per box beyond that, plus
 /// one request per box.
-pub fn bound_bytes(boxes: usize) -> u64 {
-    let share_bytes = MAX_WAITING_BYTES / boxes.max(1) as u64;
+pub fn bound_bytes(boxes: Option<usize>) -> u64 {
+    let share_bytes = boxes.map_or(0, |boxes| MAX_WAITING_BYTES / boxes.max(1) as u64);
     share_bytes.max(MIN_BOX_BYTES)
 }
 
--- a/crates/tinbay-core/src/serving/budget.rs
+++ b/crates/tinbay-core/src/serving/budget.rs
@@ -49,20 +49,37 @@
         self.extra_attempts.len()
     }
 
-    /// Takes one retry from the budget if the share of this box among `boxes` allows it.
-    pub fn take_retry(&mut self, terms: &BudgetTerms, boxes: usize, now_ms: Millis) -> bool {
+    /// Takes one retry from the budget if the share of this box among `boxes` allows it. While their
+    /// number is not known, the box has no share of the fixed allowance.
+    pub fn take_retry(
+        &mut self,
+        terms: &BudgetTerms,
+        boxes: Option<usize>,
+        now_ms: Millis,
+    ) -> bool {
         self.take(WINDOW_SKEW_FACTOR, terms, boxes, now_ms)
     }
 
     /// Takes one hedge from the budget; hedges may use only a part of it, which leaves the rest for
     /// retries.
-    pub fn take_hedge(&mut self, terms: &BudgetTerms, boxes: usize, now_ms: Millis) -> bool {
+    pub fn take_hedge(
+        &mut self,
+        terms: &BudgetTerms,
+        boxes: Option<usize>,
+        now_ms: Millis,
+    ) -> bool {
         self.take(WINDOW_SKEW_FACTOR * HEDGE_FRACTION, terms, boxes, now_ms)
     }
 
-    fn take(&mut self, fraction: f64, terms: &BudgetTerms, boxes: usize, now_ms: Millis) -> bool {
+    fn take(
+        &mut self,
+        fraction: f64,
+        terms: &BudgetTerms,
+        boxes: Option<usize>,
+        now_ms: Millis,
+    ) -> bool {
         self.drop_ended(terms, now_ms);
-        let own_extra = terms.extra / boxes.max(1) as f64;
+        let own_extra = boxes.map_or(0.0, |boxes| terms.extra / boxes.max(1) as f64);
         let allowed = fraction * (terms.ratio * self.first_attempts.len() as f64 + own_extra);
         if self.extra_attempts.len() as f64 + 1.0 > allowed {
             return false;
--- a/crates/tinbay-core/tests/hedge_test.rs
+++ b/crates/tinbay-core/tests/hedge_test.rs
@@ -104,8 +104,8 @@
         budget.record_first_attempt(&TERMS, now_ms);
     }
     let count = |is_taken: &mut dyn FnMut() -> bool| (0..1_000).filter(|_| is_taken()).count();
-    let hedges = count(&mut || budget.take_hedge(&TERMS, 1, 1_000));
-    let retries = count(&mut || budget.take_retry(&TERMS, 1, 1_000));
+    let hedges = count(&mut || budget.take_hedge(&TERMS, Some(1), 1_000));
+    let retries = count(&mut || budget.take_retry(&TERMS, Some(1), 1_000));
     assert!(hedges > 0);
     assert!(retries >= hedges);
     let allowed = TERMS.ratio * 1_000.0 + TERMS.extra;
--- a/crates/tinbay-core/tests/memory_test.rs
+++ b/crates/tinbay-core/tests/memory_test.rs
@@ -309,14 +309,14 @@
 #[test]
 fn waiting_sum_over_boxes() {
     for boxes in [1, 8, 64, 195, 2_200] {
-        let sum = waiting::bound_bytes(boxes) * boxes as u64;
+        let sum = waiting::bound_bytes(Some(boxes)) * boxes as u64;
         assert!(sum <= (64 * 1_048_576).max(boxes as u64 * 1_048_576));
     }
 }
 
 #[test]
 fn waiting_one_long_request_passes() {
-    assert!(waiting::takes_more(0, waiting::bound_bytes(2_200)));
-    let bound = waiting::bound_bytes(1);
+    assert!(waiting::takes_more(0, waiting::bound_bytes(Some(2_200))));
+    let bound = waiting::bound_bytes(Some(1));
     assert!(!waiting::takes_more(bound, bound));
 }
--- a/crates/tinbay-core/tests/serving_routes_test.rs
+++ b/crates/tinbay-core/tests/serving_routes_test.rs
@@ -101,7 +101,7 @@
                 first_count += 1;
             }
             taken += (0..100)
-                .filter(|_| budget.take_retry(&TERMS, boxes, 5_000))
+                .filter(|_| budget.take_retry(&TERMS, Some(boxes), 5_000))
                 .count();
         }
         taken as f64 <= TERMS.ratio * f64::from(first_count) + TERMS.extra
@@ -119,15 +119,24 @@
     assert!(budget.first_attempts() as u64 <= TERMS.window_ms + 1);
 }
 
+/// Guards against a box that takes the fixed allowance of all boxes before it knows how many there
+/// are.
+#[test]
+fn take_retry_without_first_attempts_is_refused_until_the_boxes_are_known() {
+    let mut budget = AttemptBudget::default();
+    assert!(!budget.take_retry(&TERMS, None, 1_000));
+    assert!(budget.take_retry(&TERMS, Some(7), 1_000));
+}
+
 #[test]
 fn take_retry_is_allowed_again_after_the_window() {
     let mut budget = AttemptBudget::default();
     let taken = (0..100)
-        .filter(|_| budget.take_retry(&TERMS, 1, 1_000))
+        .filter(|_| budget.take_retry(&TERMS, Some(1), 1_000))
         .count();
     assert!(taken > 0);
-    assert!(!budget.take_retry(&TERMS, 1, 1_000));
-    assert!(budget.take_retry(&TERMS, 1, 11_001));
+    assert!(!budget.take_retry(&TERMS, Some(1), 1_000));
+    assert!(budget.take_retry(&TERMS, Some(1), 11_001));
 }
 
 #[test]
--- a/crates/tinbay-gateway/src/front/retry_budget.rs
+++ b/crates/tinbay-gateway/src/front/retry_budget.rs
@@ -33,7 +33,8 @@
     service: &'a str,
     first_attempts: usize,
     extra_attempts: usize,
-    boxes_counted: usize,
+    /// None while the boxes are not known.
+    boxes_counted: Option<usize>,
     process_age_ms: Millis,
 }
 
--- a/crates/tinbay-gateway/src/housekeeping.rs
+++ b/crates/tinbay-gateway/src/housekeeping.rs
@@ -61,7 +61,7 @@
     set_gauge("configuration_version", version as usize);
     set_gauge("named_versions", node.versions.borrow().len());
     set_gauge("servers", node.servers.borrow().len());
-    set_gauge("boxes_up", node.box_count.get());
+    set_gauge("boxes_up", node.box_count.get().unwrap_or_default());
     set_gauge("servers_held", node.held_servers.borrow().len());
     let is_full = |server: &&Rc<Server>| !server.waiting.takes_more();
     set_gauge(
--- a/crates/tinbay-gateway/src/limits/permits.rs
+++ b/crates/tinbay-gateway/src/limits/permits.rs
@@ -153,7 +153,8 @@
     if limits_per_s <= 0.0 {
         return Some(retry_after_ms);
     }
-    let gap_ms = node.box_count.get() as f64 * MS_PER_SECOND as f64 / limits_per_s;
+    let boxes = node.box_count.get().unwrap_or(1);
+    let gap_ms = boxes as f64 * MS_PER_SECOND as f64 / limits_per_s;
     let now_ms = node.now_ms();
     let mut retry_times = node.limits.retry_times.borrow_mut();
     let retry_times = retry_times.entry(service.to_string()).or_default();
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -220,8 +220,9 @@
     pub memory: Rc<BoxMemory>,
     /// Answers being sent to callers.
     pub answers: Rc<AnswerWatch>,
-    /// Number of boxes that were up at the last count, this one included.
-    pub box_count: Cell<usize>,
+    /// Number of boxes that were up at the last count, this one included; `None` until the store's
+    /// list of boxes has been read.
+    pub box_count: Cell<Option<usize>>,
 }
 
 /// Draws a number for this process; 0 stands for a process that is not named.
@@ -284,7 +285,7 @@
             budgets: RetryBudgets::default(),
             memory,
             answers,
-            box_count: Cell::new(1),
+            box_count: Cell::default(),
         }
     }
 
@@ -339,8 +340,11 @@
         self.is_registered() && self.now_ms() < seen_ms + ENTRY_SEEN_LIFE_MS
     }
 
-    /// Updates `box_count`.
+    /// Updates `box_count`, once the boxes are known.
     pub fn count_boxes(&self) {
+        if self.boxes_listed_ms.get() == 0 {
+            return;
+        }
         let now_ms = self.now_ms();
         let own = &self.settings.borrow().box_id;
         let members = self.members.borrow();
@@ -348,7 +352,7 @@
             .others(own)
             .filter(|(_, member)| member.is_up(now_ms))
             .count();
-        self.box_count.set(others + 1);
+        self.box_count.set(Some(others + 1));
     }
 
     /// Records that a server with this entry is or was listed until now.
--- a/crates/tinbay-gateway/src/orders/era_mark.rs
+++ b/crates/tinbay-gateway/src/orders/era_mark.rs
@@ -71,7 +71,8 @@
 
 /// Selects this box at random, so that one box per check interval tries to write on average.
 fn is_chosen_to_write(node: &Node) -> bool {
-    rand::rng().random_range(0..node.box_count.get().max(1)) == 0
+    let boxes = node.box_count.get();
+    boxes.is_some_and(|boxes| rand::rng().random_range(0..boxes) == 0)
 }
 
 fn stored_mark(node: &Node) -> Option<Era> {
--- a/crates/tinbay-gateway/src/servers/waiting.rs
+++ b/crates/tinbay-gateway/src/servers/waiting.rs
@@ -28,7 +28,7 @@
 
     /// Counts a request. The limit depends on the number of boxes, as all of them send to the
     /// server.
-    pub fn begin(&self, bytes: u64, boxes: usize) -> WaitingRequest {
+    pub fn begin(&self, bytes: u64, boxes: Option<usize>) -> WaitingRequest {
         self.max_bytes.set(Some(waiting::bound_bytes(boxes)));
         self.bytes.set(self.bytes.get() + bytes);
         WaitingRequest {
--- a/crates/tinbay-gateway/src/watch/boxes.rs
+++ b/crates/tinbay-gateway/src/watch/boxes.rs
@@ -150,6 +150,7 @@
         for item in items {
             self.apply_item(item);
         }
+        self.node.count_boxes();
     }
 
     fn apply(&self, change: &Change) {
--- a/crates/tinbay-gateway/src/watch/mod.rs
+++ b/crates/tinbay-gateway/src/watch/mod.rs
@@ -233,7 +233,7 @@
     if !node.store.is_being_rewritten() || relay::relays(node).includes_self {
         return;
     }
-    let boxes = node.box_count.get() as Millis;
+    let boxes = node.box_count.get().unwrap_or(1) as Millis;
     let spread_ms = (LISTING_SPREAD_PER_BOX_MS * boxes).min(MAX_LISTING_SPREAD_MS);
     let pause_ms = rand::rng().random_range(0..=spread_ms);
     tokio::time::sleep(Duration::from_millis(pause_ms)).await;
--- a/crates/tinbay-gateway/src/watch/returns.rs
+++ b/crates/tinbay-gateway/src/watch/returns.rs
@@ -78,8 +78,8 @@
         refused_to_write,
     };
     events::emit(part::STORE, Level::Warn, "store_returned", &event);
-    let spread_ms =
-        MIN_REWRITE_SPREAD_MS + REWRITE_SPREAD_PER_BOX_MS * node.box_count.get() as Millis;
+    let boxes = node.box_count.get().unwrap_or(1) as Millis;
+    let spread_ms = MIN_REWRITE_SPREAD_MS + REWRITE_SPREAD_PER_BOX_MS * boxes;
     let pause_ms = rand::rng().random_range(0..spread_ms);
     tokio::time::sleep(Duration::from_millis(pause_ms)).await;
     node.entry_due.notify_one();
