Retry budget: the fixed allowance is earned over time, so that a restart does not renew it

What callers and servers saw: boxes that are killed and started again while servers fail retried more than all boxes may together: 270 and more extra arrivals where 148 are allowed.

Cause: each process could spend its share of the fixed allowance at once. One that restarts has forgotten what was spent in the window, and may divide by an old list of boxes. Evidence: retry_budget lines (boxes_counted 1 or 2 in a fleet of seven), and the cases still failed with the count unknown until the list is read.

A process now earns its share over time, from none at its start, and saves up 0.4 of it; what all lives of a box earn in a window is at most 0.3 of it. It earns nothing until it has had a current list of boxes, and by the smaller of two shares after the number has changed. The ratio of first attempts needs none of this, as the requests of two lives differ.

--- a/crates/tinbay-core/tests/hedge_test.rs
+++ b/crates/tinbay-core/tests/hedge_test.rs
@@ -99,9 +99,9 @@
 /// for retries.
 #[test]
 fn budget_of_hedges_leaves_half_for_retries() {
-    let mut budget = AttemptBudget::default();
+    let mut budget = AttemptBudget::new(0);
     for now_ms in 0..1_000 {
-        budget.record_first_attempt(&TERMS, now_ms);
+        budget.record_first_attempt(&TERMS, Some(1), now_ms);
     }
     let count = |is_taken: &mut dyn FnMut() -> bool| (0..1_000).filter(|_| is_taken()).count();
     let hedges = count(&mut || budget.take_hedge(&TERMS, Some(1), 1_000));
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -340,6 +340,13 @@
         self.is_registered() && self.now_ms() < seen_ms + ENTRY_SEEN_LIFE_MS
     }
 
+    /// `box_count` if this box has had a current copy of the store's list of boxes: the first one it
+    /// reads may be some seconds old.
+    pub fn current_box_count(&self) -> Option<usize> {
+        let confirmed_ms = self.replica.confirmed_ms(BOXES_PREFIX).unwrap_or_default();
+        self.box_count.get().filter(|_| confirmed_ms > 0)
+    }
+
     /// Updates `box_count`, once the boxes are known.
     pub fn count_boxes(&self) {
         if self.boxes_listed_ms.get() == 0 {
