Retry budget: boxes that are silent, leaving or just unlisted count among those that share it

By reading, not shown: boxes that are cut off, frozen or leaving send requests to servers, too, but the allowance was divided among those that count as up, which callers are sent to. It is divided now among all that may be sending.

--- a/crates/tinbay-gateway/src/front/retry_budget.rs
+++ b/crates/tinbay-gateway/src/front/retry_budget.rs
@@ -54,14 +54,14 @@
     let now_ms = node.now_ms();
     let mut budgets = node.budgets.by_service.borrow_mut();
     let service = budgets.entry(service.to_string()).or_default();
-    let boxes = node.current_box_count();
+    let boxes = node.sender_count();
     service.budget.record_first_attempt(&terms, boxes, now_ms);
 }
 
 /// Takes a retry from the budget for a service, if one is left.
 pub fn take_retry(node: &Node, service: &str) -> bool {
     let terms = node.settings.borrow().bounds.second_sends;
-    let boxes = node.current_box_count();
+    let boxes = node.sender_count();
     let is_taken = take(node, service, |budget, now_ms| {
         budget.take_retry(&terms, boxes, now_ms)
     });
@@ -74,7 +74,7 @@
 /// Takes a hedge from the budget for a service, if one is left.
 pub fn take_hedge(node: &Node, service: &str) -> bool {
     let terms = node.settings.borrow().bounds.second_sends;
-    let boxes = node.current_box_count();
+    let boxes = node.sender_count();
     take(node, service, |budget, now_ms| {
         budget.take_hedge(&terms, boxes, now_ms)
     })
@@ -98,7 +98,7 @@
             service,
             first_attempts: of_service.budget.first_attempts(),
             extra_attempts: of_service.budget.extra_attempts(),
-            boxes_counted: node.current_box_count(),
+            boxes_counted: node.sender_count(),
             process_age_ms: now_ms,
         };
         events::emit(part::FRONT, Level::Info, "retry_budget", &event);
--- a/crates/tinbay-gateway/src/members.rs
+++ b/crates/tinbay-gateway/src/members.rs
@@ -408,6 +408,15 @@
             })
     }
 
+    /// Number of boxes that may be sending requests to servers, this one included: also those that
+    /// are leaving, those that have been silent for a while, and those whose entry was just removed.
+    pub fn count_senders(&self, own_id: &str, now_ms: Millis) -> usize {
+        let others = self.others(own_id);
+        1 + others
+            .filter(|(_, member)| member.may_be_sending(now_ms))
+            .count()
+    }
+
     /// Removes boxes that are not listed and have been neither listed nor heard since `oldest_ms`.
     pub fn tidy(&mut self, oldest_ms: Millis) {
         self.by_id.retain(|_, member| {
@@ -434,6 +443,15 @@
         }
     }
 
+    /// Whether it may be sending requests to servers. An entry outlives the box by its lease, and a
+    /// box without one serves its callers for a while.
+    fn may_be_sending(&self, now_ms: Millis) -> bool {
+        let was_heard = self
+            .heard_ms
+            .is_some_and(|heard_ms| now_ms < heard_ms + SILENT_AFTER_MS);
+        was_heard || self.may_be_listed_elsewhere(now_ms)
+    }
+
     /// Whether a report of its own zone that it is silent is still valid.
     ///
     /// Without such reports, other zones would go on sending callers to a failed box until the
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -223,6 +223,8 @@
     /// Number of boxes that were up at the last count, this one included; `None` until the store's
     /// list of boxes has been read.
     pub box_count: Cell<Option<usize>>,
+    /// Number of boxes that may be sending requests to servers, counted at the same time.
+    senders: Cell<Option<usize>>,
 }
 
 /// Draws a number for this process; 0 stands for a process that is not named.
@@ -286,6 +288,7 @@
             memory,
             answers,
             box_count: Cell::default(),
+            senders: Cell::default(),
         }
     }
 
@@ -340,14 +343,15 @@
         self.is_registered() && self.now_ms() < seen_ms + ENTRY_SEEN_LIFE_MS
     }
 
-    /// `box_count` if this box has had a current copy of the store's list of boxes: the first one it
+    /// Number of boxes that may be sending requests to servers at the last count, this one included;
+    /// `None` until this box has had a current copy of the store's list of boxes, as the first one it
     /// reads may be some seconds old.
-    pub fn current_box_count(&self) -> Option<usize> {
+    pub fn sender_count(&self) -> Option<usize> {
         let confirmed_ms = self.replica.confirmed_ms(BOXES_PREFIX).unwrap_or_default();
-        self.box_count.get().filter(|_| confirmed_ms > 0)
+        self.senders.get().filter(|_| confirmed_ms > 0)
     }
 
-    /// Updates `box_count`, once the boxes are known.
+    /// Updates `box_count` and `sender_count`, once the boxes are known.
     pub fn count_boxes(&self) {
         if self.boxes_listed_ms.get() == 0 {
             return;
@@ -360,6 +364,7 @@
             .filter(|(_, member)| member.is_up(now_ms))
             .count();
         self.box_count.set(Some(others + 1));
+        self.senders.set(Some(members.count_senders(own, now_ms)));
     }
 
     /// Records that a server with this entry is or was listed until now.
--- a/crates/tinbay-gateway/tests/members_test.rs
+++ b/crates/tinbay-gateway/tests/members_test.rs
@@ -202,3 +202,24 @@
     keep_in_touch(&mut members, 8_500, 10_500);
     assert!(members.may_hold_exclusive_role(10_500));
 }
+
+/// Guards against boxes that divide what all share among too few, as some are silent or leaving and
+/// still send requests.
+#[test]
+fn count_senders_includes_boxes_that_are_silent_leaving_or_just_unlisted() {
+    let mut members = members();
+    members.record_heard("near-1", 1_000);
+    members.record_zone_report("far-1", &[box_fingerprint("far-2")], 5_000);
+    let leaving = MemberRecord {
+        is_leaving: true,
+        ..record("z1")
+    };
+    members.put("near-2", leaving, 5_000);
+    assert!(!is_up(&members, "near-1", 5_000));
+    assert!(!is_up(&members, "near-2", 5_000));
+    assert!(!is_up(&members, "far-2", 5_000));
+    assert_eq!(members.count_senders("own", 5_000), 5);
+    members.unlist("near-1", 5_000);
+    assert_eq!(members.count_senders("own", 10_900), 5);
+    assert_eq!(members.count_senders("own", 11_000), 4);
+}
