Retry budget: a forwarded request is a first attempt at the box that sends it, not at both

A box that passes a request on to another one counted it, too, so that both could retry a ratio of the same requests. A first attempt is recorded now right before the first send to a server; requests that are refused before no longer count. tinbay_first_sends_total shows them.

--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -106,6 +106,7 @@
     let mut body = Some(body);
     // Brittle servers without a free slot for the request.
     let mut full_servers = 0;
+    let mut was_sent = false;
     loop {
         if history.ends.are_all_not_run()
             && let Some(result) = forward::try_forward(node, inbound, &mut body).await
@@ -150,6 +151,10 @@
         body = sent.repeat();
         let before_ms = node.backlog_ms(&server);
         handover::prepare(node, inbound, &server);
+        if !was_sent {
+            retry_budget::record_first_attempt(node, &inbound.service);
+            was_sent = true;
+        }
         let outgoing = Outgoing {
             server,
             body: sent,
--- a/crates/tinbay-gateway/src/front/filters/delivery.rs
+++ b/crates/tinbay-gateway/src/front/filters/delivery.rs
@@ -3,8 +3,8 @@
 use std::rc::Rc;
 
 use super::{Exchange, Filter, FilterFuture, Step};
+use crate::front::deliver;
 use crate::front::refusal::Refusal;
-use crate::front::{deliver, retry_budget};
 use crate::node::Node;
 
 /// Sends a request to a server and returns its answer; the last filter of the chain.
@@ -14,7 +14,6 @@
     fn apply<'a>(&'a self, node: &'a Rc<Node>, exchange: &'a mut Exchange) -> FilterFuture<'a> {
         Box::pin(async move {
             let body = exchange.body.take().ok_or(Refusal::CallerBrokeOff)?;
-            retry_budget::record_first_attempt(node, &exchange.inbound.service);
             let answer = deliver::deliver(node, &exchange.inbound, body).await?;
             Ok(Step::Answer(answer))
         })
--- a/crates/tinbay-gateway/src/front/retry_budget.rs
+++ b/crates/tinbay-gateway/src/front/retry_budget.rs
@@ -56,6 +56,7 @@
     let service = budgets.entry(service.to_string()).or_default();
     let boxes = node.sender_count();
     service.budget.record_first_attempt(&terms, boxes, now_ms);
+    node.metrics.first_sends.inc();
 }
 
 /// Takes a retry from the budget for a service, if one is left.
--- a/crates/tinbay-gateway/src/metrics.rs
+++ b/crates/tinbay-gateway/src/metrics.rs
@@ -28,6 +28,8 @@
     pub head_seconds: HistogramVec,
     /// Time until a request was sent, by kind: the wait for its adapter.
     pub stall_seconds: HistogramVec,
+    /// First attempts of requests that this box itself sent to a server.
+    pub first_sends: IntCounter,
     /// Attempts after a request's first one, by outcome.
     pub second_sends: IntCounterVec,
     /// Requests sent to a second server as the first was late, by outcome.
@@ -111,6 +113,8 @@
             "Returns of the store from a backup",
         )?;
         registry.register(Box::new(store_restores.clone()))?;
+        let first_sends = IntCounter::new("tinbay_first_sends_total", "First sends")?;
+        registry.register(Box::new(first_sends.clone()))?;
         let held_bytes = IntGauge::new("tinbay_held_bytes", "Bytes held for requests and answers")?;
         registry.register(Box::new(held_bytes.clone()))?;
         let state_gauges = IntGaugeVec::new(
@@ -122,6 +126,7 @@
             requests: counter("tinbay_requests_total", "Requests", &["kind", "outcome"])?,
             head_seconds: histogram("tinbay_head_seconds", "Time to the head", &["kind"])?,
             stall_seconds: histogram("tinbay_stall_seconds", "Time until sent", &["kind"])?,
+            first_sends,
             second_sends: counter("tinbay_second_sends_total", "Second sends", &["outcome"])?,
             hedged_sends: counter(
                 "tinbay_hedged_sends_total",
