Engine choice: engines with unreadable reports no longer hide the sound one

Callers got 503 after 1 s ("its adapter can't be loaded in time") though a sound engine held the adapter. A request checks at most five servers in the order of its adapter until it finds one that holds it, and servers of which nothing can be known used up these checks; it then waited for a load that nobody can order (wait lines name a faulty engine). They don't count as checked any more: there is nothing to ask their holder for, which is what the limit bounds.

--- a/crates/tinbay-gateway/src/front/choice.rs
+++ b/crates/tinbay-gateway/src/front/choice.rs
@@ -278,11 +278,13 @@
             has_unlimited: ready.iter().any(|server| server.limit_per_s().is_none()),
         };
         let mut counted_copies = 0;
+        let mut unreadable = 0;
         let mut is_first_found = false;
         for server in rendezvous_order(adapter, ready) {
             let must_check_more = set.servers.len() < MIN_CHECKED && !set.has_adapter();
             let is_complete = counted_copies >= set.copies && !must_check_more;
-            if is_complete || set.servers.len() >= set.copies + MAX_EXTRA_CHECKED {
+            let checked = set.servers.len() - unreadable;
+            if is_complete || checked >= set.copies + MAX_EXTRA_CHECKED {
                 break;
             }
             let entry = node.entry(&server, adapter_key(adapter));
@@ -290,6 +292,10 @@
             let Some(added) = set.candidates.last() else {
                 continue;
             };
+            // Without a report there is nothing to ask its holder for.
+            if entry.is_none() && !node.has_readable_contents(&server) {
+                unreadable += 1;
+            }
             let is_eligible =
                 node.has_responsive_holder(&server) && (entry.is_some() || added.takes_loads);
             if is_eligible && !is_first_found {
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -634,6 +634,15 @@
         self.held_server(server.key).is_some() || (!is_silent && self.has_holder(server))
     }
 
+    /// Whether the box that manages a server can tell what it holds: this box has read its report, or
+    /// another box answers for it.
+    pub fn has_readable_contents(&self, server: &Server) -> bool {
+        match self.held_server(server.key) {
+            Some(held) => held.contents.borrow().is_known(),
+            None => self.has_responsive_holder(server),
+        }
+    }
+
     /// Time that a server needs to prefill its queued prompts before it begins a new request.
     pub fn backlog_ms(&self, server: &Server) -> f64 {
         self.load_snapshot(server, self.now_ms()).backlog_ms
