HTTP: a connection yields between large reads, so that interim responses without end hold nothing up

Beside load a box's one thread was held up for 0.8 to 2.0 s by a server that sends interim responses without end, as the HTTP library parses what has arrived for as long as there is more, and the limit is noticed by another task. A connection to a server now yields after each read of 4 KiB or more; ordinary answers and events are smaller.

--- a/crates/tinbay-gateway/src/http/connect.rs
+++ b/crates/tinbay-gateway/src/http/connect.rs
@@ -12,6 +12,7 @@
 use tokio::task::AbortHandle;
 
 use super::buffers::{READ_BYTES, limit_server_buffers};
+use super::fair_stream::FairStream;
 use super::silence::end_when_silent;
 
 /// Idle time after which keepalive probes start; watches and long responses are regularly without
@@ -81,7 +82,7 @@
     limit_server_buffers(&stream);
     let handshake = http1::Builder::new()
         .max_buf_size(READ_BYTES)
-        .handshake(TokioIo::new(stream));
+        .handshake(TokioIo::new(FairStream::new(stream)));
     let (sender, driver) = handshake.await.map_err(|_| ProbeOutcome::Silent)?;
     let driver = tokio::task::spawn_local(async move {
         let _ = driver.await;
--- a/crates/tinbay-gateway/src/http/mod.rs
+++ b/crates/tinbay-gateway/src/http/mod.rs
@@ -5,6 +5,7 @@
 pub mod buffers;
 pub mod call;
 pub mod connect;
+pub mod fair_stream;
 pub mod framing;
 pub mod gather;
 pub mod interim;
