Loads of base models: a holder that restarts counts no loads for a window, as it forgot those before

A holder that was killed and started again could begin its whole quota a second time. It begins none now until a window has passed since its start, except at the very first start of the system. Loads of adapters are not bounded and begin as before. Found by reading; the property test fails without the wait.

--- a/crates/tinbay-core/src/serving/pacing.rs
+++ b/crates/tinbay-core/src/serving/pacing.rs
@@ -63,6 +63,8 @@
 /// Counts the loads of one holder against its quota.
 #[derive(Debug, Default)]
 pub struct LoadQuotaCounter {
+    /// Start of the process, if the process before it may have begun loads.
+    restarted_ms: Option<Millis>,
     /// Start times of the loads in the window.
     started_ms: VecDeque<Millis>,
     quotas: VecDeque<QuotaChange>,
@@ -76,10 +78,23 @@
 }
 
 impl LoadQuotaCounter {
+    /// The counter of a holder that was restarted: the loads that it began before are not known, and
+    /// count for a window from then on.
+    pub fn after_restart(restarted_ms: Millis) -> Self {
+        Self {
+            restarted_ms: Some(restarted_ms),
+            ..Self::default()
+        }
+    }
+
     /// Counts one load if the quota allows another one in the window that ends now.
     pub fn take(&mut self, quota: usize, window_ms: Millis, now_ms: Millis) -> bool {
         let window_ms = window_ms + DELIVERY_SKEW_MS;
         let start_ms = now_ms.saturating_sub(window_ms);
+        let has_past = |restarted_ms| now_ms <= restarted_ms + window_ms;
+        if self.restarted_ms.is_some_and(has_past) {
+            return false;
+        }
         while self
             .started_ms
             .front()
--- a/crates/tinbay-core/tests/serving_pacing_test.rs
+++ b/crates/tinbay-core/tests/serving_pacing_test.rs
@@ -102,6 +102,32 @@
     assert_eq!(taken(&mut counter, 20, 10_260, 15_000), 20);
 }
 
+/// Guards against a holder that restarts and begins as many loads again as it had begun before.
+#[test]
+fn take_never_exceeds_window_while_a_holder_restarts() {
+    const QUOTA: usize = 54;
+    const LAST_RESTART_MS: u64 = 35_000;
+    let mut starts_ms: Vec<u64> = Vec::new();
+    let mut counter = LoadQuotaCounter::default();
+    for now_ms in (0..50_000).step_by(10) {
+        if now_ms % 7_000 == 0 && (1..=LAST_RESTART_MS).contains(&now_ms) {
+            counter = LoadQuotaCounter::after_restart(now_ms);
+        }
+        if counter.take(QUOTA, BOUND.window_ms, now_ms) {
+            starts_ms.push(now_ms);
+        }
+    }
+    let in_window = |start: u64| {
+        let window = start..start + BOUND.window_ms;
+        starts_ms
+            .iter()
+            .filter(|time| window.contains(time))
+            .count()
+    };
+    assert!(starts_ms.iter().all(|start| in_window(*start) <= QUOTA));
+    assert!(starts_ms.iter().any(|start| *start > LAST_RESTART_MS));
+}
+
 /// Engines move between boxes at arbitrary times, and all boxes take loads whenever they may; no
 /// window holds more loads than allowed.
 #[test]
--- a/crates/tinbay-gateway/src/orders/holder.rs
+++ b/crates/tinbay-gateway/src/orders/holder.rs
@@ -14,6 +14,7 @@
 use tinbay_core::serving::contents::{
     Action, ModelAllowance, OrderAnswer, OrderContext, adapter_key,
 };
+use tinbay_core::serving::pacing::LoadQuotaCounter;
 use tinbay_core::serving::servers::{Report, ServerRecord};
 use tinbay_core::serving::wanted_loads::WantedLoad;
 use tinbay_core::units::Millis;
@@ -138,10 +139,16 @@
         let node = &self.holder.node;
         let service = self.holder.server.record().service.clone();
         let quota = quota::of_service(node, &service).unwrap_or_default();
-        let window_ms = node.settings.borrow().bounds.loads.window_ms;
+        let settings = node.settings.borrow();
         let mut load_quotas = node.load_quotas.borrow_mut();
-        let pace = load_quotas.entry(service).or_default();
-        pace.take(quota, window_ms, self.now_ms)
+        let counter = load_quotas
+            .entry(service)
+            .or_insert_with(|| match settings.is_first_start {
+                true => LoadQuotaCounter::default(),
+                // The clock of a box starts with its process.
+                false => LoadQuotaCounter::after_restart(0),
+            });
+        counter.take(quota, settings.bounds.loads.window_ms, self.now_ms)
     }
 }
 
