--- a/crates/tinbay-core/src/limits/home.rs
+++ b/crates/tinbay-core/src/limits/home.rs
@@ -91,7 +91,7 @@
     ///
     /// Needed units are granted if the bucket holds all of them or is full. So short requests of an
     /// account at its limit are admitted before long ones. Granting on debt would treat both alike,
-    /// and rejected 2,300 requests instead of 847 in 34 s without serving more of them in time.
+    /// and reject more requests without serving more of them in time.
     pub fn deal(&mut self, terms: DealTerms, request: UnitRequest, now_ms: Millis) -> UnitGrant {
         self.deal_to(terms, request, None, now_ms)
     }
--- a/crates/tinbay-core/src/limits/share.rs
+++ b/crates/tinbay-core/src/limits/share.rs
@@ -1,9 +1,9 @@
 //! Enforcement of a limit at a box that admits requests.
 //!
 //! Units granted by the limit's home are used first. A box whose home does not answer uses its own
-//! share, the limit divided by the number of boxes. A share may be too small for one request: 74
-//! boxes share 29,000 tokens per second at 392 each. It may therefore be overdrawn by the box's
-//! share of the overdraft that operators allow; the debt is paid back before the next request.
+//! share, the limit divided by the number of boxes. A share may be too small for one request. It
+//! may therefore be overdrawn by the box's share of the overdraft that operators allow; the debt is
+//! paid back before the next request.
 
 use crate::units::Millis;
 
@@ -70,8 +70,7 @@
 
     /// Records that the home refused units for a request. For a while the box then does not use its
     /// share either, even if the home stops answering: the home may still be granting to other
-    /// boxes, and grants and shares together exceed the limit. An account that asked for six times
-    /// its limit got 1.15 times of it over 8 s.
+    /// boxes, and grants and shares together exceed the limit.
     pub fn note_denied(&mut self, now_ms: Millis) {
         self.at_limit_until_ms = now_ms + AT_LIMIT_MS;
     }
--- a/crates/tinbay-core/src/serving/capacity.rs
+++ b/crates/tinbay-core/src/serving/capacity.rs
@@ -22,8 +22,8 @@
 
 /// Selects the `count` boxes that do a job, best first; strong boxes come before all others.
 ///
-/// A weak box that relays the store uses four fifths of a 10 Mbit/s link for it, and a
-/// configuration change then took 3 s and more to reach 300 boxes.
+/// A weak box that relays the store would use most of a slow link for it, and configuration changes
+/// would reach the other boxes late.
 pub fn select_boxes<'a>(job: &str, boxes: &[RankedBox<'a>], count: usize) -> Vec<&'a str> {
     let largest = boxes.iter().map(|candidate| candidate.capacity).max();
     let least_strong = (largest.unwrap_or_default() as f64 * STRONG_FRACTION) as u64;
--- a/crates/tinbay-core/src/serving/contents/fetching.rs
+++ b/crates/tinbay-core/src/serving/contents/fetching.rs
@@ -31,8 +31,8 @@
 /// `most_ms`.
 ///
 /// The state of a load is only seen in the answer to an order. If the arrival of a late answer were
-/// taken as the end of the load, servers that lose orders would be limited to one load at a time
-/// nearly always (990 of 1,094 polls), and callers would be told to wait for 8.8 s in the median.
+/// taken as the end of the load, servers that lose orders would nearly always be limited to one load
+/// at a time, and callers would be told to wait for many seconds.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LoadTime {
     /// Latest time at which the load was seen to be in progress.
--- a/crates/tinbay-core/src/serving/placement.rs
+++ b/crates/tinbay-core/src/serving/placement.rs
@@ -100,8 +100,7 @@
 
 /// Returns the next server that should load a copy: one at a time, and only while fewer servers
 /// hold the adapter than it is spread over. That its server is busy with other adapters is no
-/// reason for a copy: such copies evict adapters in use, and half of all loads of 195 boxes (5,600
-/// of 11,200) then served no request.
+/// reason for a copy: such copies evict adapters in use, and many of them serve no request.
 fn copy_for(candidates: &[Candidate], copies: usize) -> Option<usize> {
     let is_loading = |candidate: &Candidate| candidate.presence == Presence::Loading;
     let is_ready = |candidate: &&Candidate| candidate.presence == Presence::Ready;
--- a/crates/tinbay-core/src/serving/versions.rs
+++ b/crates/tinbay-core/src/serving/versions.rs
@@ -64,8 +64,7 @@
     /// 0 stands for an unknown version.
     pub fn begin_by_ms(&self, version: u64) -> Option<Millis> {
         // The first newer version decides: with the deadline of the newest alone, each new version
-        // would let all older ones serve again after their deadlines, and a request began 5.0 s
-        // after its version was replaced.
+        // would let all older ones serve again after their deadlines.
         let first_newer = self
             .published
             .iter()
--- a/crates/tinbay-gateway/src/front/adapters.rs
+++ b/crates/tinbay-gateway/src/front/adapters.rs
@@ -100,8 +100,7 @@
 /// Latest time to send a request so that its first chunk still reaches the caller.
 ///
 /// Only the prefill of its own prompt is deducted. The prefill queue of a server is an estimate: if
-/// it were deducted too, a wrong estimate would refuse requests while the engines have free slots,
-/// for 13 s in one small fleet.
+/// it were deducted too, a wrong estimate would refuse requests while the engines have free slots.
 fn last_send_ms(node: &Node, inbound: &InboundRequest) -> Millis {
     let own_prefill_ms = node.prefill_ms(&inbound.service, inbound.prompt.tokens) as Millis;
     let objective_ms = inbound.route.objective_ms;
--- a/crates/tinbay-gateway/src/front/choice.rs
+++ b/crates/tinbay-gateway/src/front/choice.rs
@@ -40,7 +40,7 @@
 
 /// Servers that are checked in addition to the adapter's copies when some do not count as such.
 /// Without this limit, a request asks the holders of many servers in turn while all of them are
-/// crowded (14 in one case), and the answers make up half of the traffic between zones.
+/// crowded, and the answers make up half of the traffic between zones.
 const MAX_EXTRA_CHECKED: usize = 4;
 
 /// Load at which a server no longer counts as one of the adapter's copies: other adapters may have
--- a/crates/tinbay-gateway/src/limits/permits.rs
+++ b/crates/tinbay-gateway/src/limits/permits.rs
@@ -87,8 +87,7 @@
 ///
 /// The load on an overloaded server is the sum over all boxes, which no single box can see. If each
 /// box sent requests until the server announced its limit to that box, all boxes together would
-/// exceed the limit several times over: seven boxes, none with more than 12 requests, sent 57
-/// in 4 s to a server that takes 3.4 per second.
+/// exceed the limit several times over.
 pub async fn acquire(
     node: &Node,
     server: &Rc<Server>,
--- a/crates/tinbay-gateway/src/members.rs
+++ b/crates/tinbay-gateway/src/members.rs
@@ -136,9 +136,8 @@
 
     /// Whether this box may hold a role that only one box may hold, such as the home of a limit: no
     /// other box can have taken it for failed meanwhile. A box that has just started may do so at
-    /// once. If it first had to be in contact for `SILENT_AFTER_MS`, no box could hold such a role
-    /// for that long after a restart of the whole fleet: 28% of the requests were refused for 2.5 s
-    /// after all of 74 boxes were killed, and nearly all with 300 boxes.
+    /// once: if it first had to be in contact for `SILENT_AFTER_MS`, no box could hold such a role
+    /// for that long after a restart of the whole fleet, and requests would be refused.
     pub fn may_hold_exclusive_role(&self, now_ms: Millis) -> bool {
         let is_in_first_contact = self.contact.is_some_and(|contact| {
             contact.is_first && now_ms < contact.last_ms + MAX_CONTACT_GAP_MS
@@ -455,8 +454,7 @@
     /// Whether a report of its own zone that it is silent is still valid.
     ///
     /// Without such reports, other zones would go on sending callers to a failed box until the
-    /// lease of its entry ends after 8 s; for 6.3 s and more in a fleet of two zones with one box
-    /// each.
+    /// lease of its entry ends.
     fn has_silence_report(&self, now_ms: Millis) -> bool {
         self.silence_reported_ms
             .is_some_and(|report_ms| now_ms < report_ms + SILENCE_REPORT_LIFE_MS)
--- a/crates/tinbay-gateway/src/peers/gossip.rs
+++ b/crates/tinbay-gateway/src/peers/gossip.rs
@@ -48,7 +48,7 @@
     let relays = relay::relays(node);
     // Relays of other zones report only to boxes that they see in the store. A box whose entry has
     // expired would get no reports and take these relays for silent; two boxes could then act as
-    // home of the same limit and together grant twice its units, as happened for 4 s.
+    // home of the same limit and together grant twice its units.
     if !relays.includes_self || !node.is_surely_registered() {
         return;
     }
--- a/crates/tinbay-gateway/src/servers/server.rs
+++ b/crates/tinbay-gateway/src/servers/server.rs
@@ -172,7 +172,7 @@
     }
 
     /// Applies an entry of this incarnation. Leaving is final: an entry that is late or old does
-    /// not revert it, as a leaving server would get requests again (10 to 14 of 24).
+    /// not revert it, as a leaving server would get requests again.
     pub(super) fn set_record(&self, record: ServerRecord) {
         if record.state == ServerState::Draining {
             self.notices.borrow_mut().record_leaving();
