--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,7 @@
+#!/bin/sh
+# A server starts again under its id in another software version while the store is down.
+cd "$(dirname "$0")/../.." || exit 2
+target/review-2/release/restarted_version review/5
+code=$?
+[ "$code" -le 1 ] || code=2
+exit "$code"
