--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
-# A server starts again under its id in another software version while the store is down.
+# A box is stopped just after it has sent an order into a link that is cut for a moment.
 cd "$(dirname "$0")/../.." || exit 2
-target/review-2/release/restarted_version review/5
+target/review-2/release/late_order review/5
 code=$?
 [ "$code" -le 1 ] || code=2
 exit "$code"
--- a/review/harness-2/src/lib.rs
+++ b/review/harness-2/src/lib.rs
@@ -1,6 +1,7 @@
 //! What the scripts of the review share: boxes as processes of the real program, callers, and the
 //! record of what was sent, answered and run.
 
+pub mod cut;
 pub mod link;
 
 use std::fs::File;
@@ -213,6 +214,12 @@
         text.and_then(|text| text.parse().ok()).unwrap_or_default()
     }
 
+    /// Stops the process as planned (SIGTERM).
+    pub fn stop(&self) {
+        let id = self.id.to_string();
+        let _ = Command::new("kill").args(["-TERM", &id]).status();
+    }
+
     /// Kills the process (SIGKILL).
     pub fn kill(&self) {
         let mut child = self
