Crashes: requests with a part that come together are counted one by one

Cause: crashes within 100 ms counted as one, as servers that end at one moment may have a common cause. A group of requests is such a moment as well, so that the verdict waited for three groups.

Change: five crashes under three different requests suspect a part, however close together. What protects a sound part is proof, not the count: whoever has an answer with the part objects within 600 ms. Where no one can object, as all servers that had the part have ended, the refusal rests on fewer than three moments and is tested: the first tracker of the part lets one request reach a server. An answer lifts the refusal everywhere; a crash ends the trials.

--- a/crates/tinbay-core/src/crashes/parts/judge.rs
+++ b/crates/tinbay-core/src/crashes/parts/judge.rs
@@ -6,6 +6,7 @@
 use super::ledger::PartLedger;
 use super::proven::ProvenParts;
 use super::refusals::Refusals;
+use super::trials::Trials;
 use super::{CRASHES_TO_SUSPECT, MAX_SUSPICION_MS, OBJECTION_MS};
 use crate::crashes::ledger::CrashKey;
 use crate::serving::prompt::PartId;
@@ -69,6 +70,7 @@
     proven: ProvenParts,
     suspected: HashMap<PartId, Suspected>,
     refusals: Refusals,
+    trials: Trials,
 }
 
 impl PartJudge {
@@ -190,6 +192,16 @@
         self.refusals.find(parts, now_ms)
     }
 
+    /// Whether a request with a refused set may reach a server, to show whether the set crashes it.
+    /// That is so if the crashes that this box has counted may have had another cause, as too few
+    /// were at different times, and only for one request after the other.
+    pub fn allows_trial(&mut self, set: &PartSet, request: &str, now_ms: Millis) -> bool {
+        let Some(last_crash_ms) = self.last_doubtful_crash_ms(set) else {
+            return false;
+        };
+        self.trials.allow(set, request, last_crash_ms, now_ms)
+    }
+
     /// Whether a set is refused.
     pub fn refuses(&self, set: &PartSet, now_ms: Millis) -> bool {
         self.refusals.holds(set, now_ms)
@@ -222,6 +234,8 @@
     /// Drops refusals whose time is over.
     pub fn tidy(&mut self, now_ms: Millis) {
         self.refusals.tidy(now_ms);
+        let refusals = &self.refusals;
+        self.trials.retain(|set| refusals.holds(set, now_ms));
     }
 
     /// Suspects a part, or adds crashes to the suspicion.
@@ -282,6 +296,17 @@
         })
     }
 
+    /// Time of the last crash that this box has counted against a set, unless enough of them were at
+    /// different times.
+    fn last_doubtful_crash_ms(&self, set: &PartSet) -> Option<Millis> {
+        set.parts().iter().find_map(|part| {
+            let crashes = self.ledger.crashes(*part, |_, _| false);
+            let is_of_set = PartSet::new(*part, &crashes.companions()) == *set;
+            let is_doubtful = is_of_set && crashes.suffice() && !crashes.are_enough_apart();
+            crashes.last_ms().filter(|_| is_doubtful)
+        })
+    }
+
     fn judge_part(&self, part: PartId, now_ms: Millis) -> Judgement {
         let Some(suspected) = self.suspected.get(&part) else {
             return Judgement::Drop;
--- a/crates/tinbay-core/src/crashes/parts/ledger.rs
+++ b/crates/tinbay-core/src/crashes/parts/ledger.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, HashSet, VecDeque};
 
 use super::evidence::{CrashReport, Evidence, MAX_LISTED_CRASHES};
-use super::{COINCIDENCE_MS, CRASHES_TO_SUSPECT};
+use super::{COINCIDENCE_MS, CRASHES_AT_ONCE_TO_SUSPECT, CRASHES_TO_SUSPECT};
 use crate::crashes::ledger::{CRASH_LIFE_MS, CrashKey};
 use crate::serving::prompt::PartId;
 use crate::units::Millis;
@@ -122,9 +122,21 @@
 }
 
 impl PartCrashes<'_> {
-    /// Whether these are enough crashes at different times, under enough different requests.
+    /// Whether these are enough crashes, under enough different requests.
     pub fn suffice(&self) -> bool {
-        self.count_apart() >= CRASHES_TO_SUSPECT && self.requests() >= CRASHES_TO_SUSPECT
+        let are_enough =
+            self.are_enough_apart() || self.crashes.len() >= CRASHES_AT_ONCE_TO_SUSPECT;
+        are_enough && self.requests() >= CRASHES_TO_SUSPECT
+    }
+
+    /// Whether these are enough crashes even if those of one moment count once.
+    pub fn are_enough_apart(&self) -> bool {
+        self.count_apart() >= CRASHES_TO_SUSPECT
+    }
+
+    /// When the last of them happened.
+    pub fn last_ms(&self) -> Option<Millis> {
+        self.crashes.last().map(|crash| crash.at_ms)
     }
 
     /// The crashes and requests, for other boxes.
--- a/crates/tinbay-core/src/crashes/parts/mod.rs
+++ b/crates/tinbay-core/src/crashes/parts/mod.rs
@@ -16,11 +16,13 @@
 mod ledger;
 mod proven;
 mod refusals;
+mod trials;
 
 pub use evidence::{CrashReport, Evidence, PartRefusal, PartSet, Proof, Suspicion};
 pub use judge::{Announcement, Heard, PartJudge, ProofEffect};
 pub use proven::{PROOF_HOLD_MS, PROVING_WRITE_MS};
 pub use refusals::REFUSAL_LIFE_MS;
+pub use trials::TRIAL_INTERVAL_MS;
 
 use crate::units::Millis;
 
@@ -28,10 +30,14 @@
 /// sessions whose first requests met two crashes of other causes.
 pub const CRASHES_TO_SUSPECT: usize = 3;
 
-/// Crashes closer together than this count as one: servers that end at the same moment have a common
-/// cause other than their requests.
+/// Crashes closer together than this are of one moment: their servers may have a common cause other
+/// than their requests, such as a rack that loses power.
 pub const COINCIDENCE_MS: Millis = 100;
 
+/// Crashes from which a part is suspected even if they are of one moment. Requests with a part that
+/// crashes servers may come together, and the sixth of them must not reach a server.
+pub const CRASHES_AT_ONCE_TO_SUSPECT: usize = 5;
+
 /// Time for objections before a suspected part is refused: a suspicion reaches the boxes of all
 /// zones, and their objections the trackers, in a fraction of it.
 pub const OBJECTION_MS: Millis = 600;
--- a/crates/tinbay-core/tests/crashes_parts_test.rs
+++ b/crates/tinbay-core/tests/crashes_parts_test.rs
@@ -1,9 +1,12 @@
 //! Tests of the detection of prompt parts that crash servers.
 
+use std::ops::Range;
+
 use quickcheck::{QuickCheck, TestResult};
 use tinbay_core::crashes::parts::{
     Announcement, COINCIDENCE_MS, CrashReport, Heard, MAX_SUSPICION_MS, OBJECTION_MS,
     PROOF_HOLD_MS, PartJudge, PartRefusal, PartSet, Proof, ProofEffect, REFUSAL_LIFE_MS, Suspicion,
+    TRIAL_INTERVAL_MS,
 };
 use tinbay_core::serving::prompt::PartId;
 
@@ -113,22 +116,125 @@
     assert_eq!(suspicion(third).part, BAD);
 }
 
-/// Servers of one host that end at the same moment have a common cause other than their requests.
+/// Records the crash of servers with these numbers at the same moment, each under another request.
+fn crash_at_once(judge: &mut PartJudge, part: PartId, crashes: Range<u64>, at_ms: u64) {
+    for number in crashes {
+        judge.record_crash(&report(part, &[], number, number), at_ms);
+    }
+}
+
+/// Four servers that crash together may have a common cause, such as a host: they count once.
 #[test]
-fn crashes_at_the_same_moment_count_once() {
+fn four_crashes_at_the_same_moment_count_once() {
     let mut judge = PartJudge::default();
-    for number in 0..40 {
-        let at_once = report(FIRST, &[], number, number);
-        assert_eq!(judge.record_crash(&at_once, number), None);
-    }
+    crash_at_once(&mut judge, FIRST, 0..4, 0);
     let aged = CrashReport {
         age_ms: 250,
-        ..report(FIRST, &[], 50, 50)
+        ..report(FIRST, &[], 3, 50)
     };
     assert_eq!(judge.record_crash(&aged, 260), None);
-    judge.record_crash(&report(FIRST, &[], 51, 51), 40 + COINCIDENCE_MS);
-    let third = judge.record_crash(&report(FIRST, &[], 52, 52), 40 + 2 * COINCIDENCE_MS);
-    assert_eq!(suspicion(third).part, FIRST);
+    let second = judge.record_crash(&report(FIRST, &[], 0, 51), COINCIDENCE_MS);
+    assert_eq!(second, None);
+    assert!(!judge.has_suspected());
+}
+
+/// Guards against requests with a part that come together: their crashes counted as one, and the
+/// next group reached servers, too.
+#[test]
+fn part_of_five_crashes_at_the_same_moment_is_refused() {
+    let mut judge = PartJudge::default();
+    crash_at_once(&mut judge, BAD, 0..5, 0);
+    assert!(judge.has_suspected());
+    assert_eq!(judge.judge(OBJECTION_MS).len(), 1);
+    assert!(judge.refused_set(&[FIRST, BAD], OBJECTION_MS).is_some());
+}
+
+/// Two groups of three crashes are as many as five of one moment.
+#[test]
+fn part_of_two_groups_of_crashes_is_refused() {
+    let mut judge = PartJudge::default();
+    crash_at_once(&mut judge, BAD, 0..3, 0);
+    assert!(!judge.has_suspected());
+    crash_at_once(&mut judge, BAD, 3..6, 4_000);
+    assert_eq!(judge.judge(4_000 + OBJECTION_MS).len(), 1);
+}
+
+/// Servers that end at the same moment under a part that other servers answer: whoever has proof
+/// objects, however many servers there are.
+#[test]
+fn proven_part_of_many_crashes_at_the_same_moment_is_not_refused() {
+    let mut tracker = PartJudge::default();
+    let mut suspicions = Vec::new();
+    for number in 0..40 {
+        let announced = tracker.record_crash(&report(FIRST, &[], number, number), number);
+        suspicions.extend(announced);
+    }
+    let mut other = PartJudge::default();
+    answer(&mut other, &[FIRST], 0);
+    let heard = other.hear_suspicion(&suspicion(suspicions.pop()), 45);
+    let Heard::Disproved(proofs) = heard else {
+        panic!("no objection");
+    };
+    assert!(tracker.record_proof(proofs[0], 50).is_news);
+    assert!(tracker.judge(45 + MAX_SUSPICION_MS).is_empty());
+    assert!(tracker.refused_set(&[FIRST], 2_000).is_none());
+    // Crashes at other times count no more than before.
+    tracker.record_crash(&report(FIRST, &[], 51, 51), 40 + COINCIDENCE_MS);
+    assert!(!tracker.has_suspected());
+}
+
+/// A sound part whose only servers ended at the same moment is answered in its trial, and the
+/// refusal is lifted.
+#[test]
+fn part_refused_for_crashes_of_one_moment_is_tried() {
+    let mut judge = PartJudge::default();
+    crash_at_once(&mut judge, SESSION, 0..40, 0);
+    let now_ms = MAX_SUSPICION_MS;
+    let refusals = judge.judge(now_ms);
+    let set = &refusals[0].parts;
+    assert!(judge.allows_trial(set, "first", now_ms));
+    assert!(judge.allows_trial(set, "first", now_ms + 5));
+    assert!(!judge.allows_trial(set, "second", now_ms + 6));
+    answer(&mut judge, &[SESSION], now_ms + 700);
+    assert!(judge.refused_set(&[SESSION], now_ms + 701).is_none());
+}
+
+/// A part that crashes servers has one trial, and none after it.
+#[test]
+fn part_that_crashes_a_server_in_its_trial_is_not_tried_again() {
+    let mut judge = PartJudge::default();
+    crash_at_once(&mut judge, BAD, 0..6, 0);
+    let now_ms = MAX_SUSPICION_MS;
+    let set = judge.judge(now_ms)[0].parts.clone();
+    assert!(judge.allows_trial(&set, "first", now_ms));
+    judge.record_crash(&report(BAD, &[], 7, 7), now_ms + 100);
+    for at_ms in [now_ms + 101, now_ms + 2 * TRIAL_INTERVAL_MS] {
+        assert!(!judge.allows_trial(&set, "first", at_ms));
+        assert!(!judge.allows_trial(&set, "second", at_ms));
+    }
+}
+
+/// A trial whose request reached no server is followed by another one.
+#[test]
+fn trial_without_outcome_is_followed_by_another() {
+    let mut judge = PartJudge::default();
+    crash_at_once(&mut judge, SESSION, 0..6, 0);
+    let now_ms = MAX_SUSPICION_MS;
+    let set = judge.judge(now_ms)[0].parts.clone();
+    assert!(judge.allows_trial(&set, "first", now_ms));
+    assert!(!judge.allows_trial(&set, "second", now_ms + TRIAL_INTERVAL_MS - 1));
+    assert!(judge.allows_trial(&set, "second", now_ms + TRIAL_INTERVAL_MS));
+}
+
+/// Crashes at three different times leave no doubt, and a box that has not counted them has no say.
+#[test]
+fn part_refused_for_crashes_at_different_times_is_not_tried() {
+    let mut judge = PartJudge::default();
+    let (refusal, now_ms) = refuse(&mut judge, BAD);
+    assert!(!judge.allows_trial(&refusal.parts, "first", now_ms));
+    let mut other = PartJudge::default();
+    other.hear_refusal(&refusal, now_ms);
+    assert!(!other.allows_trial(&refusal.parts, "first", now_ms));
 }
 
 /// A part that crashes a hundred servers in a second is not taken for one cause that ends all of them
--- a/crates/tinbay-experiment/tests/crashes_test.rs
+++ b/crates/tinbay-experiment/tests/crashes_test.rs
@@ -44,7 +44,8 @@
 /// The servers of a zone end at the same moment, in a fleet that has just started as well.
 #[test]
 fn play_zone_that_ends_refuses_nothing() {
-    for (seed, warm_up_s) in [(1, 4), (2, 1), (3, 0)] {
+    let just_started = (3..=20).flat_map(|seed| [(seed, 0), (seed, 1)]);
+    for (seed, warm_up_s) in [(1, 4), (2, 1)].into_iter().chain(just_started) {
         let terms = CrashParameters {
             seed,
             warm_up_s,
--- a/crates/tinbay-gateway/src/crashes/mod.rs
+++ b/crates/tinbay-gateway/src/crashes/mod.rs
@@ -128,7 +128,7 @@
     if digest.is_some_and(|digest| is_refused(node, *digest)) {
         return Some(Refusal::CrashesServers);
     }
-    let is_part_refused = parts::is_refused(node, &inbound.shared_parts);
+    let is_part_refused = parts::is_refused(node, inbound);
     is_part_refused.then_some(Refusal::PartCrashesServers)
 }
 
--- a/crates/tinbay-gateway/src/crashes/parts.rs
+++ b/crates/tinbay-gateway/src/crashes/parts.rs
@@ -146,10 +146,23 @@
     }
 }
 
-/// Whether a request with these shared parts is refused.
-pub fn is_refused(node: &Node, shared_parts: &[PartId]) -> bool {
-    let judge = node.crashes.parts.judge.borrow();
-    judge.refused_set(shared_parts, node.now_ms()).is_some()
+/// Whether a request is refused for its shared parts.
+pub fn is_refused(node: &Node, inbound: &InboundRequest) -> bool {
+    let now_ms = node.now_ms();
+    let mut judge = node.crashes.parts.judge.borrow_mut();
+    let refused = judge.refused_set(&inbound.shared_parts, now_ms).cloned();
+    refused.is_some_and(|set| {
+        let is_trial =
+            is_first_tracker(node, &set) && judge.allows_trial(&set, &inbound.id, now_ms);
+        !is_trial
+    })
+}
+
+/// Whether this box is the first of those that track a set, which alone lets requests with it reach
+/// servers as trials.
+fn is_first_tracker(node: &Node, set: &PartSet) -> bool {
+    let first = set.parts().first();
+    first.is_some_and(|part| spread::is_first_tracker(node, &tracked_name(*part)))
 }
 
 /// Whether a part of a request is suspected, and not proven at this box.
@@ -285,7 +298,12 @@
 }
 
 fn trackers(node: &Node, prompt_part: PartId) -> Vec<String> {
-    spread::trackers(node, &format!("part/{prompt_part}"))
+    spread::trackers(node, &tracked_name(prompt_part))
+}
+
+/// Name by which the boxes that track a part are selected.
+fn tracked_name(prompt_part: PartId) -> String {
+    format!("part/{prompt_part}")
 }
 
 /// Counts a crash under a request with a part, and announces what follows from it.
--- a/crates/tinbay-gateway/src/crashes/spread.rs
+++ b/crates/tinbay-gateway/src/crashes/spread.rs
@@ -83,6 +83,19 @@
 /// Other boxes that track a request or a prompt part, given its name. This box counts the crashes
 /// that it sees in any case.
 pub fn trackers(node: &Node, name: &str) -> Vec<String> {
+    let mut trackers = all_trackers(node, name);
+    trackers.retain(|id| *id != node.settings.borrow().box_id);
+    trackers
+}
+
+/// Whether this box is the first of those that track a request or a prompt part.
+pub fn is_first_tracker(node: &Node, name: &str) -> bool {
+    let trackers = all_trackers(node, name);
+    trackers.first() == Some(&node.settings.borrow().box_id)
+}
+
+/// The boxes that track a request or a prompt part, best first.
+fn all_trackers(node: &Node, name: &str) -> Vec<String> {
     let now_ms = node.now_ms();
     let settings = node.settings.borrow();
     let members = node.members.borrow();
@@ -94,7 +107,6 @@
     let boxes: Vec<RankedBox<'_>> = others.chain([own]).collect();
     capacity::select_boxes(name, &boxes, TRACKERS)
         .into_iter()
-        .filter(|id| *id != settings.box_id)
         .map(str::to_string)
         .collect()
 }
