Crashes: a request with a long body is known again however its bytes arrive

Cause: a request was identified by the bytes that were buffered when its body passed 131,072, whose number depends on how they arrived. Each repeat counted as a new request; where the lengths agreed, two long bodies with one start had one identity.

Change: a long body has two digests. The one of the whole body, computed while it passes, decides: it counts crashes, refuses and vouches, so that long bodies that only share a start don't accuse or vouch for each other.

--- a/crates/tinbay-core/src/crashes/digest.rs
+++ b/crates/tinbay-core/src/crashes/digest.rs
@@ -20,17 +20,17 @@
 pub struct RequestDigest([u8; DIGEST_BYTES]);
 
 impl RequestDigest {
-    /// Computes the digest. `path` includes the query; `body` may be the first part of a long one.
+    /// Computes the digest of a request whose whole body is at hand. `path` includes the query.
     pub fn of(account: Option<&str>, path: &str, body: &[u8]) -> Self {
-        let mut hasher = Sha256::new();
-        if let Some(account) = account {
-            add(&mut hasher, b"account", account.as_bytes());
-        }
-        add(&mut hasher, b"path", path.as_bytes());
+        let mut hasher = head_hasher(account, path);
         add(&mut hasher, b"body", body);
-        let whole = hasher.finalize();
+        Self::from_hash(hasher)
+    }
+
+    fn from_hash(hasher: Sha256) -> Self {
+        let hash = hasher.finalize();
         let mut digest = [0; DIGEST_BYTES];
-        digest.copy_from_slice(&whole[..DIGEST_BYTES]);
+        digest.copy_from_slice(&hash[..DIGEST_BYTES]);
         Self(digest)
     }
 
@@ -42,6 +42,46 @@
     }
 }
 
+/// Computes the digests of a request whose body is too long to be at hand as a whole. They don't
+/// depend on the pieces in which the body arrives.
+#[derive(Debug, Clone)]
+pub struct LongBodyHasher {
+    hasher: Sha256,
+    body_bytes: u64,
+}
+
+impl LongBodyHasher {
+    /// Begins a body. `path` includes the query.
+    pub fn new(account: Option<&str>, path: &str) -> Self {
+        Self {
+            hasher: head_hasher(account, path),
+            body_bytes: 0,
+        }
+    }
+
+    /// Adds the next piece of the body.
+    pub fn update(&mut self, piece: &[u8]) {
+        self.hasher.update(piece);
+        self.body_bytes += piece.len() as u64;
+    }
+
+    /// The digest of all requests whose bodies start with the pieces so far.
+    pub fn digest_of_start(&self) -> RequestDigest {
+        self.clone().finish(b"start of body")
+    }
+
+    /// The digest of the request, whose body is complete.
+    pub fn digest_of_whole(self) -> RequestDigest {
+        self.finish(b"long body")
+    }
+
+    fn finish(mut self, name: &[u8]) -> RequestDigest {
+        self.hasher.update(self.body_bytes.to_le_bytes());
+        self.hasher.update(name);
+        RequestDigest::from_hash(self.hasher)
+    }
+}
+
 /// The text is not a valid digest.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 #[error("not a digest of {} hexadecimal digits", 2 * DIGEST_BYTES)]
@@ -64,6 +104,16 @@
     }
 }
 
+/// Hashes what identifies a request beside its body.
+fn head_hasher(account: Option<&str>, path: &str) -> Sha256 {
+    let mut hasher = Sha256::new();
+    if let Some(account) = account {
+        add(&mut hasher, b"account", account.as_bytes());
+    }
+    add(&mut hasher, b"path", path.as_bytes());
+    hasher
+}
+
 /// Hashes a part with its name and length, so that different parts can't give the same byte
 /// sequence.
 fn add(hasher: &mut Sha256, name: &[u8], part: &[u8]) {
--- a/crates/tinbay-core/tests/crashes_test.rs
+++ b/crates/tinbay-core/tests/crashes_test.rs
@@ -1,7 +1,7 @@
 //! Tests of the detection and quarantine of requests that crash servers.
 
 use quickcheck::{QuickCheck, TestResult};
-use tinbay_core::crashes::digest::RequestDigest;
+use tinbay_core::crashes::digest::{LongBodyHasher, RequestDigest};
 use tinbay_core::crashes::ledger::{CRASHES_TO_REFUSE, CrashLedger};
 use tinbay_core::crashes::proven::ProvenRequests;
 use tinbay_core::crashes::quarantine::{QUARANTINE_LIFE_MS, Quarantine};
@@ -167,3 +167,30 @@
         .tests(2_000)
         .quickcheck(refuses as fn(Vec<(u8, u8)>) -> bool);
 }
+
+fn long_body_hasher(pieces: &[&[u8]]) -> LongBodyHasher {
+    let mut hasher = LongBodyHasher::new(Some("account"), "/path");
+    for piece in pieces {
+        hasher.update(piece);
+    }
+    hasher
+}
+
+/// The pieces in which a body arrives are up to the network.
+#[test]
+fn long_body_has_one_digest_however_it_arrives() {
+    let at_once = long_body_hasher(&[b"abcdef"]).digest_of_whole();
+    for pieces in [[&b"abc"[..], b"def"], [b"a", b"bcdef"], [b"", b"abcdef"]] {
+        assert_eq!(long_body_hasher(&pieces).digest_of_whole(), at_once);
+    }
+}
+
+#[test]
+fn long_body_is_told_from_others_with_its_start() {
+    let start = long_body_hasher(&[b"abc"]);
+    let whole = long_body_hasher(&[b"abc", b"def"]).digest_of_whole();
+    assert_ne!(start.digest_of_start(), whole);
+    assert_ne!(start.digest_of_start(), start.clone().digest_of_whole());
+    let other = long_body_hasher(&[b"abc", b"xyz"]).digest_of_whole();
+    assert_ne!(other, whole);
+}
--- a/crates/tinbay-gateway/src/crashes/check.rs
+++ b/crates/tinbay-gateway/src/crashes/check.rs
@@ -30,8 +30,8 @@
 pub struct CutRequest {
     /// Id of the caller's attempt.
     pub id: String,
-    /// Digest of the content, equal for equal requests.
-    pub digest: RequestDigest,
+    /// Digests of the content, equal for equal requests; the most specific one first. Not empty.
+    pub digests: Vec<RequestDigest>,
     /// Shared parts of its prompt, in order.
     pub parts: Vec<PartId>,
     /// Time from the first piece of its answer to the cut; none if no piece had arrived.
@@ -60,7 +60,10 @@
 #[derive(Serialize)]
 struct SuspectEvent<'a> {
     request: &'a str,
-    digest: String,
+    digest: Option<String>,
+    /// Digest of the start of a long body, if its whole is known.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    start_digest: Option<String>,
     server: &'a str,
     /// Key of the server's incarnation.
     crash: String,
@@ -71,7 +74,9 @@
 /// Records that a server cut an answer short or closed the connection without one, and starts a
 /// check unless one is pending.
 pub fn record_cut(node: &Rc<Node>, server: &Rc<Server>, request: CutRequest) {
-    node.crashes.begin_check(request.digest);
+    for digest in &request.digests {
+        node.crashes.begin_check(*digest);
+    }
     let mut cut = server.cut_requests.borrow_mut();
     cut.push(request);
     if cut.len() == 1 {
@@ -105,16 +110,20 @@
             record_crash(&node, &server, &cut);
         } else {
             keep_undecided(&node, &server, &cut);
-            let digests = cut.iter().map(|request| request.digest).collect();
-            spread::report(&node, digests, server.key, Certainty::Uncertain);
+            spread::report(&node, digests_of(&cut), server.key, Certainty::Uncertain);
             parts::report_possible_crash(&node, server.key, &cut);
         }
     }
-    for request in &cut {
-        node.crashes.end_check(request.digest);
+    for digest in digests_of(&cut) {
+        node.crashes.end_check(digest);
     }
 }
 
+fn digests_of(cut: &[CutRequest]) -> Vec<RequestDigest> {
+    let digests = cut.iter().flat_map(|request| &request.digests);
+    digests.copied().collect()
+}
+
 fn keep_undecided(node: &Node, server: &Server, cut: &[CutRequest]) {
     let mut undecided = server.undecided_cuts.borrow_mut();
     let undecided = undecided.get_or_insert_with(|| UndecidedCuts {
@@ -153,16 +162,19 @@
     for request in cut {
         let event = SuspectEvent {
             request: &request.id,
-            digest: request.digest.to_string(),
+            digest: request.digests.first().map(ToString::to_string),
+            start_digest: request.digests.get(1).map(ToString::to_string),
             server: &server.record().id,
             crash: format!("{:x}", server.key),
             parts: list_parts(&request.parts),
             written_for_ms: request.written_for_ms,
         };
         events::emit(part::FRONT, Level::Info, "crash_suspect", &event);
-        super::count_crash(node, request.digest, server.key);
     }
-    let digests = cut.iter().map(|request| request.digest).collect();
+    let digests = digests_of(cut);
+    for digest in &digests {
+        super::count_crash(node, *digest, server.key);
+    }
     spread::report(node, digests, server.key, Certainty::Certain);
     parts::report_crash(node, server.key, cut);
 }
--- a/crates/tinbay-gateway/src/crashes/mod.rs
+++ b/crates/tinbay-gateway/src/crashes/mod.rs
@@ -140,8 +140,8 @@
 /// The refusal of a request, after what may soon lead to it: checks of servers that just cut it
 /// short, and judgements of its prompt's parts.
 pub async fn refusal_after_checks(node: &Node, inbound: &InboundRequest) -> Option<Refusal> {
-    if let Some(digest) = inbound.digest.get() {
-        wait_for_checks(node, *digest).await;
+    for digest in inbound.digests() {
+        wait_for_checks(node, digest).await;
     }
     if !parts::wait_for_judgement(node, inbound).await {
         return Some(Refusal::PartCrashesServers);
@@ -149,6 +149,14 @@
     refusal(node, inbound)
 }
 
+/// Whether servers have crashed under requests whose long bodies start like that of a request. Such
+/// a request may differ from these later on, so that nothing speaks against it yet.
+pub fn is_start_quarantined(node: &Node, inbound: &InboundRequest) -> bool {
+    let start = inbound.start_digest.get();
+    let quarantine = node.crashes.quarantine.borrow();
+    start.is_some_and(|start| quarantine.holds(*start, node.now_ms()))
+}
+
 /// Whether a request is refused: it is quarantined, and this box has not seen it complete.
 fn is_refused(node: &Node, digest: RequestDigest) -> bool {
     let is_quarantined = node
--- a/crates/tinbay-gateway/src/crashes/parts.rs
+++ b/crates/tinbay-gateway/src/crashes/parts.rs
@@ -11,6 +11,7 @@
 use log::Level;
 use rand::seq::SliceRandom;
 use serde::Serialize;
+use tinbay_core::crashes::digest::RequestDigest;
 use tinbay_core::crashes::ledger::CrashKey;
 use tinbay_core::crashes::parts::{
     Announcement, CrashReport, Evidence, Heard, PROVING_WRITE_MS, PartJudge, PartRefusal, PartSet,
@@ -258,7 +259,7 @@
                 part: *prompt_part,
                 companions: companions.copied().collect(),
                 crash,
-                request: request.digest.short(),
+                request: request.digests.first().map_or(0, RequestDigest::short),
                 age_ms: to_u16(node.now_ms() - request.cut_ms),
                 is_certain,
             });
--- a/crates/tinbay-gateway/src/front/admission.rs
+++ b/crates/tinbay-gateway/src/front/admission.rs
@@ -77,7 +77,7 @@
         units,
         prefill_ms,
         in_time_ms: in_time_ms(inbound, prefill_ms, node.now_ms()),
-        digest: inbound.digest.get().map_or(0, |digest| digest.short()),
+        digest: inbound.digests().next().map_or(0, |digest| digest.short()),
     })
 }
 
--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -351,10 +351,11 @@
 /// Starts a health check of a server that closed the connection during a request, as it may have
 /// crashed.
 pub(super) fn check_after_cut(node: &Rc<Node>, inbound: &InboundRequest, server: &Rc<Server>) {
-    if let Some(digest) = inbound.digest.get() {
+    let digests: Vec<_> = inbound.digests().collect();
+    if !digests.is_empty() {
         let request = CutRequest {
             id: inbound.id.clone(),
-            digest: *digest,
+            digests,
             parts: inbound.shared_parts.clone(),
             written_for_ms: inbound.written_for_ms(node.now_ms()),
             cut_ms: node.now_ms(),
--- a/crates/tinbay-gateway/src/front/filters/account_limit.rs
+++ b/crates/tinbay-gateway/src/front/filters/account_limit.rs
@@ -42,7 +42,7 @@
         return Ok(());
     };
     let units = units(account, inbound.prompt.count)?;
-    let caller_try = inbound.digest.get().map(|digest| CallerTry {
+    let caller_try = inbound.digests().next().map(|digest| CallerTry {
         digest: digest.short(),
         objective_ms: inbound.route.objective_ms,
     });
--- a/crates/tinbay-gateway/src/front/filters/memory.rs
+++ b/crates/tinbay-gateway/src/front/filters/memory.rs
@@ -6,7 +6,9 @@
 
 use super::body::MAX_BUFFERED_BYTES;
 use super::{Exchange, Filter, FilterFuture, Step};
+use crate::front::inbound::InboundRequest;
 use crate::front::refusal::Refusal;
+use crate::memory::Reservation;
 use crate::node::Node;
 
 /// Presumed size of a body without a content length.
@@ -24,17 +26,20 @@
 
 fn admit(node: &Node, exchange: &mut Exchange) -> Result<Step, Refusal> {
     let bytes = exchange.incoming.as_ref().map_or(0, buffered_bytes);
-    match node.memory.admit(exchange.inbound.holder(), bytes) {
-        Ok(held) => {
-            exchange.held = Some(held);
-            Ok(Step::Next)
-        }
-        Err(short) => {
-            let refusals = &node.metrics.memory_refusals;
-            refusals.with_label_values(&[short.name()]).inc();
-            Err(Refusal::MemoryShort { short })
-        }
-    }
+    exchange.held = Some(reserve(node, &exchange.inbound, bytes)?);
+    Ok(Step::Next)
+}
+
+/// Reserves memory for a request's body.
+///
+/// # Errors
+/// When there is not enough.
+pub fn reserve(node: &Node, inbound: &InboundRequest, bytes: u64) -> Result<Reservation, Refusal> {
+    node.memory.admit(inbound.holder(), bytes).map_err(|short| {
+        let refusals = &node.metrics.memory_refusals;
+        refusals.with_label_values(&[short.name()]).inc();
+        Refusal::MemoryShort { short }
+    })
 }
 
 /// Bytes of a body that will be buffered, by its content length if there is one.
--- a/crates/tinbay-gateway/src/front/inbound.rs
+++ b/crates/tinbay-gateway/src/front/inbound.rs
@@ -8,7 +8,7 @@
 use tinbay_core::accounts::account::Account;
 use tinbay_core::accounts::key::KeyDigest;
 use tinbay_core::accounts::key_check::PresentedKey;
-use tinbay_core::crashes::digest::RequestDigest;
+use tinbay_core::crashes::digest::{LongBodyHasher, RequestDigest};
 use tinbay_core::crashes::parts::MAX_TRACKED_PARTS;
 use tinbay_core::memory::ledger::{AccountHash, ConnectionNumber, Holder};
 use tinbay_core::resumption::history::HISTORY_MS;
@@ -101,8 +101,10 @@
     pub id: String,
     /// Method, path, query and headers as received, without the API key.
     pub parts: Parts,
-    /// Digest by which identical requests are recognized; set once the body is read.
-    pub digest: OnceCell<RequestDigest>,
+    /// Digest by which identical requests are recognized; set once the whole body has been read.
+    pub digest: Rc<OnceCell<RequestDigest>>,
+    /// Digest of the start of a long body, which different requests may share; set once it is read.
+    pub start_digest: OnceCell<RequestDigest>,
     /// Digest of the API key.
     pub key: PresentedKey,
     /// The client account; set once the key is checked.
@@ -202,7 +204,8 @@
             route,
             service,
             in_force,
-            digest: OnceCell::new(),
+            digest: Rc::default(),
+            start_digest: OnceCell::new(),
             key,
             account: OnceCell::new(),
             admitted: Cell::default(),
@@ -256,13 +259,35 @@
         }
     }
 
-    /// Sets the digest of the request from its body, or from the first part of a long one.
+    /// Sets the digest of the request from its whole body.
     pub fn set_digest(&self, body: &[u8]) {
-        let account = self.client_account().map(|account| &*account.name);
+        let _ = self
+            .digest
+            .set(RequestDigest::of(self.account_name(), self.path(), body));
+    }
+
+    /// Sets the digest of the start of a long body; the hasher returned has seen it.
+    pub fn set_start_digest(&self, start: &[u8]) -> LongBodyHasher {
+        let mut hasher = LongBodyHasher::new(self.account_name(), self.path());
+        hasher.update(start);
+        let _ = self.start_digest.set(hasher.digest_of_start());
+        hasher
+    }
+
+    /// The digests that are known: of the whole request, and of the start of a long body.
+    pub fn digests(&self) -> impl Iterator<Item = RequestDigest> {
+        let digests = [self.digest.get(), self.start_digest.get()];
+        digests.into_iter().flatten().copied()
+    }
+
+    fn account_name(&self) -> Option<&str> {
+        self.client_account().map(|account| &*account.name)
+    }
+
+    /// The path with its query.
+    fn path(&self) -> &str {
         let path = self.parts.uri.path_and_query();
-        let path = path.map_or("", |path| path.as_str());
-        let digest = RequestDigest::of(account, path, body);
-        let _ = self.digest.set(digest);
+        path.map_or("", |path| path.as_str())
     }
 
     /// Time since the first piece of its answer arrived, once the answer has ended; none if no piece
--- a/crates/tinbay-gateway/src/front/request_log.rs
+++ b/crates/tinbay-gateway/src/front/request_log.rs
@@ -190,7 +190,7 @@
     let now_ms = node.now_ms();
     let timing = AnswerTiming::new(inbound, answer_end(status, ending), now_ms);
     let is_served = relayed.is_some_and(|end| end.result.is_ok());
-    let digest = inbound.digest.get().filter(|_| !is_served);
+    let digest = inbound.digests().next().filter(|_| !is_served);
     let event = EndEvent {
         request: &inbound.id,
         route: &inbound.route.name,
@@ -209,7 +209,7 @@
         server,
         status,
         outcome,
-        digest: digest.map(ToString::to_string),
+        digest: digest.map(|digest| digest.to_string()),
         parts: digest.map(|_| list_parts(&inbound.shared_parts)),
         cause,
         framing: unframed.map(|end| end.framing.name()),
--- a/crates/tinbay-gateway/src/http/body.rs
+++ b/crates/tinbay-gateway/src/http/body.rs
@@ -1,5 +1,6 @@
 //! Request bodies sent to backend servers and response bodies sent to callers.
 
+use std::cell::OnceCell;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -7,6 +8,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
+use tinbay_core::crashes::digest::{LongBodyHasher, RequestDigest};
 use tinbay_core::unframed::EarlyClose;
 
 use crate::http::pump::WatchedAnswer;
@@ -63,11 +65,22 @@
     }
 }
 
+/// Computes the digest of a long body as its rest is sent.
+#[derive(Debug)]
+pub struct DigestObserver {
+    /// Has seen the buffered start.
+    pub hasher: LongBodyHasher,
+    /// Set once the whole body has been sent.
+    pub digest: Rc<OnceCell<RequestDigest>>,
+}
+
 /// The body of a caller's request: the buffered start, then the unread rest of the stream.
 #[derive(Debug)]
 pub struct RequestBody {
     first: Bytes,
     rest: Option<Incoming>,
+    /// Sees `rest` as it is sent.
+    observer: Option<DigestObserver>,
     /// Accounts for the memory of `first` until the last copy made for a retry is dropped.
     held: Option<Rc<Reservation>>,
 }
@@ -78,6 +91,7 @@
         Self {
             first: bytes,
             rest: None,
+            observer: None,
             held: None,
         }
     }
@@ -87,10 +101,39 @@
         Self {
             first,
             rest: Some(rest),
+            observer: None,
             held: None,
         }
     }
 
+    /// Has the rest of a long body observed as it is sent.
+    pub fn observed_by(self, observer: DigestObserver) -> Self {
+        Self {
+            observer: Some(observer),
+            ..self
+        }
+    }
+
+    /// Whether only the start has been read.
+    pub fn is_streamed(&self) -> bool {
+        self.rest.is_some()
+    }
+
+    /// Reads the rest of a body of which only the start has been read. `held` accounts for all bytes.
+    ///
+    /// # Errors
+    /// When the caller's connection failed, or the body is longer than `max_bytes`.
+    pub async fn read_rest(
+        self,
+        max_bytes: usize,
+        held: Option<&mut Reservation>,
+    ) -> Result<Self, BodyError> {
+        let Some(rest) = self.rest else {
+            return Ok(self);
+        };
+        read(rest, vec![self.first], max_bytes, max_bytes, held).await
+    }
+
     /// Accounts for the memory of the buffered bytes in `held` until the body is dropped.
     pub fn held_by(self, held: Option<Reservation>) -> Self {
         let held = held.map(|mut hold| {
@@ -110,6 +153,19 @@
         &self.first
     }
 
+    /// Has a frame of the rest, or its end, observed.
+    fn observe(&mut self, frame: Option<&Frame<Bytes>>, is_at_end: bool) {
+        let data = frame.and_then(Frame::data_ref);
+        if let (Some(observer), Some(data)) = (&mut self.observer, data) {
+            observer.hasher.update(data);
+        }
+        if (frame.is_none() || is_at_end)
+            && let Some(observer) = self.observer.take()
+        {
+            let _ = observer.digest.set(observer.hasher.digest_of_whole());
+        }
+    }
+
     /// A copy of the body for a retry; `None` unless it is fully buffered.
     pub fn repeat(&self) -> Option<Self> {
         match self.rest {
@@ -117,6 +173,7 @@
             None => Some(Self {
                 first: self.first.clone(),
                 rest: None,
+                observer: None,
                 held: self.held.clone(),
             }),
         }
@@ -129,16 +186,26 @@
 /// # Errors
 /// When the caller's connection failed, or the body is longer than `max_bytes`.
 pub async fn read_request_body(
-    mut body: Incoming,
+    body: Incoming,
     max_buffered_bytes: usize,
     max_bytes: usize,
-    mut held: Option<&mut Reservation>,
+    held: Option<&mut Reservation>,
 ) -> Result<RequestBody, BodyError> {
     if body.size_hint().lower() > max_bytes as u64 {
         return Err(BodyError::TooLong);
     }
-    let mut buffered: Vec<Bytes> = Vec::new();
-    let mut length = 0;
+    read(body, Vec::new(), max_buffered_bytes, max_bytes, held).await
+}
+
+/// Reads a body after its first pieces, until it exceeds `max_buffered_bytes`.
+async fn read(
+    mut body: Incoming,
+    mut buffered: Vec<Bytes>,
+    max_buffered_bytes: usize,
+    max_bytes: usize,
+    mut held: Option<&mut Reservation>,
+) -> Result<RequestBody, BodyError> {
+    let mut length = buffered.iter().map(Bytes::len).sum();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| BodyError::CallerBrokeOff)?;
         let Ok(data) = frame.into_data() else {
@@ -182,12 +249,18 @@
             let first = std::mem::take(&mut self.first);
             return Poll::Ready(Some(Ok(Frame::data(first))));
         }
-        match &mut self.rest {
-            None => Poll::Ready(None),
-            Some(rest) => Pin::new(rest)
-                .poll_frame(context)
-                .map(|frame| frame.map(|frame| frame.map_err(|_| BodyError::CallerBrokeOff))),
+        let Some(rest) = &mut self.rest else {
+            return Poll::Ready(None);
+        };
+        let Poll::Ready(frame) = Pin::new(&mut *rest).poll_frame(context) else {
+            return Poll::Pending;
+        };
+        let is_at_end = rest.is_end_stream();
+        let frame = frame.transpose().map_err(|_| BodyError::CallerBrokeOff);
+        if let Ok(frame) = &frame {
+            self.observe(frame.as_ref(), is_at_end);
         }
+        Poll::Ready(frame.transpose())
     }
 
     fn is_end_stream(&self) -> bool {
