Resumption: a restarted server whose entry is not read has no known version

Cause: the box that learns of the restart from the server's report made the new record from the former one, software version included. Streams that began there were recorded under the version of the former life.

Change: the version of an incarnation whose entry has not been read is a version of its own. A stream that begins there goes on there alone; once the entry is read, it counts as begun by the version that the entry names. The other fields that are kept (address, zone, slots, state) don't decide where a stream goes on.

--- a/crates/tinbay-core/src/serving/servers.rs
+++ b/crates/tinbay-core/src/serving/servers.rs
@@ -33,6 +33,41 @@
     }
 }
 
+/// Version of a server's software, which never changes for an incarnation.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum SoftwareVersion {
+    /// The version that its entry names.
+    Named(String),
+    /// The entry of the incarnation has not been read, so that it may be of any version. The text
+    /// tells the incarnation from all others.
+    Unread(String),
+}
+
+impl SoftwareVersion {
+    /// The version that an entry names.
+    pub fn named(name: &str) -> Self {
+        SoftwareVersion::Named(name.to_string())
+    }
+
+    /// The version of an incarnation whose entry has not been read.
+    pub fn unread(server_id: &str, born_ms: Option<u64>) -> Self {
+        let born = born_ms.map_or(String::new(), |born_ms| born_ms.to_string());
+        SoftwareVersion::Unread(format!("unread {server_id} {born}"))
+    }
+
+    /// Whether the entry of the incarnation has been read.
+    pub fn is_read(&self) -> bool {
+        matches!(self, SoftwareVersion::Named(_))
+    }
+
+    /// Text that is the same for servers of the same version only.
+    pub fn as_str(&self) -> &str {
+        match self {
+            SoftwareVersion::Named(text) | SoftwareVersion::Unread(text) => text,
+        }
+    }
+}
+
 /// Entry of one incarnation of a server, which lasts from its start to its exit.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ServerRecord {
@@ -46,9 +81,8 @@
     pub address: SocketAddr,
     /// Availability zone.
     pub zone: String,
-    /// Version of its software, which never changes for an incarnation. Servers of one service may
-    /// run several versions at the same time.
-    pub software_version: String,
+    /// Version of its software. Servers of one service may run several versions at the same time.
+    pub software_version: SoftwareVersion,
     /// Number of requests that it processes at once.
     pub slots: usize,
     /// Whether it accepts requests.
@@ -66,6 +100,18 @@
 }
 
 impl ServerRecord {
+    /// The record of a later incarnation of the server, of which only its own report is known.
+    pub fn restarted(&self, report: Report) -> Self {
+        Self {
+            born_ms: report.born_ms,
+            software_version: SoftwareVersion::unread(&self.id, report.born_ms),
+            order_count: report.order_count,
+            models: report.models,
+            adapters: report.adapters,
+            ..self.clone()
+        }
+    }
+
     /// The record without the fields that change with every order.
     pub fn identity(&self) -> Self {
         Self {
--- a/crates/tinbay-gateway/src/front/handover/actions.rs
+++ b/crates/tinbay-gateway/src/front/handover/actions.rs
@@ -272,7 +272,7 @@
         let event = HandoverEvent {
             request: &self.inbound.id,
             source: &self.source.record().id,
-            software_version: &self.versions.software,
+            software_version: self.versions.software.as_str(),
             target: target.as_ref().map(|record| record.id.as_str()),
             outcome,
             took_ms: target.as_ref().map(|_| now_ms - self.requested_ms.get()),
--- a/crates/tinbay-gateway/src/front/handover/target.rs
+++ b/crates/tinbay-gateway/src/front/handover/target.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use tinbay_core::serving::contents::{AdapterKey, HeldState};
+use tinbay_core::serving::servers::SoftwareVersion;
 
 use crate::front::choice::{self, CandidateSet, Choice, HolderRequests};
 use crate::front::deliver::held_version;
@@ -31,7 +32,7 @@
     /// Version of the adapter; 0 if unknown.
     pub adapter: u64,
     /// Version of the server's software.
-    pub software: String,
+    pub software: SoftwareVersion,
 }
 
 impl RunVersions {
@@ -59,7 +60,7 @@
     let Some(split) = split else {
         return Target::Nowhere;
     };
-    let successors = split.successors(&versions.software);
+    let successors = split.successors(versions.software.as_str());
     if adapter_of(inbound).is_none() {
         return choose_for_model(node, inbound, &successors);
     }
--- a/crates/tinbay-gateway/src/handover/split.rs
+++ b/crates/tinbay-gateway/src/handover/split.rs
@@ -38,7 +38,7 @@
             return Vec::new();
         }
         let is_of_version =
-            |server: &&Rc<Server>| server.record().software_version == software_version;
+            |server: &&Rc<Server>| server.record().software_version.as_str() == software_version;
         let engines = self.decode_engines.iter().filter(is_of_version);
         engines.cloned().collect()
     }
@@ -122,7 +122,7 @@
             .zip(&records)
             .map(|(server, record)| VersionedRole {
                 role: roles.get(&server.key).copied().unwrap_or(Role::Decode),
-                software_version: &record.software_version,
+                software_version: record.software_version.as_str(),
             })
             .collect();
         let versions = split_versions(&engines);
@@ -186,7 +186,7 @@
         .map(|(server, record)| Engine {
             address: &server.address_text,
             zone: &record.zone,
-            software_version: &record.software_version,
+            software_version: record.software_version.as_str(),
         })
         .collect();
     let keys = servers.iter().map(|server| server.key);
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -370,7 +370,7 @@
     /// Records that a server with this entry is or was listed until now.
     pub fn observe_version(&self, record: &ServerRecord) {
         let service = fingerprint(&record.service);
-        let version = fingerprint(&record.software_version);
+        let version = fingerprint(record.software_version.as_str());
         let mut history = self.resumption.history.borrow_mut();
         history.observe(service, version, self.now_ms());
     }
--- a/crates/tinbay-gateway/src/orders/holder.rs
+++ b/crates/tinbay-gateway/src/orders/holder.rs
@@ -15,7 +15,7 @@
     Action, ModelAllowance, OrderAnswer, OrderContext, adapter_key,
 };
 use tinbay_core::serving::pacing::LoadQuotaCounter;
-use tinbay_core::serving::servers::{Report, ServerRecord};
+use tinbay_core::serving::servers::Report;
 use tinbay_core::serving::wanted_loads::WantedLoad;
 use tinbay_core::units::Millis;
 
@@ -361,13 +361,8 @@
         }
         // The server restarted under the same id, and its entry in the store does not show that
         // yet.
-        let restarted = ServerRecord {
-            born_ms: report.born_ms,
-            order_count: report.order_count,
-            models: report.models,
-            adapters: report.adapters,
-            ..(*record).clone()
-        };
+        let restarted = record.restarted(report);
+        self.node.observe_version(&restarted);
         let change = self.node.servers.borrow_mut().put(restarted.clone());
         if change == ServerChange::Restarted {
             log_change(&restarted, change);
--- a/crates/tinbay-gateway/src/resumption/eligibility.rs
+++ b/crates/tinbay-gateway/src/resumption/eligibility.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use tinbay_core::resumption::fingerprint;
-use tinbay_core::serving::servers::Fingerprint;
+use tinbay_core::serving::servers::{Fingerprint, SoftwareVersion};
 
 use super::stream_start::StreamStart;
 use crate::front::inbound::InboundRequest;
@@ -36,7 +36,20 @@
 
 /// Fingerprint of a server's software version.
 pub fn version_of(server: &Server) -> Fingerprint {
-    fingerprint(&server.record().software_version)
+    fingerprint(server.record().software_version.as_str())
+}
+
+/// The version that began a stream, as it is known now. A stream may have been recorded under an
+/// incarnation of a server whose entry had not been read and has been read since.
+pub fn resolve_version(node: &Node, service: &str, recorded: Fingerprint) -> Fingerprint {
+    let is_recorded = |server: &Rc<Server>| {
+        let record = server.record();
+        let unread = SoftwareVersion::unread(&record.id, record.born_ms);
+        fingerprint(unread.as_str()) == recorded
+    };
+    let servers = node.servers.borrow().in_service(service);
+    let found = servers.iter().find(|server| is_recorded(server));
+    found.map_or(recorded, |server| version_of(server))
 }
 
 fn retain_adopted(node: &Node, inbound: &InboundRequest, servers: &mut Vec<Rc<Server>>) {
--- a/crates/tinbay-gateway/src/resumption/origin.rs
+++ b/crates/tinbay-gateway/src/resumption/origin.rs
@@ -11,7 +11,7 @@
 
 use super::asking::ask;
 use super::context::ResumptionContext;
-use super::eligibility::{has_server_of_origin, version_of};
+use super::eligibility::{has_server_of_origin, resolve_version, version_of};
 use super::messages::{OriginReplyPart, OriginRequestPart};
 use super::own_knowledge;
 use super::recording::record_resumed;
@@ -179,7 +179,8 @@
             });
         }
     };
-    inbound.origin.set(Some(version));
+    let resolved = resolve_version(node, &inbound.service, version);
+    inbound.origin.set(Some(resolved));
     record_resumed(node, inbound, version);
     check_server_left(node, inbound)
 }
@@ -256,5 +257,5 @@
     let mut servers = servers.all();
     let found = servers
         .find(|server| server.record().service == service && version_of(server) == version)?;
-    Some(found.record().software_version.clone())
+    Some(found.record().software_version.as_str().to_string())
 }
--- a/crates/tinbay-gateway/src/resumption/recording.rs
+++ b/crates/tinbay-gateway/src/resumption/recording.rs
@@ -57,14 +57,14 @@
     let start = StartRecord {
         attempt,
         service: fingerprint(&inbound.service),
-        version: fingerprint(&server.software_version),
+        version: fingerprint(server.software_version.as_str()),
         until_ms: inbound.caller_time_up_ms + RECORD_MARGIN_MS,
     };
     let homes = record(node, start, inbound.outlasts_version_history());
     let event = RecordedEvent {
         request: &inbound.id,
         server: &server.id,
-        software_version: &server.software_version,
+        software_version: server.software_version.as_str(),
         homes: &homes,
     };
     events::emit(part::FRONT, Level::Debug, "stream_recorded", &event);
--- a/crates/tinbay-gateway/src/servers/mod.rs
+++ b/crates/tinbay-gateway/src/servers/mod.rs
@@ -117,7 +117,8 @@
             return ServerChange::Same;
         }
         let record = ServerRecord { born_ms, ..record };
-        let has_other_software = record.software_version != known.software_version;
+        let has_other_software =
+            known.software_version.is_read() && record.software_version != known.software_version;
         if born_ms != known_born_ms || record.address != known.address || has_other_software {
             self.remove(&record.id);
             self.insert(record);
--- a/crates/tinbay-gateway/src/watch/servers.rs
+++ b/crates/tinbay-gateway/src/watch/servers.rs
@@ -144,7 +144,7 @@
         change: change.name(),
         born_ms: record.born_ms,
         remaining_ms: record.remaining_ms,
-        software_version: &record.software_version,
+        software_version: record.software_version.as_str(),
     };
     events::emit(part::SERVERS, Level::Info, "server", &event);
 }
--- a/crates/tinbay-gateway/tests/servers_test.rs
+++ b/crates/tinbay-gateway/tests/servers_test.rs
@@ -4,7 +4,7 @@
 
 use quickcheck::QuickCheck;
 use tinbay_core::serving::notices::AnswerNotice;
-use tinbay_core::serving::servers::{ServerRecord, ServerState};
+use tinbay_core::serving::servers::{Report, ServerRecord, ServerState, SoftwareVersion};
 use tinbay_gateway::clock::Clock;
 use tinbay_gateway::servers::{Server, ServerChange, ServerTable};
 
@@ -15,7 +15,7 @@
         service: "engine".to_string(),
         address: ([127, 0, 0, 1], port).into(),
         zone: "z1".to_string(),
-        software_version: "v1".to_string(),
+        software_version: SoftwareVersion::named("v1"),
         slots: 8,
         state: ServerState::Ready,
         remaining_ms: None,
@@ -68,7 +68,7 @@
     table.put(record(None, 1));
     let before = table.get("i-1").expect("server i-1 is listed");
     let upgraded = ServerRecord {
-        software_version: "v2".to_string(),
+        software_version: SoftwareVersion::named("v2"),
         ..record(None, 1)
     };
     assert_eq!(table.put(upgraded), ServerChange::Restarted);
@@ -76,6 +76,29 @@
     assert!(!Rc::ptr_eq(&before, &after));
 }
 
+/// The former life of a server tells nothing about the software of a restarted one.
+#[test]
+fn restarted_record_has_a_version_of_its_own_until_its_entry_is_read() {
+    let mut table = ServerTable::new(Clock::start());
+    table.put(record(Some(5), 1));
+    let known = table.get("i-1").expect("server i-1 is listed").record();
+    let report = |born_ms| Report {
+        born_ms: Some(born_ms),
+        ..Report::default()
+    };
+    let restarted = known.restarted(report(6));
+    let again = known.restarted(report(7));
+    assert_ne!(restarted.software_version, known.software_version);
+    assert_ne!(restarted.software_version, again.software_version);
+    assert_eq!(table.put(restarted), ServerChange::Restarted);
+    // The entry names the version of this incarnation, which is no other one.
+    let before = table.get("i-1").expect("server i-1 is listed");
+    assert_eq!(table.put(record(Some(6), 1)), ServerChange::Same);
+    let after = table.get("i-1").expect("server i-1 is listed");
+    assert!(Rc::ptr_eq(&before, &after));
+    assert_eq!(after.record().software_version, known.software_version);
+}
+
 /// Whatever the order of entries, the latest incarnation stays and keys of earlier ones find
 /// nothing.
 #[test]
--- a/crates/tinbay-gateway/tests/sharing_asking_test.rs
+++ b/crates/tinbay-gateway/tests/sharing_asking_test.rs
@@ -4,7 +4,7 @@
 use std::future::Future;
 use std::rc::Rc;
 
-use tinbay_core::serving::servers::{ServerRecord, ServerState};
+use tinbay_core::serving::servers::{ServerRecord, ServerState, SoftwareVersion};
 use tinbay_core::units::Millis;
 use tinbay_gateway::clock::Clock;
 use tinbay_gateway::servers::{Server, ServerTable};
@@ -88,7 +88,7 @@
         service: "engine".to_string(),
         address: ([127, 0, 0, 1], 1).into(),
         zone: "z1".to_string(),
-        software_version: "v1".to_string(),
+        software_version: SoftwareVersion::named("v1"),
         slots: 4,
         state: ServerState::Ready,
         remaining_ms: None,
--- a/crates/tinbay-gateway/tests/split_test.rs
+++ b/crates/tinbay-gateway/tests/split_test.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
-use tinbay_core::serving::servers::{ServerRecord, ServerState};
+use tinbay_core::serving::servers::{ServerRecord, ServerState, SoftwareVersion};
 use tinbay_gateway::clock::Clock;
 use tinbay_gateway::handover::split::{Split, Splits};
 use tinbay_gateway::servers::{Server, ServerTable};
@@ -20,7 +20,7 @@
         service: SERVICE.to_string(),
         address: ([127, 0, 0, 1], 1_000 + number as u16).into(),
         zone: "z1".to_string(),
-        software_version: version.to_string(),
+        software_version: SoftwareVersion::named(version),
         slots: 8,
         state: ServerState::Ready,
         remaining_ms: None,
@@ -67,7 +67,7 @@
 }
 
 fn version(server: &Server) -> String {
-    server.record().software_version.clone()
+    server.record().software_version.as_str().to_string()
 }
 
 fn contains(servers: &[Rc<Server>], server: &Server) -> bool {
