Handover: an event without end is not kept in memory

Cause: the gate that holds back incomplete events had no bound, and nothing of it was in the memory ledger. As it passed nothing on, the caller's reading did not slow the server down.

Change: 64 KiB of an incomplete event are held back. A longer one opens the gate: its bytes are passed on as they come, and the run is not handed over any more. While a handover is under way nothing of an incomplete event may be passed on, so that reading pauses until it has ended.

--- a/crates/tinbay-gateway/src/front/handover/successor.rs
+++ b/crates/tinbay-gateway/src/front/handover/successor.rs
@@ -50,8 +50,8 @@
         self.gate.record_cut_off()
     }
 
-    fn is_sealed(&self) -> bool {
-        self.gate.is_sealed()
+    fn is_reading_paused(&self) -> bool {
+        self.gate.is_sealed() || !self.gate.has_room()
     }
 
     fn open(&self) -> Bytes {
--- a/crates/tinbay-gateway/src/handover/drive.rs
+++ b/crates/tinbay-gateway/src/handover/drive.rs
@@ -86,7 +86,7 @@
 /// Hands over a run once its first event has been relayed.
 pub async fn drive<A>(actions: &dyn HandoverActions<Answer = A>, gate: &EventGate) -> Outcome<A> {
     gate.wait_for_event().await;
-    if !actions.find_target().await {
+    if gate.is_open() || !actions.find_target().await || gate.is_open() {
         return Outcome::Stayed;
     }
     gate.begin_handover();
--- a/crates/tinbay-gateway/src/handover/event_gate.rs
+++ b/crates/tinbay-gateway/src/handover/event_gate.rs
@@ -7,6 +7,9 @@
 use tinbay_core::handover::events::EventScanner;
 use tokio::sync::Notify;
 
+/// Bytes of an incomplete event that are held back; a stream with longer ones is not handed over.
+const MAX_HELD_BYTES: usize = 65_536;
+
 /// Holds back incomplete events of an answer whose run may be handed over.
 #[derive(Debug, Default)]
 pub struct EventGate {
@@ -25,7 +28,9 @@
 }
 
 impl EventGate {
-    /// Takes bytes from the server and returns those to relay to the caller now.
+    /// Takes bytes from the server and returns those to relay to the caller now. An event that is too
+    /// long to be held back opens the gate, unless the run is being handed over: then there is no
+    /// room until that has ended.
     pub fn pass(&self, bytes: Bytes) -> Bytes {
         if self.is_open.get() {
             return bytes;
@@ -45,7 +50,25 @@
             Bytes::new()
         };
         tail.extend_from_slice(&bytes[whole..]);
-        passed
+        if tail.len() < MAX_HELD_BYTES || self.is_handing_over.get() {
+            return passed;
+        }
+        self.is_open.set(true);
+        self.changed.notify_waiters();
+        let held = tail.split();
+        drop(tail);
+        [passed, held.freeze()].concat().into()
+    }
+
+    /// Whether more bytes of the server may be held back.
+    pub fn has_room(&self) -> bool {
+        self.tail.borrow().len() < MAX_HELD_BYTES
+    }
+
+    /// Whether the gate is open: bytes of an incomplete event may have reached the caller, so that no
+    /// other server can resume.
+    pub fn is_open(&self) -> bool {
+        self.is_open.get()
     }
 
     /// Stops holding bytes back, and returns those held so far.
@@ -59,9 +82,9 @@
         self.scanner.borrow().last_id()
     }
 
-    /// Waits until an event with an id has been relayed.
+    /// Waits until an event with an id has been relayed or the gate is open.
     pub async fn wait_for_event(&self) {
-        while self.last_id().is_none() {
+        while self.last_id().is_none() && !self.is_open() {
             self.changed.notified().await;
         }
     }
--- a/crates/tinbay-gateway/src/http/relay.rs
+++ b/crates/tinbay-gateway/src/http/relay.rs
@@ -164,9 +164,9 @@
     /// Records that the server's response ended early; returns whether the handover caused that.
     fn record_cut_off(&self) -> bool;
 
-    /// Whether another server is being asked to resume, so that nothing more of the response may be
-    /// read.
-    fn is_sealed(&self) -> bool;
+    /// Whether nothing more of the response may be read for now, as another server is being asked to
+    /// resume or too much is held back.
+    fn is_reading_paused(&self) -> bool;
 
     /// Stops holding bytes back and returns those held so far.
     fn open(&self) -> Bytes;
@@ -286,7 +286,7 @@
             if self.judging.is_some() {
                 return self.poll_judgement(context);
             }
-            if self.source_end.is_some() || self.is_sealed() {
+            if self.source_end.is_some() || self.is_reading_paused() {
                 return self.poll_deadline(context);
             }
             match Pin::new(&mut self.incoming).poll_frame(context) {
@@ -409,9 +409,9 @@
         handover.is_some_and(|handover| handover.record_cut_off())
     }
 
-    fn is_sealed(&self) -> bool {
+    fn is_reading_paused(&self) -> bool {
         let handover = self.handover.as_ref();
-        handover.is_some_and(|handover| handover.is_sealed())
+        handover.is_some_and(|handover| handover.is_reading_paused())
     }
 
     /// Returns the part of a frame that goes to the caller; `None` if all of it is held back.
--- a/crates/tinbay-gateway/tests/handover_test.rs
+++ b/crates/tinbay-gateway/tests/handover_test.rs
@@ -239,3 +239,51 @@
     assert_eq!(&gate.open()[..], b"id: 1\nda");
     assert_eq!(&gate.pass(Bytes::from_static(b"ta"))[..], b"ta");
 }
+
+/// Longer than any event that is held back.
+const ENDLESS_BYTES: usize = 1_000_000;
+
+/// Guards against an event without end that is kept whole: it took all memory of its box.
+#[test]
+fn event_gate_without_end_of_event_holds_little() {
+    let gate = EventGate::default();
+    let chunk = Bytes::from(vec![b'x'; 16_384]);
+    let mut passed = 0;
+    let mut received = 0;
+    while received < ENDLESS_BYTES {
+        received += chunk.len();
+        passed += gate.pass(chunk.clone()).len();
+        assert!(
+            received - passed < 100_000,
+            "{received} received, {passed} passed"
+        );
+    }
+    assert!(gate.is_open());
+}
+
+/// Bytes that were passed on of an incomplete event can't be taken back, so no server may resume.
+#[tokio::test(flavor = "current_thread")]
+async fn drive_event_without_end_requests_no_handover() {
+    let gate = gate_amid_event();
+    let passed = gate.pass(Bytes::from(vec![b'x'; ENDLESS_BYTES]));
+    assert_eq!(passed.len(), ENDLESS_BYTES + "id: 2\nda".len());
+    let servers = FakeServers {
+        has_target: true,
+        ..FakeServers::default()
+    };
+    assert_eq!(drive(&servers, &gate).await, Outcome::Stayed);
+    assert!(!servers.is_handover_requested.get());
+}
+
+/// During a handover nothing of an incomplete event may be passed on; reading pauses instead.
+#[test]
+fn event_gate_has_no_room_for_an_endless_event_during_a_handover() {
+    let gate = gate_amid_event();
+    gate.begin_handover();
+    assert!(gate.has_room());
+    assert!(gate.pass(Bytes::from(vec![b'x'; ENDLESS_BYTES])).is_empty());
+    assert!(!gate.has_room());
+    gate.end_handover();
+    assert_eq!(gate.open().len(), ENDLESS_BYTES + "id: 2\nda".len());
+    assert!(gate.has_room());
+}
