Orders: a box that stops releases a claim once no order can arrive any more

Cause: a planned stop released all claims at once, also of servers with an order under way, which may arrive up to 2.5 s after it was sent. The next holder waits leaseMs and a margin from the release on.

Change: each box records the orders that are under way or whose answers were lost, until the kernel has given them up. A claim is released once none to its server is left; the others are released at once, and callers' connections are closed meanwhile. What can't be released within the time for the stop is left to expire. The release by a box that has lost its links asks the same.

--- a/crates/tinbay-core/src/serving/mod.rs
+++ b/crates/tinbay-core/src/serving/mod.rs
@@ -26,5 +26,6 @@
 pub mod spread;
 pub mod stream_timing;
 pub mod subscribers;
+pub mod undelivered;
 pub mod versions;
 pub mod wanted_loads;
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -40,6 +40,7 @@
 use crate::memory::BoxMemory;
 use crate::metrics::Metrics;
 use crate::orders::held_server::{HeldServer, LoadSnapshot};
+use crate::orders::undelivered::UndeliveredOrders;
 use crate::peers::frame::{FramePart, LoadRequestPart};
 use crate::peers::outbox::Outbox;
 use crate::port::dialect::Dialect;
@@ -180,6 +181,8 @@
     pub proof: Cell<Proof>,
     /// Contents and state of the servers whose claims this box holds.
     pub held_servers: RefCell<HashMap<ServerKey, Rc<HeldServer>>>,
+    /// Orders that may still arrive at servers.
+    pub undelivered_orders: Rc<UndeliveredOrders>,
     /// This box's share of the weight store's rate, by service.
     pub load_quotas: RefCell<HashMap<String, LoadQuotaCounter>>,
     /// Requests that wait for an adapter.
@@ -267,6 +270,7 @@
             claims: RefCell::new(ClaimTable::of_process(draw_process_id())),
             proof: Cell::default(),
             held_servers: RefCell::default(),
+            undelivered_orders: Rc::new(UndeliveredOrders::new(clock)),
             load_quotas: RefCell::default(),
             waiters: Waiters::default(),
             outbox: Outbox::default(),
--- a/crates/tinbay-gateway/src/orders/claiming.rs
+++ b/crates/tinbay-gateway/src/orders/claiming.rs
@@ -35,8 +35,8 @@
 const RANK_DELAY_MS: Millis = 900;
 
 /// Time for which this box must have been unable to reach a server before it releases the claim on
-/// it. By then the kernel has given up on orders that it could not deliver, so that none arrives
-/// once another box sends orders.
+/// it. By then the kernel has given up on orders that it could not deliver before, so that none
+/// arrives once another box sends orders.
 const RELEASE_AFTER_MS: Millis = UNACKNOWLEDGED_TIMEOUT.as_millis() as Millis;
 
 #[derive(Serialize)]
@@ -177,7 +177,8 @@
         .is_down_for(RELEASE_AFTER_MS, node.now_ms());
     let own_id = &node.settings.borrow().box_id;
     let is_holder = node.holder_of(server).as_deref() == Some(own_id.as_str());
-    node.links.is_partitioned() && is_cut_off && is_holder
+    let may_order_arrive = node.undelivered_orders.may_arrive(&server.address_text);
+    node.links.is_partitioned() && is_cut_off && is_holder && !may_order_arrive
 }
 
 /// Marks the claim on a server as released. No order is sent to it from the start of the call.
--- a/crates/tinbay-gateway/src/orders/holder.rs
+++ b/crates/tinbay-gateway/src/orders/holder.rs
@@ -442,8 +442,11 @@
         let path = self.node.dialect.order_path().to_string();
         let call = self.call(Method::POST, path, body, ORDER_TIMEOUT_MS);
         let request_sent_ms = self.node.now_ms();
+        let undelivered = &self.node.undelivered_orders;
+        let order_send = undelivered.begin(&self.server.address_text);
         match self.caller.call(&call).await {
             Ok(reply) => {
+                order_send.record_outcome();
                 self.server.pool.record_heard();
                 if self.is_from_another_server(&reply) {
                     self.report_displaced();
@@ -457,6 +460,11 @@
                 }
             }
             Err(error) => {
+                if error == CallError::NotConnected {
+                    order_send.record_outcome();
+                } else {
+                    drop(order_send);
+                }
                 self.report_unreachable(error).await;
                 match error {
                     CallError::NotConnected => OrderAnswer::Refused,
--- a/crates/tinbay-gateway/src/orders/membership.rs
+++ b/crates/tinbay-gateway/src/orders/membership.rs
@@ -40,6 +40,9 @@
 /// Time-out of each release transaction at a planned stop.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Interval at which a planned stop looks whether orders have been delivered.
+const RELEASE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Claims released by one transaction; each takes a condition and a new value.
 const MAX_RELEASED_AT_ONCE: usize = MAX_TRANSACTION_ENTRIES / 2;
 
@@ -233,20 +236,37 @@
     format!("{MEMBER_PREFIX}{}", node.settings.borrow().box_id)
 }
 
-/// Marks all of this box's claims as released. No order may be sent after this call starts.
-pub async fn release_claims(node: &Node) {
+/// Marks all of this box's claims as released, each once no order to its server can arrive any more.
+/// Claims for which that takes until `end_ms` are left to expire. No order may be sent after this
+/// call starts.
+pub async fn release_claims(node: &Node, end_ms: Millis) {
     let own_id = node.settings.borrow().box_id.clone();
+    let mut held = node.claims.borrow().held_by(&own_id);
+    loop {
+        let is_undelivered = |address: &String| node.undelivered_orders.may_arrive(address);
+        let (undelivered, released): (Vec<_>, Vec<_>) = held.into_iter().partition(is_undelivered);
+        mark_released(node, &own_id, &released).await;
+        if undelivered.is_empty() || node.now_ms() >= end_ms {
+            return;
+        }
+        tokio::time::sleep(RELEASE_CHECK_INTERVAL).await;
+        held = undelivered;
+    }
+}
+
+/// Marks the claims on servers at these addresses as released.
+async fn mark_released(node: &Node, own_id: &str, addresses: &[String]) {
     let held: Vec<(String, Position)> = {
         let claims = node.claims.borrow();
-        let addresses = claims.held_by(&own_id);
-        addresses
-            .into_iter()
-            .map(|address| (address.clone(), claims.stored_position(&address)))
-            .collect()
+        let position = |address: &String| claims.stored_position(address);
+        let positions = addresses
+            .iter()
+            .map(|address| (address.clone(), position(address)));
+        positions.collect()
     };
     let own_process = node.claims.borrow().own_process();
     for chunk in held.chunks(MAX_RELEASED_AT_ONCE) {
-        let transaction = super::claiming::release_transaction(&own_id, own_process, chunk);
+        let transaction = super::claiming::release_transaction(own_id, own_process, chunk);
         let committing = node.store.commit(&transaction);
         let result = tokio::time::timeout(RELEASE_TIMEOUT, committing).await;
         if let Ok(result) = result {
--- a/crates/tinbay-gateway/src/orders/mod.rs
+++ b/crates/tinbay-gateway/src/orders/mod.rs
@@ -9,3 +9,4 @@
 pub mod holder;
 pub mod membership;
 pub mod quota;
+pub mod undelivered;
--- a/crates/tinbay-gateway/src/run.rs
+++ b/crates/tinbay-gateway/src/run.rs
@@ -279,14 +279,20 @@
     log_stop(node, "stop_begun", began_ms);
     let stop_within_ms = node.settings.borrow().bounds.stop_within_ms;
     let end_ms = began_ms + stop_within_ms.saturating_sub(STOP_MARGIN_MS);
-    membership::release_claims(node).await;
+    let closing = close_connections(node, began_ms, end_ms);
+    tokio::join!(membership::release_claims(node, end_ms), closing);
+    log_stop(node, "stopped", began_ms);
+    tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
+}
+
+/// Accepts connections for a while, as callers may not know yet that the box is leaving, then lets
+/// requests finish.
+async fn close_connections(node: &Node, began_ms: Millis, end_ms: Millis) {
     sleep_until(node, (began_ms + ACCEPT_WHILE_STOPPING_MS).min(end_ms)).await;
     node.closing.set();
     while node.now_ms() < end_ms && node.connections.get() > 0 {
         tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
     }
-    log_stop(node, "stopped", began_ms);
-    tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
 }
 
 async fn sleep_until(node: &Node, time_ms: Millis) {
