Limits: a server that announced a limit of 0 is probed

What callers saw: after a server has named Server-Limit: 0 in one answer, all boxes refuse its requests for ever, also after it names no limit any more.

Cause: only an answer to a request can lift a limit, and a limit of 0 grants none.

Change: whatever a server announces, it gets one request in four seconds from all boxes together.

Evidence: the new case on the code before: 45 of 45 requests refused after the limit had ended; now none, and no window holds more than 5 requests while the limit lasts.

--- a/crates/tinbay-core/src/limits/terms.rs
+++ b/crates/tinbay-core/src/limits/terms.rs
@@ -38,6 +38,10 @@
 /// Window over which a server's limit applies.
 const SERVER_WINDOW_MS: Millis = 4_000;
 
+/// Requests a second that a server gets whatever it announces: only an answer shows that a limit no
+/// longer applies.
+const SERVER_PROBES_PER_S: f64 = 0.25;
+
 /// Seconds' worth of units that the bucket of a server's limit holds beyond one request. With a
 /// capacity of one request, units that accrue while no box asks would be lost.
 const SERVER_BURST_S: f64 = 0.25;
@@ -90,6 +94,7 @@
     /// If `binds_after_ms` is shorter than the window, the first windows include requests from
     /// before the announcement, which count as well.
     pub fn of_server(per_s: f64, binds_after_ms: Millis, known_for_ms: Millis) -> Self {
+        let per_s = per_s.max(SERVER_PROBES_PER_S);
         let window_before_ms = SERVER_WINDOW_MS.saturating_sub(binds_after_ms) as f64;
         let withheld_ms = (window_before_ms * PRIOR_RATE_RATIO).min(binds_after_ms as f64);
         let withheld_ms = (withheld_ms - known_for_ms as f64).max(0.0);
