Store: relays are asked at the same time once one is silent

Cause: a box that does not read the store itself asked up to four relays one after the other and waited 1.1 s for each. Where none was left it read the store, but the read of one prefix, which waited for changes, kept the other prefixes from reading for up to 2 s.

A first read of the store by a box that is no relay does not wait for changes either, so that its success admits the other prefixes' reads.

--- a/crates/tinbay-gateway/src/watch/source.rs
+++ b/crates/tinbay-gateway/src/watch/source.rs
@@ -5,6 +5,8 @@
 
 use std::cell::Cell;
 
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use log::Level;
 use serde::Serialize;
 use tinbay_core::serving::position::{Position, Revision};
@@ -132,25 +134,23 @@
 ) -> StoreResult<(Changes, Freshness)> {
     let limiter = node.store_read_limiters.of(pace);
     let sources = Sources::choose(node, limiter);
-    for relay in sources.to_ask() {
-        let asked = relay::request_changes(node, relay, prefix, after, RELAY_WAIT_MS).await;
-        count(node, "watch", asked.as_ref().err());
-        match asked {
-            Ok(changes) => return Ok(changes),
-            Err(RelayError::HistoryGone) => return Err(StoreError::HistoryGone),
-            Err(error) => relay::log_failure(&relay.id, prefix, error),
-        }
+    if let Some(answer) = watch_relays(node, sources.to_ask(), prefix, after).await {
+        return answer;
     }
-    sources.check_limiter(node, limiter)?;
     let confirmed_ms = node.now_ms();
+    // Without a recent answer of the store the first read does not wait for changes, as reads of other
+    // prefixes are limited until it has succeeded.
+    let wait_ms = if sources.reads_itself || limiter.has_succeeded_lately(confirmed_ms) {
+        pace.wait_ms
+    } else {
+        0
+    };
+    sources.check_limiter(node, limiter)?;
     let max_delay_ms = limiter.delay_limit_ms();
-    let watched = node
-        .store
-        .watch(prefix, after, pace.wait_ms, max_delay_ms)
-        .await;
+    let watched = node.store.watch(prefix, after, wait_ms, max_delay_ms).await;
     if watched.is_ok() {
         let took_ms = node.now_ms() - confirmed_ms;
-        limiter.record_delay(took_ms.saturating_sub(pace.wait_ms));
+        limiter.record_delay(took_ms.saturating_sub(wait_ms));
     }
     let mut changes = counted(node, "watch", limiter.record_result(watched, node.now_ms()))?;
     for change in &mut changes.changes {
@@ -161,6 +161,56 @@
     Ok((changes, from_store(confirmed_ms, pace)))
 }
 
+/// Waits for changes at a relay. If one does not answer, several may have failed together, so that
+/// the others are asked at the same time and without waiting for changes. `None` if none answers.
+async fn watch_relays(
+    node: &Node,
+    relays: &[RelayBox],
+    prefix: &str,
+    after: Position,
+) -> Option<StoreResult<(Changes, Freshness)>> {
+    for (position, relay) in relays.iter().enumerate() {
+        match watch_relay(node, relay, prefix, after, RELAY_WAIT_MS).await {
+            Ok(answer) => return Some(answer),
+            Err(RelayError::NoAnswer) => {
+                let others = &relays[position + 1..];
+                let mut asking: FuturesUnordered<_> = others
+                    .iter()
+                    .map(|relay| watch_relay(node, relay, prefix, after, 0))
+                    .collect();
+                while let Some(asked) = asking.next().await {
+                    if let Ok(answer) = asked {
+                        return Some(answer);
+                    }
+                }
+                return None;
+            }
+            Err(_) => {}
+        }
+    }
+    None
+}
+
+/// Waits for changes at one relay; that these are no longer kept there is an answer, too.
+async fn watch_relay(
+    node: &Node,
+    relay: &RelayBox,
+    prefix: &str,
+    after: Position,
+    wait_ms: Millis,
+) -> Result<StoreResult<(Changes, Freshness)>, RelayError> {
+    let asked = relay::request_changes(node, relay, prefix, after, wait_ms).await;
+    count(node, "watch", asked.as_ref().err());
+    match asked {
+        Ok(changes) => Ok(Ok(changes)),
+        Err(RelayError::HistoryGone) => Ok(Err(StoreError::HistoryGone)),
+        Err(error) => {
+            relay::log_failure(&relay.id, prefix, error);
+            Err(error)
+        }
+    }
+}
+
 /// Replaces the keys of client accounts in a configuration read from the store by digests. If this
 /// fails, the value is replaced by an empty one, which every box rejects.
 fn replace_account_keys(node: &Node, item: &mut Item) {
@@ -291,17 +341,21 @@
 
     /// Requests permission to read the store now; returns false if the limit is used up.
     pub fn try_acquire(&self, pause_ms: Millis, now_ms: Millis) -> bool {
-        let is_within = |since_ms: Option<Millis>, span_ms: Millis| {
-            since_ms.is_some_and(|since_ms| now_ms < since_ms + span_ms)
-        };
-        let is_store_up = is_within(self.last_success_ms.get(), STORE_SUCCESS_LIFE_MS);
-        if !is_store_up && is_within(self.last_attempt_ms.get(), pause_ms) {
+        let last_ms = self.last_attempt_ms.get();
+        let is_pause = last_ms.is_some_and(|last_ms| now_ms < last_ms + pause_ms);
+        if is_pause && !self.has_succeeded_lately(now_ms) {
             return false;
         }
         self.last_attempt_ms.set(Some(now_ms));
         true
     }
 
+    /// Whether the store has answered this box lately.
+    fn has_succeeded_lately(&self, now_ms: Millis) -> bool {
+        let last_ms = self.last_success_ms.get();
+        last_ms.is_some_and(|last_ms| now_ms < last_ms + STORE_SUCCESS_LIFE_MS)
+    }
+
     /// Whether a relay reads the store now: always while reads succeed, else once per pause; in
     /// between it asks the relays of other zones. A relay that asked only those could not answer
     /// its zone for a while after the store has recovered.
