Resumption: a home writes its latest records apart from all the others

Now all records are written every 2 s, and those since then in an entry of their own.

Calls to the store as before.

--- a/crates/tinbay-core/src/resumption/ledger.rs
+++ b/crates/tinbay-core/src/resumption/ledger.rs
@@ -42,8 +42,8 @@
     service: Fingerprint,
     recorded_ms: Millis,
     until_ms: Millis,
-    /// Whether this box is a home of the record.
-    is_at_home: bool,
+    /// Number of the record among those of which this box is a home.
+    home_number: Option<u64>,
 }
 
 /// Starts of streams that this box relayed or keeps for other boxes. The oldest records are dropped
@@ -97,7 +97,7 @@
             service: start.service,
             recorded_ms: now_ms,
             until_ms,
-            is_at_home: false,
+            home_number: None,
         };
         self.records.insert(start.attempt, record);
         self.order.push_back(start.attempt);
@@ -106,10 +106,10 @@
     /// Marks this box as a home of the record of an attempt.
     pub fn mark_at_home(&mut self, attempt: AttemptDigest) {
         if let Some(record) = self.records.get_mut(&attempt)
-            && !record.is_at_home
+            && record.home_number.is_none()
         {
-            record.is_at_home = true;
             self.homed_count += 1;
+            record.home_number = Some(self.homed_count);
         }
     }
 
@@ -118,17 +118,20 @@
         self.homed_count
     }
 
-    /// The latest records of some services of which this box is a home, up to `max_count`.
+    /// The latest records of some services of which this box is a home, up to `max_count`, without
+    /// the first `skipped` of all.
     pub fn latest_at_home(
         &self,
         services: &[Fingerprint],
+        skipped: u64,
         max_count: usize,
         now_ms: Millis,
     ) -> Vec<StreamStart> {
         let latest = self.order.iter().rev();
         let records = latest.filter_map(|attempt| Some((attempt, self.records.get(attempt)?)));
         let is_wanted = |record: &Record| {
-            record.is_at_home && record.lasts(now_ms) && services.contains(&record.service)
+            let is_counted = record.home_number.is_some_and(|number| number > skipped);
+            is_counted && record.lasts(now_ms) && services.contains(&record.service)
         };
         let starts = records
             .filter(|(_, record)| is_wanted(record))
--- a/crates/tinbay-core/tests/crashes_parts_test.rs
+++ b/crates/tinbay-core/tests/crashes_parts_test.rs
@@ -549,3 +549,22 @@
         .tests(2_000)
         .quickcheck(holds as fn(Vec<(u8, u8)>) -> TestResult);
 }
+
+/// Whenever the servers crash, the fifth crash under a part that no box has proof of is enough.
+#[test]
+fn part_is_suspected_after_five_crashes_at_any_times() {
+    fn holds(gaps: (u16, u16, u16, u16)) -> bool {
+        let mut judge = PartJudge::default();
+        let mut at_ms = 0;
+        let gaps = [0, gaps.0, gaps.1, gaps.2, gaps.3].map(u64::from);
+        for (number, gap) in (1..).zip(gaps) {
+            // Most gaps are near the length of a moment.
+            at_ms += gap % (3 * COINCIDENCE_MS);
+            judge.record_crash(&report(BAD, &[], number, number), at_ms);
+        }
+        judge.has_suspected()
+    }
+    QuickCheck::new()
+        .tests(2_000)
+        .quickcheck(holds as fn((u16, u16, u16, u16)) -> bool);
+}
--- a/crates/tinbay-core/tests/resumption_test.rs
+++ b/crates/tinbay-core/tests/resumption_test.rs
@@ -9,6 +9,7 @@
 };
 use tinbay_core::resumption::homes::{HOMES, HomeBox, select_homes};
 use tinbay_core::resumption::ledger::{OriginLedger, Recorded, StreamStart};
+use tinbay_core::resumption::pace::write_interval_ms;
 use tinbay_core::resumption::{attempt_digest, draw};
 use tinbay_core::units::Millis;
 
@@ -369,3 +370,65 @@
     let share = draws.iter().filter(|draw| **draw < 0.1).count() as f64 / draws.len() as f64;
     assert!((0.08..0.12).contains(&share), "{share}");
 }
+
+/// A home writes all its records, then those that it has got since.
+#[test]
+fn latest_at_home_is_without_those_written_before() {
+    let mut ledger = OriginLedger::default();
+    for attempt in 1..=4 {
+        ledger.record(start(attempt, V1, 100), 0);
+    }
+    for attempt in [1, 2, 4] {
+        ledger.mark_at_home(attempt);
+        ledger.mark_at_home(attempt);
+    }
+    assert_eq!(ledger.homed_count(), 3);
+    let attempts = |skipped, max_count, now_ms| -> Vec<u64> {
+        let starts = ledger.latest_at_home(&[SERVICE], skipped, max_count, now_ms);
+        starts.iter().map(|start| start.attempt).collect()
+    };
+    assert_eq!(attempts(0, 10, 0), [4, 2, 1]);
+    assert_eq!(attempts(2, 10, 0), [4]);
+    assert_eq!(attempts(0, 1, 0), [4]);
+    assert!(attempts(0, 10, 100).is_empty());
+    assert!(ledger.latest_at_home(&[OTHER_SERVICE], 0, 10, 0).is_empty());
+}
+
+/// Records with conflicting versions must not come back as one of them.
+#[test]
+fn latest_at_home_leaves_out_conflicting_versions() {
+    let mut ledger = OriginLedger::default();
+    ledger.record(start(1, V1, 100), 0);
+    ledger.mark_at_home(1);
+    ledger.record(start(1, V2, 100), 0);
+    assert!(ledger.latest_at_home(&[SERVICE], 0, 10, 0).is_empty());
+}
+
+/// A version of which only records are left counts as seen, so that no other one is the sole one.
+#[test]
+fn observe_earlier_makes_a_service_one_of_several_versions() {
+    let mut history = VersionHistory::default();
+    history.begin_watch(0);
+    history.observe(SERVICE, V1, 0);
+    assert!(history.services_of_several_versions(0).is_empty());
+    history.observe_earlier(SERVICE, V2, 0);
+    assert_eq!(history.services_of_several_versions(0), [SERVICE]);
+    assert!(history.is_adopted(SERVICE, V2, 0));
+    assert!(
+        history
+            .services_of_several_versions(HISTORY_MS + 1)
+            .is_empty()
+    );
+}
+
+/// However many boxes there are, they spend a bounded share of the store's writes.
+#[test]
+fn write_interval_grows_with_the_fleet() {
+    assert_eq!(write_interval_ms(1, 400.0), 100);
+    assert_eq!(write_interval_ms(7, 400.0), 140);
+    assert_eq!(write_interval_ms(70, 1_200.0), 466);
+    for (boxes, writes_per_s) in [(7, 400.0), (70, 1_200.0), (2_200, 1_200.0)] {
+        let interval_ms = write_interval_ms(boxes, writes_per_s) as f64;
+        assert!(boxes as f64 * 1_000.0 / interval_ms <= writes_per_s / 7.0);
+    }
+}
--- a/crates/tinbay-gateway/src/resumption/stored.rs
+++ b/crates/tinbay-gateway/src/resumption/stored.rs
@@ -1,9 +1,10 @@
 //! Writes the records of streams of which this box is a home to the store, and reads them after a
 //! start, so that callers can resume streams after all boxes have ended.
 //!
-//! That is done only while several software versions of a service serve. Each box has one entry,
-//! which holds all its records and is read by this box alone. It is written some time after the
-//! streams began, so that the latest ones are lost if both of their homes end.
+//! That is done only while several software versions of a service serve. Each box has two entries,
+//! which it alone reads: one with all its records, and one with those since the former was written,
+//! which is written more often. That is some time after the streams began, so that the latest
+//! records are lost if both of their homes end.
 
 use std::rc::Rc;
 
@@ -23,6 +24,9 @@
 /// Prefix of the entries, which no box watches.
 const PREFIX: &str = "tinbay_streams/";
 
+/// Shortest interval between two writes of all records.
+const WHOLE_INTERVAL_MS: Millis = 2_000;
+
 /// Time for which an entry is kept after it was written.
 const ENTRY_LIFE_MS: Millis = MAX_RECORD_LIFE_MS;
 
@@ -72,38 +76,51 @@
     })
 }
 
-fn key(node: &Node) -> String {
-    format!("{PREFIX}{}", node.settings.borrow().box_id)
+/// Prefix of this box's entries.
+fn own_prefix(node: &Node) -> String {
+    format!("{PREFIX}{}/", node.settings.borrow().box_id)
+}
+
+/// Key of the entry with all records.
+fn whole_key(node: &Node) -> String {
+    format!("{}whole", own_prefix(node))
 }
 
-/// Reads the entry that an earlier process of this box has written.
+/// Key of the entry with the records since the whole was written.
+fn latest_key(node: &Node) -> String {
+    format!("{}latest", own_prefix(node))
+}
+
+/// Reads the entries that an earlier process of this box has written.
 async fn restore(node: &Node) {
     let began_ms = node.now_ms();
-    let key = key(node);
+    let prefix = own_prefix(node);
     let mut pause_ms = RETRY_PAUSE_MS;
-    let item = loop {
-        match counted(node, "read", node.store.read(&key).await) {
-            Ok(item) => break item,
+    let items = loop {
+        match counted(node, "list", node.store.list(&prefix, false).await) {
+            Ok(listed) => break listed.listing.items,
             Err(_) => {
                 sleep_with_jitter(pause_ms).await;
                 pause_ms = (pause_ms * 2).min(MAX_RETRY_PAUSE_MS);
             }
         }
     };
-    let Some(item) = item else {
+    if items.is_empty() {
         return;
-    };
+    }
     let now_ms = node.now_ms();
-    match apply_entry(&node.resumption, &item.value, now_ms) {
-        Ok(records) => {
-            let event = RestoredEvent {
-                records,
-                wait_ms: now_ms - began_ms,
-            };
-            events::emit(part::FRONT, Level::Info, "stream_starts_restored", &event);
+    let mut records = 0;
+    for item in items {
+        match apply_entry(&node.resumption, &item.value, now_ms) {
+            Ok(count) => records += count,
+            Err(error) => log_failure("stream_starts_unreadable", 0, &error),
         }
-        Err(error) => log_failure("stream_starts_unreadable", 0, &error),
     }
+    let event = RestoredEvent {
+        records,
+        wait_ms: now_ms - began_ms,
+    };
+    events::emit(part::FRONT, Level::Info, "stream_starts_restored", &event);
 }
 
 /// Adds the records of an entry to those of this box; returns their number.
@@ -127,7 +144,7 @@
     Ok(parts.len())
 }
 
-/// The value of this box's entry, with the records of these streams.
+/// The value of an entry with the records of these streams.
 pub fn encode_entry(starts: &[StreamStart], now_ms: Millis) -> Vec<u8> {
     let parts: Vec<StreamStartPart> = starts
         .iter()
@@ -136,11 +153,21 @@
     postcard::to_stdvec(&parts).unwrap_or_default()
 }
 
-/// Writes this box's entry.
+/// A write of all records.
+#[derive(Debug, Clone, Copy)]
+struct WrittenWhole {
+    written_ms: Millis,
+    /// Number of records of which this box had been a home by then.
+    homed_count: u64,
+}
+
+/// Writes this box's entries.
 #[derive(Default)]
 struct Writer {
-    /// The lease of the entry, and when it was granted.
+    /// The lease of the entries, and when it was granted.
     lease: Option<(Lease, Millis)>,
+    /// When the entry with all records was last written, and the number of records by then.
+    whole: Option<WrittenWhole>,
     /// Number of records of which this box was a home at the last write.
     written_count: u64,
     /// Pause after a failed write; 0 after one that succeeded.
@@ -148,7 +175,7 @@
 }
 
 impl Writer {
-    /// Writes the entry if there are new records of a service with several versions.
+    /// Writes an entry if there are new records of a service with several versions.
     async fn write_if_due(&mut self, node: &Node) {
         let now_ms = node.now_ms();
         let homed_count = node.resumption.ledger.borrow().homed_count();
@@ -162,17 +189,35 @@
         {
             return;
         }
+        let whole = self
+            .whole
+            .filter(|whole| now_ms < whole.written_ms + WHOLE_INTERVAL_MS);
         let starts = {
             let ledger = node.resumption.ledger.borrow();
-            ledger.latest_at_home(&services, MAX_STORED, now_ms)
+            let skipped = whole.map_or(0, |whole| whole.homed_count);
+            ledger.latest_at_home(&services, skipped, MAX_STORED, now_ms)
+        };
+        let values = if whole.is_some() {
+            vec![(latest_key(node), encode_entry(&starts, now_ms))]
+        } else {
+            vec![
+                (whole_key(node), encode_entry(&starts, now_ms)),
+                (latest_key(node), encode_entry(&[], now_ms)),
+            ]
         };
-        match self.write(node, &starts).await {
+        match self.write(node, values).await {
             Ok(()) => {
                 self.written_count = homed_count;
                 self.retry_pause_ms = 0;
+                self.whole = whole.or(Some(WrittenWhole {
+                    written_ms: now_ms,
+                    homed_count,
+                }));
             }
             Err(error) => {
+                // The lease may be over, and what it kept gone.
                 self.lease = None;
+                self.whole = None;
                 self.retry_pause_ms =
                     (self.retry_pause_ms * 2).clamp(RETRY_PAUSE_MS, MAX_RETRY_PAUSE_MS);
                 log_failure("stream_starts_not_stored", starts.len(), &error);
@@ -180,10 +225,13 @@
         }
     }
 
-    async fn write(&mut self, node: &Node, starts: &[StreamStart]) -> StoreResult<()> {
+    async fn write(&mut self, node: &Node, values: Vec<(String, Vec<u8>)>) -> StoreResult<()> {
         let lease = self.lease(node).await?;
+        let put = values
+            .into_iter()
+            .map(|(key, value)| (key, value, Some(lease)));
         let transaction = Transaction {
-            put: vec![(key(node), encode_entry(starts, node.now_ms()), Some(lease))],
+            put: put.collect(),
             ..Transaction::default()
         };
         counted(node, "commit", node.store.commit(&transaction).await)?;
--- a/crates/tinbay-gateway/tests/resumption_test.rs
+++ b/crates/tinbay-gateway/tests/resumption_test.rs
@@ -11,7 +11,7 @@
 use tinbay_core::resumption::decision::{Origin, UnknownOrigin};
 use tinbay_core::resumption::history::{ADOPTION_DELAY_MS, HISTORY_MS, MAX_VIEW_AGE_MS};
 use tinbay_core::resumption::homes::{ASKED_HOMES, HOMES, HomeBox, select_homes};
-use tinbay_core::resumption::ledger::StreamStart;
+use tinbay_core::resumption::ledger::{Recorded, StreamStart};
 use tinbay_core::units::Millis;
 use tinbay_gateway::peers::frame::FramePart;
 use tinbay_gateway::resumption::Resumption;
@@ -21,6 +21,7 @@
     FoundOrigin, OriginQuestion, OriginSource, find, handle_request,
 };
 use tinbay_gateway::resumption::recording::{handle_start, record, send_due};
+use tinbay_gateway::resumption::stored::{apply_entry, encode_entry};
 
 const SERVICE: u32 = 7;
 const V1: u32 = 1;
@@ -614,3 +615,27 @@
         .tests(100)
         .quickcheck(property as fn(Vec<Step>) -> bool);
 }
+
+/// What a home has written to the store is known again after a restart.
+#[test]
+fn apply_entry_brings_the_records_back() {
+    let starts = [2, 1].map(|attempt| StreamStart {
+        attempt,
+        service: SERVICE,
+        version: attempt as u32,
+        until_ms: 5_000,
+    });
+    let value = encode_entry(&starts, 1_000);
+    let resumption = Resumption::default();
+    assert_eq!(apply_entry(&resumption, &value, 50).ok(), Some(2));
+    let ledger = resumption.ledger.borrow();
+    for attempt in [1, 2] {
+        let (recorded, _) = ledger.find(attempt, 4_000);
+        assert_eq!(recorded, Recorded::Version(attempt as u32));
+    }
+    assert_eq!(ledger.find(1, 50 + 4_000).0, Recorded::Nothing);
+    assert_eq!(ledger.homed_count(), 2);
+    let history = resumption.history.borrow();
+    assert_eq!(history.versions(SERVICE, 50), [1, 2]);
+    assert!(apply_entry(&resumption, b"\xff\xff", 50).is_err());
+}
