Resumption: what is due for the store is worked out apart from its write

No change of behaviour but for the longest pause after failed calls, which is that of a box's own entry (2.4 s): boxes that start while the store is down call it no more often for records than for their entries.

--- a/crates/tinbay-gateway/src/resumption/stored.rs
+++ b/crates/tinbay-gateway/src/resumption/stored.rs
@@ -41,7 +41,7 @@
 const RETRY_PAUSE_MS: Millis = 100;
 
 /// Upper bound of the pause after failed calls.
-const MAX_RETRY_PAUSE_MS: Millis = 1_600;
+const MAX_RETRY_PAUSE_MS: Millis = 2_400;
 
 /// Interval at which a box that does not know the others yet looks again.
 const UNKNOWN_BOXES_PAUSE_MS: Millis = 100;
@@ -174,45 +174,28 @@
     retry_pause_ms: Millis,
 }
 
+/// Entries that are to be written.
+struct DueEntries {
+    /// Keys and values.
+    values: Vec<(String, Vec<u8>)>,
+    records: usize,
+    /// Number of records of which this box has been a home so far.
+    homed_count: u64,
+    /// The write of all records that `values` adds to, or that it is itself.
+    whole: WrittenWhole,
+}
+
 impl Writer {
     /// Writes an entry if there are new records of a service with several versions.
     async fn write_if_due(&mut self, node: &Node) {
-        let now_ms = node.now_ms();
-        let homed_count = node.resumption.ledger.borrow().homed_count();
-        let services = {
-            let history = node.resumption.history.borrow();
-            history.services_of_several_versions(now_ms)
-        };
-        if homed_count == self.written_count
-            || services.is_empty()
-            || node.box_count.get().is_none()
-        {
+        let Some(due) = self.due_entries(node) else {
             return;
-        }
-        let whole = self
-            .whole
-            .filter(|whole| now_ms < whole.written_ms + WHOLE_INTERVAL_MS);
-        let starts = {
-            let ledger = node.resumption.ledger.borrow();
-            let skipped = whole.map_or(0, |whole| whole.homed_count);
-            ledger.latest_at_home(&services, skipped, MAX_STORED, now_ms)
-        };
-        let values = if whole.is_some() {
-            vec![(latest_key(node), encode_entry(&starts, now_ms))]
-        } else {
-            vec![
-                (whole_key(node), encode_entry(&starts, now_ms)),
-                (latest_key(node), encode_entry(&[], now_ms)),
-            ]
         };
-        match self.write(node, values).await {
+        match self.write(node, due.values).await {
             Ok(()) => {
-                self.written_count = homed_count;
+                self.written_count = due.homed_count;
+                self.whole = Some(due.whole);
                 self.retry_pause_ms = 0;
-                self.whole = whole.or(Some(WrittenWhole {
-                    written_ms: now_ms,
-                    homed_count,
-                }));
             }
             Err(error) => {
                 // The lease may be over, and what it kept gone.
@@ -220,11 +203,49 @@
                 self.whole = None;
                 self.retry_pause_ms =
                     (self.retry_pause_ms * 2).clamp(RETRY_PAUSE_MS, MAX_RETRY_PAUSE_MS);
-                log_failure("stream_starts_not_stored", starts.len(), &error);
+                log_failure("stream_starts_not_stored", due.records, &error);
             }
         }
     }
 
+    fn due_entries(&self, node: &Node) -> Option<DueEntries> {
+        // Without the number of boxes their share of the store's writes is not known.
+        node.box_count.get()?;
+        let now_ms = node.now_ms();
+        let ledger = node.resumption.ledger.borrow();
+        let homed_count = ledger.homed_count();
+        if homed_count == self.written_count {
+            return None;
+        }
+        let services = {
+            let history = node.resumption.history.borrow();
+            history.services_of_several_versions(now_ms)
+        };
+        if services.is_empty() {
+            return None;
+        }
+        let is_recent = |whole: &WrittenWhole| now_ms < whole.written_ms + WHOLE_INTERVAL_MS;
+        let recent_whole = self.whole.filter(is_recent);
+        let skipped = recent_whole.map_or(0, |whole| whole.homed_count);
+        let starts = ledger.latest_at_home(&services, skipped, MAX_STORED, now_ms);
+        let value = encode_entry(&starts, now_ms);
+        let values = if recent_whole.is_some() {
+            vec![(latest_key(node), value)]
+        } else {
+            let nothing = encode_entry(&[], now_ms);
+            vec![(whole_key(node), value), (latest_key(node), nothing)]
+        };
+        Some(DueEntries {
+            values,
+            records: starts.len(),
+            homed_count,
+            whole: recent_whole.unwrap_or(WrittenWhole {
+                written_ms: now_ms,
+                homed_count,
+            }),
+        })
+    }
+
     async fn write(&mut self, node: &Node, values: Vec<(String, Vec<u8>)>) -> StoreResult<()> {
         let lease = self.lease(node).await?;
         let put = values
