--- a/crates/tinbay-core/src/serving/contents/unconfirmed.rs
+++ b/crates/tinbay-core/src/serving/contents/unconfirmed.rs
@@ -11,8 +11,7 @@
 use crate::serving::servers::AdapterName;
 use crate::units::Millis;
 
-/// How long an order without an answer may still be carried out; orders have been carried out up to
-/// 12 s after they were sent.
+/// How long an order without an answer may still be carried out.
 const DELAYED_ORDER_LIFE_MS: Millis = 15_000;
 
 /// How long a server that left an order unanswered is assumed to go on losing orders or answers.
--- a/crates/tinbay-gateway/src/front/filters/quarantine.rs
+++ b/crates/tinbay-gateway/src/front/filters/quarantine.rs
@@ -6,8 +6,8 @@
 use crate::crashes;
 use crate::node::Node;
 
-/// Refuses a request that has repeatedly crashed servers, or whose prompt has a part that does. No server would survive to answer it, and
-/// each one that crashes loses some tens of other requests.
+/// Refuses a request that has repeatedly crashed servers, or whose prompt has a part that does. No
+/// server would survive to answer it, and each one that crashes loses some tens of other requests.
 pub struct Quarantine;
 
 impl Filter for Quarantine {
--- a/crates/tinbay-gateway/src/orders/holder.rs
+++ b/crates/tinbay-gateway/src/orders/holder.rs
@@ -39,9 +39,8 @@
 const ORDER_TIMEOUT_MS: Millis = 60;
 
 /// Copies of an order that are sent in parallel once the first send had no answer, so that one gets
-/// through sooner where most orders are lost: with nine of ten lost, 0.73 to 0.75 of the requests
-/// were served instead of 0.70 with one copy at a time. All carry the same expected order count, so
-/// the server applies at most one of them.
+/// through sooner where most orders are lost. All carry the same expected order count, so the server
+/// applies at most one of them.
 const PARALLEL_SENDS: usize = 4;
 
 /// Upper bound on rounds of resending an unanswered order. The server may have applied it already
@@ -592,9 +591,8 @@
 
     /// Updates this box's view of the server and sends its status to other boxes.
     ///
-    /// Most calls follow a check whether a load has finished, and few boxes wait for the result.
-    /// Sending each change to all users of a server took 80 to 200 KB/s at the holder of one server
-    /// in a fleet of 195 boxes.
+    /// Most calls follow a check whether a load has finished, and few boxes wait for the result, so
+    /// that most changes are not sent to all users of the server.
     fn publish(&self, recipients: Recipients) {
         let Some(status) = self.own_status() else {
             return;
--- a/crates/tinbay-gateway/src/servers/mod.rs
+++ b/crates/tinbay-gateway/src/servers/mod.rs
@@ -103,7 +103,7 @@
     ///
     /// A new incarnation is another server under the same id, with its own key, view and
     /// connections. With the view of the old incarnation, boxes would send requests for adapters
-    /// that the restarted server no longer holds and refuses, up to 667 a day.
+    /// that the restarted server no longer holds and refuses.
     pub fn put(&mut self, record: ServerRecord) -> ServerChange {
         let Some(server) = self.by_id.get(&record.id) else {
             self.insert(record);
