--- a/crates/tinbay-core/src/crashes/parts/mod.rs
+++ b/crates/tinbay-core/src/crashes/parts/mod.rs
@@ -10,6 +10,9 @@
 //! Several suspects may share crashes. The one with the most crashes, and with the fewest requests
 //! among equals, is judged first, and its crashes then count against no other one. A part that only
 //! ever ran together with others is refused only together with them.
+//!
+//! Crashes of one moment may have a common cause other than a part. A refusal that rests on too few
+//! moments is tested: one box lets a single request with the part reach a server.
 
 mod evidence;
 mod judge;
@@ -26,16 +29,16 @@
 
 use crate::units::Millis;
 
-/// Crashes, and different requests in them, from which a part is suspected. Two would suspect
-/// sessions whose first requests met two crashes of other causes.
+/// Crashes at different times, and different requests in all of them, from which a part is suspected.
+/// Two would suspect sessions whose first requests met two crashes of other causes.
 pub const CRASHES_TO_SUSPECT: usize = 3;
 
 /// Crashes closer together than this are of one moment: their servers may have a common cause other
 /// than their requests, such as a rack that loses power.
 pub const COINCIDENCE_MS: Millis = 100;
 
-/// Crashes from which a part is suspected even if they are of one moment. Requests with a part that
-/// crashes servers may come together, and the sixth of them must not reach a server.
+/// Crashes from which a part is suspected even if they are of one moment, as requests with a part
+/// that crashes servers may come together.
 pub const CRASHES_AT_ONCE_TO_SUSPECT: usize = 5;
 
 /// Time for objections before a suspected part is refused: a suspicion reaches the boxes of all
