Incarnations: each box finds out which one of a server a connection leads to

What callers saw: a server starts again in another software version while the store is down. Its holder learns that from its report.

Cause: the version comes from the entry, which the store can't take, and the only other source, the report, was read by the holder alone. The class: what one box has seen is taken for known by all.

Change: a connection ends with the incarnation that accepted it. A box whose view of the servers is older than 2 s fetches the report on connections opened since the view was last confirmed, before the first request whose answer has to stay at one version: one that begins or resumes a stream on a resumable route, or continues a run that is handed over. A later incarnation is listed, with the base models of its report, and the request chooses again. Without a report another server is tried.

A trial before, in which the holder told the others by gossip, left them without the base models of the server.

--- a/crates/tinbay-core/src/serving/mod.rs
+++ b/crates/tinbay-core/src/serving/mod.rs
@@ -12,6 +12,7 @@
 pub mod contents;
 pub mod decay;
 pub mod idle_reuse;
+pub mod incarnation;
 pub mod lateness;
 pub mod notices;
 pub mod pacing;
--- a/crates/tinbay-gateway/src/front/attempt.rs
+++ b/crates/tinbay-gateway/src/front/attempt.rs
@@ -23,6 +23,8 @@
 use crate::links;
 use crate::node::Node;
 use crate::port::dialect::HeaderNames;
+use crate::resumption::stream_start::StreamStart;
+use crate::servers::incarnation::{self, Incarnation};
 use crate::servers::notices::{self, AnswerHead, RequestKind};
 use crate::servers::{RunningRequest, Server};
 
@@ -38,8 +40,8 @@
     /// Another server now listens at the address of the intended one.
     Displaced,
     /// Not sent: after the wait for a connection, the server was not ready, in back-off, at its
-    /// rate limit, or had too many bytes of requests waiting, or the request was refused or
-    /// suspected because servers crash.
+    /// rate limit, had too many bytes of requests waiting, or turned out to have restarted, or the
+    /// request was refused or suspected because servers crash.
     Withdrawn {
         /// The unsent body, for another attempt.
         body: RequestBody,
@@ -200,14 +202,26 @@
             links::record_failure(node, terms.server);
         }
         let mut connection = connected.map_err(|error| AttemptResult::NotSent { error })?;
+        if is_bound_to_version(inbound, terms) {
+            match incarnation::find(node, terms.server, &mut connection).await {
+                Incarnation::Described => {}
+                Incarnation::Restarted => {
+                    let body = request.into_body();
+                    return Err(AttemptResult::Withdrawn { body });
+                }
+                Incarnation::Closed if connection.is_reused => continue,
+                Incarnation::Closed | Incarnation::Unknown => {
+                    let error = ConnectError::UnknownIncarnation;
+                    return Err(AttemptResult::NotSent { error });
+                }
+            }
+        }
         // The server was chosen before the wait for a connection, so its state and that of the
         // request are checked again.
         let now_ms = node.now_ms();
-        // A run that is handed over has begun to be answered.
-        let is_run = terms.headers.resumption.is_some();
         if !terms.server.may_receive_requests(now_ms)
             || !terms.permit.is_valid(terms.server, now_ms)
-            || !(is_run || crashes::may_be_sent(node, inbound))
+            || !(continues_run(terms) || crashes::may_be_sent(node, inbound))
         {
             let body = request.into_body();
             return Err(AttemptResult::Withdrawn { body });
@@ -243,6 +257,17 @@
     }
 }
 
+/// Whether the request continues a run that another server began to answer.
+fn continues_run(terms: &AttemptTerms<'_>) -> bool {
+    terms.headers.resumption.is_some()
+}
+
+/// Whether all events of the answer have to come from servers of one software version, also if the
+/// caller resumes it.
+fn is_bound_to_version(inbound: &InboundRequest, terms: &AttemptTerms<'_>) -> bool {
+    continues_run(terms) || inbound.stream_start != StreamStart::NotResumable
+}
+
 /// Sends a request on a connection, and records a missing answer and the outcome if the connection
 /// was reused.
 async fn send(
--- a/crates/tinbay-gateway/src/http/pool.rs
+++ b/crates/tinbay-gateway/src/http/pool.rs
@@ -39,6 +39,10 @@
     /// A new connection was refused, failed or timed out.
     #[error("could not connect to the server: refused, failed or timed out")]
     Refused,
+    /// A connection may lead to an incarnation of the server other than the one that its entry
+    /// describes.
+    #[error("could not find out which incarnation of the server a connection leads to")]
+    UnknownIncarnation,
 }
 
 impl ConnectError {
@@ -47,6 +51,7 @@
         match self {
             ConnectError::AllInUse => "all_in_use",
             ConnectError::Refused => "no_connection",
+            ConnectError::UnknownIncarnation => "unknown_incarnation",
         }
     }
 }
@@ -93,6 +98,10 @@
     pub is_reused: bool,
     /// Records the outcome of the next request; present if the connection was idle in the pool.
     pub reuse: Option<Reuse>,
+    /// When it was open.
+    pub opened_ms: Millis,
+    /// Whether the server has shown on it that it is the incarnation which its entry describes.
+    pub is_described: bool,
     driver: AbortHandle,
     open: Rc<Cell<usize>>,
 }
@@ -282,6 +291,8 @@
             sender,
             is_reused: false,
             reuse: None,
+            opened_ms: self.clock.now_ms(),
+            is_described: false,
             driver,
             open: Rc::clone(&self.open),
         })
--- a/crates/tinbay-gateway/src/http/pooled.rs
+++ b/crates/tinbay-gateway/src/http/pooled.rs
@@ -38,13 +38,33 @@
 ) -> Result<Reply, CallError> {
     let connection = pool.take_idle(ReusableIdle::Any);
     let connection = connection.ok_or(CallError::NotConnected)?;
-    let exchange = exchange_on(pool, connection, request);
-    match tokio::time::timeout(timeout, exchange).await {
-        Ok(Ok(reply)) => Ok(reply),
-        Ok(Err(ExchangeError::Unsent(_))) => Err(CallError::NotConnected),
-        Ok(Err(ExchangeError::Failed(error))) => Err(error),
-        Err(_) => Err(CallError::NoAnswer),
-    }
+    let exchange = exchange_and_give_back(pool, connection, request);
+    let result = tokio::time::timeout(timeout, exchange).await;
+    result
+        .unwrap_or(Err(ExchangeError::Failed(CallError::NoAnswer)))
+        .map_err(ExchangeError::into_call_error)
+}
+
+/// Sends one request on a connection and buffers the response, after which the connection is ready
+/// for another request.
+///
+/// # Errors
+/// When the request was not sent, or no complete response arrived within the time limit.
+pub async fn call_on(
+    connection: &mut Connection,
+    request: Request<RequestBody>,
+    timeout: Duration,
+) -> Result<Reply, CallError> {
+    let exchange = async {
+        let reply = exchange_on(connection, request).await?;
+        let ready = connection.sender.ready().await;
+        ready.map_err(|_| ExchangeError::Failed(CallError::NoAnswer))?;
+        Ok(reply)
+    };
+    let result = tokio::time::timeout(timeout, exchange).await;
+    result
+        .unwrap_or(Err(ExchangeError::Failed(CallError::NoAnswer)))
+        .map_err(ExchangeError::into_call_error)
 }
 
 async fn exchange(
@@ -56,11 +76,10 @@
         let connected = pool.get(max_connections, ReusableIdle::WithinLimit).await;
         let connection = connected.map_err(|_| CallError::NotConnected)?;
         let is_reused = connection.is_reused;
-        match exchange_on(pool, connection, request).await {
+        match exchange_and_give_back(pool, connection, request).await {
             Ok(reply) => return Ok(reply),
             Err(ExchangeError::Unsent(unsent)) if is_reused => request = *unsent,
-            Err(ExchangeError::Unsent(_)) => return Err(CallError::NotConnected),
-            Err(ExchangeError::Failed(error)) => return Err(error),
+            Err(error) => return Err(error.into_call_error()),
         }
     }
 }
@@ -73,9 +92,27 @@
     Failed(CallError),
 }
 
-async fn exchange_on(
+impl ExchangeError {
+    fn into_call_error(self) -> CallError {
+        match self {
+            ExchangeError::Unsent(_) => CallError::NotConnected,
+            ExchangeError::Failed(error) => error,
+        }
+    }
+}
+
+async fn exchange_and_give_back(
     pool: &Rc<Pool>,
     mut connection: Connection,
+    request: Request<RequestBody>,
+) -> Result<Reply, ExchangeError> {
+    let reply = exchange_on(&mut connection, request).await?;
+    pool.give_back(connection, None);
+    Ok(reply)
+}
+
+async fn exchange_on(
+    connection: &mut Connection,
     mut request: Request<RequestBody>,
 ) -> Result<Reply, ExchangeError> {
     let interim = InterimLimit::of(&mut request);
@@ -90,7 +127,6 @@
     let (head, body) = response.into_parts();
     let gathered = gather(body, MAX_SERVER_ANSWER_BYTES).await;
     let body = gathered.map_err(ExchangeError::Failed)?;
-    pool.give_back(connection, None);
     Ok(Reply {
         status: head.status.as_u16(),
         headers: head.headers,
--- a/crates/tinbay-gateway/src/orders/holder.rs
+++ b/crates/tinbay-gateway/src/orders/holder.rs
@@ -29,8 +29,7 @@
 use crate::port::dialect::{DecodeError, Order, OrderAction};
 use crate::servers::notices::{self, AnswerHead, RequestKind};
 use crate::servers::view::ServerStatus;
-use crate::servers::{Server, ServerChange};
-use crate::watch::servers::log_change;
+use crate::servers::{Server, incarnation};
 
 /// Time-out of a request for a server's report.
 const REPORT_TIMEOUT_MS: Millis = 500;
@@ -353,20 +352,7 @@
                 return None;
             }
         };
-        let record = self.server.record();
-        if report.born_ms.is_none() || record.born_ms.is_none() || report.born_ms == record.born_ms
-        {
-            return Some(report);
-        }
-        // The server restarted under the same id, and its entry in the store does not show that
-        // yet.
-        let restarted = record.restarted(report);
-        self.node.observe_version(&restarted);
-        let change = self.node.servers.borrow_mut().put(restarted.clone());
-        if change == ServerChange::Restarted {
-            log_change(&restarted, change);
-        }
-        None
+        incarnation::own_report(&self.node, &self.server, report)
     }
 
     fn log_unreadable(&self, error: &DecodeError) {
--- a/crates/tinbay-gateway/src/resumption/mod.rs
+++ b/crates/tinbay-gateway/src/resumption/mod.rs
@@ -3,8 +3,9 @@
 //! The box that relays the start of a stream records its version in its own ledger and at the
 //! homes of the caller's attempt, two boxes chosen by rendezvous hashing. The box at which the
 //! stream is resumed asks them before it chooses a server, and refuses the request if the version
-//! is not known. While several versions serve, homes also write their records to the store. No message is sent while this box is certain that one version alone has served for
-//! longer than a stream may last.
+//! is not known. While several versions serve, homes also write their records to the store. No
+//! message is sent while this box is certain that one version alone has served for longer than a
+//! stream may last.
 
 pub mod asking;
 pub mod context;
--- a/crates/tinbay-gateway/src/servers/mod.rs
+++ b/crates/tinbay-gateway/src/servers/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod calls;
 mod departed;
+pub mod incarnation;
 pub mod notices;
 pub mod server;
 pub mod service;
