Incarnations: names that tell them apart from others

Two constants named MAX_VIEW_AGE_MS had different values and meanings, and own_report also lists the server that has started again.

--- a/crates/tinbay-core/tests/serving_incarnation_test.rs
+++ b/crates/tinbay-core/tests/serving_incarnation_test.rs
@@ -1,7 +1,7 @@
 //! Tests of what a view of the servers shows of the incarnation behind a connection.
 
 use quickcheck::quickcheck;
-use tinbay_core::serving::incarnation::{ENTRY_DELAY_MS, MAX_VIEW_AGE_MS, is_described};
+use tinbay_core::serving::incarnation::{ENTRY_DELAY_MS, MAX_UNCONFIRMED_MS, is_described};
 use tinbay_core::units::Millis;
 
 #[test]
@@ -11,7 +11,7 @@
 
 #[test]
 fn is_described_by_a_recent_view() {
-    assert!(is_described(5_000, Some(5_000 - MAX_VIEW_AGE_MS), 5_000));
+    assert!(is_described(5_000, Some(5_000 - MAX_UNCONFIRMED_MS), 5_000));
 }
 
 /// Guards against a stream at a server that has started again in another software version while the
--- a/crates/tinbay-gateway/src/http/pool.rs
+++ b/crates/tinbay-gateway/src/http/pool.rs
@@ -98,7 +98,7 @@
     pub is_reused: bool,
     /// Records the outcome of the next request; present if the connection was idle in the pool.
     pub reuse: Option<Reuse>,
-    /// When it was open.
+    /// When it had been established.
     pub opened_ms: Millis,
     /// Whether the server has shown on it that it is the incarnation which its entry describes.
     pub is_described: bool,
--- a/crates/tinbay-gateway/src/orders/holder.rs
+++ b/crates/tinbay-gateway/src/orders/holder.rs
@@ -352,7 +352,7 @@
                 return None;
             }
         };
-        incarnation::own_report(&self.node, &self.server, report)
+        incarnation::accept_report(&self.node, &self.server, report)
     }
 
     fn log_unreadable(&self, error: &DecodeError) {
--- a/crates/tinbay-gateway/src/servers/incarnation.rs
+++ b/crates/tinbay-gateway/src/servers/incarnation.rs
@@ -68,7 +68,7 @@
         Ok(report) => report,
         Err(error) => return unknown(server, error.to_string()),
     };
-    if own_report(node, server, report).is_none() {
+    if accept_report(node, server, report).is_none() {
         return Incarnation::Restarted;
     }
     connection.is_described = true;
@@ -91,7 +91,7 @@
 
 /// Returns the report if it is of this incarnation. If not, the server has started again under its
 /// id, its entry in the store does not show that yet, and the later incarnation is listed.
-pub fn own_report(node: &Node, server: &Server, report: Report) -> Option<Report> {
+pub fn accept_report(node: &Node, server: &Server, report: Report) -> Option<Report> {
     let record = server.record();
     if report.born_ms.is_none() || record.born_ms.is_none() || report.born_ms == record.born_ms {
         return Some(report);
