Claims: a fencing token changes only once no order with the last one may arrive

A holder that is killed and starts again at once wrote its claims anew, which raised their tokens, while an order of its former process was still held up by a link.

Cause: a token followed from the position of the claim in the store, so each write raised it, whoever wrote. Now a claim that continues an earlier one of the same machine names its token; another machine waits for the delivery of orders as well; a planned stop releases claims that were being written, too, and ends in time. A value that is no claim at a claim's key no longer keeps its server without a holder.

--- a/crates/tinbay-core/src/serving/claims.rs
+++ b/crates/tinbay-core/src/serving/claims.rs
@@ -11,6 +11,12 @@
 //! under the claims of its process before: that one's release may still be on its way to the store.
 //! The new process writes the claims anew first, which makes a late release fail.
 //!
+//! An order may arrive some time after it was sent, even after its process has ended. The fencing
+//! token of a server's orders therefore changes only once no order with the last one can arrive:
+//! a box that writes its own claim anew keeps the claim's token, and another box waits for the
+//! delivery of orders as well. A claim names the machine, too, since another machine may run under
+//! the name of a box; its orders are those of another holder.
+//!
 //! A store restored from a backup has lost claims or shows older ones. A claim names the era in
 //! which it was written, and only claims of the current era bind. The holder of a server continues
 //! under its last proof and rewrites its claim at once; all other boxes wait until every proof of
@@ -19,6 +25,7 @@
 //! the store says that the wait has already passed in this era.
 
 use std::collections::HashMap;
+use std::net::IpAddr;
 
 use serde::{Deserialize, Serialize};
 
@@ -30,17 +37,19 @@
 pub struct ClaimTerms {
     /// How long a proof lasts; longer than usual outages of the store.
     pub proof_life_ms: Millis,
+    /// Time after which the network no longer delivers an order that it has not delivered yet.
+    pub delivery_ms: Millis,
     /// Least time between the last order of one holder and the first order of the next.
     pub holder_gap_ms: Millis,
-    /// Margin for messages in flight and for clock drift.
+    /// Margin for clock drift and for the time between a check and the send that follows it.
     pub margin_ms: Millis,
 }
 
 impl ClaimTerms {
     /// Time since the holder's entry went missing after which another box may take over: the proof
-    /// cannot have been renewed meanwhile.
+    /// cannot have been renewed meanwhile, and what was sent under it has been delivered or lost.
     fn takeover_ms(&self) -> Millis {
-        self.proof_life_ms + self.holder_gap_ms + self.margin_ms
+        self.proof_life_ms + self.delivery_ms + self.holder_gap_ms + self.margin_ms
     }
 }
 
@@ -49,7 +58,7 @@
 pub type ProcessId = u64;
 
 /// A claim as it is written to the store.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClaimValue {
     /// Box that may send orders.
     pub holder: String,
@@ -61,6 +70,22 @@
     /// Process of the holder that wrote the claim; 0 if it didn't say so.
     #[serde(default)]
     pub process: ProcessId,
+    /// Address of the machine that the process runs on; none if it didn't say so.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub machine: Option<IpAddr>,
+    /// Fencing token of the orders, if the claim continues an earlier one of the same machine;
+    /// otherwise it follows from the position of the claim.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub continued_token: Option<u64>,
+}
+
+/// The process that a box runs in.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct OwnProcess {
+    /// Number of the process.
+    pub id: ProcessId,
+    /// Address of the machine that it runs on.
+    pub machine: Option<IpAddr>,
 }
 
 /// Whether a claim is valid in the current era.
@@ -76,6 +101,19 @@
     },
     /// Restored from a backup; newer claims may have been lost.
     Restored,
+    /// Not a claim, and this box knows none that it has replaced: its holder is not known.
+    Unreadable,
+}
+
+/// What a value read from the store has changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RecordOutcome {
+    /// Nothing, as a newer value is known.
+    Ignored,
+    /// It is a claim.
+    Claim,
+    /// It is no claim.
+    Unreadable,
 }
 
 /// A claim as this box knows it.
@@ -83,7 +121,7 @@
 pub struct Claim {
     /// Holder and release state.
     pub value: ClaimValue,
-    /// Position at which it was written; the fencing token of the holder's orders follows from it.
+    /// Position at which it was written.
     pub position: Position,
     /// When this box first saw it at this position.
     pub seen_ms: Millis,
@@ -91,6 +129,30 @@
     pub validity: ClaimValidity,
     /// Whether this box, its holder, has begun to release it.
     pub is_being_released: bool,
+    /// Whether something that is no claim has replaced it in the store. It goes on to bind.
+    pub is_overwritten: bool,
+}
+
+impl Claim {
+    /// Fencing token of the holder's orders.
+    pub fn fencing_token(&self) -> u64 {
+        let continued = self.value.continued_token;
+        continued.unwrap_or_else(|| self.position.fencing_token())
+    }
+
+    /// Whether it tells who may order the server, at least until the end of a proof.
+    fn is_known(&self) -> bool {
+        match self.validity {
+            ClaimValidity::Current | ClaimValidity::CarriedOver { .. } => true,
+            ClaimValidity::Restored | ClaimValidity::Unreadable => false,
+        }
+    }
+
+    /// Whether the claim was written on another machine than the given one, as far as is known.
+    fn is_of_another_machine(&self, machine: Option<IpAddr>) -> bool {
+        let machines = self.value.machine.zip(machine);
+        machines.is_some_and(|(of_claim, own)| of_claim != own)
+    }
 }
 
 /// What a box that wants to take over knows about the holder's entry.
@@ -105,8 +167,7 @@
 /// Claims by the address of the server.
 #[derive(Debug, Default)]
 pub struct ClaimTable {
-    /// Process of this box.
-    own_process: ProcessId,
+    own_process: OwnProcess,
     era: Era,
     /// When this box first saw the current era; none where the store has no eras.
     era_seen_ms: Option<Millis>,
@@ -119,7 +180,7 @@
 
 impl ClaimTable {
     /// An empty table for a process of a box.
-    pub fn of_process(own_process: ProcessId) -> Self {
+    pub fn of_process(own_process: OwnProcess) -> Self {
         Self {
             own_process,
             ..Self::default()
@@ -127,7 +188,7 @@
     }
 
     /// Process of this box.
-    pub fn own_process(&self) -> ProcessId {
+    pub fn own_process(&self) -> OwnProcess {
         self.own_process
     }
 
@@ -165,25 +226,63 @@
     }
 
     /// Records a claim read from the store; older revisions and revisions of a former era are
-    /// ignored.
-    pub fn record(&mut self, address: &str, value: &[u8], position: Position, now_ms: Millis) {
-        let Ok(value) = serde_json::from_slice::<ClaimValue>(value) else {
-            return;
-        };
+    /// ignored. Another writer may have put something else in its place.
+    pub fn record(
+        &mut self,
+        address: &str,
+        value: &[u8],
+        position: Position,
+        now_ms: Millis,
+    ) -> RecordOutcome {
         if position.era != self.era {
-            return;
+            return RecordOutcome::Ignored;
         }
         let stored_revision = self
             .stored_revisions
             .entry(address.to_string())
             .or_default();
         if *stored_revision >= position.revision && *stored_revision > 0 {
-            return;
+            return RecordOutcome::Ignored;
         }
         *stored_revision = position.revision;
+        match serde_json::from_slice::<ClaimValue>(value) {
+            Ok(value) => {
+                self.record_claim(address, value, position, now_ms);
+                RecordOutcome::Claim
+            }
+            Err(_) => {
+                self.record_unreadable(address, position, now_ms);
+                RecordOutcome::Unreadable
+            }
+        }
+    }
+
+    /// Keeps the claim that is known, as its holder may go on to order the server.
+    fn record_unreadable(&mut self, address: &str, position: Position, now_ms: Millis) {
+        let unreadable = Claim {
+            value: ClaimValue::default(),
+            position,
+            seen_ms: now_ms,
+            validity: ClaimValidity::Unreadable,
+            is_being_released: false,
+            is_overwritten: false,
+        };
+        let claims = self.by_address.entry(address.to_string());
+        claims
+            .and_modify(|claim| claim.is_overwritten = true)
+            .or_insert(unreadable);
+    }
+
+    fn record_claim(
+        &mut self,
+        address: &str,
+        value: ClaimValue,
+        position: Position,
+        now_ms: Millis,
+    ) {
         let is_current = value.era == position.era;
         let known = self.by_address.get(address);
-        let has_valid_claim = known.is_some_and(|known| known.validity != ClaimValidity::Restored);
+        let has_valid_claim = known.is_some_and(Claim::is_known);
         if !is_current && has_valid_claim {
             // The backup holds an older state than this box has seen.
             return;
@@ -199,6 +298,7 @@
             seen_ms: now_ms,
             validity,
             is_being_released: false,
+            is_overwritten: false,
         };
         self.by_address.insert(address.to_string(), claim);
     }
@@ -231,7 +331,8 @@
     /// Box that holds the claim on a server and has not released it.
     pub fn holder_of(&self, address: &str) -> Option<&str> {
         let claim = self.by_address.get(address)?;
-        (!claim.value.is_released).then_some(claim.value.holder.as_str())
+        let has_holder = !claim.value.is_released && claim.validity != ClaimValidity::Unreadable;
+        has_holder.then_some(claim.value.holder.as_str())
     }
 
     /// Begins to release the claim on a server. No more orders are sent under it, as the call that
@@ -256,14 +357,14 @@
         let binds = match claim.validity {
             ClaimValidity::Current => true,
             ClaimValidity::CarriedOver { until_ms } => now_ms < until_ms,
-            ClaimValidity::Restored => false,
+            ClaimValidity::Restored | ClaimValidity::Unreadable => false,
         };
         let may_order = is_own && binds && !claim.is_being_released;
-        may_order.then(|| claim.position.fencing_token())
+        may_order.then(|| claim.fencing_token())
     }
 
     fn is_held_by_process(&self, claim: &Claim, box_id: &str) -> bool {
-        let is_own = claim.value.holder == box_id && claim.value.process == self.own_process;
+        let is_own = claim.value.holder == box_id && claim.value.process == self.own_process.id;
         is_own && !claim.value.is_released
     }
 
@@ -271,16 +372,39 @@
     /// earlier era, another box may have taken the server since.
     pub fn is_held_by_earlier_process(&self, address: &str, box_id: &str) -> bool {
         self.get(address).is_some_and(|claim| {
-            let is_own = claim.value.holder == box_id && !claim.value.is_released;
-            let is_earlier = claim.value.process != self.own_process;
-            is_own && is_earlier && claim.validity == ClaimValidity::Current
+            let is_earlier = claim.value.process != self.own_process.id;
+            self.is_held_by_machine(claim, box_id)
+                && is_earlier
+                && claim.validity == ClaimValidity::Current
         })
     }
 
-    /// Addresses of the servers whose claims `box_id` holds in the current era.
+    fn is_held_by_machine(&self, claim: &Claim, box_id: &str) -> bool {
+        let is_own = claim.value.holder == box_id && !claim.value.is_released;
+        is_own && !claim.is_of_another_machine(self.own_process.machine)
+    }
+
+    /// Token with which `box_id`, this box, continues when it writes its claim on a server anew, as
+    /// orders with that token may still arrive; none if it holds none or must no longer use it.
+    pub fn continued_token(&self, address: &str, box_id: &str, now_ms: Millis) -> Option<u64> {
+        let claim = self.get(address)?;
+        let may_continue = match claim.validity {
+            ClaimValidity::Current => self.is_held_by_machine(claim, box_id),
+            ClaimValidity::CarriedOver { .. } => {
+                return self.token_of(address, box_id, now_ms);
+            }
+            ClaimValidity::Restored | ClaimValidity::Unreadable => false,
+        };
+        may_continue.then(|| claim.fencing_token())
+    }
+
+    /// Addresses of the servers whose claims `box_id` holds in the current era and has not begun to
+    /// release.
     pub fn held_by(&self, box_id: &str) -> Vec<String> {
         let is_held = |claim: &Claim| {
-            self.is_held_by_process(claim, box_id) && claim.validity == ClaimValidity::Current
+            self.is_held_by_process(claim, box_id)
+                && claim.validity == ClaimValidity::Current
+                && !claim.is_being_released
         };
         self.by_address
             .iter()
@@ -289,12 +413,14 @@
             .collect()
     }
 
-    /// Whether `box_id` held a server when the store was restored, still does under its last proof,
-    /// and has not rewritten its claim yet.
+    /// Whether `box_id` holds a server by a claim that the store no longer shows, and has not written
+    /// it again yet: the store was restored, or another writer has overwritten the claim.
     pub fn is_to_be_renewed(&self, address: &str, box_id: &str, now_ms: Millis) -> bool {
-        let is_carried_over =
-            |claim: &Claim| matches!(claim.validity, ClaimValidity::CarriedOver { .. });
-        self.get(address).is_some_and(is_carried_over)
+        let is_not_stored = |claim: &Claim| {
+            let is_carried_over = matches!(claim.validity, ClaimValidity::CarriedOver { .. });
+            is_carried_over || claim.is_overwritten
+        };
+        self.get(address).is_some_and(is_not_stored)
             && self.token_of(address, box_id, now_ms).is_some()
     }
 
@@ -308,7 +434,8 @@
 
     /// Whether `box_id` may overwrite the claim on a server now. The transaction must still require
     /// the claim to be at its known position and, where another box holds it, that box's entry to
-    /// be missing.
+    /// be missing. `entry` tells of the holder's entry; where the holder is another machine under
+    /// the name of this box, that has been missing since this box wrote its own.
     pub fn may_take(
         &self,
         address: &str,
@@ -319,12 +446,16 @@
     ) -> bool {
         match self.get(address) {
             Some(claim) if claim.validity == ClaimValidity::Current => {
-                let is_own = claim.value.holder == box_id;
+                let is_own = claim.value.holder == box_id
+                    && !claim.is_of_another_machine(self.own_process.machine);
                 if is_own {
                     return !self.is_held_by_process(claim, box_id);
                 }
                 may_take_from_other(claim, entry, terms, now_ms)
             }
+            Some(claim) if claim.validity == ClaimValidity::Unreadable => {
+                now_ms >= claim.seen_ms + terms.takeover_ms() && self.is_settled(terms, now_ms)
+            }
             _ => self.is_to_be_renewed(address, box_id, now_ms) || self.is_settled(terms, now_ms),
         }
     }
--- a/crates/tinbay-core/src/serving/position.rs
+++ b/crates/tinbay-core/src/serving/position.rs
@@ -8,9 +8,15 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::units::Millis;
+
 /// A revision within one era; every change of the store raises it.
 pub type Revision = u64;
 
+/// Longest time by which a watch of the store may lag behind it. The store may drop its history in
+/// that time and close the watch a second later.
+pub const MAX_WATCH_LAG_MS: Millis = 1_500;
+
 /// Bits of a fencing token that hold the revision: 6.9e10 changes in one era. With up to 16 bits
 /// for the era, a token is exact where numbers are parsed as 64-bit floating point.
 const REVISION_BITS: u32 = 36;
--- a/crates/tinbay-core/tests/serving_returns_test.rs
+++ b/crates/tinbay-core/tests/serving_returns_test.rs
@@ -1,14 +1,19 @@
-//! Claims in a store that is restored from backups: the orders of two holders are always separated
-//! by the gap, whatever happens to boxes and store, in virtual time.
+//! Claims in a store that is restored from backups, in virtual time: whatever happens to boxes and
+//! store, orders of two holders arrive separated by the gap, and no order arrives after one with a
+//! higher fencing token. Orders may arrive late, also those of processes that have ended.
 
 use std::collections::HashMap;
+use std::net::{IpAddr, Ipv4Addr};
 
 use quickcheck::{Arbitrary, Gen, QuickCheck};
-use tinbay_core::serving::claims::{ClaimTable, ClaimTerms, ClaimValue, HolderEntry, Proof};
+use tinbay_core::serving::claims::{
+    ClaimTable, ClaimTerms, ClaimValue, HolderEntry, OwnProcess, Proof,
+};
 use tinbay_core::serving::position::{Era, Position};
 
 const TERMS: ClaimTerms = ClaimTerms {
     proof_life_ms: 4_000,
+    delivery_ms: 800,
     holder_gap_ms: 1_000,
     margin_ms: 200,
 };
@@ -101,6 +106,31 @@
     cut_until_ms: u64,
     suspended_until_ms: u64,
     is_leaving: bool,
+    /// When the last of its orders arrives.
+    last_arrival_ms: u64,
+}
+
+impl Member {
+    /// A process of a box that has just started.
+    fn of_process(number: usize, id: u64) -> Self {
+        let machine = Ipv4Addr::new(10, 0, 0, number as u8);
+        let process = OwnProcess {
+            id,
+            machine: Some(IpAddr::V4(machine)),
+        };
+        Self {
+            claims: ClaimTable::of_process(process),
+            ..Self::default()
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Order {
+    box_number: usize,
+    token: u64,
+    sent_ms: u64,
+    arrives_ms: u64,
 }
 
 struct Simulation {
@@ -108,13 +138,22 @@
     backup: Store,
     boxes: Vec<Member>,
     now_ms: u64,
-    orders: Vec<(usize, u64)>,
+    orders: Vec<Order>,
+    /// Number of processes that have started.
+    processes: u64,
 }
 
 fn name(number: usize) -> String {
     format!("box-{number}")
 }
 
+/// Time after which an order arrives: most at once, some as late as the network delivers.
+fn delivery_ms(box_number: usize, sent_ms: u64) -> u64 {
+    const PATTERN: [u64; 7] = [0, 0, 0, 300, 0, 0, TERMS.delivery_ms];
+    let turn = sent_ms / STEP_MS + box_number as u64;
+    PATTERN[turn as usize % PATTERN.len()]
+}
+
 fn encode(value: &ClaimValue) -> Vec<u8> {
     serde_json::to_vec(value).expect("a value")
 }
@@ -124,9 +163,12 @@
         let mut simulation = Self {
             store: Store::default(),
             backup: Store::default(),
-            boxes: (0..BOXES).map(|_| Member::default()).collect(),
+            boxes: (0..BOXES)
+                .map(|number| Member::of_process(number, number as u64 + 1))
+                .collect(),
             now_ms: 0,
             orders: Vec::new(),
+            processes: BOXES as u64,
         };
         // The system starts for the first time: no box has ever sent an order.
         simulation.store.settled = Some(0);
@@ -134,18 +176,22 @@
         simulation
     }
 
+    /// Starts the next process of a box at a time.
+    fn restart(&mut self, number: usize, at_ms: u64) {
+        self.processes += 1;
+        self.boxes[number] = Member {
+            suspended_until_ms: at_ms,
+            ..Member::of_process(number, self.processes)
+        };
+    }
+
     fn apply(&mut self, event: &Event) {
         let until_ms = self.now_ms + event.lasts_ms;
         let member = &mut self.boxes[event.box_number];
         match event.kind {
             EventKind::Cut => member.cut_until_ms = until_ms,
             EventKind::Suspend => member.suspended_until_ms = until_ms,
-            EventKind::Kill => {
-                *member = Member {
-                    suspended_until_ms: until_ms,
-                    ..Member::default()
-                };
-            }
+            EventKind::Kill => self.restart(event.box_number, until_ms),
             EventKind::Leave => member.is_leaving = true,
             EventKind::BackUp => self.backup = self.store.clone(),
             EventKind::Restore => {
@@ -234,18 +280,19 @@
         self.store.entries.insert(number, now_ms + LEASE_MS);
     }
 
+    /// Releases the claim of a box that is leaving, once no order of it can arrive any more.
     fn release(&mut self, number: usize, own: &str) {
-        let member = &mut self.boxes[number];
+        let member = &self.boxes[number];
+        if self.now_ms < member.last_arrival_ms {
+            return;
+        }
         let is_held = !member.claims.held_by(own).is_empty();
         let stored = member.claims.stored_position(SERVER);
-        member.is_leaving = false;
-        *member = Member {
-            suspended_until_ms: self.now_ms + LEASE_MS * 2,
-            ..Member::default()
-        };
+        let process = member.claims.own_process();
+        self.restart(number, self.now_ms + LEASE_MS * 2);
         self.store.entries.remove(&number);
         if is_held && self.stored_position() == stored {
-            self.write(own, true);
+            self.write(own, true, process, None);
         }
     }
 
@@ -258,13 +305,21 @@
         Position::new(Era(self.store.era), revision)
     }
 
-    fn write(&mut self, holder: &str, is_released: bool) {
+    fn write(
+        &mut self,
+        holder: &str,
+        is_released: bool,
+        process: OwnProcess,
+        continued_token: Option<u64>,
+    ) {
         self.store.revision += 1;
         let value = ClaimValue {
             holder: holder.into(),
             is_released,
             era: Era(self.store.era),
-            process: 0,
+            process: process.id,
+            machine: process.machine,
+            continued_token,
         };
         self.store.claim = Some((value, self.store.revision));
     }
@@ -285,8 +340,10 @@
         };
         let may_take = member.claims.may_take(SERVER, &own, entry, &TERMS, now_ms);
         let stored = member.claims.stored_position(SERVER);
+        let process = member.claims.own_process();
+        let continued_token = member.claims.continued_token(SERVER, &own, now_ms);
         if may_take && stored == self.stored_position() {
-            self.write(&own, false);
+            self.write(&own, false, process, continued_token);
         }
         if member_is_settled(&self.boxes[number], now_ms) {
             self.store.settled = Some(self.store.era);
@@ -295,20 +352,41 @@
 
     fn order(&mut self, number: usize) {
         let now_ms = self.now_ms;
-        let member = &self.boxes[number];
-        let has_token = member
-            .claims
-            .token_of(SERVER, &name(number), now_ms)
-            .is_some();
-        if has_token && member.proof.holds(&TERMS, now_ms) {
-            self.orders.push((number, now_ms));
+        let member = &mut self.boxes[number];
+        let Some(token) = member.claims.token_of(SERVER, &name(number), now_ms) else {
+            return;
+        };
+        if member.is_leaving || !member.proof.holds(&TERMS, now_ms) {
+            return;
         }
+        let arrives_ms = now_ms + delivery_ms(number, now_ms);
+        member.last_arrival_ms = member.last_arrival_ms.max(arrives_ms);
+        self.orders.push(Order {
+            box_number: number,
+            token,
+            sent_ms: now_ms,
+            arrives_ms,
+        });
+    }
+
+    /// The orders as they arrive at the server.
+    fn arrivals(&self) -> Vec<Order> {
+        let mut arrivals = self.orders.clone();
+        arrivals.sort_by_key(|order| order.arrives_ms);
+        arrivals
     }
 
     fn shortest_holder_gap_ms(&self) -> Option<u64> {
-        let pairs = self.orders.windows(2);
-        let holder_changes = pairs.filter(|pair| pair[0].0 != pair[1].0);
-        holder_changes.map(|pair| pair[1].1 - pair[0].1).min()
+        let arrivals = self.arrivals();
+        let pairs = arrivals.windows(2);
+        let holder_changes = pairs.filter(|pair| pair[0].box_number != pair[1].box_number);
+        holder_changes
+            .map(|pair| pair[1].arrives_ms - pair[0].arrives_ms)
+            .min()
+    }
+
+    fn has_lower_token_later(&self) -> bool {
+        !self.arrivals().is_sorted_by_key(|order| order.token)
     }
 }
 
@@ -338,6 +416,34 @@
         .quickcheck(keeps as fn(Vec<Event>) -> bool);
 }
 
+/// Guards against a token that rises while orders with the last one are on their way: at a restart of
+/// the holder, a renewal of its claim after a restore of the store, or a release.
+#[test]
+fn orders_arrive_with_tokens_that_never_fall() {
+    fn keeps(events: Vec<Event>) -> bool {
+        !play(&events).has_lower_token_later()
+    }
+    QuickCheck::new()
+        .tests(300)
+        .quickcheck(keeps as fn(Vec<Event>) -> bool);
+}
+
+/// Guards against a holder that is killed and starts again at once, as no record of its orders
+/// outlives its process.
+#[test]
+fn orders_of_a_killed_holder_that_starts_again_at_once_arrive_before_any_with_a_higher_token() {
+    let events: Vec<Event> = (0..BOXES * 7)
+        .map(|turn| Event {
+            pause_ms: STEP_MS,
+            kind: EventKind::Kill,
+            box_number: turn % BOXES,
+            lasts_ms: 0,
+        })
+        .collect();
+    let simulation = play(&events);
+    assert!(!simulation.has_lower_token_later());
+}
+
 /// One box is suspended, returns and is cut off. Another box, cut off while the first one was back,
 /// sees it missing before and after, and must not count this as one absence.
 #[test]
@@ -362,7 +468,7 @@
 fn orders_resume_after_all_events() {
     fn orders(events: Vec<Event>) -> bool {
         let simulation = play(&events);
-        let last_ms = simulation.orders.last().map_or(0, |(_, at_ms)| *at_ms);
+        let last_ms = simulation.orders.last().map_or(0, |order| order.sent_ms);
         last_ms + 1_000 >= simulation.now_ms
     }
     QuickCheck::new()
@@ -392,6 +498,6 @@
     let gaps = simulation
         .orders
         .windows(2)
-        .map(|pair| pair[1].1 - pair[0].1);
+        .map(|pair| pair[1].sent_ms - pair[0].sent_ms);
     assert_eq!(gaps.max(), Some(STEP_MS));
 }
--- a/crates/tinbay-gateway/src/node.rs
+++ b/crates/tinbay-gateway/src/node.rs
@@ -10,7 +10,9 @@
 use tinbay_core::accounts::priority::PriorityRanks;
 use tinbay_core::memory::terms::MemoryTerms;
 use tinbay_core::resumption::fingerprint;
-use tinbay_core::serving::claims::{ClaimTable, ClaimTerms, ProcessId, Proof};
+use tinbay_core::serving::claims::{
+    ClaimTable, ClaimTerms, OwnProcess, ProcessId, Proof, RecordOutcome,
+};
 use tinbay_core::serving::configuration::{Configuration, EngineProperties, Limits};
 use tinbay_core::serving::contents::AdapterKey;
 use tinbay_core::serving::pacing::LoadQuotaCounter;
@@ -39,8 +41,9 @@
 use crate::members::{MemberRecord, Members, box_fingerprint};
 use crate::memory::BoxMemory;
 use crate::metrics::Metrics;
+use crate::orders::claiming;
 use crate::orders::held_server::{HeldServer, LoadSnapshot};
-use crate::orders::undelivered::UndeliveredOrders;
+use crate::orders::undelivered::{ORDER_DELIVERY_MS, UndeliveredOrders};
 use crate::peers::frame::{FramePart, LoadRequestPart};
 use crate::peers::outbox::Outbox;
 use crate::port::dialect::Dialect;
@@ -62,7 +65,7 @@
 /// price: the servers of a box that has failed for good are taken over later by as much.
 const PROOF_LIFE_MS: Millis = 12_000;
 
-/// Safety margin for orders in flight and for clock drift between boxes.
+/// Safety margin for clock drift between boxes and for the time between a check and a send.
 const CLAIM_MARGIN_MS: Millis = 500;
 
 /// Fraction of the time limit for a version change during which requests may still be sent with
@@ -193,6 +196,10 @@
     pub entry_due: Notify,
     /// When the boxes in the store were last listed completely.
     pub boxes_listed_ms: Cell<Millis>,
+    /// When this process first wrote its entry to the store; none before.
+    pub entry_since_ms: Cell<Option<Millis>>,
+    /// Number of claims whose transactions have no answer yet.
+    pub claims_being_written: Cell<usize>,
     /// Whether a planned stop has begun.
     pub is_leaving: Cell<bool>,
     /// Set when callers' connections must be closed.
@@ -230,9 +237,12 @@
     senders: Cell<Option<usize>>,
 }
 
-/// Draws a number for this process; 0 stands for a process that is not named.
-fn draw_process_id() -> ProcessId {
-    rand::rng().random_range(1..=ProcessId::MAX)
+/// Names this process, by a number other than 0, which stands for a process that is not named.
+fn name_process(settings: &Settings) -> OwnProcess {
+    OwnProcess {
+        id: rand::rng().random_range(1..=ProcessId::MAX),
+        machine: Some(settings.peer.ip()),
+    }
 }
 
 impl Node {
@@ -244,6 +254,7 @@
         metrics: Metrics,
     ) -> Self {
         let members = Members::new(&settings.zone);
+        let own_process = name_process(&settings);
         let clock = Clock::start();
         let servers =
             ServerTable::new(clock).with_connection_metric(metrics.server_connections.clone());
@@ -267,7 +278,7 @@
             versions: RefCell::default(),
             servers: RefCell::new(servers),
             members: RefCell::new(members),
-            claims: RefCell::new(ClaimTable::of_process(draw_process_id())),
+            claims: RefCell::new(ClaimTable::of_process(own_process)),
             proof: Cell::default(),
             held_servers: RefCell::default(),
             undelivered_orders: Rc::new(UndeliveredOrders::new(clock)),
@@ -276,6 +287,8 @@
             outbox: Outbox::default(),
             entry_due: Notify::new(),
             boxes_listed_ms: Cell::default(),
+            entry_since_ms: Cell::default(),
+            claims_being_written: Cell::default(),
             is_leaving: Cell::default(),
             closing: Latch::default(),
             connections: Cell::default(),
@@ -446,13 +459,19 @@
     pub fn record_claim(&self, address: &str, item: &Item) {
         self.sync_era();
         let mut claims = self.claims.borrow_mut();
-        claims.record(address, &item.value, item.position, self.now_ms());
+        let outcome = claims.record(address, &item.value, item.position, self.now_ms());
+        if outcome == RecordOutcome::Unreadable {
+            let unreadable = &self.metrics.unreadable;
+            unreadable.with_label_values(&["claim"]).inc();
+            claiming::log_unreadable(address, item.position);
+        }
     }
 
     /// Timing rules for holding and taking over claims.
     pub fn claim_terms(&self) -> ClaimTerms {
         ClaimTerms {
             proof_life_ms: PROOF_LIFE_MS,
+            delivery_ms: ORDER_DELIVERY_MS,
             holder_gap_ms: self.settings.borrow().bounds.holder_gap_ms,
             margin_ms: CLAIM_MARGIN_MS,
         }
--- a/crates/tinbay-gateway/src/orders/claiming.rs
+++ b/crates/tinbay-gateway/src/orders/claiming.rs
@@ -8,13 +8,13 @@
 use log::Level;
 use serde::Serialize;
 use tinbay_core::rendezvous;
-use tinbay_core::serving::claims::{ClaimValidity, ClaimValue, HolderEntry, ProcessId};
-use tinbay_core::serving::position::{Era, Position};
+use tinbay_core::serving::claims::{Claim, ClaimValidity, ClaimValue, HolderEntry, OwnProcess};
+use tinbay_core::serving::position::{Era, Position, Revision};
 use tinbay_core::units::Millis;
 
-use super::{era_mark, holder};
+use super::undelivered::ORDER_DELIVERY_MS;
+use super::{era_mark, holder, releasing};
 use crate::events::{self, part};
-use crate::http::silence::UNACKNOWLEDGED_TIMEOUT;
 use crate::node::Node;
 use crate::port::store::{Item, StoreError, Transaction};
 use crate::servers::Server;
@@ -35,9 +35,8 @@
 const RANK_DELAY_MS: Millis = 900;
 
 /// Time for which this box must have been unable to reach a server before it releases the claim on
-/// it. By then the kernel has given up on orders that it could not deliver before, so that none
-/// arrives once another box sends orders.
-const RELEASE_AFTER_MS: Millis = UNACKNOWLEDGED_TIMEOUT.as_millis() as Millis;
+/// it, so that no order arrives once another box sends orders.
+const RELEASE_AFTER_MS: Millis = ORDER_DELIVERY_MS;
 
 #[derive(Serialize)]
 struct ReleaseEvent<'a> {
@@ -51,7 +50,12 @@
     server: &'a str,
     address: &'a str,
     token: u64,
+    /// Whether this box goes on with the token of its last claim.
+    is_continued: bool,
+    /// Holder named by the claim that this one replaces.
     before: Option<&'a str>,
+    /// How long this box has known the claim that this one replaces.
+    before_known_ms: Option<Millis>,
 }
 
 #[derive(Serialize)]
@@ -61,6 +65,21 @@
     token: u64,
 }
 
+#[derive(Serialize)]
+struct UnreadableEvent<'a> {
+    address: &'a str,
+    revision: Revision,
+}
+
+/// Logs that the store holds something at the key of a claim that is none.
+pub fn log_unreadable(address: &str, position: Position) {
+    let event = UnreadableEvent {
+        address,
+        revision: position.revision,
+    };
+    events::emit(part::ORDERS, Level::Warn, "claim_unreadable", &event);
+}
+
 /// Maintains this box's claims until it stops.
 pub async fn run(node: Rc<Node>) {
     let mut free_since_ms: HashMap<String, Millis> = HashMap::new();
@@ -71,6 +90,9 @@
         }
         era_mark::write_if_due(&node).await;
         for server in engine_servers(&node) {
+            if node.is_leaving.get() {
+                break;
+            }
             check_claim(&node, &server, &mut free_since_ms).await;
         }
     }
@@ -154,8 +176,8 @@
     events::emit(part::ORDERS, Level::Info, "claim_resumed", &event);
 }
 
-/// Whether this box has to write its claim on the server again: the store was restored and is in a
-/// new era, and this box still holds the server by a membership proof from the earlier era.
+/// Whether this box has to write its claim on the server again: it still holds the server, and the
+/// store was restored without the claim, or another writer has overwritten it.
 fn needs_renewal(node: &Node, server: &Server) -> bool {
     let own_id = &node.settings.borrow().box_id;
     let claims = node.claims.borrow();
@@ -181,41 +203,10 @@
     node.links.is_partitioned() && is_cut_off && is_holder && !may_order_arrive
 }
 
-/// Marks the claim on a server as released. No order is sent to it from the start of the call.
+/// Lets another box hold the server. No order is sent to it from the start of the call.
 async fn release_server(node: &Node, server: &Server) {
-    let own_id = node.settings.borrow().box_id.clone();
     let address = &server.address_text;
-    let position = {
-        let mut claims = node.claims.borrow_mut();
-        claims.begin_release(address);
-        claims.stored_position(address)
-    };
-    let own_process = node.claims.borrow().own_process();
-    let transaction = release_transaction(&own_id, own_process, &[(address.clone(), position)]);
-    let result = counted(node, "commit", node.store.commit(&transaction).await);
-    let outcome = match &result {
-        Ok(_) => "done",
-        Err(StoreError::Conflict { .. }) => "conflict",
-        Err(_) => "unknown",
-    };
-    match result {
-        Ok(position) => {
-            let value = encode(&own_id, own_process, true, position.era);
-            let key = format!("{CLAIM_PREFIX}{address}");
-            let item = Item {
-                key,
-                value,
-                position,
-            };
-            node.record_claim(address, &item);
-        }
-        Err(StoreError::Conflict { items }) => {
-            for item in &items {
-                node.record_claim(address, item);
-            }
-        }
-        Err(_) => {}
-    }
+    let outcome = releasing::release(node, std::slice::from_ref(address)).await;
     let event = ReleaseEvent {
         server: &server.record().id,
         address,
@@ -234,7 +225,15 @@
     claims.may_take(&server.address_text, own_id, entry, &terms, now_ms)
 }
 
+/// What this box knows of the entry of a claim's holder. If that is another machine under this box's
+/// name, its entry is the one that this box has replaced by its own.
 fn holder_entry(node: &Node, holder: &str) -> HolderEntry {
+    if holder == node.settings.borrow().box_id {
+        return node
+            .entry_since_ms
+            .get()
+            .map_or(HolderEntry::Listed, HolderEntry::MissingSince);
+    }
     let members = node.members.borrow();
     match members.get(holder) {
         Some(member) if member.listed => HolderEntry::Listed,
@@ -263,87 +262,117 @@
         .count()
 }
 
-async fn claim_server(node: &Rc<Node>, server: &Rc<Server>) {
-    let own_id = node.settings.borrow().box_id.clone();
-    node.sync_era();
-    let (before, stored) = {
+/// A claim of this box that is about to be written.
+struct NewClaim {
+    key: String,
+    value: ClaimValue,
+    /// The claim that it replaces.
+    before: Option<Claim>,
+    /// Position of the claim in the store that it replaces.
+    stored: Position,
+}
+
+impl NewClaim {
+    fn on_server(node: &Node, server: &Server) -> Self {
+        let own_id = node.settings.borrow().box_id.clone();
+        node.sync_era();
         let claims = node.claims.borrow();
-        let before = claims.get(&server.address_text).cloned();
-        (before, claims.stored_position(&server.address_text))
-    };
-    let key = format!("{CLAIM_PREFIX}{}", server.address_text);
-    let mut expected = vec![(key.clone(), stored)];
-    if let Some(claim) = &before
-        && claim.value.holder != own_id
-        && !claim.value.is_released
-        && claim.validity == ClaimValidity::Current
-    {
-        // A claim that was not released may be taken only while its holder has no entry.
-        let holder_key = format!("{MEMBER_PREFIX}{}", claim.value.holder);
-        expected.push((holder_key, Position::missing(stored.era)));
+        let address = &server.address_text;
+        let stored = claims.stored_position(address);
+        let value = ClaimValue {
+            continued_token: claims.continued_token(address, &own_id, node.now_ms()),
+            ..own_value(&own_id, claims.own_process(), stored.era)
+        };
+        Self {
+            key: claim_key(address),
+            value,
+            before: claims.get(address).cloned(),
+            stored,
+        }
     }
-    let own_process = node.claims.borrow().own_process();
-    let value = encode(&own_id, own_process, false, stored.era);
-    let transaction = Transaction {
-        expected,
-        put: vec![(key.clone(), value.clone(), None)],
-        remove: Vec::new(),
-    };
-    match counted(node, "commit", node.store.commit(&transaction).await) {
+
+    fn transaction(&self) -> Transaction {
+        let mut expected = vec![(self.key.clone(), self.stored)];
+        if let Some(claim) = &self.before
+            && claim.value.holder != self.value.holder
+            && !claim.value.is_released
+            && claim.validity == ClaimValidity::Current
+        {
+            // A claim that was not released may be taken only while its holder has no entry.
+            let holder_key = format!("{MEMBER_PREFIX}{}", claim.value.holder);
+            expected.push((holder_key, Position::missing(self.stored.era)));
+        }
+        Transaction {
+            expected,
+            put: vec![(self.key.clone(), encode(&self.value), None)],
+            remove: Vec::new(),
+        }
+    }
+
+    fn log_taken(&self, node: &Node, server: &Server, position: Position) {
+        let before = self.before.as_ref();
+        let token = self.value.continued_token;
+        let event = ClaimEvent {
+            server: &server.record().id,
+            address: &server.address_text,
+            token: token.unwrap_or_else(|| position.fencing_token()),
+            is_continued: token.is_some(),
+            before: before.map(|claim| claim.value.holder.as_str()),
+            before_known_ms: before.map(|claim| node.now_ms().saturating_sub(claim.seen_ms)),
+        };
+        events::emit(part::ORDERS, Level::Info, "claim_taken", &event);
+    }
+}
+
+async fn claim_server(node: &Rc<Node>, server: &Rc<Server>) {
+    let claim = NewClaim::on_server(node, server);
+    let transaction = claim.transaction();
+    node.claims_being_written.update(|count| count + 1);
+    let committed = node.store.commit(&transaction).await;
+    node.claims_being_written.update(|count| count - 1);
+    match counted(node, "commit", committed) {
         Ok(position) => {
             let item = Item {
-                key,
-                value,
+                key: claim.key.clone(),
+                value: encode(&claim.value),
                 position,
             };
             node.record_claim(&server.address_text, &item);
-            let event = ClaimEvent {
-                server: &server.record().id,
-                address: &server.address_text,
-                token: position.fencing_token(),
-                before: before.as_ref().map(|claim| claim.value.holder.as_str()),
-            };
-            events::emit(part::ORDERS, Level::Info, "claim_taken", &event);
+            claim.log_taken(node, server, position);
             holder::ensure_running(node, server);
         }
-        Err(StoreError::Conflict { items }) => {
-            for item in items.iter().filter(|item| item.key == key) {
-                node.record_claim(&server.address_text, item);
-            }
-        }
+        Err(StoreError::Conflict { items }) => record_claims(node, &items),
         Err(_) => {}
     }
 }
 
-fn encode(holder: &str, process: ProcessId, is_released: bool, era: Era) -> Vec<u8> {
-    let value = ClaimValue {
-        holder: holder.to_string(),
-        is_released,
+/// A claim of this box that begins with its own token.
+pub fn own_value(own_id: &str, own_process: OwnProcess, era: Era) -> ClaimValue {
+    ClaimValue {
+        holder: own_id.to_string(),
+        is_released: false,
         era,
-        process,
-    };
-    serde_json::to_vec(&value).unwrap_or_default()
+        process: own_process.id,
+        machine: own_process.machine,
+        continued_token: None,
+    }
 }
 
-/// Builds the transaction that marks claims as released.
-pub fn release_transaction(
-    own_id: &str,
-    own_process: ProcessId,
-    held: &[(String, Position)],
-) -> Transaction {
-    let key = |address: &str| format!("{CLAIM_PREFIX}{address}");
-    Transaction {
-        expected: held
-            .iter()
-            .map(|(address, position)| (key(address), *position))
-            .collect(),
-        put: held
-            .iter()
-            .map(|(address, position)| {
-                let value = encode(own_id, own_process, true, position.era);
-                (key(address), value, None)
-            })
-            .collect(),
-        remove: Vec::new(),
+/// Records the claims among items read from the store.
+pub fn record_claims(node: &Node, items: &[Item]) {
+    for item in items {
+        if let Some(address) = item.key.strip_prefix(CLAIM_PREFIX) {
+            node.record_claim(address, item);
+        }
     }
 }
+
+/// Key of the claim on the server at an address.
+pub fn claim_key(address: &str) -> String {
+    format!("{CLAIM_PREFIX}{address}")
+}
+
+/// The value of a claim as it is stored.
+pub fn encode(value: &ClaimValue) -> Vec<u8> {
+    serde_json::to_vec(value).unwrap_or_default()
+}
--- a/crates/tinbay-gateway/src/orders/membership.rs
+++ b/crates/tinbay-gateway/src/orders/membership.rs
@@ -7,12 +7,16 @@
 use log::Level;
 use rand::RngExt;
 use serde::Serialize;
-use tinbay_core::serving::position::Position;
+use tinbay_core::serving::position::{MAX_WATCH_LAG_MS, Position};
 use tinbay_core::units::Millis;
 
+use super::claiming::record_claims;
+use super::releasing;
 use crate::events::{self, part};
 use crate::node::Node;
-use crate::port::store::{Lease, MAX_TRANSACTION_ENTRIES, StoreError, StoreResult, Transaction};
+use crate::port::store::{
+    Item, Lease, MAX_TRANSACTION_ENTRIES, StoreError, StoreResult, Transaction,
+};
 use crate::watch::boxes::{CLAIM_PREFIX, MEMBER_PREFIX, PREFIX as BOXES_PREFIX};
 use crate::watch::{counted, sleep_with_jitter};
 
@@ -22,10 +26,6 @@
 /// Interval between renewals; several fit into the validity of one proof.
 const RENEWAL_INTERVAL_MS: Millis = 3_000;
 
-/// Longest time by which a watch may lag behind the store. The store may drop its history in that
-/// time and close the watch a second later.
-const MAX_WATCH_LAG_MS: Millis = 1_500;
-
 /// Oldest watch confirmation that renews the proof; beyond it the store is read.
 const MAX_WATCH_PROOF_AGE_MS: Millis = 6_000;
 
@@ -37,7 +37,7 @@
 /// them reaches the store again, however long its wait.
 const MAX_RETRY_PAUSE_MS: Millis = 2_400;
 
-/// Time-out of each release transaction at a planned stop.
+/// Time-out of each release transaction at a planned stop, less if the stop ends before.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Interval at which a planned stop looks whether orders have been delivered.
@@ -49,6 +49,14 @@
 /// Jitter that spreads the calls of boxes woken together when the store is reachable again.
 const RECONNECT_JITTER_MS: Millis = 300;
 
+/// Claims that this box gives up at a planned stop.
+#[derive(Serialize)]
+struct ReleaseEvent<'a> {
+    addresses: &'a [String],
+    outcome: &'a str,
+    after_ms: Millis,
+}
+
 #[derive(Serialize)]
 struct ProofEvent {
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -62,6 +70,15 @@
     is_written: bool,
     written_as_leaving: bool,
     written_at: Position,
+    written_value: Vec<u8>,
+}
+
+impl Entry {
+    /// Whether an item under the key of this entry is what this process has written. Another
+    /// machine may run under the name of this box.
+    fn is_shown_by(&self, item: &Item) -> bool {
+        item.value == self.written_value
+    }
 }
 
 /// Maintains the entry until the box stops.
@@ -148,7 +165,7 @@
     let record = node.own_record();
     let value = serde_json::to_vec(&record).unwrap_or_default();
     let transaction = Transaction {
-        put: vec![(own_key(node), value, Some(lease))],
+        put: vec![(own_key(node), value.clone(), Some(lease))],
         ..Transaction::default()
     };
     match counted(node, "commit", node.store.commit(&transaction).await) {
@@ -161,6 +178,9 @@
             entry.written_at = position;
             entry.is_written = true;
             entry.written_as_leaving = record.is_leaving;
+            entry.written_value = value;
+            let since_ms = node.entry_since_ms.get().unwrap_or(node.now_ms());
+            node.entry_since_ms.set(Some(since_ms));
             Ok(())
         }
     }
@@ -203,14 +223,15 @@
     let item = node.replica.item(BOXES_PREFIX, &own_key(node))?;
     let seen_ms = confirmed_ms.saturating_sub(MAX_WATCH_LAG_MS);
     let is_recent = node.now_ms() < seen_ms + MAX_WATCH_PROOF_AGE_MS;
-    (is_recent && item.position.covers(entry.written_at)).then_some(seen_ms)
+    let is_own = item.position.covers(entry.written_at) && entry.is_shown_by(&item);
+    (is_recent && is_own).then_some(seen_ms)
 }
 
 /// Reads this box's entry from the store.
 async fn read_back(node: &Node, entry: &mut Entry) -> StoreResult<()> {
     let asked_ms = node.now_ms();
     let item = counted(node, "read", node.store.read(&own_key(node)).await)?;
-    if item.is_none() {
+    if !item.is_some_and(|item| entry.is_shown_by(&item)) {
         entry.is_written = false;
         return Err(StoreError::LeaseExpired);
     }
@@ -224,11 +245,7 @@
 /// Reads all claims, as some may have moved to other boxes while there was no proof.
 async fn read_claims(node: &Node) -> StoreResult<()> {
     let listed = counted(node, "list", node.store.list(CLAIM_PREFIX, false).await)?;
-    for item in &listed.listing.items {
-        if let Some(address) = item.key.strip_prefix(CLAIM_PREFIX) {
-            node.record_claim(address, item);
-        }
-    }
+    record_claims(node, &listed.listing.items);
     Ok(())
 }
 
@@ -236,41 +253,41 @@
     format!("{MEMBER_PREFIX}{}", node.settings.borrow().box_id)
 }
 
-/// Marks all of this box's claims as released, each once no order to its server can arrive any more.
-/// Claims for which that takes until `end_ms` are left to expire. No order may be sent after this
-/// call starts.
+/// Marks all of this box's claims as released, each once no order to its server can arrive any more,
+/// those whose transactions were under way at the start of the stop included. Claims for which that
+/// takes until `end_ms` are left to expire. No order may be sent after this call starts.
 pub async fn release_claims(node: &Node, end_ms: Millis) {
+    let began_ms = node.now_ms();
     let own_id = node.settings.borrow().box_id.clone();
-    let mut held = node.claims.borrow().held_by(&own_id);
     loop {
+        let held = node.claims.borrow().held_by(&own_id);
+        if held.is_empty() && node.claims_being_written.get() == 0 {
+            return;
+        }
         let is_undelivered = |address: &String| node.undelivered_orders.may_arrive(address);
         let (undelivered, released): (Vec<_>, Vec<_>) = held.into_iter().partition(is_undelivered);
-        mark_released(node, &own_id, &released).await;
-        if undelivered.is_empty() || node.now_ms() >= end_ms {
+        for addresses in released.chunks(MAX_RELEASED_AT_ONCE) {
+            let left = Duration::from_millis(end_ms.saturating_sub(node.now_ms()));
+            let timeout = RELEASE_TIMEOUT.min(left);
+            let release = tokio::time::timeout(timeout, releasing::release(node, addresses));
+            let outcome = release.await.unwrap_or("unknown");
+            log_release(node, addresses, outcome, began_ms);
+        }
+        if node.now_ms() >= end_ms {
+            if !undelivered.is_empty() {
+                log_release(node, &undelivered, "left_to_expire", began_ms);
+            }
             return;
         }
         tokio::time::sleep(RELEASE_CHECK_INTERVAL).await;
-        held = undelivered;
     }
 }
 
-/// Marks the claims on servers at these addresses as released.
-async fn mark_released(node: &Node, own_id: &str, addresses: &[String]) {
-    let held: Vec<(String, Position)> = {
-        let claims = node.claims.borrow();
-        let position = |address: &String| claims.stored_position(address);
-        let positions = addresses
-            .iter()
-            .map(|address| (address.clone(), position(address)));
-        positions.collect()
+fn log_release(node: &Node, addresses: &[String], outcome: &str, began_ms: Millis) {
+    let event = ReleaseEvent {
+        addresses,
+        outcome,
+        after_ms: node.now_ms() - began_ms,
     };
-    let own_process = node.claims.borrow().own_process();
-    for chunk in held.chunks(MAX_RELEASED_AT_ONCE) {
-        let transaction = super::claiming::release_transaction(own_id, own_process, chunk);
-        let committing = node.store.commit(&transaction);
-        let result = tokio::time::timeout(RELEASE_TIMEOUT, committing).await;
-        if let Ok(result) = result {
-            let _ = counted(node, "commit", result);
-        }
-    }
+    events::emit(part::ORDERS, Level::Info, "claims_released", &event);
 }
--- a/crates/tinbay-gateway/src/orders/mod.rs
+++ b/crates/tinbay-gateway/src/orders/mod.rs
@@ -9,4 +9,5 @@
 pub mod holder;
 pub mod membership;
 pub mod quota;
+pub mod releasing;
 pub mod undelivered;
--- a/crates/tinbay-gateway/src/orders/undelivered.rs
+++ b/crates/tinbay-gateway/src/orders/undelivered.rs
@@ -9,6 +9,10 @@
 use crate::clock::Clock;
 use crate::http::silence::UNACKNOWLEDGED_TIMEOUT;
 
+/// Time after which an order that was sent has arrived or never will: the kernel ends connections
+/// that deliver nothing for so long.
+pub const ORDER_DELIVERY_MS: Millis = UNACKNOWLEDGED_TIMEOUT.as_millis() as Millis;
+
 /// The orders of this box that may still arrive, by the address of the server.
 #[derive(Debug)]
 pub struct UndeliveredOrders {
@@ -27,10 +31,9 @@
 impl UndeliveredOrders {
     /// No orders.
     pub fn new(clock: Clock) -> Self {
-        let delivery_ms = UNACKNOWLEDGED_TIMEOUT.as_millis() as Millis;
         Self {
             clock,
-            orders: RefCell::new(Orders::new(delivery_ms)),
+            orders: RefCell::new(Orders::new(ORDER_DELIVERY_MS)),
         }
     }
 
