Software versions: a version waits for its adoption while another one is listed

A box that was out of step with the store still took the former version for the only one, and resumed there what others had begun at the new version. These began without the delay of adoption, as the servers of the former version rested or left.

--- a/crates/tinbay-core/src/resumption/history.rs
+++ b/crates/tinbay-core/src/resumption/history.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 
+use crate::serving::position::MAX_WATCH_LAG_MS;
 use crate::serving::servers::Fingerprint;
 use crate::units::Millis;
 
@@ -9,13 +10,13 @@
 /// for less than that.
 pub const HISTORY_MS: Millis = 60_000;
 
-/// Age of a box's view of the servers up to which it may rule out that other versions serve.
-pub const MAX_VIEW_AGE_MS: Millis = 3_000;
-
-/// Time from the first sight of a version to its first stream. It exceeds `MAX_VIEW_AGE_MS`, so
-/// that a box that rules out other versions has seen each version that began a stream.
+/// Time from the first sight of a version to its first stream.
 pub const ADOPTION_DELAY_MS: Millis = 4_000;
 
+/// Age of a box's view of the servers up to which it may rule out that other versions serve. Such a
+/// view, even one that lagged behind, shows each version that has begun a stream.
+pub const MAX_VIEW_AGE_MS: Millis = ADOPTION_DELAY_MS - MAX_WATCH_LAG_MS;
+
 #[derive(Debug, Clone, Copy)]
 struct SeenVersion {
     /// When it was first seen; absent if it was there when the box first listed the servers.
@@ -85,9 +86,19 @@
 
     /// Whether streams may begin at a version: other boxes that are in touch have seen it by now.
     pub fn is_adopted(&self, service: Fingerprint, version: Fingerprint, now_ms: Millis) -> bool {
+        self.adopted_in_ms(service, version, now_ms) == Some(0)
+    }
+
+    /// Time until streams may begin at a version; `None` if it was not seen lately.
+    pub fn adopted_in_ms(
+        &self,
+        service: Fingerprint,
+        version: Fingerprint,
+        now_ms: Millis,
+    ) -> Option<Millis> {
         let mut recent = self.recent(service, now_ms);
-        let seen = recent.find(|(seen_version, _)| *seen_version == version);
-        seen.is_some_and(|(_, seen)| seen.is_adopted(now_ms))
+        let (_, seen) = recent.find(|(seen_version, _)| *seen_version == version)?;
+        Some(seen.adopted_ms().saturating_sub(now_ms))
     }
 
     /// Whether all versions of a service are adopted.
@@ -122,7 +133,12 @@
     }
 
     fn is_adopted(&self, now_ms: Millis) -> bool {
+        now_ms >= self.adopted_ms()
+    }
+
+    /// When streams may begin at the version.
+    fn adopted_ms(&self) -> Millis {
         self.first_ms
-            .is_none_or(|first_ms| now_ms >= first_ms + ADOPTION_DELAY_MS)
+            .map_or(0, |first_ms| first_ms + ADOPTION_DELAY_MS)
     }
 }
--- a/crates/tinbay-gateway/src/front/adapters.rs
+++ b/crates/tinbay-gateway/src/front/adapters.rs
@@ -14,7 +14,7 @@
 use crate::events::{self, part};
 use crate::limits::permits;
 use crate::node::Node;
-use crate::resumption::origin;
+use crate::resumption::{eligibility, origin};
 use crate::servers::Server;
 
 /// Longest interval between two choices of a server while waiting for a load. A status report from
@@ -69,7 +69,8 @@
             }
             Choice::Nowhere => {
                 origin::check_server_left(node, inbound)?;
-                let retry_after_ms = permits::caller_retry_after_ms(node, &inbound.service);
+                let retry_after_ms = eligibility::begins_in_ms(node, inbound)
+                    .or_else(|| permits::caller_retry_after_ms(node, &inbound.service));
                 return Err(Refusal::NoServer { retry_after_ms });
             }
         }
--- a/crates/tinbay-gateway/src/resumption/recording.rs
+++ b/crates/tinbay-gateway/src/resumption/recording.rs
@@ -103,9 +103,12 @@
     record(node, start, inbound.outlasts_version_history());
 }
 
-/// Handles another box's record of a stream that this box is a home of.
+/// Handles another box's record of a stream that this box is a home of. It shows that the version
+/// serves, which this box may not have seen yet.
 pub fn handle_start(context: &dyn ResumptionContext, part: StreamStartPart) {
     let now_ms = context.now_ms();
+    let mut history = context.resumption().history.borrow_mut();
+    history.observe(part.service, part.version, now_ms);
     let mut ledger = context.resumption().ledger.borrow_mut();
     ledger.record(part.to_start(now_ms), now_ms);
     ledger.mark_at_home(part.attempt);
--- a/crates/tinbay-gateway/src/servers/mod.rs
+++ b/crates/tinbay-gateway/src/servers/mod.rs
@@ -254,7 +254,8 @@
         self.services.get(name)
     }
 
-    fn of_service(&self, service: &str) -> impl Iterator<Item = &Rc<Server>> {
+    /// Iterates over the listed servers of a service, whether they take requests or not.
+    pub fn of_service(&self, service: &str) -> impl Iterator<Item = &Rc<Server>> {
         let servers = self.by_id.values();
         servers.filter(move |server| server.record.borrow().service == service)
     }
