Server connections: smaller buffers, so that many answers without end fit a box

What callers saw: with hundreds of answers without end at a time, their box ran out of memory and their requests were lost (LOST). Each connection was bounded, their sum was not: HTTP buffers of 128 KiB and receive buffers of 256 KiB, twice that with the kernel's overhead.

--- a/crates/tinbay-gateway/src/http/buffers.rs
+++ b/crates/tinbay-gateway/src/http/buffers.rs
@@ -6,12 +6,15 @@
 use socket2::SockRef;
 use std::os::fd::AsFd;
 
-/// Size limit of the HTTP read buffer of a server connection.
-pub const READ_BYTES: usize = 131_072;
+/// Size limit of the HTTP read buffer of a server connection, into which the head of an answer has to
+/// fit. Answers that are passed on without being read ahead hold one or two of these, which nothing
+/// else accounts for.
+pub const READ_BYTES: usize = 32_768;
 
 /// Receive buffer size requested for server connections; the kernel doubles it for its own
-/// overhead. Enough for 100 MB/s from a server a few milliseconds away.
-const RECEIVE_BUFFER_BYTES: usize = 262_144;
+/// overhead. Hundreds of full ones fit into the memory of a small box, and a server a few
+/// milliseconds away can still send several megabytes per second.
+const RECEIVE_BUFFER_BYTES: usize = 32_768;
 
 /// Limit of unsent bytes in a socket's send buffer (`TCP_NOTSENT_LOWAT`).
 const UNSENT_BYTES: u32 = 131_072;
