Watches: a read waits only while other prefixes stay unlimited

What callers saw: requests sent to a server for 1.3 s too long after it had begun to leave, at a box whose relays were all silent (DRAIN).

Cause: such a box reads the store itself, one call at a time until one has succeeded lately. A read that waits for changes shows its success only at its end, and the one before had ceased to count by then, so that the other prefixes were limited. Now a read waits only if the last success still counts at the end of the wait.

--- a/crates/tinbay-gateway/src/watch/source.rs
+++ b/crates/tinbay-gateway/src/watch/source.rs
@@ -138,9 +138,7 @@
         return answer;
     }
     let confirmed_ms = node.now_ms();
-    // Without a recent answer of the store the first read does not wait for changes, as reads of other
-    // prefixes are limited until it has succeeded.
-    let wait_ms = if sources.reads_itself || limiter.has_succeeded_lately(confirmed_ms) {
+    let wait_ms = if sources.reads_itself || limiter.allows_wait(pace.wait_ms, confirmed_ms) {
         pace.wait_ms
     } else {
         0
@@ -350,6 +348,12 @@
         true
     }
 
+    /// Whether a read may wait for changes. A read that waits shows only at its end that the store
+    /// answers, and reads of other prefixes must not become limited before.
+    pub fn allows_wait(&self, wait_ms: Millis, now_ms: Millis) -> bool {
+        self.has_succeeded_lately(now_ms + wait_ms)
+    }
+
     /// Whether the store has answered this box lately.
     fn has_succeeded_lately(&self, now_ms: Millis) -> bool {
         let last_ms = self.last_success_ms.get();
--- a/crates/tinbay-gateway/tests/asking_test.rs
+++ b/crates/tinbay-gateway/tests/asking_test.rs
@@ -56,6 +56,18 @@
     assert!(!take(4_100));
 }
 
+/// A read that waits for changes must not let the limit of the other prefixes run out: they would wait
+/// for the next pause although the store answers.
+#[test]
+fn allows_wait_while_reads_stay_unlimited() {
+    let limiter = StoreReadLimiter::default();
+    assert!(!limiter.allows_wait(1_000, 0));
+    assert_eq!(limiter.record_result(Ok(()), 0), Ok(()));
+    assert!(limiter.allows_wait(1_000, 999));
+    assert!(!limiter.allows_wait(1_000, 1_000));
+    assert!(limiter.allows_wait(600, 1_000));
+}
+
 fn pace(has_own_read_limiter: bool) -> WatchPace {
     WatchPace {
         wait_ms: 600,
