Owners: an engine passes on once nothing of its former owner is under way

Engines that check no fences need one owner at a time. An owner confirmed a handover, or took its engine over from itself, while its orders and requests were under way; and an owner that woke after its lease had lapsed got a new one and went on beside the next owner.

Now a box counts orders and requests until they are answered or delivered, and confirms a handover after that; a takeover ends if the engine is handed over meanwhile; an engine is owned in a term of the lease.

--- a/crates/tinbay-cli/tests/scenarios_test.rs
+++ b/crates/tinbay-cli/tests/scenarios_test.rs
@@ -111,6 +111,27 @@
     assert_kept("unfenced");
 }
 
+// Guards against engines that are handed over while an order of the former owner is under way, which
+// unloads an adapter that the next owner uses.
+#[test]
+fn scenario_handover_orders() {
+    assert_kept("handover_orders");
+}
+
+// Guards against engines that are handed over while a request of the former owner has not started,
+// whose adapter the next owner unloads.
+#[test]
+fn scenario_handover_requests() {
+    assert_kept("handover_requests");
+}
+
+// Guards against an owner that takes its engine over again while an order of its former process is
+// under way.
+#[test]
+fn scenario_restarted_owner_orders() {
+    assert_kept("restarted_owner_orders");
+}
+
 #[test]
 fn scenario_frozen_box() {
     assert_kept("frozen_box");
--- a/crates/tinbay-node/src/controllers/box_lease.rs
+++ b/crates/tinbay-node/src/controllers/box_lease.rs
@@ -4,7 +4,6 @@
 //! sent the renewal, so it considers the lease expired no later than the service does.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use futures_util::FutureExt;
@@ -29,23 +28,6 @@
 /// The holder considers the lease expired this much earlier than the service does.
 const SAFETY_MARGIN_MS: Millis = 1_000;
 
-/// The time until which orders may be sent; read right before each order.
-#[derive(Debug, Default)]
-pub struct BoxLease {
-    valid_until_ms: AtomicU64,
-}
-
-impl BoxLease {
-    /// Whether the lease is certainly held at `now_ms`.
-    pub fn is_certainly_held(&self, now_ms: Millis) -> bool {
-        now_ms < self.valid_until_ms.load(Ordering::Acquire)
-    }
-
-    fn extend(&self, until_ms: Millis) {
-        self.valid_until_ms.store(until_ms, Ordering::Release);
-    }
-}
-
 /// Holds the lease while the region has engines that do not check orders.
 pub struct BoxLeaseController {
     node: Arc<Node>,
@@ -71,22 +53,31 @@
             return;
         }
         let requested_ms = self.node.clock.now_ms();
-        let outcome = match self.lease {
-            Some(lease) => self.renew(lease).await,
-            None => self.acquire().await,
-        };
+        let outcome = self.renew_or_acquire().await;
+        let now_ms = self.node.clock.now_ms();
         match outcome {
             Ok(true) => {
                 let lifetime_ms = LEASE_TTL_MS - SAFETY_MARGIN_MS;
-                self.node.lease.extend(requested_ms + lifetime_ms);
+                self.node.lease.extend(requested_ms + lifetime_ms, now_ms);
             }
             Ok(false) => self.lease = None,
             Err(error) => {
+                self.node.lease.record_failure(now_ms);
                 log::debug!(target: part::OWNER, "box lease not acquired or renewed, retrying: {error}")
             }
         }
     }
 
+    async fn renew_or_acquire(&mut self) -> Result<bool, PlatformError> {
+        if let Some(lease) = self.lease {
+            if self.renew(lease).await? {
+                return Ok(true);
+            }
+            self.lease = None;
+        }
+        self.acquire().await
+    }
+
     /// Whether any engine of the region does not check orders. Cached until the fleet configuration
     /// changes, since there may be thousands of engines.
     fn is_needed(&mut self) -> bool {
--- a/crates/tinbay-node/src/controllers/control_handler.rs
+++ b/crates/tinbay-node/src/controllers/control_handler.rs
@@ -61,7 +61,7 @@
             Reply::Ok
         }
         Message::HandOver(engine) => {
-            node.give_up(&engine);
+            node.hand_over(&engine).await;
             Reply::Ok
         }
         Message::ConfigSince(revision) => Reply::Config(node.config.update_since(revision)),
--- a/crates/tinbay-node/src/controllers/mod.rs
+++ b/crates/tinbay-node/src/controllers/mod.rs
@@ -21,7 +21,6 @@
 mod ticker;
 mod zone_heartbeat;
 
-pub use box_lease::BoxLease;
 pub use control_handler::{ControlHandler, zone_status};
 pub use loads::LoadLimiter;
 pub use members::Members;
--- a/crates/tinbay-node/src/controllers/ownership.rs
+++ b/crates/tinbay-node/src/controllers/ownership.rs
@@ -9,10 +9,9 @@
 use tinbay_core::config::EngineSpec;
 use tinbay_core::ids::{BoxId, EngineId};
 use tinbay_core::units::Millis;
-use tinbay_wire::control::Succession;
 
 use super::Controller;
-use super::succession::{extend_succession, take_over};
+use super::succession::{Claim, extend_succession, take_over};
 use crate::logging::part;
 use crate::state::Node;
 use crate::util::sync::{lock, read};
@@ -38,8 +37,8 @@
     failures: u32,
     /// Earliest time of the next attempt.
     not_before_ms: Millis,
-    /// The succession that a failed attempt has written, reused by the next one.
-    claimed: Option<Succession>,
+    /// What a failed attempt has written, reused by the next one.
+    claim: Option<Claim>,
 }
 
 type Attempts = Arc<Mutex<HashMap<EngineId, Attempt>>>;
@@ -85,10 +84,13 @@
             return;
         }
         self.refresh_desired();
+        self.give_up_unleased();
         for desired in &self.desired {
             let engine = &desired.spec.name;
             if self.node.owners.get(engine).is_none() {
-                self.try_take_over(&desired.spec);
+                if self.may_own(&desired.spec) {
+                    self.try_take_over(&desired.spec);
+                }
             } else if self.has_unnamed_successors(desired) {
                 self.try_extend(desired);
             }
@@ -168,6 +170,24 @@
         }
     }
 
+    /// Gives up engines that another box may have taken over since this box's lease has lapsed.
+    fn give_up_unleased(&self) {
+        let term = self.node.lease.term();
+        for owned in self.node.owners.all() {
+            let spec = owned.spec();
+            if !spec.checks_orders && owned.lease_term() != term {
+                log::info!(target: part::OWNER, "the lease of this box has lapsed; {} is given up here", spec.name);
+                self.node.give_up(&spec.name);
+            }
+        }
+    }
+
+    /// Whether other boxes would know that this box may send orders to the engine.
+    fn may_own(&self, spec: &EngineSpec) -> bool {
+        let now_ms = self.node.clock.now_ms();
+        spec.checks_orders || self.node.lease.is_certainly_held(now_ms)
+    }
+
     /// Marks an attempt as running; `false` if one is running already or is not due yet.
     fn begin_attempt(&self, attempts: &Attempts, engine: &EngineId) -> bool {
         let now_ms = self.node.clock.now_ms();
@@ -182,14 +202,14 @@
 }
 
 async fn attempt_take_over(node: Arc<Node>, attempts: Attempts, spec: EngineSpec) {
-    let claimed = lock(&attempts)
+    let claim = lock(&attempts)
         .get_mut(&spec.name)
-        .and_then(|attempt| attempt.claimed.take());
-    let outcome = take_over(&node, &spec, claimed).await;
+        .and_then(|attempt| attempt.claim.take());
+    let outcome = take_over(&node, &spec, claim).await;
     if let Err((_, error)) = &outcome {
         log::debug!(target: part::OWNER, "takeover of {} failed, retrying: {error}", spec.name);
     }
-    let failed = outcome.err().map(|(claimed, _)| claimed);
+    let failed = outcome.err().map(|(claim, _)| claim);
     end_attempt(&node, &attempts, &spec.name, failed);
 }
 
@@ -207,25 +227,19 @@
     end_attempt(&node, &attempts, &engine, failed);
 }
 
-/// Ends an attempt. After a failure, schedules the next one and keeps the succession it has
-/// written.
-fn end_attempt(
-    node: &Node,
-    attempts: &Attempts,
-    engine: &EngineId,
-    failed: Option<Option<Succession>>,
-) {
+/// Ends an attempt. After a failure, schedules the next one and keeps the claim to reuse.
+fn end_attempt(node: &Node, attempts: &Attempts, engine: &EngineId, failed: Option<Option<Claim>>) {
     let mut attempts = lock(attempts);
     let attempt = attempts.entry(engine.clone()).or_default();
     attempt.is_running = false;
-    let Some(claimed) = failed else {
+    let Some(claim) = failed else {
         *attempt = Attempt::default();
         return;
     };
     let delay_ms = RETRY_MS << attempt.failures.min(6);
     attempt.failures += 1;
     attempt.not_before_ms = node.clock.now_ms() + delay_ms.min(MAX_RETRY_MS);
-    attempt.claimed = claimed;
+    attempt.claim = claim;
 }
 
 impl Controller for OwnershipController {
--- a/crates/tinbay-node/src/controllers/succession.rs
+++ b/crates/tinbay-node/src/controllers/succession.rs
@@ -17,20 +17,16 @@
 use super::box_lease::LEASE_TTL_MS;
 use crate::engines::{EngineApi, EngineError, HttpEngine};
 use crate::logging::part;
-use crate::owners::OwnedEngine;
+use crate::owners::{ORDER_DELIVERY_MS, OwnedEngine};
 use crate::platform::{Guard, PlatformError, TxnEnd, Write, keys};
 use crate::state::Node;
 use crate::util::sync::{lock, read, write};
 
-/// Wait after the expiry of a former owner's lease, so that an order it sent just before has
-/// arrived.
-const LEASE_EXPIRY_GRACE_MS: Millis = 2_000;
-
 /// Upper bound of the boxes named at a takeover. More are added as they become successors.
 const MAX_NAMED_AT_TAKEOVER: usize = 8;
 
 /// How long the lease of a failed owner blocks takeovers of an engine that does not check orders.
-pub const FORMER_OWNER_LEASE_MS: Millis = LEASE_TTL_MS + LEASE_EXPIRY_GRACE_MS;
+pub const FORMER_OWNER_LEASE_MS: Millis = LEASE_TTL_MS + ORDER_DELIVERY_MS;
 
 /// Why a takeover failed; a later attempt may succeed.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
@@ -41,6 +37,9 @@
     /// Another box has changed the stored succession concurrently.
     #[error("another box has changed the succession concurrently")]
     Raced,
+    /// Another box has asked for the engine during the takeover.
+    #[error("the engine was handed over during the takeover")]
+    HandedOver,
     /// The former owner may still send orders to an engine that does not check them.
     #[error("the former owner {0} still holds its lease")]
     StillLeased(BoxId),
@@ -59,39 +58,68 @@
     Engine(#[from] EngineError),
 }
 
-/// Takes over an engine. `claimed` is the succession written by an earlier attempt, if any; on
-/// failure, the succession to reuse in the next attempt is returned with the error.
+/// A succession under which this box may take over an engine.
+#[derive(Debug, Clone)]
+pub struct Claim {
+    succession: Succession,
+    /// How often this box had handed the engine over before the claim.
+    handovers: u64,
+    /// The term of this box's lease before the claim.
+    lease_term: u64,
+}
+
+/// Takes over an engine. `claim` is that of an earlier attempt, if any; on failure, the claim to
+/// reuse in the next attempt is returned with the error.
 pub async fn take_over(
     node: &Arc<Node>,
     spec: &EngineSpec,
-    claimed: Option<Succession>,
-) -> Result<Succession, (Option<Succession>, TakeoverError)> {
-    let succession = match claimed {
-        Some(claimed) => claimed,
-        None => claim(node, spec).await.map_err(|error| (None, error))?,
+    claim: Option<Claim>,
+) -> Result<Succession, (Option<Claim>, TakeoverError)> {
+    let is_current = |claim: &Claim| spec.checks_orders || claim.lease_term == node.lease.term();
+    let claim = match claim.filter(is_current) {
+        Some(claim) => claim,
+        None => claim_engine(node, spec)
+            .await
+            .map_err(|error| (None, error))?,
     };
+    let succession = &claim.succession;
     let Some(place) = succession.place_of(node.id()) else {
         return Err((None, TakeoverError::Raced));
     };
-    match begin_ownership(node, spec, succession.epoch, place).await {
+    match begin_ownership(node, spec, &claim, place).await {
         Ok(()) => {
-            record_succession(node, &succession);
-            announce(node, &succession).await;
-            Ok(succession)
+            record_succession(node, succession);
+            announce(node, succession).await;
+            Ok(claim.succession)
         }
         // An owner with a later epoch has fenced the engine, so the succession known here is
         // obsolete.
-        Err(error @ EngineError::Refused(EngineRefusal::StaleFence)) => {
+        Err(error @ TakeoverError::Engine(EngineError::Refused(EngineRefusal::StaleFence))) => {
             lock(&node.successions).remove(&spec.name);
-            Err((None, error.into()))
+            Err((None, error))
         }
-        Err(error) => Err((Some(succession), error.into())),
+        Err(error @ TakeoverError::HandedOver) => Err((None, error)),
+        Err(error) => Err((Some(claim), error)),
     }
 }
 
+async fn claim_engine(node: &Arc<Node>, spec: &EngineSpec) -> Result<Claim, TakeoverError> {
+    let handovers = node.owners.handovers(&spec.name);
+    let lease_term = node.lease.term();
+    let succession = choose_succession(node, spec).await?;
+    Ok(Claim {
+        succession,
+        handovers,
+        lease_term,
+    })
+}
+
 /// Writes a succession with the next epoch or, during an outage, finds the last one that names this
 /// box.
-async fn claim(node: &Arc<Node>, spec: &EngineSpec) -> Result<Succession, TakeoverError> {
+async fn choose_succession(
+    node: &Arc<Node>,
+    spec: &EngineSpec,
+) -> Result<Succession, TakeoverError> {
     match node.kv.get(&keys::owner(&spec.name)).await {
         Ok(pair) => {
             let revision = pair.as_ref().map_or(0, |pair| pair.revision);
@@ -246,8 +274,8 @@
         })
 }
 
-/// Makes sure that the former owner of an engine that does not check orders sends no more of them:
-/// either it hands the engine over, or its lease has expired.
+/// Makes sure that no orders of the former owner can arrive at an engine that does not check them:
+/// either it has handed the engine over, or its lease has expired.
 async fn ensure_former_owner_stopped(
     node: &Node,
     previous: &Succession,
@@ -256,7 +284,7 @@
         return Ok(());
     };
     if owner == node.id() {
-        // The owner was an earlier process of this box, which has ended.
+        wait_for_own_orders(node, previous).await;
         return Ok(());
     }
     if request_handover(node, owner, previous).await {
@@ -268,10 +296,20 @@
     if is_held {
         return Err(TakeoverError::StillLeased(owner.clone()));
     }
-    tokio::time::sleep(Duration::from_millis(LEASE_EXPIRY_GRACE_MS)).await;
+    tokio::time::sleep(Duration::from_millis(ORDER_DELIVERY_MS)).await;
     Ok(())
 }
 
+/// Waits for the orders that this box has sent under its own earlier ownership.
+async fn wait_for_own_orders(node: &Node, previous: &Succession) {
+    if previous.incarnation == node.incarnation {
+        return node.wait_for_orders(&previous.engine).await;
+    }
+    // The earlier process has ended before the clock of this one began.
+    let left_ms = ORDER_DELIVERY_MS.saturating_sub(node.clock.now_ms());
+    tokio::time::sleep(Duration::from_millis(left_ms)).await;
+}
+
 /// Asks the former owner to give up the engine; `false` if that run of it does not confirm.
 async fn request_handover(node: &Node, owner: &BoxId, previous: &Succession) -> bool {
     let record: Option<BoxRecord> = read(&node.members).view().get(owner).cloned();
@@ -290,13 +328,13 @@
 async fn begin_ownership(
     node: &Arc<Node>,
     spec: &EngineSpec,
-    epoch: u64,
+    claim: &Claim,
     place: u32,
-) -> Result<(), EngineError> {
+) -> Result<(), TakeoverError> {
     let requested_ms = node.clock.now_ms();
     let api = HttpEngine::new(&spec.address);
     let mut state: EngineState = api.state().await?;
-    let fence = Fence::above(state.fence, epoch, place)
+    let fence = Fence::above(state.fence, claim.succession.epoch, place)
         .ok_or(EngineError::Refused(EngineRefusal::StaleFence))?;
     let order = Order {
         fence,
@@ -306,9 +344,18 @@
         state = api.fence(order).await?;
     }
     let settings = OwnerSettings::from_policy(node.policies.settings(&node.config));
-    let owned = OwnedEngine::new(spec.clone(), settings, order, node.clock, node.jobs.clone());
+    let owned = OwnedEngine::new(
+        spec.clone(),
+        claim.lease_term,
+        settings,
+        order,
+        node.clock,
+        node.jobs.clone(),
+    );
     owned.learn(&state, requested_ms);
-    node.owners.insert(owned);
+    if !node.owners.insert(owned, claim.handovers) {
+        return Err(TakeoverError::HandedOver);
+    }
     node.metrics.engines_owned.set(node.owners.count() as i64);
     log::info!(
         target: part::OWNER,
--- a/crates/tinbay-node/src/entry/local.rs
+++ b/crates/tinbay-node/src/entry/local.rs
@@ -16,8 +16,9 @@
 use crate::engines::{EngineApi, EngineError, HttpEngine};
 use crate::filters::Failure;
 use crate::logging::part;
-use crate::owners::{OwnedEngine, QueueOutcome, observe_engine};
+use crate::owners::{OwnedEngine, QueueOutcome, begin_order, end_order, observe_engine};
 use crate::state::Node;
+use crate::util::guarded::while_allowed;
 use crate::util::sync::{lock, read};
 
 /// Timeout for the response head of an engine.
@@ -143,9 +144,20 @@
             });
         }
     };
+    let begin = || begin_order(node, owned);
+    let Some(under_way) = node.may_send(owned).then(begin).flatten() else {
+        return Err(SendError {
+            attempt: AttemptError::owner_lost(OwnerLoss::TakingOver),
+            refusal: None,
+        });
+    };
     let api = HttpEngine::new(&owned.spec().address);
     guard.mark_sent();
-    let error = match api.complete(owned.order(), call, HEAD_TIMEOUT).await {
+    let sent = api.complete(owned.order(), call, HEAD_TIMEOUT);
+    let outcome = while_allowed(|| node.may_send(owned), sent).await;
+    let outcome = outcome.unwrap_or(Err(EngineError::NoAnswer));
+    end_order(under_way, &outcome);
+    let error = match outcome {
         Ok(reader) => {
             let info = run_info(node, owned, job, guard.stall_ms);
             return Ok(AnswerStream::from_engine(info, reader, Some(guard)));
--- a/crates/tinbay-node/src/owners/orders.rs
+++ b/crates/tinbay-node/src/owners/orders.rs
@@ -10,7 +10,7 @@
 use tinbay_wire::engine::EngineRefusal;
 use tokio::sync::mpsc;
 
-use super::{OrderJob, OwnedEngine};
+use super::{OrderJob, OrderUnderWay, OwnedEngine};
 use crate::engines::{EngineApi, EngineError, HttpEngine};
 use crate::logging::part;
 use crate::state::Node;
@@ -75,12 +75,17 @@
         engine.handle(Event::LoadFailed(model));
         return;
     };
+    let Some(under_way) = begin_order(node, engine) else {
+        engine.handle(Event::LoadFailed(model));
+        return;
+    };
     let api = HttpEngine::new(&engine.spec().address);
     let order = api.load(engine.order(), &model, &weights);
-    let Some(outcome) = while_allowed(|| node.may_order(engine.spec()), order).await else {
+    let Some(outcome) = while_allowed(|| node.may_order(engine), order).await else {
         engine.handle(Event::LoadFailed(model));
         return relearn(engine).await;
     };
+    end_order(under_way, &outcome);
     count_order(node, LOAD, outcome.is_ok());
     match outcome {
         Ok(_) => engine.handle(Event::Loaded(model)),
@@ -93,12 +98,17 @@
 }
 
 async fn unload(node: &Arc<Node>, engine: &Arc<OwnedEngine>, model: ModelRef) {
+    let Some(under_way) = begin_order(node, engine) else {
+        engine.handle(Event::UnloadFailed(model));
+        return;
+    };
     let api = HttpEngine::new(&engine.spec().address);
     let order = api.unload(engine.order(), &model);
-    let Some(outcome) = while_allowed(|| node.may_order(engine.spec()), order).await else {
+    let Some(outcome) = while_allowed(|| node.may_order(engine), order).await else {
         engine.handle(Event::UnloadFailed(model));
         return relearn(engine).await;
     };
+    end_order(under_way, &outcome);
     count_order(node, UNLOAD, outcome.is_ok());
     match outcome {
         Ok(_) => engine.handle(Event::Unloaded(model)),
@@ -110,6 +120,26 @@
     }
 }
 
+/// Records an order or a request that is about to be sent; `None` if the engine was given up. A
+/// handover that begins after the record is made waits for it.
+pub fn begin_order(node: &Node, engine: &OwnedEngine) -> Option<OrderUnderWay> {
+    let orders = node.owners.orders_under_way();
+    let order = orders.begin(&engine.spec().name, node.clock.now_ms());
+    if engine.is_released() {
+        order.end();
+        return None;
+    }
+    Some(order)
+}
+
+/// Ends an order or a request unless it may still arrive.
+pub fn end_order<T>(order: OrderUnderWay, outcome: &Result<T, EngineError>) {
+    match outcome {
+        Ok(_) | Err(EngineError::Refused(_) | EngineError::Unreachable) => order.end(),
+        Err(EngineError::NoAnswer) => {}
+    }
+}
+
 /// Updates the ownership and the known state of an engine after an order has failed.
 pub async fn handle_order_error(node: &Arc<Node>, engine: &Arc<OwnedEngine>, error: EngineError) {
     match error {
--- a/crates/tinbay-node/src/owners/owned.rs
+++ b/crates/tinbay-node/src/owners/owned.rs
@@ -42,6 +42,7 @@
 /// An engine owned by this box, with its scheduler.
 pub struct OwnedEngine {
     spec: EngineSpec,
+    lease_term: u64,
     clock: Clock,
     jobs: mpsc::UnboundedSender<OrderJob>,
     state: Mutex<OwnedState>,
@@ -156,10 +157,11 @@
 }
 
 impl OwnedEngine {
-    /// Creates the owner's state of an engine that was just taken over. Its contents are unknown
-    /// until [`learn`](Self::learn) is called.
+    /// Creates the owner's state of an engine that was just taken over in a term of this box's
+    /// lease. Its contents are unknown until [`learn`](Self::learn) is called.
     pub fn new(
         spec: EngineSpec,
+        lease_term: u64,
         settings: OwnerSettings,
         order: Order,
         clock: Clock,
@@ -171,6 +173,7 @@
         };
         Arc::new(Self {
             spec,
+            lease_term,
             clock,
             jobs,
             state: Mutex::new(OwnedState {
@@ -189,6 +192,11 @@
         &self.spec
     }
 
+    /// The term of this box's lease in which the engine was taken over.
+    pub fn lease_term(&self) -> u64 {
+        self.lease_term
+    }
+
     /// The current time on the clock to which `requested_ms` of state reports refers.
     pub fn now_ms(&self) -> Millis {
         self.clock.now_ms()
--- a/crates/tinbay-node/src/state.rs
+++ b/crates/tinbay-node/src/state.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::Duration;
 
-use tinbay_core::config::{ConfigStore, EngineSpec};
+use tinbay_core::config::ConfigStore;
 use tinbay_core::ids::{BoxId, EngineId, Incarnation, ModelRef, RequestId};
 use tinbay_core::keys::{KeyTable, RequestKey};
 use tinbay_core::rendezvous;
@@ -18,11 +18,11 @@
 use tokio::sync::{Notify, mpsc};
 
 use crate::control::{ASK_WITHIN, ControlClient, ControlError};
-use crate::controllers::{BoxLease, LoadLimiter, Members, PolicyCache};
+use crate::controllers::{LoadLimiter, Members, PolicyCache};
 use crate::logging::part;
 use crate::metrics::Metrics;
 use crate::options::Options;
-use crate::owners::{OrderJob, OwnedEngines};
+use crate::owners::{BoxLease, OrderJob, OwnedEngine, OwnedEngines};
 use crate::platform::{BoxListService, KvService};
 use crate::util::clock::{Clock, wall_ms};
 use crate::util::sync::{lock, read, write};
@@ -40,6 +40,9 @@
 /// Interval at which a waiting request checks its condition.
 const CATCH_UP_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Time between checks whether the orders to an engine have been delivered.
+const ORDERS_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
 /// State shared by the components of one box.
 pub struct Node {
     /// The settings that the box was started with.
@@ -305,10 +308,18 @@
         tokio::time::timeout(CATCH_UP_TIMEOUT, polled).await.is_ok()
     }
 
-    /// Whether an order may be sent to an engine now. Engines that check fences reject stale orders
-    /// themselves; for others this box must hold its lease by the monotonic clock.
-    pub fn may_order(&self, engine: &EngineSpec) -> bool {
-        engine.checks_orders || self.lease.is_certainly_held(self.clock.now_ms())
+    /// Whether an order may be sent to an owned engine now. Engines that check fences reject stale
+    /// orders themselves; for others this box must have held its lease, by the monotonic clock,
+    /// since before it took the engine over.
+    pub fn may_order(&self, engine: &OwnedEngine) -> bool {
+        let now_ms = self.clock.now_ms();
+        engine.spec().checks_orders || self.lease.is_held_since(engine.lease_term(), now_ms)
+    }
+
+    /// Whether a request may be sent to an owned engine now: as orders, and in an outage of the
+    /// key-value service to whatever is loaded.
+    pub fn may_send(&self, engine: &OwnedEngine) -> bool {
+        self.may_order(engine) || self.lease.has_lapsed_in_outage(engine.lease_term())
     }
 
     /// Releases an engine after another box has taken it over.
@@ -318,6 +329,22 @@
         }
     }
 
+    /// Gives up an engine and waits until none of this box's orders can arrive there any more.
+    pub async fn hand_over(&self, engine: &EngineId) {
+        if let Some(owned) = self.owners.hand_over(engine) {
+            owned.release();
+        }
+        self.wait_for_orders(engine).await;
+    }
+
+    /// Waits until none of the orders that this process has sent can arrive at an engine any more.
+    pub async fn wait_for_orders(&self, engine: &EngineId) {
+        let orders = self.owners.orders_under_way();
+        while orders.may_arrive(engine, self.clock.now_ms()) {
+            tokio::time::sleep(ORDERS_POLL_INTERVAL).await;
+        }
+    }
+
     /// Sends a control request to the box at an address and waits for the reply.
     ///
     /// # Errors
--- a/crates/tinbay-node/tests/owned_test.rs
+++ b/crates/tinbay-node/tests/owned_test.rs
@@ -10,7 +10,7 @@
 use tinbay_core::engine::{Command, Event, OwnerSettings, QueuedRequest};
 use tinbay_core::fence::{Fence, Order};
 use tinbay_core::ids::{EngineId, ModelRef, RequestId, ZoneId};
-use tinbay_node::owners::{OrderJob, OwnedEngine, QueueOutcome};
+use tinbay_node::owners::{OrderJob, OwnedEngine, OwnedEngines, QueueOutcome};
 use tinbay_node::util::clock::Clock;
 use tinbay_wire::engine::{EngineState, RunningRequest};
 use tokio::sync::mpsc::{self, UnboundedReceiver};
@@ -33,7 +33,7 @@
     };
     let (jobs, receiver) = mpsc::unbounded_channel();
     let settings = OwnerSettings::default();
-    let owned = OwnedEngine::new(spec, settings, order, Clock::start(), jobs);
+    let owned = OwnedEngine::new(spec, 0, settings, order, Clock::start(), jobs);
     (owned, receiver)
 }
 
@@ -118,3 +118,18 @@
         Poll::Ready(QueueOutcome::Run(_))
     ));
 }
+
+// Guards against two owners of an engine: the box that asks for a handover takes the engine over
+// once it is confirmed, while the takeover of the box that confirms it goes on.
+#[test]
+fn takeover_ends_when_the_engine_is_handed_over() {
+    let engines = OwnedEngines::default();
+    let (engine, _jobs) = owned();
+    let name = engine.spec().name.clone();
+    let handovers = engines.handovers(&name);
+    assert!(engines.hand_over(&name).is_none());
+    assert!(!engines.insert(Arc::clone(&engine), handovers));
+    assert!(engines.get(&name).is_none());
+    assert!(engines.insert(engine, engines.handovers(&name)));
+    assert!(engines.get(&name).is_some());
+}
--- a/crates/tinbay-standin/src/engine/mod.rs
+++ b/crates/tinbay-standin/src/engine/mod.rs
@@ -107,6 +107,8 @@
     if engine.simulation().take_hang() {
         tokio::time::sleep(MAX_HANG).await;
     }
+    let delay_ms = engine.simulation().faults().start_delay_ms;
+    tokio::time::sleep(Duration::from_millis(delay_ms)).await;
     if let Err(refusal) = engine.check_order(&request) {
         return refuse(refusal);
     }
@@ -232,6 +234,16 @@
         Ok(order) => order,
         Err(answer) => return answer,
     };
+    // A task of its own executes the order also if its sender disconnects before.
+    let executed = ntex::rt::spawn(execute_unload(Arc::clone(&engine), request, order));
+    executed
+        .await
+        .unwrap_or_else(|_| HttpResponse::InternalServerError().finish())
+}
+
+async fn execute_unload(engine: Shared, request: HttpRequest, order: AdapterOrder) -> HttpResponse {
+    let delay_ms = engine.simulation().faults().unload_delay_ms;
+    tokio::time::sleep(Duration::from_millis(delay_ms)).await;
     if let Err(refusal) = engine.check_order(&request) {
         return refuse(refusal);
     }
--- a/crates/tinbay-standin/src/engine/model.rs
+++ b/crates/tinbay-standin/src/engine/model.rs
@@ -66,6 +66,10 @@
     pub wrong_models: u32,
     /// Whether every chunk is sent twice.
     pub repeat_chunks: bool,
+    /// Time from the arrival of an order to unload until it is executed.
+    pub unload_delay_ms: u64,
+    /// Time from the arrival of a request until it is added to the batch.
+    pub start_delay_ms: u64,
 }
 
 /// Response of `GET /control/report`.
@@ -376,6 +380,11 @@
         self.leaving = true;
     }
 
+    /// The injected faults.
+    pub fn faults(&self) -> EngineFaults {
+        self.faults
+    }
+
     /// Replaces the injected faults.
     pub fn set_faults(&mut self, faults: EngineFaults) {
         self.faults = faults;
