Engine stand-in: a load ends though its sender disconnects

The load of an owner that was killed stayed unfinished, and its slot taken, for good: the next owner's loads failed ("no free slot"). Unloads have been executed in a task of their own for this reason; now both are.

--- a/crates/tinbay-standin/src/engine/mod.rs
+++ b/crates/tinbay-standin/src/engine/mod.rs
@@ -199,6 +199,16 @@
         Ok(order) => order,
         Err(answer) => return answer,
     };
+    execute(execute_load(Arc::clone(&engine), request, order)).await
+}
+
+/// Executes an order in a task of its own, so that it ends also if its sender disconnects before.
+async fn execute(order: impl Future<Output = HttpResponse> + 'static) -> HttpResponse {
+    let executed = ntex::rt::spawn(order).await;
+    executed.unwrap_or_else(|_| HttpResponse::InternalServerError().finish())
+}
+
+async fn execute_load(engine: Shared, request: HttpRequest, order: AdapterOrder) -> HttpResponse {
     if let Err(refusal) = engine.check_order(&request) {
         return refuse(refusal);
     }
@@ -234,11 +244,7 @@
         Ok(order) => order,
         Err(answer) => return answer,
     };
-    // A task of its own executes the order also if its sender disconnects before.
-    let executed = ntex::rt::spawn(execute_unload(Arc::clone(&engine), request, order));
-    executed
-        .await
-        .unwrap_or_else(|_| HttpResponse::InternalServerError().finish())
+    execute(execute_unload(Arc::clone(&engine), request, order)).await
 }
 
 async fn execute_unload(engine: Shared, request: HttpRequest, order: AdapterOrder) -> HttpResponse {
