Loads: who asks for a load that has a permit begins under it

Cause: the arbiter passed over requests for a load that has a permit, and kept who had asked waiting. A permit whose grant reached nobody, as the arbiter had been frozen meanwhile, or whose holder has ended, blocked the adapter: 30 s for a remote box, for good for the arbiter's own requests.

Ruled out: no handover, overload.

--- a/crates/tinbay-cli/tests/scenarios_test.rs
+++ b/crates/tinbay-cli/tests/scenarios_test.rs
@@ -132,6 +132,13 @@
     assert_kept("restarted_owner_orders");
 }
 
+// Guards against an adapter that the next owner of an engine can't load, as its load was granted to
+// the former one.
+#[test]
+fn scenario_frozen_arbiter() {
+    assert_kept("frozen_arbiter");
+}
+
 #[test]
 fn scenario_frozen_box() {
     assert_kept("frozen_box");
--- a/crates/tinbay-core/src/loads.rs
+++ b/crates/tinbay-core/src/loads.rs
@@ -69,21 +69,25 @@
         self.allowance = allowance;
     }
 
-    /// Queues a request. Of several requests for the same target, the one with the better rank
-    /// counts.
-    pub fn ask(&mut self, request: LoadRequest) {
+    /// Queues a request unless its load has a permit. Of several requests for the same target, the
+    /// one with the better rank counts.
+    ///
+    /// Returns whether the load has a permit, under which it may begin now: who asks for it has not
+    /// received the grant, or has taken the engine over from the box that has.
+    pub fn ask(&mut self, request: LoadRequest) -> bool {
         let target = (request.engine.clone(), request.model.clone());
         if self.running.contains_key(&target) {
-            return;
+            return true;
         }
         if let Some(old) = self.by_target.get(&target) {
             if *old <= request {
-                return;
+                return false;
             }
             self.waiting.remove(old);
         }
         self.by_target.insert(target, request.clone());
         self.waiting.insert(request);
+        false
     }
 
     /// Takes back an unused permit and its token.
--- a/crates/tinbay-core/tests/loads_test.rs
+++ b/crates/tinbay-core/tests/loads_test.rs
@@ -114,3 +114,18 @@
     assert_eq!(arbiter.grant(29_000).len(), 0);
     assert_eq!(arbiter.grant(31_000).len(), 1);
 }
+
+// Guards against an adapter that can no longer be loaded: its permit was granted to a box that has
+// ended or was frozen, and the next owner of the engine asks for it.
+#[test]
+fn ask_for_a_load_with_a_permit_may_begin() {
+    let mut arbiter = arbiter();
+    assert!(!arbiter.ask(request(0, 0, 1)), "it waits for its grant");
+    assert_eq!(arbiter.grant(0).len(), 1);
+    assert!(arbiter.ask(request(0, 5, 1)));
+    assert_eq!(arbiter.waiting(), 0);
+    assert_eq!(arbiter.running(), 1, "one permit per target");
+    let lost = request(0, 0, 1);
+    arbiter.done(&lost.engine, &lost.model);
+    assert!(!arbiter.ask(request(0, 9, 1)));
+}
--- a/crates/tinbay-node/src/controllers/loads.rs
+++ b/crates/tinbay-node/src/controllers/loads.rs
@@ -50,11 +50,18 @@
 }
 
 impl GrantQueue {
+    /// Queues a request; the receiver is notified of the grant. A load that has a permit is granted
+    /// at once, as its permit may be that of a box that never received it.
     fn enqueue(&mut self, request: LoadRequest) -> oneshot::Receiver<()> {
         let (sender, receiver) = oneshot::channel();
         let target = (request.engine.clone(), request.model.clone());
-        self.waiting.entry(target).or_default().push(sender);
-        self.arbiter.ask(request);
+        if self.arbiter.ask(request) {
+            let (engine, model) = target;
+            log::debug!(target: part::LOADS, "{model} on {engine} is granted again under its permit");
+            let _ = sender.send(());
+        } else {
+            self.waiting.entry(target).or_default().push(sender);
+        }
         receiver
     }
 
