Heads: a box writes the head of an answer itself

What callers saw: an answer of HTTP/1.0 without a length came to them as HTTP/1.0, so without chunks. A stream that its server had broken off inside an event then looked whole: its end and a cut are both nothing but the end of the connection.

Cause: the server's head was passed on, with its version and length. The version decides how the HTTP library frames the body.

Change: a head is read once (ResponseHead), and the one for the caller is written from that reading: status, end-to-end headers, the length if one is stated, and this box's own version. Code that acts on a response is given the reading. The functions on hop-by-hop headers move to the HTTP module, as the reading needs them. No other behaviour changes but that a server's own reason phrase is no longer passed on.

--- a/crates/tinbay-gateway/src/front/attempt.rs
+++ b/crates/tinbay-gateway/src/front/attempt.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::TrySendError;
 use hyper::header::HeaderMap;
 use hyper::{Request, Response, StatusCode};
@@ -16,6 +16,7 @@
 use super::inbound::{InboundRequest, text};
 use crate::crashes;
 use crate::http::body::RequestBody;
+use crate::http::head::ResponseHead;
 use crate::http::interim::InterimLimit;
 use crate::http::pool::{ConnectError, Connection, ReusableIdle};
 use crate::http::reuse::Reuse;
@@ -94,8 +95,10 @@
 
 /// A response whose head has arrived.
 pub struct StartedAnswer {
-    /// The head, with the body still being received.
-    pub response: Response<Incoming>,
+    /// The head.
+    pub head: ResponseHead,
+    /// The body, which is still being received.
+    pub incoming: Incoming,
     /// Connection it arrives on.
     pub connection: Connection,
     /// Counts the request as running on its server until dropped.
@@ -177,7 +180,8 @@
 
 /// A response whose meaning has not been classified yet, and the connection it arrives on.
 struct UnclassifiedResponse {
-    response: Response<Incoming>,
+    head: ResponseHead,
+    incoming: Incoming,
     connection: Connection,
     sent_ms: Millis,
 }
@@ -239,8 +243,11 @@
         };
         match sent {
             Ok(response) => {
+                let (parts, incoming) = response.into_parts();
+                let head = ResponseHead::read(parts, incoming.is_end_stream());
                 return Ok(UnclassifiedResponse {
-                    response,
+                    head,
+                    incoming,
                     connection,
                     sent_ms,
                 });
@@ -326,33 +333,34 @@
     running: RunningRequest,
 ) -> AttemptResult {
     let UnclassifiedResponse {
-        response,
+        head,
+        incoming,
         connection,
         sent_ms,
     } = received;
     let names = node.dialect.headers();
-    let status = response.status();
-    if is_displaced(&response, names, terms) {
+    let status = head.status;
+    if is_displaced(&head, names, terms) {
         return AttemptResult::Displaced;
     }
-    let answered_id = text(response.headers(), &names.request_id);
+    let answered_id = text(&head.headers, &names.request_id);
     let is_own = answered_id == Some(inbound.id.as_str());
     // A late response to another request, possibly a refusal, can arrive on this connection. It
     // says nothing about this request, which may be running.
     if !is_own && answered_id.is_some() {
         return AttemptResult::unknown(UnknownCause::OtherAnswer);
     }
-    let is_not_run = response.headers().contains_key(&names.not_run)
-        || status == StatusCode::MISDIRECTED_REQUEST;
+    let is_not_run =
+        head.headers.contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST;
     if is_own {
-        let head = AnswerHead {
+        let answer_head = AnswerHead {
             request_kind: RequestKind::Request(&inbound.id),
             request_sent_ms: sent_ms,
             status: status.as_u16(),
-            headers: response.headers(),
+            headers: &head.headers,
             has_run: !is_not_run,
         };
-        notices::apply(node, terms.server, &head);
+        notices::apply(node, terms.server, &answer_head);
         terms.permit.record_end(lease_end(status, is_not_run));
     }
     if is_not_run {
@@ -365,7 +373,8 @@
         return AttemptResult::unknown(UnknownCause::UnconfirmedNotRun);
     }
     AttemptResult::Answering(Box::new(StartedAnswer {
-        response,
+        head,
+        incoming,
         connection,
         running,
     }))
@@ -381,14 +390,10 @@
 }
 
 /// Whether another server responded in place of the intended one.
-fn is_displaced(
-    response: &Response<Incoming>,
-    names: &HeaderNames,
-    terms: &AttemptTerms<'_>,
-) -> bool {
-    let answering = text(response.headers(), &names.server_id);
+fn is_displaced(head: &ResponseHead, names: &HeaderNames, terms: &AttemptTerms<'_>) -> bool {
+    let answering = text(&head.headers, &names.server_id);
     let is_other = answering.is_some_and(|id| id != terms.headers.server_id);
-    response.status() == StatusCode::MISDIRECTED_REQUEST && is_other
+    head.status == StatusCode::MISDIRECTED_REQUEST && is_other
 }
 
 /// Whether a status tells the caller that nothing ran. Such a response is not passed on unless the
--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -5,7 +5,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hyper::body::Body;
 use hyper::{Response, StatusCode};
 use tinbay_core::retry::{AttemptEnd, AttemptEnds, RetryCase, may_retry};
 use tinbay_core::serving::configuration::RouteKind;
@@ -19,7 +18,7 @@
 use super::close_judge::ServerCloseJudge;
 use super::forward;
 use super::handover;
-use super::headers::{self, ServerHeaders};
+use super::headers::ServerHeaders;
 use super::hedge::{self, HedgeTerms, Outgoing};
 use super::inbound::{InboundRequest, LastSend};
 use super::refusal::{NotRunReason, Refusal};
@@ -27,7 +26,6 @@
 use super::retry_budget;
 use crate::crashes::{self, check, check::CutRequest};
 use crate::http::body::{AnswerBody, RequestBody};
-use crate::http::framing::BodyFormat;
 use crate::http::pool::ReusableIdle;
 use crate::http::relay::{EndObserver, Relay, RelayTerms};
 use crate::limits::permits::{self, NoPermit, Permit};
@@ -512,7 +510,7 @@
     server: &Server,
     answer: &StartedAnswer,
 ) -> bool {
-    let is_failure = answer.response.status().is_server_error();
+    let is_failure = answer.head.status.is_server_error();
     if !is_failure || !may_run_again(inbound, history) {
         return false;
     }
@@ -566,30 +564,29 @@
     body: Option<RequestBody>,
 ) -> Response<AnswerBody> {
     let server = answer.running.server();
-    let (mut parts, incoming) = answer.response.into_parts();
-    let mut format = BodyFormat::of(&parts.headers, incoming.is_end_stream());
+    let head = answer.head;
     let is_stream = inbound.route.kind == RouteKind::Streaming;
-    format.is_event_stream |= is_stream && parts.status.is_success();
-    record_start(node, inbound, &server, parts.status);
+    let mut format = head.format;
+    format.is_event_stream |= is_stream && head.status.is_success();
+    record_start(node, inbound, &server, head.status);
     let running = Rc::new(RefCell::new(answer.running));
-    let handover = handover::for_answer(node, inbound, &parts, &running, body);
+    let handover = handover::for_answer(node, inbound, &head, &running, body);
     let close_judge = ServerCloseJudge::new(node, inbound, &running);
     let terms = RelayTerms {
         format,
         close_judge: Some(Box::new(close_judge)),
         connection: answer.connection,
         pool: Rc::clone(&server.pool),
-        idle_limit: headers::keep_alive_timeout(&parts.headers),
-        may_reuse: format.allows_reuse() && headers::keeps_connection(&parts.headers),
+        idle_limit: head.idle_limit,
+        may_reuse: head.may_reuse,
         deadline: node.clock.instant(inbound.time_up_ms),
         handover,
         clock: node.clock,
-        progress: crashes::parts::observe_progress(node, inbound, parts.status),
-        end: observe_end(node, inbound, running, parts.status.as_u16()),
+        progress: crashes::parts::observe_progress(node, inbound, head.status),
+        end: observe_end(node, inbound, running, head.status.as_u16()),
     };
-    headers::drop_hop_headers(&mut parts.headers);
-    let relay = Relay::new(incoming, terms);
-    Response::from_parts(parts, AnswerBody::Relayed(Box::new(relay)))
+    let relay = Relay::new(answer.incoming, terms);
+    head.into_response(AnswerBody::Relayed(Box::new(relay)))
 }
 
 /// The observer that logs a relayed answer at its end and records its outcome and timing.
--- a/crates/tinbay-gateway/src/front/forward/exchange.rs
+++ b/crates/tinbay-gateway/src/front/forward/exchange.rs
@@ -12,12 +12,12 @@
 use super::headers::{AnswerKind, Forwarded, take_kind};
 use crate::crashes;
 use crate::front::attempt::build_request;
-use crate::front::headers as front_headers;
 use crate::front::inbound::{InboundRequest, LastSend, text};
 use crate::front::refusal::Refusal;
 use crate::front::request_log::{Ending, log_end, log_forward};
 use crate::http::body::{AnswerBody, RequestBody};
-use crate::http::framing::BodyFormat;
+use crate::http::head::ResponseHead;
+use crate::http::hop_headers::drop_hop_headers;
 use crate::http::pool::{Connection, Pool, ReusableIdle};
 use crate::http::relay::{EndObserver, Relay, RelayTerms};
 use crate::node::Node;
@@ -108,7 +108,7 @@
 
 fn to_request(node: &Node, inbound: &InboundRequest, body: RequestBody) -> Request<RequestBody> {
     let mut headers = inbound.parts.headers.clone();
-    front_headers::drop_hop_headers(&mut headers);
+    drop_hop_headers(&mut headers);
     let forwarded = Forwarded {
         age_ms: node.now_ms() - inbound.arrived_ms,
         account: inbound
@@ -133,14 +133,16 @@
     node: &Rc<Node>,
     inbound: &Rc<InboundRequest>,
     pool: &Rc<Pool>,
-    mut response: Response<Incoming>,
+    response: Response<Incoming>,
     connection: Connection,
 ) -> ForwardResult {
-    let kind = take_kind(response.headers_mut());
+    let (parts, incoming) = response.into_parts();
+    let mut head = ResponseHead::read(parts, incoming.is_end_stream());
+    let kind = take_kind(&mut head.headers);
     let refusal = |is_not_run| Refusal::ByOtherBox {
-        status: response.status(),
+        status: head.status,
         is_not_run,
-        retry_after_ms: retry_after_ms(response.headers()),
+        retry_after_ms: retry_after_ms(&head.headers),
     };
     match kind {
         Some(AnswerKind::Declined) => ForwardResult::Declined,
@@ -148,7 +150,7 @@
         Some(AnswerKind::MayHaveRun) => ForwardResult::Refused(refusal(false)),
         None => ForwardResult::Refused(Refusal::MayHaveRun),
         Some(AnswerKind::FromServer) => {
-            ForwardResult::Answered(relay(node, inbound, pool, response, connection))
+            ForwardResult::Answered(relay(node, inbound, pool, head, incoming, connection))
         }
     }
 }
@@ -162,28 +164,26 @@
     node: &Rc<Node>,
     inbound: &Rc<InboundRequest>,
     pool: &Rc<Pool>,
-    response: Response<Incoming>,
+    head: ResponseHead,
+    incoming: Incoming,
     connection: Connection,
 ) -> Response<AnswerBody> {
-    let (mut parts, incoming) = response.into_parts();
-    let format = BodyFormat::of(&parts.headers, incoming.is_end_stream());
     let terms = RelayTerms {
-        format,
+        format: head.format,
         // Boxes mark the end of all answers.
         close_judge: None,
         connection,
         pool: Rc::clone(pool),
-        idle_limit: front_headers::keep_alive_timeout(&parts.headers),
-        may_reuse: format.allows_reuse() && front_headers::keeps_connection(&parts.headers),
+        idle_limit: head.idle_limit,
+        may_reuse: head.may_reuse,
         deadline: node.clock.instant(inbound.time_up_ms),
         handover: None,
         clock: node.clock,
-        progress: crashes::parts::observe_progress(node, inbound, parts.status),
-        end: observe_end(node, inbound, parts.status.as_u16()),
+        progress: crashes::parts::observe_progress(node, inbound, head.status),
+        end: observe_end(node, inbound, head.status.as_u16()),
     };
-    front_headers::drop_hop_headers(&mut parts.headers);
     let relay = Relay::new(incoming, terms);
-    Response::from_parts(parts, AnswerBody::Relayed(Box::new(relay)))
+    head.into_response(AnswerBody::Relayed(Box::new(relay)))
 }
 
 /// The observer that logs a relayed answer at its end.
--- a/crates/tinbay-gateway/src/front/handover/actions.rs
+++ b/crates/tinbay-gateway/src/front/handover/actions.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::body::Body;
 use hyper::{Method, StatusCode};
 use log::Level;
 use serde::Serialize;
@@ -19,7 +18,7 @@
 use crate::front::attempt::{AttemptResult, AttemptTerms, UnknownCause, attempt};
 use crate::front::choice::HolderRequests;
 use crate::front::deliver::{check_after_cut, max_connections};
-use crate::front::headers::{self, Resumption, ServerHeaders};
+use crate::front::headers::{Resumption, ServerHeaders};
 use crate::front::inbound::{Handover, InboundRequest, LastSend};
 use crate::handover::drive::{HandoverActions, LocalFuture, Outcome, Resumed};
 use crate::http::body::RequestBody;
@@ -213,21 +212,20 @@
             silent_after: RESUME_TIMEOUT,
         };
         match attempt(&self.node, &self.inbound, body, terms).await {
-            AttemptResult::Answering(answer) if answer.response.status() == StatusCode::OK => {
+            AttemptResult::Answering(answer) if answer.head.status == StatusCode::OK => {
                 *self.running.borrow_mut() = answer.running;
                 self.record_deadline(self.inbound.time_up_ms);
-                let (parts, incoming) = answer.response.into_parts();
                 let format = BodyFormat {
                     is_event_stream: true,
-                    ..BodyFormat::of(&parts.headers, incoming.is_end_stream())
+                    ..answer.head.format
                 };
                 Resumed::Answering(ContinuedAnswer {
-                    incoming,
+                    incoming: answer.incoming,
                     format,
                     connection: answer.connection,
                     pool: Rc::clone(&server.pool),
-                    idle_limit: headers::keep_alive_timeout(&parts.headers),
-                    may_reuse: format.allows_reuse() && headers::keeps_connection(&parts.headers),
+                    idle_limit: answer.head.idle_limit,
+                    may_reuse: answer.head.may_reuse,
                 })
             }
             AttemptResult::Unknown { cause } => {
--- a/crates/tinbay-gateway/src/front/handover/mod.rs
+++ b/crates/tinbay-gateway/src/front/handover/mod.rs
@@ -8,8 +8,6 @@
 use std::rc::Rc;
 
 use hyper::StatusCode;
-use hyper::header::CONTENT_LENGTH;
-use hyper::http::response::Parts;
 use log::Level;
 use serde::Serialize;
 use tinbay_core::handover::roles::has_slots_for_two_copies;
@@ -23,6 +21,8 @@
 use super::inbound::{Handover, InboundRequest};
 use crate::events::{self, part};
 use crate::http::body::RequestBody;
+use crate::http::framing::BodyFraming;
+use crate::http::head::ResponseHead;
 use crate::http::relay::{RelayEnd, RelayHandover};
 use crate::node::Node;
 use crate::servers::{RunningRequest, Server};
@@ -32,12 +32,12 @@
 pub fn for_answer(
     node: &Rc<Node>,
     inbound: &Rc<InboundRequest>,
-    head: &Parts,
+    head: &ResponseHead,
     running: &Rc<RefCell<RunningRequest>>,
     body: Option<RequestBody>,
 ) -> Option<Box<dyn RelayHandover>> {
     let is_stream = inbound.route.kind == RouteKind::Streaming;
-    let has_known_length = head.headers.contains_key(CONTENT_LENGTH);
+    let has_known_length = head.format.framing == BodyFraming::Length;
     if !is_stream || has_known_length || head.status != StatusCode::OK {
         return None;
     }
--- a/crates/tinbay-gateway/src/front/headers.rs
+++ b/crates/tinbay-gateway/src/front/headers.rs
@@ -1,19 +1,10 @@
 //! Rewrites headers between callers and servers.
 
-use std::time::Duration;
-
-use hyper::header::{
-    CONNECTION, HeaderMap, HeaderName, HeaderValue, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
-};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 
+use crate::http::hop_headers::drop_hop_headers;
 use crate::port::dialect::HeaderNames;
 
-/// Hop-by-hop header of HTTP/1.0, missing from the header constants of hyper.
-const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
-
-/// Hop-by-hop header that some clients send although no standard defines it.
-const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
-
 /// Values set on a request to a server in addition to the caller's headers.
 #[derive(Debug)]
 pub struct ServerHeaders<'a> {
@@ -71,51 +62,6 @@
     headers
 }
 
-/// Removes the hop-by-hop headers, including those listed in `Connection`.
-pub fn drop_hop_headers(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in named {
-        headers.remove(name);
-    }
-    for name in [
-        CONNECTION,
-        KEEP_ALIVE,
-        PROXY_CONNECTION,
-        TE,
-        TRAILER,
-        TRANSFER_ENCODING,
-        UPGRADE,
-    ] {
-        headers.remove(name);
-    }
-}
-
-/// Whether the server keeps the connection open after this answer.
-pub fn keeps_connection(headers: &HeaderMap) -> bool {
-    !headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .any(|word| word.trim().eq_ignore_ascii_case("close"))
-}
-
-/// The idle time-out of the connection, from the server's `Keep-Alive` header.
-pub fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
-    let value = headers.get(KEEP_ALIVE)?.to_str().ok()?;
-    let seconds = value
-        .split(',')
-        .find_map(|pair| pair.trim().strip_prefix("timeout="))
-        .unwrap_or(value);
-    seconds.trim().parse().ok().map(Duration::from_secs)
-}
-
 fn insert_text(headers: &mut HeaderMap, name: &HeaderName, text: &str) {
     if let Ok(value) = HeaderValue::from_str(text) {
         headers.insert(name.clone(), value);
--- a/crates/tinbay-gateway/src/front/hedge.rs
+++ b/crates/tinbay-gateway/src/front/hedge.rs
@@ -128,7 +128,7 @@
     /// Whether the result can be passed to the caller without waiting for the other send.
     fn is_answer(&self) -> bool {
         match &self.result {
-            AttemptResult::Answering(answer) => !answer.response.status().is_server_error(),
+            AttemptResult::Answering(answer) => !answer.head.status.is_server_error(),
             _ => false,
         }
     }
--- a/crates/tinbay-gateway/src/front/request_log.rs
+++ b/crates/tinbay-gateway/src/front/request_log.rs
@@ -40,7 +40,7 @@
     };
     let (outcome, status, level) = match result {
         AttemptResult::Answering(answer) => {
-            let status = answer.response.status();
+            let status = answer.head.status;
             let level = if status == StatusCode::OK {
                 Level::Debug
             } else {
--- a/crates/tinbay-gateway/src/http/mod.rs
+++ b/crates/tinbay-gateway/src/http/mod.rs
@@ -8,6 +8,8 @@
 pub mod fair_stream;
 pub mod framing;
 pub mod gather;
+pub mod head;
+pub mod hop_headers;
 pub mod interim;
 pub mod pool;
 pub mod pooled;
