Heads: a response that states its end in two ways, or in an unknown one, is refused

What callers saw: of a server whose head was spoilt where it tells the length of the body, a 200 with the seal, framed as whole, whose body was not the server's: the chunk framing itself (Transfer-Encoding: chunkd, a byte 0xff, empty, "chunked, gzip", "gzip, chunked", "identity", chunked twice), or the first bytes of it (a Content-Length beside a transfer coding). A 204 with a length came as an empty success.

Cause: the HTTP library reads a body of any other coding until the close and takes the coding for the length where both are there; the box took the same view and framed the bytes anew. Neither asked whether the head is one statement.

In two tests of the framing, the former reading was what they asked for (chunked before a length, other codings until the close); they ask for a refusal now.

Change: reading a head gives a framing or a typed reason why there is no response. It comes before anything else looks at the head: the request may have run, notices and refusals in such a head are not believed, the connection is closed, repeatable requests go elsewhere out of the same budget. The reason is logged with the attempt and counted (tinbay_invalid_heads_total).

--- a/crates/tinbay-gateway/src/front/attempt.rs
+++ b/crates/tinbay-gateway/src/front/attempt.rs
@@ -16,7 +16,7 @@
 use super::inbound::{InboundRequest, text};
 use crate::crashes;
 use crate::http::body::RequestBody;
-use crate::http::head::ResponseHead;
+use crate::http::head::{HeadError, ResponseHead};
 use crate::http::interim::InterimLimit;
 use crate::http::pool::{ConnectError, Connection, ReusableIdle};
 use crate::http::reuse::Reuse;
@@ -68,6 +68,8 @@
     Silent,
     /// Interim responses kept coming instead of a response.
     NoFinalResponse,
+    /// The head of the response is not one of a response.
+    InvalidHead(HeadError),
     /// The response carries no request id or that of another request.
     OtherAnswer,
     /// The status suggests that the request did not run, but the server does not confirm it.
@@ -81,6 +83,7 @@
             UnknownCause::Closed => "closed",
             UnknownCause::Silent => "silent",
             UnknownCause::NoFinalResponse => "no_final_response",
+            UnknownCause::InvalidHead(error) => error.name(),
             UnknownCause::OtherAnswer => "other_answer",
             UnknownCause::UnconfirmedNotRun => "bare_promise",
         }
@@ -157,14 +160,16 @@
 }
 
 /// Whether a request ended without an answer as the server accepted no connection, closed it, or sent
-/// interim responses only.
+/// something else than a response.
 fn is_server_failure(result: &AttemptResult) -> bool {
     matches!(
         result,
         AttemptResult::NotSent {
             error: ConnectError::Refused
         } | AttemptResult::Unknown {
-            cause: UnknownCause::Closed | UnknownCause::NoFinalResponse
+            cause: UnknownCause::Closed
+                | UnknownCause::NoFinalResponse
+                | UnknownCause::InvalidHead(_)
         }
     )
 }
@@ -244,7 +249,8 @@
         match sent {
             Ok(response) => {
                 let (parts, incoming) = response.into_parts();
-                let head = ResponseHead::read(parts, incoming.is_end_stream());
+                let head = ResponseHead::read(parts, incoming.is_end_stream())
+                    .map_err(|error| reject_head(node, error))?;
                 return Ok(UnclassifiedResponse {
                     head,
                     incoming,
@@ -264,6 +270,13 @@
     }
 }
 
+/// Counts a head that is not one of a response. Nothing that it says is believed, so that the request
+/// may have run.
+fn reject_head(node: &Node, error: HeadError) -> AttemptResult {
+    node.metrics.count_invalid_head(error);
+    AttemptResult::unknown(UnknownCause::InvalidHead(error))
+}
+
 /// Whether the request continues a run that another server began to answer.
 fn continues_run(terms: &AttemptTerms<'_>) -> bool {
     terms.headers.resumption.is_some()
--- a/crates/tinbay-gateway/src/front/forward/exchange.rs
+++ b/crates/tinbay-gateway/src/front/forward/exchange.rs
@@ -137,7 +137,13 @@
     connection: Connection,
 ) -> ForwardResult {
     let (parts, incoming) = response.into_parts();
-    let mut head = ResponseHead::read(parts, incoming.is_end_stream());
+    let mut head = match ResponseHead::read(parts, incoming.is_end_stream()) {
+        Ok(head) => head,
+        Err(error) => {
+            node.metrics.count_invalid_head(error);
+            return ForwardResult::Refused(Refusal::MayHaveRun);
+        }
+    };
     let kind = take_kind(&mut head.headers);
     let refusal = |is_not_run| Refusal::ByOtherBox {
         status: head.status,
--- a/crates/tinbay-gateway/src/http/head.rs
+++ b/crates/tinbay-gateway/src/http/head.rs
@@ -7,12 +7,43 @@
 
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderValue};
+use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 
-use super::framing::BodyFormat;
+use super::framing::{BodyFormat, BodyFraming};
 use super::hop_headers::{drop_hop_headers, keep_alive_timeout, keeps_connection};
 
+/// Media type of server-sent events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
+/// The only transfer coding that is read.
+const CHUNKED: &[u8] = b"chunked";
+
+/// Why a head is not that of a response. The bytes after it are then not a body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum HeadError {
+    /// The transfer coding is not `chunked`, or not that alone.
+    #[error("the response head names a transfer coding other than chunked")]
+    UnknownTransferCoding,
+    /// The end of the body is marked in two ways.
+    #[error("the response head states both a length and a transfer coding")]
+    LengthAndTransferCoding,
+    /// The status says that there is no body, and the headers say that there is one.
+    #[error("the response head frames a body that its status rules out")]
+    BodyRuledOut,
+}
+
+impl HeadError {
+    /// Name for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            HeadError::UnknownTransferCoding => "unknown_transfer_coding",
+            HeadError::LengthAndTransferCoding => "length_and_transfer_coding",
+            HeadError::BodyRuledOut => "body_ruled_out",
+        }
+    }
+}
+
 /// The head of a response.
 #[derive(Debug, Clone)]
 pub struct ResponseHead {
@@ -34,21 +65,32 @@
 impl ResponseHead {
     /// Reads a head. A response that can't have a body, by its status or its request's method,
     /// `is_empty` whatever the headers say.
-    pub fn read(parts: Parts, is_empty: bool) -> Self {
+    ///
+    /// # Errors
+    /// When the head is not that of a response with one body.
+    pub fn read(parts: Parts, is_empty: bool) -> Result<Self, HeadError> {
         let mut headers = parts.headers;
-        let format = BodyFormat::of(&headers, is_empty);
+        let framing = read_framing(parts.status, &headers)?;
+        let format = BodyFormat {
+            framing: if is_empty {
+                BodyFraming::Length
+            } else {
+                framing
+            },
+            is_event_stream: is_event_stream(&headers),
+        };
         let may_reuse = format.allows_reuse() && keeps_connection(&headers);
         let idle_limit = keep_alive_timeout(&headers);
         drop_hop_headers(&mut headers);
         let length = headers.remove(CONTENT_LENGTH);
-        Self {
+        Ok(Self {
             status: parts.status,
             headers,
             format,
             length,
             may_reuse,
             idle_limit,
-        }
+        })
     }
 
     /// The response with this head that is passed on. Its version is this box's own: the recipient
@@ -63,3 +105,41 @@
         response
     }
 }
+
+/// Reads how the end of the body is marked. The HTTP library takes any head that states it twice, and
+/// any transfer coding, for one of these.
+///
+/// Source: RFC 9112, section 6.3.
+fn read_framing(status: StatusCode, headers: &HeaderMap) -> Result<BodyFraming, HeadError> {
+    let is_chunked = has_transfer_coding(headers)?;
+    let length = headers.get(CONTENT_LENGTH);
+    let is_framed_body = is_chunked || length.is_some_and(|length| length != "0");
+    if is_framed_body && status == StatusCode::NO_CONTENT {
+        return Err(HeadError::BodyRuledOut);
+    }
+    match (is_chunked, length) {
+        (true, Some(_)) => Err(HeadError::LengthAndTransferCoding),
+        (true, None) => Ok(BodyFraming::Chunks),
+        (false, Some(_)) => Ok(BodyFraming::Length),
+        (false, None) => Ok(BodyFraming::UntilClose),
+    }
+}
+
+/// Whether the body has the transfer coding `chunked`.
+fn has_transfer_coding(headers: &HeaderMap) -> Result<bool, HeadError> {
+    let mut values = headers.get_all(TRANSFER_ENCODING).iter();
+    let Some(coding) = values.next() else {
+        return Ok(false);
+    };
+    let is_chunked = coding.as_bytes().eq_ignore_ascii_case(CHUNKED);
+    if !is_chunked || values.next().is_some() {
+        return Err(HeadError::UnknownTransferCoding);
+    }
+    Ok(true)
+}
+
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let content_type = headers.get(CONTENT_TYPE).map(HeaderValue::as_bytes);
+    let start = content_type.and_then(|value| value.get(..EVENT_STREAM.len()));
+    start.is_some_and(|start| start.eq_ignore_ascii_case(EVENT_STREAM))
+}
--- a/crates/tinbay-gateway/src/metrics.rs
+++ b/crates/tinbay-gateway/src/metrics.rs
@@ -7,6 +7,7 @@
 
 use crate::answer_metrics::{AnswerMetrics, MeasuredAnswer};
 use crate::error::GatewayError;
+use crate::http::head::HeadError;
 use crate::shown_labels::ShownLabels;
 
 /// Histogram bucket bounds in seconds, around latency objectives of 150 ms to 1 s.
@@ -46,6 +47,8 @@
     pub store_restores: IntCounter,
     /// Entries and messages that this box could not decode, by kind.
     pub unreadable: IntCounterVec,
+    /// Response heads that are not of responses, by reason.
+    invalid_heads: IntCounterVec,
     /// Notices about their own state that servers put into answers, by notice.
     pub server_notices: IntCounterVec,
     /// Requests to servers that announce limits, by the decision of the limit.
@@ -153,6 +156,11 @@
                 "Orders to servers",
                 &["action", "outcome"],
             )?,
+            invalid_heads: counter(
+                "tinbay_invalid_heads_total",
+                "Response heads that are not of responses",
+                &["reason"],
+            )?,
             unreadable: counter(
                 "tinbay_unreadable_total",
                 "What others wrote and this box can't read",
@@ -257,6 +265,12 @@
         })
     }
 
+    /// Counts a response head that is not one of a response.
+    pub fn count_invalid_head(&self, error: HeadError) {
+        let reason = error.name();
+        self.invalid_heads.with_label_values(&[reason]).inc();
+    }
+
     /// Counts a decision of a server's limit.
     pub fn count_server_limit(&self, outcome: &str) {
         self.server_limits.with_label_values(&[outcome]).inc();
--- a/crates/tinbay-gateway/tests/framing_test.rs
+++ b/crates/tinbay-gateway/tests/framing_test.rs
@@ -1,51 +1,90 @@
-//! Tests of how the end of a response body is recognized from its headers.
+//! Tests of how the end of a response body is recognized from its head.
 
-use hyper::header::{HeaderMap, HeaderName, HeaderValue};
-use tinbay_gateway::http::framing::{BodyFormat, BodyFraming};
+use hyper::Response;
+use hyper::header::{HeaderName, HeaderValue};
+use hyper::http::response::Parts;
+use tinbay_gateway::http::framing::BodyFraming;
+use tinbay_gateway::http::head::{HeadError, ResponseHead};
 
-fn format_of(headers: &[(&'static str, &'static str)]) -> BodyFormat {
-    let mut map = HeaderMap::new();
+fn parts(status: u16, headers: &[(&'static str, &'static str)]) -> Parts {
+    let mut response = Response::new(());
+    *response.status_mut() = status.try_into().expect("a status");
     for (name, value) in headers {
         let name = HeaderName::from_static(name);
-        map.append(name, HeaderValue::from_static(value));
+        let value = HeaderValue::from_static(value);
+        response.headers_mut().append(name, value);
     }
-    BodyFormat::of(&map, false)
+    response.into_parts().0
+}
+
+fn read(headers: &[(&'static str, &'static str)]) -> Result<ResponseHead, HeadError> {
+    ResponseHead::read(parts(200, headers), false)
+}
+
+fn framing(headers: &[(&'static str, &'static str)]) -> Result<BodyFraming, HeadError> {
+    read(headers).map(|head| head.format.framing)
 }
 
 #[test]
 fn of_response_without_a_body() {
-    let format = BodyFormat::of(&HeaderMap::new(), true);
-    assert_eq!(format.framing, BodyFraming::Length);
-    assert!(format.allows_reuse());
+    let head = ResponseHead::read(parts(200, &[]), true).expect("a head");
+    assert_eq!(head.format.framing, BodyFraming::Length);
+    assert!(head.format.allows_reuse());
 }
 
 #[test]
 fn of_length() {
-    let format = format_of(&[("content-length", "3")]);
-    assert_eq!(format.framing, BodyFraming::Length);
+    assert_eq!(framing(&[("content-length", "3")]), Ok(BodyFraming::Length));
+}
+
+#[test]
+fn of_chunks() {
+    let chunked = framing(&[("transfer-encoding", "Chunked")]);
+    assert_eq!(chunked, Ok(BodyFraming::Chunks));
 }
 
 #[test]
-fn of_chunks_before_length() {
-    let format = format_of(&[("content-length", "3"), ("transfer-encoding", "Chunked")]);
-    assert_eq!(format.framing, BodyFraming::Chunks);
+fn of_chunks_and_length_is_refused() {
+    let both = framing(&[("content-length", "3"), ("transfer-encoding", "Chunked")]);
+    assert_eq!(both, Err(HeadError::LengthAndTransferCoding));
 }
 
 #[test]
-fn of_chunks_as_last_encoding() {
-    let format = format_of(&[("transfer-encoding", "gzip, chunked")]);
-    assert_eq!(format.framing, BodyFraming::Chunks);
+fn of_other_coding_is_refused() {
+    for coding in [
+        "gzip, chunked",
+        "chunked, gzip",
+        "chunked, chunked",
+        "identity",
+        "",
+    ] {
+        let other = framing(&[("transfer-encoding", coding)]);
+        assert_eq!(other, Err(HeadError::UnknownTransferCoding), "{coding:?}");
+    }
 }
 
 #[test]
-fn of_other_encoding_until_close() {
-    let format = format_of(&[("transfer-encoding", "chunked, gzip")]);
-    assert_eq!(format.framing, BodyFraming::UntilClose);
+fn of_coding_stated_twice_is_refused() {
+    let chunked = ("transfer-encoding", "chunked");
+    let twice = framing(&[chunked, chunked]);
+    assert_eq!(twice, Err(HeadError::UnknownTransferCoding));
 }
 
 #[test]
 fn of_neither_until_close() {
-    let format = format_of(&[("content-type", "text/event-stream; charset=utf-8")]);
-    assert_eq!(format.framing, BodyFraming::UntilClose);
-    assert!(format.is_event_stream);
+    let head = read(&[("content-type", "text/event-stream; charset=utf-8")]).expect("a head");
+    assert_eq!(head.format.framing, BodyFraming::UntilClose);
+    assert!(head.format.is_event_stream);
+}
+
+#[test]
+fn of_status_without_content_with_a_body_is_refused() {
+    for headers in [
+        [("content-length", "3")],
+        [("transfer-encoding", "chunked")],
+    ] {
+        let ruled_out = ResponseHead::read(parts(204, &headers), true).map(|_| ());
+        assert_eq!(ruled_out, Err(HeadError::BodyRuledOut), "{headers:?}");
+    }
+    assert!(ResponseHead::read(parts(204, &[("content-length", "0")]), true).is_ok());
 }
