Heads: a length that is stated twice is passed on once

What callers saw: Content-Length: 7, 7 as the server had sent it, which recipients may refuse or take for no length (our stand-in of a caller: whole, with an empty body).

Cause: the value went on as it came; the HTTP library reads equal lengths as one (RFC 9110, 8.6).

Change: the reading of a head holds the length as a number, from which the caller's is written; lengths that differ or are no number are a reason of their own. The HTTP library refuses those already, unless a transfer coding stands beside them.

--- a/crates/tinbay-gateway/src/http/head.rs
+++ b/crates/tinbay-gateway/src/http/head.rs
@@ -25,6 +25,9 @@
     /// The transfer coding is not `chunked`, or not that alone.
     #[error("the response head names a transfer coding other than chunked")]
     UnknownTransferCoding,
+    /// The length is not a number, or stated more than once with different values.
+    #[error("the response head states no usable length")]
+    InvalidLength,
     /// The end of the body is marked in two ways.
     #[error("the response head states both a length and a transfer coding")]
     LengthAndTransferCoding,
@@ -38,6 +41,7 @@
     pub fn name(self) -> &'static str {
         match self {
             HeadError::UnknownTransferCoding => "unknown_transfer_coding",
+            HeadError::InvalidLength => "invalid_length",
             HeadError::LengthAndTransferCoding => "length_and_transfer_coding",
             HeadError::BodyRuledOut => "body_ruled_out",
         }
@@ -53,9 +57,9 @@
     pub headers: HeaderMap,
     /// Format of the body.
     pub format: BodyFormat,
-    /// Length of the body in bytes, if it is stated. Of a response that has no body, such as to a
+    /// Length of the body, if it is stated. Of a response that has no body, such as to a
     /// HEAD request, it is the length that the body would have.
-    length: Option<HeaderValue>,
+    length_bytes: Option<u64>,
     /// Whether the connection may carry another response after this one.
     pub may_reuse: bool,
     /// Idle time limit of the connection, if the server stated one.
@@ -70,7 +74,8 @@
     /// When the head is not that of a response with one body.
     pub fn read(parts: Parts, is_empty: bool) -> Result<Self, HeadError> {
         let mut headers = parts.headers;
-        let framing = read_framing(parts.status, &headers)?;
+        let length_bytes = read_length(&headers)?;
+        let framing = read_framing(parts.status, &headers, length_bytes)?;
         let format = BodyFormat {
             framing: if is_empty {
                 BodyFraming::Length
@@ -82,12 +87,12 @@
         let may_reuse = format.allows_reuse() && keeps_connection(&headers);
         let idle_limit = keep_alive_timeout(&headers);
         drop_hop_headers(&mut headers);
-        let length = headers.remove(CONTENT_LENGTH);
+        headers.remove(CONTENT_LENGTH);
         Ok(Self {
             status: parts.status,
             headers,
             format,
-            length,
+            length_bytes,
             may_reuse,
             idle_limit,
         })
@@ -99,7 +104,8 @@
         let mut response = Response::new(body);
         *response.status_mut() = self.status;
         *response.headers_mut() = self.headers;
-        if let Some(length) = self.length {
+        if let Some(length_bytes) = self.length_bytes {
+            let length = HeaderValue::from(length_bytes);
             response.headers_mut().insert(CONTENT_LENGTH, length);
         }
         response
@@ -110,14 +116,17 @@
 /// any transfer coding, for one of these.
 ///
 /// Source: RFC 9112, section 6.3.
-fn read_framing(status: StatusCode, headers: &HeaderMap) -> Result<BodyFraming, HeadError> {
+fn read_framing(
+    status: StatusCode,
+    headers: &HeaderMap,
+    length_bytes: Option<u64>,
+) -> Result<BodyFraming, HeadError> {
     let is_chunked = has_transfer_coding(headers)?;
-    let length = headers.get(CONTENT_LENGTH);
-    let is_framed_body = is_chunked || length.is_some_and(|length| length != "0");
+    let is_framed_body = is_chunked || length_bytes.is_some_and(|bytes| bytes > 0);
     if is_framed_body && status == StatusCode::NO_CONTENT {
         return Err(HeadError::BodyRuledOut);
     }
-    match (is_chunked, length) {
+    match (is_chunked, length_bytes) {
         (true, Some(_)) => Err(HeadError::LengthAndTransferCoding),
         (true, None) => Ok(BodyFraming::Chunks),
         (false, Some(_)) => Ok(BodyFraming::Length),
@@ -125,6 +134,28 @@
     }
 }
 
+/// Reads the length of the body, which may be stated several times.
+///
+/// Source: RFC 9110, section 8.6.
+fn read_length(headers: &HeaderMap) -> Result<Option<u64>, HeadError> {
+    let mut length_bytes = None;
+    for value in headers.get_all(CONTENT_LENGTH) {
+        for stated in value.as_bytes().split(|byte| *byte == b',') {
+            let stated = parse_length(stated.trim_ascii()).ok_or(HeadError::InvalidLength)?;
+            if *length_bytes.get_or_insert(stated) != stated {
+                return Err(HeadError::InvalidLength);
+            }
+        }
+    }
+    Ok(length_bytes)
+}
+
+fn parse_length(digits: &[u8]) -> Option<u64> {
+    let is_number = digits.iter().all(u8::is_ascii_digit);
+    let digits = std::str::from_utf8(digits).ok()?;
+    digits.parse().ok().filter(|_| is_number)
+}
+
 /// Whether the body has the transfer coding `chunked`.
 fn has_transfer_coding(headers: &HeaderMap) -> Result<bool, HeadError> {
     let mut values = headers.get_all(TRANSFER_ENCODING).iter();
--- a/crates/tinbay-gateway/tests/framing_test.rs
+++ b/crates/tinbay-gateway/tests/framing_test.rs
@@ -88,3 +88,41 @@
     }
     assert!(ResponseHead::read(parts(204, &[("content-length", "0")]), true).is_ok());
 }
+
+#[test]
+fn of_length_stated_twice() {
+    for headers in [
+        &[("content-length", "3, 3")][..],
+        &[("content-length", "3"), ("content-length", "3")],
+    ] {
+        let response = read(headers).map(|head| head.into_response(()));
+        let response = response.expect("a head");
+        let lengths: Vec<_> = response
+            .headers()
+            .get_all("content-length")
+            .iter()
+            .collect();
+        assert_eq!(lengths, ["3"], "{headers:?}");
+    }
+}
+
+#[test]
+fn of_other_length_is_refused() {
+    for length in [
+        "",
+        "x",
+        "1x",
+        "+3",
+        "-3",
+        "3.0",
+        "3 3",
+        "3, 4",
+        "3,",
+        "18446744073709551616",
+    ] {
+        let other = framing(&[("content-length", length)]);
+        assert_eq!(other, Err(HeadError::InvalidLength), "{length:?}");
+    }
+    let differing = framing(&[("content-length", "3"), ("content-length", "4")]);
+    assert_eq!(differing, Err(HeadError::InvalidLength));
+}
