Heads: a response whose status is no final one is refused

What callers saw: 101 (with or without Upgrade), 600 and 999, with the seal, as an answer; after 101 the connection closed. 000, 099, letters, two and four digits were refused already, by the HTTP library.

Cause: the library hands a 101 over as a response, for those who ask for another protocol, and takes any three digits from 100 on.

Change: statuses from 200 to 599 are final (RFC 9110, 15); any other is a reason for which a head is not one of a response.

--- a/crates/tinbay-gateway/src/http/head.rs
+++ b/crates/tinbay-gateway/src/http/head.rs
@@ -22,6 +22,9 @@
 /// Why a head is not that of a response. The bytes after it are then not a body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum HeadError {
+    /// The status is an interim one, such as of a switch of protocols, or has no meaning.
+    #[error("the status of the response head is not a final one")]
+    InvalidStatus,
     /// The transfer coding is not `chunked`, or not that alone.
     #[error("the response head names a transfer coding other than chunked")]
     UnknownTransferCoding,
@@ -40,6 +43,7 @@
     /// Name for logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
+            HeadError::InvalidStatus => "invalid_status",
             HeadError::UnknownTransferCoding => "unknown_transfer_coding",
             HeadError::InvalidLength => "invalid_length",
             HeadError::LengthAndTransferCoding => "length_and_transfer_coding",
@@ -73,6 +77,9 @@
     /// # Errors
     /// When the head is not that of a response with one body.
     pub fn read(parts: Parts, is_empty: bool) -> Result<Self, HeadError> {
+        if !is_final(parts.status) {
+            return Err(HeadError::InvalidStatus);
+        }
         let mut headers = parts.headers;
         let length_bytes = read_length(&headers)?;
         let framing = read_framing(parts.status, &headers, length_bytes)?;
@@ -112,6 +119,14 @@
     }
 }
 
+/// Whether a status ends a request. Interim responses come before the final one, and no request asks
+/// for a switch of protocols.
+///
+/// Source: RFC 9110, section 15.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Reads how the end of the body is marked. The HTTP library takes any head that states it twice, and
 /// any transfer coding, for one of these.
 ///
--- a/crates/tinbay-gateway/tests/framing_test.rs
+++ b/crates/tinbay-gateway/tests/framing_test.rs
@@ -126,3 +126,11 @@
     let differing = framing(&[("content-length", "3"), ("content-length", "4")]);
     assert_eq!(differing, Err(HeadError::InvalidLength));
 }
+
+#[test]
+fn of_status_that_is_not_final_is_refused() {
+    for status in [101, 199, 600, 999] {
+        let other = ResponseHead::read(parts(status, &[]), false).map(|_| ());
+        assert_eq!(other, Err(HeadError::InvalidStatus), "{status}");
+    }
+}
