Heads: a success without the seal of its server is refused

What callers saw: a 200 or 201, whole, without the seal, with an empty one, or with one that Connection names, so that it is dropped on the way. Callers count a success only with it.

Cause: the box passed the seal on and never asked whether it was there.

Failures without a seal are passed on as before (test kept).

Change: the reading of heads of answers to callers' requests, in one place for attempts, resumed streams and the hop from another box, asks for it; the header's name is the adapter's. The request may have run.

--- /dev/null
+++ b/crates/tinbay-gateway/src/front/answer_head.rs
@@ -0,0 +1,37 @@
+//! Reads the heads of answers to callers' requests.
+
+use hyper::Response;
+use hyper::body::{Body, Incoming};
+
+use crate::http::head::{HeadError, ResponseHead};
+use crate::node::Node;
+
+/// Reads the head of an answer, of a server or of another box that passes one on. Nothing that a head
+/// says is believed if it is refused, so that the request may have run.
+///
+/// # Errors
+/// When the head is not one of an answer.
+pub fn read_answer_head(
+    node: &Node,
+    response: Response<Incoming>,
+) -> Result<(ResponseHead, Incoming), HeadError> {
+    let (parts, incoming) = response.into_parts();
+    let head = ResponseHead::read(parts, incoming.is_end_stream());
+    let checked = head.and_then(|head| check_seal(node, head));
+    match checked {
+        Ok(head) => Ok((head, incoming)),
+        Err(error) => {
+            node.metrics.count_invalid_head(error);
+            Err(error)
+        }
+    }
+}
+
+/// Checks that a success carries the seal of its server, without which callers can't accept it.
+fn check_seal(node: &Node, head: ResponseHead) -> Result<ResponseHead, HeadError> {
+    let seal = &node.dialect.headers().seal;
+    if head.status.is_success() && !head.has_value(seal) {
+        return Err(HeadError::SealMissing);
+    }
+    Ok(head)
+}
--- a/crates/tinbay-gateway/src/front/attempt.rs
+++ b/crates/tinbay-gateway/src/front/attempt.rs
@@ -5,13 +5,14 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
 use hyper::header::HeaderMap;
 use hyper::{Request, Response, StatusCode};
 use tinbay_core::slots::home::LeaseEnd;
 use tinbay_core::units::Millis;
 
+use super::answer_head::read_answer_head;
 use super::headers::{self, ServerHeaders};
 use super::inbound::{InboundRequest, text};
 use crate::crashes;
@@ -248,9 +249,8 @@
         };
         match sent {
             Ok(response) => {
-                let (parts, incoming) = response.into_parts();
-                let head = ResponseHead::read(parts, incoming.is_end_stream())
-                    .map_err(|error| reject_head(node, error))?;
+                let (head, incoming) = read_answer_head(node, response)
+                    .map_err(|error| AttemptResult::unknown(UnknownCause::InvalidHead(error)))?;
                 return Ok(UnclassifiedResponse {
                     head,
                     incoming,
@@ -270,13 +270,6 @@
     }
 }
 
-/// Counts a head that is not one of a response. Nothing that it says is believed, so that the request
-/// may have run.
-fn reject_head(node: &Node, error: HeadError) -> AttemptResult {
-    node.metrics.count_invalid_head(error);
-    AttemptResult::unknown(UnknownCause::InvalidHead(error))
-}
-
 /// Whether the request continues a run that another server began to answer.
 fn continues_run(terms: &AttemptTerms<'_>) -> bool {
     terms.headers.resumption.is_some()
--- a/crates/tinbay-gateway/src/front/forward/exchange.rs
+++ b/crates/tinbay-gateway/src/front/forward/exchange.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::header::{HeaderMap, RETRY_AFTER};
 use hyper::{Request, Response};
 use tinbay_core::units::{MS_PER_SECOND, Millis};
@@ -11,6 +11,7 @@
 use super::Target;
 use super::headers::{AnswerKind, Forwarded, take_kind};
 use crate::crashes;
+use crate::front::answer_head::read_answer_head;
 use crate::front::attempt::build_request;
 use crate::front::inbound::{InboundRequest, LastSend, text};
 use crate::front::refusal::Refusal;
@@ -136,13 +137,8 @@
     response: Response<Incoming>,
     connection: Connection,
 ) -> ForwardResult {
-    let (parts, incoming) = response.into_parts();
-    let mut head = match ResponseHead::read(parts, incoming.is_end_stream()) {
-        Ok(head) => head,
-        Err(error) => {
-            node.metrics.count_invalid_head(error);
-            return ForwardResult::Refused(Refusal::MayHaveRun);
-        }
+    let Ok((mut head, incoming)) = read_answer_head(node, response) else {
+        return ForwardResult::Refused(Refusal::MayHaveRun);
     };
     let kind = take_kind(&mut head.headers);
     let refusal = |is_not_run| Refusal::ByOtherBox {
--- a/crates/tinbay-gateway/src/front/mod.rs
+++ b/crates/tinbay-gateway/src/front/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod adapters;
 pub mod admission;
+mod answer_head;
 pub mod answer_timing;
 pub mod attempt;
 pub mod choice;
--- a/crates/tinbay-gateway/src/http/head.rs
+++ b/crates/tinbay-gateway/src/http/head.rs
@@ -7,7 +7,9 @@
 
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderValue, TRANSFER_ENCODING};
+use hyper::header::{
+    CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING,
+};
 use hyper::http::response::Parts;
 
 use super::framing::{BodyFormat, BodyFraming};
@@ -34,6 +36,9 @@
     /// The end of the body is marked in two ways.
     #[error("the response head states both a length and a transfer coding")]
     LengthAndTransferCoding,
+    /// A successful response does not carry the seal of its server.
+    #[error("the response head of a success carries no seal of the server")]
+    SealMissing,
     /// The status says that there is no body, and the headers say that there is one.
     #[error("the response head frames a body that its status rules out")]
     BodyRuledOut,
@@ -47,6 +52,7 @@
             HeadError::UnknownTransferCoding => "unknown_transfer_coding",
             HeadError::InvalidLength => "invalid_length",
             HeadError::LengthAndTransferCoding => "length_and_transfer_coding",
+            HeadError::SealMissing => "seal_missing",
             HeadError::BodyRuledOut => "body_ruled_out",
         }
     }
@@ -105,6 +111,12 @@
         })
     }
 
+    /// Whether a header has a value.
+    pub fn has_value(&self, name: &HeaderName) -> bool {
+        let value = self.headers.get(name);
+        value.is_some_and(|value| !value.is_empty())
+    }
+
     /// The response with this head that is passed on. Its version is this box's own: the recipient
     /// derives from it how the body is framed.
     pub fn into_response<B>(self, body: B) -> Response<B> {
