Heads: a response with a content coding is refused

What callers saw: a 200 with Content-Encoding: gzip, with the seal and whole. Callers ask for bodies that are not coded, so that such an answer does not hold the server's body.

Cause: nothing in the box read that field.

Evidence: cases::heads::answer_with_a_content_coding_is_refused failed before (200 passed on). `identity` comes whole, as before (test kept).

Change: a coding other than `identity` is a reason for which a head is not one of a response.

--- a/crates/tinbay-gateway/src/http/head.rs
+++ b/crates/tinbay-gateway/src/http/head.rs
@@ -5,12 +5,12 @@
 
 use std::time::Duration;
 
-use hyper::Response;
-use hyper::StatusCode;
 use hyper::header::{
-    CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING,
+    CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue,
+    TRANSFER_ENCODING,
 };
 use hyper::http::response::Parts;
+use hyper::{Response, StatusCode};
 
 use super::framing::{BodyFormat, BodyFraming};
 use super::hop_headers::{drop_hop_headers, keep_alive_timeout, keeps_connection};
@@ -21,6 +21,9 @@
 /// The only transfer coding that is read.
 const CHUNKED: &[u8] = b"chunked";
 
+/// The content coding of a body that is not coded.
+const IDENTITY: &[u8] = b"identity";
+
 /// Why a head is not that of a response. The bytes after it are then not a body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum HeadError {
@@ -36,6 +39,9 @@
     /// The end of the body is marked in two ways.
     #[error("the response head states both a length and a transfer coding")]
     LengthAndTransferCoding,
+    /// The body is a coded form of the content, which no request asks for.
+    #[error("the response head names a content coding")]
+    ContentCoding,
     /// A successful response does not carry the seal of its server.
     #[error("the response head of a success carries no seal of the server")]
     SealMissing,
@@ -52,6 +58,7 @@
             HeadError::UnknownTransferCoding => "unknown_transfer_coding",
             HeadError::InvalidLength => "invalid_length",
             HeadError::LengthAndTransferCoding => "length_and_transfer_coding",
+            HeadError::ContentCoding => "content_coding",
             HeadError::SealMissing => "seal_missing",
             HeadError::BodyRuledOut => "body_ruled_out",
         }
@@ -87,6 +94,9 @@
             return Err(HeadError::InvalidStatus);
         }
         let mut headers = parts.headers;
+        if has_content_coding(&headers) {
+            return Err(HeadError::ContentCoding);
+        }
         let length_bytes = read_length(&headers)?;
         let framing = read_framing(parts.status, &headers, length_bytes)?;
         let format = BodyFormat {
@@ -196,6 +206,13 @@
     Ok(true)
 }
 
+/// Whether the body is a coded form of the content.
+fn has_content_coding(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(CONTENT_ENCODING).iter();
+    let mut codings = values.flat_map(|value| value.as_bytes().split(|byte| *byte == b','));
+    codings.any(|coding| !coding.trim_ascii().eq_ignore_ascii_case(IDENTITY))
+}
+
 fn is_event_stream(headers: &HeaderMap) -> bool {
     let content_type = headers.get(CONTENT_TYPE).map(HeaderValue::as_bytes);
     let start = content_type.and_then(|value| value.get(..EVENT_STREAM.len()));
