Heads: calls believe no head that is not one of a response

What was seen: calls of boxes on their own account (orders, reports, the checks of links, moves, the store, relays) took any head that the HTTP library takes. An order answered 101 or 600 was taken for refused, so for not carried out; 202 with an unknown transfer coding for accepted; a 503 with one, and notices in its head, put a server out of use; a 404 of the store ended a lease. No caller's answer goes through these.

Evidence: heads_test::call_answered_by_a_head_of_no_response_fails and cases::heads::notice_in_a_spoilt_head_of_a_report_is_not_believed failed before (the head's status returned; a notice applied). A head that ends early fails at each of its bytes, as before (test kept).

Change: buffered responses are read by the same function. Such a head is a failure of its own: an order's or a write's outcome is unknown, a move may have stopped its run, no notice is taken, the connection is closed. A check of a link still takes it for a sign that the link is up.

--- a/crates/tinbay-gateway/src/front/handover/actions.rs
+++ b/crates/tinbay-gateway/src/front/handover/actions.rs
@@ -373,9 +373,12 @@
     let reply = match reply {
         Ok(reply) => reply,
         Err(CallError::NotConnected) => return HandoverAnswer::NotStopped,
-        Err(CallError::NoAnswer | CallError::TooLong { .. } | CallError::NoFinalResponse) => {
-            return HandoverAnswer::Unknown;
-        }
+        Err(
+            CallError::NoAnswer
+            | CallError::InvalidHead(_)
+            | CallError::TooLong { .. }
+            | CallError::NoFinalResponse,
+        ) => return HandoverAnswer::Unknown,
     };
     let decoded = node.dialect.decode_handover(&reply.body);
     let handle = decoded.ok().and_then(|reply| reply.handle);
--- a/crates/tinbay-gateway/src/http/call.rs
+++ b/crates/tinbay-gateway/src/http/call.rs
@@ -12,7 +12,8 @@
 use tinbay_core::units::Millis;
 
 use super::connect::connect;
-use super::gather::gather;
+use super::gather::gather_reply;
+use super::head::HeadError;
 use super::interim::InterimLimit;
 
 /// Maximum number of idle connections kept per address.
@@ -50,7 +51,7 @@
 pub struct Reply {
     /// HTTP status code.
     pub status: u16,
-    /// Response headers.
+    /// Response headers without those of the connection and the body's framing.
     pub headers: HeaderMap,
     /// Complete response body.
     pub body: Bytes,
@@ -72,6 +73,9 @@
         /// The limit that it exceeds.
         max_bytes: usize,
     },
+    /// The head of the response is not one of a response; the server may have received the request.
+    #[error(transparent)]
+    InvalidHead(#[from] HeadError),
     /// Interim responses keep coming instead of a response.
     #[error("too many interim responses and no response")]
     NoFinalResponse,
@@ -118,14 +122,9 @@
             sent = sender.send_request(request) => sent.map_err(|_| CallError::NoAnswer)?,
             () = interim.exceeded() => return Err(CallError::NoFinalResponse),
         };
-        let (head, body) = response.into_parts();
-        let body = gather(body, call.max_answer_bytes).await?;
+        let reply = gather_reply(response, call.max_answer_bytes).await?;
         self.keep(sender);
-        Ok(Reply {
-            status: head.status.as_u16(),
-            headers: head.headers,
-            body,
-        })
+        Ok(reply)
     }
 
     fn request(&self, call: &Call) -> Request<Full<Bytes>> {
--- a/crates/tinbay-gateway/src/http/gather.rs
+++ b/crates/tinbay-gateway/src/http/gather.rs
@@ -1,10 +1,29 @@
-//! Reads response bodies whole, up to a limit.
+//! Reads responses and bodies whole, up to a limit.
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::Response;
+use hyper::body::{Body, Incoming};
 
-use super::call::CallError;
+use super::call::{CallError, Reply};
+use super::head::ResponseHead;
+
+/// Reads a response whole.
+///
+/// # Errors
+/// When its head is not one of a response, or its body is longer than `max_bytes` or ends early.
+pub async fn gather_reply(
+    response: Response<Incoming>,
+    max_bytes: usize,
+) -> Result<Reply, CallError> {
+    let (parts, incoming) = response.into_parts();
+    let head = ResponseHead::read(parts, incoming.is_end_stream())?;
+    Ok(Reply {
+        status: head.status.as_u16(),
+        headers: head.headers,
+        body: gather(incoming, max_bytes).await?,
+    })
+}
 
 /// Reads a body whole.
 ///
--- a/crates/tinbay-gateway/src/http/pooled.rs
+++ b/crates/tinbay-gateway/src/http/pooled.rs
@@ -7,7 +7,7 @@
 
 use super::body::RequestBody;
 use super::call::{CallError, MAX_SERVER_ANSWER_BYTES, Reply};
-use super::gather::gather;
+use super::gather::gather_reply;
 use super::interim::InterimLimit;
 use super::pool::{Connection, Pool, ReusableIdle};
 
@@ -124,12 +124,6 @@
         Some(unsent) => ExchangeError::Unsent(Box::new(unsent)),
         None => ExchangeError::Failed(CallError::NoAnswer),
     })?;
-    let (head, body) = response.into_parts();
-    let gathered = gather(body, MAX_SERVER_ANSWER_BYTES).await;
-    let body = gathered.map_err(ExchangeError::Failed)?;
-    Ok(Reply {
-        status: head.status.as_u16(),
-        headers: head.headers,
-        body,
-    })
+    let gathered = gather_reply(response, MAX_SERVER_ANSWER_BYTES).await;
+    gathered.map_err(ExchangeError::Failed)
 }
--- a/crates/tinbay-gateway/src/links/check.rs
+++ b/crates/tinbay-gateway/src/links/check.rs
@@ -12,7 +12,7 @@
 use tinbay_core::slots::home::LeaseEnd;
 use tinbay_core::units::Millis;
 
-use crate::http::call::{Call, HttpClient, MAX_SERVER_ANSWER_BYTES};
+use crate::http::call::{Call, CallError, HttpClient, MAX_SERVER_ANSWER_BYTES};
 use crate::http::pooled::call_idle;
 use crate::node::Node;
 use crate::servers::calls::request_to;
@@ -201,7 +201,8 @@
         }
     }
 
-    /// Whether the server answers on a new connection; any answer will do.
+    /// Whether the server answers on a new connection; any answer will do, as will a head that is not
+    /// one of an answer.
     async fn is_answered(&self, node: &Node, server: &Server) -> bool {
         let record = server.record();
         let headers = node.dialect.headers();
@@ -220,6 +221,6 @@
         if is_rejected && self.takes_slot {
             notices::record_rejection(node, server, "health_check", None);
         }
-        reply.is_ok()
+        matches!(reply, Ok(_) | Err(CallError::InvalidHead(_)))
     }
 }
--- a/crates/tinbay-gateway/src/orders/holder.rs
+++ b/crates/tinbay-gateway/src/orders/holder.rs
@@ -454,6 +454,7 @@
                 match error {
                     CallError::NotConnected => OrderAnswer::Refused,
                     CallError::NoAnswer
+                    | CallError::InvalidHead(_)
                     | CallError::TooLong { .. }
                     | CallError::NoFinalResponse => OrderAnswer::NoAnswer,
                 }
