Own interface: an answer that does not mark its end is refused

What callers saw: of a plain service whose answer over HTTP/1.1 had neither a length nor chunks, 200 with an empty body, framed as whole; over HTTP/1.0, what had come before the close, as whole. The client of the programs read such answers as empty texts.

Cause: the HTTP library of the own interface takes a response over HTTP/1.1 without framing for one without a body, and one over HTTP/1.0 for complete at any end of its connection.

Kept already, tests stay: other codings, a length beside a coding, lengths that differ, lines that are no fields, heads and bodies that end early.

Change: the one function that waits for heads checks them. Such an answer is a failure after which the request may have run, so that it is told as unknown, or repeated where it may be. All readers of the own interface (services, engines, other boxes, the key-value service, lists of boxes, the command line) go through it.

--- a/crates/tinbay-http/src/client.rs
+++ b/crates/tinbay-http/src/client.rs
@@ -12,6 +12,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::body::{BodyError, read_body};
+use crate::head::{HeadError, check_head};
 
 /// Maximum number of connections of a thread to one peer.
 const CONNECTIONS_PER_PEER: usize = 4_096;
@@ -40,6 +41,9 @@
     /// The response did not arrive in time; the request may have been sent.
     #[error("no answer in time")]
     TimedOut,
+    /// The head of the response is not one of a response; the request may have been received.
+    #[error(transparent)]
+    InvalidHead(#[from] HeadError),
     /// The response body could not be decoded.
     #[error("answer not understood")]
     NotUnderstood,
@@ -104,7 +108,10 @@
 ) -> Result<ClientResponse, CallError> {
     match tokio::time::timeout(within, call).await {
         Err(_) => Err(CallError::TimedOut),
-        Ok(Ok(response)) => Ok(response),
+        Ok(Ok(response)) => {
+            check_head(&response)?;
+            Ok(response)
+        }
         // A disconnect without a cause is not a failed connect: the peer closed the connection
         // after the request was sent.
         Ok(Err(ClientError::Connect(ConnectError::Disconnected(None)))) => Err(CallError::Broken),
--- a/crates/tinbay-http/src/lib.rs
+++ b/crates/tinbay-http/src/lib.rs
@@ -2,5 +2,6 @@
 
 pub mod body;
 pub mod client;
+pub mod head;
 pub mod server;
 pub mod stream;
--- a/crates/tinbay-node/tests/border_test.rs
+++ b/crates/tinbay-node/tests/border_test.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::time::Duration;
 
 use common::{
@@ -107,6 +109,43 @@
     );
 }
 
+/// Starts a service that answers each call by these bytes and closes the connection.
+fn start_raw_service(answer: &'static [u8]) -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
+    let address = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            let _ = stream.read(&mut [0; 4_096]);
+            let _ = stream.write_all(answer);
+        }
+    });
+    address
+}
+
+// Guards against a part of an answer, or nothing of it, that is taken for the whole.
+#[test]
+fn service_that_does_not_mark_the_end_of_its_answer_is_outcome_unknown() {
+    for answer in [
+        &b"HTTP/1.1 200 OK\r\n\r\npayload"[..],
+        b"HTTP/1.1 200 OK\r\nContent-Lenght: 7\r\n\r\npayload",
+        b"HTTP/1.0 200 OK\r\n\r\npayl",
+    ] {
+        let started = start_box();
+        let address = started.node.address();
+        let object = format!(
+            "{{\"service\":{{\"name\":\"lookup\",\"addresses\":[\"{}\"],\
+             \"repeatable\":false,\"timeout_ms\":1000}}}}",
+            start_raw_service(answer)
+        );
+        put_objects(address, &[object]);
+        await_that("the service is known", || {
+            post(address, "/v1/services/lookup/call", "{}").status != 404
+        });
+        let called = post(address, "/v1/services/lookup/call", "{}");
+        assert_code(&called, 504, "outcome_unknown");
+    }
+}
+
 // An engine breaks all streams for 250 ms. Retries without a delay use up all four attempts within
 // milliseconds, and the request fails with `outcome_unknown`.
 #[test]
