Own interface: statuses and codings that rule a plain body out are refused

What callers saw: of a plain service, 101 and 600 with a body as answers, a 204 with a length as an empty success, and the coded form of a body (Content-Encoding: gzip) under a media type alone, as the field of the coding is not passed on.

Cause: the HTTP library takes such heads, and no reader asked.

--- a/crates/tinbay-http/tests/client_test.rs
+++ b/crates/tinbay-http/tests/client_test.rs
@@ -103,6 +103,35 @@
     ]);
 }
 
+#[test]
+fn await_head_body_ruled_out_is_refused() {
+    assert_refused(&[
+        "HTTP/1.1 204 No Content\r\nContent-Length: 7\r\n\r\npayload",
+        "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n7\r\npayload\r\n0\r\n\r\n",
+    ]);
+    let empty = read_text(b"HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n");
+    assert_eq!(empty.as_deref(), Ok(""));
+}
+
+#[test]
+fn await_head_status_not_final_is_refused() {
+    assert_refused(&[
+        "HTTP/1.1 101 Switching\r\nUpgrade: other\r\n\r\npayload",
+        "HTTP/1.1 101 Switching\r\nContent-Length: 7\r\n\r\npayload",
+        "HTTP/1.1 600 Other\r\nContent-Length: 7\r\n\r\npayload",
+        "HTTP/1.1 000 Other\r\nContent-Length: 7\r\n\r\npayload",
+    ]);
+}
+
+#[test]
+fn await_head_coded_content_is_refused() {
+    assert_refused(&[
+        "HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\nContent-Length: 7\r\n\r\npayload",
+    ]);
+    let plain = "HTTP/1.1 200 OK\r\nContent-Encoding: identity\r\nContent-Length: 7\r\n\r\npayload";
+    assert_eq!(read_text(plain.as_bytes()).as_deref(), Ok("payload"));
+}
+
 #[test]
 fn await_head_line_that_is_no_field_is_refused() {
     for line in [
