Heads: a line that ends without a carriage return is refused

What callers saw: one spoilt byte (a carriage return that became a line feed, or a line feed twice) ends a head early; its last bytes came as the start of the body: with a length, `\r\npaylo` for `payload`, whole and with the seal.

Cause: the HTTP library takes a line feed alone for the end of a line, as RFC 9112, 2.2 lets it.

Change: the bytes of a connection to a server are checked on their way to the library, from the sending of a request to the end of the response's head; a line feed alone fails the connection, as other bytes that are no answer do. Bodies are not looked at. The library's sender of requests is wrapped, so that no request goes out without the start of that check.

--- a/crates/tinbay-gateway/src/front/attempt.rs
+++ b/crates/tinbay-gateway/src/front/attempt.rs
@@ -293,7 +293,7 @@
     pending.set(connection.reuse.take());
     let sent = Instant::now();
     let sent_ms = node.now_ms();
-    let mut sending = pin!(connection.sender.try_send_request(request));
+    let mut sending = pin!(connection.sender.send(request));
     let overdue = tokio::time::timeout(terms.silent_after, &mut sending).await;
     let result = match overdue {
         Ok(result) => result,
--- a/crates/tinbay-gateway/src/front/forward/exchange.rs
+++ b/crates/tinbay-gateway/src/front/forward/exchange.rs
@@ -90,7 +90,7 @@
             return Err(ForwardResult::NotSent { unsent });
         };
         let before = inbound.last_send.replace(Some(last_send(node, inbound)));
-        match connection.sender.try_send_request(request).await {
+        match connection.sender.send(request).await {
             Ok(response) => return Ok((response, connection)),
             Err(mut error) => match error.take_message() {
                 None => return Err(ForwardResult::Refused(Refusal::MayHaveRun)),
--- a/crates/tinbay-gateway/src/http/call.rs
+++ b/crates/tinbay-gateway/src/http/call.rs
@@ -6,7 +6,6 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::client::conn::http1::SendRequest;
 use hyper::header::{CONTENT_TYPE, HOST, HeaderMap, HeaderName};
 use hyper::{Method, Request};
 use tinbay_core::units::Millis;
@@ -15,6 +14,7 @@
 use super::gather::gather_reply;
 use super::head::HeadError;
 use super::interim::InterimLimit;
+use super::sender::Sender;
 
 /// Maximum number of idle connections kept per address.
 const MAX_IDLE_CONNECTIONS: usize = 4;
@@ -85,7 +85,7 @@
 #[derive(Debug)]
 pub struct HttpClient {
     address: SocketAddr,
-    idle: RefCell<Vec<SendRequest<Full<Bytes>>>>,
+    idle: RefCell<Vec<Sender<Full<Bytes>>>>,
 }
 
 impl HttpClient {
@@ -119,7 +119,7 @@
         let mut request = self.request(call);
         let interim = InterimLimit::of(&mut request);
         let response = tokio::select! {
-            sent = sender.send_request(request) => sent.map_err(|_| CallError::NoAnswer)?,
+            sent = sender.send(request) => sent.map_err(|_| CallError::NoAnswer)?,
             () = interim.exceeded() => return Err(CallError::NoFinalResponse),
         };
         let reply = gather_reply(response, call.max_answer_bytes).await?;
@@ -149,7 +149,7 @@
         request
     }
 
-    async fn sender(&self) -> Result<SendRequest<Full<Bytes>>, CallError> {
+    async fn sender(&self) -> Result<Sender<Full<Bytes>>, CallError> {
         loop {
             let idle = self.idle.borrow_mut().pop();
             match idle {
@@ -169,7 +169,7 @@
         }
     }
 
-    fn keep(&self, sender: SendRequest<Full<Bytes>>) {
+    fn keep(&self, sender: Sender<Full<Bytes>>) {
         let mut idle = self.idle.borrow_mut();
         if idle.len() < MAX_IDLE_CONNECTIONS {
             idle.push(sender);
--- a/crates/tinbay-gateway/src/http/connect.rs
+++ b/crates/tinbay-gateway/src/http/connect.rs
@@ -6,13 +6,15 @@
 use std::time::Duration;
 
 use hyper::body::Body;
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
 use super::buffers::{READ_BYTES, limit_server_buffers};
 use super::fair_stream::FairStream;
+use super::head_lines::HeadLines;
+use super::sender::Sender;
 use super::silence::end_when_silent;
 
 /// Idle time after which keepalive probes start; watches and long responses are regularly without
@@ -70,7 +72,7 @@
 pub async fn connect<B>(
     address: SocketAddr,
     timeout: Duration,
-) -> Result<(SendRequest<B>, AbortHandle), ProbeOutcome>
+) -> Result<(Sender<B>, AbortHandle), ProbeOutcome>
 where
     B: Body + 'static,
     B::Data: Send,
@@ -80,12 +82,13 @@
     let _ = stream.set_nodelay(true);
     end_when_silent(&stream, KEEPALIVE_IDLE);
     limit_server_buffers(&stream);
+    let head_lines = HeadLines::default();
     let handshake = http1::Builder::new()
         .max_buf_size(READ_BYTES)
-        .handshake(TokioIo::new(FairStream::new(stream)));
+        .handshake(TokioIo::new(FairStream::new(stream, head_lines.clone())));
     let (sender, driver) = handshake.await.map_err(|_| ProbeOutcome::Silent)?;
     let driver = tokio::task::spawn_local(async move {
         let _ = driver.await;
     });
-    Ok((sender, driver.abort_handle()))
+    Ok((Sender::new(sender, head_lines), driver.abort_handle()))
 }
--- a/crates/tinbay-gateway/src/http/fair_stream.rs
+++ b/crates/tinbay-gateway/src/http/fair_stream.rs
@@ -1,12 +1,14 @@
-//! A connection that lets other tasks run between two large reads.
+//! A connection that lets other tasks run between two large reads, and checks the line ends of heads.
 
-use std::io;
+use std::io::{self, ErrorKind};
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use super::head_lines::HeadLines;
+
 /// Bytes of a read after which more are probably waiting.
 const LARGE_READ_BYTES: usize = 4_096;
 
@@ -19,14 +21,16 @@
 pub struct FairStream {
     stream: TcpStream,
     is_yield_due: bool,
+    head_lines: HeadLines,
 }
 
 impl FairStream {
-    /// Wraps a connection.
-    pub fn new(stream: TcpStream) -> Self {
+    /// Wraps a connection; `head_lines` checks the bytes that are received.
+    pub fn new(stream: TcpStream, head_lines: HeadLines) -> Self {
         Self {
             stream,
             is_yield_due: false,
+            head_lines,
         }
     }
 }
@@ -43,7 +47,12 @@
         }
         let filled_before = buffer.filled().len();
         let result = Pin::new(&mut self.stream).poll_read(context, buffer);
-        self.is_yield_due = buffer.filled().len() - filled_before >= LARGE_READ_BYTES;
+        let received = &buffer.filled()[filled_before..];
+        self.is_yield_due = received.len() >= LARGE_READ_BYTES;
+        if let Err(error) = self.head_lines.check(received) {
+            buffer.set_filled(filled_before);
+            return Poll::Ready(Err(io::Error::new(ErrorKind::InvalidData, error)));
+        }
         result
     }
 }
--- a/crates/tinbay-gateway/src/http/pool.rs
+++ b/crates/tinbay-gateway/src/http/pool.rs
@@ -5,7 +5,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hyper::client::conn::http1::SendRequest;
 use tinbay_core::links::Link;
 use tinbay_core::serving::idle_reuse::MIN_IDLE_LIMIT_MS;
 use tinbay_core::serving::servers::ServerKey;
@@ -15,6 +14,7 @@
 use super::body::RequestBody;
 use super::connect::{ProbeOutcome, connect};
 use super::reuse::{Reuse, ReuseLedger};
+use super::sender::Sender;
 use crate::clock::Clock;
 
 /// Time limit for establishing a connection; a server is at most a few milliseconds away.
@@ -93,7 +93,7 @@
 #[derive(Debug)]
 pub struct Connection {
     /// Sends one request at a time on the connection.
-    pub sender: SendRequest<RequestBody>,
+    pub sender: Sender<RequestBody>,
     /// Whether the connection has carried a request before.
     pub is_reused: bool,
     /// Records the outcome of the next request; present if the connection was idle in the pool.
--- a/crates/tinbay-gateway/src/http/pooled.rs
+++ b/crates/tinbay-gateway/src/http/pooled.rs
@@ -117,7 +117,7 @@
 ) -> Result<Reply, ExchangeError> {
     let interim = InterimLimit::of(&mut request);
     let sent = tokio::select! {
-        sent = connection.sender.try_send_request(request) => sent,
+        sent = connection.sender.send(request) => sent,
         () = interim.exceeded() => return Err(ExchangeError::Failed(CallError::NoFinalResponse)),
     };
     let response = sent.map_err(|mut error| match error.take_message() {
--- a/crates/tinbay-gateway/tests/fair_stream_test.rs
+++ b/crates/tinbay-gateway/tests/fair_stream_test.rs
@@ -6,6 +6,7 @@
 
 use futures_util::FutureExt;
 use tinbay_gateway::http::fair_stream::FairStream;
+use tinbay_gateway::http::head_lines::HeadLines;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 
@@ -22,7 +23,7 @@
         let _ = stream.write_all(&vec![b'x'; SENT_BYTES]);
     });
     let stream = TcpStream::connect(address).await.expect("a connection");
-    let mut stream = FairStream::new(stream);
+    let mut stream = FairStream::new(stream, HeadLines::default());
     let mut buffer = vec![0; 8_192];
     while stream.read(&mut buffer).await.expect("bytes") < buffer.len() {}
     assert!(stream.read(&mut buffer).now_or_never().is_none());
