Heads: an answer that marks no end has to say that its connection ends

What callers saw: of a server whose head was spoilt in the name of the field that tells the length (Content-Lenght: 9, Transfer-Encodin: chunked), what came before the close as a whole answer: a part of the body, or the chunk framing as body.

Cause: such a field is a valid one of another name, and a response without framing was always taken for one that ends with its connection.

Change: over HTTP/1.1, a response without framing that does not name `close` is refused (RFC 9112, 9.6: a server that closes says so). An answer that names `close` and whose field for transfer codings is spoilt in its name can still not be told from one that ends with its connection.

--- a/crates/tinbay-gateway/src/http/head.rs
+++ b/crates/tinbay-gateway/src/http/head.rs
@@ -10,7 +10,7 @@
     TRANSFER_ENCODING,
 };
 use hyper::http::response::Parts;
-use hyper::{Response, StatusCode};
+use hyper::{Response, StatusCode, Version};
 
 use super::framing::{BodyFormat, BodyFraming};
 use super::hop_headers::{drop_hop_headers, keep_alive_timeout, keeps_connection};
@@ -39,6 +39,9 @@
     /// The end of the body is marked in two ways.
     #[error("the response head states both a length and a transfer coding")]
     LengthAndTransferCoding,
+    /// The response has neither a length nor chunks, and does not say that its connection ends with it.
+    #[error("the response head does not tell where the body ends")]
+    EndNotMarked,
     /// The body is a coded form of the content, which no request asks for.
     #[error("the response head names a content coding")]
     ContentCoding,
@@ -58,6 +61,7 @@
             HeadError::UnknownTransferCoding => "unknown_transfer_coding",
             HeadError::InvalidLength => "invalid_length",
             HeadError::LengthAndTransferCoding => "length_and_transfer_coding",
+            HeadError::EndNotMarked => "end_not_marked",
             HeadError::ContentCoding => "content_coding",
             HeadError::SealMissing => "seal_missing",
             HeadError::BodyRuledOut => "body_ruled_out",
@@ -88,7 +92,10 @@
     /// `is_empty` whatever the headers say.
     ///
     /// # Errors
-    /// When the head is not that of a response with one body.
+    /// When the head is not that of a response with one body. A body whose end is not marked ends with
+    /// its connection, which the head has to say: a field whose name is spoilt marks no end.
+    ///
+    /// Source: RFC 9112, section 9.6.
     pub fn read(parts: Parts, is_empty: bool) -> Result<Self, HeadError> {
         if !is_final(parts.status) {
             return Err(HeadError::InvalidStatus);
@@ -98,13 +105,16 @@
             return Err(HeadError::ContentCoding);
         }
         let length_bytes = read_length(&headers)?;
-        let framing = read_framing(parts.status, &headers, length_bytes)?;
+        let stated = read_framing(parts.status, &headers, length_bytes)?;
+        let is_last = parts.version == Version::HTTP_10 || !keeps_connection(&headers);
+        let framing = match stated {
+            _ if is_empty => BodyFraming::Length,
+            Some(framing) => framing,
+            None if is_last => BodyFraming::UntilClose,
+            None => return Err(HeadError::EndNotMarked),
+        };
         let format = BodyFormat {
-            framing: if is_empty {
-                BodyFraming::Length
-            } else {
-                framing
-            },
+            framing,
             is_event_stream: is_event_stream(&headers),
         };
         let may_reuse = format.allows_reuse() && keeps_connection(&headers);
@@ -149,15 +159,15 @@
     (200..600).contains(&status.as_u16())
 }
 
-/// Reads how the end of the body is marked. The HTTP library takes any head that states it twice, and
-/// any transfer coding, for one of these.
+/// Reads how the end of the body is marked, if it is. The HTTP library takes any head that states it
+/// twice, and any transfer coding, for one of these.
 ///
 /// Source: RFC 9112, section 6.3.
 fn read_framing(
     status: StatusCode,
     headers: &HeaderMap,
     length_bytes: Option<u64>,
-) -> Result<BodyFraming, HeadError> {
+) -> Result<Option<BodyFraming>, HeadError> {
     let is_chunked = has_transfer_coding(headers)?;
     let is_framed_body = is_chunked || length_bytes.is_some_and(|bytes| bytes > 0);
     if is_framed_body && status == StatusCode::NO_CONTENT {
@@ -165,9 +175,9 @@
     }
     match (is_chunked, length_bytes) {
         (true, Some(_)) => Err(HeadError::LengthAndTransferCoding),
-        (true, None) => Ok(BodyFraming::Chunks),
-        (false, Some(_)) => Ok(BodyFraming::Length),
-        (false, None) => Ok(BodyFraming::UntilClose),
+        (true, None) => Ok(Some(BodyFraming::Chunks)),
+        (false, Some(_)) => Ok(Some(BodyFraming::Length)),
+        (false, None) => Ok(None),
     }
 }
 
--- a/crates/tinbay-gateway/tests/framing_test.rs
+++ b/crates/tinbay-gateway/tests/framing_test.rs
@@ -1,8 +1,8 @@
 //! Tests of how the end of a response body is recognized from its head.
 
-use hyper::Response;
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::http::response::Parts;
+use hyper::{Response, Version};
 use tinbay_gateway::http::framing::BodyFraming;
 use tinbay_gateway::http::head::{HeadError, ResponseHead};
 
@@ -72,9 +72,33 @@
 
 #[test]
 fn of_neither_until_close() {
-    let head = read(&[("content-type", "text/event-stream; charset=utf-8")]).expect("a head");
+    let headers = [
+        ("content-type", "text/event-stream; charset=utf-8"),
+        ("connection", "close"),
+    ];
+    let head = read(&headers).expect("a head");
     assert_eq!(head.format.framing, BodyFraming::UntilClose);
     assert!(head.format.is_event_stream);
+    assert!(!head.may_reuse);
+}
+
+#[test]
+fn of_neither_on_a_connection_that_stays_open_is_refused() {
+    for headers in [&[][..], &[("connection", "keep-alive")]] {
+        assert_eq!(
+            framing(headers),
+            Err(HeadError::EndNotMarked),
+            "{headers:?}"
+        );
+    }
+}
+
+#[test]
+fn of_neither_in_http_1_0_until_close() {
+    let mut parts = parts(200, &[]);
+    parts.version = Version::HTTP_10;
+    let framing = ResponseHead::read(parts, false).map(|head| head.format.framing);
+    assert_eq!(framing, Ok(BodyFraming::UntilClose));
 }
 
 #[test]
