--- a/crates/tinbay-gateway/src/front/answer_head.rs
+++ b/crates/tinbay-gateway/src/front/answer_head.rs
@@ -17,7 +17,7 @@
 ) -> Result<(ResponseHead, Incoming), HeadError> {
     let (parts, incoming) = response.into_parts();
     let head = ResponseHead::read(parts, incoming.is_end_stream());
-    let checked = head.and_then(|head| check_seal(node, head));
+    let checked = head.and_then(|head| check_signature(node, head));
     match checked {
         Ok(head) => Ok((head, incoming)),
         Err(error) => {
@@ -27,11 +27,11 @@
     }
 }
 
-/// Checks that a success carries the seal of its server, without which callers can't accept it.
-fn check_seal(node: &Node, head: ResponseHead) -> Result<ResponseHead, HeadError> {
-    let seal = &node.dialect.headers().seal;
-    if head.status.is_success() && !head.has_value(seal) {
-        return Err(HeadError::SealMissing);
+/// Checks that a success carries the signature of its server, without which callers can't accept it.
+fn check_signature(node: &Node, head: ResponseHead) -> Result<ResponseHead, HeadError> {
+    let signature = &node.dialect.headers().signature;
+    if head.status.is_success() && !head.has_value(signature) {
+        return Err(HeadError::SignatureMissing);
     }
     Ok(head)
 }
--- a/crates/tinbay-gateway/src/http/head.rs
+++ b/crates/tinbay-gateway/src/http/head.rs
@@ -45,9 +45,9 @@
     /// The body is a coded form of the content, which no request asks for.
     #[error("the response head names a content coding")]
     ContentCoding,
-    /// A successful response does not carry the seal of its server.
-    #[error("the response head of a success carries no seal of the server")]
-    SealMissing,
+    /// A successful response does not carry the signature of its server.
+    #[error("the response head of a success carries no signature of the server")]
+    SignatureMissing,
     /// The status says that there is no body, and the headers say that there is one.
     #[error("the response head frames a body that its status rules out")]
     BodyRuledOut,
@@ -63,7 +63,7 @@
             HeadError::LengthAndTransferCoding => "length_and_transfer_coding",
             HeadError::EndNotMarked => "end_not_marked",
             HeadError::ContentCoding => "content_coding",
-            HeadError::SealMissing => "seal_missing",
+            HeadError::SignatureMissing => "signature_missing",
             HeadError::BodyRuledOut => "body_ruled_out",
         }
     }
@@ -93,7 +93,7 @@
     ///
     /// # Errors
     /// When the head is not that of a response with one body. A body whose end is not marked ends with
-    /// its connection, which the head has to say: a field whose name is spoilt marks no end.
+    /// its connection, which the head has to say: a field whose name is corrupted marks no end.
     ///
     /// Source: RFC 9112, section 9.6.
     pub fn read(parts: Parts, is_empty: bool) -> Result<Self, HeadError> {
--- a/crates/tinbay-gateway/src/http/head_lines.rs
+++ b/crates/tinbay-gateway/src/http/head_lines.rs
@@ -35,7 +35,7 @@
 /// Checks that the lines of heads end with a carriage return and a line feed.
 ///
 /// The HTTP library also takes a line feed alone for the end of a line. A head in which one byte is
-/// spoilt may so end early, and the rest of it would count as the start of the body.
+/// corrupted may so end early, and the rest of it would count as the start of the body.
 #[derive(Debug, Clone, Default)]
 pub struct HeadLines {
     place: Rc<Cell<Place>>,
--- a/crates/tinbay-gateway/src/port/dialect.rs
+++ b/crates/tinbay-gateway/src/port/dialect.rs
@@ -32,8 +32,8 @@
     pub server_id: HeaderName,
     /// Set on a response by a server that did not execute the request.
     pub not_run: HeaderName,
-    /// Seal of the server, by which callers check a successful response.
-    pub seal: HeaderName,
+    /// Signature of the server, by which callers check a successful response.
+    pub signature: HeaderName,
     /// Requested model and adapter.
     pub model: HeaderName,
     /// Version of the adapter that the server must have loaded.
--- a/crates/tinbay-gateway/tests/head_lines_test.rs
+++ b/crates/tinbay-gateway/tests/head_lines_test.rs
@@ -42,8 +42,8 @@
     let interim = b"HTTP/1.1 103 Early\r\nA: b\r\n\r\n";
     let sound = [&interim[..], b"HTTP/1.1 200 OK\r\n\r\n\n"].concat();
     assert_eq!(check(&sound), Ok(()));
-    let spoilt = [&interim[..], b"HTTP/1.1 200 OK\n"].concat();
-    assert_eq!(check(&spoilt), Err(BareLineFeed));
+    let malformed = [&interim[..], b"HTTP/1.1 200 OK\n"].concat();
+    assert_eq!(check(&malformed), Err(BareLineFeed));
 }
 
 #[test]
--- a/crates/tinbay-http/tests/client_test.rs
+++ b/crates/tinbay-http/tests/client_test.rs
@@ -157,15 +157,15 @@
 }
 
 /// Bytes that change the structure of a head, and some that do not.
-const SPOILT_BYTES: [u8; 9] = *b"\0\x01 \r\n,:9\xff";
+const CORRUPTED_BYTES: [u8; 9] = *b"\0\x01 \r\n,:9\xff";
 
 /// The heads that differ from a sound one by a byte that is changed, dropped or doubled.
-fn spoil(sound: &[u8]) -> Vec<Vec<u8>> {
+fn corrupt(sound: &[u8]) -> Vec<Vec<u8>> {
     let mut heads = Vec::new();
     for at in 0..sound.len() {
         let (before, after) = sound.split_at(at);
         let changed = |byte: &u8| [before, &[*byte], &after[1..]].concat();
-        heads.extend(SPOILT_BYTES.iter().map(changed));
+        heads.extend(CORRUPTED_BYTES.iter().map(changed));
         heads.push([before, &after[1..]].concat());
         // Doubled, the last byte would be one of the body.
         if after.len() > 1 {
@@ -176,7 +176,7 @@
 }
 
 #[test]
-fn await_head_spoilt_byte_gives_the_body_or_an_error() {
+fn await_head_corrupted_byte_gives_the_body_or_an_error() {
     let chunked = "7\r\npayload\r\n0\r\n\r\n";
     let mut unsound = Vec::new();
     for (framing, body) in [
@@ -184,7 +184,7 @@
         ("Transfer-Encoding: chunked\r\n", chunked),
     ] {
         let sound = format!("HTTP/1.1 200 OK\r\n{framing}Server: s\r\n\r\n");
-        for head in spoil(sound.as_bytes()) {
+        for head in corrupt(sound.as_bytes()) {
             let text = read_text(&[&head, body.as_bytes()].concat());
             if text.as_ref().is_ok_and(|text| text != "payload") {
                 unsound.push((String::from_utf8_lossy(&head).into_owned(), text));
