--- a/crates/tinbay-gateway/src/front/answer_head.rs
+++ b/crates/tinbay-gateway/src/front/answer_head.rs
@@ -10,7 +10,7 @@
 /// says is believed if it is refused, so that the request may have run.
 ///
 /// # Errors
-/// When the head is not one of an answer.
+/// Why the head is refused.
 pub fn read_answer_head(
     node: &Node,
     response: Response<Incoming>,
--- a/crates/tinbay-gateway/src/front/attempt.rs
+++ b/crates/tinbay-gateway/src/front/attempt.rs
@@ -69,7 +69,7 @@
     Silent,
     /// Interim responses kept coming instead of a response.
     NoFinalResponse,
-    /// The head of the response is not one of a response.
+    /// The head of the response is refused.
     InvalidHead(HeadError),
     /// The response carries no request id or that of another request.
     OtherAnswer,
--- a/crates/tinbay-gateway/src/http/call.rs
+++ b/crates/tinbay-gateway/src/http/call.rs
@@ -73,7 +73,7 @@
         /// The limit that it exceeds.
         max_bytes: usize,
     },
-    /// The head of the response is not one of a response; the server may have received the request.
+    /// The head of the response is refused; the server may have received the request.
     #[error(transparent)]
     InvalidHead(#[from] HeadError),
     /// Interim responses keep coming instead of a response.
--- a/crates/tinbay-gateway/src/http/fair_stream.rs
+++ b/crates/tinbay-gateway/src/http/fair_stream.rs
@@ -12,7 +12,7 @@
 /// Bytes of a read after which more are probably waiting.
 const LARGE_READ_BYTES: usize = 4_096;
 
-/// A TCP stream whose reads yield after a large one.
+/// A TCP stream whose reads yield after a large one, and fail at a line feed alone in a head.
 ///
 /// The HTTP library reads and parses for as long as bytes have arrived. A peer that always has more
 /// to send would otherwise hold up all other tasks, among them those that notice that it has sent
--- a/crates/tinbay-gateway/src/http/gather.rs
+++ b/crates/tinbay-gateway/src/http/gather.rs
@@ -11,7 +11,7 @@
 /// Reads a response whole.
 ///
 /// # Errors
-/// When its head is not one of a response, or its body is longer than `max_bytes` or ends early.
+/// When its head is refused, or its body is longer than `max_bytes` or ends early.
 pub async fn gather_reply(
     response: Response<Incoming>,
     max_bytes: usize,
--- a/crates/tinbay-gateway/src/http/head.rs
+++ b/crates/tinbay-gateway/src/http/head.rs
@@ -24,7 +24,7 @@
 /// The content coding of a body that is not coded.
 const IDENTITY: &[u8] = b"identity";
 
-/// Why a head is not that of a response. The bytes after it are then not a body.
+/// Why a response head is refused. The bytes after it are then not taken for a body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum HeadError {
     /// The status is an interim one, such as of a switch of protocols, or has no meaning.
@@ -91,11 +91,12 @@
     /// Reads a head. A response that can't have a body, by its status or its request's method,
     /// `is_empty` whatever the headers say.
     ///
-    /// # Errors
-    /// When the head is not that of a response with one body. A body whose end is not marked ends with
-    /// its connection, which the head has to say: a field whose name is corrupted marks no end.
+    /// A body without framing ends with its connection. The head has to say that the connection is
+    /// closed, as a field whose name is corrupted leaves a body without framing, too (RFC 9112,
+    /// section 9.6).
     ///
-    /// Source: RFC 9112, section 9.6.
+    /// # Errors
+    /// When the head is malformed, or contradicts itself.
     pub fn read(parts: Parts, is_empty: bool) -> Result<Self, HeadError> {
         if !is_final(parts.status) {
             return Err(HeadError::InvalidStatus);
@@ -106,7 +107,8 @@
         }
         let length_bytes = read_length(&headers)?;
         let stated = read_framing(parts.status, &headers, length_bytes)?;
-        let is_last = parts.version == Version::HTTP_10 || !keeps_connection(&headers);
+        let keeps_connection = keeps_connection(&headers);
+        let is_last = parts.version == Version::HTTP_10 || !keeps_connection;
         let framing = match stated {
             _ if is_empty => BodyFraming::Length,
             Some(framing) => framing,
@@ -117,7 +119,7 @@
             framing,
             is_event_stream: is_event_stream(&headers),
         };
-        let may_reuse = format.allows_reuse() && keeps_connection(&headers);
+        let may_reuse = format.allows_reuse() && keeps_connection;
         let idle_limit = keep_alive_timeout(&headers);
         drop_hop_headers(&mut headers);
         headers.remove(CONTENT_LENGTH);
--- a/crates/tinbay-gateway/src/http/head_lines.rs
+++ b/crates/tinbay-gateway/src/http/head_lines.rs
@@ -6,7 +6,7 @@
 /// Where the first digit of the status stands in the first line of a response.
 const STATUS_CLASS_AT: usize = b"HTTP/1.1 ".len();
 
-/// Why the bytes of a head are not passed to the HTTP library.
+/// A line of a head ends with a line feed alone.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 #[error("a line of the response head ends without a carriage return")]
 pub struct BareLineFeed;
--- a/crates/tinbay-gateway/src/links/check.rs
+++ b/crates/tinbay-gateway/src/links/check.rs
@@ -201,8 +201,8 @@
         }
     }
 
-    /// Whether the server answers on a new connection; any answer will do, as will a head that is not
-    /// one of an answer.
+    /// Whether the server answers on a new connection; any answer will do, also one whose head is
+    /// refused.
     async fn is_answered(&self, node: &Node, server: &Server) -> bool {
         let record = server.record();
         let headers = node.dialect.headers();
--- a/crates/tinbay-gateway/src/metrics.rs
+++ b/crates/tinbay-gateway/src/metrics.rs
@@ -47,7 +47,7 @@
     pub store_restores: IntCounter,
     /// Entries and messages that this box could not decode, by kind.
     pub unreadable: IntCounterVec,
-    /// Response heads that are not of responses, by reason.
+    /// Refused heads of answers to callers' requests, by reason.
     invalid_heads: IntCounterVec,
     /// Notices about their own state that servers put into answers, by notice.
     pub server_notices: IntCounterVec,
@@ -158,7 +158,7 @@
             )?,
             invalid_heads: counter(
                 "tinbay_invalid_heads_total",
-                "Response heads that are not of responses",
+                "Refused heads of answers to requests",
                 &["reason"],
             )?,
             unreadable: counter(
@@ -265,7 +265,7 @@
         })
     }
 
-    /// Counts a response head that is not one of a response.
+    /// Counts a refused head of an answer to a caller's request.
     pub fn count_invalid_head(&self, error: HeadError) {
         let reason = error.name();
         self.invalid_heads.with_label_values(&[reason]).inc();
--- a/crates/tinbay-http/src/client.rs
+++ b/crates/tinbay-http/src/client.rs
@@ -41,7 +41,7 @@
     /// The response did not arrive in time; the request may have been sent.
     #[error("no answer in time")]
     TimedOut,
-    /// The head of the response is not one of a response; the request may have been received.
+    /// The head of the response is refused; the request may have been received.
     #[error(transparent)]
     InvalidHead(#[from] HeadError),
     /// The response body could not be decoded.
--- a/crates/tinbay-http/src/head.rs
+++ b/crates/tinbay-http/src/head.rs
@@ -7,7 +7,7 @@
 use ntex::http::header::{CONTENT_ENCODING, CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
 use ntex::http::{HeaderMap, StatusCode};
 
-/// Why a head is not that of a response.
+/// Why a response head is refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum HeadError {
     /// The status is an interim one, such as of a switch of protocols, or has no meaning.
@@ -27,7 +27,7 @@
 /// Checks the head of a response.
 ///
 /// # Errors
-/// When it is not that of a response whose end can be told from that of its connection.
+/// Why it is refused.
 pub fn check_head(response: &ClientResponse) -> Result<(), HeadError> {
     let headers = response.headers();
     if has_content_coding(headers) {
