--- a/crates/tinbay-http/tests/client_test.rs
+++ b/crates/tinbay-http/tests/client_test.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use tinbay_http::client::{CallError, get_json, get_text};
+use tinbay_platform_standin::raw_answer::corrupt;
 
 /// Sends one request to an address.
 fn send_request(address: String) -> Result<serde_json::Value, CallError> {
@@ -156,25 +157,6 @@
     }
 }
 
-/// Bytes that change the structure of a head, and some that do not.
-const CORRUPTED_BYTES: [u8; 9] = *b"\0\x01 \r\n,:9\xff";
-
-/// The heads that differ from a sound one by a byte that is changed, dropped or doubled.
-fn corrupt(sound: &[u8]) -> Vec<Vec<u8>> {
-    let mut heads = Vec::new();
-    for at in 0..sound.len() {
-        let (before, after) = sound.split_at(at);
-        let changed = |byte: &u8| [before, &[*byte], &after[1..]].concat();
-        heads.extend(CORRUPTED_BYTES.iter().map(changed));
-        heads.push([before, &after[1..]].concat());
-        // Doubled, the last byte would be one of the body.
-        if after.len() > 1 {
-            heads.push([before, &after[..1], after].concat());
-        }
-    }
-    heads
-}
-
 #[test]
 fn await_head_corrupted_byte_gives_the_body_or_an_error() {
     let chunked = "7\r\npayload\r\n0\r\n\r\n";
