Requests: names that others chose are encoded in the target of a request

What callers saw: while an entry of another writer stood in the list of servers, under a name with characters such as &, +, #, % or a blank, and the list was longer than a page, almost no request was served after all boxes had been restarted (503, no server known).

Cause: a listing goes on after the last key of a page, and that key was written into the request as it was. The store decodes parameters, so it read another key: the next page began before the last one had ended (the listing was dropped as one that does not lead on), or after keys that it left out, without a line. A key that has no place in a URI at all (a blank, a control character, a quote) made the client send GET / in place of the request that was meant; the store's 404 was read as a lapsed lease.

Change: targets are built in one place (http::target) from a path and texts, which it encodes; calls take nothing else. A text that is no target is a typed error where the target is built, and no other request is sent in its place: the store's client says so (invalid_call), a copy that can't be freed and a health path that can't be asked for have a line. Plain names are sent as before.

--- a/crates/tinbay-gateway/src/front/handover/actions.rs
+++ b/crates/tinbay-gateway/src/front/handover/actions.rs
@@ -27,6 +27,7 @@
 use crate::http::pool::ReusableIdle;
 use crate::http::pooled::call_pooled;
 use crate::http::relay::ContinuedAnswer;
+use crate::http::target::InvalidTarget;
 use crate::limits::permits;
 use crate::node::Node;
 use crate::servers::calls::request_to;
@@ -52,6 +53,12 @@
 /// Time-out of the call that frees a copy.
 const FREE_TIMEOUT: Duration = Duration::from_millis(500);
 
+#[derive(Serialize)]
+struct NotFreedEvent<'a> {
+    server: &'a str,
+    error: String,
+}
+
 /// Hands over one run by calls to its servers.
 pub struct NodeHandover {
     node: Rc<Node>,
@@ -130,7 +137,7 @@
             &self.node,
             &self.source,
             Method::POST,
-            dialect.handover_path(),
+            &dialect.handover_target(),
             body,
         );
         let max_connections = max_connections(&self.node, &self.inbound);
@@ -329,12 +336,15 @@
 
 impl SourceCopies {
     fn free(&self, handle: &str) {
-        let path = self.node.dialect.copy_path(handle);
+        let target = match self.node.dialect.copy_target(handle) {
+            Ok(target) => target,
+            Err(error) => return log_not_freed(&self.source, &error),
+        };
         let request = request_to(
             &self.node,
             &self.source,
             Method::DELETE,
-            &path,
+            &target,
             Bytes::new(),
         );
         let pool = Rc::clone(&self.source.pool);
@@ -346,6 +356,14 @@
     }
 }
 
+fn log_not_freed(source: &Server, error: &InvalidTarget) {
+    let event = NotFreedEvent {
+        server: &source.record().id,
+        error: error.to_string(),
+    };
+    events::emit(part::FRONT, Level::Warn, "copy_not_freed", &event);
+}
+
 /// The source's answer to the request to stop and copy a run. If it is dropped before it is taken,
 /// the copy is freed.
 struct CopiedRun {
--- a/crates/tinbay-gateway/src/http/call.rs
+++ b/crates/tinbay-gateway/src/http/call.rs
@@ -15,6 +15,7 @@
 use super::head::HeadError;
 use super::interim::InterimLimit;
 use super::sender::Sender;
+use super::target::RequestTarget;
 
 /// Maximum number of idle connections kept per address.
 const MAX_IDLE_CONNECTIONS: usize = 4;
@@ -34,8 +35,8 @@
 pub struct Call {
     /// HTTP method of the request.
     pub method: Method,
-    /// Path and query string of the request target.
-    pub path: String,
+    /// Path and query of the request.
+    pub target: RequestTarget,
     /// JSON body; empty if the request has none.
     pub body: Bytes,
     /// One additional header, if any.
@@ -130,7 +131,7 @@
     fn request(&self, call: &Call) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(call.body.clone()));
         *request.method_mut() = call.method.clone();
-        *request.uri_mut() = call.path.parse().unwrap_or_default();
+        *request.uri_mut() = call.target.to_uri();
         let headers = request.headers_mut();
         if let Ok(host) = self.address.to_string().parse() {
             headers.insert(HOST, host);
--- a/crates/tinbay-gateway/src/http/mod.rs
+++ b/crates/tinbay-gateway/src/http/mod.rs
@@ -19,3 +19,4 @@
 pub mod reuse;
 pub mod sender;
 pub mod silence;
+pub mod target;
--- a/crates/tinbay-gateway/src/links/check.rs
+++ b/crates/tinbay-gateway/src/links/check.rs
@@ -7,13 +7,18 @@
 use bytes::Bytes;
 use futures_util::future::join_all;
 use hyper::Method;
+use log::Level;
 use rand::seq::IndexedRandom;
+use serde::Serialize;
+use tinbay_core::serving::configuration::Service;
 use tinbay_core::serving::servers::ServerKey;
 use tinbay_core::slots::home::LeaseEnd;
 use tinbay_core::units::Millis;
 
+use crate::events::{self, part};
 use crate::http::call::{Call, CallError, HttpClient, MAX_SERVER_ANSWER_BYTES};
 use crate::http::pooled::call_idle;
+use crate::http::target::RequestTarget;
 use crate::node::Node;
 use crate::servers::calls::request_to;
 use crate::servers::{Server, notices};
@@ -160,15 +165,36 @@
     let Ok(_slot) = check.take_slot(node, server).await else {
         return false;
     };
-    let request = request_to(node, server, Method::GET, &check.path, Bytes::new());
+    let request = request_to(node, server, Method::GET, &check.target, Bytes::new());
     let reply = call_idle(&server.pool, request, timeout).await;
     reply.is_ok()
 }
 
+#[derive(Serialize)]
+struct NotCheckedEvent<'a> {
+    health_path: &'a str,
+    error: String,
+}
+
+/// The target of a service's health check, if operators have set one that can be sent.
+fn health_target(service: &Service) -> Option<RequestTarget> {
+    match RequestTarget::parse(&service.health_path) {
+        Ok(target) => Some(target),
+        Err(error) => {
+            let event = NotCheckedEvent {
+                health_path: &service.health_path,
+                error: error.to_string(),
+            };
+            events::emit(part::SERVERS, Level::Warn, "server_not_checked", &event);
+            None
+        }
+    }
+}
+
 /// How a server is checked: an engine is asked for its report, which occupies none of its slots, and
 /// any other server for its health.
 struct CheckCall {
-    path: String,
+    target: RequestTarget,
     takes_slot: bool,
 }
 
@@ -179,11 +205,11 @@
         let service = services.get(&server.record().service)?;
         Some(match service.engine {
             Some(_) => Self {
-                path: node.dialect.report_path().to_string(),
+                target: node.dialect.report_target(),
                 takes_slot: false,
             },
             None => Self {
-                path: service.health_path.clone(),
+                target: health_target(service)?,
                 takes_slot: true,
             },
         })
@@ -208,7 +234,7 @@
         let headers = node.dialect.headers();
         let call = Call {
             method: Method::GET,
-            path: self.path.clone(),
+            target: self.target.clone(),
             body: Bytes::new(),
             header: Some((headers.expect_server.clone(), record.id.clone())),
             timeout_ms: CHECK_TIMEOUT_MS,
--- a/crates/tinbay-gateway/src/orders/holder.rs
+++ b/crates/tinbay-gateway/src/orders/holder.rs
@@ -24,6 +24,7 @@
 use crate::events::{self, part};
 use crate::front::inbound::text;
 use crate::http::call::{Call, CallError, HttpClient, MAX_SERVER_ANSWER_BYTES, Reply};
+use crate::http::target::RequestTarget;
 use crate::links;
 use crate::node::Node;
 use crate::port::dialect::{DecodeError, Order, OrderAction};
@@ -285,8 +286,8 @@
     }
 
     async fn fetch_report(&self) -> Option<Report> {
-        let path = self.node.dialect.report_path().to_string();
-        let call = self.call(Method::GET, path, Bytes::new(), REPORT_TIMEOUT_MS);
+        let target = self.node.dialect.report_target();
+        let call = self.call(Method::GET, target, Bytes::new(), REPORT_TIMEOUT_MS);
         let request_sent_ms = self.node.now_ms();
         let replied = self.caller.call(&call).await;
         self.log_report_failure(replied.as_ref().err().copied());
@@ -424,8 +425,8 @@
 
     async fn send(&self, order: &Order) -> OrderAnswer {
         let body = self.node.dialect.encode_order(order);
-        let path = self.node.dialect.order_path().to_string();
-        let call = self.call(Method::POST, path, body, ORDER_TIMEOUT_MS);
+        let target = self.node.dialect.order_target();
+        let call = self.call(Method::POST, target, body, ORDER_TIMEOUT_MS);
         let request_sent_ms = self.node.now_ms();
         let undelivered = &self.node.undelivered_orders;
         let order_send = undelivered.begin(&self.server.address_text);
@@ -521,11 +522,11 @@
         })
     }
 
-    fn call(&self, method: Method, path: String, body: Bytes, timeout_ms: Millis) -> Call {
+    fn call(&self, method: Method, target: RequestTarget, body: Bytes, timeout_ms: Millis) -> Call {
         let name = self.node.dialect.headers().expect_server.clone();
         Call {
             method,
-            path,
+            target,
             body,
             header: Some((name, self.server.record().id.clone())),
             timeout_ms,
--- a/crates/tinbay-gateway/src/port/dialect.rs
+++ b/crates/tinbay-gateway/src/port/dialect.rs
@@ -9,6 +9,8 @@
 use tinbay_core::serving::servers::{Report, ServerRecord};
 use tinbay_core::units::Millis;
 
+use crate::http::target::{InvalidTarget, RequestTarget};
+
 /// A value that could not be decoded.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error("{what} could not be read: {reason}")]
@@ -134,11 +136,11 @@
     /// Path at which a box answers directory queries.
     fn directory_path(&self) -> &str;
 
-    /// Path at which a server reports its contents and state.
-    fn report_path(&self) -> &str;
+    /// Target at which a server reports its contents and state.
+    fn report_target(&self) -> RequestTarget;
 
-    /// Path at which a server accepts orders.
-    fn order_path(&self) -> &str;
+    /// Target at which a server accepts orders.
+    fn order_target(&self) -> RequestTarget;
 
     /// Decodes the description of the prompt from a request's headers.
     fn decode_prompt(&self, headers: &HeaderMap) -> Prompt;
@@ -208,8 +210,9 @@
     /// Encodes the body of an order to a server.
     fn encode_order(&self, order: &Order) -> Bytes;
 
-    /// Path of the call that hands a run over: the server stops it and copies it to another server.
-    fn handover_path(&self) -> &str;
+    /// Target of the call that hands a run over: the server stops it and copies it to another
+    /// server.
+    fn handover_target(&self) -> RequestTarget;
 
     /// Encodes the body of the call that hands the run of a request over to `target`.
     fn encode_handover(&self, request_id: &str, target: SocketAddr) -> Bytes;
@@ -220,8 +223,11 @@
     /// When the value cannot be decoded.
     fn decode_handover(&self, value: &[u8]) -> Result<HandoverReply, DecodeError>;
 
-    /// Path at the server that made a copy; frees the copy if no server resumes from it.
-    fn copy_path(&self, handle: &str) -> String;
+    /// Target at the server that made a copy; frees the copy if no server resumes from it.
+    ///
+    /// # Errors
+    /// When the handle is too long for a target.
+    fn copy_target(&self, handle: &str) -> Result<RequestTarget, InvalidTarget>;
 
     /// Value of the header that names the copy a server resumes from.
     fn encode_copy_source(&self, source: SocketAddr, handle: &str) -> String;
--- a/crates/tinbay-gateway/src/port/store.rs
+++ b/crates/tinbay-gateway/src/port/store.rs
@@ -119,6 +119,12 @@
     /// reads.
     #[error("the store was not queried: no relay answered, and the limit of own reads is used up")]
     NotAsked,
+    /// The call can't be written as a request and was not sent.
+    #[error("the call to the store can't be sent: {reason}")]
+    InvalidCall {
+        /// What is wrong with the request.
+        reason: String,
+    },
     /// The store rejected the call and changed nothing.
     #[error("the store rejected the call with status {status}")]
     Refused {
--- a/crates/tinbay-gateway/src/servers/calls.rs
+++ b/crates/tinbay-gateway/src/servers/calls.rs
@@ -6,6 +6,7 @@
 
 use super::Server;
 use crate::http::body::RequestBody;
+use crate::http::target::RequestTarget;
 use crate::node::Node;
 
 /// Builds a request that only this server is to answer.
@@ -13,12 +14,12 @@
     node: &Node,
     server: &Server,
     method: Method,
-    path: &str,
+    target: &RequestTarget,
     body: Bytes,
 ) -> Request<RequestBody> {
     let mut request = Request::new(RequestBody::whole(body));
     *request.method_mut() = method;
-    *request.uri_mut() = path.parse().unwrap_or_default();
+    *request.uri_mut() = target.to_uri();
     let headers = request.headers_mut();
     let name = &node.dialect.headers().expect_server;
     if let Ok(id) = HeaderValue::from_str(&server.record().id) {
--- a/crates/tinbay-gateway/src/servers/incarnation.rs
+++ b/crates/tinbay-gateway/src/servers/incarnation.rs
@@ -54,8 +54,8 @@
     if node.engine_properties(&server.record().service).is_none() {
         return Incarnation::Described;
     }
-    let path = node.dialect.report_path();
-    let request = request_to(node, server, Method::GET, path, Bytes::new());
+    let target = node.dialect.report_target();
+    let request = request_to(node, server, Method::GET, &target, Bytes::new());
     let reply = match call_on(connection, request, REPORT_TIMEOUT).await {
         Ok(reply) => reply,
         Err(CallError::NotConnected) => return Incarnation::Closed,
--- a/crates/tinbay-gateway/src/watch/mod.rs
+++ b/crates/tinbay-gateway/src/watch/mod.rs
@@ -258,6 +258,7 @@
         Ok(_) => "ok",
         Err(StoreError::NoAnswer) => "no_answer",
         Err(StoreError::NotAsked) => "not_asked",
+        Err(StoreError::InvalidCall { .. }) => "invalid_call",
         Err(StoreError::Refused { .. }) => "refused",
         Err(StoreError::HistoryGone) => "history_gone",
         Err(StoreError::Conflict { .. }) => "conflict",
--- a/crates/tinbay-gateway/src/watch/relay/ask.rs
+++ b/crates/tinbay-gateway/src/watch/relay/ask.rs
@@ -14,6 +14,7 @@
 use super::message::{ChangePart, RelayAnswer, RelayRequest};
 use crate::events::{self, part};
 use crate::http::call::{Call, HttpClient, MAX_STORE_ANSWER_BYTES};
+use crate::http::target::RequestTarget;
 use crate::node::Node;
 use crate::port::store::{Change, Changes, Item, Listing};
 use crate::watch::replica::Freshness;
@@ -197,7 +198,7 @@
 ) -> Option<RelayAnswer> {
     let call = Call {
         method: Method::POST,
-        path: PATH.to_string(),
+        target: RequestTarget::from_static(PATH),
         body: Bytes::from(postcard::to_stdvec(request).ok()?),
         header: None,
         timeout_ms,
--- a/crates/tinbay-gateway/tests/call_test.rs
+++ b/crates/tinbay-gateway/tests/call_test.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use hyper::Method;
 use tinbay_gateway::http::call::{Call, CallError, HttpClient};
+use tinbay_gateway::http::target::RequestTarget;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::LocalSet;
@@ -17,7 +18,7 @@
 fn call() -> Call {
     Call {
         method: Method::GET,
-        path: "/".into(),
+        target: RequestTarget::from_static("/"),
         body: Bytes::new(),
         header: None,
         timeout_ms: 300,
