Store: an item that can't be read costs itself, not its whole answer

With one item that is JSON of another form (a text, a value that is null, a revision that is a text) or holds a key that is no text (an escape of a lone surrogate, bytes that are not UTF-8), boxes saw no server that joined later, and a box that started saw none.

Cause: the items of a page, of a watch or of a conflict were decoded as one list, so that the first odd one was the error of the whole answer, each time it was read.

Change: the answer is read with its items left as they are, and each item is decoded by itself. One without a key is left out, counted (tinbay_unreadable_total, store_item) and logged now and then (items_unreadable), with its revision and without its text.

--- a/crates/tinbay-gateway/src/port/store.rs
+++ b/crates/tinbay-gateway/src/port/store.rs
@@ -176,6 +176,28 @@
     pub era: Option<Era>,
     /// Value or error of the call.
     pub result: StoreResult<T>,
+    /// Items that the value or the error lacks, as they can't be read.
+    pub unreadable: Vec<UnreadableItem>,
+}
+
+impl<T> Answered<T> {
+    /// An answer whose items could all be read.
+    pub fn new(era: Option<Era>, result: StoreResult<T>) -> Self {
+        Self {
+            era,
+            result,
+            unreadable: Vec::new(),
+        }
+    }
+}
+
+/// An item of an answer in which no key, or no revision where one is needed, can be read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UnreadableItem {
+    /// Revision of the item, if that can be read.
+    pub revision: Option<Revision>,
+    /// What can't be read; holds nothing of the item, which may hold a secret.
+    pub reason: &'static str,
 }
 
 /// Client of the key-value store. All responses, also rejections, name the era in which they were
--- a/crates/tinbay-gateway/src/watch/access.rs
+++ b/crates/tinbay-gateway/src/watch/access.rs
@@ -7,13 +7,17 @@
 
 use std::cell::{Cell, RefCell};
 
-use tinbay_core::serving::position::{Era, Position};
+use log::Level;
+use serde::Serialize;
+use tinbay_core::serving::position::{Era, Position, Revision};
 use tinbay_core::units::Millis;
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
+use crate::events::{self, part};
 use crate::port::store::{
     Answered, Changes, Item, Lease, Listing, Store, StoreError, StoreResult, Transaction,
+    UnreadableItem,
 };
 use crate::watch::snapshot::Snapshot;
 
@@ -30,6 +34,18 @@
 /// Time that the answer to such a watch may take beyond its wait.
 const MAX_CATCH_UP_DELAY_MS: Millis = 1_500;
 
+/// Shortest time between two lines on items that can't be read. Each read of a listing shows the same
+/// items again.
+const UNREADABLE_LOG_PAUSE_MS: Millis = 60_000;
+
+#[derive(Serialize)]
+struct UnreadableEvent {
+    items: usize,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    revision: Option<Revision>,
+    error: &'static str,
+}
+
 /// A listing of the store, and how it was read.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Listed {
@@ -76,6 +92,9 @@
     last_restore: Cell<Option<StoreRestore>>,
     /// Restores that have not been handled yet, oldest first.
     unhandled: RefCell<Vec<StoreRestore>>,
+    /// Items that could not be read, since they were last taken.
+    unreadable: Cell<usize>,
+    unreadable_logged_ms: Cell<Option<Millis>>,
     /// Notified when a restore is noticed.
     pub restored: Notify,
 }
@@ -91,6 +110,8 @@
             has_unnamed_answer: Cell::default(),
             last_restore: Cell::default(),
             unhandled: RefCell::default(),
+            unreadable: Cell::default(),
+            unreadable_logged_ms: Cell::default(),
             restored: Notify::new(),
         }
     }
@@ -295,7 +316,33 @@
         kept
     }
 
+    /// Number of items that could not be read in the answers since the last call.
+    pub fn take_unreadable(&self) -> usize {
+        self.unreadable.take()
+    }
+
+    /// Counts items that answers lack as they can't be read, and logs the first one now and then.
+    fn record_unreadable(&self, items: &[UnreadableItem]) {
+        let Some(first) = items.first() else {
+            return;
+        };
+        self.unreadable.update(|count| count + items.len());
+        let now_ms = self.clock.now_ms();
+        let last_ms = self.unreadable_logged_ms.get();
+        if last_ms.is_some_and(|last_ms| now_ms < last_ms + UNREADABLE_LOG_PAUSE_MS) {
+            return;
+        }
+        self.unreadable_logged_ms.set(Some(now_ms));
+        let event = UnreadableEvent {
+            items: items.len(),
+            revision: first.revision,
+            error: first.reason,
+        };
+        events::emit(part::STORE, Level::Warn, "items_unreadable", &event);
+    }
+
     fn check_era<T>(&self, answered: Answered<T>) -> StoreResult<T> {
+        self.record_unreadable(&answered.unreadable);
         match (answered.era, answered.result) {
             (Some(era), result) => {
                 if !self.record_era(era) {
--- a/crates/tinbay-gateway/src/watch/mod.rs
+++ b/crates/tinbay-gateway/src/watch/mod.rs
@@ -252,7 +252,7 @@
     follower.apply(change);
 }
 
-/// Counts a store call by its outcome.
+/// Counts a store call by its outcome, and the items that could not be read.
 pub fn counted<T>(node: &Node, call: &str, result: Result<T, StoreError>) -> Result<T, StoreError> {
     let outcome = match &result {
         Ok(_) => "ok",
@@ -272,6 +272,12 @@
         .store_calls
         .with_label_values(&[call, outcome])
         .inc();
+    let unreadable = node.store.take_unreadable() as u64;
+    if unreadable > 0 {
+        let labels = ["store_item"];
+        let metric = node.metrics.unreadable.with_label_values(&labels);
+        metric.inc_by(unreadable);
+    }
     result
 }
 
--- a/crates/tinbay-gateway/tests/access_test.rs
+++ b/crates/tinbay-gateway/tests/access_test.rs
@@ -42,11 +42,11 @@
             Next::Answers(era) => era,
             Next::NoAnswer => {
                 let result = Err(StoreError::NoAnswer);
-                return Answered { era: None, result };
+                return Answered::new(None, result);
             }
         };
         let result = Ok(value(era.unwrap_or_default()));
-        Answered { era, result }
+        Answered::new(era, result)
     }
 }
 
