Requests: a header field that can't be written is an error, not left out

What callers saw: a request of a client account whose name holds a control character ran at the servers for no account at all: 200, without the field that names the account.

Cause: a text that no header field can hold was left out, and the rest of the request was sent. The same code wrote the id of the server that is meant (without it any server at the address answers), and the source of a copied run. Ids and handles are refused where they are decoded, so that for them this was by reading alone.

Evidence: key_known_with_a_name_that_can_not_be_sent_is_not_run failed before (200 where 503 is due).

Change: writing a field gives a typed error, and the request is not sent. The attempt's line names it (invalid_field); no server is blamed, and no other one is tried. Calls of a box itself say so as well.

Kept already: a name beyond ASCII is named to servers as it is (key_known_with_a_name_beyond_ascii_server_is_told_the_account).

--- a/crates/tinbay-gateway/src/front/attempt.rs
+++ b/crates/tinbay-gateway/src/front/attempt.rs
@@ -201,6 +201,9 @@
 ) -> Result<UnclassifiedResponse, AttemptResult> {
     let names = node.dialect.headers();
     let headers = headers::for_server(&inbound.parts.headers, names, &terms.headers);
+    let headers = headers.map_err(|error| AttemptResult::NotSent {
+        error: error.into(),
+    })?;
     let mut request = build_request(inbound, body, headers);
     loop {
         let connected = terms
--- a/crates/tinbay-gateway/src/front/deliver.rs
+++ b/crates/tinbay-gateway/src/front/deliver.rs
@@ -26,7 +26,7 @@
 use super::retry_budget;
 use crate::crashes::{self, check, check::CutRequest};
 use crate::http::body::{AnswerBody, RequestBody};
-use crate::http::pool::ReusableIdle;
+use crate::http::pool::{ConnectError, ReusableIdle};
 use crate::http::relay::{EndObserver, Relay, RelayTerms};
 use crate::limits::permits::{self, NoPermit, Permit};
 use crate::node::Node;
@@ -196,6 +196,14 @@
                 server.mark_displaced(node.now_ms());
                 AttemptEnd::NotRun
             }
+            AttemptResult::NotSent {
+                error: ConnectError::InvalidField(_),
+            } => {
+                // No server is at fault, and no other one could be sent the request.
+                permit.give_back(node, &server);
+                history.record(&server, AttemptEnd::NotRun);
+                return Err(final_refusal(node, inbound, &history));
+            }
             AttemptResult::NotSent { .. } => {
                 permit.give_back(node, &server);
                 penalize(node, &server, CONNECT_FAILURE_PENALTY);
--- a/crates/tinbay-gateway/src/front/handover/actions.rs
+++ b/crates/tinbay-gateway/src/front/handover/actions.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::{Method, StatusCode};
+use hyper::{Method, Request, StatusCode};
 use log::Level;
 use serde::Serialize;
 use tinbay_core::handover::transitions::{HandoverAnswer, ResumeServer};
@@ -23,6 +23,7 @@
 use crate::handover::drive::{HandoverActions, LocalFuture, Outcome, Resumed};
 use crate::http::body::RequestBody;
 use crate::http::call::{CallError, Reply};
+use crate::http::field::InvalidField;
 use crate::http::framing::BodyFormat;
 use crate::http::pool::ReusableIdle;
 use crate::http::pooled::call_pooled;
@@ -53,6 +54,15 @@
 /// Time-out of the call that frees a copy.
 const FREE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Why the call that frees a copy can't be sent.
+#[derive(Debug, thiserror::Error)]
+enum FreeError {
+    #[error(transparent)]
+    InvalidTarget(#[from] InvalidTarget),
+    #[error(transparent)]
+    InvalidField(#[from] InvalidField),
+}
+
 #[derive(Serialize)]
 struct NotFreedEvent<'a> {
     server: &'a str,
@@ -129,8 +139,6 @@
         let Some(target) = self.target.borrow().clone() else {
             return HandoverAnswer::NotStopped;
         };
-        self.requested_ms.set(self.node.now_ms());
-        self.inbound.handover.set(Some(Handover::Requested));
         let dialect = &self.node.dialect;
         let body = dialect.encode_handover(&self.inbound.id, target.record().address);
         let request = request_to(
@@ -140,6 +148,11 @@
             &dialect.handover_target(),
             body,
         );
+        let Ok(request) = request else {
+            return HandoverAnswer::NotStopped;
+        };
+        self.requested_ms.set(self.node.now_ms());
+        self.inbound.handover.set(Some(Handover::Requested));
         let max_connections = max_connections(&self.node, &self.inbound);
         let pool = Rc::clone(&self.source.pool);
         let node = Rc::clone(&self.node);
@@ -336,17 +349,10 @@
 
 impl SourceCopies {
     fn free(&self, handle: &str) {
-        let target = match self.node.dialect.copy_target(handle) {
-            Ok(target) => target,
+        let request = match self.free_request(handle) {
+            Ok(request) => request,
             Err(error) => return log_not_freed(&self.source, &error),
         };
-        let request = request_to(
-            &self.node,
-            &self.source,
-            Method::DELETE,
-            &target,
-            Bytes::new(),
-        );
         let pool = Rc::clone(&self.source.pool);
         let max_connections = max_connections(&self.node, &self.inbound);
         // If this call fails, the server frees the copy by itself after a while.
@@ -354,9 +360,16 @@
             let _ = call_pooled(&pool, max_connections, request, FREE_TIMEOUT).await;
         });
     }
+
+    fn free_request(&self, handle: &str) -> Result<Request<RequestBody>, FreeError> {
+        let target = self.node.dialect.copy_target(handle)?;
+        let (node, source) = (&self.node, &self.source);
+        let request = request_to(node, source, Method::DELETE, &target, Bytes::new())?;
+        Ok(request)
+    }
 }
 
-fn log_not_freed(source: &Server, error: &InvalidTarget) {
+fn log_not_freed(source: &Server, error: &FreeError) {
     let event = NotFreedEvent {
         server: &source.record().id,
         error: error.to_string(),
@@ -390,7 +403,9 @@
 fn parse_copy_reply(node: &Node, reply: Result<Reply, CallError>) -> HandoverAnswer {
     let reply = match reply {
         Ok(reply) => reply,
-        Err(CallError::NotConnected) => return HandoverAnswer::NotStopped,
+        Err(CallError::NotConnected | CallError::InvalidField(_)) => {
+            return HandoverAnswer::NotStopped;
+        }
         Err(
             CallError::NoAnswer
             | CallError::InvalidHead(_)
--- a/crates/tinbay-gateway/src/front/headers.rs
+++ b/crates/tinbay-gateway/src/front/headers.rs
@@ -1,7 +1,8 @@
 //! Rewrites headers between callers and servers.
 
-use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::header::HeaderMap;
 
+use crate::http::field::{InvalidField, insert_text};
 use crate::http::hop_headers::drop_hop_headers;
 use crate::port::dialect::HeaderNames;
 
@@ -32,11 +33,14 @@
 }
 
 /// Builds the headers of a request to a server from those of the caller.
+///
+/// # Errors
+/// When a value can't be sent. Without it, the request would be another one.
 pub fn for_server(
     caller: &HeaderMap,
     names: &HeaderNames,
     values: &ServerHeaders<'_>,
-) -> HeaderMap {
+) -> Result<HeaderMap, InvalidField> {
     let mut headers = caller.clone();
     drop_hop_headers(&mut headers);
     for name in &names.reserved {
@@ -47,23 +51,17 @@
     headers.remove(&names.priority);
     headers.remove(&names.expect_version);
     headers.insert(names.deadline_ms.clone(), values.deadline_ms.into());
-    insert_text(&mut headers, &names.expect_server, values.server_id);
+    insert_text(&mut headers, &names.expect_server, values.server_id)?;
     if let Some(account) = values.account {
-        insert_text(&mut headers, &names.account, account);
+        insert_text(&mut headers, &names.account, account)?;
     }
     headers.insert(names.priority.clone(), u64::from(values.priority).into());
     if let Some(version) = values.version {
         headers.insert(names.expect_version.clone(), version.into());
     }
     if let Some(resumption) = &values.resumption {
-        insert_text(&mut headers, &names.copy_source, resumption.copy_source);
+        insert_text(&mut headers, &names.copy_source, resumption.copy_source)?;
         headers.insert(names.last_event_id.clone(), resumption.last_event_id.into());
     }
-    headers
-}
-
-fn insert_text(headers: &mut HeaderMap, name: &HeaderName, text: &str) {
-    if let Ok(value) = HeaderValue::from_str(text) {
-        headers.insert(name.clone(), value);
-    }
+    Ok(headers)
 }
--- a/crates/tinbay-gateway/src/http/call.rs
+++ b/crates/tinbay-gateway/src/http/call.rs
@@ -11,6 +11,7 @@
 use tinbay_core::units::Millis;
 
 use super::connect::connect;
+use super::field::{InvalidField, insert_text};
 use super::gather::gather_reply;
 use super::head::HeadError;
 use super::interim::InterimLimit;
@@ -64,6 +65,9 @@
     /// No connection was available, so the request was not sent.
     #[error("could not connect; the request was not sent")]
     NotConnected,
+    /// The request could not be written, so it was not sent.
+    #[error(transparent)]
+    InvalidField(#[from] InvalidField),
     /// The call failed or timed out before a complete response arrived; the server may have
     /// received it.
     #[error("no complete response before the connection failed or the call timed out")]
@@ -116,8 +120,8 @@
     }
 
     async fn exchange(&self, call: &Call) -> Result<Reply, CallError> {
+        let mut request = self.request(call)?;
         let mut sender = self.sender().await?;
-        let mut request = self.request(call);
         let interim = InterimLimit::of(&mut request);
         let response = tokio::select! {
             sent = sender.send(request) => sent.map_err(|_| CallError::NoAnswer)?,
@@ -128,26 +132,22 @@
         Ok(reply)
     }
 
-    fn request(&self, call: &Call) -> Request<Full<Bytes>> {
+    fn request(&self, call: &Call) -> Result<Request<Full<Bytes>>, InvalidField> {
         let mut request = Request::new(Full::new(call.body.clone()));
         *request.method_mut() = call.method.clone();
         *request.uri_mut() = call.target.to_uri();
         let headers = request.headers_mut();
-        if let Ok(host) = self.address.to_string().parse() {
-            headers.insert(HOST, host);
-        }
+        insert_text(headers, &HOST, &self.address.to_string())?;
         if !call.body.is_empty() {
             headers.insert(
                 CONTENT_TYPE,
                 hyper::header::HeaderValue::from_static("application/json"),
             );
         }
-        if let Some((name, value)) = &call.header
-            && let Ok(value) = value.parse()
-        {
-            headers.insert(name.clone(), value);
+        if let Some((name, value)) = &call.header {
+            insert_text(headers, name, value)?;
         }
-        request
+        Ok(request)
     }
 
     async fn sender(&self) -> Result<Sender<Full<Bytes>>, CallError> {
--- a/crates/tinbay-gateway/src/http/mod.rs
+++ b/crates/tinbay-gateway/src/http/mod.rs
@@ -6,6 +6,7 @@
 pub mod call;
 pub mod connect;
 pub mod fair_stream;
+pub mod field;
 pub mod framing;
 pub mod gather;
 pub mod head;
--- a/crates/tinbay-gateway/src/http/pool.rs
+++ b/crates/tinbay-gateway/src/http/pool.rs
@@ -13,6 +13,7 @@
 
 use super::body::RequestBody;
 use super::connect::{ProbeOutcome, connect};
+use super::field::InvalidField;
 use super::reuse::{Reuse, ReuseLedger};
 use super::sender::Sender;
 use crate::clock::Clock;
@@ -43,6 +44,9 @@
     /// describes.
     #[error("could not find out which incarnation of the server a connection leads to")]
     UnknownIncarnation,
+    /// The request was not written.
+    #[error(transparent)]
+    InvalidField(#[from] InvalidField),
 }
 
 impl ConnectError {
@@ -52,6 +56,7 @@
             ConnectError::AllInUse => "all_in_use",
             ConnectError::Refused => "no_connection",
             ConnectError::UnknownIncarnation => "unknown_incarnation",
+            ConnectError::InvalidField(_) => "invalid_field",
         }
     }
 }
--- a/crates/tinbay-gateway/src/links/check.rs
+++ b/crates/tinbay-gateway/src/links/check.rs
@@ -165,7 +165,9 @@
     let Ok(_slot) = check.take_slot(node, server).await else {
         return false;
     };
-    let request = request_to(node, server, Method::GET, &check.target, Bytes::new());
+    let Ok(request) = request_to(node, server, Method::GET, &check.target, Bytes::new()) else {
+        return false;
+    };
     let reply = call_idle(&server.pool, request, timeout).await;
     reply.is_ok()
 }
--- a/crates/tinbay-gateway/src/orders/holder.rs
+++ b/crates/tinbay-gateway/src/orders/holder.rs
@@ -446,14 +446,14 @@
                 }
             }
             Err(error) => {
-                if error == CallError::NotConnected {
+                if matches!(error, CallError::NotConnected | CallError::InvalidField(_)) {
                     order_send.record_outcome();
                 } else {
                     drop(order_send);
                 }
                 self.report_unreachable(error).await;
                 match error {
-                    CallError::NotConnected => OrderAnswer::Refused,
+                    CallError::NotConnected | CallError::InvalidField(_) => OrderAnswer::Refused,
                     CallError::NoAnswer
                     | CallError::InvalidHead(_)
                     | CallError::TooLong { .. }
--- a/crates/tinbay-gateway/src/servers/incarnation.rs
+++ b/crates/tinbay-gateway/src/servers/incarnation.rs
@@ -55,7 +55,10 @@
         return Incarnation::Described;
     }
     let target = node.dialect.report_target();
-    let request = request_to(node, server, Method::GET, &target, Bytes::new());
+    let request = match request_to(node, server, Method::GET, &target, Bytes::new()) {
+        Ok(request) => request,
+        Err(error) => return unknown(server, error.to_string()),
+    };
     let reply = match call_on(connection, request, REPORT_TIMEOUT).await {
         Ok(reply) => reply,
         Err(CallError::NotConnected) => return Incarnation::Closed,
