tinbay: texts in the query of a request are encoded

Cause: as in the store's client, texts were put into the request as they were; boxes decode the query.

Evidence: query_holds_any_text_as_it_was_given failed before (change "a" and a parameter "b" were sent).

Change: queries are written by a library that encodes them.

--- a/crates/tinbay-cli/src/api.rs
+++ b/crates/tinbay-cli/src/api.rs
@@ -61,14 +61,11 @@
         kind: Option<Kind>,
         name: Option<&str>,
     ) -> Result<Vec<ObjectRecord>, CliError> {
-        let mut path = "/admin/v1/objects".to_owned();
-        if let Some(kind) = kind {
-            path.push_str(&format!("?kind={}", kind.as_str()));
-        }
-        if let Some(name) = name {
-            path.push_str(&format!("&name={name}"));
-        }
-        self.get(&path).await
+        let kind = kind.map(|kind| ("kind", kind.as_str()));
+        let name = name.map(|name| ("name", name));
+        let parameters: Vec<(&str, &str)> = kind.into_iter().chain(name).collect();
+        self.get(&with_query("/admin/v1/objects", &parameters))
+            .await
     }
 
     /// Returns the audit trail, optionally of one change.
@@ -76,10 +73,8 @@
     /// # Errors
     /// Same as [`Api::change`].
     pub async fn audit(&self, change: Option<&str>) -> Result<Vec<AuditRecord>, CliError> {
-        match change {
-            Some(id) => self.get(&format!("/admin/v1/audit?change={id}")).await,
-            None => self.get("/admin/v1/audit").await,
-        }
+        let parameters: Vec<(&str, &str)> = change.map(|id| ("change", id)).into_iter().collect();
+        self.get(&with_query("/admin/v1/audit", &parameters)).await
     }
 
     /// Returns the state of the fleet.
@@ -114,10 +109,9 @@
     /// # Errors
     /// Same as [`Api::change`].
     pub async fn locate(&self, model: Option<&ModelRef>) -> Result<LocateAnswer, CliError> {
-        match model {
-            Some(model) => self.get(&format!("/v1/locate?model={model}")).await,
-            None => self.get("/v1/locate").await,
-        }
+        let model = model.map(ToString::to_string);
+        let parameters: Vec<(&str, &str)> = model.iter().map(|model| ("model", &**model)).collect();
+        self.get(&with_query("/v1/locate", &parameters)).await
     }
 
     /// Waits until a revision is in force on every live box.
@@ -179,6 +173,17 @@
     }
 }
 
+/// Appends parameters, which it encodes, to a path.
+fn with_query(path: &str, parameters: &[(&str, &str)]) -> String {
+    if parameters.is_empty() {
+        return path.to_owned();
+    }
+    let target = format!("{path}?");
+    let start = target.len();
+    let mut query = form_urlencoded::Serializer::for_suffix(target, start);
+    query.extend_pairs(parameters).finish()
+}
+
 type ResponseFuture = std::pin::Pin<
     Box<dyn Future<Output = Result<ClientResponse, ntex::client::error::ClientError>>>,
 >;
