Own interface: a listing goes on after a key as it is stored

What callers saw: nothing shown by callers. With a page of keys in the key-value service that are not UTF-8, a box that starts never got its configuration: it asked for the same page for ever.

Cause: the key after which the next page begins was taken from the text of the last key, in which bytes that are not UTF-8 are replaced. An empty page with more to come asked for itself again, too.

Evidence: keys_that_are_not_utf8_leave_the_configuration failed before ("timed out waiting until the class is in force", 20 s).

Change: the next page begins after the bytes of the last key; a page without pairs that promises more is not understood.

--- a/crates/tinbay-node/src/platform/etcd.rs
+++ b/crates/tinbay-node/src/platform/etcd.rs
@@ -108,15 +108,15 @@
             if request.revision.0 == 0 {
                 request.revision = page.header.revision;
             }
+            // The next page begins after the last key as it is stored, which need not be text.
+            let last_key = page.kvs.last().map(|kv| kv.key.clone());
             pairs.extend(page.kvs.into_iter().map(to_pair));
             if !page.more {
                 let revision = request.revision.0;
                 return Ok(Listing { pairs, revision });
             }
-            if let Some(last) = pairs.last() {
-                request.key = Bytes::text(&last.key);
-                request.key.0.push(0);
-            }
+            request.key = last_key.ok_or(PlatformError::NotUnderstood)?;
+            request.key.0.push(0);
         }
     }
 
