--- a/crates/tinbay-gateway/src/http/target.rs
+++ b/crates/tinbay-gateway/src/http/target.rs
@@ -3,18 +3,19 @@
 //! Names and values may be chosen by others, so that each is encoded where the target is built.
 
 use hyper::Uri;
-use hyper::http::uri::PathAndQuery;
+use hyper::http::uri::{InvalidUri, PathAndQuery};
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
 
-/// Bytes that are encoded in a segment of a path: all but the unreserved ones of RFC 3986.
+/// Bytes that are encoded in a segment of a path: all but the unreserved ones of RFC 3986 and colons.
 const IN_SEGMENT: &AsciiSet = &NON_ALPHANUMERIC
     .remove(b'-')
     .remove(b'.')
     .remove(b'_')
-    .remove(b'~');
+    .remove(b'~')
+    .remove(b':');
 
-/// Bytes that are encoded in the value of a parameter, where these two separate nothing.
-const IN_PARAMETER: &AsciiSet = &IN_SEGMENT.remove(b'/').remove(b':');
+/// Bytes that are encoded in the value of a parameter, where a slash separates nothing.
+const IN_PARAMETER: &AsciiSet = &IN_SEGMENT.remove(b'/');
 
 /// Target of a request, valid as it stands.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -59,13 +60,11 @@
         if target.contains('#') {
             return Err(InvalidTarget::Fragment);
         }
-        let parsed = target.parse().map(Self);
-        parsed.map_err(
-            |error: hyper::http::uri::InvalidUri| InvalidTarget::Invalid {
-                length_bytes: target.len(),
-                reason: error.to_string(),
-            },
-        )
+        let parsed: Result<PathAndQuery, InvalidUri> = target.parse();
+        parsed.map(Self).map_err(|error| InvalidTarget::Invalid {
+            length_bytes: target.len(),
+            reason: error.to_string(),
+        })
     }
 
     /// Begins a target with an encoded path.
--- a/crates/tinbay-gateway/tests/target_test.rs
+++ b/crates/tinbay-gateway/tests/target_test.rs
@@ -9,12 +9,12 @@
 #[test]
 fn build_with_plain_texts_leaves_them_readable() {
     let target = RequestTarget::build("/range")
-        .segment("7")
+        .segment("7:a-b_c")
         .parameter("prefix", "servers/")
         .parameter("after", "servers/i-1.a_b~c:80")
         .finish()
         .expect("a target");
-    let text = "/range/7?prefix=servers/&after=servers/i-1.a_b~c:80";
+    let text = "/range/7:a-b_c?prefix=servers/&after=servers/i-1.a_b~c:80";
     assert_eq!(target.to_uri().to_string(), text);
 }
 
